Lay out the workspace, the design page and the shared interfaces

Cause: the repository was empty. Ruled out: one lease per worker spread by rendezvous hashing, and a permit on its own timer; the reasons are in docs/design.md, section 4. Conclusion: the packages can now be written in parallel against these headers.

--- /dev/null
+++ b/packages/base/include/endivedoor/base/Event.h
@@ -0,0 +1,83 @@
+/// \file
+/// Numbered structured log events.
+#ifndef ENDIVEDOOR_BASE_EVENT_H
+#define ENDIVEDOOR_BASE_EVENT_H
+
+#include "endivedoor/base/Clock.h"
+#include "endivedoor/base/HybridClock.h"
+
+#include <deque>
+#include <initializer_list>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace endivedoor::base {
+
+enum class Severity { Info, Warning, Error, Fatal };
+
+/// Number of a log event, as documented in docs/events.md.
+enum class EventCode {
+#define ENDIVEDOOR_EVENT(name, number, severity, text, action) name = number,
+#include "endivedoor/base/Events.def"
+#undef ENDIVEDOOR_EVENT
+};
+
+/// One row of the event catalogue.
+struct EventInfo {
+  EventCode Code;
+  std::string_view Name;
+  Severity Level;
+  std::string_view Text;
+  std::string_view Action;
+};
+
+/// Returns the whole event catalogue in the order of declaration.
+const std::vector<EventInfo> &eventCatalogue();
+
+/// Returns the catalogue row of \p code.
+const EventInfo &eventInfo(EventCode code);
+
+/// A named value of an event, for example {"worker", "g-07"}.
+using EventField = std::pair<std::string, std::string>;
+
+/// An event as kept in the ring of a process.
+struct EventRecord {
+  HybridTime Time;
+  EventCode Code;
+  std::vector<EventField> Fields;
+};
+
+/// Writes events to the log and keeps the latest ones in memory. Thread-safe.
+class EventLog {
+public:
+  /// \param process name of this process, written on each line.
+  /// \param hybrid clock that stamps the events.
+  /// \param capacity number of events kept in memory.
+  EventLog(std::string process, HybridClock &hybrid, std::size_t capacity);
+
+  /// Logs an event as one line: E<number> <text> key=value ... Cost: one lock,
+  /// one write.
+  void emit(EventCode code, std::vector<EventField> fields = {});
+
+  /// Returns the kept events, oldest first.
+  std::vector<EventRecord> snapshot() const;
+
+  const std::string &process() const { return Process; }
+
+private:
+  std::string Process;
+  HybridClock &Hybrid;
+  std::size_t Capacity;
+  mutable std::mutex Mutex;
+  std::deque<EventRecord> Ring;
+};
+
+/// Ends the process with the event InvariantBroken.
+[[noreturn]] void breakInvariant(std::string_view detail);
+
+} // namespace endivedoor::base
+
+#endif
--- /dev/null
+++ b/packages/control/src/Control.cpp
@@ -0,0 +1,1 @@
+#include "endivedoor/control/ControlApi.h"
--- /dev/null
+++ b/packages/platform/include/endivedoor/platform/Http.h
@@ -0,0 +1,42 @@
+/// \file
+/// HTTP/1.1 messages as plain values, so that Beast stays behind the adapters.
+#ifndef ENDIVEDOOR_PLATFORM_HTTP_H
+#define ENDIVEDOOR_PLATFORM_HTTP_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace endivedoor::platform {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Returns the value of the first header \p name (compared without case), or an
+/// empty view.
+std::string_view findHeader(const HttpHeaders &headers, std::string_view name);
+
+struct HttpRequest {
+  std::string Method = "GET";
+  /// Path with query, for example "/v1/status".
+  std::string Path = "/";
+  HttpHeaders Headers;
+  std::string Body;
+};
+
+struct HttpResponse {
+  unsigned Status = 200;
+  HttpHeaders Headers;
+  std::string Body;
+};
+
+/// Largest sizes of a message, in bytes.
+struct HttpLimits {
+  std::size_t HeaderBytes = 16 * 1024;
+  std::size_t BodyBytes = 1024 * 1024;
+};
+
+} // namespace endivedoor::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/src/detail/BeastMessages.h
@@ -0,0 +1,43 @@
+/// \file
+/// Conversion between the plain messages of Http.h and those of Boost.Beast.
+#ifndef ENDIVEDOOR_PLATFORM_DETAIL_BEASTMESSAGES_H
+#define ENDIVEDOOR_PLATFORM_DETAIL_BEASTMESSAGES_H
+
+#include "endivedoor/platform/Http.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http.hpp>
+
+namespace endivedoor::platform::detail {
+
+namespace http = boost::beast::http;
+
+/// Headers of one hop; they are never copied between messages.
+inline bool isHopHeader(std::string_view name) {
+  for (std::string_view it :
+       {"connection", "content-length", "transfer-encoding", "keep-alive"})
+    if (boost::beast::iequals(name, it))
+      return true;
+  return false;
+}
+
+template <bool IsRequest>
+HttpHeaders copyHeaders(const http::message<IsRequest, http::string_body> &m) {
+  HttpHeaders headers;
+  for (const auto &it : m)
+    if (!isHopHeader(it.name_string()))
+      headers.emplace_back(it.name_string(), it.value());
+  return headers;
+}
+
+template <bool IsRequest>
+void setHeaders(http::message<IsRequest, http::string_body> &m,
+                const HttpHeaders &headers) {
+  for (const auto &[key, value] : headers)
+    if (!isHopHeader(key))
+      m.insert(key, value);
+}
+
+} // namespace endivedoor::platform::detail
+
+#endif
--- /dev/null
+++ b/packages/policy/src/Policy.cpp
@@ -0,0 +1,1 @@
+#include "endivedoor/policy/Scheduler.h"
--- /dev/null
+++ b/packages/server/src/Server.cpp
@@ -0,0 +1,1 @@
+#include "endivedoor/base/Base.h"
--- /dev/null
+++ b/scripts/install-dependencies.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs the compilers and libraries that endivedoor needs, from Debian's packages.
+set -euo pipefail
+export DEBIAN_FRONTEND=noninteractive
+packages=(g++ cmake ninja-build ccache pkg-config git
+  libboost1.81-dev libboost-json1.81-dev libzmq3-dev cppzmq-dev
+  libprotobuf-dev protobuf-compiler libyaml-cpp-dev libgoogle-glog-dev libabsl-dev
+  librapidcheck-dev libgtest-dev libgmock-dev libbenchmark-dev libxxhash-dev
+  clang-format clang-tidy clang-tools gnuplot-nox)
+if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
+  exit 0
+fi
+sudo=()
+[ "$(id -u)" -eq 0 ] || sudo=(sudo)
+"${sudo[@]}" apt-get update -q
+"${sudo[@]}" apt-get install -y -q --no-install-recommends "${packages[@]}"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Checks formatting and naming of all own sources; needs ./build to be configured.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t sources < <(git ls-files '*.h' '*.cpp')
+clang-format --dry-run --Werror "${sources[@]}"
+mapfile -t units < <(git ls-files '*.cpp')
+# A unit that passed once with the same inputs is not checked again.
+cache="${XDG_CACHE_HOME:-$HOME/.cache}/endivedoor-lint"
+mkdir -p "$cache"
+headers="$(cat .clang-tidy $(git ls-files '*.h' '*.def') | sha256sum)"
+todo=()
+for unit in "${units[@]}"; do
+  key="$(echo "$headers $(sha256sum "$unit")" | sha256sum | cut -d' ' -f1)"
+  [ -e "$cache/$key" ] || todo+=("$unit")
+done
+[ "${#todo[@]}" -eq 0 ] && exit 0
+log="$(mktemp)"
+trap 'rm -f "$log"' EXIT
+# The build's g++ warning options are unknown to clang.
+if ! printf '%s\n' "${todo[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build \
+    --extra-arg=-Wno-unknown-warning-option >"$log" 2>&1; then
+  grep -vE 'warnings? (generated|treated)|^Suppressed|^Use -header-filter' "$log"
+  echo "clang-tidy found faults"
+  exit 1
+fi
+for unit in "${todo[@]}"; do
+  key="$(echo "$headers $(sha256sum "$unit")" | sha256sum | cut -d' ' -f1)"
+  touch "$cache/$key"
+done
