--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -40,8 +40,10 @@
 static std::string formatLine(const std::string &process, HybridTime time,
                               const EventInfo &info,
                               const std::vector<EventField> &fields) {
-  std::string line = "E" + std::to_string(static_cast<int>(info.Code)) + " " +
-                     std::string(info.Text) + " process=" + process +
+  std::string line = "event=" + std::to_string(static_cast<int>(info.Code)) +
+                     " name=" + std::string(info.Name) +
+                     " text=" + quoteValue(std::string(info.Text)) +
+                     " process=" + process +
                      " hlc=" + std::to_string(time.WallMicros) + "." +
                      std::to_string(time.Counter);
   for (const auto &[key, value] : fields)
@@ -82,8 +84,9 @@
 }
 
 void breakInvariant(std::string_view detail) {
-  LOG(FATAL) << "E" << static_cast<int>(EventCode::InvariantBroken)
-             << " an internal invariant is broken detail=\"" << detail << "\"";
+  LOG(FATAL) << "event=" << static_cast<int>(EventCode::InvariantBroken)
+             << " name=InvariantBroken detail="
+             << quoteValue(std::string(detail));
   __builtin_unreachable();
 }
 
