--- /dev/null
+++ b/tests/harness/Cluster.cpp
@@ -0,0 +1,325 @@
+#include "harness/Cluster.h"
+
+#include "harness/Http.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace endivedoor::harness {
+
+namespace fs = std::filesystem;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+// Offsets from the base port. Zone z has its callers, operators and peers at
+// 100 * z, its workers at 100 * z + 60, and its links to other zones' workers
+// and to the platform above 300.
+constexpr int CallersOffset = 0, OperatorsOffset = 20, PeersOffset = 40,
+              WorkersOffset = 60, LinksOffset = 300, StoreOffset = 901,
+              HostListOffset = 902, ProxyOffset = 910;
+
+std::string program(const std::string &name) {
+  return std::string(ENDIVEDOOR_BIN_DIR) + "/" + name;
+}
+
+bool waitFor(std::chrono::milliseconds limit,
+             const std::function<bool()> &condition) {
+  auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end)
+      return false;
+    std::this_thread::sleep_for(20ms);
+  }
+  return true;
+}
+
+Cluster::Cluster(ClusterShape shape, std::string folder)
+    : Shape(std::move(shape)), Folder(std::move(folder)) {
+  fs::remove_all(Folder);
+  fs::create_directories(Folder);
+  for (std::size_t z = 0; z < Shape.Zones.size(); ++z) {
+    const ZoneShape &zone = Shape.Zones[z];
+    int base = static_cast<int>(z) * 100;
+    for (int i = 1; i <= zone.EntryHosts; ++i) {
+      DaemonPlace place;
+      place.Name = zone.Name + "-" + std::to_string(i);
+      place.Zone = zone.Name;
+      place.Callers = address(base + CallersOffset + i);
+      place.Operators = address(base + OperatorsOffset + i);
+      place.Peer = address(base + PeersOffset + i);
+      place.SettingsFile = Folder + "/" + place.Name + ".yaml";
+      Daemons.push_back(std::move(place));
+    }
+  }
+}
+
+Cluster::~Cluster() {
+  for (DaemonPlace &it : Daemons)
+    it.Child.reset();
+}
+
+model::Address Cluster::address(int offset) const {
+  return {"127.0.0.1", static_cast<std::uint16_t>(Shape.BasePort + offset)};
+}
+
+model::Address Cluster::workerAddress(const std::string &zone,
+                                      int index) const {
+  for (std::size_t z = 0; z < Shape.Zones.size(); ++z)
+    if (Shape.Zones[z].Name == zone)
+      return address(static_cast<int>(z) * 100 + WorkersOffset + index);
+  return {};
+}
+
+DaemonPlace &Cluster::daemon(const std::string &name) {
+  auto it = std::find_if(Daemons.begin(), Daemons.end(),
+                         [&](const auto &d) { return d.Name == name; });
+  return it == Daemons.end() ? Daemons.front() : *it;
+}
+
+std::vector<DaemonPlace *> Cluster::daemonsOf(const std::string &zone) {
+  std::vector<DaemonPlace *> found;
+  for (DaemonPlace &it : Daemons)
+    if (it.Zone == zone)
+      found.push_back(&it);
+  return found;
+}
+
+DaemonPlace *Cluster::owner(const std::string &zone) {
+  for (DaemonPlace &it : Daemons) {
+    json::value answer = callJson(it.Operators, "/v1/zones");
+    if (!answer.is_object())
+      continue;
+    for (const json::value &row : answer.at("zones").as_array())
+      if (row.at("zone").as_string() == zone &&
+          !row.at("owner").as_string().empty())
+        return &daemon(std::string(row.at("owner").as_string()));
+  }
+  return nullptr;
+}
+
+/// One link of the fault proxy as its command line wants it.
+static std::string link(const std::string &name, const model::Address &listen,
+                        const model::Address &to) {
+  return name + "=" + std::to_string(listen.Port) + "->" + to.str();
+}
+
+// Link names: "store:ZONE", "hosts:ZONE", "peer:FROM:DAEMON",
+// "worker:FROM:TO:N". Ports are given in the order of this list, which
+// writeSettings() and writeHostLists() follow.
+std::vector<std::string> Cluster::proxyLinks() const {
+  std::vector<std::string> links;
+  int port = LinksOffset;
+  for (const ZoneShape &from : Shape.Zones) {
+    links.push_back(link("store:" + from.Name, address(port++), store()));
+    links.push_back(link(
+        "hosts:" + from.Name, address(port++),
+        address(HostListOffset + static_cast<int>(&from - &Shape.Zones[0]))));
+    for (const DaemonPlace &to : Daemons)
+      if (to.Zone != from.Name)
+        links.push_back(link("peer:" + from.Name + ":" + to.Name,
+                             address(port++), to.Peer));
+    for (const ZoneShape &to : Shape.Zones)
+      for (int i = 0; to.Name != from.Name && i < to.Workers; ++i)
+        links.push_back(link("worker:" + from.Name + ":" + to.Name + ":" +
+                                 std::to_string(i),
+                             address(port++), workerAddress(to.Name, i)));
+  }
+  return links;
+}
+
+/// Returns the address on which the proxy serves the link \p name.
+static model::Address findLink(const std::vector<std::string> &links,
+                               const std::string &name) {
+  for (const std::string &it : links)
+    if (it.starts_with(name + "="))
+      return {"127.0.0.1", static_cast<std::uint16_t>(
+                               std::stoi(it.substr(name.size() + 1)))};
+  return {};
+}
+
+void Cluster::writeSettings(const DaemonPlace &daemon) const {
+  std::vector<std::string> links = proxyLinks();
+  std::ofstream out(daemon.SettingsFile);
+  out << "name: " << daemon.Name << "\nzone: " << daemon.Zone
+      << "\nlisten:\n  callers: " << daemon.Callers.str()
+      << "\n  operators: " << daemon.Operators.str()
+      << "\n  peer: " << daemon.Peer.str() << "\nstore:\n  - "
+      << findLink(links, "store:" + daemon.Zone).str()
+      << "\nhostList: " << findLink(links, "hosts:" + daemon.Zone).str()
+      << "\nentryHosts: " << Daemons.size() << "\nzones:\n";
+  for (const ZoneShape &it : Shape.Zones)
+    out << "  - " << it.Name << "\n";
+  out << "peers:\n";
+  for (const DaemonPlace &it : Daemons) {
+    if (it.Name == daemon.Name)
+      continue;
+    model::Address peer =
+        it.Zone == daemon.Zone
+            ? it.Peer
+            : findLink(links, "peer:" + daemon.Zone + ":" + it.Name);
+    out << "  - {name: " << it.Name << ", zone: " << it.Zone
+        << ", peer: " << peer.str() << ", operator: " << it.Operators.str()
+        << "}\n";
+  }
+  if (!Shape.Timing.empty())
+    out << "timing:\n" << Shape.Timing;
+}
+
+// Each zone has its own copy of the list, in which workers of other zones stand
+// behind the proxy.
+void Cluster::writeHostLists() const {
+  std::vector<std::string> links = proxyLinks();
+  for (const ZoneShape &from : Shape.Zones) {
+    json::array hosts;
+    for (const ZoneShape &to : Shape.Zones) {
+      for (int i = 0; i < to.Workers; ++i) {
+        std::string index = std::to_string(i);
+        model::Address at = to.Name == from.Name
+                                ? workerAddress(to.Name, i)
+                                : findLink(links, "worker:" + from.Name + ":" +
+                                                      to.Name + ":" + index);
+        std::string rack =
+            to.Name + "-r" + std::to_string(i / Shape.WorkersPerRack + 1);
+        hosts.push_back({{"name", to.Name + "-w-" + std::to_string(i + 1)},
+                         {"zone", to.Name},
+                         {"rack", rack},
+                         {"address", at.str()},
+                         {"state", "live"}});
+      }
+    }
+    std::ofstream(Folder + "/hosts-" + from.Name + ".json")
+        << json::serialize(json::object{{"hosts", hosts}});
+  }
+}
+
+void Cluster::startStandins() {
+  auto run = [&](std::vector<std::string> arguments, const std::string &name) {
+    arguments[0] = program(arguments[0]);
+    return std::make_unique<Process>(std::move(arguments),
+                                     Folder + "/" + name + ".out");
+  };
+  Standins.push_back(run({"standin-store", "--listen=" + store().str(),
+                          "--log=" + Folder + "/store.jsonl"},
+                         "store"));
+  std::string lag = "--lag=" + std::to_string(Shape.HostListLag.count()) + "ms";
+  for (std::size_t z = 0; z < Shape.Zones.size(); ++z) {
+    const ZoneShape &zone = Shape.Zones[z];
+    Standins.push_back(
+        run({"standin-hostlist",
+             "--listen=" + address(HostListOffset + static_cast<int>(z)).str(),
+             "--file=" + Folder + "/hosts-" + zone.Name + ".json", lag},
+            "hosts-" + zone.Name));
+    Workers[zone.Name] =
+        run({"standin-worker", "--listen=" + workerAddress(zone.Name, 0).str(),
+             "--count=" + std::to_string(zone.Workers),
+             "--name=" + zone.Name + "-w", "--zone=" + zone.Name,
+             "--rack_size=" + std::to_string(Shape.WorkersPerRack),
+             "--log=" + Folder + "/workers-" + zone.Name + ".jsonl"},
+            "workers-" + zone.Name);
+  }
+  std::vector<std::string> proxy = {"standin-faultproxy",
+                                    "--listen=" + address(ProxyOffset).str()};
+  for (const std::string &it : proxyLinks()) {
+    LinkNames.push_back(it.substr(0, it.find('=')));
+    proxy.push_back("--link=" + it);
+  }
+  Standins.push_back(run(std::move(proxy), "proxy"));
+}
+
+void Cluster::startDaemon(DaemonPlace &daemon) {
+  daemon.Child = std::make_unique<Process>(
+      std::vector<std::string>{program("endivedoord"),
+                               "--settings=" + daemon.SettingsFile},
+      Folder + "/" + daemon.Name + ".log");
+}
+
+static bool isReady(const DaemonPlace &daemon) {
+  platform::HttpRequest request;
+  request.Path = "/readyz";
+  auto answer = call(daemon.Operators, request, 1s);
+  return answer && answer.value().Status == 200;
+}
+
+bool Cluster::start(std::chrono::milliseconds limit) {
+  writeHostLists();
+  startStandins();
+  bool storeUp = waitFor(
+      5s, [&] { return callJson(store(), "/admin/counters").is_object(); });
+  if (!storeUp)
+    return false;
+  for (DaemonPlace &it : Daemons) {
+    writeSettings(it);
+    startDaemon(it);
+  }
+  bool ready = waitFor(limit, [&] {
+    return std::all_of(Daemons.begin(), Daemons.end(), isReady);
+  });
+  return ready && waitFor(limit, [&] {
+           return std::all_of(
+               Shape.Zones.begin(), Shape.Zones.end(),
+               [&](const ZoneShape &z) { return owner(z.Name) != nullptr; });
+         });
+}
+
+void Cluster::setLinks(const std::function<bool(const std::string &)> &chosen,
+                       const std::string &body) {
+  for (const std::string &it : LinkNames)
+    if (chosen(it))
+      callJson(address(ProxyOffset), "/admin/links/" + it, body);
+}
+
+/// Body that sets a link to a mode of the proxy.
+static std::string linkMode(bool cut, const std::string &mode) {
+  return json::serialize(json::object{{"cut", cut ? mode : "none"}});
+}
+
+void Cluster::cutPlatform(const std::string &zone, bool cut) {
+  setLinks(
+      [&](const std::string &n) {
+        return n == "store:" + zone || n == "hosts:" + zone;
+      },
+      linkMode(cut, "both"));
+}
+
+void Cluster::cutZones(const std::string &from, const std::string &to, bool cut,
+                       const std::string &mode) {
+  setLinks(
+      [&](const std::string &n) {
+        return n.starts_with("worker:" + from + ":" + to + ":") ||
+               n.starts_with("peer:" + from + ":" + to + "-");
+      },
+      linkMode(cut, mode));
+}
+
+boost::json::value Cluster::storeAdmin(const std::string &path,
+                                       const std::string &body) {
+  return callJson(store(), path, body);
+}
+
+std::vector<json::object> Cluster::records(const std::string &prefix) const {
+  std::vector<json::object> rows;
+  for (const fs::directory_entry &it : fs::directory_iterator(Folder)) {
+    std::string name = it.path().filename().string();
+    if (!name.starts_with(prefix) || it.path().extension() != ".jsonl")
+      continue;
+    std::ifstream in(it.path());
+    for (std::string line; std::getline(in, line);) {
+      boost::system::error_code ec;
+      json::value row = json::parse(line, ec);
+      if (!ec && row.is_object())
+        rows.push_back(std::move(row.as_object()));
+    }
+  }
+  std::stable_sort(rows.begin(), rows.end(), [](const auto &a, const auto &b) {
+    return a.at("us").as_int64() < b.at("us").as_int64();
+  });
+  return rows;
+}
+
+} // namespace endivedoor::harness
--- /dev/null
+++ b/tests/harness/Cluster.h
@@ -0,0 +1,123 @@
+/// \file
+/// A whole installation on one machine: stand-ins of the platform and daemons,
+/// as processes.
+#ifndef ENDIVEDOOR_TESTS_HARNESS_CLUSTER_H
+#define ENDIVEDOOR_TESTS_HARNESS_CLUSTER_H
+
+#include "harness/Process.h"
+
+#include "endivedoor/base/Ids.h"
+#include "endivedoor/model/Worker.h"
+
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endivedoor::harness {
+
+struct ZoneShape {
+  std::string Name;
+  int EntryHosts = 2;
+  int Workers = 3;
+};
+
+struct ClusterShape {
+  std::vector<ZoneShape> Zones;
+  int WorkersPerRack = 8;
+  /// First of 1000 ports that belong to this cluster.
+  std::uint16_t BasePort = 0;
+  /// Lag of the host list.
+  std::chrono::milliseconds HostListLag{1000};
+  /// Extra lines for the timing section of every settings file.
+  std::string Timing;
+};
+
+/// What the harness knows of one daemon.
+struct DaemonPlace {
+  std::string Name;
+  std::string Zone;
+  model::Address Callers;
+  model::Address Operators;
+  model::Address Peer;
+  std::string SettingsFile;
+  std::unique_ptr<Process> Child;
+};
+
+/// Links between zones and the platform go through the fault proxy, so that
+/// they can be cut.
+class Cluster {
+public:
+  /// \param folder receives settings, logs and the stand-ins' own records;
+  /// created if absent.
+  Cluster(ClusterShape shape, std::string folder);
+  ~Cluster();
+
+  /// Starts the stand-ins and all daemons, and waits until every daemon is
+  /// ready and every zone's shard has an owner. Returns whether this happened
+  /// within \p limit.
+  bool start(std::chrono::milliseconds limit = std::chrono::seconds(20));
+
+  void startDaemon(DaemonPlace &daemon);
+  std::vector<DaemonPlace> &daemons() { return Daemons; }
+  DaemonPlace &daemon(const std::string &name);
+  /// Returns the daemon that owns the shard of \p zone, or null.
+  DaemonPlace *owner(const std::string &zone);
+  std::vector<DaemonPlace *> daemonsOf(const std::string &zone);
+
+  model::Address store() const { return address(901); }
+  model::Address hostList() const { return address(902); }
+  /// Process that runs all workers of a zone.
+  Process &workers(const std::string &zone) { return *Workers.at(zone); }
+  model::Address workerAddress(const std::string &zone, int index) const;
+
+  /// Cuts or heals the links between a zone and the platform (store and host
+  /// list).
+  void cutPlatform(const std::string &zone, bool cut);
+  /// Cuts or heals the links from zone \p from to zone \p to; \p mode is
+  /// "both", "forward" or "backward".
+  void cutZones(const std::string &from, const std::string &to, bool cut,
+                const std::string &mode = "both");
+
+  /// Posts to an admin endpoint of the store stand-in.
+  boost::json::value storeAdmin(const std::string &path,
+                                const std::string &body = "{}");
+
+  /// Records that the stand-ins wrote, oldest first, of one file name prefix
+  /// ("workers", "store").
+  std::vector<boost::json::object> records(const std::string &prefix) const;
+
+  const std::string &folder() const { return Folder; }
+
+private:
+  model::Address address(int offset) const;
+  void writeSettings(const DaemonPlace &daemon) const;
+  void writeHostLists() const;
+  std::vector<std::string> proxyLinks() const;
+  void startStandins();
+  void setLinks(const std::function<bool(const std::string &)> &chosen,
+                const std::string &body);
+
+  ClusterShape Shape;
+  std::string Folder;
+  std::vector<DaemonPlace> Daemons;
+  std::map<std::string, std::unique_ptr<Process>> Workers;
+  std::vector<std::unique_ptr<Process>> Standins;
+  std::vector<std::string> LinkNames;
+};
+
+/// Polls \p condition every 20 ms; returns whether it held before \p limit.
+bool waitFor(std::chrono::milliseconds limit,
+             const std::function<bool()> &condition);
+
+/// Returns the path of a program of this build, for example "endivedoord".
+std::string program(const std::string &name);
+
+} // namespace endivedoor::harness
+
+#endif
