--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -34,6 +34,8 @@
 /// Belongs to the thread of its executor.
 class HttpServer {
 public:
+  /// Answers one request. A response with status 0 closes the connection
+  /// without an answer.
   using Handler =
       std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
@@ -53,6 +55,9 @@
   /// Returns the number of requests in progress.
   std::size_t activeRequests() const;
 
+  /// Returns the number of open connections.
+  std::size_t openConnections() const;
+
   /// Returns the port in use, for servers that listen on port 0.
   std::uint16_t port() const;
 
--- a/packages/platform/include/endivedoor/platform/Store.h
+++ b/packages/platform/include/endivedoor/platform/Store.h
@@ -40,7 +40,7 @@
   std::string Value;
   /// Lease that a put is attached to.
   LeaseId Lease{0};
-  /// Exclusive end of a range; empty means the single key.
+  /// Exclusive end of a range or delete; empty means the single key.
   std::string RangeEnd;
   /// Largest number of entries of a range; 0 means no limit.
   std::int64_t Limit = 0;
@@ -68,6 +68,15 @@
   std::vector<std::vector<StoreEntry>> Ranges;
 };
 
+/// Number of calls made so far, by kind; a call that failed counts too.
+struct StoreCallCounts {
+  std::uint64_t Txn = 0;
+  std::uint64_t Range = 0;
+  std::uint64_t Grant = 0;
+  std::uint64_t KeepAlive = 0;
+  std::uint64_t Revoke = 0;
+};
+
 /// The store. Methods run on the executor that awaits them.
 ///
 /// Errors of every method: StoreUnavailable (the call did not take effect),
@@ -94,6 +103,9 @@
 
   /// Ends a lease and deletes its keys. Cost: one call.
   virtual Async<void> revokeLease(LeaseId lease) = 0;
+
+  /// Returns the calls made through this object. Cost: none.
+  virtual StoreCallCounts counts() const { return {}; }
 };
 
 /// Returns the exclusive end of the range of all keys that begin with \p
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -126,8 +126,9 @@
   request.Headers = detail::copyHeaders(message);
   request.Body = std::move(message.body());
   HttpResponse response = co_await Handle(std::move(request));
-  bool goOn =
-      co_await answer(connection, std::move(response), keepAlive, isHead);
+  bool goOn = false;
+  if (response.Status != 0)
+    goOn = co_await answer(connection, std::move(response), keepAlive, isHead);
   --Active;
   co_return goOn;
 }
@@ -195,6 +196,10 @@
 
 std::size_t HttpServer::activeRequests() const { return Self->Active; }
 
+std::size_t HttpServer::openConnections() const {
+  return Self->Connections.size();
+}
+
 std::uint16_t HttpServer::port() const {
   boost::system::error_code ec;
   return Self->Acceptor.local_endpoint(ec).port();
--- /dev/null
+++ b/packages/platform/src/detail/HttpCalls.h
@@ -0,0 +1,37 @@
+/// \file
+/// Steps that the HTTP adapters share.
+#ifndef ENDIVEDOOR_PLATFORM_DETAIL_HTTPCALLS_H
+#define ENDIVEDOOR_PLATFORM_DETAIL_HTTPCALLS_H
+
+#include "endivedoor/platform/Http.h"
+#include "endivedoor/platform/Json.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace endivedoor::platform::detail {
+
+inline HttpRequest jsonPost(std::string path, const boost::json::value &body) {
+  return {"POST",
+          std::move(path),
+          {{"Content-Type", "application/json"}},
+          boost::json::serialize(body)};
+}
+
+/// Parses the body of an answer and reads it with \p read, which returns the
+/// value. Errors: PlatformAnswerInvalid.
+template <typename F>
+auto readAnswer(const std::string &body, F read)
+    -> base::Result<std::invoke_result_t<F, const JsonView &>> {
+  base::Result<boost::json::value> value = parseJson(body);
+  if (!value)
+    return base::fail(base::Errc::PlatformAnswerInvalid, value.error().Detail);
+  std::string fault;
+  auto result = read(JsonView(value.value(), fault));
+  if (!fault.empty())
+    return base::fail(base::Errc::PlatformAnswerInvalid, fault);
+  return result;
+}
+
+} // namespace endivedoor::platform::detail
+
+#endif
--- /dev/null
+++ b/tests/support/Standin.h
@@ -0,0 +1,119 @@
+/// \file
+/// What the stand-in programs share: the run loop, JSON answers and JSON-lines
+/// logs.
+#ifndef ENDIVEDOOR_TESTS_SUPPORT_STANDIN_H
+#define ENDIVEDOOR_TESTS_SUPPORT_STANDIN_H
+
+#include "endivedoor/base/Clock.h"
+#include "endivedoor/platform/HttpServer.h"
+#include "endivedoor/platform/Json.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace endivedoor::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using platform::HttpRequest;
+using platform::HttpResponse;
+using platform::JsonView;
+template <typename T> using Awaitable = asio::awaitable<T>;
+
+inline HttpResponse jsonAnswer(unsigned status, const json::value &body) {
+  return {
+      status, {{"Content-Type", "application/json"}}, json::serialize(body)};
+}
+
+/// Closes the connection without an answer.
+inline HttpResponse noAnswer() { return {0, {}, {}}; }
+
+/// Parses the JSON body of a request, passes it to \p handle and returns the
+/// answer, or 400 with the first fault. An empty body reads as {}.
+template <typename F>
+HttpResponse withBody(const HttpRequest &request, F handle) {
+  auto body = platform::parseJson(request.Body.empty() ? "{}" : request.Body);
+  if (!body)
+    return jsonAnswer(400, {{"error", body.error().Detail}});
+  std::string fault;
+  HttpResponse response = handle(JsonView(body.value(), fault), fault);
+  return fault.empty() ? response : jsonAnswer(400, {{"error", fault}});
+}
+
+inline model::Address parseAddress(const std::string &text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    std::cerr << "not an ip:port address: " << text << "\n";
+    std::exit(2);
+  }
+  return {text.substr(0, colon),
+          static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1))};
+}
+
+inline std::int64_t wallMicros(const base::Clock &clock) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             clock.wallNow().time_since_epoch())
+      .count();
+}
+
+/// A log of one JSON object per line, each with its wall time in "us".
+class JsonLog {
+public:
+  JsonLog(const std::string &path, const base::Clock &clock) : Time(clock) {
+    if (path.empty())
+      return;
+    Out.open(path, std::ios::app);
+    if (!Out) {
+      std::cerr << "cannot write " << path << "\n";
+      std::exit(2);
+    }
+  }
+  void write(json::object line) {
+    if (!Out.is_open())
+      return;
+    line["us"] = wallMicros(Time);
+    Out << json::serialize(line) << std::endl;
+  }
+
+private:
+  const base::Clock &Time;
+  std::ofstream Out;
+};
+
+/// Makes and starts a server, or ends the process with status 2.
+inline std::unique_ptr<platform::HttpServer>
+serveOrExit(asio::io_context &io, const model::Address &listen,
+            platform::HttpServer::Handler handler,
+            std::size_t bodyBytes = 4 * 1024 * 1024) {
+  platform::HttpServerOptions options;
+  options.Listen = listen;
+  options.Limits.BodyBytes = bodyBytes;
+  auto server = std::make_unique<platform::HttpServer>(
+      io.get_executor(), options, std::move(handler));
+  auto started = server->start();
+  if (!started) {
+    std::cerr << started.error().message() << "\n";
+    std::exit(2);
+  }
+  return server;
+}
+
+/// Prints "listening <ip>:<port>" and runs until SIGTERM or SIGINT.
+inline void runUntilSignal(asio::io_context &io, const model::Address &shown) {
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) { io.stop(); });
+  std::cout << "listening " << shown.str() << std::endl;
+  io.run();
+}
+
+} // namespace endivedoor::standin
+
+#endif
