--- a/tests/support/EtcdGateway.h
+++ b/tests/support/EtcdGateway.h
@@ -198,8 +198,12 @@
     bool isRevoke = path == "/v3/lease/revoke";
     if (!isRevoke && path != "/v3/lease/keepalive")
       co_return error(404, 5, "Not Found");
-    auto done = isRevoke ? co_await Store.revokeLease(id)
-                         : co_await Store.keepAlive(id);
+    // g++ 12 miscompiles co_await inside a conditional expression.
+    base::Result<void> done = base::success();
+    if (isRevoke)
+      done = co_await Store.revokeLease(id);
+    else
+      done = co_await Store.keepAlive(id);
     if (!done && (isRevoke || done.error().Code != base::Errc::StoreRejected))
       co_return failure(done.error());
     json::object answer{{"header", header()}};
