--- a/packages/platform/include/endivedoor/platform/Json.h
+++ b/packages/platform/include/endivedoor/platform/Json.h
@@ -68,6 +68,9 @@
   /// Reads an array of at most \p maxItems objects; absent is empty.
   std::vector<JsonView> list(std::string_view key, std::size_t maxItems) const;
 
+  /// Returns whether no fault of the document has been found so far.
+  bool ok() const { return Fault->empty(); }
+
   /// Records a fault that the caller found in the field \p key.
   void reject(std::string_view key, std::string_view what) const;
 
--- a/tests/support/Standin.h
+++ b/tests/support/Standin.h
@@ -26,6 +26,7 @@
 using platform::HttpRequest;
 using platform::HttpResponse;
 using platform::JsonView;
+using platform::MaxInt64;
 template <typename T> using Awaitable = asio::awaitable<T>;
 
 inline HttpResponse jsonAnswer(unsigned status, const json::value &body) {
