Read settings and rules with all faults at once

Times and limits that would break a promise of docs/design.md are rejected by their relation, for example startPermit + placementLease below 3 s.

--- /dev/null
+++ b/packages/model/src/Settings.cpp
@@ -0,0 +1,339 @@
+#include "endivedoor/model/Settings.h"
+
+#include "detail/Scalars.h"
+#include "detail/YamlSection.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace endivedoor::model {
+
+using base::Errc;
+using detail::YamlFaults;
+using detail::YamlSection;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t MaxSettingsBytes = 1 << 20;
+/// Promise P4 of docs/design.md: no start later than this after a zone-out.
+constexpr std::chrono::milliseconds ZoneOutBound{3000};
+/// Promise P10: a configuration is in force everywhere within this time.
+constexpr std::chrono::milliseconds ConfigBound{4000};
+
+struct SizeField {
+  const char *Key;
+  std::size_t LimitSettings::*Member;
+  detail::Bounds<std::uint64_t> Range;
+};
+constexpr SizeField SizeFields[] = {
+    {"headerBytes", &LimitSettings::HeaderBytes, {1 << 10, 1 << 20}},
+    {"bodyBytes", &LimitSettings::BodyBytes, {1 << 10, 64 << 20}},
+    // The store holds values of up to 1 MB, the rest of the document included.
+    {"rulesBytes", &LimitSettings::RulesBytes, {1 << 10, 480 << 10}},
+    {"peerMessageBytes", &LimitSettings::PeerMessageBytes, {4 << 10, 16 << 20}},
+};
+constexpr SizeField CountFields[] = {
+    {"callerConnections", &LimitSettings::CallerConnections, {1, 65536}},
+    {"queuedRequests", &LimitSettings::QueuedRequests, {1, 65536}},
+    {"queuedCommands", &LimitSettings::QueuedCommands, {1, 1 << 20}},
+    {"keptEvents", &LimitSettings::KeptEvents, {16, 1 << 20}},
+};
+
+struct TimeField {
+  const char *Key;
+  std::chrono::milliseconds TimingSettings::*Member;
+  detail::Bounds<std::chrono::milliseconds> Range;
+};
+constexpr TimeField TimeFields[] = {
+    {"storeTimeout", &TimingSettings::StoreTimeout, {10ms, 10s}},
+    {"ownerLease", &TimingSettings::OwnerLease, {1s, 60s}},
+    {"configPoll", &TimingSettings::ConfigPoll, {50ms, 3s}},
+    {"commitInterval", &TimingSettings::CommitInterval, {10ms, 2s}},
+    {"startPermit", &TimingSettings::StartPermit, {50ms, 3s}},
+    {"placementLease", &TimingSettings::PlacementLease, {100ms, 3s}},
+    {"placementRenew", &TimingSettings::PlacementRenew, {20ms, 1s}},
+    {"taskLease", &TimingSettings::TaskLease, {5s, 10min}},
+    // A leaving worker leaves the route tables within 1 s.
+    {"statusPoll", &TimingSettings::StatusPoll, {50ms, 1s}},
+    {"heartbeat", &TimingSettings::Heartbeat, {20ms, 2s}},
+    {"peerSuspected", &TimingSettings::PeerSuspected, {50ms, 30s}},
+    {"peerDead", &TimingSettings::PeerDead, {100ms, 60s}},
+    {"zoneRamp", &TimingSettings::ZoneRamp, {0ms, 1h}},
+    {"requestTimeout", &TimingSettings::RequestTimeout, {10ms, 10min}},
+    {"drainDelay", &TimingSettings::DrainDelay, {0ms, 5min}},
+    {"drainLimit", &TimingSettings::DrainLimit, {100ms, 1h}},
+};
+
+template <typename Field> std::vector<std::string> keysOf(const Field &fields) {
+  std::vector<std::string> keys;
+  for (const auto &it : fields)
+    keys.emplace_back(it.Key);
+  return keys;
+}
+
+void readLimits(YamlFaults &faults, const YAML::Node &node, LimitSettings &to) {
+  std::vector<std::string> keys = keysOf(SizeFields);
+  for (const std::string &it : keysOf(CountFields))
+    keys.push_back(it);
+  YamlSection section(faults, node, "limits", keys);
+  for (const SizeField &it : SizeFields)
+    section.readSize(it.Key, to.*it.Member, it.Range);
+  for (const SizeField &it : CountFields)
+    if (auto n = section.readNumber(it.Key, it.Range))
+      to.*it.Member = *n;
+}
+
+void readTiming(YamlFaults &faults, const YAML::Node &node,
+                TimingSettings &to) {
+  YamlSection section(faults, node, "timing", keysOf(TimeFields));
+  for (const TimeField &it : TimeFields)
+    section.readDuration(it.Key, to.*it.Member, it.Range);
+}
+
+/// Calls \p read with each element of the sequence \p key and its path.
+template <typename F>
+void readList(YamlFaults &faults, const YamlSection &root,
+              const std::string &key, bool required, const F &read) {
+  std::optional<YAML::Node> list =
+      required ? root.require(key) : root.find(key);
+  if (!list)
+    return;
+  if (!list->IsSequence() || (required && list->size() == 0))
+    return faults.add(list->Mark(), Errc::SettingsWrongValue,
+                      "\"" + key + "\" is not a list with entries",
+                      "write one \"- entry\" line each");
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    std::string path = key + "[" + std::to_string(i) + "]";
+    faults.Marks.emplace(path, (*list)[i].Mark());
+    read((*list)[i], path);
+  }
+}
+
+void readPeer(YamlFaults &faults, const YAML::Node &node,
+              const std::string &path, Settings &to) {
+  YamlSection section(faults, node, path, {"name", "zone", "peer", "operator"});
+  PeerSettings peer;
+  std::string zone;
+  section.readName("name", peer.Name);
+  section.readName("zone", zone);
+  peer.Zone = base::ZoneId(zone);
+  section.readAddress("peer", peer.Peer);
+  section.readAddress("operator", peer.Operator);
+  to.Peers.push_back(std::move(peer));
+}
+
+void readLists(YamlFaults &faults, const YamlSection &root, Settings &to) {
+  readList(faults, root, "store", true,
+           [&](const YAML::Node &node, const std::string &path) {
+             if (auto it = root.address(node, path))
+               to.Store.push_back(*it);
+           });
+  readList(faults, root, "zones", true,
+           [&](const YAML::Node &node, const std::string &path) {
+             if (auto it = root.name(node, path))
+               to.Zones.emplace_back(*it);
+           });
+  readList(faults, root, "peers", false,
+           [&](const YAML::Node &node, const std::string &path) {
+             readPeer(faults, node, path, to);
+           });
+}
+
+void readRoot(YamlFaults &faults, const YAML::Node &node, Settings &to) {
+  YamlSection root(faults, node, "",
+                   {"name", "zone", "listen", "store", "hostList", "zones",
+                    "peers", "entryHosts", "trafficThreads", "shardsPerZone",
+                    "seed", "limits", "timing"});
+  if (!node.IsMap())
+    return;
+  std::string zone;
+  root.readName("name", to.Name);
+  root.readName("zone", zone);
+  to.Zone = base::ZoneId(zone);
+  if (auto listen = root.require("listen")) {
+    YamlSection section(faults, *listen, "listen",
+                        {"callers", "operators", "peer"});
+    section.readAddress("callers", to.Callers);
+    section.readAddress("operators", to.Operators);
+    section.readAddress("peer", to.Peer);
+  }
+  root.readAddress("hostList", to.HostList);
+  readLists(faults, root, to);
+  if (auto n = root.readNumber("entryHosts", {1, 1000}))
+    to.EntryHosts = static_cast<std::int32_t>(*n);
+  if (auto n = root.readNumber("trafficThreads", {1, 64}))
+    to.TrafficThreads = static_cast<std::int32_t>(*n);
+  if (auto n = root.readNumber("shardsPerZone", {1, 64}))
+    to.ShardsPerZone = static_cast<std::int32_t>(*n);
+  if (auto n = root.readNumber("seed",
+                               {0, std::numeric_limits<std::uint64_t>::max()}))
+    to.Seed = *n;
+  if (auto limits = root.find("limits"))
+    readLimits(faults, *limits, to.Limits);
+  if (auto timing = root.find("timing"))
+    readTiming(faults, *timing, to.Timing);
+}
+
+/// Reports values of one kind that occur twice.
+class UniqueCheck {
+public:
+  UniqueCheck(YamlFaults &faults, std::string kind)
+      : Faults(faults), Kind(std::move(kind)) {}
+  void add(const std::string &value, const std::string &path) {
+    // An empty name or port 0 was reported as faulty already.
+    if (value.empty() || value.ends_with(":0"))
+      return;
+    auto [it, added] = Seen.emplace(value, path);
+    if (!added)
+      Faults.addAt(path, Errc::SettingsContradiction,
+                   Kind + " \"" + value + "\" is used by " + it->second +
+                       " and " + path,
+                   "give each its own");
+  }
+
+private:
+  YamlFaults &Faults;
+  std::string Kind;
+  std::map<std::string, std::string> Seen;
+};
+
+void checkUnique(YamlFaults &faults, const Settings &s) {
+  UniqueCheck names(faults, "name"), zones(faults, "zone"),
+      addresses(faults, "address");
+  names.add(s.Name, "name");
+  addresses.add(s.Callers.str(), "listen.callers");
+  addresses.add(s.Operators.str(), "listen.operators");
+  addresses.add(s.Peer.str(), "listen.peer");
+  addresses.add(s.HostList.str(), "hostList");
+  for (std::size_t i = 0; i < s.Store.size(); ++i)
+    addresses.add(s.Store[i].str(), "store[" + std::to_string(i) + "]");
+  for (std::size_t i = 0; i < s.Zones.size(); ++i)
+    zones.add(s.Zones[i].str(), "zones[" + std::to_string(i) + "]");
+  for (std::size_t i = 0; i < s.Peers.size(); ++i) {
+    std::string path = "peers[" + std::to_string(i) + "]";
+    names.add(s.Peers[i].Name, path + ".name");
+    addresses.add(s.Peers[i].Peer.str(), path + ".peer");
+    addresses.add(s.Peers[i].Operator.str(), path + ".operator");
+  }
+}
+
+void checkZones(YamlFaults &faults, const Settings &s) {
+  auto check = [&](const base::ZoneId &zone, const std::string &path) {
+    std::vector<std::string> known;
+    for (const base::ZoneId &it : s.Zones)
+      known.push_back(it.str());
+    if (zone.empty() || known.empty() ||
+        std::find(known.begin(), known.end(), zone.str()) != known.end())
+      return;
+    std::optional<std::string> near = detail::closestWord(zone.str(), known);
+    faults.addAt(path, Errc::SettingsContradiction,
+                 "zone \"" + zone.str() + "\" is not in \"zones\"",
+                 near ? "did you mean \"" + *near + "\"?" : "add it to zones");
+  };
+  check(s.Zone, "zone");
+  for (std::size_t i = 0; i < s.Peers.size(); ++i)
+    check(s.Peers[i].Zone, "peers[" + std::to_string(i) + "].zone");
+  if (s.Peers.size() + 1 > static_cast<std::size_t>(s.EntryHosts))
+    faults.addAt("entryHosts", Errc::SettingsContradiction,
+                 "\"entryHosts\" is less than the peers and this daemon",
+                 "use at least " + std::to_string(s.Peers.size() + 1) +
+                     ", or workers get more connections than they allow");
+}
+
+void checkTiming(YamlFaults &faults, const TimingSettings &t) {
+  auto expect = [&](bool holds, const char *key, std::string text,
+                    const char *reason) {
+    if (!holds)
+      faults.addAt(std::string("timing.") + key, Errc::SettingsContradiction,
+                   std::move(text), reason);
+  };
+  expect(t.PlacementLease > 2 * t.PlacementRenew, "placementLease",
+         "placementLease is not longer than two placementRenew",
+         "one lost renewal must not end the lease");
+  expect(t.StartPermit + t.PlacementLease < ZoneOutBound, "startPermit",
+         "startPermit + placementLease is not below 3s",
+         "no task may start in a zone 3s after it was taken out");
+  expect(t.CommitInterval < t.StartPermit, "commitInterval",
+         "commitInterval is not below startPermit",
+         "a permit must outlive the wait for the next commit");
+  expect(2 * t.StoreTimeout < t.OwnerLease, "ownerLease",
+         "ownerLease is not longer than two storeTimeout",
+         "one lost answer must not end the lease");
+  expect(t.ConfigPoll + t.StoreTimeout < ConfigBound, "configPoll",
+         "configPoll + storeTimeout is not below 4s",
+         "a configuration must be in force everywhere within 4s");
+  expect(t.TaskLease > t.OwnerLease + t.PlacementLease, "taskLease",
+         "taskLease is not longer than ownerLease + placementLease",
+         "a new shard owner must take over before tasks stop");
+  expect(t.PeerSuspected >= 2 * t.Heartbeat, "peerSuspected",
+         "peerSuspected is shorter than two heartbeats",
+         "one lost heartbeat must not cause suspicion");
+  expect(t.PeerDead > t.PeerSuspected, "peerDead",
+         "peerDead is not longer than peerSuspected",
+         "a peer is suspected before it is considered dead");
+  expect(t.RequestTimeout + t.DrainDelay <= t.DrainLimit, "drainLimit",
+         "drainLimit is shorter than drainDelay + requestTimeout",
+         "a planned stop must not interrupt a request");
+}
+
+void checkLimits(YamlFaults &faults, const LimitSettings &l) {
+  // JSON escapes at most double a rules text, which holds no control characters
+  // except line ends and tabs.
+  std::size_t document = 2 * l.RulesBytes + (16 << 10);
+  if (document > l.BodyBytes)
+    faults.addAt("limits.bodyBytes", Errc::SettingsContradiction,
+                 "bodyBytes is too small for rulesBytes",
+                 "use at least 2 * rulesBytes + 16KiB");
+  if (document > l.PeerMessageBytes)
+    faults.addAt("limits.peerMessageBytes", Errc::SettingsContradiction,
+                 "peerMessageBytes is too small for rulesBytes",
+                 "use at least 2 * rulesBytes + 16KiB");
+}
+
+} // namespace
+
+std::string TextFault::message() const {
+  std::string at = File + ":" + std::to_string(Line);
+  if (Column > 0)
+    at += ":" + std::to_string(Column);
+  at += ": E" + std::to_string(static_cast<int>(Code)) + " " + Text;
+  return Hint.empty() ? at : at + "; " + Hint;
+}
+
+SettingsOutcome parseSettings(const std::string &file,
+                              const std::string &text) {
+  SettingsOutcome out;
+  YamlFaults faults{file, {}, {}};
+  if (text.size() > MaxSettingsBytes) {
+    faults.add({}, Errc::LimitExceeded, "the file is larger than 1MiB", "");
+    out.Faults = std::move(faults.List);
+    return out;
+  }
+  try {
+    std::vector<YAML::Node> documents = YAML::LoadAll(text);
+    if (documents.size() > 1)
+      faults.add(documents[1].Mark(), Errc::SettingsSyntax,
+                 "the file holds more than one document",
+                 "keep one; remove the \"---\" line between them");
+    readRoot(faults, documents.empty() ? YAML::Node() : documents[0],
+             out.Value);
+    checkUnique(faults, out.Value);
+    checkZones(faults, out.Value);
+    checkTiming(faults, out.Value.Timing);
+    checkLimits(faults, out.Value.Limits);
+  } catch (const YAML::Exception &e) {
+    faults.add(e.mark, Errc::SettingsSyntax, "not valid YAML: " + e.msg,
+               "correct the text at this place");
+  }
+  out.Faults = std::move(faults.List);
+  std::stable_sort(out.Faults.begin(), out.Faults.end(),
+                   [](const TextFault &a, const TextFault &b) {
+                     return std::tie(a.Line, a.Column) <
+                            std::tie(b.Line, b.Column);
+                   });
+  return out;
+}
+
+} // namespace endivedoor::model
--- /dev/null
+++ b/packages/model/src/detail/RuleChecks.h
@@ -0,0 +1,20 @@
+/// \file
+/// Checks between the rules of one file.
+#ifndef ENDIVEDOOR_MODEL_SRC_DETAIL_RULECHECKS_H
+#define ENDIVEDOOR_MODEL_SRC_DETAIL_RULECHECKS_H
+
+#include "endivedoor/model/Rules.h"
+
+#include <string>
+#include <vector>
+
+namespace endivedoor::model::detail {
+
+/// Adds a fault for each rule that repeats or contradicts an earlier one, and
+/// for each that can never be kept.
+void checkRules(const std::string &file, const RuleSet &rules,
+                const RuleScope &scope, std::vector<TextFault> &faults);
+
+} // namespace endivedoor::model::detail
+
+#endif
--- /dev/null
+++ b/packages/model/src/detail/Scalars.h
@@ -0,0 +1,43 @@
+/// \file
+/// Readers of single values, shared by the settings and the rules file.
+#ifndef ENDIVEDOOR_MODEL_SRC_DETAIL_SCALARS_H
+#define ENDIVEDOOR_MODEL_SRC_DETAIL_SCALARS_H
+
+#include "endivedoor/model/Worker.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endivedoor::model::detail {
+
+/// Reads a decimal number without sign. Returns nothing on overflow.
+std::optional<std::uint64_t> parseNumber(std::string_view text);
+
+/// Reads "500ms", "3s", "2m" or "2h".
+std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
+
+/// Reads "512B", "64KiB", "1MiB" or "1GiB" in bytes.
+std::optional<std::uint64_t> parseSize(std::string_view text);
+
+/// Reads "ip:port" with a numeric IPv4 address and a port from 1.
+std::optional<Address> parseAddress(std::string_view text);
+
+/// Returns whether \p text is a name: 1 to 64 of letters, digits, '.', '_' and
+/// '-'. Names become parts of store keys and URLs.
+bool isName(std::string_view text);
+
+/// Writes a duration in the largest unit that divides it.
+std::string formatDuration(std::chrono::milliseconds value);
+
+/// Returns the candidate with the smallest edit distance to \p word, or
+/// nothing if none is close.
+std::optional<std::string>
+closestWord(std::string_view word, const std::vector<std::string> &candidates);
+
+} // namespace endivedoor::model::detail
+
+#endif
--- /dev/null
+++ b/tests/unit/unit-settings.cpp
@@ -0,0 +1,231 @@
+// Guards the start of a daemon: faulty settings must be rejected whole, with
+// every fault named at its place, and no text may crash the parser.
+#include "endivedoor/model/Settings.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+using namespace endivedoor;
+using namespace endivedoor::model;
+using base::Errc;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Minimal = R"(name: g-1
+zone: germiston
+listen: {callers: 127.0.0.1:21101, operators: 127.0.0.1:21201, peer: 127.0.0.1:21301}
+store: [127.0.0.1:21901]
+hostList: 127.0.0.1:21902
+zones: [germiston, midrand]
+)";
+
+std::string list(const std::vector<TextFault> &faults) {
+  std::string text;
+  for (const TextFault &it : faults)
+    text += it.message() + "\n";
+  return text;
+}
+
+/// Parses the minimal settings with \p more appended.
+SettingsOutcome with(const std::string &more) {
+  return parseSettings("s.yaml", Minimal + more);
+}
+
+bool has(const SettingsOutcome &out, Errc code, std::size_t line,
+         const std::string &text) {
+  return std::any_of(out.Faults.begin(), out.Faults.end(), [&](const auto &it) {
+    return it.Code == code && it.Line == line &&
+           it.message().find(text) != std::string::npos;
+  });
+}
+
+// Guards against a default that violates its own checks.
+TEST(Settings, MinimalFileIsAcceptedWithDefaults) {
+  SettingsOutcome out = with("");
+  EXPECT_EQ(list(out.Faults), "");
+  EXPECT_EQ(out.Value.Zone, base::ZoneId("germiston"));
+  EXPECT_EQ(out.Value.Callers, (Address{"127.0.0.1", 21101}));
+  EXPECT_EQ(out.Value.Timing.PlacementLease, 1500ms);
+  EXPECT_EQ(out.Value.Zones.size(), 2u);
+}
+
+// Guards against a key that is accepted and then ignored.
+TEST(Settings, EveryKeyReachesItsField) {
+  SettingsOutcome out = with(R"(peers:
+  - {name: m-1, zone: midrand, peer: 127.0.0.1:21304, operator: 127.0.0.1:21204}
+entryHosts: 7
+trafficThreads: 3
+shardsPerZone: 2
+seed: 42
+limits: {headerBytes: 8KiB, bodyBytes: 2MiB, rulesBytes: 100KiB,
+  peerMessageBytes: 512KiB, callerConnections: 11, queuedRequests: 12,
+  queuedCommands: 13, keptEvents: 17}
+timing: {storeTimeout: 400ms, ownerLease: 4s, configPoll: 900ms,
+  commitInterval: 50ms, startPermit: 800ms, placementLease: 1600ms,
+  placementRenew: 400ms, taskLease: 1m, statusPoll: 300ms, heartbeat: 200ms,
+  peerSuspected: 1s, peerDead: 2s, zoneRamp: 5s, requestTimeout: 7s,
+  drainDelay: 0ms, drainLimit: 2m}
+)");
+  EXPECT_EQ(list(out.Faults), "");
+  const Settings &s = out.Value;
+  ASSERT_EQ(s.Peers.size(), 1u);
+  EXPECT_EQ(s.Peers[0].Operator, (Address{"127.0.0.1", 21204}));
+  EXPECT_EQ(s.Peers[0].Zone, base::ZoneId("midrand"));
+  EXPECT_EQ(std::tie(s.EntryHosts, s.TrafficThreads, s.ShardsPerZone),
+            std::make_tuple(7, 3, 2));
+  EXPECT_EQ(s.Seed, 42u);
+  const LimitSettings &l = s.Limits;
+  EXPECT_EQ((std::vector{l.HeaderBytes, l.BodyBytes, l.RulesBytes,
+                         l.PeerMessageBytes, l.CallerConnections,
+                         l.QueuedRequests, l.QueuedCommands, l.KeptEvents}),
+            (std::vector<std::size_t>{8192, 2097152, 102400, 524288, 11, 12, 13,
+                                      17}));
+  const TimingSettings &t = s.Timing;
+  EXPECT_EQ((std::vector{t.StoreTimeout, t.OwnerLease, t.ConfigPoll,
+                         t.CommitInterval, t.StartPermit, t.PlacementLease,
+                         t.PlacementRenew, t.TaskLease, t.StatusPoll,
+                         t.Heartbeat, t.PeerSuspected, t.PeerDead, t.ZoneRamp,
+                         t.RequestTimeout, t.DrainDelay, t.DrainLimit}),
+            (std::vector<std::chrono::milliseconds>{
+                400ms, 4s, 900ms, 50ms, 800ms, 1600ms, 400ms, 1min, 300ms,
+                200ms, 1s, 2s, 5s, 7s, 0ms, 2min}));
+}
+
+// Guards against an operator who must start the daemon once per fault.
+TEST(Settings, AllFaultsAreReportedAtOnceInOrder) {
+  SettingsOutcome out = with("entryHost: 8\nseed: x\nseed: 1\n"
+                             "timing:\n  heartbeat: 500\n  peerDead: 1h\n");
+  EXPECT_EQ(list(out.Faults),
+            "s.yaml:7:1: E202 unknown key \"entryHost\"; did you mean "
+            "\"entryHosts\"?\n"
+            "s.yaml:8:7: E205 \"seed\" is not a whole number; use 0 to "
+            "18446744073709551615\n"
+            "s.yaml:9:1: E203 key \"seed\" is repeated; keep one\n"
+            "s.yaml:11:14: E205 \"timing.heartbeat\" is not a duration; write "
+            "a number and a unit, such as 500ms, 3s or 2m\n"
+            "s.yaml:12:13: E206 \"timing.peerDead\" is out of range; use "
+            "100ms to 1m\n");
+}
+
+struct ConflictCase {
+  std::string More;
+  Errc Code;
+  std::string Text;
+};
+
+// Guards against times that break a promise and against shared addresses.
+TEST(Settings, ContradictionsAreRejected) {
+  const std::string peer =
+      "peers:\n  - {name: m-1, zone: midrand, peer: 127.0.0.1:21304, "
+      "operator: 127.0.0.1:21204}\n";
+  const ConflictCase cases[] = {
+      {"timing: {placementRenew: 750ms}", Errc::SettingsContradiction, "two"},
+      {"timing: {startPermit: 1500ms}", Errc::SettingsContradiction, "3s"},
+      {"timing: {startPermit: 100ms}", Errc::SettingsContradiction, "permit"},
+      {"timing: {storeTimeout: 1500ms}", Errc::SettingsContradiction, "lost"},
+      {"timing: {configPoll: 3s, storeTimeout: 1s}",
+       Errc::SettingsContradiction, "4s"},
+      {"timing: {peerSuspected: 900ms}", Errc::SettingsContradiction, "lost"},
+      {"timing: {peerDead: 1500ms}", Errc::SettingsContradiction, "peerDead"},
+      {"timing: {taskLease: 5s, ownerLease: 4s}", Errc::SettingsContradiction,
+       "take over"},
+      {"timing: {drainLimit: 5s}", Errc::SettingsContradiction, "planned stop"},
+      {"limits: {peerMessageBytes: 64KiB}", Errc::SettingsContradiction,
+       "rulesBytes"},
+      {"limits: {bodyBytes: 64KiB}", Errc::SettingsContradiction, "rulesBytes"},
+      {"limits: {bodyBytes: 99GiB}", Errc::SettingsOutOfRange, "bodyBytes"},
+      {"limits: {bodyBytes: 1MB}", Errc::SettingsWrongValue, "size"},
+      {peer + "entryHosts: 1", Errc::SettingsContradiction, "at least 2"},
+      {"peers:\n  - {name: g-1, zone: midrnd, peer: 127.0.0.1:21301, "
+       "operator: localhost:1}",
+       Errc::SettingsContradiction, "did you mean \"midrand\""},
+      {"peers: [{name: g-1, zone: midrand, peer: 127.0.0.1:1, operator: "
+       "127.0.0.1:2}]",
+       Errc::SettingsContradiction, "name \"g-1\""},
+      {"peers: [{name: x, zone: midrand, peer: 127.0.0.1:21301, operator: "
+       "127.0.0.1:2}]",
+       Errc::SettingsContradiction, "address \"127.0.0.1:21301\""},
+      {"peers: [{name: x/y, zone: midrand, peer: 127.0.0.1:0, operator: "
+       "127.0.0.1:2, extra: 1}]",
+       Errc::SettingsUnknownKey, "peers[0].extra"},
+      {"peers: 5", Errc::SettingsWrongValue, "list"},
+      {"limits: [1]", Errc::SettingsWrongValue, "mapping"},
+      {"---\nname: other", Errc::SettingsSyntax, "document"},
+  };
+  for (const ConflictCase &it : cases) {
+    SettingsOutcome out = with(it.More);
+    bool found = std::any_of(
+        out.Faults.begin(), out.Faults.end(), [&](const TextFault &f) {
+          return f.Code == it.Code && f.Line > 0 &&
+                 f.message().find(it.Text) != std::string::npos;
+        });
+    EXPECT_TRUE(found) << it.More << "\n" << list(out.Faults);
+  }
+}
+
+// Guards against a daemon that starts without an address or in a zone of its
+// own.
+TEST(Settings, MissingKeysAndUnknownOwnZoneAreRejected) {
+  SettingsOutcome out = parseSettings(
+      "s.yaml", "zone: gauteng\nlisten: {callers: ::1}\nzones: [midrand]\n");
+  for (const char *key :
+       {"name", "listen.operators", "listen.peer", "store", "hostList"})
+    EXPECT_TRUE(std::any_of(out.Faults.begin(), out.Faults.end(),
+                            [&](const TextFault &f) {
+                              return f.Code == Errc::SettingsMissingKey &&
+                                     f.Text == "key \"" + std::string(key) +
+                                                   "\" is missing";
+                            }))
+        << key;
+  EXPECT_TRUE(has(out, Errc::SettingsContradiction, 1, "gauteng"));
+  EXPECT_TRUE(has(out, Errc::SettingsWrongValue, 2, "address"));
+}
+
+// Guards against yaml-cpp's exceptions leaving the adapter, and against
+// recursion and memory use that hostile text drives.
+TEST(Settings, HostileTextIsRejectedWithoutException) {
+  const std::string hostile[] = {
+      "",
+      "\t",
+      "a: [",
+      "name: \xff\xfe",
+      std::string(100000, '['),
+      std::string(100000, '{'),
+      std::string("a\0b", 3),
+      "&a [*a]",
+      "name: *unknown",
+      "? [x]\n: y",
+      "<<: {name: x}",
+      std::string((1 << 20) + 1, 'a'),
+      Minimal + "limits: *x",
+      "name: !!binary x",
+      "%YAML 9.9\n---\nname: x",
+  };
+  for (const std::string &it : hostile)
+    EXPECT_FALSE(parseSettings("s.yaml", it).Faults.empty())
+        << it.substr(0, 40);
+}
+
+RC_GTEST_PROP(Settings, AnyTextIsHandled, (const std::string &text)) {
+  parseSettings("s.yaml", text);
+}
+
+// Mutated valid text reaches deeper code than random text does.
+RC_GTEST_PROP(Settings, AnyMutationOfValidTextIsHandled, ()) {
+  std::string text = Minimal + "seed: 7\ntiming: {heartbeat: 500ms}\n";
+  auto edits = *rc::gen::inRange(1, 5);
+  for (int i = 0; i < edits; ++i) {
+    auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::element('\0', ':', '[', '{', '&', '*', '\n', ' ', '9',
+                                 '#', '!', '"', '-', '\xc3');
+  }
+  for (const TextFault &it : parseSettings("s.yaml", text).Faults) {
+    RC_ASSERT(it.Line > 0u);
+    RC_ASSERT(!it.Text.empty());
+  }
+}
+
+} // namespace
