Exchange heartbeats and configurations between daemons

Daemons need to know each other and to spread an accepted configuration within 4 s without the store. PeerNode sends heartbeats over ZeroMQ (one ROUTER bound, one DEALER for each peer), pushes an accepted configuration to its own zone and to one relay in each other zone, and asks for a higher version it hears of. MemberTable and ConfigSpreader hold the logic without sockets.

Connections whose data stays unacknowledged for peerDead are reopened, since TCP's own retransmission could wait minutes after a cut. Queues are bounded at 16 messages a peer.

--- /dev/null
+++ b/packages/peer/include/endivedoor/peer/Counters.h
@@ -0,0 +1,45 @@
+/// \file
+/// Counters of the messages between daemons.
+#ifndef ENDIVEDOOR_PEER_COUNTERS_H
+#define ENDIVEDOOR_PEER_COUNTERS_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace endivedoor::peer {
+
+/// Kind of a message between daemons.
+enum class MessageKind {
+  Heartbeat,
+  ConfigRequest,
+  ConfigDocument,
+  StaleIncarnation
+};
+inline constexpr std::size_t MessageKinds = 4;
+
+/// Number of messages and their bytes, without ZeroMQ's and TCP's headers.
+struct Traffic {
+  std::uint64_t Messages = 0;
+  std::uint64_t Bytes = 0;
+  void add(std::size_t bytes) {
+    ++Messages;
+    Bytes += bytes;
+  }
+};
+
+/// Counters since the start of the daemon, indexed by MessageKind.
+struct Counters {
+  std::array<Traffic, MessageKinds> Sent;
+  std::array<Traffic, MessageKinds> Received;
+  /// Not sent, because the peer is not connected or its queue is full.
+  std::array<Traffic, MessageKinds> Dropped;
+  /// Received and refused: malformed, or from a sender outside the settings.
+  Traffic Rejected;
+  /// Received late or repeated, and ignored.
+  Traffic Stale;
+};
+
+} // namespace endivedoor::peer
+
+#endif
--- /dev/null
+++ b/packages/peer/src/PeerNode.cpp
@@ -0,0 +1,302 @@
+#include "endivedoor/peer/PeerNode.h"
+
+#include "detail/ZmqTransport.h"
+
+#include "endivedoor/peer/detail/Codec.h"
+#include "endivedoor/peer/detail/ConfigSpreader.h"
+#include "endivedoor/peer/detail/MemberTable.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace endivedoor::peer {
+
+using base::EventCode;
+using detail::ConfigSend;
+using detail::PeerMessage;
+using detail::Receipt;
+using detail::Sender;
+
+namespace {
+
+/// Rejected messages are logged at most once in this time.
+constexpr std::chrono::seconds RejectLogInterval{1};
+
+std::uint64_t firstIncarnation(const base::Clock &clock) {
+  auto since = clock.wallNow().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+} // namespace
+
+struct PeerNode::Impl : std::enable_shared_from_this<PeerNode::Impl> {
+  Impl(boost::asio::any_io_executor executor, const model::Settings &settings,
+       base::HybridClock &hybrid, const base::Clock &clock,
+       base::EventLog &events, base::InstanceId instance)
+      : Executor(std::move(executor)), Settings(settings), Hybrid(hybrid),
+        Clock(clock), Events(events), Instance(std::move(instance)),
+        Timer(Executor), Table(Settings.Peers, Settings.Timing, clock.now()),
+        Spreader(Settings.Zone, [this] { return Table.members(Clock.now()); }),
+        Incarnation(firstIncarnation(clock)) {}
+
+  base::Result<void> start();
+  void tick();
+  void armTimer();
+  void logChanges();
+  void receive(std::string_view routingId, std::string_view bytes);
+  void accept(const std::string &from, const PeerMessage &message);
+  void handle(const std::string &from, const detail::Heartbeat &body);
+  void handle(const std::string &from, const detail::ConfigRequest &body);
+  void handle(const std::string &from, const detail::ConfigDocument &body);
+  void handle(const std::string &from, const detail::StaleIncarnation &body);
+  void reject(const base::Error &error, std::size_t bytes);
+  std::shared_ptr<const std::string> encode(decltype(PeerMessage::Body) body);
+  bool send(const std::string &to, MessageKind kind,
+            const std::shared_ptr<const std::string> &bytes);
+  void sendHeartbeats();
+  void sendAll(const std::vector<ConfigSend> &sends);
+
+  boost::asio::any_io_executor Executor;
+  const model::Settings Settings;
+  base::HybridClock &Hybrid;
+  const base::Clock &Clock;
+  base::EventLog &Events;
+  const base::InstanceId Instance;
+  boost::asio::steady_timer Timer;
+  std::shared_ptr<detail::ZmqTransport> Transport;
+  detail::MemberTable Table;
+  detail::ConfigSpreader Spreader;
+  MemberState State = MemberState::Joining;
+  std::uint64_t Incarnation;
+  std::function<void(std::string)> OnConfiguration;
+  Counters Counts;
+  std::optional<base::TimePoint> RejectLoggedAt;
+};
+
+base::Result<void> PeerNode::Impl::start() {
+  detail::TransportOptions options;
+  options.Listen = Settings.Peer;
+  options.Peers = Settings.Peers;
+  options.RoutingId = detail::encodeSender({Settings.Name, Instance});
+  options.MaxMessageBytes = Settings.Limits.PeerMessageBytes;
+  options.UnacknowledgedLimit = Settings.Timing.PeerDead;
+  Transport = std::make_shared<detail::ZmqTransport>(
+      Executor, std::move(options),
+      [self = weak_from_this()](std::string_view id, std::string_view bytes) {
+        if (auto it = self.lock())
+          it->receive(id, bytes);
+      });
+  std::shared_ptr<detail::ZmqTransport> transport = Transport;
+  BOOST_OUTCOME_TRY(transport->open());
+  Timer.expires_after(std::chrono::milliseconds(0));
+  armTimer();
+  return base::success();
+}
+
+void PeerNode::Impl::armTimer() {
+  Timer.async_wait([self = weak_from_this()](boost::system::error_code ec) {
+    auto it = self.lock();
+    if (!it || ec || !it->Transport)
+      return;
+    it->tick();
+    // A late tick is not followed by a burst that makes up for it.
+    auto now = boost::asio::steady_timer::clock_type::now();
+    auto next = it->Timer.expiry() + it->Settings.Timing.Heartbeat;
+    it->Timer.expires_at(std::max(next, now));
+    it->armTimer();
+  });
+}
+
+void PeerNode::Impl::tick() {
+  // A handler may stop this node while it drains.
+  std::shared_ptr<detail::ZmqTransport> transport = Transport;
+  transport->drain();
+  logChanges();
+  sendHeartbeats();
+  sendAll(Spreader.advance(Clock.now()));
+}
+
+void PeerNode::Impl::logChanges() {
+  for (const detail::MemberChange &it : Table.advance(Clock.now())) {
+    if (it.NewRun)
+      Events.emit(EventCode::PeerRunReplaced, {{"peer", it.Name}});
+    if (it.From != it.To)
+      Events.emit(EventCode::PeerStateChanged,
+                  {{"peer", it.Name},
+                   {"from", std::string(toText(it.From))},
+                   {"to", std::string(toText(it.To))}});
+  }
+}
+
+void PeerNode::Impl::reject(const base::Error &error, std::size_t bytes) {
+  Counts.Rejected.add(bytes);
+  base::TimePoint now = Clock.now();
+  if (RejectLoggedAt && now - *RejectLoggedAt < RejectLogInterval)
+    return;
+  RejectLoggedAt = now;
+  Events.emit(EventCode::PeerMessageRejected,
+              {{"error", error.message()},
+               {"rejected", std::to_string(Counts.Rejected.Messages)}});
+}
+
+void PeerNode::Impl::receive(std::string_view routingId,
+                             std::string_view bytes) {
+  base::Result<Sender> sender = detail::decodeSender(routingId);
+  if (!sender)
+    return reject(sender.error(), bytes.size());
+  base::Result<PeerMessage> message = detail::decode(bytes, Clock.wallNow());
+  if (!message)
+    return reject(message.error(), bytes.size());
+  const std::string &from = sender.value().Name;
+  switch (Table.receive(sender.value(), message.value(), Clock.now())) {
+  case Receipt::Unknown:
+    return reject({base::Errc::PeerUnknown, from}, bytes.size());
+  case Receipt::Repeated:
+    return Counts.Stale.add(bytes.size());
+  case Receipt::StaleRun:
+    Counts.Stale.add(bytes.size());
+    send(from, MessageKind::StaleIncarnation, encode(Table.latestRun(from)));
+    return;
+  case Receipt::Accepted:
+  case Receipt::NewRun:
+    Counts.Received[message.value().Body.index()].add(bytes.size());
+    accept(from, message.value());
+  }
+}
+
+void PeerNode::Impl::accept(const std::string &from,
+                            const PeerMessage &message) {
+  Hybrid.receive(message.Time);
+  std::visit([&](const auto &body) { handle(from, body); }, message.Body);
+}
+
+void PeerNode::Impl::handle(const std::string &, const detail::Heartbeat &) {
+  // The member table has taken over all that a heartbeat says.
+}
+
+void PeerNode::Impl::handle(const std::string &from,
+                            const detail::ConfigRequest &body) {
+  sendAll(Spreader.answer(from, body, Clock.now()));
+}
+
+void PeerNode::Impl::handle(const std::string &from,
+                            const detail::ConfigDocument &body) {
+  detail::ConfigSpreader::Delivery delivery =
+      Spreader.receive(from, body, Clock.now());
+  sendAll(delivery.Sends);
+  if (!delivery.Deliver)
+    return;
+  Events.emit(EventCode::ConfigurationReceived,
+              {{"version", std::to_string(body.Version)}, {"peer", from}});
+  if (OnConfiguration)
+    OnConfiguration(body.Json);
+}
+
+void PeerNode::Impl::handle(const std::string &from,
+                            const detail::StaleIncarnation &body) {
+  if (body.KnownIncarnation < Incarnation || body.KnownInstance == Instance)
+    return;
+  Incarnation = body.KnownIncarnation + 1;
+  Events.emit(EventCode::IncarnationRaised,
+              {{"peer", from}, {"incarnation", std::to_string(Incarnation)}});
+  sendHeartbeats();
+}
+
+std::shared_ptr<const std::string>
+PeerNode::Impl::encode(decltype(PeerMessage::Body) body) {
+  return std::make_shared<const std::string>(
+      detail::encode({Incarnation, Hybrid.tick(), std::move(body)}));
+}
+
+bool PeerNode::Impl::send(const std::string &to, MessageKind kind,
+                          const std::shared_ptr<const std::string> &bytes) {
+  bool queued = Transport && Transport->send(to, bytes);
+  auto &traffic = queued ? Counts.Sent : Counts.Dropped;
+  traffic[static_cast<std::size_t>(kind)].add(bytes->size());
+  return queued;
+}
+
+void PeerNode::Impl::sendHeartbeats() {
+  auto bytes = encode(detail::Heartbeat{State, Spreader.version()});
+  for (const model::PeerSettings &it : Settings.Peers)
+    send(it.Name, MessageKind::Heartbeat, bytes);
+}
+
+void PeerNode::Impl::sendAll(const std::vector<ConfigSend> &sends) {
+  detail::SharedDocument encoded;
+  std::shared_ptr<const std::string> bytes;
+  for (const ConfigSend &it : sends) {
+    if (!it.Document) {
+      Events.emit(EventCode::ConfigurationRequested, {{"peer", it.To}});
+      send(it.To, MessageKind::ConfigRequest,
+           encode(detail::ConfigRequest{Spreader.version()}));
+      continue;
+    }
+    if (it.Document != encoded)
+      bytes = encode(*it.Document);
+    encoded = it.Document;
+    if (!send(it.To, MessageKind::ConfigDocument, bytes))
+      Spreader.dropped(it.To);
+  }
+}
+
+PeerNode::PeerNode(boost::asio::any_io_executor executor,
+                   const model::Settings &settings, base::HybridClock &hybrid,
+                   const base::Clock &clock, base::EventLog &events,
+                   base::InstanceId instance)
+    : Self(std::make_shared<Impl>(std::move(executor), settings, hybrid, clock,
+                                  events, std::move(instance))) {}
+
+PeerNode::~PeerNode() { stop(); }
+
+base::Result<void> PeerNode::start() { return Self->start(); }
+
+void PeerNode::stop() {
+  Self->Timer.cancel();
+  if (Self->Transport)
+    Self->Transport->close();
+  Self->Transport.reset();
+}
+
+void PeerNode::setState(MemberState state) {
+  if (state <= Self->State || state > MemberState::Leaving)
+    return;
+  Self->State = state;
+  if (Self->Transport)
+    Self->sendHeartbeats();
+}
+
+std::vector<Member> PeerNode::members() const {
+  Member self;
+  self.Name = Self->Settings.Name;
+  self.Zone = Self->Settings.Zone;
+  self.State = Self->State;
+  self.Incarnation = Self->Incarnation;
+  self.ConfigVersion = Self->Spreader.version();
+  self.LastHeard = std::chrono::milliseconds(0);
+  std::vector<Member> all{std::move(self)};
+  std::vector<Member> peers = Self->Table.members(Self->Clock.now());
+  all.insert(all.end(), peers.begin(), peers.end());
+  return all;
+}
+
+void PeerNode::publishConfiguration(std::uint64_t version, std::string json) {
+  if (version <= Self->Spreader.version())
+    return;
+  std::vector<ConfigSend> sends =
+      Self->Spreader.publish(version, std::move(json), Self->Clock.now());
+  Self->Events.emit(EventCode::ConfigurationPublished,
+                    {{"version", std::to_string(version)},
+                     {"peers", std::to_string(sends.size())}});
+  Self->sendAll(sends);
+}
+
+void PeerNode::onConfiguration(std::function<void(std::string json)> handler) {
+  Self->OnConfiguration = std::move(handler);
+}
+
+const Counters &PeerNode::counters() const { return Self->Counts; }
+
+} // namespace endivedoor::peer
--- /dev/null
+++ b/packages/peer/src/detail/ZmqTransport.h
@@ -0,0 +1,74 @@
+/// \file
+/// ZeroMQ sockets between daemons, run by an Asio executor.
+#ifndef ENDIVEDOOR_PEER_SRC_DETAIL_ZMQTRANSPORT_H
+#define ENDIVEDOOR_PEER_SRC_DETAIL_ZMQTRANSPORT_H
+
+#include "endivedoor/base/Error.h"
+#include "endivedoor/model/Settings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <zmq.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace endivedoor::peer::detail {
+
+struct TransportOptions {
+  model::Address Listen;
+  std::vector<model::PeerSettings> Peers;
+  /// Sent to each peer when a connection opens.
+  std::string RoutingId;
+  std::size_t MaxMessageBytes = 0;
+  /// A connection whose data stays unacknowledged for this long is opened anew.
+  /// Without it, TCP would wait up to minutes after a cut between zones.
+  std::chrono::milliseconds UnacknowledgedLimit{3000};
+};
+
+/// One ROUTER socket that receives, and one DEALER socket for each peer that
+/// only sends. Belongs to the thread of its executor.
+class ZmqTransport : public std::enable_shared_from_this<ZmqTransport> {
+public:
+  using Handler =
+      std::function<void(std::string_view routingId, std::string_view bytes)>;
+
+  ZmqTransport(boost::asio::any_io_executor executor, TransportOptions options,
+               Handler handler);
+  ~ZmqTransport();
+
+  /// Errors: PeerSocketFailed.
+  base::Result<void> open();
+  void close();
+
+  /// Queues a message without waiting. \returns whether it was queued; it is
+  /// not if the peer is not connected or its queue is full.
+  bool send(const std::string &to,
+            const std::shared_ptr<const std::string> &bytes);
+
+  /// Receives what has arrived, up to a limit that leaves the thread time for
+  /// other work.
+  void drain();
+
+private:
+  zmq::socket_t openDealer(const model::Address &peer);
+  bool receiveOne();
+  void waitReadable();
+
+  boost::asio::any_io_executor Executor;
+  TransportOptions Options;
+  Handler OnMessage;
+  std::optional<zmq::context_t> Context;
+  std::optional<zmq::socket_t> Router;
+  std::map<std::string, zmq::socket_t> Dealers;
+  std::optional<boost::asio::posix::stream_descriptor> Readable;
+  bool DrainPosted = false;
+};
+
+} // namespace endivedoor::peer::detail
+
+#endif
--- /dev/null
+++ b/tests/unit/unit-peer-members.cpp
@@ -0,0 +1,201 @@
+// Guards membership: late, repeated or hostile messages must not change what is
+// known of a peer, and silence must be noticed at the times of the settings.
+#include "endivedoor/peer/detail/MemberTable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace endivedoor;
+using namespace endivedoor::peer;
+using namespace endivedoor::peer::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Sender First{"g-2", base::InstanceId("first")};
+const Sender Second{"g-2", base::InstanceId("second")};
+
+class MemberTableOfTwoPeers : public testing::Test {
+protected:
+  Receipt beat(const Sender &from, std::uint64_t incarnation,
+               std::uint64_t stamp, MemberState state = MemberState::Live,
+               std::uint64_t version = 0) {
+    return Table.receive(from,
+                         {incarnation, {stamp, 0}, Heartbeat{state, version}},
+                         Clock.now());
+  }
+  Member peer() const { return *Table.find("g-2", Clock.now()); }
+
+  base::ManualClock Clock;
+  MemberTable Table{{{"g-2", base::ZoneId("germiston"), {}, {}},
+                     {"m-1", base::ZoneId("midrand"), {}, {}}},
+                    model::TimingSettings(),
+                    Clock.now()};
+};
+
+// Guards against a frozen peer that still counts as live, or dies too early.
+TEST_F(MemberTableOfTwoPeers, SilenceIsSuspectedThenDeadThenReturns) {
+  beat(First, 5, 1);
+  ASSERT_EQ(Table.advance(Clock.now()).size(), 1u);
+  Clock.advance(1499ms);
+  EXPECT_EQ(peer().State, MemberState::Live);
+  Clock.advance(1ms);
+  EXPECT_EQ(peer().State, MemberState::Suspected);
+  EXPECT_EQ(Table.advance(Clock.now()).at(0).To, MemberState::Suspected);
+  Clock.advance(1500ms);
+  EXPECT_EQ(peer().State, MemberState::Dead);
+  EXPECT_EQ(Table.advance(Clock.now()).size(), 2u);
+  EXPECT_TRUE(Table.advance(Clock.now()).empty());
+  beat(First, 5, 2);
+  EXPECT_EQ(Table.advance(Clock.now()).at(0).To, MemberState::Live);
+  EXPECT_EQ(peer().LastHeard, 0ms);
+}
+
+// Guards against a peer that was never heard counting as live.
+TEST_F(MemberTableOfTwoPeers, NeverHeardPeerIsSuspectedThenDead) {
+  EXPECT_EQ(peer().State, MemberState::Suspected);
+  EXPECT_EQ(peer().LastHeard, std::nullopt);
+  Clock.advance(3s);
+  EXPECT_EQ(peer().State, MemberState::Dead);
+}
+
+// Guards against a repeated message that hides the silence of its sender.
+TEST_F(MemberTableOfTwoPeers, RepeatedMessageDoesNotCountAsHeard) {
+  beat(First, 5, 7, MemberState::Live, 3);
+  Clock.advance(2s);
+  EXPECT_EQ(beat(First, 5, 7), Receipt::Repeated);
+  EXPECT_EQ(beat(First, 5, 6, MemberState::Joining, 9), Receipt::Repeated);
+  EXPECT_EQ(peer().State, MemberState::Suspected);
+  EXPECT_EQ(peer().ConfigVersion, 3u);
+}
+
+// Guards against the state of a run going back, for example from leaving.
+TEST_F(MemberTableOfTwoPeers, AnnouncedStateAndVersionOnlyGrowWithinARun) {
+  beat(First, 5, 1, MemberState::Leaving, 4);
+  EXPECT_EQ(beat(First, 5, 2, MemberState::Live, 3), Receipt::Accepted);
+  EXPECT_EQ(peer().State, MemberState::Leaving);
+  EXPECT_EQ(peer().ConfigVersion, 4u);
+}
+
+// Guards against a message of a replaced host that is taken for the new one.
+TEST_F(MemberTableOfTwoPeers, EarlierRunIsRefusedAfterReplacement) {
+  beat(First, 5, 100, MemberState::Leaving, 8);
+  EXPECT_EQ(beat(Second, 6, 1, MemberState::Joining, 1), Receipt::NewRun);
+  EXPECT_EQ(beat(First, 5, 200, MemberState::Leaving, 9), Receipt::StaleRun);
+  EXPECT_EQ(peer().State, MemberState::Joining);
+  EXPECT_EQ(peer().ConfigVersion, 1u);
+  EXPECT_TRUE(Table.advance(Clock.now()).at(0).NewRun);
+}
+
+// Guards against two runs with the same number being taken for one.
+TEST_F(MemberTableOfTwoPeers, SameIncarnationOfAnotherInstanceIsRefused) {
+  beat(First, 5, 1);
+  EXPECT_EQ(beat(Second, 5, 2), Receipt::StaleRun);
+  EXPECT_EQ(Table.latestRun("g-2").KnownInstance, First.Instance);
+  EXPECT_EQ(beat(Second, 6, 3), Receipt::NewRun);
+}
+
+// Guards against a sender outside the settings entering the table.
+TEST_F(MemberTableOfTwoPeers, UnknownSenderIsRefused) {
+  EXPECT_EQ(beat({"x", base::InstanceId("i")}, 5, 1), Receipt::Unknown);
+  EXPECT_EQ(Table.members(Clock.now()).size(), 2u);
+}
+
+// Guards against any order of delivery making the table go back.
+RC_GTEST_FIXTURE_PROP(MemberTableOfTwoPeers, AnyOrderOnlyMovesForward, ()) {
+  std::uint64_t run = 0, version = 0;
+  for (int i = 0; i < 60; ++i) {
+    auto incarnation = *rc::gen::inRange<std::uint64_t>(1, 4);
+    beat({"g-2", base::InstanceId("i" + std::to_string(incarnation))},
+         incarnation, *rc::gen::inRange<std::uint64_t>(1, 20),
+         static_cast<MemberState>(*rc::gen::inRange(0, 3)),
+         *rc::gen::inRange<std::uint64_t>(0, 20));
+    Member now = peer();
+    RC_ASSERT(now.Incarnation >= run);
+    if (now.Incarnation == run)
+      RC_ASSERT(now.ConfigVersion >= version);
+    run = now.Incarnation;
+    version = now.ConfigVersion;
+  }
+}
+
+class CodecAtNoon : public testing::Test {
+protected:
+  base::Errc codeOf(const PeerMessage &message) {
+    auto out = decode(encode(message), Now);
+    return out ? base::Errc{} : out.error().Code;
+  }
+  const base::WallTime Now{std::chrono::hours(500000)};
+  const std::uint64_t Ms = 500000ULL * 3600 * 1000;
+  const base::HybridTime Time{Ms * 1000, 0};
+  const base::Errc Refused = base::Errc::PeerMessageInvalid;
+};
+
+// Guards against a field that is lost or changed on the way.
+TEST_F(CodecAtNoon, EveryBodyRoundTrips) {
+  auto back = [&](auto body) {
+    PeerMessage out = decode(encode({Ms, Time, body}), Now).value();
+    EXPECT_EQ(out.Incarnation, Ms);
+    EXPECT_EQ(out.Time, Time);
+    return std::get<decltype(body)>(out.Body);
+  };
+  EXPECT_EQ(back(Heartbeat{MemberState::Leaving, 9}).State,
+            MemberState::Leaving);
+  EXPECT_EQ(back(Heartbeat{MemberState::Joining, 9}).ConfigVersion, 9u);
+  EXPECT_EQ(back(ConfigRequest{7}).HaveVersion, 7u);
+  ConfigDocument document = back(ConfigDocument{7, R"({"version":7})", true});
+  EXPECT_EQ(document.Json, R"({"version":7})");
+  EXPECT_TRUE(document.Forward);
+  EXPECT_EQ(back(StaleIncarnation{8, base::InstanceId("i")}).KnownInstance,
+            base::InstanceId("i"));
+}
+
+// Guards against one hostile message moving every clock, or naming a
+// configuration it does not carry.
+TEST_F(CodecAtNoon, FieldsOutOfRangeAreRefused) {
+  const std::uint64_t late = Ms + 301000;
+  EXPECT_EQ(codeOf({0, Time, ConfigRequest{}}), Refused);
+  EXPECT_EQ(codeOf({late, Time, ConfigRequest{}}), Refused);
+  EXPECT_EQ(codeOf({Ms, {late * 1000, 0}, ConfigRequest{}}), Refused);
+  EXPECT_EQ(codeOf({Ms, {0, 0}, ConfigRequest{}}), Refused);
+  EXPECT_EQ(codeOf({Ms, {1, UINT32_MAX}, ConfigRequest{}}), Refused);
+  EXPECT_EQ(codeOf({Ms, Time, Heartbeat{MemberState::Dead, 1}}), Refused);
+  EXPECT_EQ(codeOf({Ms, Time, StaleIncarnation{late, base::InstanceId("i")}}),
+            Refused);
+  EXPECT_EQ(codeOf({Ms, Time, StaleIncarnation{1, base::InstanceId()}}),
+            Refused);
+  for (const char *json : {"", "[]", "{}", R"({"version":8})", "{\"version\":7",
+                           R"({"version":"7"})", "\xff"})
+    EXPECT_EQ(codeOf({Ms, Time, ConfigDocument{7, json, false}}), Refused);
+  EXPECT_EQ(codeOf({Ms, Time, ConfigDocument{0, R"({"version":0})", false}}),
+            Refused);
+  for (const char *id : {"", "g-1", "1/g-1", "1//i", "1/g-1/", "2/g-1/i"})
+    EXPECT_FALSE(decodeSender(id)) << id;
+  EXPECT_EQ(decodeSender("1/g-1/a/b").value().Instance.str(), "a/b");
+  EXPECT_LE(encodeSender({"a", base::InstanceId(std::string(900, 'i'))}).size(),
+            255u);
+}
+
+RC_GTEST_FIXTURE_PROP(CodecAtNoon, AnyBytesAreHandled,
+                      (const std::string &bytes)) {
+  auto message = decode(bytes, Now);
+  if (message)
+    RC_ASSERT(message.value().Time.WallMicros > 0u);
+  auto sender = decodeSender(bytes);
+  if (sender)
+    RC_ASSERT(!sender.value().Name.empty());
+}
+
+// Mutated valid messages reach deeper code than random bytes do.
+RC_GTEST_FIXTURE_PROP(CodecAtNoon, AnyMutationIsHandled, ()) {
+  std::string bytes =
+      encode({Ms, Time, ConfigDocument{7, R"({"version":7})", true}});
+  for (int i = *rc::gen::inRange(1, 5); i > 0; --i)
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+        *rc::gen::arbitrary<char>();
+  auto out = decode(bytes, Now);
+  if (out)
+    RC_ASSERT(out.value().Incarnation > 0u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/unit-peer-node.cpp
@@ -0,0 +1,262 @@
+// Guards the sockets between daemons on loopback: heartbeats, a pushed
+// configuration, a restart, a hostile sender and a slow peer.
+#include "endivedoor/peer/Peer.h"
+#include "endivedoor/peer/detail/Codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+#include <zmq.hpp>
+
+#include <functional>
+
+using namespace endivedoor;
+using namespace endivedoor::peer;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Bound for anything that takes a few heartbeats on a busy machine.
+constexpr auto Patience = 10s;
+
+std::uint16_t freePort() {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+class PeerNodes : public testing::Test {
+protected:
+  struct Daemon {
+    model::Settings Settings;
+    base::HybridClock Hybrid;
+    base::EventLog Events;
+    std::unique_ptr<PeerNode> Node;
+    std::vector<std::string> Received;
+  };
+
+  /// Prepares \p n daemons in zones of two; none is started.
+  void prepare(int n) {
+    std::vector<model::PeerSettings> all;
+    for (int i = 0; i < n; ++i)
+      all.push_back({"n" + std::to_string(i),
+                     base::ZoneId("z" + std::to_string(i / 2)),
+                     {"127.0.0.1", freePort()},
+                     {}});
+    for (int i = 0; i < n; ++i) {
+      model::Settings settings;
+      settings.Name = all[i].Name;
+      settings.Zone = all[i].Zone;
+      settings.Peer = all[i].Peer;
+      settings.Limits.PeerMessageBytes = 256 * 1024;
+      settings.Timing.Heartbeat = 50ms;
+      settings.Timing.PeerSuspected = 400ms;
+      settings.Timing.PeerDead = 800ms;
+      for (int k = 0; k < n; ++k)
+        if (k != i)
+          settings.Peers.push_back(all[k]);
+      Daemons.emplace_back(new Daemon{
+          settings,
+          base::HybridClock(Clock),
+          base::EventLog(settings.Name,
+                         Daemons.empty() ? Shared : Daemons[0]->Hybrid, 64),
+          nullptr,
+          {}});
+    }
+  }
+
+  void startNode(int i, const std::string &instance = "run-1") {
+    Daemon &it = *Daemons[i];
+    it.Node = std::make_unique<PeerNode>(Io.get_executor(), it.Settings,
+                                         it.Hybrid, Clock, it.Events,
+                                         base::InstanceId(instance));
+    it.Node->onConfiguration([&it](std::string json) {
+      it.Received.push_back(json);
+      it.Node->publishConfiguration(it.Received.size(), json);
+    });
+    ASSERT_TRUE(it.Node->start());
+    it.Node->setState(MemberState::Live);
+  }
+  void startAll(int n) {
+    prepare(n);
+    for (int i = 0; i < n; ++i)
+      startNode(i);
+  }
+
+  /// Runs all nodes until \p done. \returns whether it came in time.
+  bool runUntil(const std::function<bool()> &done) {
+    auto end = Clock.now() + Patience;
+    while (!done() && Clock.now() < end)
+      Io.run_for(5ms);
+    return done();
+  }
+  /// Returns how daemon \p at sees \p name.
+  Member view(int at, const std::string &name) {
+    for (const Member &it : Daemons[at]->Node->members())
+      if (it.Name == name)
+        return it;
+    return {};
+  }
+  bool allLive() {
+    for (auto &it : Daemons)
+      for (const Member &member : it->Node->members())
+        if (member.State != MemberState::Live)
+          return false;
+    return true;
+  }
+
+  boost::asio::io_context Io;
+  base::SystemClock Clock;
+  base::HybridClock Shared{Clock};
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+};
+
+// Guards against a daemon that misses its peers or a pushed configuration.
+TEST_F(PeerNodes, ThreeNodesMeetAndShareAConfiguration) {
+  startAll(3);
+  ASSERT_TRUE(runUntil([&] { return allLive(); }));
+  Daemons[0]->Node->publishConfiguration(1, R"({"version":1})");
+  ASSERT_TRUE(runUntil([&] {
+    return view(0, "n1").ConfigVersion == 1 && view(0, "n2").ConfigVersion == 1;
+  }));
+  EXPECT_EQ(Daemons[2]->Received, std::vector<std::string>{R"({"version":1})"});
+  const Counters &counts = Daemons[0]->Node->counters();
+  EXPECT_EQ(counts.Sent[2].Messages, 2u);
+  EXPECT_GT(counts.Received[0].Bytes, 0u);
+  EXPECT_EQ(counts.Rejected.Messages, 0u);
+}
+
+// Guards against a version that a late daemon never learns.
+TEST_F(PeerNodes, LateDaemonAsksForTheConfiguration) {
+  prepare(2);
+  startNode(0);
+  Daemons[0]->Node->publishConfiguration(1, R"({"version":1})");
+  Io.run_for(200ms);
+  startNode(1);
+  EXPECT_TRUE(runUntil([&] { return view(1, "n1").ConfigVersion == 1; }));
+}
+
+// Guards against a planned stop or a death that the others do not notice, and
+// against a replaced host that is refused.
+TEST_F(PeerNodes, LeavingDeathAndReplacementAreSeen) {
+  startAll(2);
+  ASSERT_TRUE(runUntil([&] { return allLive(); }));
+  std::uint64_t first = view(0, "n1").Incarnation;
+  Daemons[1]->Node->setState(MemberState::Leaving);
+  EXPECT_TRUE(
+      runUntil([&] { return view(0, "n1").State == MemberState::Leaving; }));
+  Daemons[1]->Node->stop();
+  EXPECT_TRUE(
+      runUntil([&] { return view(0, "n1").State == MemberState::Dead; }));
+  startNode(1, "run-2");
+  EXPECT_TRUE(
+      runUntil([&] { return view(0, "n1").State == MemberState::Live; }));
+  EXPECT_GT(view(0, "n1").Incarnation, first);
+}
+
+// Guards against hostile input that is believed, stops the process, or goes
+// uncounted.
+TEST_F(PeerNodes, HostileSenderIsCountedAndIgnored) {
+  startAll(2);
+  ASSERT_TRUE(runUntil([&] { return allLive(); }));
+  zmq::context_t context;
+  auto attack = [&](const std::string &id, std::vector<std::string> parts) {
+    zmq::socket_t socket(context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 1000);
+    socket.set(zmq::sockopt::routing_id, id);
+    socket.connect("tcp://" + Daemons[0]->Settings.Peer.str());
+    for (std::size_t i = 0; i < parts.size(); ++i)
+      socket.send(zmq::buffer(parts[i]), i + 1 < parts.size()
+                                             ? zmq::send_flags::sndmore
+                                             : zmq::send_flags::none);
+  };
+  auto now = Clock.wallNow().time_since_epoch();
+  std::uint64_t micros =
+      std::chrono::floor<std::chrono::microseconds>(now).count();
+  std::string valid = detail::encode(
+      {micros / 1000, {micros, 0}, detail::Heartbeat{MemberState::Live, 9}});
+  attack("rubbish", {valid});
+  attack("1/stranger/i", {valid});
+  attack("1/n1/i", {"rubbish"});
+  attack("1/n1/j", {""});
+  attack("1/n1/k", {valid, "extra part"});
+  const Counters &counts = Daemons[0]->Node->counters();
+  EXPECT_TRUE(runUntil([&] { return counts.Rejected.Messages >= 5; }))
+      << counts.Rejected.Messages;
+  attack("1/n1/l", {std::string(300 * 1024, 'x')}); // Above the limit.
+  Io.run_for(200ms);
+  EXPECT_EQ(counts.Rejected.Messages, 5u);
+  EXPECT_EQ(view(0, "n1").ConfigVersion, 0u);
+  EXPECT_TRUE(runUntil([&] { return allLive(); }));
+}
+
+// Guards against a daemon that takes over the name of a running one for good:
+// the running one raises its incarnation and is heard again.
+TEST_F(PeerNodes, RunWithALowerIncarnationIsRaised) {
+  startAll(2);
+  ASSERT_TRUE(runUntil([&] { return allLive(); }));
+  zmq::context_t context;
+  zmq::socket_t socket(context, zmq::socket_type::dealer);
+  socket.set(zmq::sockopt::routing_id, "1/n1/other");
+  socket.connect("tcp://" + Daemons[0]->Settings.Peer.str());
+  auto now = Clock.wallNow().time_since_epoch();
+  std::uint64_t micros =
+      std::chrono::floor<std::chrono::microseconds>(now).count();
+  std::uint64_t ahead = micros / 1000 + 60000;
+  socket.send(zmq::buffer(detail::encode(
+      {ahead, {micros, 0}, detail::Heartbeat{MemberState::Live, 0}})));
+  EXPECT_TRUE(runUntil([&] { return view(0, "n1").Incarnation > ahead; }));
+  EXPECT_TRUE(runUntil([&] { return allLive(); }));
+}
+
+// Guards against a stalled peer that makes the sender wait or grow.
+TEST_F(PeerNodes, StalledPeerIsDroppedFrom) {
+  prepare(2);
+  startNode(0);
+  // A listener that accepts connections and never speaks.
+  boost::asio::ip::tcp::acceptor silent(
+      Io, {boost::asio::ip::address_v4::loopback(),
+           Daemons[1]->Settings.Peer.Port});
+  auto start = Clock.now();
+  for (std::uint64_t i = 1; i <= 200; ++i)
+    Daemons[0]->Node->publishConfiguration(i, R"({"version":)" +
+                                                  std::to_string(i) + "}");
+  EXPECT_LT(Clock.now() - start, 1s);
+  EXPECT_GE(Daemons[0]->Node->counters().Dropped[2].Messages, 184u);
+}
+
+// Guards against a queue that grows without limit for a peer that is connected
+// and reads nothing: 300 documents of 100 kB are far above what TCP buffers.
+TEST_F(PeerNodes, ConnectedPeerThatReadsNothingIsDroppedFrom) {
+  prepare(2);
+  zmq::context_t context;
+  zmq::socket_t unread(context, zmq::socket_type::router);
+  unread.set(zmq::sockopt::rcvhwm, 1);
+  unread.bind("tcp://" + Daemons[1]->Settings.Peer.str());
+  startNode(0);
+  const Counters &counts = Daemons[0]->Node->counters();
+  ASSERT_TRUE(runUntil([&] { return counts.Sent[0].Messages > 0; }));
+  const std::string padding(100000, 'x');
+  auto start = Clock.now();
+  for (std::uint64_t i = 1; i <= 300; ++i)
+    Daemons[0]->Node->publishConfiguration(
+        i, R"({"version":)" + std::to_string(i) + R"(,"text":")" + padding +
+               "\"}");
+  EXPECT_LT(Clock.now() - start, 1s);
+  EXPECT_GT(counts.Sent[2].Messages, 0u);
+  EXPECT_GT(counts.Dropped[2].Messages, 100u);
+}
+
+// Guards against an address in use that stops the process by an exception.
+TEST_F(PeerNodes, AddressInUseIsAnError) {
+  startAll(1);
+  base::Result<void> second =
+      PeerNode(Io.get_executor(), Daemons[0]->Settings, Daemons[0]->Hybrid,
+               Clock, Daemons[0]->Events, base::InstanceId("other"))
+          .start();
+  ASSERT_FALSE(second);
+  EXPECT_EQ(second.error().Code, base::Errc::PeerSocketFailed);
+}
+
+} // namespace
