policy: add baseline schedulers behind the Scheduler interface

Cause: the other packages need a scheduler to wire, and the scheduler in use needs simple ones to be compared with. Ruled out: copying the ledger into each scheduler.

--- a/packages/policy/include/endivedoor/policy/Scheduler.h
+++ b/packages/policy/include/endivedoor/policy/Scheduler.h
@@ -23,6 +23,9 @@
 struct StartTask {
   base::TaskId Task;
   base::WorkerId Worker;
+  /// The amounts counted as taken on the worker: slots, connections and
+  /// accelerators as declared; memory never below what was declared.
+  base::Resources Booked{};
 };
 struct ThrottleTask {
   base::TaskId Task;
@@ -53,6 +56,19 @@
   base::TimePoint TakenAt;
 };
 
+/// How well a rule was kept since the scheduler was built.
+struct RuleStatus {
+  /// Text of the rule without its comment.
+  std::string Rule;
+  base::ContractName Contract;
+  /// Number of checks in which the rule was kept; what is checked (starts,
+  /// measurements, ends of jobs) depends on the rule, see docs/policy.md.
+  std::uint64_t Kept = 0;
+  std::uint64_t Violated = 0;
+  /// The worst violation in words; empty if there was none.
+  std::string WorstCase;
+};
+
 /// Event-driven scheduler of one zone. Pure: no I/O, time and randomness come
 /// from outside. Belongs to one thread. Events may come in any order after a
 /// change of owner; unknown ids are ignored.
@@ -93,6 +109,11 @@
   ///
   /// \param maxStarts largest number of starts returned.
   virtual std::vector<Decision> decide(std::size_t maxStarts) = 0;
+
+  /// Returns one entry for each rule in force, in the order of the rules file.
+  /// A scheduler that does not count returns nothing. Cost: linear in the
+  /// number of rules.
+  virtual std::vector<RuleStatus> ruleStatus() const { return {}; }
 };
 
 /// Builds the scheduler in use.
@@ -102,6 +123,17 @@
 std::unique_ptr<Scheduler> makeScheduler(const base::Clock &clock,
                                          std::uint64_t seed);
 
+/// Simple schedulers to compare with. They keep the hard limits, zones out and
+/// workers out, start tasks in order of arrival and neither throttle nor evict.
+enum class BaselineKind { Random, FirstFit, LeastLoaded, TwoChoices };
+
+/// Builds a baseline.
+///
+/// \param clock source of time; must outlive the scheduler.
+/// \param seed seed of its random choices.
+std::unique_ptr<Scheduler>
+makeBaseline(BaselineKind kind, const base::Clock &clock, std::uint64_t seed);
+
 } // namespace endivedoor::policy
 
 #endif
