policy: add the adaptive scheduler behind makeScheduler

Cause: the baselines know neither rules, interference nor latency targets. Change: placement by filters and costs over a sample of workers, decayed quantiles per class, interference model with the history of each worker, latency guard, queue by latest start, quotas, quarantine, gradual return, refusals with reasons, rule counters. Ruled out: sending less memory than declared by default, because a worker that checks the declared size would refuse the start (ReclaimMemory).

--- a/packages/policy/src/detail/Baseline.cpp
+++ b/packages/policy/src/detail/Baseline.cpp
@@ -30,8 +30,7 @@
     if (auto *zone = std::get_if<model::ZoneOut>(&it.Body))
       mark(OutZones, S.Zones.intern(zone->Zone));
     if (auto *worker = std::get_if<model::WorkerOut>(&it.Body))
-      if (Index n = S.findWorker(worker->Worker); n != None)
-        mark(OutWorkers, n);
+      mark(OutWorkers, S.referWorker(worker->Worker));
   }
 }
 
@@ -63,9 +62,7 @@
 
 void Baseline::started(const base::TaskId &task, const model::JobSpec &job,
                        const base::WorkerId &worker) {
-  Index host = S.findWorker(worker);
-  if (host == None)
-    return;
+  Index host = S.referWorker(worker);
   Index n = S.findTask(task);
   if (n == None)
     n = S.addTask(task, S.upsertJob(job, Clock));
--- /dev/null
+++ b/packages/policy/src/detail/Estimator.cpp
@@ -0,0 +1,98 @@
+#include "detail/Estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivedoor::policy::detail {
+
+/// Buckets per doubling of the value; the ratio of two buckets is 1.19.
+static constexpr double PerDoubling = 4;
+static constexpr std::chrono::seconds DecayInterval{60};
+/// The half-life of a sample is ten minutes: ten intervals.
+static const double GrowthPerInterval = std::exp2(0.1);
+/// Fewer samples say too little: declared amounts are used.
+static constexpr std::uint64_t MinSamples = 4;
+static constexpr std::uint64_t RenewEvery = 16;
+
+void DecayedQuantile::add(double value, base::TimePoint now) {
+  if (Samples == 0)
+    LastDecay = now;
+  // New samples weigh more instead of old ones less: one multiplication for
+  // each interval instead of one for each bucket.
+  for (; now - LastDecay >= DecayInterval; LastDecay += DecayInterval) {
+    Weight *= GrowthPerInterval;
+    if (now - LastDecay > 1000 * DecayInterval)
+      LastDecay = now;
+  }
+  if (Weight > 1e6) {
+    for (float &it : Buckets)
+      it = float(it / Weight);
+    Weight = 1;
+  }
+  double position = PerDoubling * std::log2(std::max(1.0, value));
+  std::size_t n = std::min(std::size_t(position), BucketCount - 1);
+  Buckets[n] += float(Weight);
+  ++Samples;
+}
+
+double DecayedQuantile::quantile(double q) const {
+  double total = 0;
+  for (float it : Buckets)
+    total += it;
+  if (total <= 0)
+    return 0;
+  double rank = q * total;
+  for (std::size_t n = 0; n < BucketCount; ++n) {
+    if (rank <= Buckets[n] && Buckets[n] > 0)
+      return std::exp2((double(n) + rank / Buckets[n]) / PerDoubling);
+    rank -= Buckets[n];
+  }
+  return std::exp2(double(BucketCount) / PerDoubling);
+}
+
+Estimator::ClassRec &Estimator::record(Index taskClass) {
+  if (taskClass >= Classes.size())
+    Classes.resize(taskClass + 1);
+  return Classes[taskClass];
+}
+
+void Estimator::addUsage(Index taskClass, double milliCores, double memoryMb,
+                         base::TimePoint now) {
+  ClassRec &rec = record(taskClass);
+  rec.Cpu.add(milliCores, now);
+  rec.Memory.add(memoryMb, now);
+}
+
+void Estimator::addRunTime(Index taskClass, double ms, base::TimePoint now) {
+  record(taskClass).RunTime.add(ms, now);
+}
+
+static bool isDue(std::uint64_t samples, std::uint64_t renewed) {
+  return samples >= MinSamples &&
+         (renewed == 0 || samples >= renewed + RenewEvery);
+}
+
+static double withMargin(double value, std::uint64_t samples) {
+  return value * (1 + 0.5 / std::sqrt(double(samples)));
+}
+
+const Estimate &Estimator::estimate(Index taskClass) {
+  ClassRec &rec = record(taskClass);
+  std::uint64_t usage = rec.Cpu.samples(), runs = rec.RunTime.samples();
+  if (isDue(usage, rec.UsageRenewed)) {
+    rec.UsageRenewed = usage;
+    // Uses of processor time add up on a worker, so a middle quantile fits; a
+    // single task that exceeds its memory is killed, so a high one is needed.
+    rec.Current.MilliCores = withMargin(rec.Cpu.quantile(0.6), usage);
+    rec.Current.MemoryMb = withMargin(rec.Memory.quantile(0.98), usage);
+    ++rec.Current.Version;
+  }
+  if (isDue(runs, rec.RunTimeRenewed)) {
+    rec.RunTimeRenewed = runs;
+    rec.Current.RunTimeMs = withMargin(rec.RunTime.quantile(0.9), runs);
+    ++rec.Current.Version;
+  }
+  return rec.Current;
+}
+
+} // namespace endivedoor::policy::detail
--- /dev/null
+++ b/packages/policy/src/detail/FreeIndex.h
@@ -0,0 +1,70 @@
+/// \file
+/// Workers that take new work, by free slots.
+#ifndef ENDIVEDOOR_POLICY_DETAIL_FREEINDEX_H
+#define ENDIVEDOOR_POLICY_DETAIL_FREEINDEX_H
+
+#include "detail/Interner.h"
+
+#include <algorithm>
+
+namespace endivedoor::policy::detail {
+
+/// One list of workers for each number of free slots. Updates are O(1); a
+/// sample costs O(lists + size of the sample) however many workers there are.
+class FreeIndex {
+public:
+  /// Puts a worker into the list of \p freeSlots, or moves it there.
+  void put(Index worker, std::int32_t freeSlots);
+  void remove(Index worker);
+  bool contains(Index worker) const {
+    return worker < Places.size() && Places[worker].List != None;
+  }
+
+  /// Calls \p visit with up to \p limit workers that have at least \p slots
+  /// free, evenly spaced from a place given by \p random.
+  ///
+  /// \returns whether all of them were visited.
+  template <typename Visit>
+  bool sample(std::int32_t slots, std::size_t limit, std::uint64_t random,
+              Visit visit) const {
+    std::size_t first = listOf(slots), total = 0;
+    for (std::size_t n = first; n < Lists.size(); ++n)
+      total += Lists[n].size();
+    if (total == 0)
+      return true;
+    std::size_t taken = std::min(limit, total);
+    std::size_t start = random % total, n = first, before = 0;
+    for (std::size_t i = 0; i < taken; ++i) {
+      std::size_t at = start + i * total / taken;
+      if (at >= total) {
+        // Wrapped around: the lists are walked from the first again.
+        at -= total;
+        if (before > at) {
+          n = first;
+          before = 0;
+        }
+      }
+      while (at >= before + Lists[n].size())
+        before += Lists[n++].size();
+      visit(Lists[n][at - before]);
+    }
+    return taken == total;
+  }
+
+private:
+  struct Place {
+    Index List = None;
+    Index Position = 0;
+  };
+  static std::size_t listOf(std::int32_t slots) {
+    return slots < 0 ? 0 : std::size_t(slots) + 1;
+  }
+
+  /// List 0 holds workers with fewer than zero free slots.
+  std::vector<std::vector<Index>> Lists;
+  std::vector<Place> Places;
+};
+
+} // namespace endivedoor::policy::detail
+
+#endif
--- /dev/null
+++ b/packages/policy/src/detail/Guard.cpp
@@ -0,0 +1,191 @@
+#include "detail/Guard.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivedoor::policy::detail {
+
+/// Throttles change in whole steps, so that small changes cause no calls.
+static constexpr std::int32_t StepPercent = 10;
+static constexpr std::int32_t LiftPercent = 30;
+/// Work since the last checkpoint is not known, so the run time up to this
+/// bound counts as lost.
+static constexpr double LostSecondsAtMost = 600;
+
+Guard::WorkerGuard &Guard::record(Index worker) {
+  if (worker >= Workers.size())
+    Workers.resize(worker + 1);
+  return Workers[worker];
+}
+
+double Guard::worstRatio(WorkerGuard &it, Index task, double ratio) {
+  double worst = ratio;
+  bool found = false;
+  for (Reading &reading : it.Readings) {
+    if (reading.Task == task) {
+      reading.Ratio = ratio;
+      found = true;
+    }
+    worst = std::max(worst, reading.Ratio);
+  }
+  if (!found)
+    it.Readings.push_back({task, ratio});
+  return worst;
+}
+
+void Guard::judge(Index task, double p95Ms, double targetMs,
+                  base::TimePoint takenAt, base::TimePoint now,
+                  std::vector<Decision> &out) {
+  Index worker = S.Tasks[task].Worker;
+  WorkerGuard &it = record(worker);
+  double worst = worstRatio(it, task, p95Ms / targetMs);
+  if (worst > Settings.LowRatio)
+    it.Calm = false;
+  else if (!it.Calm) {
+    it.Calm = true;
+    it.CalmSince = now;
+  }
+  if (worst < Settings.EvictRatio)
+    it.Over = false;
+  else if (!it.Over) {
+    it.Over = true;
+    it.OverSince = now;
+  }
+  // The measurement shows the state before the last action.
+  if (takenAt < it.ActedAt + Settings.Settle)
+    return;
+  double ratio = p95Ms / targetMs;
+  Index service = S.jobOf(task).Service;
+  bool acted = false;
+  if (ratio >= Settings.HighRatio) {
+    double excess = p95Ms - targetMs * (Settings.HighRatio * 0.9);
+    acted = Settings.Throttle && throttle(worker, service, excess, now, out);
+    if (!acted && Settings.Evict && ratio >= Settings.EvictRatio &&
+        now - it.OverSince >= Settings.EvictAfter)
+      acted = evictOne(worker, service, now, out);
+  } else if (it.Calm && it.Throttled &&
+             now - it.CalmSince >= Settings.LiftAfter) {
+    lift(worker, now, out);
+    it.CalmSince = now;
+    acted = true;
+  }
+  if (acted)
+    it.ActedAt = now;
+}
+
+const std::vector<Index> &Guard::neighbours(Index worker) {
+  Neighbours.clear();
+  for (Index task : S.Workers[worker].Tasks)
+    if (S.jobOf(task).Kind == model::TaskKind::Batch && !S.Tasks[task].Evicting)
+      Neighbours.push_back(task);
+  return Neighbours;
+}
+
+void Guard::setThrottle(Index task, std::int32_t percent, base::TimePoint now,
+                        std::vector<Decision> &out) {
+  TaskRec &it = S.Tasks[task];
+  if (it.Throttle == percent)
+    return;
+  Past.change(it.Worker, S.jobOf(task).Class, (it.Throttle - percent) / 100.0,
+              now);
+  it.Throttle = percent;
+  out.push_back(ThrottleTask{it.Id, percent});
+}
+
+bool Guard::throttle(Index worker, Index service, double excessMs,
+                     base::TimePoint now, std::vector<Decision> &out) {
+  double effect = 0;
+  for (Index task : neighbours(worker))
+    effect += Model.weight(service, S.jobOf(task).Class) *
+              (100 - S.Tasks[task].Throttle) / 100.0;
+  // Without a known culprit all neighbours are throttled alike.
+  bool known = effect > 1e-3;
+  double share = known ? std::clamp(excessMs / effect, 0.2, 1.0) : 0.3;
+  bool acted = false;
+  for (Index task : Neighbours) {
+    TaskRec &it = S.Tasks[task];
+    double weight = Model.weight(service, S.jobOf(task).Class);
+    if ((known && weight <= 0) || it.Throttle >= Settings.MaxPercent)
+      continue;
+    double left = (100 - it.Throttle) * (1 - share);
+    auto percent =
+        std::int32_t(std::ceil((100 - left) / StepPercent)) * StepPercent;
+    setThrottle(task, std::min(percent, Settings.MaxPercent), now, out);
+    acted = true;
+  }
+  if (acted)
+    record(worker).Throttled = true;
+  return acted;
+}
+
+void Guard::lift(Index worker, base::TimePoint now,
+                 std::vector<Decision> &out) {
+  bool left = false;
+  for (Index task : neighbours(worker)) {
+    std::int32_t percent = std::max(0, S.Tasks[task].Throttle - LiftPercent);
+    setThrottle(task, percent, now, out);
+    left |= percent > 0;
+  }
+  record(worker).Throttled = left;
+}
+
+double Guard::victimValue(Index task, Index service,
+                          base::TimePoint now) const {
+  const TaskRec &it = S.Tasks[task];
+  double ran = std::chrono::duration<double>(now - it.StartedAt).count();
+  if (!Settings.ChooseVictim)
+    return 1e6 - ran;
+  double freed = Model.weight(service, S.Jobs[it.Job].Class);
+  return (freed + 1e-6) / (30 + std::min(ran, LostSecondsAtMost));
+}
+
+bool Guard::evictOne(Index worker, Index service, base::TimePoint now,
+                     std::vector<Decision> &out) {
+  Index best = None;
+  double bestValue = 0;
+  for (Index task : neighbours(worker)) {
+    const TaskRec &it = S.Tasks[task];
+    if (S.Jobs[it.Job].Urgent || now - it.StartedAt < Settings.MinRunTime)
+      continue;
+    double value = victimValue(task, service, now);
+    if (best == None || value > bestValue) {
+      best = task;
+      bestValue = value;
+    }
+  }
+  if (best == None)
+    return false;
+  Index taskClass = S.jobOf(best).Class;
+  evict(best, "latency of service " + S.Services.name(service).str(), now, out);
+  record(worker).CoolDowns.push_back({taskClass, now + Settings.CoolDown});
+  return true;
+}
+
+void Guard::evict(Index task, std::string reason, base::TimePoint now,
+                  std::vector<Decision> &out) {
+  TaskRec &it = S.Tasks[task];
+  it.Evicting = true;
+  out.push_back(EvictTask{it.Id, std::move(reason)});
+  WorkerGuard &guard = record(it.Worker);
+  std::erase_if(guard.CoolDowns,
+                [&](const Cooling &c) { return c.Until <= now; });
+}
+
+bool Guard::isCoolingDown(Index worker, Index taskClass,
+                          base::TimePoint now) const {
+  if (worker >= Workers.size())
+    return false;
+  for (const Cooling &it : Workers[worker].CoolDowns)
+    if (it.Class == taskClass && it.Until > now)
+      return true;
+  return false;
+}
+
+void Guard::forget(Index task, Index worker) {
+  if (worker >= Workers.size())
+    return;
+  std::erase_if(Workers[worker].Readings,
+                [&](const Reading &it) { return it.Task == task; });
+}
+
+} // namespace endivedoor::policy::detail
--- /dev/null
+++ b/packages/policy/src/detail/Health.h
@@ -0,0 +1,57 @@
+/// \file
+/// Quarantine of workers that fail what they start.
+#ifndef ENDIVEDOOR_POLICY_DETAIL_HEALTH_H
+#define ENDIVEDOOR_POLICY_DETAIL_HEALTH_H
+
+#include "detail/State.h"
+
+#include <array>
+
+namespace endivedoor::policy::detail {
+
+/// Tells workers that fail everything from jobs that fail everywhere, and
+/// decides when a quarantined worker is probed.
+class Health {
+public:
+  Health(State &s, bool enabled) : S(s), Enabled(enabled) {}
+
+  /// A task of \p job failed on the worker, or its start did. Returns whether
+  /// the worker is now quarantined and was not before.
+  bool failed(Index worker, Index job, base::TimePoint now);
+  /// A task ended well there, or has been running long enough. Returns whether
+  /// this ended a quarantine.
+  bool succeeded(Index worker);
+
+  bool isQuarantined(Index worker) const {
+    return worker < Workers.size() && Workers[worker].Quarantined;
+  }
+  /// Returns the workers whose next probe is due.
+  const std::vector<Index> &dueProbes(base::TimePoint now);
+  /// A task was started on a quarantined worker as a probe.
+  void probeStarted(Index worker, base::TimePoint now);
+  /// Whether a failure of the job says nothing about a worker: its tasks
+  /// failed on several workers and never finished on any.
+  bool isSuspect(const JobRec &job) const;
+  void forget(Index worker);
+
+private:
+  struct WorkerHealth {
+    /// Jobs that failed in a row, each counted once.
+    std::array<Index, 3> Streak{};
+    std::uint8_t StreakLength = 0;
+    bool Quarantined = false;
+    base::TimePoint NextProbe{};
+    base::Duration Interval{0};
+  };
+  WorkerHealth &record(Index worker);
+
+  State &S;
+  bool Enabled;
+  std::vector<WorkerHealth> Workers;
+  std::vector<Index> Quarantined;
+  std::vector<Index> Due;
+};
+
+} // namespace endivedoor::policy::detail
+
+#endif
--- /dev/null
+++ b/packages/policy/src/detail/History.cpp
@@ -0,0 +1,71 @@
+#include "detail/History.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivedoor::policy::detail {
+
+static constexpr std::chrono::seconds Kept{60};
+/// Forgetting waits for this many changes, so that it is rare.
+static constexpr std::size_t PruneAt = 256;
+
+double amountOf(const Composition &mix, Index taskClass) {
+  for (const ClassAmount &it : mix)
+    if (it.Class == taskClass)
+      return it.Amount;
+  return 0;
+}
+
+void addAmount(Composition &mix, Index taskClass, double delta) {
+  for (std::size_t n = 0; n < mix.size(); ++n) {
+    if (mix[n].Class != taskClass)
+      continue;
+    mix[n].Amount += delta;
+    if (std::abs(mix[n].Amount) < 1e-6) {
+      mix[n] = mix.back();
+      mix.pop_back();
+    }
+    return;
+  }
+  mix.push_back({taskClass, delta});
+}
+
+History::WorkerHistory &History::record(Index worker) {
+  if (worker >= Workers.size())
+    Workers.resize(worker + 1);
+  return Workers[worker];
+}
+
+void History::change(Index worker, Index taskClass, double delta,
+                     base::TimePoint now) {
+  WorkerHistory &rec = record(worker);
+  if (rec.Changes.size() >= PruneAt) {
+    // If all changes are recent, half of them go, so that a burst cannot grow
+    // the history without bound.
+    auto end =
+        std::find_if(rec.Changes.begin(), rec.Changes.end(),
+                     [&](const Change &it) { return now - it.At < Kept; });
+    end = std::max(end, rec.Changes.begin() + PruneAt / 2);
+    rec.Forgotten = std::prev(end)->At;
+    rec.Changes.erase(rec.Changes.begin(), end);
+  }
+  addAmount(rec.Current, taskClass, delta);
+  rec.Changes.push_back({now, taskClass, delta});
+}
+
+const Composition &History::current(Index worker) {
+  return record(worker).Current;
+}
+
+bool History::at(Index worker, base::TimePoint t, Composition &out) {
+  const WorkerHistory &rec = record(worker);
+  if (t < rec.Forgotten)
+    return false;
+  out = rec.Current;
+  for (auto it = rec.Changes.rbegin(); it != rec.Changes.rend() && it->At > t;
+       ++it)
+    addAmount(out, it->Class, -it->Delta);
+  return true;
+}
+
+} // namespace endivedoor::policy::detail
--- /dev/null
+++ b/packages/policy/src/detail/Interference.cpp
@@ -0,0 +1,60 @@
+#include "detail/Interference.h"
+
+#include <algorithm>
+
+namespace endivedoor::policy::detail {
+
+/// Step of the normalized gradient: a compromise between noise of single
+/// measurements and the speed at which a new class is recognized.
+static constexpr double StepSize = 0.1;
+
+Interference::ServiceModel &Interference::record(Index service) {
+  if (service >= Services.size())
+    Services.resize(service + 1);
+  return Services[service];
+}
+
+double Interference::predict(Index service, const Composition &mix) const {
+  if (service >= Services.size())
+    return 0;
+  const ServiceModel &it = Services[service];
+  double sum = it.Base;
+  for (const ClassAmount &part : mix)
+    if (part.Class < it.Weights.size())
+      sum += it.Weights[part.Class] * part.Amount;
+  return sum;
+}
+
+double Interference::weight(Index service, Index taskClass) const {
+  if (service >= Services.size() ||
+      taskClass >= Services[service].Weights.size())
+    return 0;
+  return Services[service].Weights[taskClass];
+}
+
+double Interference::base(Index service) const {
+  return service < Services.size() ? Services[service].Base : 0;
+}
+
+void Interference::learn(Index service, const Composition &mix, double p95Ms) {
+  ServiceModel &it = record(service);
+  if (it.Samples++ == 0)
+    it.Base = p95Ms;
+  double norm = 1;
+  for (const ClassAmount &part : mix) {
+    if (part.Class >= it.Weights.size())
+      it.Weights.resize(part.Class + 1);
+    norm += part.Amount * part.Amount;
+  }
+  double error = p95Ms - predict(service, mix);
+  // The base follows falling measurements faster than rising ones: what it
+  // wrongly explains would be missing from the weights.
+  double step = StepSize * error / norm;
+  it.Base = std::max(0.0, it.Base + (error < 0 ? step : 0.2 * step));
+  for (const ClassAmount &part : mix) {
+    double &w = it.Weights[part.Class];
+    w = std::max(0.0, w + step * part.Amount);
+  }
+}
+
+} // namespace endivedoor::policy::detail
--- /dev/null
+++ b/packages/policy/src/detail/Interference.h
@@ -0,0 +1,38 @@
+/// \file
+/// How much each class of tasks slows each service down.
+#ifndef ENDIVEDOOR_POLICY_DETAIL_INTERFERENCE_H
+#define ENDIVEDOOR_POLICY_DETAIL_INTERFERENCE_H
+
+#include "detail/History.h"
+
+namespace endivedoor::policy::detail {
+
+/// Linear model of a service's 95th percentile: a base and a weight for each
+/// class of neighbours, learned by normalized least mean squares (Widrow and
+/// Hoff 1960; Nagumo and Noda 1967) with weights kept at or above 0.
+class Interference {
+public:
+  /// Learns from one measurement.
+  ///
+  /// \param mix what ran beside the measured task when it was taken.
+  void learn(Index service, const Composition &mix, double p95Ms);
+  /// Returns the expected 95th percentile in ms, 0 if nothing is known.
+  double predict(Index service, const Composition &mix) const;
+  /// Returns the ms that one more task of the class adds.
+  double weight(Index service, Index taskClass) const;
+  double base(Index service) const;
+
+private:
+  struct ServiceModel {
+    double Base = 0;
+    std::uint64_t Samples = 0;
+    std::vector<double> Weights;
+  };
+  ServiceModel &record(Index service);
+
+  std::vector<ServiceModel> Services;
+};
+
+} // namespace endivedoor::policy::detail
+
+#endif
--- /dev/null
+++ b/packages/policy/src/detail/Queue.h
@@ -0,0 +1,55 @@
+/// \file
+/// Order of the jobs that wait.
+#ifndef ENDIVEDOOR_POLICY_DETAIL_QUEUE_H
+#define ENDIVEDOOR_POLICY_DETAIL_QUEUE_H
+
+#include "detail/Estimator.h"
+#include "detail/State.h"
+
+#include <compare>
+#include <set>
+
+namespace endivedoor::policy::detail {
+
+struct QueueKey {
+  bool Later = false; // urgent jobs first
+  std::int64_t LatestStart = 0;
+  std::uint64_t Arrival = 0;
+  Index Job = None;
+  friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
+};
+
+/// Urgent jobs first, then the earliest latest start: the deadline minus the
+/// estimated run time. Services start at once. Jobs without a deadline are
+/// given one a day after admission, so that they are not passed over for ever.
+class Queue {
+public:
+  /// \param byLatestStart false: order of arrival.
+  Queue(State &s, Estimator &sizes, bool byLatestStart, bool measured)
+      : S(s), Sizes(sizes), ByLatestStart(byLatestStart), Measured(measured) {}
+
+  /// Lists a job that has queued tasks; no effect if it is listed.
+  void add(Index job, std::optional<base::Duration> classDeadline);
+  void remove(Index job);
+  /// Orders all jobs anew by the estimates of now.
+  void refresh();
+
+  auto begin() const { return Keys.begin(); }
+  auto end() const { return Keys.end(); }
+  std::size_t size() const { return Keys.size(); }
+
+private:
+  QueueKey keyOf(Index job) const;
+  std::int64_t latestStart(const JobRec &job);
+
+  State &S;
+  Estimator &Sizes;
+  bool ByLatestStart;
+  bool Measured;
+  std::set<QueueKey> Keys;
+  std::uint64_t Arrivals = 0;
+};
+
+} // namespace endivedoor::policy::detail
+
+#endif
--- a/packages/policy/src/detail/State.cpp
+++ b/packages/policy/src/detail/State.cpp
@@ -7,15 +7,18 @@
 /// Jobs without tasks that are remembered.
 static constexpr std::size_t MaxIdleJobs = 4096;
 
+Index State::referWorker(const base::WorkerId &id) {
+  Index n = WorkerIds.intern(id);
+  if (n >= Workers.size())
+    Workers.resize(n + 1);
+  Workers[n].Id = id;
+  return n;
+}
+
 Index State::upsertWorker(const model::Worker &worker) {
-  Index n = WorkerIds.intern(worker.Id);
-  if (n == Workers.size())
-    Workers.emplace_back();
+  Index n = referWorker(worker.Id);
   WorkerRec &rec = Workers[n];
-  if (!rec.Known) {
-    rec.Id = worker.Id;
-    rec.Known = true;
-  }
+  rec.Known = true;
   rec.Zone = Zones.intern(worker.Zone);
   rec.Rack = Racks.intern(worker.Rack);
   rec.Free += worker.Capacity;
@@ -50,7 +53,9 @@
   rec = JobRec();
   rec.Id = spec.Id;
   rec.Class = Classes.intern(spec.Class);
-  rec.Service = spec.Service.empty() ? None : Services.intern(spec.Service);
+  rec.Service = spec.Kind == model::TaskKind::Batch
+                    ? None
+                    : Services.intern(spec.Service);
   rec.Team = Teams.intern(spec.Team);
   rec.Kind = spec.Kind;
   rec.Urgent = spec.Urgent;
@@ -130,6 +135,18 @@
   --job.QueuedTasks;
 }
 
+void State::countService(WorkerRec &host, const JobRec &job,
+                         std::int32_t delta) {
+  auto it = std::find_if(
+      host.Services.begin(), host.Services.end(), [&](const ServiceCount &s) {
+        return s.Service == job.Service && s.Class == job.Class;
+      });
+  if (it == host.Services.end())
+    host.Services.push_back({job.Service, job.Class, delta});
+  else if ((it->Count += delta) == 0)
+    host.Services.erase(it);
+}
+
 void State::book(Index task, Index worker, const base::Resources &amounts,
                  std::int64_t cpuLoad, base::TimePoint now) {
   TaskRec &rec = Tasks[task];
@@ -140,7 +157,7 @@
   rec.CpuLoad = cpuLoad;
   rec.StartedAt = now;
   rec.Throttle = 0;
-  rec.Evicting = false;
+  rec.Evicting = rec.EvictedForUrgent = false;
   rec.State = Phase::Placed;
   rec.Position = Index(host.Tasks.size());
   host.Tasks.push_back(task);
@@ -149,7 +166,7 @@
   if (job.Kind == model::TaskKind::Batch)
     host.BatchSlots += amounts.Slots;
   else
-    ++host.Services;
+    countService(host, job, 1);
 }
 
 Index State::release(Index task) {
@@ -166,7 +183,7 @@
   if (job.Kind == model::TaskKind::Batch)
     host.BatchSlots -= rec.Booked.Slots;
   else
-    --host.Services;
+    countService(host, job, -1);
   rec.Worker = None;
   rec.State = Phase::Unused;
   return worker;
--- a/packages/policy/src/detail/State.h
+++ b/packages/policy/src/detail/State.h
@@ -16,6 +16,13 @@
 
 namespace endivedoor::policy::detail {
 
+/// Tasks of one service on a worker.
+struct ServiceCount {
+  Index Service = 0;
+  Index Class = 0;
+  std::int32_t Count = 0;
+};
+
 struct WorkerRec {
   base::WorkerId Id;
   Index Zone = 0;
@@ -28,7 +35,7 @@
   std::int64_t CpuLoad = 0;
   /// Slots taken by batch tasks.
   std::int32_t BatchSlots = 0;
-  std::int32_t Services = 0;
+  std::vector<ServiceCount> Services;
   bool Known = false;
   bool Leaving = false;
   /// Removed by the host list while tasks are still booked on it.
@@ -83,6 +90,7 @@
   std::int32_t Throttle = 0;
   Phase State = Phase::Unused;
   bool Evicting = false;
+  bool EvictedForUrgent = false;
 };
 
 /// Records by number. Booking and queueing keep the sums consistent; deciding
@@ -102,6 +110,9 @@
 
   /// Adds or updates a worker; its bookings stay.
   Index upsertWorker(const model::Worker &worker);
+  /// Returns the number of a worker that may be unknown yet: tasks can be found
+  /// on a worker before the host list names it. Its capacity is then 0.
+  Index referWorker(const base::WorkerId &id);
   /// Returns the number of a known worker, or None.
   Index findWorker(const base::WorkerId &id) const;
   Index findTask(const base::TaskId &id) const;
@@ -127,6 +138,8 @@
   JobRec &jobOf(Index task) { return Jobs[Tasks[task].Job]; }
 
 private:
+  static void countService(WorkerRec &host, const JobRec &job,
+                           std::int32_t delta);
   void retireJob(Index job);
 
   boost::unordered_flat_map<base::TaskId, Index, std::hash<base::TaskId>>
