Add the operators' command line

The timeline merges the events of all daemons by hybrid time.

absl::ParseCommandLine was ruled out for the parsing itself: it ends the process with status 1 on a wrong flag and drops repeated values. The flags are Abseil's, set through their CommandLineFlag; absl::FlagSaver was ruled out because it logs each restored flag.

model/Scalars.h is public now, for the command line's addresses and durations.

--- /dev/null
+++ b/packages/cli/include/endivedoor/cli/detail/Context.h
@@ -0,0 +1,124 @@
+/// \file
+/// What a command runs with.
+#ifndef ENDIVEDOOR_CLI_DETAIL_CONTEXT_H
+#define ENDIVEDOOR_CLI_DETAIL_CONTEXT_H
+
+#include "endivedoor/cli/detail/Arguments.h"
+
+#include <boost/json/value.hpp>
+
+#include <string>
+#include <vector>
+
+namespace endivedoor::cli::detail {
+
+/// A JSON answer with a status of 2xx or 409.
+struct Answer {
+  unsigned Status = 0;
+  boost::json::value Body;
+  model::Address From;
+};
+
+/// Requests to the daemons of the command line, and output.
+class Context {
+public:
+  Context(const Invocation &invocation, Console console, Exchange &exchange,
+          const base::Clock &clock)
+      : In(invocation), Io(console), Source(exchange), Clock(clock),
+        Daemons(invocation.Values.Daemons) {}
+
+  /// Reads from the first daemon that answers.
+  ///
+  /// Errors: CliUnreachable, CliRefused, CliAnswerInvalid.
+  base::Result<Answer> get(const std::string &path);
+
+  /// Answers of all daemons.
+  struct Gathered {
+    std::vector<Answer> Answers;
+    /// Daemons that could not be reached.
+    std::vector<std::string> Unreachable;
+    /// Last refusal of a daemon.
+    std::optional<base::Error> Refused;
+    /// The error if there is no answer. Errors: as get.
+    base::Error error() const;
+  };
+  Gathered getAll(const std::string &path);
+
+  /// Sends a change to the first daemon that can be reached. The next one is
+  /// tried only if the change did certainly not take effect.
+  ///
+  /// \param callers whether the request belongs on the callers' port.
+  /// Errors: as get, and CliOutcomeUnknown, CliInputInvalid.
+  base::Result<Answer> change(const std::string &method,
+                              const std::string &path,
+                              const boost::json::value &body,
+                              bool callers = false);
+
+  /// Sends one request to one daemon. Errors: HttpNotSent, HttpAnswerLost.
+  base::Result<platform::HttpResponse> send(const model::Address &to,
+                                            const std::string &method,
+                                            const std::string &path,
+                                            const std::string &body = "");
+
+  /// Writes an error and returns its exit status.
+  ExitCode fail(const base::Error &error);
+  /// Writes a JSON answer as it is, or \p text, as --output says.
+  ExitCode show(const boost::json::value &json, const std::string &text);
+
+  bool asJson() const { return In.Values.Output == "json"; }
+
+  const Invocation &In;
+  Console Io;
+  Exchange &Source;
+  const base::Clock &Clock;
+
+  /// Zones of the settings file; empty if none was given.
+  std::vector<base::ZoneId> Zones;
+
+private:
+  /// A daemon that answered is asked first from now on, so that one that is
+  /// cut off costs its timeout only once.
+  void prefer(const model::Address &daemon);
+  base::Result<Answer> toAnswer(const platform::HttpResponse &response,
+                                const model::Address &from);
+
+  std::vector<model::Address> Daemons;
+};
+
+/// Returns the version that an accepted change got; 0 if the answer has none.
+std::uint64_t versionOf(const boost::json::value &body);
+
+/// Reads a whole file of at most 64 MiB. Errors: CliInputInvalid.
+base::Result<std::string> readFile(const std::string &path);
+
+/// Writes "E<number> ..." lines for faults of a file.
+template <typename Faults> std::string listFaults(const Faults &faults) {
+  std::string text;
+  for (const auto &it : faults)
+    text += it.message() + "\n";
+  return text;
+}
+
+/// All commands, in the order of the help text.
+const std::vector<Command> &commands();
+
+ExitCode runRulesCheck(Context &context);
+ExitCode runRulesApply(Context &context);
+ExitCode runRulesShow(Context &context);
+ExitCode runZoneOut(Context &context);
+ExitCode runZoneIn(Context &context);
+ExitCode runZones(Context &context);
+ExitCode runWorkers(Context &context);
+ExitCode runJobs(Context &context);
+ExitCode runJobShow(Context &context);
+ExitCode runJobSubmit(Context &context);
+ExitCode runJobCancel(Context &context);
+ExitCode runMembers(Context &context);
+ExitCode runTimeline(Context &context);
+ExitCode runReport(Context &context);
+ExitCode runStatus(Context &context);
+ExitCode runWaitReady(Context &context);
+
+} // namespace endivedoor::cli::detail
+
+#endif
--- /dev/null
+++ b/packages/cli/src/Run.cpp
@@ -0,0 +1,116 @@
+#include "endivedoor/cli/Cli.h"
+#include "endivedoor/cli/detail/Context.h"
+#include "endivedoor/model/Settings.h"
+#include "endivedoor/platform/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+namespace endivedoor::cli {
+
+using base::Errc;
+using base::Result;
+using detail::Context;
+using detail::Invocation;
+
+namespace {
+
+/// Largest answer: the events or workers of the design size.
+constexpr platform::HttpLimits AnswerLimits{16 * 1024, 64 << 20};
+
+/// Exchanges over HTTP, one at a time.
+class HttpExchange final : public Exchange {
+public:
+  explicit HttpExchange(const base::Clock &clock)
+      : Client(Io.get_executor(), clock, AnswerLimits) {}
+
+  Result<platform::HttpResponse>
+  send(const model::Address &to, platform::HttpRequest request,
+       std::chrono::milliseconds timeout) override {
+    Result<platform::HttpResponse> out =
+        base::fail(Errc::HttpAnswerLost, to.str());
+    boost::asio::co_spawn(Io, exchange(to, std::move(request), timeout, out),
+                          [](std::exception_ptr) {});
+    Io.restart();
+    Io.run();
+    return out;
+  }
+
+  void pause(std::chrono::milliseconds time) override {
+    boost::asio::steady_timer timer(Io, time);
+    timer.async_wait([](boost::system::error_code) {});
+    Io.restart();
+    Io.run();
+  }
+
+private:
+  boost::asio::awaitable<void> exchange(model::Address to,
+                                        platform::HttpRequest request,
+                                        std::chrono::milliseconds timeout,
+                                        Result<platform::HttpResponse> &out) {
+    out = co_await Client.send(to, std::move(request), timeout);
+  }
+
+  boost::asio::io_context Io;
+  platform::HttpClient Client;
+};
+
+/// Takes the addresses and zones from the settings file, if one is given.
+Result<std::vector<base::ZoneId>> readSettings(Invocation &in) {
+  const std::string &file = in.Values.Settings;
+  if (file.empty())
+    return std::vector<base::ZoneId>();
+  BOOST_OUTCOME_TRY(auto text, detail::readFile(file));
+  model::SettingsOutcome out = model::parseSettings(file, text);
+  if (!out.Faults.empty())
+    return base::fail(Errc::CliInputInvalid,
+                      "faults in the settings\n" +
+                          detail::listFaults(out.Faults));
+  std::vector<model::Address> &daemons = in.Values.Daemons;
+  auto add = [&](const model::Address &it) {
+    if (std::find(daemons.begin(), daemons.end(), it) == daemons.end())
+      daemons.push_back(it);
+  };
+  add(out.Value.Operators);
+  for (const model::PeerSettings &it : out.Value.Peers)
+    add(it.Operator);
+  return out.Value.Zones;
+}
+
+} // namespace
+
+ExitCode run(const std::vector<std::string> &args, Console console,
+             Exchange &exchange, const base::Clock &clock) {
+  Result<Invocation> parsed = detail::parseArguments(args);
+  if (!parsed) {
+    console.Err << parsed.error().message() << "\n";
+    return ExitCode::BadUsage;
+  }
+  Invocation in = std::move(parsed).value();
+  if (in.Help) {
+    console.Out << detail::helpText(in.Chosen);
+    return ExitCode::Done;
+  }
+  Result<std::vector<base::ZoneId>> zones = readSettings(in);
+  Context context(in, console, exchange, clock);
+  if (!zones)
+    return context.fail(zones.error());
+  context.Zones = zones.value();
+  if (in.Values.Daemons.empty() && in.Values.Callers.empty())
+    return context.fail({Errc::CliUsage,
+                         "no daemon is given; add --daemon=ip:port or "
+                         "--settings=FILE"});
+  return in.Chosen->Run(context);
+}
+
+ExitCode runOverHttp(const std::vector<std::string> &args, Console console) {
+  base::SystemClock clock;
+  HttpExchange exchange(clock);
+  return run(args, console, exchange, clock);
+}
+
+} // namespace endivedoor::cli
--- a/packages/model/include/endivedoor/model/Model.h
+++ b/packages/model/include/endivedoor/model/Model.h
@@ -5,6 +5,7 @@
 
 #include "endivedoor/model/Job.h"
 #include "endivedoor/model/Rules.h"
+#include "endivedoor/model/Scalars.h"
 #include "endivedoor/model/Settings.h"
 #include "endivedoor/model/Worker.h"
 
--- a/packages/model/src/detail/Scalars.h
+++ b/packages/model/include/endivedoor/model/Scalars.h
@@ -1,7 +1,8 @@
 /// \file
-/// Readers of single values, shared by the settings and the rules file.
-#ifndef ENDIVEDOOR_MODEL_SRC_DETAIL_SCALARS_H
-#define ENDIVEDOOR_MODEL_SRC_DETAIL_SCALARS_H
+/// Readers of single values, shared by the settings, the rules file and the
+/// command line.
+#ifndef ENDIVEDOOR_MODEL_SCALARS_H
+#define ENDIVEDOOR_MODEL_SCALARS_H
 
 #include "endivedoor/model/Worker.h"
 
@@ -12,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace endivedoor::model::detail {
+namespace endivedoor::model {
 
 /// Reads a decimal number without sign. Returns nothing on overflow.
 std::optional<std::uint64_t> parseNumber(std::string_view text);
@@ -38,6 +39,6 @@
 std::optional<std::string>
 closestWord(std::string_view word, const std::vector<std::string> &candidates);
 
-} // namespace endivedoor::model::detail
+} // namespace endivedoor::model
 
 #endif
--- a/packages/model/src/RuleForms.cpp
+++ b/packages/model/src/RuleForms.cpp
@@ -1,6 +1,6 @@
 #include "detail/RuleForms.h"
 
-#include "detail/Scalars.h"
+#include "endivedoor/model/Scalars.h"
 
 namespace endivedoor::model::detail {
 
--- a/packages/model/src/Rules.cpp
+++ b/packages/model/src/Rules.cpp
@@ -2,7 +2,8 @@
 
 #include "detail/RuleChecks.h"
 #include "detail/RuleForms.h"
-#include "detail/Scalars.h"
+
+#include "endivedoor/model/Scalars.h"
 
 #include <algorithm>
 
@@ -79,7 +80,7 @@
   std::string who = trim(comment.substr(0, colon));
   std::string why =
       colon == std::string_view::npos ? "" : trim(comment.substr(colon + 1));
-  if (!detail::isName(who) || why.empty()) {
+  if (!isName(who) || why.empty()) {
     fault(hash + 1, Errc::RulesMissingComment,
           why.empty() ? "the comment does not say why"
                       : "the comment does not say who asked",
@@ -98,7 +99,7 @@
       return &it;
     known.push_back(it.Words.front());
   }
-  std::optional<std::string> near = detail::closestWord(keyword.Text, known);
+  std::optional<std::string> near = closestWord(keyword.Text, known);
   std::string all;
   for (const std::string &it : known)
     all += (all.empty() ? "" : ", ") + it;
@@ -129,7 +130,7 @@
     known.push_back(it.str());
   if (std::find(known.begin(), known.end(), word.Text) != known.end())
     return true;
-  std::optional<std::string> near = detail::closestWord(word.Text, known);
+  std::optional<std::string> near = closestWord(word.Text, known);
   fault(word.Column, Errc::RulesUnknownZone,
         "zone \"" + word.Text + "\" is not known",
         near ? "did you mean \"" + *near + "\"?" : "see the settings' zones");
@@ -149,7 +150,7 @@
   captures.push_back({word.Text, 0});
   if (detail::findNumberKind(expected))
     return readNumber(expected, word, captures.back());
-  if (!detail::isName(word.Text)) {
+  if (!isName(word.Text)) {
     fault(word.Column, Errc::RulesWrongWord,
           "\"" + word.Text + "\" is not a name",
           "use 1 to 64 letters, digits, '.', '_' or '-'");
--- a/packages/model/src/Scalars.cpp
+++ b/packages/model/src/Scalars.cpp
@@ -1,4 +1,4 @@
-#include "detail/Scalars.h"
+#include "endivedoor/model/Scalars.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -8,7 +8,7 @@
 #include <limits>
 #include <numeric>
 
-namespace endivedoor::model::detail {
+namespace endivedoor::model {
 
 namespace {
 
@@ -119,4 +119,4 @@
   return best;
 }
 
-} // namespace endivedoor::model::detail
+} // namespace endivedoor::model
--- a/packages/model/src/Settings.cpp
+++ b/packages/model/src/Settings.cpp
@@ -1,8 +1,9 @@
 #include "endivedoor/model/Settings.h"
 
-#include "detail/Scalars.h"
 #include "detail/YamlSection.h"
 
+#include "endivedoor/model/Scalars.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -227,7 +228,7 @@
     if (zone.empty() || known.empty() ||
         std::find(known.begin(), known.end(), zone.str()) != known.end())
       return;
-    std::optional<std::string> near = detail::closestWord(zone.str(), known);
+    std::optional<std::string> near = closestWord(zone.str(), known);
     faults.addAt(path, Errc::SettingsContradiction,
                  "zone \"" + zone.str() + "\" is not in \"zones\"",
                  near ? "did you mean \"" + *near + "\"?" : "add it to zones");
--- a/packages/model/src/YamlSection.cpp
+++ b/packages/model/src/YamlSection.cpp
@@ -1,6 +1,6 @@
 #include "detail/YamlSection.h"
 
-#include "detail/Scalars.h"
+#include "endivedoor/model/Scalars.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/tests/unit/unit-cli.cpp
@@ -0,0 +1,461 @@
+// Guards the operators' command line: a wrong command must change nothing, a
+// race must be shown, an unknown outcome must not be reported as done or
+// refused, and the timeline must keep the order of cause and effect.
+#include "endivedoor/cli/Cli.h"
+#include "endivedoor/cli/detail/Arguments.h"
+#include "endivedoor/cli/detail/LineDiff.h"
+#include "endivedoor/cli/detail/Table.h"
+#include "endivedoor/cli/detail/Timeline.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <set>
+#include <sstream>
+
+using namespace endivedoor;
+using namespace endivedoor::cli;
+using namespace endivedoor::cli::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string D1 = "--daemon=127.0.0.1:1", D2 = "--daemon=127.0.0.1:2";
+
+/// Daemons that answer as each test says.
+class FakeDaemons : public Exchange {
+public:
+  using Response = base::Result<platform::HttpResponse>;
+  Response send(const model::Address &to, platform::HttpRequest request,
+                std::chrono::milliseconds) override {
+    Log.push_back(std::to_string(to.Port) + " " + request.Method + " " +
+                  request.Path);
+    Bodies.push_back(request.Body);
+    return Answer(to.Port, request);
+  }
+  void pause(std::chrono::milliseconds time) override { Clock.advance(time); }
+
+  std::function<Response(int port, const platform::HttpRequest &)> Answer;
+  std::vector<std::string> Log, Bodies;
+  base::ManualClock Clock;
+};
+
+FakeDaemons::Response json(unsigned status, const std::string &text) {
+  return platform::HttpResponse{status, {}, text};
+}
+FakeDaemons::Response notSent() {
+  return base::fail(base::Errc::HttpNotSent, "refused");
+}
+FakeDaemons::Response lost() {
+  return base::fail(base::Errc::HttpAnswerLost, "reset");
+}
+
+class CommandLine : public testing::Test {
+protected:
+  ExitCode call(const std::vector<std::string> &args) {
+    Out.str("");
+    Err.str("");
+    Daemons.Log.clear();
+    return run(args, {Out, Err}, Daemons, Daemons.Clock);
+  }
+  std::string file(const std::string &text) {
+    std::string path =
+        testing::TempDir() + "unit-cli-" +
+        testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::ofstream(path) << text;
+    return path;
+  }
+  FakeDaemons Daemons;
+  std::ostringstream Out, Err;
+};
+
+// Guards against a mistyped command or flag that is ignored.
+TEST_F(CommandLine, WrongUsageIsRefusedBeforeAnyRequest) {
+  const std::pair<std::vector<std::string>, std::string> cases[] = {
+      {{}, "no command"},
+      {{"zone", "uot", "x", D1}, "did you mean \"zone out\""},
+      {{"zones", "--deamon=127.0.0.1:1"}, "did you mean \"daemon\""},
+      {{"zones"}, "--daemon=ip:port"},
+      {{"zones", "--daemon=localhost:1"}, "numeric IPv4"},
+      {{"zones", "--daemon"}, "no value"},
+      {{"zones", "extra", D1}, "extra argument"},
+      {{"zones", "--reason=x", D1}, "unknown flag"},
+      {{"zones", "--output=xml", D1}, "use one of text, json"},
+      {{"zones", "--timeout=5", D1}, "duration"},
+      {{"zone", "out", D1}, "NAME is missing"},
+      {{"zone", "out", "a/b", D1}, "not a zone name"},
+      {{"rules", "apply", "f", "--base-version=x", D1}, "whole number"},
+      {{"report", D1}, "--contract"},
+      {{"job", "cancel", "../x", D1}, "not a job id"},
+      {{"zones", "--settings=/nonexistent"}, "could not be read"},
+  };
+  for (const auto &[args, text] : cases) {
+    EXPECT_EQ(call(args), ExitCode::BadUsage) << text;
+    EXPECT_NE(Err.str().find(text), std::string::npos) << Err.str();
+    EXPECT_TRUE(Daemons.Log.empty()) << text;
+  }
+}
+
+// Guards against a command without help, examples or exit status.
+TEST_F(CommandLine, EveryCommandHasHelpWithExamples) {
+  EXPECT_EQ(call({"--help"}), ExitCode::Done);
+  std::string all = Out.str();
+  for (const char *it :
+       {"rules check", "rules apply", "rules show", "zones", "zone out",
+        "zone in", "workers", "jobs", "job show", "job submit", "job cancel",
+        "members", "timeline", "report", "status", "wait ready"}) {
+    EXPECT_NE(all.find(it), std::string::npos) << it;
+    std::istringstream words(it);
+    std::vector<std::string> args{std::istream_iterator<std::string>(words),
+                                  {}};
+    args.push_back("--help");
+    EXPECT_EQ(call(args), ExitCode::Done);
+    EXPECT_NE(Out.str().find("Examples:\n  endivedoor " + std::string(it)),
+              std::string::npos)
+        << Out.str();
+    EXPECT_NE(Out.str().find("Exit status"), std::string::npos);
+  }
+}
+
+// Guards against flags of one run that leak into the next.
+TEST(Arguments, RepeatedFlagsAddUpAndDefaultsReturn) {
+  auto first = parseArguments({"timeline", D1, "--daemon", "127.0.0.1:2",
+                               "--job=j-1", "--output=trace"});
+  ASSERT_TRUE(first) << first.error().message();
+  EXPECT_EQ(first.value().Values.Daemons.size(), 2u);
+  EXPECT_EQ(first.value().Values.Job, "j-1");
+  auto second = parseArguments({"timeline", D1});
+  EXPECT_EQ(second.value().Values.Daemons.size(), 1u);
+  EXPECT_EQ(second.value().Values.Job, "");
+  EXPECT_EQ(second.value().Values.Output, "text");
+}
+
+// Guards against an unreachable daemon that hides the others.
+TEST_F(CommandLine, NextDaemonIsAskedAndAllUnreachableIsReported) {
+  Daemons.Answer = [](int port, auto &) {
+    return port == 1 ? notSent()
+                     : json(200, R"({"zones":[{"zone":"midrand","out":true,
+                                     "owner":"m-1","epoch":7}]})");
+  };
+  EXPECT_EQ(call({"zones", D1, D2}), ExitCode::Done);
+  EXPECT_EQ(Out.str(), "ZONE     OUT  OWNER  EPOCH\n"
+                       "midrand  yes  m-1    7\n");
+  EXPECT_EQ(call({"zones", D1, D1}), ExitCode::Unreachable);
+  EXPECT_EQ(call({"zones", D2, "--output=json"}), ExitCode::Done);
+  EXPECT_EQ(boost::json::parse(Out.str()).at("zones").at(0).at("epoch"), 7);
+}
+
+// Guards against a change that is sent twice, or reported wrongly, when its
+// answer is lost.
+TEST_F(CommandLine, LostAnswerOfAChangeIsUnknownAndNotRepeated) {
+  std::string job = file(R"({"name":"x"})");
+  Daemons.Answer = [](int, auto &) { return lost(); };
+  EXPECT_EQ(call({"job", "submit", job, D1, D2}), ExitCode::Unknown);
+  EXPECT_EQ(Daemons.Log.size(), 1u);
+  Daemons.Answer = [](int, auto &) {
+    return json(503, R"({"error":{"number":402,"message":"lost"}})");
+  };
+  EXPECT_EQ(call({"job", "submit", job, D1, D2}), ExitCode::Unknown);
+  EXPECT_EQ(Daemons.Log.size(), 1u);
+  Daemons.Answer = [](int port, auto &) {
+    return port == 1 ? json(503, R"({"error":{"number":401,"message":"down"}})")
+                     : json(201, R"({"job":"j-1"})");
+  };
+  EXPECT_EQ(call({"job", "submit", job, D1, D2}), ExitCode::Done);
+  EXPECT_EQ(Out.str(), "Job j-1 is admitted\n");
+  Daemons.Answer = [](int, auto &) {
+    return json(404, R"({"error":{"number":702,"message":"no job"}})");
+  };
+  EXPECT_EQ(call({"job", "cancel", "j-1", D1}), ExitCode::Refused);
+  EXPECT_NE(Err.str().find("no job"), std::string::npos);
+}
+
+const std::string OldRules = "quota team a slots 1 # k: why\n";
+const std::string NewRules = OldRules + "zone-out midrand # k: why\n";
+
+class RulesApply : public CommandLine {
+protected:
+  RulesApply() {
+    Daemons.Answer = [this](int, const platform::HttpRequest &request) {
+      if (request.Path == "/v1/zones")
+        return json(200, R"({"zones":[{"zone":"midrand"},{"zone":"g"}]})");
+      if (request.Method == "GET")
+        return json(200, rules(4, OldRules, "thandi"));
+      return Put;
+    };
+  }
+  static std::string rules(int version, const std::string &text,
+                           const std::string &author) {
+    return boost::json::serialize(boost::json::object{
+        {"version", version}, {"text", text}, {"author", author}});
+  }
+  FakeDaemons::Response Put = json(200, R"({"version":5})");
+};
+
+// Guards against a file that replaces rules the operator never saw.
+TEST_F(RulesApply, VersionInForceIsSentAndTheChangeIsShown) {
+  EXPECT_EQ(call({"rules", "apply", file(NewRules), D1, "--author=me"}),
+            ExitCode::Done);
+  EXPECT_EQ(Out.str(), "+ zone-out midrand # k: why\nVersion 5 is accepted\n");
+  auto sent = boost::json::parse(Daemons.Bodies.back());
+  EXPECT_EQ(sent.at("baseVersion"), 4);
+  EXPECT_EQ(sent.at("author"), "me");
+  EXPECT_EQ(sent.at("text").as_string(), NewRules);
+  call({"rules", "apply", file(NewRules), D1, "--base-version=3"});
+  EXPECT_EQ(boost::json::parse(Daemons.Bodies.back()).at("baseVersion"), 3);
+}
+
+// Guards against a race that is reported without the other operator's change.
+TEST_F(RulesApply, ConflictShowsTheOtherOperatorsChange) {
+  Put = json(409, R"({"current":)" +
+                      rules(5, "quota team b slots 2 # k: x\n", "sipho") + "}");
+  EXPECT_EQ(call({"rules", "apply", file(NewRules), D1}), ExitCode::Refused);
+  EXPECT_EQ(Out.str(), "Version 5 by sipho changed the rules:\n"
+                       "- quota team a slots 1 # k: why\n"
+                       "+ quota team b slots 2 # k: x\n");
+  EXPECT_NE(Err.str().find("E804"), std::string::npos);
+}
+
+// Guards against faulty rules that reach a daemon.
+TEST_F(RulesApply, FaultyFileIsNotSent) {
+  EXPECT_EQ(call({"rules", "apply", file("zone-out nowhere\n"), D1}),
+            ExitCode::BadUsage);
+  EXPECT_NE(Err.str().find("E222"), std::string::npos);
+  EXPECT_NE(Err.str().find("E225"), std::string::npos);
+  EXPECT_EQ(Daemons.Log, std::vector<std::string>{"1 GET /v1/zones"});
+  EXPECT_EQ(call({"rules", "check", file(NewRules), D1}), ExitCode::Done);
+  EXPECT_EQ(call({"rules", "apply", file(OldRules), D1}), ExitCode::Done);
+  EXPECT_NE(Out.str().find("in force already"), std::string::npos);
+}
+
+class ZoneOut : public CommandLine {
+protected:
+  ZoneOut() {
+    Daemons.Answer = [this](int, const platform::HttpRequest &request) {
+      if (request.Path == "/v1/members")
+        return json(200,
+                    R"({"members":[
+          {"name":"g-1","zone":"g","state":"live","configVersion":9},
+          {"name":"m-1","zone":"m","state":"dead","configVersion":)" +
+                        std::string(Daemons.Clock.now() >= AckAt ? "9" : "8") +
+                        "}]}");
+      if (request.Path == "/v1/zones")
+        return json(200, R"({"configVersion":9,"zones":[{"zone":"m","out":)" +
+                             std::string(TookEffect ? "true" : "false") +
+                             "}]}");
+      FakeDaemons::Response next = Posts.front();
+      if (Posts.size() > 1)
+        Posts.erase(Posts.begin());
+      return next;
+    };
+  }
+  std::vector<FakeDaemons::Response> Posts{json(200, R"({"version":9})")};
+  base::TimePoint Start = Daemons.Clock.now();
+  base::TimePoint AckAt = Start + 1h;
+  bool TookEffect = false;
+};
+
+// Guards promise P4 as told to operators: "out" before it is certain.
+TEST_F(ZoneOut, OutIsSaidAfterThreeSecondsWithTheSilentDaemonsNamed) {
+  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Done);
+  EXPECT_GE(Daemons.Clock.now() - Start, 3s);
+  EXPECT_EQ(Out.str(), "Accepted as version 9\n"
+                       "DAEMON  ZONE  STATE  IN FORCE\n"
+                       "g-1     g     live   yes\n"
+                       "m-1     m     dead   no\n"
+                       "Not acknowledged within 3s: m-1\n"
+                       "Zone m is out, version 9\n");
+}
+
+// Guards against waiting longer than needed.
+TEST_F(ZoneOut, OutIsSaidOnceAllAcknowledged) {
+  AckAt = Start + 200ms;
+  EXPECT_EQ(call({"zone", "out", "m", D1, "--output=json"}), ExitCode::Done);
+  EXPECT_LT(Daemons.Clock.now() - Start, 1s);
+  auto out = boost::json::parse(Out.str());
+  EXPECT_TRUE(out.at("unanswered").as_array().empty());
+  EXPECT_EQ(out.at("version"), 9);
+}
+
+// Guards against a lost answer or race that keeps a zone in service unnoticed.
+TEST_F(ZoneOut, LostAnswerIsReadBackAndRacesAreRepeated) {
+  Posts = {lost()};
+  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Unknown);
+  EXPECT_EQ(Out.str(), "");
+  TookEffect = true;
+  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Done);
+  Posts = {json(409, R"({"current":{"author":"sipho"}})"),
+           json(200, R"({"version":9})")};
+  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Done);
+  Posts = {json(409, R"({"current":{"author":"sipho"}})")};
+  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Refused);
+  EXPECT_NE(Err.str().find("sipho"), std::string::npos);
+}
+
+// Guards against a wait that ends early or never.
+TEST_F(CommandLine, WaitReadyWaitsForAllAndGivesUp) {
+  int asked = 0;
+  Daemons.Answer = [&](int, auto &) {
+    return json(++asked > 3 ? 200 : 503, "");
+  };
+  EXPECT_EQ(call({"wait", "ready", D1}), ExitCode::Done);
+  Daemons.Answer = [](int, auto &) { return notSent(); };
+  EXPECT_EQ(call({"wait", "ready", D1, "--within=1s"}), ExitCode::Unreachable);
+}
+
+// Guards against jobs of another owner being left out.
+TEST_F(CommandLine, JobsOfAllOwnersAreMerged) {
+  Daemons.Answer = [](int port, auto &) {
+    if (port == 3)
+      return json(421, R"({"error":{"number":703,"message":"not owner"}})");
+    return json(200, R"({"jobs":[{"job":"j-)" + std::to_string(port) +
+                         R"("},{"job":"j-0"}]})");
+  };
+  EXPECT_EQ(call({"jobs", D1, D2, "--daemon=127.0.0.1:3", "--output=json"}),
+            ExitCode::Done);
+  EXPECT_EQ(boost::json::parse(Out.str()).at("jobs").as_array().size(), 3u);
+  EXPECT_EQ(call({"jobs", "--daemon=127.0.0.1:3"}), ExitCode::Refused);
+}
+
+// Guards against an answer that steers the operator's terminal.
+TEST(Table, ControlCharactersAreReplaced) {
+  EXPECT_EQ(printable("a\x1b[2J\tb\nc"), "a?[2J b?c");
+  EXPECT_EQ(toCell(boost::json::value("\x1b")), "?");
+  EXPECT_EQ(toCell(boost::json::value()), "-");
+}
+
+// Guards against a diff that loses or invents a line.
+RC_GTEST_PROP(LineDiff, HoldsExactlyTheLinesOfBothTexts, ()) {
+  auto texts = rc::gen::container<std::vector<std::string>>(
+      rc::gen::element<std::string>("a", "b", "c", "d"));
+  auto join = [](const std::vector<std::string> &lines) {
+    std::string text;
+    for (const std::string &it : lines)
+      text += it + "\n";
+    return text;
+  };
+  auto before = *texts, after = *texts;
+  std::multiset<std::string> left(before.begin(), before.end());
+  std::istringstream diff(lineDiff(join(before), join(after)));
+  for (std::string line; std::getline(diff, line);) {
+    RC_ASSERT(line.starts_with("- ") || line.starts_with("+ "));
+    if (line[0] == '+')
+      left.insert(line.substr(2));
+  }
+  diff.clear();
+  diff.seekg(0);
+  for (std::string line; std::getline(diff, line);)
+    if (line[0] == '-')
+      left.erase(left.find(line.substr(2)));
+  RC_ASSERT(left == std::multiset<std::string>(after.begin(), after.end()));
+}
+
+/// Daemons with skewed clocks that send each other messages.
+class SkewedDaemons {
+public:
+  explicit SkewedDaemons(const std::vector<int> &skewsMs) {
+    for (int ms : skewsMs) {
+      Clocks.push_back(std::make_unique<base::ManualClock>());
+      Clocks.back()->advance(std::chrono::milliseconds(ms));
+      Hybrids.push_back(std::make_unique<base::HybridClock>(*Clocks.back()));
+    }
+  }
+  TimelineEvent event(std::size_t at, base::HybridTime time) {
+    return {time, "n" + std::to_string(at), 5001, std::to_string(Next++), {}};
+  }
+  std::vector<std::unique_ptr<base::ManualClock>> Clocks;
+  std::vector<std::unique_ptr<base::HybridClock>> Hybrids;
+  int Next = 0;
+};
+
+// Guards against a receipt that is shown before its sending.
+RC_GTEST_PROP(Timeline, KeepsCauseBeforeEffectUnderSkewedClocks, ()) {
+  SkewedDaemons daemons(
+      *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 200000)));
+  std::vector<TimelineEvent> events;
+  std::vector<std::pair<std::string, std::string>> before;
+  for (int i = 0; i < 40; ++i) {
+    auto from = *rc::gen::inRange<std::size_t>(0, 4);
+    auto to = *rc::gen::inRange<std::size_t>(0, 4);
+    daemons.Clocks[from]->advance(1ms * *rc::gen::inRange(0, 3));
+    auto sent = daemons.event(from, daemons.Hybrids[from]->tick());
+    auto received = daemons.event(to, daemons.Hybrids[to]->receive(sent.Time));
+    before.emplace_back(sent.Name, received.Name);
+    events.insert(events.begin(), {received, sent, received});
+  }
+  auto merged = mergeEvents(events);
+  RC_ASSERT(merged.size() == 80u);
+  std::map<std::string, std::size_t> place;
+  for (std::size_t i = 0; i < merged.size(); ++i)
+    place[merged[i].Name] = i;
+  for (const auto &[cause, effect] : before)
+    RC_ASSERT(place[cause] < place[effect]);
+}
+
+// Guards against a filter or form of output that loses events.
+TEST_F(CommandLine, TimelineIsFilteredAndWrittenInThreeForms) {
+  Daemons.Answer = [](int port, auto &) {
+    if (port == 3)
+      return notSent();
+    return json(200, R"({"process":"n)" + std::to_string(port) +
+                         R"(","events":[{"micros":1000)" +
+                         std::to_string(9 - port) +
+                         R"(,"counter":2,"code":5001,"name":"X",)"
+                         R"("fields":{"job":"j-)" +
+                         std::to_string(port) + R"(","zone":"m"}}]})");
+  };
+  const std::string d3 = "--daemon=127.0.0.1:3";
+  EXPECT_EQ(call({"timeline", D1, D2, d3, "--zone=m"}), ExitCode::Done);
+  EXPECT_EQ(Out.str(),
+            "TIME (UTC)                    DAEMON  CODE   EVENT  FIELDS\n"
+            "1970-01-01 00:00:00.010007+2  n2      E5001  X      job=j-2 "
+            "zone=m\n"
+            "1970-01-01 00:00:00.010008+2  n1      E5001  X      job=j-1 "
+            "zone=m\n");
+  EXPECT_EQ(Err.str(), "no answer from 127.0.0.1:3\n");
+  call({"timeline", D1, D2, "--job=j-1", "--zone=m", "--output=json"});
+  EXPECT_EQ(boost::json::parse(Out.str()).at("events").as_array().size(), 1u);
+  call({"timeline", D1, D2, "--output=trace"});
+  auto trace = boost::json::parse(Out.str()).at("traceEvents").as_array();
+  ASSERT_EQ(trace.size(), 4u);
+  EXPECT_EQ(trace[0].at("ph"), "M");
+  EXPECT_EQ(trace[1].at("ts"), 10007);
+  EXPECT_EQ(trace[1].at("args").at("job"), "j-2");
+  EXPECT_EQ(call({"timeline", d3}), ExitCode::Unreachable);
+}
+
+// Guards against a hostile answer that stops the program.
+RC_GTEST_FIXTURE_PROP(CommandLine, AnyAnswerIsHandled, ()) {
+  std::string text =
+      R"({"process":"p","events":[{"micros":1,"counter":2,"code":3,"name":"n",)"
+      R"("fields":{"a":"b"}}],"zones":[{"zone":"m","out":true}],)"
+      R"("members":[{"name":"n","configVersion":1}],"version":3,"text":"x"})";
+  for (int i = *rc::gen::inRange(0, 4); i > 0; --i)
+    text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+        *rc::gen::element('0', '"', '{', '[', ']', '}', ',', '-', '.', 'e');
+  auto status = *rc::gen::element(200u, 409u, 404u, 503u, 0u, 999u);
+  Daemons.Answer = [&](int, auto &) { return json(status, text); };
+  for (const std::vector<std::string> &it :
+       std::vector<std::vector<std::string>>{{"timeline", D1},
+                                             {"timeline", D1, "--output=trace"},
+                                             {"zones", D1},
+                                             {"zone", "out", "m", D1},
+                                             {"status", D1},
+                                             {"jobs", D1},
+                                             {"rules", "show", D1},
+                                             {"report", "--contract=m", D1}})
+    call(it);
+}
+
+RC_GTEST_FIXTURE_PROP(CommandLine, AnyArgumentsAreHandled,
+                      (const std::vector<std::string> &args)) {
+  Daemons.Answer = [](int, auto &) { return notSent(); };
+  call(args);
+}
+
+} // namespace
