--- /dev/null
+++ b/tests/unit/unit-config.cpp
@@ -0,0 +1,78 @@
+// Guards the files under config/ against settings or rules that a daemon would
+// refuse, and against two hosts that disagree on names or addresses.
+#include "endivedoor/model/Rules.h"
+#include "endivedoor/model/Settings.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+using namespace endivedoor::model;
+namespace fs = std::filesystem;
+
+namespace {
+
+const fs::path Folder = ENDIVEDOOR_CONFIG_FOLDER;
+
+std::string read(const fs::path &path) {
+  std::ostringstream text;
+  text << std::ifstream(path).rdbuf();
+  return text.str();
+}
+
+std::string list(const std::vector<TextFault> &faults) {
+  std::string text;
+  for (const TextFault &it : faults)
+    text += it.message() + "\n";
+  return text;
+}
+
+class ConfigFolder : public testing::TestWithParam<const char *> {
+protected:
+  std::vector<Settings> all() {
+    std::vector<Settings> out;
+    for (const auto &it : fs::directory_iterator(Folder / GetParam())) {
+      SettingsOutcome one = parseSettings(it.path().filename(), read(it));
+      EXPECT_EQ(list(one.Faults), "");
+      EXPECT_EQ(it.path().stem(), one.Value.Name);
+      out.push_back(one.Value);
+    }
+    return out;
+  }
+};
+
+// Guards against a host whose peers know it by another name or address.
+TEST_P(ConfigFolder, SettingsAreAcceptedAndAgree) {
+  std::vector<Settings> hosts = all();
+  ASSERT_EQ(hosts.size(), 8u);
+  std::map<std::string, const Settings *> byName;
+  for (const Settings &it : hosts)
+    byName[it.Name] = &it;
+  for (const Settings &it : hosts) {
+    EXPECT_EQ(it.EntryHosts, 8);
+    EXPECT_EQ(it.Peers.size(), 7u);
+    EXPECT_EQ(it.Store, hosts[0].Store);
+    EXPECT_EQ(it.Zones, hosts[0].Zones);
+    for (const PeerSettings &peer : it.Peers) {
+      ASSERT_TRUE(byName.contains(peer.Name)) << peer.Name;
+      EXPECT_EQ(peer.Peer, byName[peer.Name]->Peer);
+      EXPECT_EQ(peer.Operator, byName[peer.Name]->Operators);
+      EXPECT_EQ(peer.Zone, byName[peer.Name]->Zone);
+    }
+  }
+}
+
+// Guards against example rules that the user's daemons would refuse.
+TEST_P(ConfigFolder, RulesAreAccepted) {
+  std::string file = std::string(GetParam()) + ".rules";
+  RulesOutcome out = parseRules(file, read(Folder / file), {all().at(0).Zones});
+  EXPECT_EQ(list(out.Faults), "");
+  EXPECT_GE(out.Value.Rules.size(), 9u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Users, ConfigFolder, testing::Values("karoo", "siam"));
+
+} // namespace
