--- a/packages/platform/include/endivedoor/platform/Http.h
+++ b/packages/platform/include/endivedoor/platform/Http.h
@@ -17,6 +17,13 @@
 /// empty view.
 std::string_view findHeader(const HttpHeaders &headers, std::string_view name);
 
+/// Percent-encodes every byte of \p text but letters, digits, "-", "." , "_"
+/// and "~" (RFC 3986, section 2.3), for use as one segment of a path.
+std::string encodePathSegment(std::string_view text);
+
+/// Undoes encodePathSegment; a malformed escape stays as it is.
+std::string decodePathSegment(std::string_view text);
+
 struct HttpRequest {
   std::string Method = "GET";
   /// Path with query, for example "/v1/status".
--- a/packages/platform/src/HttpWorkerClient.cpp
+++ b/packages/platform/src/HttpWorkerClient.cpp
@@ -239,7 +239,8 @@
                                          AttemptRef attempt, std::string action,
                                          json::object body) {
   body["attempt"] = toNumber(attempt.Number);
-  std::string path = "/v1/tasks/" + attempt.Task.str() + "/" + action;
+  std::string path =
+      "/v1/tasks/" + encodePathSegment(attempt.Task.str()) + "/" + action;
   co_return co_await call(worker, detail::jsonPost(std::move(path), body), 200);
 }
 
--- a/tests/standins/worker/Worker.cpp
+++ b/tests/standins/worker/Worker.cpp
@@ -255,7 +255,7 @@
   if (slash <= first)
     return refuse(404, "path");
   std::string action = path.substr(slash + 1);
-  Key key{path.substr(first, slash - first),
+  Key key{platform::decodePathSegment(path.substr(first, slash - first)),
           body.number("attempt", 1, 0xffffffff)};
   std::string fault = leaseFault(body.number("token", 0, MaxInt64));
   std::int64_t percent = body.optionalNumber("percent", 0, 100);
--- /dev/null
+++ b/tests/unit/unit-workerclient.cpp
@@ -0,0 +1,206 @@
+// Guards the worker adapter: which refusal is which, what may have taken
+// effect, and hostile answers.
+#include "support/HttpFixture.h"
+
+#include "endivedoor/platform/Adapters.h"
+
+#include <rapidcheck/gtest.h>
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+using namespace endivedoor::platform;
+
+namespace {
+
+constexpr const char *LeaseAnswer =
+    R"({"token":7,"leaseSeq":0,"boot":"b1","capacity":{"slots":8,)"
+    R"("connections":64,"milliCores":32000,"memoryMb":128000,)"
+    R"("accelerators":2}})";
+constexpr const char *RenewAnswer =
+    R"({"leaseSeq":4,"boot":"b1","leaving":true,"tasks":[{"task":"t",)"
+    R"("attempt":2,"state":"evicted","checkpoint":"c",)"
+    R"("throttlePercent":30}],"usage":[{"task":"t","attempt":2,)"
+    R"("milliCores":500,"memoryMb":64,"p95Ms":12,"ageMs":3000}]})";
+constexpr const char *StatusAnswer =
+    R"({"boot":"b1","leaving":false,"zone":"z","rack":"r","tasks":1,)"
+    R"("capacity":{"slots":8,"connections":64,"milliCores":1,"memoryMb":1},)"
+    R"("services":[{"service":"orders","task":"t","attempt":1}]})";
+
+class WorkerClientTest : public HttpFixture {
+protected:
+  model::Address Worker = listen();
+  std::unique_ptr<WorkerClient> Workers = makeWorkerClient(Client, 2000ms);
+  AttemptRef Attempt{base::TaskId("t"), base::Attempt{2}};
+  base::FencingToken Token{7};
+
+  Errc claim() {
+    return codeOf(run(Workers->claim(Worker, "d1", base::Epoch{5}, 1500ms)));
+  }
+  Errc renew() { return codeOf(run(Workers->renew(Worker, renewal()))); }
+  Errc start(model::Address to) { return codeOf(run(Workers->start(to, {}))); }
+  Errc evict() { return codeOf(run(Workers->evict(Worker, Attempt, Token))); }
+  RenewRequest renewal() { return {"d1", Token, 1500ms, 30000ms, {Attempt}}; }
+  /// An oversized answer counts as lost, every other bad one as invalid.
+  template <typename T> static bool isSafe(const base::Result<T> &result) {
+    Errc code = codeOf(result);
+    return code == Errc{0} || code == Errc::PlatformAnswerInvalid ||
+           code == Errc::WorkerAnswerLost;
+  }
+  json::value sent() { return json::parse(Last.Body); }
+};
+
+TEST_F(WorkerClientTest, LeaseRoundTrip) {
+  answer(200, LeaseAnswer);
+  auto lease =
+      run(Workers->claim(Worker, "d1", base::Epoch{5}, 1500ms)).value();
+  EXPECT_EQ(toNumber(lease.Token), 7u);
+  EXPECT_EQ(lease.Boot, "b1");
+  EXPECT_EQ(lease.Capacity.Accelerators, 2);
+  EXPECT_EQ(sent(), json::parse(R"({"holder":"d1","epoch":5,"ttlMs":1500})"));
+  answer(200, RenewAnswer);
+  auto reply = run(Workers->renew(Worker, renewal())).value();
+  EXPECT_EQ(reply.Sequence, 4u);
+  EXPECT_TRUE(reply.Leaving);
+  EXPECT_EQ(reply.Tasks.at(0).State, AttemptState::Evicted);
+  EXPECT_EQ(reply.Tasks.at(0).ThrottlePercent, 30);
+  EXPECT_EQ(reply.Usage.at(0).Age, 3000ms);
+  EXPECT_EQ(sent(), json::parse(R"({"holder":"d1","token":7,"ttlMs":1500,
+      "taskTtlMs":30000,"ack":[{"task":"t","attempt":2}]})"));
+}
+
+TEST_F(WorkerClientTest, TaskCallsRoundTrip) {
+  answer(201, "{}");
+  StartRequest request{base::TaskId("t"),
+                       base::Attempt{2},
+                       Token,
+                       3,
+                       base::JobId("j"),
+                       base::TaskClass("c"),
+                       model::TaskKind::Service,
+                       base::ServiceName("orders"),
+                       {1, 2, base::MilliCores{3}, base::MebiBytes{4}, 5},
+                       "r",
+                       "p"};
+  EXPECT_TRUE(run(Workers->start(Worker, request)));
+  EXPECT_EQ(sent(), json::parse(R"({"task":"t","attempt":2,"token":7,
+      "leaseSeq":3,"job":"j","class":"c","kind":"service","service":"orders",
+      "slots":1,"connections":2,"milliCores":3,"memoryMb":4,"accelerators":5,
+      "resume":"r","payload":"p"})"));
+  answer(200, R"({"checkpoint":"c1"})");
+  EXPECT_EQ(run(Workers->evict(Worker, Attempt, Token)).value(), "c1");
+  EXPECT_EQ(Last.Path, "/v1/tasks/t/evict");
+  EXPECT_TRUE(run(Workers->throttle(Worker, Attempt, Token, 30)));
+  EXPECT_EQ(sent(), json::parse(R"({"attempt":2,"token":7,"percent":30})"));
+  EXPECT_TRUE(run(Workers->stop(Worker, Attempt, Token)));
+  EXPECT_EQ(Last.Path, "/v1/tasks/t/stop");
+  answer(200, StatusAnswer);
+  auto status = run(Workers->status(Worker)).value();
+  EXPECT_EQ(status.Services.at(0).Service.str(), "orders");
+  EXPECT_EQ(status.Tasks, 1);
+}
+
+// A task name from a job must not reach another path of the worker.
+TEST_F(WorkerClientTest, TaskNameIsEscapedInThePath) {
+  answer(200, R"({"checkpoint":""})");
+  Attempt.Task = base::TaskId("a/../b ?x\r\ny");
+  EXPECT_TRUE(run(Workers->stop(Worker, Attempt, Token)));
+  EXPECT_EQ(Last.Path, "/v1/tasks/a%2F..%2Fb%20%3Fx%0D%0Ay/stop");
+}
+
+TEST_F(WorkerClientTest, EachRefusalHasItsError) {
+  auto refuse = [&](std::string why, unsigned status = 409) {
+    answer(status, "{\"error\":\"" + why + "\"}");
+  };
+  refuse("held");
+  EXPECT_EQ(claim(), Errc::LeaseHeld);
+  for (const char *why : {"stale-token", "lapsed"}) {
+    refuse(why);
+    EXPECT_EQ(renew(), Errc::LeaseStale);
+    EXPECT_EQ(start(Worker), Errc::LeaseStale);
+  }
+  for (const char *why :
+       {"old-sequence", "full", "leaving", "duplicate", "start-failed"}) {
+    refuse(why);
+    EXPECT_EQ(run(Workers->start(Worker, {})).error(),
+              (base::Error{Errc::StartRefused, why}));
+  }
+  refuse("ended");
+  EXPECT_EQ(evict(), Errc::AttemptEnded);
+  refuse("unknown-attempt", 404);
+  EXPECT_EQ(evict(), Errc::AttemptUnknown);
+  refuse("other");
+  EXPECT_EQ(start(Worker), Errc::PlatformAnswerInvalid);
+  answer(500, "<html>");
+  EXPECT_EQ(start(Worker), Errc::PlatformAnswerInvalid);
+}
+
+// A start whose answer is lost may run; calling it unreachable would start a
+// second attempt.
+TEST_F(WorkerClientTest, UnsentIsToldApartFromLost) {
+  EXPECT_EQ(start(closedAddress()), Errc::WorkerUnreachable);
+  RawServer cut(Io, "");
+  EXPECT_EQ(start(cut.address()), Errc::WorkerAnswerLost);
+  RawServer early(Io, "HTTP/1.1 201 Created\r\nContent-Length: 9\r\n\r\n{");
+  EXPECT_EQ(start(early.address()), Errc::WorkerAnswerLost);
+  RawServer silent(Io, "");
+  silent.Closes = false;
+  Workers = makeWorkerClient(Client, 50ms);
+  EXPECT_EQ(start(silent.address()), Errc::WorkerAnswerLost);
+}
+
+/// Replaces one random field anywhere in \p value by a hostile value, or drops
+/// it.
+static void spoil(json::value &value) {
+  json::value *at = &value;
+  while (true) {
+    if (at->is_array() && !at->get_array().empty()) {
+      at = &at->get_array()[0];
+      continue;
+    }
+    if (!at->is_object() || at->get_object().empty())
+      break;
+    json::object &object = at->get_object();
+    std::size_t n = *rc::gen::inRange<std::size_t>(0, object.size());
+    std::string key(std::next(object.begin(), static_cast<long>(n))->key());
+    if (*rc::gen::inRange(0, 8) == 0) {
+      object.erase(key);
+      return;
+    }
+    at = &object[key];
+    if (*rc::gen::inRange(0, 3) == 0)
+      break;
+  }
+  std::string text = *rc::gen::element<std::string>(
+      "null", "true", "-1", "0", "1e300", "18446744073709551615",
+      "-9223372036854775808", "\"\"", "[1]", "[{}]", "{}",
+      "\"" + std::string(100000, 'x') + "\"");
+  *at = json::parse(text);
+}
+
+RC_GTEST_FIXTURE_PROP(WorkerClientTest, SpoiledAnswersAreInvalidOrInRange, ()) {
+  json::value lease = json::parse(LeaseAnswer);
+  spoil(lease);
+  answer(200, json::serialize(lease));
+  auto claimed = run(Workers->claim(Worker, "d1", base::Epoch{5}, 1500ms));
+  RC_ASSERT(isSafe(claimed));
+  if (claimed)
+    RC_ASSERT(claimed.value().Capacity.Slots >= 0);
+  json::value renewed = json::parse(RenewAnswer);
+  spoil(renewed);
+  answer(200, json::serialize(renewed));
+  auto reply = run(Workers->renew(Worker, renewal()));
+  RC_ASSERT(isSafe(reply));
+  if (reply)
+    for (const AttemptReport &it : reply.value().Tasks)
+      RC_ASSERT(!it.Task.empty() && toNumber(it.Number) > 0 &&
+                it.ThrottlePercent >= 0 && it.ThrottlePercent <= 100);
+  json::value status = json::parse(StatusAnswer);
+  spoil(status);
+  answer(200, json::serialize(status));
+  auto seen = run(Workers->status(Worker));
+  RC_ASSERT(isSafe(seen));
+  if (seen)
+    RC_ASSERT(!seen.value().Boot.empty());
+}
+
+} // namespace
