Add the session program

Cause: a newcomer should see the whole path run. Change: a program that starts Karoo's installation from the ready settings, sends traffic, takes a zone out and in, and judges the records of the stand-ins. Ruled out: a shell script, which cannot read the records.

--- a/tests/harness/Cluster.cpp
+++ b/tests/harness/Cluster.cpp
@@ -2,6 +2,8 @@
 
 #include "harness/Http.h"
 
+#include "endivedoor/model/Settings.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -43,9 +45,18 @@
     : Shape(std::move(shape)), Folder(std::move(folder)) {
   fs::remove_all(Folder);
   fs::create_directories(Folder);
+  if (Shape.SettingsFolder.empty())
+    placeDaemons();
+  else
+    readSettings();
+}
+
+void Cluster::placeDaemons() {
+  StoreAddress = address(StoreOffset);
   for (std::size_t z = 0; z < Shape.Zones.size(); ++z) {
     const ZoneShape &zone = Shape.Zones[z];
     int base = static_cast<int>(z) * 100;
+    HostLists.push_back(address(HostListOffset + static_cast<int>(z)));
     for (int i = 1; i <= zone.EntryHosts; ++i) {
       DaemonPlace place;
       place.Name = zone.Name + "-" + std::to_string(i);
@@ -59,6 +70,31 @@
   }
 }
 
+void Cluster::readSettings() {
+  std::vector<fs::path> files;
+  for (const fs::directory_entry &it :
+       fs::directory_iterator(Shape.SettingsFolder))
+    files.push_back(it.path());
+  std::sort(files.begin(), files.end());
+  for (const fs::path &it : files) {
+    std::ifstream in(it);
+    std::stringstream text;
+    text << in.rdbuf();
+    model::Settings settings =
+        model::parseSettings(it.string(), text.str()).Value;
+    DaemonPlace place;
+    place.Name = settings.Name;
+    place.Zone = settings.Zone.str();
+    place.Callers = settings.Callers;
+    place.Operators = settings.Operators;
+    place.Peer = settings.Peer;
+    place.SettingsFile = it.string();
+    Daemons.push_back(std::move(place));
+    StoreAddress = settings.Store.at(0);
+    HostLists = {settings.HostList};
+  }
+}
+
 Cluster::~Cluster() {
   for (DaemonPlace &it : Daemons)
     it.Child.reset();
@@ -171,31 +207,28 @@
     out << "timing:\n" << Shape.Timing;
 }
 
-// Each zone has its own copy of the list, in which workers of other zones stand
-// behind the proxy.
-void Cluster::writeHostLists() const {
+// A zone's own workers are listed directly; those of other zones stand behind
+// the proxy.
+void Cluster::writeHostList(const std::string &file,
+                            const std::string &from) const {
   std::vector<std::string> links = proxyLinks();
-  for (const ZoneShape &from : Shape.Zones) {
-    json::array hosts;
-    for (const ZoneShape &to : Shape.Zones) {
-      for (int i = 0; i < to.Workers; ++i) {
-        std::string index = std::to_string(i);
-        model::Address at = to.Name == from.Name
-                                ? workerAddress(to.Name, i)
-                                : findLink(links, "worker:" + from.Name + ":" +
-                                                      to.Name + ":" + index);
-        std::string rack =
-            to.Name + "-r" + std::to_string(i / Shape.WorkersPerRack + 1);
-        hosts.push_back({{"name", to.Name + "-w-" + std::to_string(i + 1)},
-                         {"zone", to.Name},
-                         {"rack", rack},
-                         {"address", at.str()},
-                         {"state", "live"}});
-      }
+  json::array hosts;
+  for (const ZoneShape &to : Shape.Zones) {
+    for (int i = 0; i < to.Workers; ++i) {
+      model::Address at = workerAddress(to.Name, i);
+      if (to.Name != from && Shape.SettingsFolder.empty())
+        at = findLink(links, "worker:" + from + ":" + to.Name + ":" +
+                                 std::to_string(i));
+      std::string rack =
+          to.Name + "-r" + std::to_string(i / Shape.WorkersPerRack + 1);
+      hosts.push_back({{"name", to.Name + "-w-" + std::to_string(i + 1)},
+                       {"zone", to.Name},
+                       {"rack", rack},
+                       {"address", at.str()},
+                       {"state", "live"}});
     }
-    std::ofstream(Folder + "/hosts-" + from.Name + ".json")
-        << json::serialize(json::object{{"hosts", hosts}});
   }
+  std::ofstream(file) << json::serialize(json::object{{"hosts", hosts}});
 }
 
 void Cluster::startStandins() {
@@ -208,13 +241,16 @@
                           "--log=" + Folder + "/store.jsonl"},
                          "store"));
   std::string lag = "--lag=" + std::to_string(Shape.HostListLag.count()) + "ms";
-  for (std::size_t z = 0; z < Shape.Zones.size(); ++z) {
-    const ZoneShape &zone = Shape.Zones[z];
+  for (std::size_t z = 0; z < HostLists.size(); ++z) {
+    std::string name = "hosts-" + Shape.Zones[z].Name;
+    std::string file = Folder + "/" + name + ".json";
+    writeHostList(file, Shape.Zones[z].Name);
     Standins.push_back(
-        run({"standin-hostlist",
-             "--listen=" + address(HostListOffset + static_cast<int>(z)).str(),
-             "--file=" + Folder + "/hosts-" + zone.Name + ".json", lag},
-            "hosts-" + zone.Name));
+        run({"standin-hostlist", "--listen=" + HostLists[z].str(),
+             "--file=" + file, lag},
+            name));
+  }
+  for (const ZoneShape &zone : Shape.Zones)
     Workers[zone.Name] =
         run({"standin-worker", "--listen=" + workerAddress(zone.Name, 0).str(),
              "--count=" + std::to_string(zone.Workers),
@@ -222,7 +258,8 @@
              "--rack_size=" + std::to_string(Shape.WorkersPerRack),
              "--log=" + Folder + "/workers-" + zone.Name + ".jsonl"},
             "workers-" + zone.Name);
-  }
+  if (!Shape.SettingsFolder.empty())
+    return;
   std::vector<std::string> proxy = {"standin-faultproxy",
                                     "--listen=" + address(ProxyOffset).str()};
   for (const std::string &it : proxyLinks()) {
@@ -247,14 +284,14 @@
 }
 
 bool Cluster::start(std::chrono::milliseconds limit) {
-  writeHostLists();
   startStandins();
   bool storeUp = waitFor(
       5s, [&] { return callJson(store(), "/admin/counters").is_object(); });
   if (!storeUp)
     return false;
   for (DaemonPlace &it : Daemons) {
-    writeSettings(it);
+    if (Shape.SettingsFolder.empty())
+      writeSettings(it);
     startDaemon(it);
   }
   bool ready = waitFor(limit, [&] {
--- a/tests/harness/Cluster.h
+++ b/tests/harness/Cluster.h
@@ -36,6 +36,10 @@
   std::chrono::milliseconds HostListLag{1000};
   /// Extra lines for the timing section of every settings file.
   std::string Timing;
+  /// Folder of ready settings files; without it, files are generated. With
+  /// ready files the daemons, the store and the host list use the addresses
+  /// given there, and no link can be cut.
+  std::string SettingsFolder;
 };
 
 /// What the harness knows of one daemon.
@@ -70,8 +74,7 @@
   DaemonPlace *owner(const std::string &zone);
   std::vector<DaemonPlace *> daemonsOf(const std::string &zone);
 
-  model::Address store() const { return address(901); }
-  model::Address hostList() const { return address(902); }
+  model::Address store() const { return StoreAddress; }
   /// Process that runs all workers of a zone.
   Process &workers(const std::string &zone) { return *Workers.at(zone); }
   model::Address workerAddress(const std::string &zone, int index) const;
@@ -96,8 +99,10 @@
 
 private:
   model::Address address(int offset) const;
+  void placeDaemons();
+  void readSettings();
   void writeSettings(const DaemonPlace &daemon) const;
-  void writeHostLists() const;
+  void writeHostList(const std::string &file, const std::string &from) const;
   std::vector<std::string> proxyLinks() const;
   void startStandins();
   void setLinks(const std::function<bool(const std::string &)> &chosen,
@@ -105,6 +110,9 @@
 
   ClusterShape Shape;
   std::string Folder;
+  model::Address StoreAddress;
+  /// One for each zone; a single one with ready settings.
+  std::vector<model::Address> HostLists;
   std::vector<DaemonPlace> Daemons;
   std::map<std::string, std::unique_ptr<Process>> Workers;
   std::vector<std::unique_ptr<Process>> Standins;
--- /dev/null
+++ b/tests/session/Session.cpp
@@ -0,0 +1,235 @@
+// A session that a person can watch: Karoo's installation as real processes,
+// real traffic, a zone that leaves and returns, then the report. Ends by
+// itself. The summary holds only facts that are the same on every run, and is
+// compared with the golden file.
+#include "harness/Cluster.h"
+#include "harness/Http.h"
+#include "harness/Judge.h"
+
+#include <boost/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <signal.h>
+#include <sstream>
+#include <thread>
+
+using namespace endivedoor;
+using namespace endivedoor::harness;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto TrafficTime = 24s;
+constexpr auto ZoneOutAt = 6s, ZoneInAt = 14s;
+/// P4: no start later than this after the command reported the zone out.
+constexpr Micros StartBound = 3'000'000;
+
+class Session {
+public:
+  explicit Session(std::string folder)
+      : Folder(std::move(folder)), Karoo(shape(), Folder) {}
+
+  int run();
+  const std::string &summary() const { return Summary; }
+
+private:
+  static ClusterShape shape() {
+    ClusterShape shape;
+    shape.Zones = {
+        {"germiston", 3, 17}, {"midrand", 3, 17}, {"vereeniging", 2, 16}};
+    shape.BasePort = 21400;
+    shape.SettingsFolder = std::string(ENDIVEDOOR_SOURCE_DIR) + "/config/karoo";
+    return shape;
+  }
+
+  void say(const std::string &line) { std::cout << line << std::endl; }
+  /// Adds a line to the summary.
+  void note(const std::string &line) {
+    Summary += line + "\n";
+    say("  " + line);
+  }
+  void verdict(const std::string &what, const std::vector<std::string> &found) {
+    note(what + ": " + (found.empty() ? "yes" : "NO"));
+    for (const std::string &it : found)
+      say("    " + it);
+  }
+
+  /// Runs the operators' program; prints its output; returns its exit status.
+  int operate(std::vector<std::string> arguments);
+  void submit(const std::string &zone, const std::string &job);
+  bool waitForServices();
+  void trafficAndZoneChange();
+  void judge();
+
+  std::string Folder;
+  Cluster Karoo;
+  std::string Summary;
+  std::vector<std::string> Jobs;
+  Micros OutReported = 0, InSent = 0;
+  json::object CallerSummary;
+};
+
+int Session::operate(std::vector<std::string> arguments) {
+  std::string line = "$ endivedoor";
+  for (const std::string &it : arguments)
+    line += " " + it;
+  say(line);
+  arguments.insert(arguments.begin(), program("endivedoor"));
+  for (const DaemonPlace &it : Karoo.daemons())
+    arguments.push_back("--daemon=" + it.Operators.str());
+  std::string file = Folder + "/operator.out";
+  std::remove(file.c_str());
+  Process child(std::move(arguments), file);
+  std::optional<int> status = child.wait(20s);
+  std::ifstream in(file);
+  for (std::string out; std::getline(in, out);)
+    say("  " + out);
+  return status.value_or(-1);
+}
+
+void Session::submit(const std::string &zone, const std::string &job) {
+  platform::HttpRequest request{"POST", "/v1/jobs", {}, job};
+  auto answer = call(Karoo.daemonsOf(zone).front()->Callers, request);
+  if (answer && answer.value().Status == 201) {
+    json::value body = json::parse(answer.value().Body);
+    Jobs.emplace_back(body.at("job").as_string());
+  }
+}
+
+bool Session::waitForServices() {
+  return waitFor(15s, [&] {
+    for (const DaemonPlace &it : Karoo.daemons()) {
+      auto answer = call(it.Callers, {"GET", "/s/orders/warm", {}, ""}, 2s);
+      if (!answer || answer.value().Status != 200)
+        return false;
+    }
+    return true;
+  });
+}
+
+void Session::trafficAndZoneChange() {
+  std::string targets;
+  for (const DaemonPlace &it : Karoo.daemons())
+    targets += (targets.empty() ? "" : ",") + it.Callers.str();
+  std::string file = Folder + "/caller.out";
+  auto start = std::chrono::steady_clock::now();
+  Process caller({program("standin-caller"), "--target=" + targets,
+                  "--rate=300", "--service=orders", "--bookings=0.1",
+                  "--repeats=0.2", "--jobs=0.02",
+                  "--seconds=" + std::to_string(TrafficTime.count()),
+                  "--log=" + Folder + "/caller.jsonl"},
+                 file);
+  std::this_thread::sleep_until(start + ZoneOutAt);
+  int out = operate(
+      {"zone", "out", "midrand", "--author=karoo", "--reason=power work"});
+  OutReported = nowMicros();
+  note(std::string("zone out midrand: ") + (out == 0 ? "done" : "FAILED"));
+  std::this_thread::sleep_until(start + ZoneInAt);
+  InSent = nowMicros();
+  int in = operate(
+      {"zone", "in", "midrand", "--author=karoo", "--reason=power is back"});
+  note(std::string("zone in midrand: ") + (in == 0 ? "done" : "FAILED"));
+  std::optional<int> status = caller.wait(TrafficTime + 30s);
+  note(std::string("caller ended by itself: ") + (status == 0 ? "yes" : "NO"));
+  std::ifstream text(file);
+  std::string last;
+  for (std::string line; std::getline(text, line);)
+    last = line;
+  boost::system::error_code ec;
+  json::value value = json::parse(last, ec);
+  if (!ec && value.is_object())
+    CallerSummary = value.as_object();
+  say("  caller: " + json::serialize(CallerSummary));
+}
+
+void Session::judge() {
+  Records workers = Karoo.records("workers"), caller = Karoo.records("caller");
+  say("records: " + std::to_string(workers.size()) + " of workers, " +
+      std::to_string(caller.size()) + " of callers");
+  verdict("no worker held more than it can", findOverloads(workers, {}));
+  verdict("no task ran in two places at once", findDoubledTasks(workers));
+  verdict("no checkpoint resumed twice, none lost",
+          findWrongResumptions(workers, {}));
+  verdict("no start in midrand later than 3 s after it was out",
+          findStarts(workers, "midrand", OutReported + StartBound, InSent));
+  verdict("no booking ran twice", findDoubledBookings(workers));
+  verdict("no request reported not-run had run",
+          findFalseNotRun(workers, caller));
+  note(std::string("requests were answered: ") +
+       (workers.size() > 1000 && caller.size() > 1000 ? "yes" : "NO"));
+}
+
+int Session::run() {
+  say("starting 8 daemons, 50 workers, the store and the host list");
+  bool up = Karoo.start(30s);
+  note(std::string("all daemons ready, every zone has an owner: ") +
+       (up ? "yes" : "NO"));
+  if (!up)
+    return 1;
+  std::string rules =
+      std::string(ENDIVEDOOR_SOURCE_DIR) + "/config/karoo.rules";
+  note(std::string("rules applied: ") +
+       (operate({"rules", "apply", rules, "--author=karoo"}) == 0 ? "yes"
+                                                                  : "NO"));
+  for (const char *zone : {"germiston", "midrand", "vereeniging"}) {
+    submit(
+        zone,
+        R"({"name":"orders","team":"orders","contract":"mabena","class":"orders",
+      "kind":"service","service":"orders","tasks":4,"slots":1,"connections":16,"milliCores":2000,
+      "memoryMb":4096,"payload":"{\"serviceMs\":8}"})");
+    submit(
+        zone,
+        R"({"name":"delivery-runs","team":"planning","contract":"karoo","class":"delivery-run",
+      "kind":"batch","tasks":20,"slots":1,"milliCores":2000,"memoryMb":2048,
+      "declaredRunTimeMs":3000,"deadlineMs":60000,"payload":"{\"runMs\":4000}"})");
+  }
+  note("jobs admitted: " + std::to_string(Jobs.size()));
+  note(std::string("order service answers at every entry host: ") +
+       (waitForServices() ? "yes" : "NO"));
+  trafficAndZoneChange();
+  operate({"zones"});
+  operate({"jobs"});
+  operate({"members"});
+  operate({"report", "--contract=mabena"});
+  for (DaemonPlace &it : Karoo.daemons())
+    it.Child->signal(SIGTERM);
+  bool clean = true;
+  for (DaemonPlace &it : Karoo.daemons())
+    clean = it.Child->wait(15s) == 0 && clean;
+  note(std::string("planned stop of all daemons with status 0: ") +
+       (clean ? "yes" : "NO"));
+  judge();
+  return 0;
+}
+
+std::string option(int argc, char **argv, const std::string &name) {
+  for (int i = 1; i < argc; ++i)
+    if (std::string it = argv[i]; it.starts_with("--" + name + "="))
+      return it.substr(name.size() + 3);
+  return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::string folder = option(argc, argv, "folder");
+  std::string golden = option(argc, argv, "golden");
+  if (folder.empty()) {
+    std::cerr << "usage: endivedoor-session --folder=FOLDER [--golden=FILE]\n";
+    return 2;
+  }
+  Session session(folder);
+  int status = session.run();
+  std::cout << "summary\n" << session.summary();
+  if (golden.empty())
+    return status;
+  std::ifstream file(golden);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (text.str() == session.summary())
+    return status;
+  std::cout << "the summary differs from " << golden << ":\n" << text.str();
+  return 1;
+}
