--- /dev/null
+++ b/packages/control/include/endivedoor/control/Report.h
@@ -0,0 +1,32 @@
+/// \file
+/// Hourly counters of the rules, for the report to customers.
+#ifndef ENDIVEDOOR_CONTROL_REPORT_H
+#define ENDIVEDOOR_CONTROL_REPORT_H
+
+#include "endivedoor/base/Ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace endivedoor::control {
+
+/// How one rule was kept in one hour in one zone. Rules about states are
+/// checked once a second; rules about deadlines once for each job that ends.
+struct ReportRow {
+  base::ContractName Contract;
+  /// Hours since 1970-01-01 00:00 UTC.
+  std::int64_t Hour = 0;
+  base::ZoneId Zone;
+  /// The rule's text without its comment.
+  std::string Rule;
+  /// Number of checks that found the rule kept.
+  std::uint64_t Kept = 0;
+  /// Number of checks that found the rule violated.
+  std::uint64_t Violated = 0;
+  /// The worst case found, as text; empty if the rule was always kept.
+  std::string Worst;
+};
+
+} // namespace endivedoor::control
+
+#endif
--- a/packages/control/src/Control.cpp
+++ b/packages/control/src/Control.cpp
@@ -1,1 +1,277 @@
-#include "endivedoor/control/ControlApi.h"
+#include "endivedoor/control/Control.h"
+
+#include "detail/Admission.h"
+#include "detail/Codec.h"
+#include "detail/ConfigKeeper.h"
+#include "detail/Keys.h"
+#include "detail/ShardElection.h"
+#include "detail/ShardOwner.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endivedoor::control {
+
+using base::Errc;
+using base::EventCode;
+
+/// Sleeps on the timer of the operating system.
+static SleepFunction systemSleep(boost::asio::any_io_executor executor) {
+  return [executor](base::Duration time) -> boost::asio::awaitable<void> {
+    boost::asio::steady_timer timer(executor, time);
+    co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+  };
+}
+
+static std::uint64_t randomSeed(const model::Settings &settings,
+                                const base::InstanceId &instance) {
+  if (settings.Seed == 0)
+    return std::random_device{}();
+  // Daemons with the same seed must not back off at the same times.
+  return settings.Seed ^ std::hash<base::InstanceId>{}(instance);
+}
+
+struct Control::Impl {
+  detail::Context Ctx;
+  SchedulerFactory Factory;
+  detail::ZoneCounter Zones{};
+  detail::ConfigKeeper Keeper{Ctx};
+  detail::Admission Admission{Ctx, Keeper};
+  detail::ShardElection Election{Ctx};
+  std::shared_ptr<detail::ShardOwner> Owner{};
+  bool OwnerDone = true;
+
+  boost::asio::awaitable<void> campaign();
+  boost::asio::awaitable<void> serve(detail::Ownership won);
+  boost::asio::awaitable<void>
+  keepLease(std::shared_ptr<detail::ShardOwner> it);
+  const detail::ShardOwner *owner() const;
+  base::Error notOwner() const;
+};
+
+Control::Control(boost::asio::any_io_executor executor,
+                 const model::Settings &settings, platform::Store &store,
+                 platform::WorkerClient &workers, platform::HostList &hosts,
+                 const base::Clock &clock, base::EventLog &events,
+                 base::InstanceId instance, SchedulerFactory factory,
+                 SleepFunction sleep)
+    : State(new Impl{
+          detail::Context{
+              executor, settings, store, workers, hosts, clock, events,
+              instance, sleep ? std::move(sleep) : systemSleep(executor),
+              std::mt19937_64(randomSeed(settings, instance)), Counters{}},
+          std::move(factory)}) {}
+
+Control::~Control() = default;
+
+void Control::start() {
+  State->Ctx.spawn(State->Keeper.run());
+  State->Ctx.spawn(State->campaign());
+}
+
+/// Takes part in elections until the daemon stops.
+boost::asio::awaitable<void> Control::Impl::campaign() {
+  detail::Backoff backoff;
+  while (!Ctx.Stopping) {
+    auto won = co_await Election.campaign();
+    if (won && won.value()) {
+      OwnerDone = false;
+      co_await serve(*won.value());
+      OwnerDone = true;
+    }
+    if (Ctx.Stopping)
+      co_return;
+    // The jitter keeps the daemons of a zone from asking all at once.
+    base::Duration pause = Ctx.Settings.Timing.ConfigPoll;
+    pause = pause / 2 + pause / 100 * static_cast<int>(Ctx.Random() % 50);
+    if (won)
+      backoff.reset();
+    else
+      pause = std::max(pause, backoff.next(Ctx.Random));
+    co_await Ctx.Sleep(pause);
+  }
+}
+
+boost::asio::awaitable<void> Control::Impl::serve(detail::Ownership won) {
+  auto owner =
+      std::make_shared<detail::ShardOwner>(Ctx, Keeper, won, Factory(), Zones);
+  Owner = owner;
+  ++Ctx.Metrics.EpochChanges;
+  Ctx.Events.emit(EventCode::OwnerElected,
+                  {{"zone", Ctx.Settings.Zone.str()},
+                   {"epoch", std::to_string(base::toNumber(won.Number))}});
+  Ctx.spawn(keepLease(owner));
+  co_await owner->run();
+  Owner.reset();
+  co_await Election.release(won);
+  if (Ctx.Stopping)
+    Ctx.Events.emit(EventCode::OwnerHandedOver,
+                    {{"zone", Ctx.Settings.Zone.str()},
+                     {"epoch", std::to_string(base::toNumber(won.Number))}});
+}
+
+boost::asio::awaitable<void>
+Control::Impl::keepLease(std::shared_ptr<detail::ShardOwner> it) {
+  // g++ 12 destroys a temporary closure in an awaited call twice.
+  std::function<bool()> wanted = [it] { return it->alive(); };
+  co_await Election.keep(it->ownership(), wanted);
+  if (it->alive())
+    it->stepDown("the lease has lapsed");
+}
+
+boost::asio::awaitable<void> Control::stop() {
+  Impl &impl = *State;
+  base::TimePoint now = impl.Ctx.Clock.now();
+  base::TimePoint deadline = now + 4 * impl.Ctx.Settings.Timing.StoreTimeout;
+  impl.Ctx.Stopping = true;
+  if (impl.Owner)
+    impl.Owner->drainUntil(now + 2 * impl.Ctx.Settings.Timing.StoreTimeout);
+  while (!impl.OwnerDone && impl.Ctx.Clock.now() < deadline)
+    co_await impl.Ctx.Sleep(std::chrono::milliseconds(10));
+}
+
+void Control::onConfiguration(
+    std::function<void(const Configuration &)> observer) {
+  State->Keeper.onChange(std::move(observer));
+}
+
+void Control::onServiceZones(
+    std::function<std::int32_t(const base::ServiceName &)> counter) {
+  State->Zones = std::move(counter);
+}
+
+platform::Async<base::JobId> Control::admit(model::JobSpec job) {
+  return State->Admission.admit(std::move(job));
+}
+
+platform::Async<void> Control::cancel(base::JobId job) {
+  return State->Admission.cancel(std::move(job));
+}
+
+const detail::ShardOwner *Control::Impl::owner() const {
+  return Owner && Owner->loaded() && Owner->alive() ? Owner.get() : nullptr;
+}
+
+/// Names the operator address of the owner, if it is in the settings.
+base::Error Control::Impl::notOwner() const {
+  auto seen = Keeper.owners().find(Ctx.Settings.Zone);
+  std::string detail;
+  if (seen != Keeper.owners().end())
+    for (const model::PeerSettings &it : Ctx.Settings.Peers)
+      if (it.Name == seen->second.Name)
+        detail = it.Operator.str();
+  return {Errc::NotOwner, detail};
+}
+
+static JobStatus statusOf(const detail::TaskTable &table,
+                          const detail::JobRecord &job) {
+  JobStatus status;
+  status.Spec = job.Spec;
+  for (const base::TaskId &it : job.Tasks)
+    status.Tasks.push_back(table.tasks().at(it).Task);
+  return status;
+}
+
+base::Result<JobStatus> Control::job(const base::JobId &id) const {
+  const detail::ShardOwner *owner = State->owner();
+  if (owner == nullptr)
+    return State->notOwner();
+  auto it = owner->table().jobs().find(id);
+  if (it == owner->table().jobs().end())
+    return base::fail(Errc::JobUnknown, id.str());
+  return statusOf(owner->table(), it->second);
+}
+
+base::Result<std::vector<JobStatus>> Control::jobs() const {
+  const detail::ShardOwner *owner = State->owner();
+  if (owner == nullptr)
+    return State->notOwner();
+  std::vector<JobStatus> out;
+  for (const auto &[id, job] : owner->table().jobs())
+    out.push_back(statusOf(owner->table(), job));
+  return out;
+}
+
+const Configuration &Control::configuration() const {
+  return State->Keeper.current();
+}
+
+platform::Async<ChangeOutcome> Control::putRules(std::string text,
+                                                 std::uint64_t baseVersion,
+                                                 std::string author) {
+  return State->Keeper.putRules(std::move(text), baseVersion,
+                                std::move(author));
+}
+
+platform::Async<ChangeOutcome> Control::setZoneOut(base::ZoneId zone, bool out,
+                                                   std::string author) {
+  return State->Keeper.setZoneOut(std::move(zone), out, std::move(author));
+}
+
+void Control::offer(const Configuration &config) {
+  Configuration offered = config;
+  // The sender's mod revision is not proven to this daemon.
+  offered.ModRevision = 0;
+  State->Keeper.adopt(offered);
+}
+
+std::vector<ZoneState> Control::zones() const {
+  std::vector<ZoneState> out;
+  for (const base::ZoneId &it : State->Ctx.Settings.Zones) {
+    ZoneState state;
+    state.Zone = it;
+    state.Out = State->Keeper.isOut(it);
+    auto seen = State->Keeper.owners().find(it);
+    if (seen != State->Keeper.owners().end()) {
+      state.Owner = seen->second.Name;
+      state.OwnerEpoch = seen->second.Number;
+    }
+    out.push_back(std::move(state));
+  }
+  return out;
+}
+
+std::vector<WorkerState> Control::workers() const {
+  const detail::ShardOwner *owner = State->owner();
+  return owner == nullptr ? std::vector<WorkerState>() : owner->workers();
+}
+
+platform::Async<std::vector<ReportRow>>
+Control::report(base::ContractName contract) {
+  constexpr std::int64_t page = 500;
+  std::string from = detail::reportPrefix(contract);
+  std::string end = platform::prefixEnd(from);
+  std::vector<ReportRow> out;
+  for (;;) {
+    auto entries = co_await State->Ctx.Store.range(from, end, page);
+    State->Ctx.storeAnswered(entries ? nullptr : &entries.error());
+    if (!entries)
+      co_return entries.error();
+    for (const platform::StoreEntry &it : entries.value()) {
+      auto value = detail::parseJson(it.Value);
+      if (!value)
+        co_return base::Error{Errc::JournalUnreadable, it.Key};
+      detail::FieldReader in(value.value());
+      for (const boost::json::value &row : in.list("rows")) {
+        auto read = detail::rowFromJson(row);
+        if (!read)
+          co_return base::Error{Errc::JournalUnreadable, it.Key};
+        out.push_back(std::move(read.value()));
+      }
+    }
+    if (entries.value().size() < static_cast<std::size_t>(page))
+      co_return out;
+    from = entries.value().back().Key + std::string(1, '\0');
+  }
+}
+
+std::vector<ReportRow> Control::currentReport() const {
+  const detail::ShardOwner *owner = State->owner();
+  return owner == nullptr ? std::vector<ReportRow>() : owner->report().rows();
+}
+
+const Counters &Control::counters() const { return State->Ctx.Metrics; }
+
+} // namespace endivedoor::control
--- /dev/null
+++ b/packages/control/src/detail/Admission.cpp
@@ -0,0 +1,185 @@
+#include "detail/Admission.h"
+
+#include "detail/Keys.h"
+
+#include <algorithm>
+#include <map>
+
+namespace endivedoor::control::detail {
+
+using base::Errc;
+using platform::StoreOp;
+
+constexpr std::chrono::milliseconds BatchTime{20};
+// An owner reads many batches at once, so each one stays small.
+constexpr std::size_t BatchBytes = 128 * 1024;
+// A command must fit into a segment next to others, in base64 below 1 MB.
+constexpr std::size_t CommandBytes = 500 * 1024;
+constexpr int WriteTries = 4;
+constexpr std::int32_t MaxTasks = 10000;
+
+base::Result<void> Admission::check(const model::JobSpec &job) const {
+  const base::Resources &size = job.Size;
+  if (job.Tasks < 1 || job.Tasks > MaxTasks)
+    return base::fail(Errc::InvalidArgument, "tasks");
+  if (size.Slots < 0 || size.Connections < 0 || base::count(size.Cpu) < 0 ||
+      base::count(size.Memory) < 0 || size.Accelerators < 0)
+    return base::fail(Errc::InvalidArgument, "a size is negative");
+  return base::success();
+}
+
+std::int32_t Admission::zonesWanted(const model::JobSpec &job) const {
+  std::int32_t wanted = 1;
+  if (job.Kind != model::TaskKind::Service)
+    return wanted;
+  for (const model::Rule &it : Keeper.rules().Rules)
+    if (const auto *rule = std::get_if<model::AtLeastZones>(&it.Body))
+      if (rule->Service == job.Service)
+        wanted = std::max(wanted, rule->Zones);
+  return std::min(wanted, job.Tasks);
+}
+
+/// Chooses the zones for a job: the own zone if it is in, others by a hash of
+/// the id; a service with a rule "at-least N zones" is spread over N of them.
+std::vector<std::pair<base::ZoneId, std::string>>
+Admission::route(const model::JobSpec &job) const {
+  std::vector<base::ZoneId> in = Keeper.zonesIn();
+  if (in.empty())
+    return {};
+  std::size_t shift = std::hash<base::JobId>{}(job.Id) % in.size();
+  std::rotate(in.begin(), in.begin() + static_cast<std::ptrdiff_t>(shift),
+              in.end());
+  auto own = std::find(in.begin(), in.end(), Ctx.Settings.Zone);
+  if (own != in.end())
+    std::rotate(in.begin(), own, own + 1);
+  in.resize(std::min<std::size_t>(in.size(),
+                                  static_cast<std::size_t>(zonesWanted(job))));
+  std::vector<Command> commands(in.size());
+  for (Command &it : commands) {
+    it.Job = job.Id;
+    it.Spec = job;
+    it.AdmittedAt = Ctx.Clock.wallNow();
+  }
+  for (std::int32_t n = 0; n < job.Tasks; ++n)
+    commands[static_cast<std::size_t>(n) % in.size()].Indices.push_back(n);
+  std::vector<std::pair<base::ZoneId, std::string>> parts;
+  for (std::size_t n = 0; n < in.size(); ++n)
+    parts.emplace_back(in[n], commandToJson(commands[n]));
+  return parts;
+}
+
+platform::Async<base::JobId> Admission::admit(model::JobSpec job) {
+  if (auto checked = check(job); !checked)
+    co_return checked.error();
+  if (job.Id.empty())
+    job.Id = base::JobId(Ctx.nextWriteId());
+  auto parts = route(job);
+  if (parts.empty())
+    co_return base::Error{Errc::AdmissionClosed, "every zone is out"};
+  auto written = co_await submit(std::move(parts));
+  if (!written)
+    co_return written.error();
+  co_return job.Id;
+}
+
+/// A job's tasks may have moved, so the cancellation goes to every zone.
+platform::Async<void> Admission::cancel(base::JobId job) {
+  if (job.empty())
+    co_return base::Error{Errc::JobUnknown, "empty id"};
+  Command command;
+  command.What = Command::Kind::Cancel;
+  command.Job = job;
+  std::vector<std::pair<base::ZoneId, std::string>> parts;
+  for (const base::ZoneId &it : Ctx.Settings.Zones)
+    parts.emplace_back(it, commandToJson(command));
+  co_return co_await submit(std::move(parts));
+}
+
+platform::Async<void>
+Admission::submit(std::vector<std::pair<base::ZoneId, std::string>> parts) {
+  auto pending = std::make_shared<Pending>();
+  pending->Parts = std::move(parts);
+  for (const auto &[zone, text] : pending->Parts) {
+    if (text.size() > CommandBytes)
+      co_return base::Error{Errc::LimitExceeded, "job"};
+    pending->Bytes += text.size();
+  }
+  if (Queue.size() >= Ctx.Settings.Limits.QueuedCommands)
+    co_return base::Error{Errc::LimitExceeded, "queued commands"};
+  pending->Done = std::make_shared<Signal>(Ctx.Executor);
+  Queue.push_back(pending);
+  if (!Flushing) {
+    Flushing = true;
+    Ctx.spawn(flush());
+  }
+  co_await pending->Done->wait();
+  if (pending->Failure)
+    co_return *pending->Failure;
+  co_return base::success();
+}
+
+Admission::Batch Admission::takeBatch() {
+  Batch batch;
+  std::size_t bytes = 0;
+  while (!Queue.empty() &&
+         (batch.empty() || bytes + Queue.front()->Bytes <= BatchBytes)) {
+    bytes += Queue.front()->Bytes;
+    batch.push_back(std::move(Queue.front()));
+    Queue.pop_front();
+  }
+  return batch;
+}
+
+boost::asio::awaitable<void> Admission::flush() {
+  co_await Ctx.Sleep(BatchTime);
+  while (!Queue.empty()) {
+    Batch batch = takeBatch();
+    auto written = co_await write(batch);
+    for (const auto &it : batch) {
+      if (!written)
+        it->Failure = written.error();
+      it->Done->set();
+    }
+  }
+  Flushing = false;
+}
+
+/// Creates one inbox key in each zone concerned. The same transaction is sent
+/// again after a lost answer; it requires that none of its keys exists, and
+/// owners accept an id only once, also when they have consumed the keys.
+platform::Async<void> Admission::write(const Batch &batch) {
+  std::map<base::ZoneId, std::vector<std::string>> commands;
+  for (const auto &it : batch)
+    for (const auto &[zone, text] : it->Parts)
+      commands[zone].push_back(text);
+  std::string writeId = Ctx.nextWriteId();
+  platform::StoreTxn request;
+  for (const auto &[zone, texts] : commands) {
+    std::string key = inboxPrefix(zone) + writeId;
+    request.Compares.push_back(
+        {key, platform::StoreCompare::Field::CreateRevision, 0});
+    request.Success.push_back(StoreOp::put(key, batchToJson(writeId, texts)));
+  }
+  Backoff backoff;
+  base::Error error{Errc::Cancelled, "the daemon is stopping"};
+  bool lost = false;
+  for (int n = 0; n < WriteTries && !Ctx.Stopping; ++n) {
+    auto answer = co_await Ctx.Store.txn(request);
+    Ctx.storeAnswered(answer ? nullptr : &answer.error());
+    // The keys carry an own write id: if they exist, an earlier try wrote them.
+    if (answer)
+      co_return base::success();
+    error = answer.error();
+    lost = lost || error.Code == Errc::StoreAnswerLost ||
+           error.Code == Errc::PlatformAnswerInvalid;
+    if (error.Code == Errc::StoreRejected)
+      break;
+    if (n + 1 < WriteTries)
+      co_await Ctx.Sleep(backoff.next(Ctx.Random));
+  }
+  if (lost)
+    error.Code = Errc::StoreAnswerLost;
+  co_return error;
+}
+
+} // namespace endivedoor::control::detail
--- /dev/null
+++ b/packages/control/src/detail/Admission.h
@@ -0,0 +1,53 @@
+/// \file
+/// Writes commands of callers into the inboxes of zones.
+#ifndef ENDIVEDOOR_CONTROL_DETAIL_ADMISSION_H
+#define ENDIVEDOOR_CONTROL_DETAIL_ADMISSION_H
+
+#include "detail/Codec.h"
+#include "detail/ConfigKeeper.h"
+#include "detail/Context.h"
+
+#include <deque>
+
+namespace endivedoor::control::detail {
+
+/// Batches commands for up to 20 ms and writes each batch in one transaction.
+/// One transaction is in flight at a time, so an outage of the store causes no
+/// storm of calls.
+class Admission {
+public:
+  Admission(Context &context, ConfigKeeper &keeper)
+      : Ctx(context), Keeper(keeper) {}
+
+  platform::Async<base::JobId> admit(model::JobSpec job);
+  platform::Async<void> cancel(base::JobId job);
+
+private:
+  /// A command on its way to one or more inboxes.
+  struct Pending {
+    std::vector<std::pair<base::ZoneId, std::string>> Parts;
+    std::size_t Bytes = 0;
+    std::shared_ptr<Signal> Done;
+    std::optional<base::Error> Failure;
+  };
+  using Batch = std::vector<std::shared_ptr<Pending>>;
+
+  base::Result<void> check(const model::JobSpec &job) const;
+  std::vector<std::pair<base::ZoneId, std::string>>
+  route(const model::JobSpec &job) const;
+  std::int32_t zonesWanted(const model::JobSpec &job) const;
+  platform::Async<void>
+  submit(std::vector<std::pair<base::ZoneId, std::string>> parts);
+  boost::asio::awaitable<void> flush();
+  Batch takeBatch();
+  platform::Async<void> write(const Batch &batch);
+
+  Context &Ctx;
+  ConfigKeeper &Keeper;
+  std::deque<std::shared_ptr<Pending>> Queue;
+  bool Flushing = false;
+};
+
+} // namespace endivedoor::control::detail
+
+#endif
--- /dev/null
+++ b/packages/control/src/detail/Context.cpp
@@ -0,0 +1,60 @@
+#include "detail/Context.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace endivedoor::control::detail {
+
+std::string Context::nextWriteId() {
+  // Padded so that keys made from write ids of one daemon sort by age.
+  std::string number = std::to_string(++LastWrite);
+  return Instance.str() + "-" +
+         std::string(10 - std::min<std::size_t>(10, number.size()), '0') +
+         number;
+}
+
+void Context::storeAnswered(const base::Error *error) {
+  bool down = error != nullptr && error->Code != base::Errc::StoreRejected;
+  if (error != nullptr)
+    ++Metrics.StoreErrors;
+  if (down == StoreDown)
+    return;
+  StoreDown = down;
+  if (down)
+    Events.emit(base::EventCode::StoreUnreached, {{"error", error->message()}});
+  else
+    Events.emit(base::EventCode::StoreReached);
+}
+
+void Context::spawn(boost::asio::awaitable<void> coroutine) {
+  boost::asio::co_spawn(Executor, std::move(coroutine), boost::asio::detached);
+}
+
+base::Duration Backoff::next(std::mt19937_64 &random) {
+  base::Duration ceiling = std::chrono::milliseconds(100) * (1 << Failures);
+  ceiling = std::min<base::Duration>(ceiling, std::chrono::seconds(5));
+  Failures = std::min(Failures + 1, 6);
+  std::uniform_int_distribution<std::int64_t> spread(ceiling.count() / 2,
+                                                     ceiling.count());
+  return base::Duration(spread(random));
+}
+
+Signal::Signal(const boost::asio::any_io_executor &executor)
+    : Timer(executor, boost::asio::steady_timer::time_point::max()) {}
+
+boost::asio::awaitable<void> Signal::wait() {
+  while (!Done)
+    co_await Timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+void Signal::set() {
+  Done = true;
+  Timer.cancel();
+}
+
+} // namespace endivedoor::control::detail
--- /dev/null
+++ b/packages/control/src/detail/RuleReport.cpp
@@ -0,0 +1,253 @@
+#include "detail/RuleReport.h"
+
+#include "detail/Keys.h"
+
+#include <algorithm>
+
+namespace endivedoor::control::detail {
+
+namespace json = boost::json;
+
+// Counts are written in groups: a new owner misses at most this much.
+constexpr std::chrono::seconds WriteInterval{10};
+
+RuleReport::RuleReport(Context &context, const ConfigKeeper &keeper,
+                       const TaskTable &table, const WorkerLeases &leases,
+                       const ZoneCounter &zones)
+    : Ctx(context), Keeper(keeper), Table(table), Leases(leases), Zones(zones),
+      LastWrite(context.Clock.now()) {}
+
+std::int64_t RuleReport::hour() const {
+  return std::chrono::floor<std::chrono::hours>(
+             Ctx.Clock.wallNow().time_since_epoch())
+      .count();
+}
+
+static bool isLive(const TaskRecord &task) {
+  return task.Holding && !isEnd(task.Task.State);
+}
+
+void RuleReport::count(const model::Rule &rule, const Verdict &verdict) {
+  if (!verdict.Applies)
+    return;
+  Key key{rule.Contract, hour(), rule.Text};
+  Row &row = Rows[key];
+  row.Counts.Contract = rule.Contract;
+  row.Counts.Hour = std::get<1>(key);
+  row.Counts.Zone = Ctx.Settings.Zone;
+  row.Counts.Rule = rule.Text;
+  Dirty.insert(std::move(key));
+  if (verdict.Kept) {
+    ++row.Counts.Kept;
+    return;
+  }
+  ++row.Counts.Violated;
+  if (row.Counts.Worst.empty() || verdict.Measure > row.Measure) {
+    row.Measure = verdict.Measure;
+    row.Counts.Worst = verdict.Text;
+  }
+}
+
+void RuleReport::sample() {
+  for (const model::Rule &it : Keeper.rules().Rules)
+    count(it,
+          std::visit([&](const auto &body) { return check(body); }, it.Body));
+  std::erase_if(Latencies, [&](const auto &it) {
+    auto task = Table.tasks().find(it.first);
+    return task == Table.tasks().end() || !isLive(task->second);
+  });
+  dropOldHours();
+}
+
+void RuleReport::dropOldHours() {
+  std::int64_t now = hour();
+  std::erase_if(Rows, [&](const auto &it) {
+    return std::get<1>(it.first) < now && Dirty.count(it.first) == 0 &&
+           InFlight.count(it.first) == 0;
+  });
+}
+
+void RuleReport::jobEnded(const JobRecord &job) {
+  auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Ctx.Clock.wallNow() - job.AdmittedAt);
+  for (const model::Rule &it : Keeper.rules().Rules) {
+    const auto *rule = std::get_if<model::ClassDeadline>(&it.Body);
+    if (rule == nullptr || rule->Class != job.Spec.Class || job.Cancelled)
+      continue;
+    Verdict verdict;
+    verdict.Applies = true;
+    verdict.Kept = took <= rule->Within;
+    verdict.Measure = took.count();
+    verdict.Text = "job " + job.Spec.Id.str() + " took " +
+                   std::to_string(took.count()) + " ms";
+    count(it, verdict);
+  }
+}
+
+void RuleReport::measured(const base::TaskId &task,
+                          std::chrono::milliseconds p95) {
+  if (p95.count() > 0)
+    Latencies[task] = p95;
+}
+
+RuleReport::Verdict RuleReport::check(const model::AtLeastZones &rule) const {
+  std::int32_t zones = Zones ? Zones(rule.Service) : -1;
+  return {zones >= 0, zones >= rule.Zones, -zones,
+          std::to_string(zones) + " zones"};
+}
+
+RuleReport::Verdict RuleReport::check(const model::SpreadRacks &rule) const {
+  std::map<base::RackId, std::int32_t> racks;
+  for (const auto &[id, entry] : Leases.all())
+    for (const base::TaskId &it : Table.held(id)) {
+      const TaskRecord &task = Table.tasks().at(it);
+      if (isLive(task) &&
+          Table.jobs().at(task.Task.Job).Spec.Service == rule.Service)
+        ++racks[entry->Worker.Rack];
+    }
+  Verdict worst{!racks.empty(), true, 0, {}};
+  for (const auto &[rack, n] : racks)
+    if (n > rule.MaxPerRack && n > worst.Measure)
+      worst = {true, false, n,
+               std::to_string(n) + " tasks in rack " + rack.str()};
+  return worst;
+}
+
+RuleReport::Verdict RuleReport::check(const model::ReserveShare &rule) const {
+  Verdict worst{rule.Zone == Ctx.Settings.Zone, true, 0, {}};
+  for (const auto &[id, entry] : Leases.all()) {
+    std::int64_t batch = 0;
+    for (const base::TaskId &it : Table.held(id)) {
+      const model::JobSpec &spec =
+          Table.jobs().at(Table.tasks().at(it).Task.Job).Spec;
+      batch += spec.Kind == model::TaskKind::Batch ? spec.Size.Slots : 0;
+    }
+    std::int64_t slots = entry->Worker.Capacity.Slots;
+    // Without a capacity, the worker has not answered this owner yet.
+    if (slots > 0 && batch * 100 > slots * (100 - rule.Percent) &&
+        batch > worst.Measure)
+      worst = {worst.Applies, false, batch,
+               std::to_string(batch) + " batch slots on worker " + id.str()};
+  }
+  return worst;
+}
+
+RuleReport::Verdict RuleReport::check(const model::TeamQuota &rule) const {
+  std::int64_t slots = 0;
+  for (const auto &[id, task] : Table.tasks()) {
+    const model::JobSpec &spec = Table.jobs().at(task.Task.Job).Spec;
+    if (isLive(task) && spec.Team == rule.Team)
+      slots += spec.Size.Slots;
+  }
+  return {true, slots <= rule.Slots, slots, std::to_string(slots) + " slots"};
+}
+
+RuleReport::Verdict RuleReport::check(const model::SeparateClass &rule) const {
+  for (const auto &[id, entry] : Leases.all()) {
+    bool service = false, other = false;
+    for (const base::TaskId &it : Table.held(id)) {
+      const TaskRecord &task = Table.tasks().at(it);
+      const model::JobSpec &spec = Table.jobs().at(task.Task.Job).Spec;
+      service = service || (isLive(task) && spec.Service == rule.Service);
+      other = other || (isLive(task) && spec.Class == rule.Class);
+    }
+    if (service && other)
+      return {true, false, 1, "both on worker " + id.str()};
+  }
+  return {true, true, 0, {}};
+}
+
+RuleReport::Verdict RuleReport::check(const model::LatencyTarget &rule) const {
+  Verdict worst;
+  for (const auto &[id, p95] : Latencies) {
+    auto task = Table.tasks().find(id);
+    if (task == Table.tasks().end() || !isLive(task->second) ||
+        Table.jobs().at(task->second.Task.Job).Spec.Service != rule.Service)
+      continue;
+    if (!worst.Applies || p95.count() > worst.Measure)
+      worst = {true, p95 <= rule.P95, p95.count(),
+               "p95 " + std::to_string(p95.count()) + " ms on worker " +
+                   task->second.Task.Worker.str()};
+  }
+  return worst;
+}
+
+// Counted when a job ends.
+RuleReport::Verdict RuleReport::check(const model::ClassDeadline &) const {
+  return {};
+}
+
+RuleReport::Verdict RuleReport::check(const model::ZoneOut &rule) const {
+  std::int64_t batch = 0;
+  for (const auto &[id, task] : Table.tasks())
+    if (isLive(task) &&
+        Table.jobs().at(task.Task.Job).Spec.Kind == model::TaskKind::Batch)
+      ++batch;
+  return {rule.Zone == Ctx.Settings.Zone, batch == 0, batch,
+          std::to_string(batch) + " batch tasks still run"};
+}
+
+RuleReport::Verdict RuleReport::check(const model::WorkerOut &rule) const {
+  std::int64_t starting = 0;
+  for (const base::TaskId &it : Table.held(rule.Worker))
+    if (Table.tasks().at(it).Task.State == model::TaskState::Starting)
+      ++starting;
+  return {Leases.all().count(rule.Worker) > 0, starting == 0, starting,
+          std::to_string(starting) + " tasks start"};
+}
+
+std::vector<ReportRow> RuleReport::rows() const {
+  std::vector<ReportRow> out;
+  for (const auto &[key, row] : Rows)
+    if (std::get<1>(key) == hour())
+      out.push_back(row.Counts);
+  return out;
+}
+
+bool RuleReport::due() const {
+  return !Dirty.empty() && Ctx.Clock.now() - LastWrite >= WriteInterval;
+}
+
+static std::string encodeRow(const ReportRow &row) {
+  return json::serialize(json::object{{"row", rowToJson(row)}});
+}
+
+void RuleReport::write(std::vector<std::string> &ops,
+                       std::vector<platform::StoreOp> &puts) {
+  std::map<std::pair<base::ContractName, std::int64_t>, json::array> documents;
+  for (const Key &it : Dirty) {
+    ops.push_back(encodeRow(Rows.at(it).Counts));
+    documents[{std::get<0>(it), std::get<1>(it)}];
+  }
+  for (auto &[id, rows] : documents) {
+    for (const auto &[key, row] : Rows)
+      if (std::get<0>(key) == id.first && std::get<1>(key) == id.second)
+        rows.push_back(rowToJson(row.Counts));
+    puts.push_back(platform::StoreOp::put(
+        reportKey(id.first, id.second, Ctx.Settings.Zone),
+        json::serialize(json::object{{"rows", std::move(rows)}})));
+  }
+  InFlight = std::move(Dirty);
+  Dirty.clear();
+  LastWrite = Ctx.Clock.now();
+}
+
+void RuleReport::settle(bool committed) {
+  if (!committed)
+    Dirty.merge(InFlight);
+  InFlight.clear();
+}
+
+std::vector<std::string> RuleReport::encodeAll() const {
+  std::vector<std::string> out;
+  for (const auto &[key, row] : Rows)
+    out.push_back(encodeRow(row.Counts));
+  return out;
+}
+
+void RuleReport::apply(ReportRow row) {
+  Key key{row.Contract, row.Hour, row.Rule};
+  Rows[std::move(key)].Counts = std::move(row);
+}
+
+} // namespace endivedoor::control::detail
--- /dev/null
+++ b/packages/control/src/detail/WorkerCalls.h
@@ -0,0 +1,65 @@
+/// \file
+/// Sends starts, evictions, throttles and stops to workers.
+#ifndef ENDIVEDOOR_CONTROL_DETAIL_WORKERCALLS_H
+#define ENDIVEDOOR_CONTROL_DETAIL_WORKERCALLS_H
+
+#include "detail/ConfigKeeper.h"
+#include "detail/TaskLife.h"
+#include "detail/WorkerLeases.h"
+
+namespace endivedoor::control::detail {
+
+/// Every condition of a call is checked after the last suspension point before
+/// it is sent, and fenced at the worker by token and lease sequence.
+class WorkerCalls {
+public:
+  WorkerCalls(Context &context, const ConfigKeeper &keeper, TaskTable &table,
+              TaskLife &life, WorkerLeases &leases,
+              std::function<bool()> wanted);
+
+  /// Sets who stays alive while calls run. Called once.
+  void keepAlive(std::weak_ptr<void> owner) { Owner = std::move(owner); }
+  /// Starts are allowed for one permit time after \p sentAt, when a commit was
+  /// sent that proved the zone to be in.
+  void permit(base::TimePoint sentAt) { Permit = sentAt; }
+  /// No start is allowed until the next permit.
+  void withdrawPermit() { Permit.reset(); }
+  /// Queues the starts of all durable intents.
+  void sendStarts();
+  /// Notes an intent that has become durable.
+  void ready(const platform::AttemptRef &attempt);
+
+  void evict(TaskRecord &task);
+  void throttle(const TaskRecord &task, std::int32_t percent);
+  /// Stops an attempt whatever the records say of it.
+  void stop(WorkerEntry &worker, const platform::AttemptRef &attempt);
+
+private:
+  boost::asio::awaitable<void> sendStart(platform::AttemptRef attempt);
+  boost::asio::awaitable<void> sendEvict(platform::AttemptRef attempt);
+  boost::asio::awaitable<void> sendThrottle(platform::AttemptRef attempt,
+                                            std::int32_t percent);
+  TaskRecord *find(const platform::AttemptRef &attempt);
+  bool mayStart(TaskRecord &task, const WorkerEntry &worker);
+  platform::StartRequest startRequest(const TaskRecord &task,
+                                      const WorkerEntry &worker) const;
+  void startAnswered(const platform::AttemptRef &attempt,
+                     const base::Result<void> &answer);
+  void enqueue(WorkerEntry &worker,
+               std::function<boost::asio::awaitable<void>()> call);
+
+  Context &Ctx;
+  const ConfigKeeper &Keeper;
+  TaskTable &Table;
+  TaskLife &Life;
+  WorkerLeases &Leases;
+  std::function<bool()> Wanted;
+  std::weak_ptr<void> Owner;
+  std::optional<base::TimePoint> Permit;
+  /// Durable intents whose start has not been sent.
+  std::vector<platform::AttemptRef> Ready;
+};
+
+} // namespace endivedoor::control::detail
+
+#endif
--- /dev/null
+++ b/tests/unit/unit-control-basics.cpp
@@ -0,0 +1,64 @@
+// Guards the path of a job through election, admission, commit, start, end and
+// cancellation when nothing fails.
+#include "unit/Fakes.h"
+
+#include <gtest/gtest.h>
+
+using namespace fakes;
+using model::TaskState;
+
+namespace {
+
+TEST(ControlBasics, JobsRunToTheirEnd) {
+  Cluster c;
+  c.All.add("w1", "a");
+  Daemon &d = c.daemon("d1");
+  ASSERT_TRUE(c.Sim.runUntil([&] { return d.owns(); }));
+  c.admit(d, Cluster::job(2, "j1"));
+  ASSERT_TRUE(c.Sim.runUntil([&] { return c.Admitted.size() == 1; }, 100ms));
+  ASSERT_TRUE(c.Sim.runUntil([&] { return c.All.Log.size() == 2; }, 2400ms));
+  ASSERT_TRUE(c.Sim.runUntil([&] {
+    return c.state("j1") == TaskState::Finished &&
+           c.state("j1", 1) == TaskState::Finished;
+  }));
+  c.Sim.runFor(2s);
+  // Ended attempts are acknowledged only once they are durable, and then are.
+  for (const TaskRun &it : c.All.Log)
+    EXPECT_TRUE(it.Acknowledged);
+  EXPECT_EQ(0u, c.Data.count("/endivedoor/zones/a/inbox/"));
+  EXPECT_EQ(2u, d.Plane->counters().Starts);
+  EXPECT_TRUE(c.All.Violations.empty());
+}
+
+TEST(ControlBasics, CancelledJobIsStopped) {
+  Cluster c;
+  c.All.add("w1", "a", 1).RunTime = 1h;
+  Daemon &d = c.daemon("d1");
+  c.admit(d, Cluster::job(2, "j1"));
+  ASSERT_TRUE(c.Sim.runUntil([&] { return c.All.Log.size() == 1; }));
+  c.cancel(d, base::JobId("j1"));
+  ASSERT_TRUE(c.Sim.runUntil([&] { return c.All.Log[0].End.has_value(); }, 2s));
+  c.Sim.runFor(2s);
+  EXPECT_EQ(TaskState::Cancelled, c.state("j1"));
+  EXPECT_EQ(TaskState::Cancelled, c.state("j1", 1));
+  EXPECT_EQ(1u, c.All.Log.size());
+  EXPECT_EQ(1, d.Plane->workers()[0].Free.Slots);
+}
+
+TEST(ControlBasics, PlannedStopHandsOverWithinTwoSeconds) {
+  Cluster c;
+  c.All.add("w1", "a").RunTime = 10s;
+  Daemon &first = c.daemon("d1");
+  ASSERT_TRUE(c.Sim.runUntil([&] { return first.owns(); }));
+  Daemon &second = c.daemon("d2");
+  c.admit(second, Cluster::job(1, "j1"));
+  ASSERT_TRUE(c.Sim.runUntil([&] { return c.All.Log.size() == 1; }));
+  c.Sim.spawn(first.Plane->stop());
+  ASSERT_TRUE(c.Sim.runUntil([&] { return second.owns(); }, 2s));
+  EXPECT_EQ(1, first.count(base::EventCode::OwnerHandedOver));
+  ASSERT_TRUE(
+      c.Sim.runUntil([&] { return c.state("j1") == TaskState::Finished; }));
+  EXPECT_EQ(1u, c.All.Log.size());
+}
+
+} // namespace
