policy: hold back noisy tasks and gather services; add the experiment

Cause: with interference as a mere cost, every worker holds services, so noisy tasks hurt some service wherever they go, and the guard's throttles halve the batch throughput. Change: services gather on workers up to half of the slots; a batch task waits while it would push a service over its target, until its latest start; unseen classes get a small assumed weight; services rank before batch work; run times of throttled tasks are not learned; a worker is proven well only by tasks that were started after its last failure.

--- /dev/null
+++ b/experiments/policy/Report.h
@@ -0,0 +1,33 @@
+/// \file
+/// Tables and plots over several seeds.
+#ifndef ENDIVEDOOR_EXPERIMENTS_POLICY_REPORT_H
+#define ENDIVEDOOR_EXPERIMENTS_POLICY_REPORT_H
+
+#include "Variants.h"
+
+namespace endivedoor::experiment {
+
+using LoadFactory = Load (*)(std::uint64_t seed);
+
+/// The runs of one variant, by seed.
+struct Row {
+  std::string Variant;
+  bool Baseline = false;
+  std::vector<Measures> Runs;
+};
+
+/// Runs every variant with the seeds 1 to \p seeds. The result does not depend
+/// on \p threads.
+std::vector<Row> runAll(LoadFactory load, const std::vector<Variant> &variants,
+                        std::uint64_t seeds, std::size_t threads);
+
+/// One line for each variant: median, and least to largest value in brackets.
+std::string markdownOf(const std::vector<Row> &rows);
+/// One line for each variant and seed.
+std::string csvOf(const std::string &load, const std::vector<Row> &rows);
+/// A gnuplot program with its data that writes \p load.svg.
+std::string gnuplotOf(const std::string &load, const std::vector<Row> &rows);
+
+} // namespace endivedoor::experiment
+
+#endif
--- /dev/null
+++ b/experiments/policy/World.cpp
@@ -0,0 +1,398 @@
+#include "World.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivedoor::experiment {
+
+/// Length of a step in s; decisions are taken once a step.
+static constexpr double Step = 0.5;
+/// The ramp of docs/design.md, section 4: from 10% to 100% within 30 s.
+static constexpr double RampSeconds = 30;
+static constexpr double CheckpointSeconds = 30;
+
+World::World(const Load &load, std::uint64_t seed, const SchedulerFactory &make)
+    : Of(load), Arriving(seed), Breaking(seed + 1000), Draw(seed + 2000) {
+  addWorkers(seed, make);
+  for (std::size_t n = 0; n < Of.Classes.size(); ++n)
+    if (Of.Classes[n].Service)
+      for (std::int32_t i = 0; i < Of.TasksPerService; ++i)
+        addJob(n, 1, i % Of.Zones);
+  for (std::int32_t left = Of.InitialBatch; left > 0; left -= Of.TasksPerJob) {
+    std::size_t n = Draw() % Of.Classes.size();
+    while (Of.Classes[n].Service || Of.Classes[n].isNoisy())
+      n = Draw() % Of.Classes.size();
+    addJob(n, Of.TasksPerJob, emptiestZone());
+  }
+}
+
+void World::addWorkers(std::uint64_t seed, const SchedulerFactory &make) {
+  model::RuleSet rules = rulesOf(Of);
+  for (std::int32_t z = 0; z < Of.Zones; ++z) {
+    Zones.emplace_back();
+    Zones[z].Chooser = make(Clock, seed * 101 + std::uint64_t(z));
+    for (std::int32_t n = 0; n < Of.WorkersPerZone; ++n) {
+      FakeWorker it;
+      it.Id = base::WorkerId("w" + std::to_string(z) + "-" + std::to_string(n));
+      it.Zone = z;
+      model::Worker described;
+      described.Id = it.Id;
+      described.Zone = base::ZoneId("zone-" + std::to_string(z));
+      described.Rack = base::RackId("rack-" + std::to_string(z) + "-" +
+                                    std::to_string(n / Of.WorkersPerRack));
+      described.Capacity = Of.Worker;
+      Zones[z].Chooser->upsertWorker(described);
+      WorkerNumbers[it.Id.str()] = Workers.size();
+      Workers.push_back(std::move(it));
+    }
+    Zones[z].Chooser->applyRules(rules);
+  }
+}
+
+void World::addJob(std::size_t taskClass, std::int32_t tasks,
+                   std::int32_t zone) {
+  const TrueClass &of = Of.Classes[taskClass];
+  auto job = std::make_shared<model::JobSpec>();
+  job->Id = base::JobId("j" + std::to_string(Jobs++));
+  job->Class = base::TaskClass(of.Name);
+  job->Team = base::TeamName("team");
+  job->Kind = of.Service ? model::TaskKind::Service : model::TaskKind::Batch;
+  if (of.Service)
+    job->Service = base::ServiceName(of.Name);
+  job->Tasks = tasks;
+  job->Size = {
+      1, 1, base::MilliCores{std::int64_t(of.Cores * of.DeclaredCores * 1000)},
+      base::MebiBytes{std::int64_t(of.MemoryMb * of.DeclaredMemory)}, 0};
+  job->DeclaredRunTime = std::chrono::milliseconds(
+      std::int64_t(of.Seconds * of.DeclaredSeconds * 1000));
+  if (!of.Service)
+    job->Deadline = Clock.wallNow() +
+                    std::chrono::seconds(
+                        std::int64_t(of.Seconds * uniform(Arriving, 3, 12)));
+  bool fails = !of.Service && uniform(Arriving) < 0.01;
+  for (std::int32_t n = 0; n < tasks; ++n) {
+    auto task = std::make_unique<FakeTask>();
+    task->Id = base::TaskId(job->Id.str() + "-" + std::to_string(n));
+    task->Job = job;
+    task->Class = taskClass;
+    task->JobNumber = Jobs;
+    task->AdmittedAt = Now;
+    task->AlwaysFails = fails;
+    task->Work = of.Service ? 1e18 : of.Seconds * logNormal(Arriving, 0.3);
+    task->MemoryMb = of.MemoryMb * std::min(1.5, logNormal(Arriving, 0.1));
+    FakeTask &it = *task;
+    Tasks[it.Id.str()] = std::move(task);
+    enqueue(it, zone);
+  }
+}
+
+void World::enqueue(FakeTask &task, std::int32_t zone) {
+  task.Zone = zone;
+  task.Worker = -1;
+  task.Throttle = 0;
+  task.Evicting = false;
+  ++Zones[zone].Queued;
+  QueuedOrder.push_back(task.Id.str());
+  Zones[zone].Chooser->enqueue(task.Id, *task.Job);
+}
+
+std::int32_t World::emptiestZone() const {
+  std::int32_t best = -1;
+  auto load = [&](std::int32_t z) { return Zones[z].Queued + Zones[z].Placed; };
+  for (std::int32_t z = 0; z < Of.Zones; ++z)
+    if (!Zones[z].Out && (best < 0 || load(z) < load(best)))
+      best = z;
+  return best;
+}
+
+bool World::passed(double t) const { return Now >= t && Now - Step < t; }
+
+void World::arrivals() {
+  bool wave =
+      Now > Of.WavePeriod / 2 && std::fmod(Now, Of.WavePeriod) < Of.WaveLength;
+  double quiet = Of.Arrivals * Step / Of.TasksPerJob;
+  double noisy = wave ? Of.WaveArrivals * Step / Of.TasksPerJob : 0;
+  auto isNoisy = [&](std::size_t n) { return Of.Classes[n].isNoisy(); };
+  for (double left = quiet + noisy; left > 0; --left) {
+    if (left < 1 && uniform(Arriving) >= left)
+      break;
+    bool fromWave = uniform(Arriving) * (quiet + noisy) >= quiet;
+    bool wantNoisy = fromWave || uniform(Arriving) < Of.NoisyShare;
+    std::size_t n = Arriving() % Of.Classes.size();
+    while (Of.Classes[n].Service || isNoisy(n) != wantNoisy)
+      n = Arriving() % Of.Classes.size();
+    addJob(n, Of.TasksPerJob, emptiestZone());
+  }
+}
+
+void World::faults() {
+  if (Of.ZoneOutAt > 0 && passed(Of.ZoneOutAt))
+    setZoneOut(0, true);
+  if (Of.ZoneOutAt > 0 && passed(Of.ZoneInAt))
+    setZoneOut(0, false);
+  if (Of.BadFrom > 0 && passed(Of.BadFrom))
+    for (FakeWorker &it : Workers)
+      it.Bad = uniform(Breaking) < Of.BadShare;
+  if (passed(Of.BadUntil))
+    for (FakeWorker &it : Workers)
+      it.Bad = false;
+  if (std::any_of(Of.CancelAt.begin(), Of.CancelAt.end(),
+                  [&](double t) { return passed(t); }))
+    cancelSome();
+}
+
+void World::setZoneOut(std::int32_t zone, bool out) {
+  Zones[zone].Out = out;
+  if (!out) {
+    Zones[zone].RampStart = Now;
+    return;
+  }
+  Zones[zone].Chooser->setAdmission(false, 0);
+  for (FakeWorker &it : Workers)
+    while (it.Zone == zone && !it.Tasks.empty()) {
+      // Forced by the operator: the work since the last checkpoint is kept.
+      FakeTask &task = *it.Tasks.back();
+      task.Saved = task.Done;
+      end(task, policy::EndReason::Evicted);
+      enqueue(task, emptiestZone());
+    }
+  std::vector<std::string> waiting = QueuedOrder;
+  for (const std::string &id : waiting) {
+    auto it = Tasks.find(id);
+    if (it == Tasks.end() || it->second->Worker >= 0 ||
+        it->second->Zone != zone)
+      continue;
+    Zones[zone].Chooser->cancel(it->second->Id);
+    --Zones[zone].Queued;
+    enqueue(*it->second, emptiestZone());
+  }
+}
+
+void World::rampZones() {
+  for (ZoneState &it : Zones) {
+    if (it.RampStart < 0)
+      continue;
+    double share = 0.1 + 0.9 * (Now - it.RampStart) / RampSeconds;
+    it.Chooser->setAdmission(true, std::min(1.0, share));
+    if (share >= 1)
+      it.RampStart = -1;
+  }
+}
+
+void World::cancelSome() {
+  std::vector<FakeTask *> chosen;
+  for (auto &[id, task] : Tasks) {
+    // Chosen by job alone, so that every scheduler gets the same cancellations.
+    if (!Of.Classes[task->Class].Service && Now - task->AdmittedAt < 60 &&
+        task->JobNumber % 3 == 0)
+      chosen.push_back(task.get());
+  }
+  std::sort(chosen.begin(), chosen.end(),
+            [](FakeTask *a, FakeTask *b) { return a->Id < b->Id; });
+  for (FakeTask *task : chosen) {
+    if (task->Worker >= 0) {
+      end(*task, policy::EndReason::Cancelled);
+    } else {
+      Zones[task->Zone].Chooser->cancel(task->Id);
+      --Zones[task->Zone].Queued;
+    }
+    Tasks.erase(task->Id.str());
+  }
+}
+
+void World::end(FakeTask &task, policy::EndReason reason) {
+  std::vector<FakeTask *> &there = Workers[task.Worker].Tasks;
+  there.erase(std::find(there.begin(), there.end(), &task));
+  --Zones[task.Zone].Placed;
+  task.Worker = -1;
+  Zones[task.Zone].Chooser->ended(task.Id, reason);
+}
+
+void World::report(FakeTask &task, const Pressure &at, double latencyMs) {
+  const TrueClass &of = Of.Classes[task.Class];
+  Delivery it;
+  it.At = Now + uniform(Draw, 0.5, 5);
+  it.Number = Deliveries++;
+  it.Zone = task.Zone;
+  it.Value.Task = task.Id;
+  double share = (100 - task.Throttle) / 100.0 / std::max(1.0, at.Cpu);
+  it.Value.Cpu = base::MilliCores{
+      std::int64_t(of.Cores * 1000 * share * logNormal(Draw, 0.1))};
+  it.Value.Memory = base::MebiBytes{std::int64_t(task.MemoryMb)};
+  it.Value.P95 = std::chrono::milliseconds(std::int64_t(latencyMs));
+  it.Value.TakenAt = Clock.now();
+  Late.push(std::move(it));
+}
+
+bool World::stepTask(FakeTask &task, const Pressure &at) {
+  if (task.FailsIn >= 0 && (task.FailsIn -= Step) < 0) {
+    ++Result.Failures;
+    std::int32_t zone = task.Zone;
+    end(task, policy::EndReason::Failed);
+    // The same bound as docs/design.md, section 4, without the three workers.
+    if (++task.Failures >= 3 && task.AlwaysFails)
+      Tasks.erase(task.Id.str());
+    else
+      enqueue(task, Zones[zone].Out ? emptiestZone() : zone);
+    return true;
+  }
+  if (Of.Classes[task.Class].Service || task.FailsIn >= 0)
+    return false;
+  double speed = speedOf(task, at);
+  task.Done += speed * Step;
+  Work += speed * Step;
+  if ((task.SinceCheckpoint += Step) >= CheckpointSeconds) {
+    task.SinceCheckpoint = 0;
+    task.Saved = task.Done;
+  }
+  if (task.Done < task.Work)
+    return false;
+  end(task, policy::EndReason::Finished);
+  Tasks.erase(task.Id.str());
+  return true;
+}
+
+void World::killForMemory(std::size_t n) {
+  FakeTask *largest = nullptr;
+  for (FakeTask *it : Workers[n].Tasks)
+    if (!Of.Classes[it->Class].Service &&
+        (!largest || it->MemoryMb > largest->MemoryMb))
+      largest = it;
+  if (!largest)
+    return;
+  ++Result.Failures;
+  Work -= largest->Done - largest->Saved;
+  largest->Done = largest->Saved;
+  std::int32_t zone = largest->Zone;
+  end(*largest, policy::EndReason::Failed);
+  enqueue(*largest, zone);
+}
+
+void World::stepWorker(std::size_t n) {
+  Pressure at = pressureOn(Workers[n], Of);
+  if (at.MemoryMb > double(base::count(Of.Worker.Memory))) {
+    killForMemory(n);
+    at = pressureOn(Workers[n], Of);
+  }
+  bool second = std::fmod(Now, 1.0) < Step;
+  for (std::size_t i = 0; i < Workers[n].Tasks.size();) {
+    FakeTask &task = *Workers[n].Tasks[i];
+    if (stepTask(task, at))
+      continue;
+    ++i;
+    if (!second || task.FailsIn >= 0)
+      continue;
+    const TrueClass &of = Of.Classes[task.Class];
+    double latency = 0;
+    if (of.Service) {
+      latency = latencyOf(task, of, at) * logNormal(Draw, 0.08);
+      Latencies.push_back(float(latency / of.BaseMs));
+    }
+    report(task, at, latency);
+  }
+}
+
+void World::deliver() {
+  while (!Late.empty() && Late.top().At <= Now) {
+    Zones[Late.top().Zone].Chooser->observe(Late.top().Value);
+    Late.pop();
+  }
+}
+
+void World::start(const policy::StartTask &it) {
+  FakeTask &task = *Tasks.at(it.Task.str());
+  FakeWorker &host = Workers[WorkerNumbers.at(it.Worker.str())];
+  ++Result.Starts;
+  if (host.Bad && uniform(Draw) < 0.5) {
+    ++Result.Failures;
+    Zones[task.Zone].Chooser->startFailed(it.Task, it.Worker);
+    return;
+  }
+  task.Worker = std::int32_t(&host - Workers.data());
+  task.StartedAt = Now;
+  task.SinceCheckpoint = 0;
+  task.FailsIn = host.Bad || task.AlwaysFails ? 2 : -1;
+  host.Tasks.push_back(&task);
+  --Zones[task.Zone].Queued;
+  ++Zones[task.Zone].Placed;
+}
+
+void World::evict(const policy::EvictTask &it) {
+  FakeTask &task = *Tasks.at(it.Task.str());
+  ++Result.Evictions;
+  Work -= task.Done - task.Saved;
+  task.Done = task.Saved;
+  std::int32_t zone = task.Zone;
+  end(task, policy::EndReason::Evicted);
+  enqueue(task, zone);
+}
+
+void World::apply(std::int32_t zone, const policy::Decision &it) {
+  if (auto *started = std::get_if<policy::StartTask>(&it))
+    return start(*started);
+  // A task may have ended between the cause of a decision and its return.
+  auto placed = [&](const base::TaskId &id) {
+    auto found = Tasks.find(id.str());
+    return found != Tasks.end() && found->second->Worker >= 0
+               ? found->second.get()
+               : nullptr;
+  };
+  if (auto *slower = std::get_if<policy::ThrottleTask>(&it))
+    if (FakeTask *task = placed(slower->Task))
+      task->Throttle = slower->Percent;
+  if (auto *leaves = std::get_if<policy::EvictTask>(&it))
+    if (placed(leaves->Task))
+      evict(*leaves);
+  if (auto *refused = std::get_if<policy::RefuseJob>(&it))
+    std::erase_if(Tasks, [&](const auto &entry) {
+      bool gone =
+          entry.second->Worker < 0 && entry.second->Job->Id == refused->Job;
+      Zones[zone].Queued -= gone;
+      return gone;
+    });
+}
+
+void World::decide() {
+  for (std::int32_t z = 0; z < Of.Zones; ++z)
+    for (const policy::Decision &it : Zones[z].Chooser->decide(1000))
+      apply(z, it);
+}
+
+void World::step() {
+  Clock.advance(std::chrono::milliseconds(std::int64_t(Step * 1000)));
+  Now += Step;
+  arrivals();
+  faults();
+  rampZones();
+  for (std::size_t n = 0; n < Workers.size(); ++n)
+    stepWorker(n);
+  deliver();
+  decide();
+  std::erase_if(QueuedOrder, [&](const std::string &id) {
+    auto it = Tasks.find(id);
+    return it == Tasks.end() || it->second->Worker >= 0;
+  });
+  for (const std::string &id : QueuedOrder)
+    if (Of.Classes[Tasks.at(id)->Class].Service)
+      Result.UnservedSeconds += Step;
+}
+
+Measures World::run() {
+  double before = 0, during = 0;
+  while (Now < Of.Seconds) {
+    step();
+    if (passed(Of.ZoneOutAt))
+      before = Work;
+    if (passed(Of.ZoneInAt + 60))
+      during = Work - before;
+  }
+  Result.OutageWork = Of.ZoneOutAt > 0 ? during : 0;
+  Result.Throughput = Work / Of.Seconds;
+  auto rank =
+      Latencies.begin() + std::ptrdiff_t(double(Latencies.size()) * 0.95);
+  std::nth_element(Latencies.begin(), rank, Latencies.end());
+  Result.LatencyP95 = *rank;
+  return Result;
+}
+
+} // namespace endivedoor::experiment
--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -58,6 +58,11 @@
   bool ReclaimMemory = false;
   /// Places by the learned interference between classes and services.
   bool Interference = true;
+  /// Lets a batch task wait while it would push a service over HighRatio on
+  /// every worker, until its latest start.
+  bool HoldBack = true;
+  /// Gathers services on some workers and leaves the others to batch work.
+  bool GatherServices = true;
   /// Attributes late measurements to what ran when they were taken; to what
   /// runs now if off.
   bool Attribution = true;
@@ -65,7 +70,8 @@
   bool OrderByLatestStart = true;
   /// Keeps workers that fail everything out, and probes them.
   bool Quarantine = true;
-  /// Evicts batch tasks for urgent ones that found no room for UrgentWait.
+  /// Evicts batch tasks for urgent tasks and services that found no room for
+  /// UrgentWait.
   bool EvictForUrgent = true;
   std::chrono::milliseconds UrgentWait{500};
   /// Workers that are scored for one start.
--- a/packages/policy/src/detail/AdaptiveScheduler.cpp
+++ b/packages/policy/src/detail/AdaptiveScheduler.cpp
@@ -196,16 +196,19 @@
     ++it.Finished;
     std::chrono::duration<double, std::milli> ran =
         Clock.now() - S.Tasks[n].StartedAt;
-    if (Settings.MeasuredSizes && it.Kind == model::TaskKind::Batch)
+    // The run time of a throttled task says more of the throttle.
+    if (Settings.MeasuredSizes && it.Kind == model::TaskKind::Batch &&
+        !S.Tasks[n].Slowed)
       Sizes.addRunTime(it.Class, ran.count(), Clock.now());
     if (it.LiveTasks == 1)
       countDeadline(n);
   }
+  base::TimePoint startedAt = S.Tasks[n].StartedAt;
   unplace(n);
   if (reason == EndReason::Failed &&
       Fitness.failed(host, S.Tasks[n].Job, Clock.now()))
     Places.narrowed(host);
-  if (reason == EndReason::Finished && Fitness.succeeded(host))
+  if (reason == EndReason::Finished && Fitness.succeeded(host, startedAt))
     Places.opened(host);
   S.dropTask(n);
 }
@@ -219,7 +222,7 @@
     observeUse(n, m);
   Index host = S.Tasks[n].Worker;
   if (m.TakenAt - S.Tasks[n].StartedAt >= ProvenAfter &&
-      Fitness.succeeded(host))
+      Fitness.succeeded(host, S.Tasks[n].StartedAt))
     Places.opened(host);
   if (S.jobOf(n).Service != None && m.P95.count() > 0)
     observeService(n, m);
--- a/packages/policy/src/detail/Guard.cpp
+++ b/packages/policy/src/detail/Guard.cpp
@@ -89,6 +89,7 @@
   Past.change(it.Worker, S.jobOf(task).Class, (it.Throttle - percent) / 100.0,
               now);
   it.Throttle = percent;
+  it.Slowed = true;
   out.push_back(ThrottleTask{it.Id, percent});
 }
 
--- a/packages/policy/src/detail/Health.cpp
+++ b/packages/policy/src/detail/Health.cpp
@@ -29,6 +29,7 @@
       rec.FailedOn.end())
     rec.FailedOn.push_back(worker);
   WorkerHealth &it = record(worker);
+  it.LastFailure = now;
   if (!Enabled)
     return false;
   if (it.Quarantined) {
@@ -51,8 +52,8 @@
   return true;
 }
 
-bool Health::succeeded(Index worker) {
-  if (worker >= Workers.size())
+bool Health::succeeded(Index worker, base::TimePoint startedAt) {
+  if (worker >= Workers.size() || startedAt <= Workers[worker].LastFailure)
     return false;
   bool ended = Workers[worker].Quarantined;
   forget(worker);
--- a/packages/policy/src/detail/Health.h
+++ b/packages/policy/src/detail/Health.h
@@ -18,9 +18,11 @@
   /// A task of \p job failed on the worker, or its start did. Returns whether
   /// the worker is now quarantined and was not before.
   bool failed(Index worker, Index job, base::TimePoint now);
-  /// A task ended well there, or has been running long enough. Returns whether
+  /// A task that was started at \p startedAt ended well there, or has been
+  /// running long enough. Tasks started before the last failure prove nothing:
+  /// a worker that fails new starts may keep old tasks running. Returns whether
   /// this ended a quarantine.
-  bool succeeded(Index worker);
+  bool succeeded(Index worker, base::TimePoint startedAt);
 
   bool isQuarantined(Index worker) const {
     return worker < Workers.size() && Workers[worker].Quarantined;
@@ -40,6 +42,7 @@
     std::array<Index, 3> Streak{};
     std::uint8_t StreakLength = 0;
     bool Quarantined = false;
+    base::TimePoint LastFailure{};
     base::TimePoint NextProbe{};
     base::Duration Interval{0};
   };
--- a/packages/policy/src/detail/Interference.cpp
+++ b/packages/policy/src/detail/Interference.cpp
@@ -7,6 +7,9 @@
 /// Step of the normalized gradient: a compromise between noise of single
 /// measurements and the speed at which a new class is recognized.
 static constexpr double StepSize = 0.1;
+/// A class that was never seen beside a service is taken to add this share of
+/// the service's base: it is tried first where it can do little harm.
+static constexpr double UnknownShare = 0.1;
 
 Interference::ServiceModel &Interference::record(Index service) {
   if (service >= Services.size())
@@ -20,16 +23,27 @@
   const ServiceModel &it = Services[service];
   double sum = it.Base;
   for (const ClassAmount &part : mix)
-    if (part.Class < it.Weights.size())
+    if (part.Class < it.Weights.size() && it.Weights[part.Class] > 0)
       sum += it.Weights[part.Class] * part.Amount;
   return sum;
 }
 
 double Interference::weight(Index service, Index taskClass) const {
-  if (service >= Services.size() ||
-      taskClass >= Services[service].Weights.size())
+  if (service >= Services.size())
     return 0;
-  return Services[service].Weights[taskClass];
+  const ServiceModel &it = Services[service];
+  if (taskClass >= it.Weights.size() || it.Weights[taskClass] < 0)
+    return UnknownShare * it.Base;
+  return it.Weights[taskClass];
+}
+
+void Interference::meet(ServiceModel &it, const Composition &mix) {
+  for (const ClassAmount &part : mix)
+    if (part.Class >= it.Weights.size())
+      it.Weights.resize(part.Class + 1, -1);
+  for (const ClassAmount &part : mix)
+    if (it.Weights[part.Class] < 0)
+      it.Weights[part.Class] = 0;
 }
 
 double Interference::base(Index service) const {
@@ -41,11 +55,9 @@
   if (it.Samples++ == 0)
     it.Base = p95Ms;
   double norm = 1;
-  for (const ClassAmount &part : mix) {
-    if (part.Class >= it.Weights.size())
-      it.Weights.resize(part.Class + 1);
+  meet(it, mix);
+  for (const ClassAmount &part : mix)
     norm += part.Amount * part.Amount;
-  }
   double error = p95Ms - predict(service, mix);
   // The base follows falling measurements faster than rising ones: what it
   // wrongly explains would be missing from the weights.
--- a/packages/policy/src/detail/Interference.h
+++ b/packages/policy/src/detail/Interference.h
@@ -26,8 +26,11 @@
   struct ServiceModel {
     double Base = 0;
     std::uint64_t Samples = 0;
+    /// By class; negative if the class was never seen beside the service.
     std::vector<double> Weights;
   };
+  /// Marks the classes of \p mix as seen.
+  static void meet(ServiceModel &it, const Composition &mix);
   ServiceModel &record(Index service);
 
   std::vector<ServiceModel> Services;
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -12,17 +12,20 @@
 Placement::Placement(const PlacementInputs &in, const PolicySettings &settings,
                      std::uint64_t seed)
     : In(in), CandidateLimit(settings.Candidates),
-      Measured(settings.MeasuredSizes),
-      Reclaim(settings.ReclaimMemory), Filters{&Placement::hasRoom,
-                                               &Placement::hasProcessorTime,
-                                               &Placement::keepsReserve,
-                                               &Placement::keepsRackLimit,
-                                               &Placement::keepsSeparation},
+      Measured(settings.MeasuredSizes), Reclaim(settings.ReclaimMemory),
+      Gather(settings.GatherServices),
+      HoldRatio(settings.Guard.HighRatio), Filters{&Placement::hasRoom,
+                                                   &Placement::hasProcessorTime,
+                                                   &Placement::keepsReserve,
+                                                   &Placement::keepsRackLimit,
+                                                   &Placement::keepsSeparation},
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
       Random(seed) {
   if (settings.Interference)
     Costs.push_back(&Placement::interferenceCost);
+  if (settings.HoldBack)
+    Filters.push_back(&Placement::keepsTargets);
 }
 
 static std::uint64_t hashOf(const JobRec &job) {
@@ -119,6 +122,8 @@
 }
 
 bool Placement::hasProcessorTime(Index worker, const Shape &it) const {
+  if (it.Kind == model::TaskKind::Service)
+    return true;
   const WorkerRec &host = In.S.Workers[worker];
   std::int64_t capacity = base::count(host.Capacity.Cpu);
   // A task that seems larger than the worker runs alone: its size is likely to
@@ -142,6 +147,21 @@
          In.Where.inRack(it.Service, In.S.Workers[worker].Rack) < limit.Value;
 }
 
+bool Placement::keepsTargets(Index worker, const Shape &it) const {
+  if (it.Kind != model::TaskKind::Batch || it.Pressing)
+    return true;
+  for (const ServiceCount &there : In.S.Workers[worker].Services) {
+    Limit target = In.Rules.latency(there.Service);
+    double added = In.Model.weight(there.Service, it.Class);
+    if (!target.set() || added < 0.02 * double(target.Value))
+      continue;
+    double p95 = In.Model.predict(there.Service, In.Past.current(worker));
+    if (p95 + added > HoldRatio * double(target.Value))
+      return false;
+  }
+  return true;
+}
+
 bool Placement::keepsSeparation(Index worker, const Shape &it) const {
   for (const Separation &rule : In.Rules.separations()) {
     if (it.Class == rule.Class)
@@ -173,7 +193,9 @@
 
 double Placement::strain(double p95, double target) {
   double ratio = p95 / target;
-  return ratio + 5 * std::max(0.0, ratio - 0.7);
+  // Above 1.5 little is left to lose: noisy tasks then gather where they
+  // already are.
+  return ratio + 5 * std::clamp(ratio - 0.7, 0.0, 0.8);
 }
 
 double Placement::interferenceCost(const Candidate &it) const {
@@ -197,8 +219,18 @@
 double Placement::spreadCost(const Candidate &it) const {
   if (it.Of.Service == None)
     return 0;
+  std::int32_t services = 0, same = 0;
+  for (const ServiceCount &there : it.Host.Services) {
+    services += there.Count;
+    same += there.Service == it.Of.Service ? there.Count : 0;
+  }
+  double share = double(services) / std::max(1, it.Host.Capacity.Slots);
   double sum = 0.02 * In.Where.inRack(it.Of.Service, it.Host.Rack) +
-               0.01 * In.Where.inZone(it.Of.Service, it.Host.Zone);
+               0.01 * In.Where.inZone(it.Of.Service, it.Host.Zone) + 0.1 * same;
+  // Services gather on workers until half of the slots are theirs, so that
+  // other workers are left to noisy tasks.
+  if (Gather)
+    sum += share < 0.5 ? -2 * share : 2 * share;
   Limit zones = In.Rules.atLeastZones(it.Of.Service);
   if (zones.set() && In.Where.inZone(it.Of.Service, it.Host.Zone) > 0 &&
       In.Where.zones(it.Of.Service) < zones.Value)
@@ -273,6 +305,7 @@
 Index Placement::choose(const JobRec &job, base::TimePoint now) {
   Shape &it = Shapes[job.Shape];
   refresh(it);
+  it.Pressing = job.Urgent || job.LatestStart < now.time_since_epoch().count();
   if (Index probe = chooseProbe(job, it, now); probe != None)
     return probe;
   Index worker =
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -25,6 +25,8 @@
   base::Resources Need;
   std::int64_t CpuLoad = 0;
   std::uint32_t EstimateVersion = ~std::uint32_t{0};
+  /// The job that is being placed can wait no longer.
+  bool Pressing = false;
   /// While blocked, only workers that changed since BlockedAt are tried.
   bool Blocked = false;
   std::uint64_t BlockedAt = 0;
@@ -54,6 +56,10 @@
   /// Returns the number of the job's shape. Cost: O(1).
   Index shapeOf(const JobRec &job);
   Shape &shape(Index n) { return Shapes[n]; }
+  /// Returns the amounts that are booked for a task of the job.
+  const base::Resources &need(const JobRec &job) const {
+    return Shapes[job.Shape].Need;
+  }
   /// Renews the amounts of a shape from the estimates.
   void refresh(Shape &it);
 
@@ -90,6 +96,7 @@
   bool keepsReserve(Index worker, const Shape &it) const;
   bool keepsRackLimit(Index worker, const Shape &it) const;
   bool keepsSeparation(Index worker, const Shape &it) const;
+  bool keepsTargets(Index worker, const Shape &it) const;
 
   double loadCost(const Candidate &it) const;
   double interferenceCost(const Candidate &it) const;
@@ -106,7 +113,8 @@
 
   PlacementInputs In;
   std::uint32_t CandidateLimit;
-  bool Measured, Reclaim;
+  bool Measured, Reclaim, Gather;
+  double HoldRatio;
   std::vector<Filter> Filters;
   std::vector<Cost> Costs;
   std::mt19937_64 Random;
--- a/packages/policy/src/detail/Queue.cpp
+++ b/packages/policy/src/detail/Queue.cpp
@@ -1,12 +1,17 @@
 #include "detail/Queue.h"
 
+#include <algorithm>
+
 namespace endivedoor::policy::detail {
 
 static constexpr std::chrono::hours DefaultDeadline{24};
 
 QueueKey Queue::keyOf(Index job) const {
   const JobRec &it = S.Jobs[job];
-  return {!it.Urgent, ByLatestStart ? it.LatestStart : 0, it.Arrival, job};
+  std::int32_t rank = it.Urgent                             ? 0
+                      : it.Kind == model::TaskKind::Service ? 1
+                                                            : 2;
+  return {rank, ByLatestStart ? it.LatestStart : 0, it.Arrival, job};
 }
 
 std::int64_t Queue::latestStart(const JobRec &job) {
@@ -17,7 +22,7 @@
   if (measured >= 0)
     run = base::Duration(std::int64_t(measured * 1e6));
   base::TimePoint end = job.Deadline.value_or(job.AdmittedAt + DefaultDeadline);
-  return (end - run).time_since_epoch().count();
+  return std::max(end - run, job.AdmittedAt).time_since_epoch().count();
 }
 
 void Queue::add(Index job, std::optional<base::Duration> classDeadline) {
--- a/packages/policy/src/detail/Queue.h
+++ b/packages/policy/src/detail/Queue.h
@@ -12,15 +12,17 @@
 namespace endivedoor::policy::detail {
 
 struct QueueKey {
-  bool Later = false; // urgent jobs first
+  /// 0 urgent, 1 service, 2 batch.
+  std::int32_t Rank = 0;
   std::int64_t LatestStart = 0;
   std::uint64_t Arrival = 0;
   Index Job = None;
   friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
 };
 
-/// Urgent jobs first, then the earliest latest start: the deadline minus the
-/// estimated run time. Services start at once. Jobs without a deadline are
+/// Urgent jobs first, then services, which have no slack, then the earliest
+/// latest start: the deadline minus the estimated run time, at the earliest the
+/// admission. Jobs without a deadline are
 /// given one a day after admission, so that they are not passed over for ever.
 class Queue {
 public:
--- a/packages/policy/src/detail/Starts.cpp
+++ b/packages/policy/src/detail/Starts.cpp
@@ -28,6 +28,11 @@
   }
 }
 
+/// Whether batch tasks make room for the job's tasks.
+static bool isPressing(const JobRec &job) {
+  return job.Urgent || job.Kind == model::TaskKind::Service;
+}
+
 std::size_t AdaptiveScheduler::startJob(Index n, std::size_t maxStarts,
                                         std::vector<Decision> &out) {
   base::TimePoint now = Clock.now();
@@ -42,7 +47,7 @@
       break;
     Index worker = Places.choose(job, now);
     if (worker == None) {
-      if (!refuse(n, out) && job.Urgent)
+      if (!refuse(n, out) && isPressing(job))
         evictForUrgent(n, out);
       break;
     }
@@ -95,7 +100,7 @@
       const TaskRec &it = S.Tasks[task];
       const JobRec &other = S.Jobs[it.Job];
       if (other.Kind != model::TaskKind::Batch || other.Urgent || it.Evicting ||
-          !makesRoom(host, it, job.Size))
+          !makesRoom(host, it, Places.need(job)))
         continue;
       // The youngest task has the least work to lose.
       if (best == None || it.StartedAt > S.Tasks[best].StartedAt)
--- a/packages/policy/src/detail/State.cpp
+++ b/packages/policy/src/detail/State.cpp
@@ -157,7 +157,7 @@
   rec.CpuLoad = cpuLoad;
   rec.StartedAt = now;
   rec.Throttle = 0;
-  rec.Evicting = rec.EvictedForUrgent = false;
+  rec.Slowed = rec.Evicting = rec.EvictedForUrgent = false;
   rec.State = Phase::Placed;
   rec.Position = Index(host.Tasks.size());
   host.Tasks.push_back(task);
--- a/packages/policy/src/detail/State.h
+++ b/packages/policy/src/detail/State.h
@@ -89,6 +89,8 @@
   base::TimePoint StartedAt;
   std::int32_t Throttle = 0;
   Phase State = Phase::Unused;
+  /// Was throttled at some time of this attempt.
+  bool Slowed = false;
   bool Evicting = false;
   bool EvictedForUrgent = false;
 };
