policy: guard acts on smoothed readings and on noticeable neighbours only

Cause: single noisy measurements kept throttles on, and neighbours that the model knows to be harmless were throttled too. Change: readings are smoothed by half; neighbours that add less than 2% of the target are left alone; thresholds 0.95 and 0.75 instead of 0.85 and 0.6, evicting from 1.1; the hold-back ratio is a setting of its own (0.85). Ruled out: throttling all neighbours when none is known to be noisy.

--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -16,15 +16,15 @@
   bool Throttle = true;
   bool Evict = true;
   /// Neighbours are throttled at this ratio and above.
-  double HighRatio = 0.85;
+  double HighRatio = 0.95;
   /// Throttles are lifted at this ratio and below.
-  double LowRatio = 0.6;
+  double LowRatio = 0.75;
   /// Ratio from which on a neighbour may be evicted.
-  double EvictRatio = 1.0;
+  double EvictRatio = 1.1;
   /// How long the ratio must stay above EvictRatio before an eviction.
   std::chrono::milliseconds EvictAfter{8000};
   /// How long the ratio must stay below LowRatio before a throttle is lifted.
-  std::chrono::milliseconds LiftAfter{6000};
+  std::chrono::milliseconds LiftAfter{4000};
   /// A task that has run for less is not evicted.
   std::chrono::milliseconds MinRunTime{20000};
   /// How long a class is kept away from a worker after an eviction there.
@@ -58,9 +58,10 @@
   bool ReclaimMemory = false;
   /// Places by the learned interference between classes and services.
   bool Interference = true;
-  /// Lets a batch task wait while it would push a service over HighRatio on
-  /// every worker, until its latest start.
+  /// Lets a batch task wait while it would push a service over HoldRatio of
+  /// its target on every worker, until its latest start.
   bool HoldBack = true;
+  double HoldRatio = 0.85;
   /// Gathers services on some workers and leaves the others to batch work.
   bool GatherServices = true;
   /// Attributes late measurements to what ran when they were taken; to what
--- a/packages/policy/src/detail/Guard.cpp
+++ b/packages/policy/src/detail/Guard.cpp
@@ -8,6 +8,10 @@
 /// Throttles change in whole steps, so that small changes cause no calls.
 static constexpr std::int32_t StepPercent = 10;
 static constexpr std::int32_t LiftPercent = 30;
+/// Share of a new measurement in a reading: single measurements are noisy.
+static constexpr double Smoothing = 0.5;
+/// Neighbours that add less than this share of the target are left alone.
+static constexpr double NoticeableShare = 0.02;
 /// Work since the last checkpoint is not known, so the run time up to this
 /// bound counts as lost.
 static constexpr double LostSecondsAtMost = 600;
@@ -19,18 +23,18 @@
 }
 
 double Guard::worstRatio(WorkerGuard &it, Index task, double ratio) {
-  double worst = ratio;
+  double worst = 0;
   bool found = false;
   for (Reading &reading : it.Readings) {
     if (reading.Task == task) {
-      reading.Ratio = ratio;
+      reading.Ratio += Smoothing * (ratio - reading.Ratio);
       found = true;
     }
     worst = std::max(worst, reading.Ratio);
   }
   if (!found)
     it.Readings.push_back({task, ratio});
-  return worst;
+  return found ? worst : std::max(worst, ratio);
 }
 
 void Guard::judge(Index task, double p95Ms, double targetMs,
@@ -59,10 +63,11 @@
   bool acted = false;
   if (ratio >= Settings.HighRatio) {
     double excess = p95Ms - targetMs * (Settings.HighRatio * 0.9);
-    acted = Settings.Throttle && throttle(worker, service, excess, now, out);
+    acted = Settings.Throttle &&
+            throttle(worker, service, targetMs, excess, now, out);
     if (!acted && Settings.Evict && ratio >= Settings.EvictRatio &&
         now - it.OverSince >= Settings.EvictAfter)
-      acted = evictOne(worker, service, now, out);
+      acted = evictOne(worker, service, targetMs, now, out);
   } else if (it.Calm && it.Throttled &&
              now - it.CalmSince >= Settings.LiftAfter) {
     lift(worker, now, out);
@@ -81,6 +86,16 @@
   return Neighbours;
 }
 
+const std::vector<Index> &Guard::culprits(Index worker, Index service,
+                                          double targetMs) {
+  neighbours(worker);
+  std::erase_if(Neighbours, [&](Index task) {
+    return Model.weight(service, S.jobOf(task).Class) <
+           NoticeableShare * targetMs;
+  });
+  return Neighbours;
+}
+
 void Guard::setThrottle(Index task, std::int32_t percent, base::TimePoint now,
                         std::vector<Decision> &out) {
   TaskRec &it = S.Tasks[task];
@@ -93,20 +108,18 @@
   out.push_back(ThrottleTask{it.Id, percent});
 }
 
-bool Guard::throttle(Index worker, Index service, double excessMs,
-                     base::TimePoint now, std::vector<Decision> &out) {
+bool Guard::throttle(Index worker, Index service, double targetMs,
+                     double excessMs, base::TimePoint now,
+                     std::vector<Decision> &out) {
   double effect = 0;
-  for (Index task : neighbours(worker))
+  for (Index task : culprits(worker, service, targetMs))
     effect += Model.weight(service, S.jobOf(task).Class) *
               (100 - S.Tasks[task].Throttle) / 100.0;
-  // Without a known culprit all neighbours are throttled alike.
-  bool known = effect > 1e-3;
-  double share = known ? std::clamp(excessMs / effect, 0.2, 1.0) : 0.3;
+  double share = std::clamp(excessMs / std::max(effect, 1e-3), 0.2, 1.0);
   bool acted = false;
   for (Index task : Neighbours) {
     TaskRec &it = S.Tasks[task];
-    double weight = Model.weight(service, S.jobOf(task).Class);
-    if ((known && weight <= 0) || it.Throttle >= Settings.MaxPercent)
+    if (it.Throttle >= Settings.MaxPercent)
       continue;
     double left = (100 - it.Throttle) * (1 - share);
     auto percent =
@@ -140,11 +153,11 @@
   return (freed + 1e-6) / (30 + std::min(ran, LostSecondsAtMost));
 }
 
-bool Guard::evictOne(Index worker, Index service, base::TimePoint now,
-                     std::vector<Decision> &out) {
+bool Guard::evictOne(Index worker, Index service, double targetMs,
+                     base::TimePoint now, std::vector<Decision> &out) {
   Index best = None;
   double bestValue = 0;
-  for (Index task : neighbours(worker)) {
+  for (Index task : culprits(worker, service, targetMs)) {
     const TaskRec &it = S.Tasks[task];
     if (S.Jobs[it.Job].Urgent || now - it.StartedAt < Settings.MinRunTime)
       continue;
--- a/packages/policy/src/detail/Guard.h
+++ b/packages/policy/src/detail/Guard.h
@@ -55,10 +55,13 @@
   static double worstRatio(WorkerGuard &it, Index task, double ratio);
   /// Batch tasks of the worker that may be acted on.
   const std::vector<Index> &neighbours(Index worker);
-  bool throttle(Index worker, Index service, double excessMs,
+  /// Neighbours that noticeably slow the service down.
+  const std::vector<Index> &culprits(Index worker, Index service,
+                                     double targetMs);
+  bool throttle(Index worker, Index service, double targetMs, double excessMs,
+                base::TimePoint now, std::vector<Decision> &out);
+  bool evictOne(Index worker, Index service, double targetMs,
                 base::TimePoint now, std::vector<Decision> &out);
-  bool evictOne(Index worker, Index service, base::TimePoint now,
-                std::vector<Decision> &out);
   void lift(Index worker, base::TimePoint now, std::vector<Decision> &out);
   void setThrottle(Index task, std::int32_t percent, base::TimePoint now,
                    std::vector<Decision> &out);
