policy: sample service workers and other workers apart, spread in relation to an even share

Cause: in a zone of 555 workers a sample of 32 seldom held a worker with services, and absolute spread costs outweighed gathering, so every worker held services (555 of 555 at the design size). Change: two free lists sampled by halves; rack and zone costs relative to an even spread. Ruled out: the two lists alone (still 555 of 555).

--- a/experiments/policy/World.cpp
+++ b/experiments/policy/World.cpp
@@ -368,6 +368,7 @@
     stepWorker(n);
   deliver();
   decide();
+  if (getenv("DBG") && fmod(Now,10)<Step) { double cpu=0,b=0,sp=0,th=0; int n=0,sv=0,full=0; for (auto&w:Workers){auto p=pressureOn(w,Of);cpu+=p.Cpu;b+=p.Bandwidth+p.Cache; bool hs=false; for(auto*t:w.Tasks) if(!Of.Classes[t->Class].Service){sp+=speedOf(*t,p);th+=t->Throttle;n++;} else hs=true; sv+=hs; full+=int(w.Tasks.size())>=Of.Worker.Slots;} fprintf(stderr,"t %.0f run %d queued %ld cpu %.2f noise %.2f speed %.3f throttle %.1f workers-with-services %d full %d\n",Now,n,long(Zones[0].Queued),cpu/Workers.size(),b/Workers.size(),sp/n,th/n,sv,full);}
   std::erase_if(QueuedOrder, [&](const std::string &id) {
     auto it = Tasks.find(id);
     return it == Tasks.end() || it->second->Worker >= 0;
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -84,21 +84,29 @@
 }
 
 void Placement::opened(Index worker) {
-  if (!isOpen(worker) || In.Fitness.isQuarantined(worker)) {
-    Free.remove(worker);
+  put(worker);
+  if (!takesWork(worker))
     return;
-  }
-  Free.put(worker, In.S.Workers[worker].Free.Slots);
   if (Changed.size() >= MaxChanged)
     unblockAll();
   Changed.push_back(worker);
 }
 
 void Placement::narrowed(Index worker) {
-  if (!isOpen(worker) || In.Fitness.isQuarantined(worker))
-    Free.remove(worker);
-  else if (Free.contains(worker))
-    Free.put(worker, In.S.Workers[worker].Free.Slots);
+  // A worker that opens meanwhile is told by opened().
+  if (takesWork(worker))
+    put(worker);
+}
+
+void Placement::put(Index worker) {
+  const WorkerRec &it = In.S.Workers[worker];
+  bool open = isOpen(worker) && !In.Fitness.isQuarantined(worker);
+  bool services = !it.Services.empty();
+  Free[!services].remove(worker);
+  if (open)
+    Free[services].put(worker, it.Free.Slots);
+  else
+    Free[services].remove(worker);
 }
 
 void Placement::unblockAll() {
@@ -224,9 +232,16 @@
     services += there.Count;
     same += there.Service == it.Of.Service ? there.Count : 0;
   }
-  double share = double(services) / std::max(1, it.Host.Capacity.Slots);
-  double sum = 0.02 * In.Where.inRack(it.Of.Service, it.Host.Rack) +
-               0.01 * In.Where.inZone(it.Of.Service, it.Host.Zone) + 0.1 * same;
+  double slots = std::max(1, it.Host.Capacity.Slots);
+  double share = services / slots;
+  // Relative to an even spread, so that the sizes of services and zones do not
+  // matter.
+  double total = std::max(1, In.Where.total(it.Of.Service));
+  double sum = 0.8 * same / slots +
+               0.1 * In.Where.inRack(it.Of.Service, it.Host.Rack) *
+                   In.S.Racks.size() / total +
+               0.1 * In.Where.inZone(it.Of.Service, it.Host.Zone) *
+                   In.S.Zones.size() / total;
   // Services gather on workers until half of the slots are theirs, so that
   // other workers are left to noisy tasks.
   if (Gather)
@@ -272,7 +287,7 @@
   double bestCost = std::numeric_limits<double>::infinity();
   for (std::size_t n = it.BlockedAt - ChangedBase; n < Changed.size(); ++n) {
     Index worker = Changed[n];
-    if (!Free.contains(worker) || !passes(worker, it))
+    if (!takesWork(worker) || !passes(worker, it))
       continue;
     double cost = costOf({job, it, worker, In.S.Workers[worker], now});
     if (cost < bestCost) {
@@ -296,9 +311,12 @@
       bestCost = cost;
     }
   };
-  bool all = Free.sample(it.Need.Slots, CandidateLimit, Random(), consider);
+  bool all = true;
+  for (const FreeIndex &part : Free)
+    all &= part.sample(it.Need.Slots, CandidateLimit / 2, Random(), consider);
   if (best == None && !all)
-    Free.sample(it.Need.Slots, In.S.Workers.size(), 0, consider);
+    for (const FreeIndex &part : Free)
+      part.sample(it.Need.Slots, In.S.Workers.size(), 0, consider);
   return best;
 }
 
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -70,13 +70,16 @@
   void opened(Index worker);
   /// Like opened(), without effect if the worker takes work already.
   void reopened(Index worker) {
-    if (!Free.contains(worker))
+    if (!takesWork(worker))
       opened(worker);
   }
   /// A worker takes less or no work.
   void narrowed(Index worker);
   /// All shapes are tried anew on all workers.
   void unblockAll();
+  bool takesWork(Index worker) const {
+    return Free[0].contains(worker) || Free[1].contains(worker);
+  }
   bool isOpen(Index worker) const;
   bool passes(Index worker, const Shape &it) const;
 
@@ -103,6 +106,7 @@
   double spreadCost(const Candidate &it) const;
   double historyCost(const Candidate &it) const;
 
+  void put(Index worker);
   double targetOf(Index service) const;
   /// Cost of a latency: linear, and steep near the target.
   static double strain(double p95, double target);
@@ -118,7 +122,9 @@
   std::vector<Filter> Filters;
   std::vector<Cost> Costs;
   std::mt19937_64 Random;
-  FreeIndex Free;
+  /// Workers that take new work, apart by whether they hold services: a sample
+  /// of both finds the few service workers of a large zone.
+  std::array<FreeIndex, 2> Free;
   std::vector<Shape> Shapes;
   boost::unordered_flat_map<std::uint64_t, std::vector<Index>> ShapesByHash;
   /// Workers that were opened, in order; the first has number ChangedBase.
--- a/packages/policy/src/detail/Spread.h
+++ b/packages/policy/src/detail/Spread.h
@@ -15,6 +15,7 @@
   void add(Index service, Index zone, Index rack, std::int32_t delta) {
     if (service >= Services.size())
       Services.resize(service + 1);
+    Services[service].Total += delta;
     change(Services[service].Zones, zone, delta);
     change(Services[service].Racks, rack, delta);
   }
@@ -24,6 +25,9 @@
   std::int32_t inRack(Index service, Index rack) const {
     return service < Services.size() ? get(Services[service].Racks, rack) : 0;
   }
+  std::int32_t total(Index service) const {
+    return service < Services.size() ? Services[service].Total : 0;
+  }
   /// Returns the number of zones that hold at least one task.
   std::int32_t zones(Index service) const {
     std::int32_t n = 0;
@@ -36,6 +40,7 @@
 private:
   struct Counts {
     std::vector<std::int32_t> Zones, Racks;
+    std::int32_t Total = 0;
   };
   static void change(std::vector<std::int32_t> &counts, Index n,
                      std::int32_t delta) {
