--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -25,6 +25,8 @@
   base::Resources Need;
   std::int64_t CpuLoad = 0;
   std::uint32_t EstimateVersion = ~std::uint32_t{0};
+  /// The job that is being placed can wait no longer.
+  bool Pressing = false;
   /// While blocked, only workers that changed since BlockedAt are tried.
   bool Blocked = false;
   std::uint64_t BlockedAt = 0;
@@ -54,6 +56,10 @@
   /// Returns the number of the job's shape. Cost: O(1).
   Index shapeOf(const JobRec &job);
   Shape &shape(Index n) { return Shapes[n]; }
+  /// Returns the amounts that are booked for a task of the job.
+  const base::Resources &need(const JobRec &job) const {
+    return Shapes[job.Shape].Need;
+  }
   /// Renews the amounts of a shape from the estimates.
   void refresh(Shape &it);
 
@@ -64,13 +70,16 @@
   void opened(Index worker);
   /// Like opened(), without effect if the worker takes work already.
   void reopened(Index worker) {
-    if (!Free.contains(worker))
+    if (!takesWork(worker))
       opened(worker);
   }
   /// A worker takes less or no work.
   void narrowed(Index worker);
   /// All shapes are tried anew on all workers.
   void unblockAll();
+  bool takesWork(Index worker) const {
+    return Free[0].contains(worker) || Free[1].contains(worker);
+  }
   bool isOpen(Index worker) const;
   bool passes(Index worker, const Shape &it) const;
 
@@ -90,12 +99,14 @@
   bool keepsReserve(Index worker, const Shape &it) const;
   bool keepsRackLimit(Index worker, const Shape &it) const;
   bool keepsSeparation(Index worker, const Shape &it) const;
+  bool keepsTargets(Index worker, const Shape &it) const;
 
   double loadCost(const Candidate &it) const;
   double interferenceCost(const Candidate &it) const;
   double spreadCost(const Candidate &it) const;
   double historyCost(const Candidate &it) const;
 
+  void put(Index worker);
   double targetOf(Index service) const;
   /// Cost of a latency: linear, and steep near the target.
   static double strain(double p95, double target);
@@ -106,11 +117,14 @@
 
   PlacementInputs In;
   std::uint32_t CandidateLimit;
-  bool Measured, Reclaim;
+  bool Measured, Reclaim, Gather;
+  double HoldRatio;
   std::vector<Filter> Filters;
   std::vector<Cost> Costs;
   std::mt19937_64 Random;
-  FreeIndex Free;
+  /// Workers that take new work, apart by whether they hold services: a sample
+  /// of both finds the few service workers of a large zone.
+  std::array<FreeIndex, 2> Free;
   std::vector<Shape> Shapes;
   boost::unordered_flat_map<std::uint64_t, std::vector<Index>> ShapesByHash;
   /// Workers that were opened, in order; the first has number ChangedBase.
