Pass callers' requests to targets

HttpClient takes options: a gate that counts open connections (idle ones included, because a worker counts them too), a separate connect timeout, and a check of the response before its connection is reused. HttpServer lets its user word the refusal of malformed requests. Existing signatures stay valid.

--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace endivedoor::platform {
 
@@ -25,6 +26,10 @@
   /// HttpClient's idle time, so that a client never reuses a connection that
   /// the server is about to close.
   std::chrono::milliseconds IdleTimeout = std::chrono::seconds(60);
+  /// Builds the answer to a request that is malformed or larger than the
+  /// limits; a plain one if null.
+  std::function<HttpResponse(unsigned status, const std::string &reason)>
+      Refuse;
   /// Lets several servers on different threads share the listening address.
   bool ReusePort = false;
 };
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <map>
 #include <sys/socket.h>
 #include <vector>
@@ -31,19 +32,40 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-struct HttpClient::Impl {
-  struct Idle {
-    std::unique_ptr<beast::tcp_stream> Stream;
-    base::TimePoint Since;
-  };
+namespace {
+
+/// A connection that is counted at the gate for as long as it is open.
+struct Link {
+  Link(const asio::any_io_executor &executor, model::Address to,
+       ConnectionGate *gate)
+      : Stream(executor), To(std::move(to)), Gate(gate) {}
+  Link(const Link &) = delete;
+  Link &operator=(const Link &) = delete;
+  ~Link() {
+    Stream.close();
+    if (Gate)
+      Gate->closed(To);
+  }
+
+  beast::tcp_stream Stream;
+  model::Address To;
+  ConnectionGate *Gate;
+};
+
+struct Idle {
+  std::unique_ptr<Link> Connection;
+  base::TimePoint Since;
+};
 
+} // namespace
+
+struct HttpClient::Impl {
   asio::any_io_executor Executor;
   const base::Clock &Time;
-  HttpLimits Limits;
-  std::chrono::milliseconds IdleTimeout;
+  HttpClientOptions Options;
   std::map<model::Address, std::vector<Idle>> Pool;
 
-  std::unique_ptr<beast::tcp_stream> takeIdle(const model::Address &to) {
+  std::unique_ptr<Link> takeIdle(const model::Address &to) {
     auto it = Pool.find(to);
     if (it == Pool.end())
       return nullptr;
@@ -51,27 +73,81 @@
     while (!idle.empty()) {
       Idle last = std::move(idle.back());
       idle.pop_back();
-      if (Time.now() - last.Since < IdleTimeout && isQuiet(*last.Stream))
-        return std::move(last.Stream);
+      if (Time.now() - last.Since < Options.IdleTimeout &&
+          isQuiet(last.Connection->Stream))
+        return std::move(last.Connection);
     }
     return nullptr;
   }
 
   /// Closes the connections that have been idle too long; the oldest come
   /// first.
-  void putIdle(const model::Address &to,
-               std::unique_ptr<beast::tcp_stream> stream) {
-    std::vector<Idle> &idle = Pool[to];
+  void closeExpired(std::vector<Idle> &idle) {
     base::TimePoint now = Time.now();
-    auto isOld = [&](const Idle &it) { return now - it.Since >= IdleTimeout; };
+    auto isOld = [&](const Idle &it) {
+      return now - it.Since >= Options.IdleTimeout;
+    };
     idle.erase(idle.begin(), std::find_if_not(idle.begin(), idle.end(), isOld));
-    idle.push_back({std::move(stream), now});
   }
+
+  void putIdle(std::unique_ptr<Link> link) {
+    if (Options.Gate && !Options.Gate->mayIdle(link->To))
+      return;
+    std::vector<Idle> &idle = Pool[link->To];
+    closeExpired(idle);
+    idle.push_back({std::move(link), Time.now()});
+  }
+
+  Async<std::unique_ptr<Link>> connect(model::Address to,
+                                       std::chrono::milliseconds timeout);
 };
 
 HttpClient::HttpClient(asio::any_io_executor executor, const base::Clock &clock,
                        HttpLimits limits, std::chrono::milliseconds idleTimeout)
-    : Self(new Impl{std::move(executor), clock, limits, idleTimeout, {}}) {}
+    : HttpClient(
+          std::move(executor), clock,
+          HttpClientOptions{.Limits = limits, .IdleTimeout = idleTimeout}) {}
+
+HttpClient::HttpClient(asio::any_io_executor executor, const base::Clock &clock,
+                       HttpClientOptions options)
+    : Self(new Impl{std::move(executor), clock, options, {}}) {}
+
+std::size_t HttpClient::idleConnections(const model::Address &to) const {
+  auto it = Self->Pool.find(to);
+  return it == Self->Pool.end() ? 0 : it->second.size();
+}
+
+void HttpClient::closeIdle(const model::Address &to) {
+  auto it = Self->Pool.find(to);
+  if (it != Self->Pool.end() && !it->second.empty())
+    it->second.erase(it->second.begin());
+}
+
+void HttpClient::closeExpired() {
+  for (auto it = Self->Pool.begin(); it != Self->Pool.end();) {
+    Self->closeExpired(it->second);
+    it = it->second.empty() ? Self->Pool.erase(it) : std::next(it);
+  }
+}
+
+Async<std::unique_ptr<Link>>
+HttpClient::Impl::connect(model::Address to,
+                          std::chrono::milliseconds timeout) {
+  boost::system::error_code ec;
+  asio::ip::address ip = asio::ip::make_address(to.Ip, ec);
+  if (ec)
+    co_return fail(Errc::HttpNotSent, "not an IP address: " + to.Ip);
+  if (Options.Gate && !Options.Gate->tryOpen(to))
+    co_return fail(Errc::HttpNoConnection, to.str());
+  auto link = std::make_unique<Link>(Executor, to, Options.Gate);
+  link->Stream.expires_after(std::min(timeout, Options.ConnectTimeout));
+  asio::ip::tcp::endpoint endpoint(ip, to.Port);
+  auto [connectError] = co_await link->Stream.async_connect(endpoint, AsTuple);
+  if (connectError)
+    co_return fail(Errc::HttpNotSent, to.str() + ": " + connectError.message());
+  link->Stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+  co_return link;
+}
 
 HttpClient::~HttpClient() = default;
 
@@ -89,42 +165,37 @@
 }
 
 Async<HttpResponse> HttpClient::send(model::Address to, HttpRequest request,
-                                     std::chrono::milliseconds timeout) {
+                                     std::chrono::milliseconds timeout,
+                                     Acceptor accept) {
   Impl &self = *Self;
-  std::unique_ptr<beast::tcp_stream> stream = self.takeIdle(to);
-  bool isNew = !stream;
-  if (isNew) {
-    stream = std::make_unique<beast::tcp_stream>(self.Executor);
-    boost::system::error_code ec;
-    asio::ip::address ip = asio::ip::make_address(to.Ip, ec);
-    if (ec)
-      co_return fail(Errc::HttpNotSent, "not an IP address: " + to.Ip);
-    stream->expires_after(timeout);
-    asio::ip::tcp::endpoint endpoint(ip, to.Port);
-    auto [connectError] = co_await stream->async_connect(endpoint, AsTuple);
-    if (connectError)
-      co_return fail(Errc::HttpNotSent,
-                     to.str() + ": " + connectError.message());
-    stream->socket().set_option(asio::ip::tcp::no_delay(true), ec);
-  } else {
-    stream->expires_after(timeout);
+  base::TimePoint deadline = self.Time.now() + timeout;
+  std::unique_ptr<Link> link = self.takeIdle(to);
+  if (!link) {
+    base::Result<std::unique_ptr<Link>> opened =
+        co_await self.connect(to, timeout);
+    if (!opened)
+      co_return opened.as_failure();
+    link = std::move(opened.value());
   }
+  beast::tcp_stream &stream = link->Stream;
+  stream.expires_after(deadline - self.Time.now());
 
   http::request<http::string_body> message = toBeast(to, std::move(request));
   auto [writeError, written] =
-      co_await http::async_write(*stream, message, AsTuple);
+      co_await http::async_write(stream, message, AsTuple);
   if (writeError)
     co_return fail(written == 0 ? Errc::HttpNotSent : Errc::HttpAnswerLost,
                    to.str() + ": " + writeError.message());
 
   beast::flat_buffer buf;
   http::response_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(self.Limits.HeaderBytes));
-  parser.body_limit(self.Limits.BodyBytes);
+  parser.header_limit(
+      static_cast<std::uint32_t>(self.Options.Limits.HeaderBytes));
+  parser.body_limit(self.Options.Limits.BodyBytes);
   if (message.method() == http::verb::head)
     parser.skip(true);
   auto [readError, received] =
-      co_await http::async_read(*stream, buf, parser, AsTuple);
+      co_await http::async_read(stream, buf, parser, AsTuple);
   if (readError)
     co_return fail(Errc::HttpAnswerLost, to.str() + ": " + readError.message());
   // A body that ends with the connection cannot be told from a body that was
@@ -136,11 +207,14 @@
   HttpResponse response;
   response.Status = answer.result_int();
   response.Headers = detail::copyHeaders(answer);
+  response.Body = std::move(answer.body());
+  if (accept && !accept(response))
+    co_return fail(Errc::HttpAnswerLost,
+                   to.str() + ": the response does not match the request");
   if (answer.keep_alive() && buf.size() == 0) {
-    stream->expires_never();
-    self.putIdle(to, std::move(stream));
+    stream.expires_never();
+    self.putIdle(std::move(link));
   }
-  response.Body = std::move(answer.body());
   co_return response;
 }
 
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -111,6 +111,8 @@
       refusal.Status = status;
       refusal.Headers = {{"Content-Type", "application/json"}};
       refusal.Body = "{\"error\":\"" + ec.message() + "\"}";
+      if (Options.Refuse)
+        refusal = Options.Refuse(status, ec.message());
       co_await answer(connection, std::move(refusal), false, false);
     }
     co_return false;
--- /dev/null
+++ b/packages/server/include/endivedoor/server/CallerServer.h
@@ -0,0 +1,91 @@
+/// \file
+/// HTTP to callers on one traffic thread.
+#ifndef ENDIVEDOOR_SERVER_CALLERSERVER_H
+#define ENDIVEDOOR_SERVER_CALLERSERVER_H
+
+#include "endivedoor/model/Settings.h"
+#include "endivedoor/platform/HttpClient.h"
+#include "endivedoor/platform/HttpServer.h"
+#include "endivedoor/server/Balancer.h"
+#include "endivedoor/server/Bookings.h"
+#include "endivedoor/server/JobEndpoints.h"
+#include "endivedoor/server/Metrics.h"
+#include "endivedoor/server/RetryBudget.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace endivedoor::server {
+
+/// What the traffic threads share. Everything must outlive the servers.
+struct TrafficContext {
+  const model::Settings &Config;
+  const base::Clock &Time;
+  const RouteTableHolder &Routes;
+  ConnectionShare &Share;
+  RetryBudget &Retries;
+  Metrics &Totals;
+  /// Runs Booking and Jobs.
+  boost::asio::any_io_executor Control;
+  Bookings &Booking;
+  JobEndpoints &Jobs;
+};
+
+/// Answers ANY /s/<service>/... by a target of the service, and /v1/jobs.
+///
+/// Every answer carries Endivedoor-Outcome (answered, not-run or unknown) and
+/// the request's X-Request-Id. Belongs to the thread of its executor; created
+/// before that thread runs.
+class CallerServer {
+public:
+  /// \param listen address of callers; port 0 takes any free port.
+  /// \param seed seed of the random choices and request ids.
+  CallerServer(boost::asio::any_io_executor executor, TrafficContext context,
+               model::Address listen, std::uint64_t seed);
+
+  /// Binds and begins to accept. Errors: IoFailed.
+  base::Result<void> start();
+  /// Accepts no more connections; requests in progress are finished.
+  void beginDrain();
+  /// Stops the periodic work, so that the executor runs out of work.
+  void stop();
+  /// Returns the number of requests in progress.
+  std::size_t activeRequests() const { return Server.activeRequests(); }
+  std::uint16_t port() const { return Server.port(); }
+  /// Lets waiting requests look at the new route table. Thread-safe.
+  void routesChanged();
+
+private:
+  struct Call;
+  struct Exchange;
+  enum class Repeat { WhenNotRun, WhenNotSent };
+
+  boost::asio::awaitable<platform::HttpResponse>
+  handle(platform::HttpRequest request);
+  boost::asio::awaitable<platform::HttpResponse>
+  route(platform::HttpRequest &request);
+  boost::asio::awaitable<platform::HttpResponse>
+  handleService(platform::HttpRequest &request);
+  base::Result<Call> readCall(platform::HttpRequest &request);
+  boost::asio::awaitable<platform::HttpResponse> runBooking(Call &call);
+  boost::asio::awaitable<void> settleBooking(BookingClaim claim,
+                                             const Exchange &exchange);
+  boost::asio::awaitable<Exchange> run(Call &call, Repeat repeat);
+  boost::asio::awaitable<Exchange> sendOnce(Call &call, TargetUse &use);
+  std::string newRequestId();
+  boost::asio::awaitable<void> closeExpired();
+
+  boost::asio::any_io_executor Executor;
+  TrafficContext Context;
+  ThreadConnections Connections;
+  platform::HttpClient Client;
+  Balancer Targets;
+  MetricsShard &Counts;
+  std::mt19937_64 Random;
+  boost::asio::steady_timer Sweep;
+  bool Stopping = false;
+  platform::HttpServer Server;
+};
+
+} // namespace endivedoor::server
+
+#endif
--- /dev/null
+++ b/packages/server/include/endivedoor/server/RetryBudget.h
@@ -0,0 +1,41 @@
+/// \file
+/// Bounds the retries of the whole process.
+#ifndef ENDIVEDOOR_SERVER_RETRYBUDGET_H
+#define ENDIVEDOOR_SERVER_RETRYBUDGET_H
+
+#include "endivedoor/base/Clock.h"
+
+#include <array>
+#include <cstdint>
+#include <mutex>
+
+namespace endivedoor::server {
+
+/// Allows, within any second, retries up to 10% of the requests, and at least
+/// 3. Thread-safe.
+class RetryBudget {
+public:
+  explicit RetryBudget(const base::Clock &clock) : Time(clock) {}
+  /// Counts a request of a caller.
+  void addRequest();
+  /// Counts a retry and returns true if the budget allows it.
+  bool tryRetry();
+
+private:
+  static constexpr std::size_t Buckets = 10;
+  struct Bucket {
+    std::int64_t Tick = 0;
+    std::int64_t Requests = 0;
+    std::int64_t Retries = 0;
+  };
+
+  Bucket &current();
+
+  const base::Clock &Time;
+  std::mutex Mutex;
+  std::array<Bucket, Buckets> Window;
+};
+
+} // namespace endivedoor::server
+
+#endif
--- /dev/null
+++ b/packages/server/src/Balancer.cpp
@@ -0,0 +1,241 @@
+#include "endivedoor/server/Balancer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace endivedoor::server {
+
+namespace asio = boost::asio;
+using base::Errc;
+using base::fail;
+
+/// A waiting request looks again after this time even without a wake-up, since
+/// a concurrency limit can grow on another thread.
+constexpr auto RecheckInterval = std::chrono::milliseconds(20);
+/// A target that could not be reached is avoided for this long, which is the
+/// time in which polling finds out whether it is down.
+constexpr auto AvoidTime = std::chrono::milliseconds(1500);
+constexpr double LatencyWeight = 1.0 / 16;
+
+static std::int64_t nanoseconds(base::TimePoint t) {
+  return t.time_since_epoch().count();
+}
+
+TargetUse::TargetUse(Balancer &owner, std::shared_ptr<Target> target)
+    : From(&owner), Chosen(std::move(target)) {}
+
+TargetUse::TargetUse(TargetUse &&other) noexcept
+    : From(std::exchange(other.From, nullptr)), Chosen(std::move(other.Chosen)),
+      How(other.How), Latency(other.Latency) {}
+
+TargetUse::~TargetUse() {
+  if (!From)
+    return;
+  if (How == End::Answered)
+    Chosen->Limit.succeeded(Latency);
+  else if (How == End::Failed)
+    Chosen->Limit.failed();
+  else
+    Chosen->Limit.released();
+  From->finish(*Chosen, Latency);
+}
+
+void TargetUse::answered(base::Duration latency) {
+  How = End::Answered;
+  Latency = latency;
+  Chosen->LastAnswer.store(nanoseconds(From->Time.now()));
+  Chosen->AvoidUntil.store(0);
+}
+
+void TargetUse::failed() { How = End::Failed; }
+
+void TargetUse::unreachable() {
+  Chosen->AvoidUntil.store(nanoseconds(From->Time.now() + AvoidTime));
+}
+
+Balancer::Balancer(asio::any_io_executor executor,
+                   const RouteTableHolder &routes,
+                   const platform::HttpClient &client,
+                   ThreadConnections &connections, const base::Clock &clock,
+                   std::size_t maxQueued, std::uint64_t seed)
+    : Executor(std::move(executor)), Routes(routes), Client(client),
+      Connections(connections), Time(clock), MaxQueued(maxQueued),
+      Random(static_cast<std::minstd_rand::result_type>(seed)) {}
+
+bool Balancer::hasConnection(const Target &target) {
+  return Connections.at(target.Endpoint).hasRoom() ||
+         Client.idleConnections(target.Endpoint) > 0;
+}
+
+bool Balancer::isUsable(const Target &target, const TriedTargets &tried,
+                        bool includeAvoided) {
+  if (!includeAvoided && target.AvoidUntil.load() > nanoseconds(Time.now()))
+    return false;
+  for (const std::shared_ptr<Target> &it : tried)
+    if (it.get() == &target)
+      return false;
+  return target.Limit.hasRoom() && hasConnection(target);
+}
+
+std::shared_ptr<Target> Balancer::chooseIn(const TargetList &targets,
+                                           const TriedTargets &tried,
+                                           bool includeAvoided) {
+  if (targets.empty())
+    return nullptr;
+  std::size_t n = targets.size();
+  std::size_t first = Random() % n;
+  std::size_t second = n > 1 ? (first + 1 + Random() % (n - 1)) % n : first;
+  bool firstOk = isUsable(*targets[first], tried, includeAvoided);
+  bool secondOk =
+      second != first && isUsable(*targets[second], tried, includeAvoided);
+  if (firstOk && secondOk)
+    return targets[first]->Limit.outstanding() <=
+                   targets[second]->Limit.outstanding()
+               ? targets[first]
+               : targets[second];
+  if (firstOk || secondOk)
+    return targets[firstOk ? first : second];
+  for (std::size_t i = 1; i < n; ++i)
+    if (isUsable(*targets[(first + i) % n], tried, includeAvoided))
+      return targets[(first + i) % n];
+  return nullptr;
+}
+
+std::shared_ptr<Target> Balancer::choose(const RouteTable::Tiers &tiers,
+                                         const TriedTargets &tried) {
+  for (bool includeAvoided : {false, true})
+    for (const TargetList &targets : tiers) {
+      std::shared_ptr<Target> target = chooseIn(targets, tried, includeAvoided);
+      if (target && target->Limit.tryBegin())
+        return target;
+    }
+  return nullptr;
+}
+
+void Balancer::awaitConnections(const RouteTable::Tiers &tiers) {
+  for (const TargetList &targets : tiers)
+    for (const std::shared_ptr<Target> &it : targets)
+      Connections.await(it->Endpoint);
+}
+
+/// Returns whether every target has refused the request.
+static bool allTried(const RouteTable::Tiers &tiers,
+                     const Balancer::TriedTargets &tried) {
+  for (const TargetList &targets : tiers)
+    for (const std::shared_ptr<Target> &it : targets)
+      if (std::ranges::find(tried, it) == tried.end())
+        return false;
+  return true;
+}
+
+base::Result<void> Balancer::checkQueue(const ServiceState &state,
+                                        const std::string &service,
+                                        base::TimePoint deadline) const {
+  if (state.Queue.size() >= MaxQueued)
+    return fail(Errc::Overloaded, service + ": the queue is full");
+  double perRequest = state.Latency / std::max(1, state.InProgress);
+  std::chrono::duration<double> estimate(
+      perRequest * static_cast<double>(state.Queue.size()));
+  if (Time.now() + std::chrono::duration_cast<base::Duration>(estimate) >=
+      deadline)
+    return fail(Errc::Overloaded,
+                service + ": the queue is longer than the deadline allows");
+  return base::success();
+}
+
+platform::Async<TargetUse> Balancer::acquire(std::string service,
+                                             base::TimePoint deadline,
+                                             TriedTargets tried) {
+  std::shared_ptr<const RouteTable> table = Routes.load();
+  const RouteTable::Tiers *tiers = table->find(service);
+  if (!tiers || allTried(*tiers, tried))
+    co_return fail(Errc::NoTarget, service);
+  if (Time.now() >= deadline)
+    co_return fail(Errc::DeadlinePassed, service);
+  ServiceState &state = Services[service];
+  if (state.Queue.empty())
+    if (std::shared_ptr<Target> target = choose(*tiers, tried)) {
+      ++state.InProgress;
+      co_return TargetUse(*this, std::move(target));
+    }
+  if (base::Result<void> room = checkQueue(state, service, deadline); !room)
+    co_return room.as_failure();
+  co_return co_await wait(std::move(service), deadline, std::move(tried));
+}
+
+platform::Async<TargetUse> Balancer::wait(std::string service,
+                                          base::TimePoint deadline,
+                                          TriedTargets tried) {
+  ServiceState &state = Services[service];
+  Waiter waiter(Executor);
+  state.Queue.push_back(&waiter);
+  struct Leave {
+    Balancer &Owner;
+    ServiceState &State;
+    Waiter &Me;
+    ~Leave() {
+      std::erase(State.Queue, &Me);
+      Owner.wakeFirst(State);
+    }
+  } leave{*this, state, waiter};
+
+  while (true) {
+    std::shared_ptr<const RouteTable> table = Routes.load();
+    const RouteTable::Tiers *tiers = table->find(service);
+    if (!tiers || allTried(*tiers, tried))
+      co_return fail(Errc::NoTarget, service);
+    if (state.Queue.front() == &waiter) {
+      std::shared_ptr<Target> target = choose(*tiers, tried);
+      if (!target) {
+        // Registered first, so that no connection becomes free unnoticed.
+        awaitConnections(*tiers);
+        target = choose(*tiers, tried);
+      }
+      if (target) {
+        ++state.InProgress;
+        co_return TargetUse(*this, std::move(target));
+      }
+    }
+    base::Duration left = deadline - Time.now();
+    if (left <= base::Duration(0))
+      co_return fail(Errc::DeadlinePassed, service + ": while waiting");
+    table.reset();
+    waiter.Timer.expires_after(std::min<base::Duration>(left, RecheckInterval));
+    if (!std::exchange(waiter.Awake, false))
+      co_await waiter.Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    waiter.Awake = false;
+  }
+}
+
+void Balancer::wakeFirst(ServiceState &state) {
+  if (state.Queue.empty())
+    return;
+  state.Queue.front()->Awake = true;
+  state.Queue.front()->Timer.cancel();
+}
+
+void Balancer::wakeAll() {
+  for (auto &[name, state] : Services)
+    wakeFirst(state);
+}
+
+std::size_t Balancer::queued() const {
+  std::size_t n = 0;
+  for (const auto &[name, state] : Services)
+    n += state.Queue.size();
+  return n;
+}
+
+void Balancer::finish(const Target &target, base::Duration latency) {
+  ServiceState &state = Services[target.Service.str()];
+  --state.InProgress;
+  double seconds = std::chrono::duration<double>(latency).count();
+  if (seconds > 0)
+    state.Latency += (seconds - state.Latency) * LatencyWeight;
+  wakeFirst(state);
+}
+
+} // namespace endivedoor::server
--- /dev/null
+++ b/packages/server/src/ConcurrencyLimit.cpp
@@ -0,0 +1,82 @@
+#include "endivedoor/server/ConcurrencyLimit.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace endivedoor::server {
+
+/// Weight of a new answer time in the averages.
+constexpr double RecentWeight = 1.0 / 8;
+constexpr double LongTermWeight = 1.0 / 256;
+/// Answer times up to this multiple of the long-term average are ordinary
+/// variation.
+constexpr double Tolerance = 2.0;
+/// Answer times below this are too short to show a queue.
+constexpr double ShortestQueue = 0.001;
+constexpr double FailureFactor = 0.9;
+
+ConcurrencyLimit::ConcurrencyLimit(std::int32_t maximum)
+    : Maximum(std::max(1, maximum)), Limit(Maximum) {}
+
+void ConcurrencyLimit::setMaximum(std::int32_t maximum) {
+  std::lock_guard lock(Mutex);
+  double next = std::max(1, maximum);
+  // A limit at its maximum follows the maximum.
+  Limit = Limit == Maximum ? next : std::min(Limit, next);
+  Maximum = next;
+}
+
+bool ConcurrencyLimit::tryBegin() {
+  std::lock_guard lock(Mutex);
+  if (Outstanding + 1 > Limit)
+    return false;
+  ++Outstanding;
+  return true;
+}
+
+void ConcurrencyLimit::succeeded(base::Duration latency) {
+  double seconds = std::chrono::duration<double>(latency).count();
+  std::lock_guard lock(Mutex);
+  if (Recent == 0)
+    Recent = LongTerm = seconds;
+  Recent += (seconds - Recent) * RecentWeight;
+  LongTerm += (seconds - LongTerm) * LongTermWeight;
+  double bound = std::max(LongTerm * Tolerance, ShortestQueue);
+  if (Recent > bound)
+    adapt(std::max(FailureFactor, bound / Recent));
+  else if (Outstanding * 2 >= Limit)
+    Limit = std::min(Maximum, Limit + 1 / Limit);
+  --Outstanding;
+}
+
+void ConcurrencyLimit::failed() {
+  std::lock_guard lock(Mutex);
+  adapt(FailureFactor);
+  --Outstanding;
+}
+
+void ConcurrencyLimit::released() {
+  std::lock_guard lock(Mutex);
+  --Outstanding;
+}
+
+void ConcurrencyLimit::adapt(double factor) {
+  Limit = std::max(1.0, Limit * factor);
+}
+
+bool ConcurrencyLimit::hasRoom() const {
+  std::lock_guard lock(Mutex);
+  return Outstanding + 1 <= Limit;
+}
+
+std::int32_t ConcurrencyLimit::outstanding() const {
+  std::lock_guard lock(Mutex);
+  return Outstanding;
+}
+
+double ConcurrencyLimit::limit() const {
+  std::lock_guard lock(Mutex);
+  return Limit;
+}
+
+} // namespace endivedoor::server
--- /dev/null
+++ b/packages/server/src/JobJson.cpp
@@ -0,0 +1,236 @@
+#include "endivedoor/server/JobEndpoints.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace endivedoor::server {
+
+namespace json = boost::json;
+using base::Errc;
+using base::fail;
+using model::JobSpec;
+
+constexpr std::size_t LongestName = 128;
+constexpr std::int64_t MostTasks = 100000;
+constexpr std::int64_t Most32 = std::numeric_limits<std::int32_t>::max();
+constexpr std::int64_t LongestTimeMs = 366LL * 24 * 3600 * 1000;
+
+namespace {
+
+struct NumberField {
+  const char *Name;
+  std::int64_t Least;
+  std::int64_t Most;
+  void (*Set)(JobSpec &, std::int64_t);
+};
+
+struct TextField {
+  const char *Name;
+  bool Required;
+  void (*Set)(JobSpec &, std::string);
+};
+
+} // namespace
+
+constexpr NumberField NumberFields[] = {
+    {"tasks", 1, MostTasks,
+     [](JobSpec &j, std::int64_t n) {
+       j.Tasks = static_cast<std::int32_t>(n);
+     }},
+    {"slots", 0, Most32,
+     [](JobSpec &j, std::int64_t n) {
+       j.Size.Slots = static_cast<std::int32_t>(n);
+     }},
+    {"connections", 0, Most32,
+     [](JobSpec &j, std::int64_t n) {
+       j.Size.Connections = static_cast<std::int32_t>(n);
+     }},
+    {"milliCores", 0, Most32,
+     [](JobSpec &j, std::int64_t n) { j.Size.Cpu = base::MilliCores{n}; }},
+    {"memoryMb", 0, Most32,
+     [](JobSpec &j, std::int64_t n) { j.Size.Memory = base::MebiBytes{n}; }},
+    {"accelerators", 0, Most32,
+     [](JobSpec &j, std::int64_t n) {
+       j.Size.Accelerators = static_cast<std::int32_t>(n);
+     }},
+    {"declaredRunTimeMs", 0, LongestTimeMs,
+     [](JobSpec &j, std::int64_t n) {
+       j.DeclaredRunTime = std::chrono::milliseconds(n);
+     }},
+};
+
+constexpr TextField TextFields[] = {
+    {"name", true, [](JobSpec &j, std::string s) { j.Name = std::move(s); }},
+    {"team", true,
+     [](JobSpec &j, std::string s) { j.Team = base::TeamName(std::move(s)); }},
+    {"contract", true,
+     [](JobSpec &j, std::string s) {
+       j.Contract = base::ContractName(std::move(s));
+     }},
+    {"class", true,
+     [](JobSpec &j, std::string s) {
+       j.Class = base::TaskClass(std::move(s));
+     }},
+    {"service", false,
+     [](JobSpec &j, std::string s) {
+       j.Service = base::ServiceName(std::move(s));
+     }},
+};
+
+static auto malformed(const std::string &detail) {
+  return fail(Errc::RequestMalformed, detail);
+}
+
+static bool isName(const std::string &text) {
+  if (text.empty() || text.size() > LongestName)
+    return false;
+  for (char c : text)
+    if (!std::isalnum(static_cast<unsigned char>(c)) && c != '-' && c != '_' &&
+        c != '.')
+      return false;
+  return true;
+}
+
+static base::Result<void> readNumbers(const json::object &o, JobSpec &job) {
+  for (const NumberField &it : NumberFields) {
+    const json::value *value = o.if_contains(it.Name);
+    if (!value)
+      continue;
+    if (!value->is_int64() || value->get_int64() < it.Least ||
+        value->get_int64() > it.Most)
+      return malformed(std::string(it.Name) + ": a whole number from " +
+                       std::to_string(it.Least) + " to " +
+                       std::to_string(it.Most));
+    it.Set(job, value->get_int64());
+  }
+  return base::success();
+}
+
+static base::Result<void> readTexts(const json::object &o, JobSpec &job) {
+  for (const TextField &it : TextFields) {
+    const json::value *value = o.if_contains(it.Name);
+    bool isEmpty =
+        !value || (value->is_string() && value->get_string().empty());
+    if (isEmpty && !it.Required)
+      continue;
+    std::string text = value && value->is_string()
+                           ? std::string(value->get_string())
+                           : std::string();
+    if (!isName(text))
+      return malformed(std::string(it.Name) +
+                       ": a name of letters, digits, '-', '_' and '.'");
+    it.Set(job, std::move(text));
+  }
+  return base::success();
+}
+
+static base::Result<void> readOthers(const json::object &o, JobSpec &job,
+                                     base::WallTime now) {
+  if (const json::value *kind = o.if_contains("kind")) {
+    if (*kind != "service" && *kind != "batch")
+      return malformed("kind: \"service\" or \"batch\"");
+    job.Kind =
+        *kind == "service" ? model::TaskKind::Service : model::TaskKind::Batch;
+  }
+  if (const json::value *urgent = o.if_contains("urgent")) {
+    if (!urgent->is_bool())
+      return malformed("urgent: true or false");
+    job.Urgent = urgent->get_bool();
+  }
+  if (const json::value *payload = o.if_contains("payload")) {
+    if (!payload->is_string())
+      return malformed("payload: a text");
+    job.Payload = std::string(payload->get_string());
+  }
+  if (const json::value *deadline = o.if_contains("deadlineMs")) {
+    if (!deadline->is_int64() || deadline->get_int64() < 1 ||
+        deadline->get_int64() > LongestTimeMs)
+      return malformed("deadlineMs: a whole number of milliseconds from now");
+    job.Deadline = now + std::chrono::milliseconds(deadline->get_int64());
+  }
+  return base::success();
+}
+
+static bool isKnownField(std::string_view name) {
+  for (std::string_view it : {"kind", "urgent", "payload", "deadlineMs"})
+    if (name == it)
+      return true;
+  for (const NumberField &it : NumberFields)
+    if (name == it.Name)
+      return true;
+  for (const TextField &it : TextFields)
+    if (name == it.Name)
+      return true;
+  return false;
+}
+
+base::Result<JobSpec> parseJob(const std::string &text, base::WallTime now) {
+  boost::system::error_code ec;
+  json::value value = json::parse(text, ec);
+  const json::object *o = value.if_object();
+  if (ec || !o)
+    return malformed("the body is not a JSON object");
+  for (const auto &it : *o)
+    if (!isKnownField(it.key()))
+      return malformed("unknown field " + std::string(it.key()));
+  JobSpec job;
+  BOOST_OUTCOME_TRYV(readTexts(*o, job));
+  BOOST_OUTCOME_TRYV(readNumbers(*o, job));
+  BOOST_OUTCOME_TRYV(readOthers(*o, job, now));
+  bool isService = job.Kind == model::TaskKind::Service;
+  if (isService == job.Service.empty())
+    return malformed("service: required for kind \"service\" only");
+  return job;
+}
+
+static std::string_view stateName(model::TaskState state) {
+  constexpr std::array<std::string_view, 7> names{
+      "queued",   "starting", "running",  "evicting",
+      "finished", "failed",   "cancelled"};
+  return names[static_cast<std::size_t>(state)];
+}
+
+json::value jobToJson(const control::JobStatus &job) {
+  json::array tasks;
+  for (const model::Task &it : job.Tasks)
+    tasks.push_back({{"task", it.Id.str()},
+                     {"state", stateName(it.State)},
+                     {"attempt", base::toNumber(it.LatestAttempt)},
+                     {"worker", it.Worker.str()},
+                     {"failures", it.Failures}});
+  const JobSpec &spec = job.Spec;
+  bool isService = spec.Kind == model::TaskKind::Service;
+  json::object o{{"job", spec.Id.str()},
+                 {"name", spec.Name},
+                 {"team", spec.Team.str()},
+                 {"contract", spec.Contract.str()},
+                 {"class", spec.Class.str()},
+                 {"kind", isService ? "service" : "batch"},
+                 {"service", spec.Service.str()},
+                 {"slots", spec.Size.Slots},
+                 {"urgent", spec.Urgent},
+                 {"tasks", std::move(tasks)}};
+  if (spec.Deadline)
+    o["deadlineUnixMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                              spec.Deadline->time_since_epoch())
+                              .count();
+  return o;
+}
+
+base::Result<model::Address> parseAddress(const std::string &text) {
+  std::size_t colon = text.rfind(':');
+  model::Address address;
+  if (colon != std::string::npos) {
+    address.Ip = text.substr(0, colon);
+    const char *end = text.data() + text.size();
+    auto [p, ec] = std::from_chars(text.data() + colon + 1, end, address.Port);
+    if (ec == std::errc() && p == end && !address.Ip.empty())
+      return address;
+  }
+  return fail(Errc::InvalidArgument, "not an address: " + text);
+}
+
+} // namespace endivedoor::server
--- a/packages/server/src/Server.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "endivedoor/base/Base.h"
--- /dev/null
+++ b/packages/server/src/detail/CallHeaders.cpp
@@ -0,0 +1,94 @@
+#include "detail/CallHeaders.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivedoor::server::detail {
+
+using base::Errc;
+using base::fail;
+using boost::beast::iequals;
+using platform::HttpHeaders;
+
+constexpr std::size_t LongestToken = 128;
+constexpr std::int64_t LongestDeadlineMs = 24LL * 3600 * 1000;
+
+/// Headers that concern one connection (RFC 9110, section 7.6.1), besides those
+/// that the HTTP adapters keep to themselves.
+static bool isHopHeader(std::string_view name) {
+  for (std::string_view it :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+        "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+        "Expect", "Host"})
+    if (iequals(name, it))
+      return true;
+  return false;
+}
+
+static bool isToken(std::string_view text) {
+  return !text.empty() && text.size() <= LongestToken &&
+         std::ranges::all_of(text, [](char c) { return c > ' ' && c < 127; });
+}
+
+/// Reads a header that may stand at most once; an absent one stays empty.
+static base::Result<void> readToken(const HttpHeaders &headers,
+                                    const char *name, std::string &out) {
+  bool isFound = false;
+  for (const auto &[key, value] : headers) {
+    if (!iequals(key, name))
+      continue;
+    if (isFound)
+      return fail(Errc::RequestMalformed, std::string(name) + " stands twice");
+    if (!isToken(value))
+      return fail(Errc::RequestMalformed,
+                  std::string(name) + ": 1 to 128 visible ASCII characters");
+    isFound = true;
+    out = value;
+  }
+  return base::success();
+}
+
+base::Result<CallHeaders> readCallHeaders(const HttpHeaders &headers) {
+  CallHeaders out;
+  std::string deadline;
+  BOOST_OUTCOME_TRYV(readToken(headers, RequestIdHeader, out.RequestId));
+  BOOST_OUTCOME_TRYV(readToken(headers, KeyHeader, out.Key));
+  BOOST_OUTCOME_TRYV(readToken(headers, DeadlineHeader, deadline));
+  if (deadline.empty())
+    return out;
+  std::int64_t ms = 0;
+  const char *end = deadline.data() + deadline.size();
+  auto [p, ec] = std::from_chars(deadline.data(), end, ms);
+  if (ec != std::errc() || p != end || ms < 0)
+    return fail(Errc::RequestMalformed, std::string(DeadlineHeader) +
+                                            ": a whole number of milliseconds");
+  out.Deadline = std::chrono::milliseconds(std::min(ms, LongestDeadlineMs));
+  return out;
+}
+
+std::string_view serviceOf(std::string_view path) {
+  if (!path.starts_with("/s/"))
+    return {};
+  std::string_view rest = path.substr(3);
+  return rest.substr(0, rest.find_first_of("/?#"));
+}
+
+HttpHeaders forwardedHeaders(const HttpHeaders &headers,
+                             const std::string &requestId) {
+  HttpHeaders out;
+  out.reserve(headers.size() + 2);
+  for (const auto &it : headers)
+    if (!isHopHeader(it.first) && !iequals(it.first, RequestIdHeader) &&
+        !iequals(it.first, DeadlineHeader))
+      out.push_back(it);
+  out.emplace_back(RequestIdHeader, requestId);
+  return out;
+}
+
+void removeHopHeaders(HttpHeaders &headers) {
+  std::erase_if(headers, [](const auto &it) { return isHopHeader(it.first); });
+}
+
+} // namespace endivedoor::server::detail
--- /dev/null
+++ b/packages/server/src/detail/RunOn.h
@@ -0,0 +1,35 @@
+/// \file
+/// Awaits an operation that runs on another thread's executor.
+#ifndef ENDIVEDOOR_SERVER_DETAIL_RUNON_H
+#define ENDIVEDOOR_SERVER_DETAIL_RUNON_H
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+
+namespace endivedoor::server::detail {
+
+template <typename T>
+boost::asio::awaitable<void> storeInto(boost::asio::awaitable<T> operation,
+                                       std::optional<T> &result) {
+  result.emplace(co_await std::move(operation));
+}
+
+/// Runs \p operation on \p executor and resumes on the caller's executor with
+/// its value, which needs no default constructor.
+template <typename T>
+boost::asio::awaitable<T> runOn(boost::asio::any_io_executor executor,
+                                boost::asio::awaitable<T> operation) {
+  std::optional<T> result;
+  co_await boost::asio::co_spawn(executor,
+                                 storeInto(std::move(operation), result),
+                                 boost::asio::use_awaitable);
+  co_return std::move(*result);
+}
+
+} // namespace endivedoor::server::detail
+
+#endif
