--- a/packages/server/include/endivedoor/server/Server.h
+++ b/packages/server/include/endivedoor/server/Server.h
@@ -9,7 +9,9 @@
 #include "endivedoor/server/ConnectionShare.h"
 #include "endivedoor/server/JobEndpoints.h"
 #include "endivedoor/server/Metrics.h"
+#include "endivedoor/server/OperatorServer.h"
 #include "endivedoor/server/RetryBudget.h"
 #include "endivedoor/server/RouteTable.h"
+#include "endivedoor/server/TargetPoller.h"
 
 #endif
--- /dev/null
+++ b/tests/support/FaultyStore.h
@@ -0,0 +1,74 @@
+/// \file
+/// A store whose answers can be lost or late, for unit tests.
+#ifndef ENDIVEDOOR_TESTS_SUPPORT_FAULTYSTORE_H
+#define ENDIVEDOOR_TESTS_SUPPORT_FAULTYSTORE_H
+
+#include "endivedoor/platform/MemoryStore.h"
+
+#include <deque>
+
+namespace endivedoor::tests {
+
+/// What happens to a transaction. LostAfter: it takes effect, its answer is
+/// lost. Late: its answer is lost, and it takes effect only in applyLate().
+enum class Fault { None, Unavailable, LostBefore, LostAfter, Late };
+
+class FaultyStore final : public platform::Store {
+public:
+  /// Faults of the next transactions, then Always.
+  std::deque<Fault> Faults;
+  Fault Always = Fault::None;
+  std::vector<platform::StoreTxn> Held;
+  int Calls = 0;
+
+  platform::Async<platform::StoreTxnResult>
+  txn(platform::StoreTxn request) override {
+    ++Calls;
+    Fault fault = Always;
+    if (!Faults.empty()) {
+      fault = Faults.front();
+      Faults.pop_front();
+    }
+    if (fault == Fault::Unavailable)
+      co_return base::fail(base::Errc::StoreUnavailable, "fault");
+    if (fault == Fault::Late)
+      Held.push_back(request);
+    if (fault == Fault::None)
+      co_return co_await Inner.txn(std::move(request));
+    if (fault == Fault::LostAfter)
+      (void)co_await Inner.txn(std::move(request));
+    co_return base::fail(base::Errc::StoreAnswerLost, "fault");
+  }
+
+  platform::Async<void> applyLate() {
+    for (platform::StoreTxn &it : Held)
+      (void)co_await Inner.txn(std::move(it));
+    Held.clear();
+    co_return base::success();
+  }
+
+  platform::Async<std::vector<platform::StoreEntry>>
+  range(std::string key, std::string end, std::int64_t limit) override {
+    if (Always == Fault::Unavailable)
+      co_return base::fail(base::Errc::StoreUnavailable, "fault");
+    co_return co_await Inner.range(key, end, limit);
+  }
+  platform::Async<platform::LeaseId>
+  grantLease(std::chrono::seconds ttl) override {
+    return Inner.grantLease(ttl);
+  }
+  platform::Async<void> keepAlive(platform::LeaseId lease) override {
+    return Inner.keepAlive(lease);
+  }
+  platform::Async<void> revokeLease(platform::LeaseId lease) override {
+    return Inner.revokeLease(lease);
+  }
+
+private:
+  base::SystemClock Time;
+  platform::MemoryStore Inner{Time};
+};
+
+} // namespace endivedoor::tests
+
+#endif
--- a/tests/support/ServerFakes.h
+++ b/tests/support/ServerFakes.h
@@ -3,7 +3,7 @@
 #ifndef ENDIVEDOOR_TESTS_SUPPORT_SERVERFAKES_H
 #define ENDIVEDOOR_TESTS_SUPPORT_SERVERFAKES_H
 
-#include "support/MemoryStore.h"
+#include "support/FaultyStore.h"
 
 #include "endivedoor/server/Server.h"
 
--- a/tests/unit/unit-server-callers.cpp
+++ b/tests/unit/unit-server-callers.cpp
@@ -15,7 +15,7 @@
 
 struct CallerPath : testing::Test {
   asio::io_context Io;
-  MemoryStore Store;
+  FaultyStore Store;
   EntryHost Host{Io, Store, "e1"};
 
   static HttpRequest order(platform::HttpHeaders headers = {}) {
