--- a/packages/policy/src/Policy.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "endivedoor/policy/Scheduler.h"
