Test bookings, balancing and metrics; let a drain serve requests on their way

HttpServer gets endKeepAlive and stopAccepting, so that a planned stop neither resets connections that wait in the accept queue nor closes an idle connection on which a request is on its way.

--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -57,6 +57,14 @@
   /// finished, and their connections closed after the answer.
   void beginDrain();
 
+  /// Closes each connection after its next answer, and goes on accepting.
+  void endKeepAlive();
+
+  /// Like beginDrain, but serves the connections that wait to be accepted, and
+  /// leaves idle connections open for one more request, because one may
+  /// already be on its way.
+  void stopAccepting();
+
   /// Returns the number of requests in progress.
   std::size_t activeRequests() const;
 
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -42,6 +42,7 @@
   std::unordered_set<Connection *> Connections;
   std::size_t Active = 0;
   bool Draining = false;
+  bool KeepAlive = true;
 
   Impl(asio::any_io_executor executor, HttpServerOptions options,
        Handler handler)
@@ -49,6 +50,7 @@
         Handle(std::move(handler)), Acceptor(executor) {}
 
   asio::awaitable<void> acceptLoop();
+  void accept(asio::ip::tcp::socket socket);
   asio::awaitable<void> serve(asio::ip::tcp::socket socket);
   asio::awaitable<bool> serveOne(Connection &connection);
   asio::awaitable<bool> answer(Connection &connection, HttpResponse response,
@@ -66,12 +68,15 @@
       co_await timer.async_wait(AsTuple);
       continue;
     }
-    if (Connections.size() >= Options.MaxConnections)
-      continue;
-    asio::co_spawn(Executor, serve(std::move(socket)), asio::detached);
+    accept(std::move(socket));
   }
 }
 
+void HttpServer::Impl::accept(asio::ip::tcp::socket socket) {
+  if (Connections.size() < Options.MaxConnections)
+    asio::co_spawn(Executor, serve(std::move(socket)), asio::detached);
+}
+
 asio::awaitable<void> HttpServer::Impl::serve(asio::ip::tcp::socket socket) {
   auto self = shared_from_this();
   Connection connection(std::move(socket));
@@ -142,7 +147,7 @@
   message.version(11);
   message.result(response.Status);
   detail::setHeaders(message, response.Headers);
-  message.keep_alive(keepAlive && !Draining);
+  message.keep_alive(keepAlive && KeepAlive);
   message.body() = std::move(response.Body);
   message.prepare_payload();
   if (isHead)
@@ -150,7 +155,7 @@
   connection.Stream.expires_after(Options.IdleTimeout);
   auto [ec, n] =
       co_await http::async_write(connection.Stream, message, AsTuple);
-  co_return !ec && message.keep_alive() && !Draining;
+  co_return !ec && message.keep_alive() && KeepAlive;
 }
 
 HttpServer::HttpServer(asio::any_io_executor executor,
@@ -189,6 +194,7 @@
   if (Self->Draining)
     return;
   Self->Draining = true;
+  Self->KeepAlive = false;
   boost::system::error_code ec;
   Self->Acceptor.close(ec);
   for (Impl::Connection *it : Self->Connections)
@@ -196,6 +202,25 @@
       it->Stream.cancel();
 }
 
+void HttpServer::endKeepAlive() { Self->KeepAlive = false; }
+
+void HttpServer::stopAccepting() {
+  if (Self->Draining)
+    return;
+  Self->Draining = true;
+  Self->KeepAlive = false;
+  asio::ip::tcp::acceptor &acceptor = Self->Acceptor;
+  boost::system::error_code ec;
+  acceptor.non_blocking(true, ec);
+  while (!ec) {
+    asio::ip::tcp::socket socket(Self->Executor);
+    acceptor.accept(socket, ec);
+    if (!ec)
+      Self->accept(std::move(socket));
+  }
+  acceptor.close(ec);
+}
+
 std::size_t HttpServer::activeRequests() const { return Self->Active; }
 
 std::size_t HttpServer::openConnections() const {
--- a/packages/server/include/endivedoor/server/CallerServer.h
+++ b/packages/server/include/endivedoor/server/CallerServer.h
@@ -44,12 +44,15 @@
 
   /// Binds and begins to accept. Errors: IoFailed.
   base::Result<void> start();
-  /// Accepts no more connections; requests in progress are finished.
-  void beginDrain();
-  /// Stops the periodic work, so that the executor runs out of work.
-  void stop();
+  /// Closes each connection after its next answer.
+  void endKeepAlive() { Server.endKeepAlive(); }
+  /// Accepts no more connections; requests in progress and those already on
+  /// their way on open connections are answered.
+  void stopAccepting() { Server.stopAccepting(); }
   /// Returns the number of requests in progress.
   std::size_t activeRequests() const { return Server.activeRequests(); }
+  /// Returns the number of open connections of callers.
+  std::size_t openConnections() const { return Server.openConnections(); }
   std::uint16_t port() const { return Server.port(); }
   /// Lets waiting requests look at the new route table. Thread-safe.
   void routesChanged();
@@ -82,7 +85,6 @@
   MetricsShard &Counts;
   std::mt19937_64 Random;
   boost::asio::steady_timer Sweep;
-  bool Stopping = false;
   platform::HttpServer Server;
 };
 
--- a/packages/server/src/CallerServer.cpp
+++ b/packages/server/src/CallerServer.cpp
@@ -97,21 +97,16 @@
   return base::success();
 }
 
-void CallerServer::beginDrain() { Server.beginDrain(); }
-
-void CallerServer::stop() {
-  Stopping = true;
-  Sweep.cancel();
-}
-
 void CallerServer::routesChanged() {
   asio::post(Executor, [this] { Targets.wakeAll(); });
 }
 
 asio::awaitable<void> CallerServer::closeExpired() {
-  while (!Stopping) {
+  while (true) {
     Sweep.expires_after(SweepInterval);
-    co_await Sweep.async_wait(asio::as_tuple(asio::use_awaitable));
+    auto [ec] = co_await Sweep.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (ec)
+      co_return;
     Client.closeExpired();
   }
 }
--- /dev/null
+++ b/tests/unit/unit-server-balancer.cpp
@@ -0,0 +1,203 @@
+// Routing decisions: table, balancer, limits, budgets, and the metrics of them.
+#include "support/ServerFakes.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace endivedoor::tests {
+namespace {
+
+using namespace server;
+using std::chrono::milliseconds;
+using testing::HasSubstr;
+
+std::shared_ptr<Target> makeTarget(std::string worker, std::string zone,
+                                   std::uint16_t port, int limit = 8) {
+  return std::make_shared<Target>(base::ServiceName("orders"),
+                                  base::WorkerId(worker), base::ZoneId(zone),
+                                  model::Address{"127.0.0.1", port}, limit);
+}
+
+struct Balance : testing::Test {
+  asio::io_context Io;
+  base::SystemClock Time;
+  ConnectionShare Share{1};
+  RouteTableHolder Routes;
+  ThreadConnections Gate{Share, [](const model::Address &, bool) {}};
+  platform::HttpClient Client{Io.get_executor(), Time, platform::HttpLimits{}};
+  Balancer Targets{Io.get_executor(), Routes, Client, Gate, Time, 2, 5};
+
+  void publish(TargetList targets, std::vector<base::ZoneId> out = {}) {
+    for (const auto &it : targets)
+      Share.setCapacity(it->Endpoint, 8);
+    Routes.publish(
+        std::make_shared<RouteTable>(targets, base::ZoneId("a"), out));
+  }
+  base::Result<TargetUse> acquire(milliseconds within = milliseconds(50),
+                                  Balancer::TriedTargets tried = {}) {
+    return await(Io, Targets.acquire("orders", Time.now() + within, tried));
+  }
+};
+
+// Guards against work for another zone while the own one has room, and for a
+// zone that is out while another one has.
+TEST_F(Balance, OwnZoneFirstThenOthersThenZonesOut) {
+  auto own = makeTarget("w1", "a", 1, 1);
+  auto other = makeTarget("w2", "b", 2, 1);
+  auto out = makeTarget("w3", "c", 3, 1);
+  publish({out, other, own}, {base::ZoneId("c")});
+  auto one = acquire();
+  auto two = acquire();
+  auto three = acquire();
+  EXPECT_EQ(one.value().target(), own);
+  EXPECT_EQ(two.value().target(), other);
+  EXPECT_EQ(three.value().target(), out);
+  EXPECT_EQ(acquire().error().Code, Errc::DeadlinePassed);
+}
+
+// Guards against one loaded target among idle ones, and against use of one that
+// has refused the request or cannot be reached.
+TEST_F(Balance, PrefersTheLessLoadedUntriedReachableTarget) {
+  TargetList targets;
+  for (std::uint16_t i = 1; i <= 4; ++i)
+    targets.push_back(makeTarget("w" + std::to_string(i), "a", i));
+  publish(targets);
+  std::vector<TargetUse> uses;
+  for (int i = 0; i < 16; ++i)
+    uses.push_back(std::move(acquire().value()));
+  for (const auto &it : targets)
+    EXPECT_NEAR(it->Limit.outstanding(), 4, 2);
+  uses.clear();
+  acquire(milliseconds(50), {targets[1], targets[2], targets[3]})
+      .value()
+      .unreachable();
+  for (int i = 0; i < 50; ++i)
+    EXPECT_NE(acquire().value().target(), targets[0]);
+  EXPECT_EQ(acquire(milliseconds(50), targets).error().Code, Errc::NoTarget);
+  // An avoided target is still better than none.
+  EXPECT_TRUE(acquire(milliseconds(50), {targets[1], targets[2], targets[3]}));
+}
+
+// Guards against requests that wait in vain: a full queue, a deadline shorter
+// than the queue, a service whose targets have gone.
+TEST_F(Balance, QueueIsBoundedAndShedsByDeadline) {
+  auto only = makeTarget("w1", "a", 1, 1);
+  publish({only});
+  auto use = std::make_unique<TargetUse>(std::move(acquire().value()));
+  use->answered(std::chrono::seconds(4));
+  use.reset();
+  use = std::make_unique<TargetUse>(std::move(acquire().value()));
+  std::vector<Errc> errors;
+  int served = 0;
+  auto wait = [&](milliseconds within) -> asio::awaitable<void> {
+    auto result = co_await Targets.acquire("orders", Time.now() + within, {});
+    if (result)
+      ++served;
+    else
+      errors.push_back(result.error().Code);
+  };
+  asio::co_spawn(Io, wait(milliseconds(2000)), asio::detached);
+  runFor(Io, milliseconds(1));
+  // The average answer time is 250 ms, so that the second one cannot be served.
+  asio::co_spawn(Io, wait(milliseconds(100)), asio::detached);
+  runFor(Io, milliseconds(1));
+  EXPECT_EQ(errors, std::vector<Errc>{Errc::Overloaded});
+  asio::co_spawn(Io, wait(milliseconds(2000)), asio::detached);
+  runFor(Io, milliseconds(1));
+  asio::co_spawn(Io, wait(milliseconds(2000)), asio::detached);
+  runFor(Io, milliseconds(1));
+  EXPECT_EQ(errors.size(), 2u);
+  EXPECT_EQ(Targets.queued(), 2u);
+  use.reset();
+  runFor(Io, milliseconds(5));
+  EXPECT_EQ(served, 2);
+  use = std::make_unique<TargetUse>(std::move(acquire().value()));
+  asio::co_spawn(Io, wait(milliseconds(2000)), asio::detached);
+  runFor(Io, milliseconds(1));
+  publish({});
+  Targets.wakeAll();
+  runFor(Io, milliseconds(5));
+  EXPECT_EQ(errors.back(), Errc::NoTarget);
+  EXPECT_EQ(Targets.queued(), 0u);
+}
+
+// Guards against a limit that stays open while answers slow down, or closed
+// after they recover.
+TEST(ConcurrencyLimit, FollowsAnswerTimes) {
+  ConcurrencyLimit limit(8);
+  auto run = [&](milliseconds time, int n) {
+    for (int i = 0; i < n; ++i) {
+      int begun = 0;
+      while (limit.tryBegin())
+        ++begun;
+      for (; begun > 0; --begun)
+        limit.succeeded(time);
+    }
+  };
+  run(milliseconds(10), 100);
+  EXPECT_EQ(limit.limit(), 8);
+  run(milliseconds(200), 3);
+  EXPECT_LT(limit.limit(), 4);
+  run(milliseconds(10), 200);
+  EXPECT_EQ(limit.limit(), 8);
+  for (int i = 0; i < 100; ++i)
+    if (limit.tryBegin())
+      limit.failed();
+  EXPECT_EQ(limit.limit(), 1);
+  EXPECT_EQ(limit.outstanding(), 0);
+}
+
+// Guards against retries that multiply an overload.
+TEST(RetryBudget, TenPercentAtLeastThree) {
+  base::ManualClock clock;
+  RetryBudget budget(clock);
+  auto spend = [&] {
+    int n = 0;
+    while (budget.tryRetry())
+      ++n;
+    return n;
+  };
+  EXPECT_EQ(spend(), 3);
+  clock.advance(milliseconds(1000));
+  for (int i = 0; i < 100; ++i)
+    budget.addRequest();
+  EXPECT_EQ(spend(), 10);
+  clock.advance(milliseconds(500));
+  EXPECT_EQ(spend(), 0);
+  clock.advance(milliseconds(600));
+  EXPECT_EQ(spend(), 3);
+}
+
+// Guards against a scrape that other programs cannot read, and against shards
+// that are not merged.
+TEST(Metrics, TextMergesShards) {
+  Metrics metrics;
+  MetricsShard &one = metrics.addShard();
+  MetricsShard &two = metrics.addShard();
+  metrics.addGauge("endivedoor_test", "A test.", [] { return 1.5; });
+  one.add(Counter::RequestsAnswered);
+  two.add(Counter::RequestsAnswered);
+  for (int i = 1; i <= 10000; ++i)
+    (i % 2 ? one : two).observe(milliseconds(i > 8000 ? 100 : 1));
+  std::string text = metrics.render();
+  EXPECT_THAT(text,
+              HasSubstr("endivedoor_requests_total{outcome=\"answered\"} 2\n"));
+  EXPECT_THAT(text, HasSubstr("# TYPE endivedoor_test gauge\n"
+                              "endivedoor_test 1.5\n"));
+  EXPECT_THAT(text, HasSubstr("{quantile=\"0.5\"} 0.001"));
+  EXPECT_THAT(text, HasSubstr("{quantile=\"0.99\"} 0.1"));
+  EXPECT_THAT(text, HasSubstr("endivedoor_request_seconds_count 10000\n"));
+  std::istringstream lines(text);
+  std::set<std::string> typed;
+  for (std::string line; std::getline(lines, line);)
+    if (line.starts_with("# TYPE ")) {
+      EXPECT_TRUE(typed.insert(line).second) << line;
+    } else if (!line.starts_with("#")) {
+      EXPECT_NE(line.find(' '), std::string::npos) << line;
+    }
+}
+
+} // namespace
+} // namespace endivedoor::tests
--- /dev/null
+++ b/tests/unit/unit-server-bookings.cpp
@@ -0,0 +1,199 @@
+// A booking runs at most once, whatever the store loses and whoever repeats it.
+#include "support/ServerFakes.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace endivedoor::tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct TwoDaemons {
+  asio::io_context Io;
+  FaultyStore Store;
+  FakeTarget Target{Io, echo};
+  EntryHost First{Io, Store, "e1"};
+  EntryHost Second{Io, Store, "e2"};
+
+  TwoDaemons() {
+    First.addTarget(Target.address());
+    Second.addTarget(Target.address());
+  }
+  static HttpRequest booking(std::string key = "k1", std::string body = "gas") {
+    return {"POST", "/s/orders/new", {{"Idempotency-Key", key}}, body};
+  }
+  /// Waits until the background writes are done.
+  void settle() {
+    for (int i = 0;
+         i < 500 && First.Booking.pending() + Second.Booking.pending(); ++i)
+      runFor(Io, milliseconds(10));
+    EXPECT_EQ(First.Booking.pending() + Second.Booking.pending(), 0u);
+  }
+};
+
+struct Bookings : testing::Test, TwoDaemons {};
+
+// Guards against a repeat that runs again or loses part of the answer.
+TEST_F(Bookings, RepeatAtAnotherDaemonGetsTheRecordedAnswer) {
+  Target.Reply = [](const HttpRequest &r) {
+    HttpResponse answer = echo(r);
+    answer.Status = 201;
+    answer.Body = std::string("a\n\0\xff{", 5);
+    answer.Headers.emplace_back("X-Byte", "\xe9");
+    return answer;
+  };
+  HttpResponse one = First.send(booking());
+  HttpRequest again = booking();
+  again.Headers.emplace_back("X-Request-Id", "second");
+  HttpResponse two = Second.send(again);
+  EXPECT_EQ(Target.Requests, 1);
+  EXPECT_EQ(two.Status, 201u);
+  EXPECT_EQ(two.Body, one.Body);
+  EXPECT_EQ(outcomeOf(two), "answered");
+  EXPECT_EQ(platform::findHeader(two.Headers, "X-Own"), "1");
+  EXPECT_EQ(platform::findHeader(two.Headers, "X-Byte"), "\xe9");
+  EXPECT_EQ(platform::findHeader(two.Headers, "X-Request-Id"), "second");
+  EXPECT_EQ(Second.send(booking("k1", "other")).Status, 422u);
+  EXPECT_EQ(Second.send(booking("k2", "other")).Status, 201u);
+}
+
+// Guards against two daemons that both win the claim.
+TEST_F(Bookings, RaceOfTwoDaemonsRunsOnce) {
+  Target.Delay = milliseconds(60);
+  std::vector<unsigned> statuses;
+  auto one = [&](EntryHost &host) -> asio::awaitable<void> {
+    auto r = co_await host.call(booking());
+    statuses.push_back(r.value().Status);
+  };
+  for (EntryHost *host : {&First, &Second, &First, &Second})
+    asio::co_spawn(Io, one(*host), asio::detached);
+  Io.restart();
+  while (statuses.size() < 4 && Io.run_one())
+    ;
+  EXPECT_EQ(Target.Requests, 1);
+  EXPECT_EQ(std::ranges::count(statuses, 200u), 1);
+  EXPECT_EQ(std::ranges::count(statuses, 409u), 3);
+  EXPECT_EQ(Second.send(booking()).Status, 200u);
+}
+
+// Guards against a second run after a lost answer of the claim (first write) or
+// of the record (second write).
+TEST_F(Bookings, EachLostAnswerIsResolved) {
+  int n = 0;
+  for (Fault fault : {Fault::LostBefore, Fault::LostAfter, Fault::Late})
+    for (std::size_t position : {0, 1})
+      for (int repeats : {1, 2}) {
+        std::string key = "lost-" + std::to_string(++n);
+        Store.Faults.assign(position, Fault::None);
+        Store.Faults.insert(Store.Faults.end(),
+                            static_cast<std::size_t>(repeats), fault);
+        EXPECT_EQ(First.send(booking(key)).Status, 200u) << n;
+        settle();
+        await(Io, Store.applyLate()).value();
+        EXPECT_EQ(Second.send(booking(key)).Body, "ran:gas") << n;
+        EXPECT_EQ(Target.Requests, n);
+      }
+}
+
+// Guards against a booking that is sent without a claim, or refused for ever
+// because of a claim that nobody uses.
+TEST_F(Bookings, OutageRefusesAndUncertainClaimIsReleased) {
+  Store.Always = Fault::Unavailable;
+  HttpResponse r = First.send(booking());
+  EXPECT_EQ(r.Status, 503u);
+  EXPECT_EQ(outcomeOf(r), "not-run");
+  EXPECT_FALSE(platform::findHeader(r.Headers, "Retry-After").empty());
+
+  for (Fault fault : {Fault::LostBefore, Fault::LostAfter, Fault::Late}) {
+    std::string key = "uncertain-" + std::to_string(static_cast<int>(fault));
+    int before = Target.Requests;
+    Store.Always = fault;
+    HttpRequest hurried = booking(key);
+    hurried.Headers.emplace_back("Endivedoor-Deadline-Ms", "100");
+    r = First.send(hurried);
+    EXPECT_EQ(outcomeOf(r), "not-run");
+    EXPECT_EQ(Target.Requests, before);
+    EXPECT_EQ(First.Booking.pending(), 1u);
+    Store.Always = Fault::None;
+    settle();
+    await(Io, Store.applyLate()).value();
+    EXPECT_EQ(Second.send(booking(key)).Status, 200u);
+    EXPECT_EQ(Target.Requests, before + 1);
+  }
+}
+
+// Guards against a key that is lost by a refusal, or free after an unknown run.
+TEST_F(Bookings, RefusalFreesTheKeyAndUnknownKeepsIt) {
+  Target.Reply = refuse;
+  EXPECT_EQ(outcomeOf(First.send(booking())), "not-run");
+  EXPECT_EQ(Target.Requests, 1);
+  settle();
+  Target.Reply = [](const HttpRequest &) { return HttpResponse{}; };
+  EXPECT_EQ(outcomeOf(Second.send(booking())), "unknown");
+  EXPECT_EQ(Target.Requests, 2);
+  Target.Reply = echo;
+  HttpResponse r = First.send(booking());
+  EXPECT_EQ(r.Status, 504u);
+  EXPECT_EQ(outcomeOf(r), "unknown");
+  EXPECT_EQ(Target.Requests, 2);
+
+  // An answer too large for the store ran, and must not run again.
+  Target.Reply = [](const HttpRequest &q) {
+    HttpResponse answer = echo(q);
+    answer.Body.assign(1024 * 1024, 'x');
+    return answer;
+  };
+  EXPECT_EQ(First.send(booking("big")).Body.size(), 1024u * 1024);
+  EXPECT_EQ(Second.send(booking("big")).Status, 504u);
+  EXPECT_EQ(Target.Requests, 3);
+}
+
+// Guards against any order of faults, repeats and refusals that runs a booking
+// twice or reports a run as not-run.
+RC_GTEST_PROP(BookingProperty, RunsAtMostOnce, ()) {
+  TwoDaemons two;
+  auto faults = *rc::gen::container<std::vector<Fault>>(
+      rc::gen::weightedElement<Fault>({{6, Fault::None},
+                                       {1, Fault::Unavailable},
+                                       {1, Fault::LostBefore},
+                                       {1, Fault::LostAfter},
+                                       {1, Fault::Late}}));
+  faults.resize(std::min<std::size_t>(faults.size(), 8));
+  two.Store.Faults.assign(faults.begin(), faults.end());
+  auto actions = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+  actions.resize(std::min<std::size_t>(actions.size(), 6));
+  int ran = 0;
+  bool refusing = false;
+  two.Target.Reply = [&](const HttpRequest &r) {
+    if (refusing)
+      return refuse(r);
+    ++ran;
+    return echo(r);
+  };
+  for (int action : actions) {
+    if (action == 2)
+      await(two.Io, two.Store.applyLate()).value();
+    refusing = action == 3;
+    int before = ran;
+    HttpResponse r =
+        (action % 2 ? two.First : two.Second).send(TwoDaemons::booking());
+    std::string outcome = outcomeOf(r);
+    RC_ASSERT(ran <= 1);
+    if (outcome == "not-run")
+      RC_ASSERT(ran == before);
+    if (outcome == "answered")
+      RC_ASSERT(ran == 1);
+  }
+  // The store works again.
+  two.Store.Faults.clear();
+  two.settle();
+  await(two.Io, two.Store.applyLate()).value();
+  refusing = false;
+  HttpResponse last = two.First.send(TwoDaemons::booking());
+  RC_ASSERT(ran == 1);
+  RC_ASSERT(last.Body == "ran:gas");
+}
+
+} // namespace
+} // namespace endivedoor::tests
