Add endivedoord: wiring, life cycle and planned stop

The control thread runs control, peers, bookings, polling and the operator API; each traffic thread runs one CallerServer. SIGTERM: not ready, drain delay, no new connections, requests and booking records finished, shard handed over, exit 0; a second signal or the drain limit exits 1.

--- /dev/null
+++ b/packages/daemon/src/Daemon.cpp
@@ -0,0 +1,321 @@
+#include "Daemon.h"
+
+#include "endivedoor/model/Rules.h"
+#include "endivedoor/platform/Adapters.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <random>
+#include <set>
+
+namespace endivedoor::daemon {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using base::Errc;
+using base::EventCode;
+
+/// A range of 500 values of up to 100 kB, or one of 128 full segments, in
+/// base64.
+constexpr std::size_t LargestStoreAnswer = 192 * 1024 * 1024;
+/// The host list of 5,000 workers takes about 1 MB.
+constexpr std::size_t LargestPlatformAnswer = 16 * 1024 * 1024;
+/// An entry host without any target is ready after this time, since it may
+/// simply be that no service runs.
+constexpr auto FirstTargetsDelay = std::chrono::milliseconds(2000);
+/// A request that was on its way on an open connection arrives within this
+/// time.
+constexpr auto QuietTime = std::chrono::milliseconds(250);
+constexpr auto DrainPoll = std::chrono::milliseconds(20);
+
+static std::uint64_t chooseSeed(const model::Settings &config) {
+  if (config.Seed != 0)
+    return config.Seed;
+  std::random_device device;
+  return std::uint64_t{device()} << 32 | device();
+}
+
+/// The instance is unique for each run, whatever the seed in the settings.
+static base::InstanceId makeInstance(const model::Settings &config) {
+  std::random_device device;
+  char buf[24];
+  std::snprintf(buf, sizeof buf, "-%08x%08x", device(), device());
+  return base::InstanceId(config.Name + buf);
+}
+
+static platform::HttpClientOptions clientOptions(const model::Settings &config,
+                                                 std::size_t largestAnswer) {
+  platform::HttpClientOptions options;
+  options.Limits = {config.Limits.HeaderBytes, largestAnswer};
+  return options;
+}
+
+Daemon::Daemon(model::Settings settings)
+    : Config(std::move(settings)), Seed(chooseSeed(Config)),
+      Instance(makeInstance(Config)),
+      Events(Config.Name, Hybrid, Config.Limits.KeptEvents),
+      Signals(Io, SIGTERM, SIGINT),
+      StoreHttp(Io.get_executor(), Time,
+                clientOptions(Config, LargestStoreAnswer)),
+      PlatformHttp(Io.get_executor(), Time,
+                   clientOptions(Config, LargestPlatformAnswer)),
+      Store(platform::makeEtcdStore(StoreHttp, Config.Store,
+                                    Config.Timing.StoreTimeout)),
+      Workers(
+          platform::makeWorkerClient(PlatformHttp, Config.Timing.StatusPoll)),
+      Hosts(platform::makeHostList(PlatformHttp, Config.HostList,
+                                   Config.Timing.StoreTimeout)),
+      Control(Io.get_executor(), Config, *Store, *Workers, *Hosts, Time, Events,
+              Instance, [this] { return policy::makeScheduler(Time, Seed); }),
+      Peer(Io.get_executor(), Config, Hybrid, Time, Events, Instance),
+      Share(Config.EntryHosts),
+      Booking(Io.get_executor(), *Store, Time, Events, Instance, Seed + 1),
+      Jobs(Control, PlatformHttp, Time, 4 * Config.Timing.StoreTimeout),
+      Poller(
+          Io.get_executor(), Config, *Workers, *Hosts, Time, Events, Share,
+          Routes,
+          [this] {
+            for (const std::unique_ptr<TrafficThread> &it : Traffic)
+              it->routesChanged();
+          },
+          Seed + 2),
+      Operators(Io.get_executor(),
+                server::OperatorContext{Config, Control, Jobs, Totals, Events,
+                                        [this] { return notReady(); },
+                                        [this] { return membersToJson(); },
+                                        [this](base::ContractName contract) {
+                                          return report(std::move(contract));
+                                        }}) {}
+
+int Daemon::run() {
+  Started = Time.now();
+  if (base::Result<void> done = start(); !done) {
+    Events.emit(EventCode::DaemonCannotStart,
+                {{"cause", done.error().message()}});
+    return 1;
+  }
+  Events.emit(EventCode::DaemonStarted, {{"zone", Config.Zone.str()},
+                                         {"instance", Instance.str()},
+                                         {"callers", Config.Callers.str()}});
+  Io.run();
+  Events.emit(EventCode::DaemonStopped, {{"status", std::to_string(Status)}});
+  return Status;
+}
+
+/// The traffic threads share their port, so that the system would also let
+/// another process share it.
+base::Result<void> Daemon::checkCallersAddress() {
+  boost::system::error_code ec;
+  asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(Config.Callers.Ip, ec), Config.Callers.Port);
+  asio::ip::tcp::acceptor probe(Io);
+  if (!ec)
+    probe.open(endpoint.protocol(), ec);
+  if (!ec)
+    probe.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    probe.bind(endpoint, ec);
+  if (ec)
+    return base::fail(Errc::IoFailed,
+                      Config.Callers.str() + ": " + ec.message());
+  return base::success();
+}
+
+base::Result<void> Daemon::start() {
+  BOOST_OUTCOME_TRYV(checkCallersAddress());
+  server::TrafficContext context{
+      Config,  Time, Routes, Share, Retries, Totals, Io.get_executor(),
+      Booking, Jobs};
+  for (std::int32_t i = 0; i < Config.TrafficThreads; ++i)
+    Traffic.push_back(std::make_unique<TrafficThread>(
+        context, Seed + 100 + static_cast<std::uint64_t>(i)));
+  connectParts();
+  addGauges();
+  BOOST_OUTCOME_TRYV(Operators.start());
+  BOOST_OUTCOME_TRYV(Peer.start());
+  for (const std::unique_ptr<TrafficThread> &it : Traffic) {
+    BOOST_OUTCOME_TRYV(it->start());
+  }
+  asio::co_spawn(Io, handleSignals(), asio::detached);
+  Control.start();
+  Poller.start();
+  Peer.setState(peer::MemberState::Live);
+  return base::success();
+}
+
+void Daemon::connectParts() {
+  Control.onConfiguration([this](const control::Configuration &config) {
+    applyConfiguration(config);
+  });
+  Control.onServiceZones(
+      [this](const base::ServiceName &service) { return zonesOf(service); });
+  Peer.onConfiguration([this](std::string text) {
+    base::Result<control::Configuration> config =
+        control::configurationFromJson(text);
+    if (config)
+      Control.offer(config.value());
+  });
+}
+
+/// Rules can take zones and workers out as well.
+void Daemon::applyConfiguration(const control::Configuration &config) {
+  std::set<base::ZoneId> zones = config.ZonesOut;
+  std::set<base::WorkerId> workers = config.WorkersOut;
+  model::RulesOutcome rules =
+      model::parseRules("rules", config.RulesText, {Config.Zones});
+  for (const model::Rule &it : rules.Value.Rules) {
+    if (const auto *zone = std::get_if<model::ZoneOut>(&it.Body))
+      zones.insert(zone->Zone);
+    if (const auto *worker = std::get_if<model::WorkerOut>(&it.Body))
+      workers.insert(worker->Worker);
+  }
+  Poller.setOut(std::move(zones), std::move(workers));
+  Peer.publishConfiguration(config.Version, control::toJson(config));
+}
+
+std::int32_t Daemon::zonesOf(const base::ServiceName &service) const {
+  std::shared_ptr<const server::RouteTable> table = Routes.load();
+  const server::RouteTable::Tiers *tiers = table->find(service.str());
+  std::set<base::ZoneId> zones;
+  if (tiers)
+    for (const server::TargetList &targets : *tiers)
+      for (const std::shared_ptr<server::Target> &it : targets)
+        zones.insert(it->Zone);
+  return static_cast<std::int32_t>(zones.size());
+}
+
+std::string Daemon::notReady() const {
+  if (Stopping)
+    return "the daemon is stopping";
+  if (Routes.load()->size() == 0 && Time.now() - Started < FirstTargetsDelay)
+    return "no target is known yet";
+  return {};
+}
+
+json::value Daemon::membersToJson() const {
+  json::array list;
+  for (const peer::Member &it : Peer.members()) {
+    json::object member{{"name", it.Name},
+                        {"zone", it.Zone.str()},
+                        {"state", peer::toText(it.State)},
+                        {"incarnation", it.Incarnation},
+                        {"configVersion", it.ConfigVersion}};
+    if (it.LastHeard)
+      member["lastHeardMs"] = it.LastHeard->count();
+    list.push_back(std::move(member));
+  }
+  return list;
+}
+
+platform::Async<json::value> Daemon::report(base::ContractName contract) {
+  base::Result<std::vector<control::ReportRow>> rows =
+      co_await Control.report(std::move(contract));
+  if (!rows)
+    co_return rows.as_failure();
+  json::array list;
+  for (const control::ReportRow &it : rows.value())
+    list.push_back({{"hour", it.Hour},
+                    {"zone", it.Zone.str()},
+                    {"rule", it.Rule},
+                    {"kept", it.Kept},
+                    {"violated", it.Violated},
+                    {"worst", it.Worst}});
+  co_return json::value(std::move(list));
+}
+
+void Daemon::addGauges() {
+  auto add = [this](const char *name, const char *help, auto read) {
+    Totals.addGauge(std::string("endivedoor_") + name, help,
+                    [read] { return static_cast<double>(read()); });
+  };
+  add("targets", "Targets in use.", [this] { return Routes.load()->size(); });
+  add("workers_reachable", "Workers that answer.",
+      [this] { return Poller.reachableWorkers(); });
+  add("bookings_pending", "Booking records that wait for the store.",
+      [this] { return Booking.pending(); });
+  add("config_version", "Version of the configuration in force.",
+      [this] { return Control.configuration().Version; });
+  add("store_calls", "Calls of the store since the start.", [this] {
+    platform::StoreCallCounts n = Store->counts();
+    return n.Txn + n.Range + n.Grant + n.KeepAlive + n.Revoke;
+  });
+  add("store_errors", "Calls of the store that failed.",
+      [this] { return Control.counters().StoreErrors; });
+  add("commits", "Segments written.",
+      [this] { return Control.counters().Commits; });
+  add("starts", "Starts that a worker accepted.",
+      [this] { return Control.counters().Starts; });
+  add("evictions", "Attempts that ended by an eviction.",
+      [this] { return Control.counters().Evictions; });
+}
+
+asio::awaitable<void> Daemon::sleep(std::chrono::milliseconds time) {
+  asio::steady_timer timer(Io, time);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> Daemon::handleSignals() {
+  co_await Signals.async_wait(asio::as_tuple(asio::use_awaitable));
+  asio::co_spawn(Io, stop(), asio::detached);
+  asio::steady_timer limit(Io, Config.Timing.DrainLimit);
+  limit.async_wait([this](boost::system::error_code) {
+    Events.emit(EventCode::DrainLimitReached);
+    exit(1);
+  });
+  co_await Signals.async_wait(asio::as_tuple(asio::use_awaitable));
+  Events.emit(EventCode::StopForced);
+  exit(1);
+}
+
+void Daemon::exit(int status) {
+  Status = status;
+  Io.stop();
+}
+
+asio::awaitable<void> Daemon::stop() {
+  Events.emit(EventCode::DaemonStopping);
+  Stopping = true;
+  Peer.setState(peer::MemberState::Leaving);
+  for (const std::unique_ptr<TrafficThread> &it : Traffic)
+    it->endKeepAlive();
+  co_await sleep(Config.Timing.DrainDelay);
+  for (const std::unique_ptr<TrafficThread> &it : Traffic)
+    it->stopAccepting();
+  co_await waitForRequests();
+  while (Booking.pending() > 0)
+    co_await sleep(DrainPoll);
+  Poller.stop();
+  co_await Control.stop();
+  while (Operators.activeRequests() > 0)
+    co_await sleep(DrainPoll);
+  Peer.stop();
+  exit(0);
+}
+
+/// Returns when no request is in progress and none has come for QuietTime, or
+/// no connection is left.
+asio::awaitable<void> Daemon::waitForRequests() {
+  base::TimePoint busy = Time.now();
+  while (Time.now() - busy < QuietTime) {
+    TrafficThread::Load sum;
+    for (const std::unique_ptr<TrafficThread> &it : Traffic) {
+      TrafficThread::Load load = co_await it->load();
+      sum.Requests += load.Requests;
+      sum.Connections += load.Connections;
+    }
+    if (sum.Connections == 0)
+      co_return;
+    if (sum.Requests > 0)
+      busy = Time.now();
+    co_await sleep(DrainPoll);
+  }
+}
+
+} // namespace endivedoor::daemon
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,88 @@
+#include "Daemon.h"
+
+#include "endivedoor/model/Settings.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <glog/logging.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings");
+ABSL_FLAG(bool, check_config, false,
+          "check the settings, print all faults, and exit");
+
+namespace endivedoor::daemon {
+
+constexpr const char *Usage =
+    "runs the endivedoor daemon of one entry host\n\n"
+    "Examples:\n"
+    "  endivedoord --settings /etc/endivedoor/entry-1.yaml\n"
+    "  endivedoord --settings entry-1.yaml --check-config\n\n"
+    "Signals: SIGTERM begins a planned stop; a second one ends the process at "
+    "once.\n"
+    "Exit status: 0 after a planned stop, 1 after a failure, 2 if the settings "
+    "have faults.\n";
+
+constexpr int SettingsFaults = 2;
+
+static std::optional<model::Settings> readSettings(const std::string &file) {
+  std::ifstream in(file);
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (!in.is_open() || in.bad()) {
+    base::Error error{base::Errc::IoFailed, "--settings " + file};
+    std::cerr << error.message() << "\n";
+    return std::nullopt;
+  }
+  model::SettingsOutcome outcome = model::parseSettings(file, text);
+  for (const model::TextFault &it : outcome.Faults)
+    std::cerr << it.message() << "\n";
+  if (!outcome.Faults.empty())
+    return std::nullopt;
+  return std::move(outcome.Value);
+}
+
+/// Lets flags be written with dashes: --check-config.
+static void replaceDashes(int argc, char **argv) {
+  for (int i = 1; i < argc; ++i) {
+    if (std::strncmp(argv[i], "--", 2) != 0)
+      continue;
+    for (char *p = argv[i] + 2; *p != '\0' && *p != '='; ++p)
+      if (*p == '-')
+        *p = '_';
+  }
+}
+
+static int run(int argc, char **argv) {
+  replaceDashes(argc, argv);
+  absl::SetProgramUsageMessage(Usage);
+  absl::ParseCommandLine(argc, argv);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  std::optional<model::Settings> settings =
+      readSettings(absl::GetFlag(FLAGS_settings));
+  if (!settings)
+    return SettingsFaults;
+  if (absl::GetFlag(FLAGS_check_config)) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  auto *daemon = new Daemon(std::move(*settings));
+  return daemon->run();
+}
+
+} // namespace endivedoor::daemon
+
+int main(int argc, char **argv) {
+  int status = endivedoor::daemon::run(argc, argv);
+  google::FlushLogFiles(google::INFO);
+  std::cout.flush();
+  // Ends without destructors, because other threads still run.
+  std::_Exit(status);
+}
