Name the limits where an HTTP client is built

Change: three call sites name HttpLimits. Ruled out: removing the constructor, which the traffic threads use. Before and after: three files did not compile; all do. Conclusion: none further.

--- a/tests/harness/Http.cpp
+++ b/tests/harness/Http.cpp
@@ -26,7 +26,8 @@
   asio::io_context io(1);
   base::Result<platform::HttpResponse> result =
       base::fail(base::Errc::Cancelled, "not run");
-  platform::HttpClient client(io.get_executor(), Clock, {16384, 64u << 20});
+  platform::HttpClient client(io.get_executor(), Clock,
+                              platform::HttpLimits{16384, 64u << 20});
   asio::co_spawn(io, sendOnce(client, to, std::move(request), timeout, result),
                  asio::detached);
   io.run();
--- a/tests/standins/caller/Caller.cpp
+++ b/tests/standins/caller/Caller.cpp
@@ -47,7 +47,8 @@
 public:
   Caller(asio::io_context &io, const base::Clock &clock)
       : Io(io), Time(clock), Log(absl::GetFlag(FLAGS_log), clock),
-        Client(io.get_executor(), clock, {16 * 1024, 8 * 1024 * 1024}),
+        Client(io.get_executor(), clock,
+               platform::HttpLimits{16 * 1024, 8 * 1024 * 1024}),
         Random(absl::GetFlag(FLAGS_seed)) {
     for (const std::string &it : absl::GetFlag(FLAGS_target))
       Targets.push_back(parseAddress(it));
--- a/tests/support/HttpFixture.h
+++ b/tests/support/HttpFixture.h
@@ -99,7 +99,8 @@
 protected:
   asio::io_context Io;
   base::SystemClock Time;
-  platform::HttpClient Client{Io.get_executor(), Time, {4096, 65536}};
+  platform::HttpClient Client{Io.get_executor(), Time,
+                              platform::HttpLimits{4096, 65536}};
   platform::HttpServer::Handler Handle;
   std::unique_ptr<platform::HttpServer> Server;
   HttpRequest Last;
