--- a/packages/platform/include/endivedoor/platform/HttpClient.h
+++ b/packages/platform/include/endivedoor/platform/HttpClient.h
@@ -44,8 +44,8 @@
   HttpClient(boost::asio::any_io_executor executor, const base::Clock &clock,
              HttpLimits limits,
              std::chrono::milliseconds idleTimeout = std::chrono::seconds(5));
-  HttpClient(boost::asio::any_io_executor executor, const base::Clock &clock,
-             HttpClientOptions options);
+  HttpClient(boost::asio::any_io_executor executor, HttpClientOptions options,
+             const base::Clock &clock);
   ~HttpClient();
 
   /// Decides whether a response belongs to its request.
--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -26,6 +26,9 @@
   /// HttpClient's idle time, so that a client never reuses a connection that
   /// the server is about to close.
   std::chrono::milliseconds IdleTimeout = std::chrono::seconds(60);
+  /// While draining, a connection without a request is read for this long.
+  /// Callers that reuse connections within it lose no request.
+  std::chrono::milliseconds DrainGrace = std::chrono::seconds(1);
   /// Builds the answer to a request that is malformed or larger than the
   /// limits; a plain one if null.
   std::function<HttpResponse(unsigned status, const std::string &reason)>
@@ -53,17 +56,14 @@
   /// Errors: IoFailed (the address cannot be bound).
   base::Result<void> start();
 
-  /// Stops accepting and closes idle connections. Requests in progress are
-  /// finished, and their connections closed after the answer.
-  void beginDrain();
-
-  /// Closes each connection after its next answer, and goes on accepting.
+  /// Closes each connection after its next answer, and goes on accepting. Lets
+  /// callers find another server before beginDrain.
   void endKeepAlive();
 
-  /// Like beginDrain, but serves the connections that wait to be accepted, and
-  /// leaves idle connections open for one more request, because one may
-  /// already be on its way.
-  void stopAccepting();
+  /// Stops accepting. Each open connection gets one more answer, which closes
+  /// it; an idle one is closed after DrainGrace. The drain is over when
+  /// openConnections returns 0.
+  void beginDrain();
 
   /// Returns the number of requests in progress.
   std::size_t activeRequests() const;
