--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -30,9 +30,10 @@
 /// An entry host without any target is ready after this time, since it may
 /// simply be that no service runs.
 constexpr auto FirstTargetsDelay = std::chrono::milliseconds(2000);
-/// A request that was on its way on an open connection arrives within this
-/// time.
-constexpr auto QuietTime = std::chrono::milliseconds(250);
+/// Longer than HttpServerOptions::DrainGrace, in which a request that was on
+/// its way on an open connection arrives. Later, only a caller that has not
+/// sent its whole request keeps a connection open.
+constexpr auto QuietTime = std::chrono::milliseconds(1500);
 constexpr auto DrainPoll = std::chrono::milliseconds(20);
 
 static std::uint64_t chooseSeed(const model::Settings &config) {
@@ -62,10 +63,10 @@
       Instance(makeInstance(Config)),
       Events(Config.Name, Hybrid, Config.Limits.KeptEvents),
       Signals(Io, SIGTERM, SIGINT),
-      StoreHttp(Io.get_executor(), Time,
-                clientOptions(Config, LargestStoreAnswer)),
-      PlatformHttp(Io.get_executor(), Time,
-                   clientOptions(Config, LargestPlatformAnswer)),
+      StoreHttp(Io.get_executor(), clientOptions(Config, LargestStoreAnswer),
+                Time),
+      PlatformHttp(Io.get_executor(),
+                   clientOptions(Config, LargestPlatformAnswer), Time),
       Store(platform::makeEtcdStore(StoreHttp, Config.Store,
                                     Config.Timing.StoreTimeout)),
       Workers(
@@ -287,7 +288,7 @@
     it->endKeepAlive();
   co_await sleep(Config.Timing.DrainDelay);
   for (const std::unique_ptr<TrafficThread> &it : Traffic)
-    it->stopAccepting();
+    it->beginDrain();
   co_await waitForRequests();
   while (Booking.pending() > 0)
     co_await sleep(DrainPoll);
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -21,8 +21,8 @@
   asio::post(Io, [this] { Callers.endKeepAlive(); });
 }
 
-void TrafficThread::stopAccepting() {
-  asio::post(Io, [this] { Callers.stopAccepting(); });
+void TrafficThread::beginDrain() {
+  asio::post(Io, [this] { Callers.beginDrain(); });
 }
 
 asio::awaitable<TrafficThread::Load> TrafficThread::load() {
--- a/packages/daemon/src/TrafficThread.h
+++ b/packages/daemon/src/TrafficThread.h
@@ -27,7 +27,7 @@
   /// Closes each connection after its next answer.
   void endKeepAlive();
   /// Accepts no more connections.
-  void stopAccepting();
+  void beginDrain();
   /// Reads the load on the traffic thread.
   boost::asio::awaitable<Load> load();
   /// Lets waiting requests look at the new route table.
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -105,11 +105,12 @@
 HttpClient::HttpClient(asio::any_io_executor executor, const base::Clock &clock,
                        HttpLimits limits, std::chrono::milliseconds idleTimeout)
     : HttpClient(
-          std::move(executor), clock,
-          HttpClientOptions{.Limits = limits, .IdleTimeout = idleTimeout}) {}
+          std::move(executor),
+          HttpClientOptions{.Limits = limits, .IdleTimeout = idleTimeout},
+          clock) {}
 
-HttpClient::HttpClient(asio::any_io_executor executor, const base::Clock &clock,
-                       HttpClientOptions options)
+HttpClient::HttpClient(asio::any_io_executor executor,
+                       HttpClientOptions options, const base::Clock &clock)
     : Self(new Impl{std::move(executor), clock, options, {}}) {}
 
 std::size_t HttpClient::idleConnections(const model::Address &to) const {
@@ -200,9 +201,14 @@
     co_return fail(Errc::HttpAnswerLost, to.str() + ": " + readError.message());
   // A body that ends with the connection cannot be told from a body that was
   // cut short.
-  if (parser.get().need_eof() && message.method() != http::verb::head)
+  if (parser.need_eof() && message.method() != http::verb::head)
     co_return fail(Errc::HttpAnswerLost, to.str() + ": unframed response body");
 
+  // The final answer would follow on the same connection; no request of this
+  // client asks for an interim one.
+  if (parser.get().result_int() < 200)
+    co_return fail(Errc::HttpAnswerLost, to.str() + ": interim response");
+
   http::response<http::string_body> answer = parser.release();
   HttpResponse response;
   response.Status = answer.result_int();
--- a/packages/server/include/endivedoor/server/CallerServer.h
+++ b/packages/server/include/endivedoor/server/CallerServer.h
@@ -48,7 +48,7 @@
   void endKeepAlive() { Server.endKeepAlive(); }
   /// Accepts no more connections; requests in progress and those already on
   /// their way on open connections are answered.
-  void stopAccepting() { Server.stopAccepting(); }
+  void beginDrain() { Server.beginDrain(); }
   /// Returns the number of requests in progress.
   std::size_t activeRequests() const { return Server.activeRequests(); }
   /// Returns the number of open connections of callers.
--- a/packages/server/src/CallerServer.cpp
+++ b/packages/server/src/CallerServer.cpp
@@ -82,8 +82,8 @@
                         Targets.wakeAll();
                     });
                   }),
-      Client(executor, context.Time,
-             clientOptions(context.Config, Connections)),
+      Client(executor, clientOptions(context.Config, Connections),
+             context.Time),
       Targets(executor, context.Routes, Client, Connections, context.Time,
               queueShare(context.Config), seed),
       Counts(context.Totals.addShard()), Random(seed), Sweep(executor),
