Agree on the operators' JSON and keep a rule's reason in the report

Cause: the command line and the daemon were written apart and named fields differently; the report did not say why a rule exists. Change: errors are {"error":{"number","message"}}, a conflict carries the version in force as "current", jobs carry counts, events micros and code; the hourly rows keep the reason; the caller stand-in repeats a booking with its path, as a repeated key with another path is refused (422). Ruled out: reading both forms in the command line. Conclusion: one form, checked by unit-server-operators.

--- a/packages/cli/src/ListCommands.cpp
+++ b/packages/cli/src/ListCommands.cpp
@@ -104,6 +104,7 @@
         {Errc::CliUsage, "a contract's name is missing; add --contract=NAME"});
   return showList(context, "/v1/report/" + contract, "rows",
                   {{"HOUR", "hour"},
+                   {"ZONE", "zone"},
                    {"RULE", "rule"},
                    {"REASON", "reason"},
                    {"KEPT", "kept"},
--- a/packages/control/include/endivedoor/control/Report.h
+++ b/packages/control/include/endivedoor/control/Report.h
@@ -19,6 +19,8 @@
   base::ZoneId Zone;
   /// The rule's text without its comment.
   std::string Rule;
+  /// Why the customer asked for the rule.
+  std::string Reason;
   /// Number of checks that found the rule kept.
   std::uint64_t Kept = 0;
   /// Number of checks that found the rule violated.
--- a/packages/control/src/detail/Codec.cpp
+++ b/packages/control/src/detail/Codec.cpp
@@ -202,6 +202,7 @@
                       {"rule", row.Rule},
                       {"kept", static_cast<std::int64_t>(row.Kept)},
                       {"violated", static_cast<std::int64_t>(row.Violated)},
+                      {"reason", row.Reason},
                       {"worst", row.Worst}};
 }
 
@@ -214,6 +215,7 @@
   row.Rule = in.text("rule");
   row.Kept = static_cast<std::uint64_t>(in.number("kept"));
   row.Violated = static_cast<std::uint64_t>(in.number("violated"));
+  row.Reason = in.text("reason");
   row.Worst = in.text("worst");
   if (in.failed())
     return in.error();
--- a/packages/control/src/detail/RuleReport.cpp
+++ b/packages/control/src/detail/RuleReport.cpp
@@ -36,6 +36,7 @@
   row.Counts.Hour = std::get<1>(key);
   row.Counts.Zone = Ctx.Settings.Zone;
   row.Counts.Rule = rule.Text;
+  row.Counts.Reason = rule.Reason;
   Dirty.insert(std::move(key));
   if (verdict.Kept) {
     ++row.Counts.Kept;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <csignal>
+#include <ctime>
 #include <random>
 #include <set>
 
@@ -215,6 +216,16 @@
   return list;
 }
 
+/// Returns the start of an hour as "2026-12-04 07:00", in UTC.
+static std::string hourText(std::int64_t hour) {
+  std::time_t seconds = hour * 3600;
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  char buf[32];
+  std::size_t n = std::strftime(buf, sizeof buf, "%Y-%m-%d %H:00", &utc);
+  return std::string(buf, n);
+}
+
 platform::Async<json::value> Daemon::report(base::ContractName contract) {
   base::Result<std::vector<control::ReportRow>> rows =
       co_await Control.report(std::move(contract));
@@ -222,9 +233,10 @@
     co_return rows.as_failure();
   json::array list;
   for (const control::ReportRow &it : rows.value())
-    list.push_back({{"hour", it.Hour},
+    list.push_back({{"hour", hourText(it.Hour)},
                     {"zone", it.Zone.str()},
                     {"rule", it.Rule},
+                    {"reason", it.Reason},
                     {"kept", it.Kept},
                     {"violated", it.Violated},
                     {"worst", it.Worst}});
--- a/packages/server/src/JobJson.cpp
+++ b/packages/server/src/JobJson.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -12,6 +13,7 @@
 using base::Errc;
 using base::fail;
 using model::JobSpec;
+using model::TaskState;
 
 constexpr std::size_t LongestName = 128;
 constexpr std::int64_t MostTasks = 100000;
@@ -193,26 +195,53 @@
   return names[static_cast<std::size_t>(state)];
 }
 
+static std::size_t countTasks(const control::JobStatus &job,
+                              std::initializer_list<TaskState> states) {
+  return static_cast<std::size_t>(
+      std::count_if(job.Tasks.begin(), job.Tasks.end(), [&](const auto &it) {
+        return std::find(states.begin(), states.end(), it.State) !=
+               states.end();
+      }));
+}
+
+/// A job is as far as its least advanced task; one failed task fails it.
+static std::string_view jobState(const control::JobStatus &job) {
+  for (TaskState it :
+       {TaskState::Failed, TaskState::Running, TaskState::Evicting,
+        TaskState::Starting, TaskState::Queued, TaskState::Cancelled})
+    if (countTasks(job, {it}) > 0)
+      return stateName(it);
+  return stateName(TaskState::Finished);
+}
+
 json::value jobToJson(const control::JobStatus &job) {
-  json::array tasks;
+  json::array attempts;
   for (const model::Task &it : job.Tasks)
-    tasks.push_back({{"task", it.Id.str()},
-                     {"state", stateName(it.State)},
-                     {"attempt", base::toNumber(it.LatestAttempt)},
-                     {"worker", it.Worker.str()},
-                     {"failures", it.Failures}});
+    attempts.push_back({{"task", it.Id.str()},
+                        {"state", stateName(it.State)},
+                        {"attempt", base::toNumber(it.LatestAttempt)},
+                        {"worker", it.Worker.str()},
+                        {"failures", it.Failures}});
   const JobSpec &spec = job.Spec;
   bool isService = spec.Kind == model::TaskKind::Service;
-  json::object o{{"job", spec.Id.str()},
-                 {"name", spec.Name},
-                 {"team", spec.Team.str()},
-                 {"contract", spec.Contract.str()},
-                 {"class", spec.Class.str()},
-                 {"kind", isService ? "service" : "batch"},
-                 {"service", spec.Service.str()},
-                 {"slots", spec.Size.Slots},
-                 {"urgent", spec.Urgent},
-                 {"tasks", std::move(tasks)}};
+  json::object o{
+      {"job", spec.Id.str()},
+      {"name", spec.Name},
+      {"team", spec.Team.str()},
+      {"contract", spec.Contract.str()},
+      {"class", spec.Class.str()},
+      {"kind", isService ? "service" : "batch"},
+      {"service", spec.Service.str()},
+      {"slots", spec.Size.Slots},
+      {"urgent", spec.Urgent},
+      {"state", jobState(job)},
+      {"tasks", job.Tasks.size()},
+      {"finished", countTasks(job, {TaskState::Finished})},
+      {"running", countTasks(job, {TaskState::Starting, TaskState::Running,
+                                   TaskState::Evicting})},
+      {"queued", countTasks(job, {TaskState::Queued})},
+      {"failed", countTasks(job, {TaskState::Failed})},
+      {"attempts", std::move(attempts)}};
   if (spec.Deadline)
     o["deadlineUnixMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(
                               spec.Deadline->time_since_epoch())
--- a/packages/server/src/OperatorServer.cpp
+++ b/packages/server/src/OperatorServer.cpp
@@ -79,14 +79,13 @@
   if (!outcome)
     return errorResponse(outcome.error());
   const control::ChangeOutcome &it = outcome.value();
-  json::object body = detail::configurationToJson(it.Current);
   if (it.Accepted)
-    return jsonResponse(200, body);
+    return jsonResponse(200, detail::configurationToJson(it.Current));
   base::Error error{Errc::ChangeConflict,
                     "version " + std::to_string(it.Current.Version) + " by " +
                         it.Current.Author + " is in force"};
-  body["error"] = error.message();
-  body["number"] = static_cast<int>(error.Code);
+  json::object body = detail::errorToJson(error);
+  body["current"] = detail::configurationToJson(it.Current);
   HttpResponse response = jsonResponse(409, body);
   detail::setOutcome(response, detail::Outcome::NotRun);
   return response;
@@ -146,7 +145,9 @@
 }
 
 HttpResponse OperatorServer::zones() const {
-  return jsonResponse(200, detail::zonesToJson(Context.Control.zones()));
+  return jsonResponse(
+      200, detail::zonesToJson(Context.Control.zones(),
+                               Context.Control.configuration().Version));
 }
 
 HttpResponse OperatorServer::workers() const {
@@ -160,6 +161,7 @@
 
 HttpResponse OperatorServer::members() const {
   json::object body;
+  body["self"] = Context.Config.Name;
   body["members"] = Context.Members ? Context.Members() : json::array();
   return jsonResponse(200, body);
 }
--- a/packages/server/src/detail/Answers.cpp
+++ b/packages/server/src/detail/Answers.cpp
@@ -77,9 +77,14 @@
   return it == std::end(table) ? nullptr : &*it;
 }
 
+boost::json::object errorToJson(const base::Error &error) {
+  boost::json::object fields{{"number", static_cast<int>(error.Code)},
+                      {"message", error.message()}};
+  return {{"error", std::move(fields)}};
+}
+
 static HttpResponse errorBody(unsigned status, const base::Error &error) {
-  return jsonResponse(status, {{"error", error.message()},
-                               {"number", static_cast<int>(error.Code)}});
+  return jsonResponse(status, errorToJson(error));
 }
 
 HttpResponse errorResponse(const base::Error &error) {
--- a/packages/server/src/detail/Answers.h
+++ b/packages/server/src/detail/Answers.h
@@ -22,7 +22,10 @@
 platform::HttpResponse jsonResponse(unsigned status,
                                     const boost::json::value &body);
 
-/// Returns {"error": message, "number": n} with the status and the outcome that
+/// Returns {"error": {"number": n, "message": text}}.
+boost::json::object errorToJson(const base::Error &error);
+
+/// Returns errorToJson with the status and the outcome that
 /// belong to the error, and Retry-After where repeating can help.
 platform::HttpResponse errorResponse(const base::Error &error);
 
--- a/packages/server/src/detail/OperatorJson.cpp
+++ b/packages/server/src/detail/OperatorJson.cpp
@@ -69,14 +69,15 @@
           {"author", config.Author}};
 }
 
-json::object zonesToJson(const std::vector<control::ZoneState> &zones) {
+json::object zonesToJson(const std::vector<control::ZoneState> &zones,
+                         std::uint64_t configVersion) {
   json::array list;
   for (const control::ZoneState &it : zones)
     list.push_back({{"zone", it.Zone.str()},
                     {"out", it.Out},
                     {"owner", it.Owner},
-                    {"ownerEpoch", base::toNumber(it.OwnerEpoch)}});
-  return {{"zones", std::move(list)}};
+                    {"epoch", base::toNumber(it.OwnerEpoch)}});
+  return {{"zones", std::move(list)}, {"configVersion", configVersion}};
 }
 
 static json::object resourcesToJson(const base::Resources &it) {
@@ -100,6 +101,7 @@
                     {"quarantined", it.Quarantined},
                     {"tasks", it.Tasks},
                     {"capacity", resourcesToJson(it.Worker.Capacity)},
+                    {"freeSlots", it.Free.Slots},
                     {"free", resourcesToJson(it.Free)}});
   return {{"workers", std::move(list)}};
 }
@@ -112,9 +114,9 @@
     for (const auto &[key, value] : it.Fields)
       fields[key] = value;
     const base::EventInfo &info = base::eventInfo(it.Code);
-    list.push_back({{"wallMicros", it.Time.WallMicros},
+    list.push_back({{"micros", it.Time.WallMicros},
                     {"counter", it.Time.Counter},
-                    {"number", static_cast<int>(it.Code)},
+                    {"code", static_cast<int>(it.Code)},
                     {"name", info.Name},
                     {"text", info.Text},
                     {"fields", std::move(fields)}});
--- a/packages/server/src/detail/OperatorJson.h
+++ b/packages/server/src/detail/OperatorJson.h
@@ -32,7 +32,8 @@
 base::Result<ZoneChange> parseZoneChange(const std::string &text);
 
 boost::json::object configurationToJson(const control::Configuration &config);
-boost::json::object zonesToJson(const std::vector<control::ZoneState> &zones);
+boost::json::object zonesToJson(const std::vector<control::ZoneState> &zones,
+                                std::uint64_t configVersion);
 boost::json::object
 workersToJson(const std::vector<control::WorkerState> &workers);
 boost::json::object eventsToJson(const std::string &process,
--- a/tests/harness/Cluster.cpp
+++ b/tests/harness/Cluster.cpp
@@ -142,7 +142,7 @@
 /// One link of the fault proxy as its command line wants it.
 static std::string link(const std::string &name, const model::Address &listen,
                         const model::Address &to) {
-  return name + "=" + std::to_string(listen.Port) + "->" + to.str();
+  return name + "=" + listen.str() + "->" + to.str();
 }
 
 // Link names: "store:ZONE", "hosts:ZONE", "peer:FROM:DAEMON",
@@ -173,9 +173,11 @@
 static model::Address findLink(const std::vector<std::string> &links,
                                const std::string &name) {
   for (const std::string &it : links)
-    if (it.starts_with(name + "="))
-      return {"127.0.0.1", static_cast<std::uint16_t>(
-                               std::stoi(it.substr(name.size() + 1)))};
+    if (it.starts_with(name + "=")) {
+      std::string listen = it.substr(0, it.find("->"));
+      int port = std::stoi(listen.substr(listen.rfind(':') + 1));
+      return {"127.0.0.1", static_cast<std::uint16_t>(port)};
+    }
   return {};
 }
 
--- a/tests/standins/caller/Caller.cpp
+++ b/tests/standins/caller/Caller.cpp
@@ -86,7 +86,7 @@
     HttpRequest Request;
   };
   struct Booking {
-    std::string Body;
+    std::string Path, Body;
     /// Ids of all calls with the key, and the body of the first whole answer.
     std::set<std::string> Ids;
     std::string Answer;
@@ -162,8 +162,10 @@
     Booking &booking = Bookings[call.Key];
     if (!repeat) {
       Keys.push_back(call.Key);
+      booking.Path = call.Request.Path;
       booking.Body = call.Request.Body;
     }
+    call.Request.Path = booking.Path;
     call.Request.Body = booking.Body;
     booking.Ids.insert(call.Id);
     call.Request.Headers.emplace_back("Idempotency-Key", call.Key);
--- a/tests/unit/unit-server-operators.cpp
+++ b/tests/unit/unit-server-operators.cpp
@@ -59,7 +59,7 @@
 
 // Guards against an endpoint that is missing or has another shape.
 TEST_F(OperatorApi, StateIsReadable) {
-  EXPECT_EQ(get("/v1/zones").at("zones").at(0).at("ownerEpoch"), 7);
+  EXPECT_EQ(get("/v1/zones").at("zones").at(0).at("epoch"), 7);
   EXPECT_EQ(get("/v1/workers").at("workers").as_array().size(), 1u);
   EXPECT_EQ(get("/v1/rules").at("version"), 0);
   EXPECT_EQ(get("/v1/members").at("members").at(0).at("name"), "e1");
@@ -67,7 +67,7 @@
   EXPECT_EQ(get("/v1/report/karoo").at("rows").at(0), "karoo");
   Host.Events.emit(base::EventCode::DaemonStarted, {{"k", "v"}});
   json::value events = get("/v1/events");
-  EXPECT_EQ(events.at("events").at(0).at("number"), 8001);
+  EXPECT_EQ(events.at("events").at(0).at("code"), 8001);
   EXPECT_EQ(events.at("events").at(0).at("fields").at("k"), "v");
   EXPECT_EQ(ask("GET", "/healthz").Status, 200u);
   EXPECT_EQ(ask("GET", "/readyz").Status, 200u);
@@ -85,8 +85,8 @@
   EXPECT_EQ(json::parse(ask("PUT", "/v1/rules", rules).Body).at("version"), 1);
   HttpResponse lost = ask("PUT", "/v1/rules", rules);
   EXPECT_EQ(lost.Status, 409u);
-  EXPECT_EQ(json::parse(lost.Body).at("author"), "ana");
-  EXPECT_EQ(json::parse(lost.Body).at("number"), 615);
+  EXPECT_EQ(json::parse(lost.Body).at("current").at("author"), "ana");
+  EXPECT_EQ(json::parse(lost.Body).at("error").at("number"), 615);
   const std::string why = R"({"author":"ana","reason":"power work"})";
   json::value out = json::parse(ask("POST", "/v1/zones/z1/out", why).Body);
   EXPECT_EQ(out.at("zonesOut").at(0), "z1");
@@ -126,7 +126,7 @@
   EXPECT_EQ(r.Body, "/v1/jobs/j-1");
   r = ask("GET", "/v1/jobs/j-1", "", {{"Endivedoor-Forwarded", "1"}});
   EXPECT_EQ(r.Status, 503u);
-  EXPECT_EQ(json::parse(r.Body).at("number"), 612);
+  EXPECT_EQ(json::parse(r.Body).at("error").at("number"), 612);
   EXPECT_EQ(owner.Requests, 1);
   Host.Control.Fault = base::Error{Errc::StoreAnswerLost, "x"};
   r = Host.send({"POST", "/v1/jobs", {}, GoodJob});
@@ -211,7 +211,7 @@
     RC_ASSERT(r.Status == 200 || r.Status == 201 || r.Status == 400 ||
               r.Status == 409);
     if (r.Status >= 400)
-      RC_ASSERT(json::parse(r.Body).at("number").as_int64() >= 600);
+      RC_ASSERT(json::parse(r.Body).at("error").at("number").as_int64() >= 600);
   }
   std::string path = "/" + *rc::gen::arbitrary<std::string>();
   std::erase_if(path, [](char c) { return c <= ' ' || c >= 127; });
