Add the fault proxy stand-in

It relays TCP links with delay, jitter, one-way cuts, stalls, resets, refusals and seeded random loss of connections, each switched over HTTP. Connections that lost bytes in a cut are reset when it ends; a stall keeps them and delivers late, which is what a store or worker sees after a real cut.

--- /dev/null
+++ b/tests/standins/faultproxy/Main.cpp
@@ -0,0 +1,95 @@
+// The fault proxy: relays TCP links and harms them on command.
+//
+// POST /admin/links/<name> replaces the settings of a link; {} is back to
+// normal. A name that ends with "*" means all links with the prefix.
+#include "Link.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:2390", "ip:port of /admin");
+ABSL_FLAG(std::string, link, "",
+          "name=ip:port->ip:port: listen and connect; may be repeated");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of jitter and loss");
+ABSL_FLAG(std::string, log, "", "file for a JSON line of each change");
+
+namespace endivedoor::standin {
+
+static LinkSettings readSettings(const JsonView &body) {
+  LinkSettings settings;
+  settings.Delay =
+      std::chrono::milliseconds(body.optionalNumber("delayMs", 0, 600'000));
+  settings.Jitter =
+      std::chrono::milliseconds(body.optionalNumber("jitterMs", 0, 600'000));
+  settings.Loss = body.optionalReal("loss", 0, 1);
+  settings.Refuse = body.flag("refuse");
+  auto readSides = [&](std::string_view key, std::array<bool, 2> &sides) {
+    std::string text = body.optionalText(key);
+    sides[Forward] = text == "forward" || text == "both";
+    sides[Backward] = text == "backward" || text == "both";
+    if (!text.empty() && text != "none" && !sides[Forward] && !sides[Backward])
+      body.reject(key, "is neither none, forward, backward nor both");
+  };
+  readSides("cut", settings.Cut);
+  readSides("stall", settings.Stall);
+  return settings;
+}
+
+static HttpResponse change(std::vector<std::unique_ptr<Link>> &links,
+                           const std::string &name, const JsonView &body) {
+  LinkSettings settings = readSettings(body);
+  bool reset = body.flag("reset");
+  bool isPrefix = name.ends_with('*');
+  std::int64_t changed = 0;
+  for (auto &it : links) {
+    if (!body.ok() ||
+        !(isPrefix ? it->name().starts_with(name.substr(0, name.size() - 1))
+                   : it->name() == name))
+      continue;
+    it->apply(settings);
+    if (reset)
+      it->reset();
+    ++changed;
+  }
+  return jsonAnswer(changed > 0 ? 200 : 404, {{"changed", changed}});
+}
+
+} // namespace endivedoor::standin
+
+int main(int argc, char **argv) {
+  using namespace endivedoor;
+  using namespace endivedoor::standin;
+  auto texts = takeRepeated(argc, argv, "link");
+  absl::ParseCommandLine(argc, argv);
+  asio::io_context io(1);
+  base::SystemClock clock;
+  JsonLog log(absl::GetFlag(FLAGS_log), clock);
+  std::vector<std::unique_ptr<Link>> links;
+  std::uint64_t seed = absl::GetFlag(FLAGS_seed);
+  for (const std::string &it : texts)
+    links.push_back(
+        std::make_unique<Link>(io, it, clock, seed * 1'000'003 + links.size()));
+  model::Address listen = parseAddress(absl::GetFlag(FLAGS_listen));
+  constexpr std::string_view Admin = "/admin/links/";
+  auto handle = [&](HttpRequest request) -> Awaitable<HttpResponse> {
+    if (request.Path == "/admin/links") {
+      json::array states;
+      for (const auto &it : links)
+        states.push_back(it->state());
+      json::object answer;
+      answer["links"] = std::move(states);
+      co_return jsonAnswer(200, answer);
+    }
+    if (request.Method != "POST" || !request.Path.starts_with(Admin))
+      co_return jsonAnswer(404, {{"error", "path"}});
+    std::string name =
+        platform::decodePathSegment(request.Path.substr(Admin.size()));
+    log.write({{"link", name}, {"change", request.Body}});
+    co_return withBody(request, [&](const JsonView &body, const std::string &) {
+      return change(links, name, body);
+    });
+  };
+  auto server = serveOrExit(io, listen, handle);
+  listen.Port = server->port();
+  runUntilSignal(io, listen);
+}
--- a/tests/standins/hostlist/HostList.cpp
+++ b/tests/standins/hostlist/HostList.cpp
@@ -11,8 +11,9 @@
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:2380", "ip:port to listen on");
 ABSL_FLAG(std::string, file, "", "JSON file of the same form as the answer");
-ABSL_FLAG(std::vector<std::string>, worker, {},
-          "name/zone/rack/ip:port, comma-separated, added to the file's hosts");
+ABSL_FLAG(std::string, worker, "",
+          "name/zone/rack/ip:port, added to the file's hosts; may be repeated, "
+          "and may hold several, separated by commas");
 ABSL_FLAG(absl::Duration, lag, absl::Seconds(2),
           "time until a change becomes visible");
 
@@ -120,14 +121,17 @@
 
 int main(int argc, char **argv) {
   using namespace endivedoor;
+  auto workers = standin::takeRepeated(argc, argv, "worker");
   absl::ParseCommandLine(argc, argv);
   boost::asio::io_context io;
   base::SystemClock clock;
   standin::HostListServer hosts(clock);
   if (std::string path = absl::GetFlag(FLAGS_file); !path.empty())
     standin::readFile(hosts, path);
-  for (const std::string &it : absl::GetFlag(FLAGS_worker))
-    standin::readFlag(hosts, it);
+  for (const std::string &list : workers)
+    for (const std::string &it :
+         std::vector<std::string>(absl::StrSplit(list, ',')))
+      standin::readFlag(hosts, it);
   model::Address listen = standin::parseAddress(absl::GetFlag(FLAGS_listen));
   auto server =
       standin::serveOrExit(io, listen,
--- a/tests/standins/worker/Main.cpp
+++ b/tests/standins/worker/Main.cpp
@@ -89,6 +89,8 @@
     co_await timer.async_wait(asio::use_awaitable);
     for (Host &it : hosts) {
       it.Machine->tick();
+      if (it.Server)
+        it.Machine->noteConnections(it.Server->openConnections());
       if (it.Machine->wantsRestart()) {
         it.Machine->restart();
         it.open(io);
--- a/tests/standins/worker/Worker.cpp
+++ b/tests/standins/worker/Worker.cpp
@@ -326,6 +326,15 @@
   measure();
 }
 
+void Worker::noteConnections(std::size_t open) {
+  auto n = static_cast<std::int64_t>(open);
+  if (n <= PeakConnections)
+    return;
+  PeakConnections = n;
+  if (n > Options.Capacity.Connections)
+    log("connections-over-limit", {{"open", n}});
+}
+
 void Worker::measure() {
   for (auto &[key, attempt] : Known) {
     if (!attempt.isRunning())
@@ -373,9 +382,13 @@
                                       {"task", key.first},
                                       {"attempt", key.second}});
   }
-  json::object answer{{"boot", Boot},         {"leaving", Leaving},
-                      {"zone", Options.Zone}, {"rack", Options.Rack},
-                      {"tasks", running},     {"peakRequests", PeakRequests}};
+  json::object answer{{"boot", Boot},
+                      {"leaving", Leaving},
+                      {"zone", Options.Zone},
+                      {"rack", Options.Rack},
+                      {"tasks", running},
+                      {"peakRequests", PeakRequests},
+                      {"peakConnections", PeakConnections}};
   answer["capacity"] = capacity();
   answer["services"] = std::move(services);
   return jsonAnswer(200, answer);
--- a/tests/standins/worker/Worker.h
+++ b/tests/standins/worker/Worker.h
@@ -52,6 +52,10 @@
   /// measurements.
   void tick();
 
+  /// Notes how many connections are open, and logs when the worker's limit is
+  /// passed.
+  void noteConnections(std::size_t open);
+
   /// Dead workers answer nothing; the caller closes their sockets.
   bool isDead() const { return Dead; }
   bool wantsRestart() const { return Dead && RestartAt <= Time.now(); }
@@ -102,7 +106,7 @@
   Attempts Known;
   std::deque<Sample> Samples;
   base::TimePoint NextSample;
-  std::int64_t Requests = 0, PeakRequests = 0;
+  std::int64_t Requests = 0, PeakRequests = 0, PeakConnections = 0;
   std::uint64_t RequestsSeen = 0;
   bool Leaving = false, Dead = false;
   base::TimePoint RestartAt = base::TimePoint::max();
--- a/tests/support/Standin.h
+++ b/tests/support/Standin.h
@@ -18,6 +18,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace endivedoor::standin {
 
@@ -49,6 +50,25 @@
   return fault.empty() ? response : jsonAnswer(400, {{"error", fault}});
 }
 
+/// Takes every "--<flag> value" and "--<flag>=value" out of the arguments;
+/// Abseil keeps only the last of a repeated flag.
+inline std::vector<std::string> takeRepeated(int &argc, char **argv,
+                                             const std::string &flag) {
+  std::vector<std::string> values;
+  int kept = 1;
+  for (int i = 1; i < argc; ++i) {
+    std::string arg = argv[i];
+    if (arg == "--" + flag && i + 1 < argc)
+      values.push_back(argv[++i]);
+    else if (arg.starts_with("--" + flag + "="))
+      values.push_back(arg.substr(flag.size() + 3));
+    else
+      argv[kept++] = argv[i];
+  }
+  argc = kept;
+  return values;
+}
+
 inline model::Address parseAddress(const std::string &text) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) {
