--- a/packages/platform/src/HttpWorkerClient.cpp
+++ b/packages/platform/src/HttpWorkerClient.cpp
@@ -37,14 +37,14 @@
 }
 
 static AttemptState readState(const JsonView &it) {
-  constexpr std::pair<std::string_view, AttemptState> Names[] = {
+  constexpr std::pair<std::string_view, AttemptState> names[] = {
       {"running", AttemptState::Running},
       {"finished", AttemptState::Finished},
       {"failed", AttemptState::Failed},
       {"evicted", AttemptState::Evicted},
       {"stopped", AttemptState::Stopped}};
   std::string name = it.text("state");
-  for (const auto &[text, state] : Names)
+  for (const auto &[text, state] : names)
     if (name == text)
       return state;
   it.reject("state", "is unknown");
