--- a/packages/cli/program/main.cpp
+++ b/packages/cli/program/main.cpp
@@ -3,6 +3,6 @@
 #include <iostream>
 
 int main(int argc, char **argv) {
-  return static_cast<int>(endivedoor::cli::runOverHttp(
-      {argv + 1, argv + argc}, {std::cout, std::cerr}));
+  return static_cast<int>(endivedoor::cli::runOverHttp({argv + 1, argv + argc},
+                                                       {std::cout, std::cerr}));
 }
--- a/packages/model/src/Scalars.cpp
+++ b/packages/model/src/Scalars.cpp
@@ -31,9 +31,9 @@
   if (digits == 0 || digits == std::string_view::npos)
     return std::nullopt;
   std::optional<std::uint64_t> n = parseNumber(text.substr(0, digits));
-  constexpr std::uint64_t Max = std::numeric_limits<std::int64_t>::max();
+  constexpr std::uint64_t most = std::numeric_limits<std::int64_t>::max();
   for (const Unit &it : units)
-    if (it.Suffix == text.substr(digits) && n && *n <= Max / it.Factor)
+    if (it.Suffix == text.substr(digits) && n && *n <= most / it.Factor)
       return *n * it.Factor;
   return std::nullopt;
 }
--- a/packages/peer/src/Codec.cpp
+++ b/packages/peer/src/Codec.cpp
@@ -7,9 +7,9 @@
 namespace endivedoor::peer {
 
 std::string_view toText(MemberState state) {
-  constexpr std::string_view Texts[] = {"joining", "live", "leaving",
+  constexpr std::string_view texts[] = {"joining", "live", "leaving",
                                         "suspected", "dead"};
-  return Texts[static_cast<std::size_t>(state)];
+  return texts[static_cast<std::size_t>(state)];
 }
 
 namespace detail {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Checks formatting and naming of all own sources; needs ./build to be configured.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files '*.h' '*.cpp')
+mapfile -t sources < <(git ls-files '*.h' '*.cpp' ':!:*.pb.h')
 clang-format --dry-run --Werror "${sources[@]}"
 mapfile -t units < <(git ls-files '*.cpp')
 # A unit that passed once with the same inputs is not checked again.
