Send the incarnation once a connection instead of in each message

The incarnation took 7 of about 23 bytes of each heartbeat and changes only when it is raised. It is now part of the routing id; a raise reopens the connections.

Ruled out for now: heartbeats to other zones every second, since docs/design.md says 500 ms for all.

--- a/packages/peer/include/endivedoor/peer/detail/Codec.h
+++ b/packages/peer/include/endivedoor/peer/detail/Codec.h
@@ -36,10 +36,8 @@
 
 /// A message; the index of the body is its MessageKind.
 struct PeerMessage {
-  std::uint64_t Incarnation = 0;
   base::HybridTime Time;
   std::variant<Heartbeat, ConfigRequest, ConfigDocument, StaleIncarnation> Body;
-  MessageKind kind() const { return static_cast<MessageKind>(Body.index()); }
 };
 
 /// Clocks of hosts may differ by this much; a message from further ahead is
@@ -59,14 +57,19 @@
 struct Sender {
   std::string Name;
   base::InstanceId Instance;
+  /// Milliseconds of wall time at the start of this run; raised when peers know
+  /// a later run of the same name.
+  std::uint64_t Incarnation = 0;
 };
 
-/// Writes "1/<name>/<instance>", where 1 is the protocol's version. ZeroMQ
-/// limits it to 255 bytes; a longer instance is cut.
+/// Writes "1/<incarnation>/<name>/<instance>", where 1 is the protocol's
+/// version. ZeroMQ limits it to 255 bytes; a longer instance is cut.
 std::string encodeSender(const Sender &sender);
 
+/// \param now wall time of this host, for the check of the incarnation.
 /// Errors: PeerMessageInvalid.
-base::Result<Sender> decodeSender(std::string_view routingId);
+base::Result<Sender> decodeSender(std::string_view routingId,
+                                  base::WallTime now);
 
 } // namespace endivedoor::peer::detail
 
--- a/packages/peer/src/Codec.cpp
+++ b/packages/peer/src/Codec.cpp
@@ -2,8 +2,13 @@
 
 #include "PeerMessage.pb.h"
 
+#include "endivedoor/model/Scalars.h"
+
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
+#include <optional>
+
 namespace endivedoor::peer {
 
 std::string_view toText(MemberState state) {
@@ -114,7 +119,6 @@
 
 std::string encode(const PeerMessage &message) {
   wire::PeerMessage to;
-  to.set_incarnation(message.Incarnation);
   to.set_wall_micros(message.Time.WallMicros);
   to.set_counter(message.Time.Counter);
   std::visit(BodyWriter{to}, message.Body);
@@ -127,10 +131,7 @@
       !from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     return invalid("encoding");
   PeerMessage to;
-  to.Incarnation = from.incarnation();
   to.Time = {from.wall_micros(), from.counter()};
-  if (to.Incarnation == 0 || to.Incarnation > maxIncarnation(now))
-    return invalid("incarnation");
   if (to.Time.WallMicros == 0 ||
       to.Time.WallMicros / 1000 > maxIncarnation(now))
     return invalid("wall_micros");
@@ -141,21 +142,28 @@
 }
 
 std::string encodeSender(const Sender &sender) {
-  std::string id = std::string(ProtocolVersion) + "/" + sender.Name + "/" +
-                   sender.Instance.str();
+  std::string id = std::string(ProtocolVersion) + "/" +
+                   std::to_string(sender.Incarnation) + "/" + sender.Name +
+                   "/" + sender.Instance.str();
   return id.substr(0, MaxRoutingId);
 }
 
-Result<Sender> decodeSender(std::string_view routingId) {
-  std::size_t first = routingId.find('/');
-  std::size_t second =
-      first == std::string_view::npos ? first : routingId.find('/', first + 1);
-  if (second == std::string_view::npos)
-    return invalid("routing id");
-  if (routingId.substr(0, first) != ProtocolVersion)
+Result<Sender> decodeSender(std::string_view routingId, base::WallTime now) {
+  std::string_view rest = routingId;
+  auto next = [&] {
+    std::string_view part = rest.substr(0, rest.find('/'));
+    rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+    return part;
+  };
+  if (next() != ProtocolVersion)
     return invalid("protocol version");
-  Sender sender{std::string(routingId.substr(first + 1, second - first - 1)),
-                base::InstanceId(std::string(routingId.substr(second + 1)))};
+  std::optional<std::uint64_t> incarnation = model::parseNumber(next());
+  if (!incarnation || *incarnation == 0 || *incarnation > maxIncarnation(now))
+    return invalid("incarnation");
+  Sender sender;
+  sender.Incarnation = *incarnation;
+  sender.Name = std::string(next());
+  sender.Instance = base::InstanceId(std::string(rest));
   if (sender.Name.empty() || sender.Instance.empty())
     return invalid("routing id");
   return sender;
--- a/packages/peer/src/MemberTable.cpp
+++ b/packages/peer/src/MemberTable.cpp
@@ -24,15 +24,15 @@
   if (at == Index.end())
     return Receipt::Unknown;
   Entry &it = Entries[at->second];
-  bool newRun = message.Incarnation > it.View.Incarnation;
+  bool newRun = sender.Incarnation > it.View.Incarnation;
   if (newRun) {
-    it.View.Incarnation = message.Incarnation;
+    it.View.Incarnation = sender.Incarnation;
     it.View.ConfigVersion = 0;
     // A raised incarnation of the same process is not a new run for the log.
     it.NewRun = !it.Instance.empty() && it.Instance != sender.Instance;
     it.Instance = sender.Instance;
     it.Announced = MemberState::Joining;
-  } else if (message.Incarnation < it.View.Incarnation ||
+  } else if (sender.Incarnation < it.View.Incarnation ||
              sender.Instance != it.Instance) {
     return Receipt::StaleRun;
   } else if (message.Time <= it.Latest) {
--- a/packages/peer/src/PeerNode.cpp
+++ b/packages/peer/src/PeerNode.cpp
@@ -52,6 +52,9 @@
   void handle(const std::string &from, const detail::ConfigDocument &body);
   void handle(const std::string &from, const detail::StaleIncarnation &body);
   void reject(const base::Error &error, std::size_t bytes);
+  std::string routingId() const {
+    return detail::encodeSender({Settings.Name, Instance, Incarnation});
+  }
   std::shared_ptr<const std::string> encode(decltype(PeerMessage::Body) body);
   bool send(const std::string &to, MessageKind kind,
             const std::shared_ptr<const std::string> &bytes);
@@ -79,7 +82,7 @@
   detail::TransportOptions options;
   options.Listen = Settings.Peer;
   options.Peers = Settings.Peers;
-  options.RoutingId = detail::encodeSender({Settings.Name, Instance});
+  options.RoutingId = routingId();
   options.MaxMessageBytes = Settings.Limits.PeerMessageBytes;
   options.UnacknowledgedLimit = Settings.Timing.PeerDead;
   Transport = std::make_shared<detail::ZmqTransport>(
@@ -143,10 +146,11 @@
 
 void PeerNode::Impl::receive(std::string_view routingId,
                              std::string_view bytes) {
-  base::Result<Sender> sender = detail::decodeSender(routingId);
+  base::WallTime wall = Clock.wallNow();
+  base::Result<Sender> sender = detail::decodeSender(routingId, wall);
   if (!sender)
     return reject(sender.error(), bytes.size());
-  base::Result<PeerMessage> message = detail::decode(bytes, Clock.wallNow());
+  base::Result<PeerMessage> message = detail::decode(bytes, wall);
   if (!message)
     return reject(message.error(), bytes.size());
   const std::string &from = sender.value().Name;
@@ -201,13 +205,14 @@
   Incarnation = body.KnownIncarnation + 1;
   Events.emit(EventCode::IncarnationRaised,
               {{"peer", from}, {"incarnation", std::to_string(Incarnation)}});
-  sendHeartbeats();
+  if (Transport)
+    Transport->reopen(routingId());
 }
 
 std::shared_ptr<const std::string>
 PeerNode::Impl::encode(decltype(PeerMessage::Body) body) {
   return std::make_shared<const std::string>(
-      detail::encode({Incarnation, Hybrid.tick(), std::move(body)}));
+      detail::encode({Hybrid.tick(), std::move(body)}));
 }
 
 bool PeerNode::Impl::send(const std::string &to, MessageKind kind,
--- a/packages/peer/src/ZmqTransport.cpp
+++ b/packages/peer/src/ZmqTransport.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace endivedoor::peer::detail {
 
 namespace {
@@ -103,6 +105,11 @@
   Context.reset();
 }
 
+void ZmqTransport::reopen(std::string routingId) {
+  Options.RoutingId = std::move(routingId);
+  Dealers.clear();
+}
+
 void ZmqTransport::waitReadable() {
   if (!Readable)
     return;
@@ -155,10 +162,15 @@
 
 bool ZmqTransport::send(const std::string &to,
                         const std::shared_ptr<const std::string> &bytes) {
-  auto at = Dealers.find(to);
-  if (at == Dealers.end())
-    return false;
   try {
+    auto at = Dealers.find(to);
+    if (at == Dealers.end()) {
+      auto peer = std::find_if(Options.Peers.begin(), Options.Peers.end(),
+                               [&](const auto &it) { return it.Name == to; });
+      if (!Context || peer == Options.Peers.end())
+        return false;
+      at = Dealers.emplace(to, openDealer(peer->Peer)).first;
+    }
     zmq::message_t message = toMessage(bytes);
     return at->second.send(message, zmq::send_flags::dontwait).has_value();
   } catch (const zmq::error_t &) {
--- a/packages/peer/src/detail/ZmqTransport.h
+++ b/packages/peer/src/detail/ZmqTransport.h
@@ -45,6 +45,9 @@
   base::Result<void> open();
   void close();
 
+  /// Opens all connections to peers anew, each with the next message to it.
+  void reopen(std::string routingId);
+
   /// Queues a message without waiting. \returns whether it was queued; it is
   /// not if the peer is not connected or its queue is full.
   bool send(const std::string &to,
