Send jobs to the operator address and require a reason for zone changes

A zone change without a reason is refused by the command line: the reason is what other operators and customers see in the events. Answers 400, 413 and 422 give exit status 2, as the body is at fault.

--- a/bench/peers/ConfigStore.cpp
+++ b/bench/peers/ConfigStore.cpp
@@ -21,9 +21,14 @@
   return bytes;
 }
 
+static platform::HttpServerOptions serverOptions() {
+  platform::HttpServerOptions options;
+  options.Listen = {"127.0.0.1", 0};
+  return options;
+}
+
 ConfigStore::ConfigStore()
-    : Server(Io.get_executor(),
-             {{"127.0.0.1", 0}, {}, 4096, std::chrono::seconds(60), false},
+    : Server(Io.get_executor(), serverOptions(),
              [this](platform::HttpRequest request) {
                return answer(std::move(request));
              }) {
--- a/bench/peers/Fleet.cpp
+++ b/bench/peers/Fleet.cpp
@@ -19,7 +19,8 @@
 
 struct Fleet::Daemon {
   Daemon(asio::io_context &io, const base::Clock &clock)
-      : Client(io.get_executor(), clock, {16 * 1024, 4 << 20}) {}
+      : Client(io.get_executor(), clock,
+               platform::HttpLimits{16 * 1024, 4 << 20}) {}
   model::PeerSettings Self;
   /// Second address, for the relay in the own zone.
   model::Address Relay;
--- a/packages/cli/include/endivedoor/cli/detail/Arguments.h
+++ b/packages/cli/include/endivedoor/cli/detail/Arguments.h
@@ -19,7 +19,6 @@
 /// defaults.
 struct Options {
   std::vector<model::Address> Daemons;
-  std::vector<model::Address> Callers;
   std::string Output = "text";
   std::string Settings;
   std::string Author;
--- a/packages/cli/include/endivedoor/cli/detail/Context.h
+++ b/packages/cli/include/endivedoor/cli/detail/Context.h
@@ -47,12 +47,10 @@
   /// Sends a change to the first daemon that can be reached. The next one is
   /// tried only if the change did certainly not take effect.
   ///
-  /// \param callers whether the request belongs on the callers' port.
   /// Errors: as get, and CliOutcomeUnknown, CliInputInvalid.
   base::Result<Answer> change(const std::string &method,
                               const std::string &path,
-                              const boost::json::value &body,
-                              bool callers = false);
+                              const boost::json::value &body);
 
   /// Sends one request to one daemon. Errors: HttpNotSent, HttpAnswerLost.
   base::Result<platform::HttpResponse> send(const model::Address &to,
--- a/packages/cli/src/Arguments.cpp
+++ b/packages/cli/src/Arguments.cpp
@@ -12,9 +12,6 @@
 ABSL_FLAG(std::vector<std::string>, daemon, {},
           "operator address of a daemon, ip:port; repeat it to name others "
           "that are tried when one is unreachable");
-ABSL_FLAG(std::vector<std::string>, callers, {},
-          "callers' address of a daemon, ip:port, for jobs; default: the "
-          "--daemon addresses");
 ABSL_FLAG(std::string, settings, "",
           "settings file of a daemon, to take the addresses of all daemons and "
           "the zones from");
@@ -141,13 +138,12 @@
 }
 
 Result<std::vector<model::Address>>
-addresses(const char *flag, const std::vector<std::string> &texts) {
+addresses(const std::vector<std::string> &texts) {
   std::vector<model::Address> list;
   for (const std::string &it : texts) {
     std::optional<model::Address> address = model::parseAddress(it);
     if (!address)
-      return usage(std::string("--") + flag + ": \"" + it +
-                       "\" is not an address",
+      return usage("--daemon: \"" + it + "\" is not an address",
                    "write a numeric IPv4 address and a port, such as "
                    "127.0.0.1:21201");
     list.push_back(*address);
@@ -186,16 +182,12 @@
 Result<Options> readOptions(const Command &command) {
   Options to;
   BOOST_OUTCOME_TRY(readOutput(command, to));
-  BOOST_OUTCOME_TRY(auto daemons,
-                    addresses("daemon", absl::GetFlag(FLAGS_daemon)));
-  BOOST_OUTCOME_TRY(auto callers,
-                    addresses("callers", absl::GetFlag(FLAGS_callers)));
+  BOOST_OUTCOME_TRY(auto daemons, addresses(absl::GetFlag(FLAGS_daemon)));
   BOOST_OUTCOME_TRY(auto timeout,
                     duration("timeout", absl::GetFlag(FLAGS_timeout)));
   BOOST_OUTCOME_TRY(auto within,
                     duration("within", absl::GetFlag(FLAGS_within)));
   to.Daemons = daemons;
-  to.Callers = callers;
   to.Timeout = timeout;
   to.Within = within;
   to.Settings = absl::GetFlag(FLAGS_settings);
--- a/packages/cli/src/Context.cpp
+++ b/packages/cli/src/Context.cpp
@@ -44,7 +44,8 @@
     detail += ": " + printable(std::string_view(message.get_string()), true);
   if (status == 504 || isNumber(body, Errc::StoreAnswerLost))
     return {Errc::CliOutcomeUnknown, detail};
-  if (isNumber(body, Errc::RulesRejected))
+  // A body that the daemon cannot accept: malformed, too large, or with faults.
+  if (status == 400 || status == 413 || status == 422)
     return {Errc::CliInputInvalid, detail};
   return {Errc::CliRefused, detail};
 }
@@ -149,14 +150,12 @@
 }
 
 Result<Answer> Context::change(const std::string &method,
-                               const std::string &path, const json::value &body,
-                               bool callers) {
-  const Options &v = In.Values;
+                               const std::string &path,
+                               const json::value &body) {
   std::string text = body.is_null() ? "" : json::serialize(body);
   std::string tried;
   std::optional<base::Error> last;
-  for (const model::Address &it :
-       callers && !v.Callers.empty() ? v.Callers : std::vector(Daemons)) {
+  for (const model::Address &it : std::vector(Daemons)) {
     Result<platform::HttpResponse> response = send(it, method, path, text);
     if (!response && response.error().Code != Errc::HttpNotSent)
       return base::fail(Errc::CliOutcomeUnknown, response.error().message());
--- a/packages/cli/src/ListCommands.cpp
+++ b/packages/cli/src/ListCommands.cpp
@@ -156,7 +156,7 @@
   if (ec || !job.is_object())
     return context.fail({Errc::CliInputInvalid,
                          context.In.Argument + " does not hold a JSON object"});
-  Result<Answer> answer = context.change("POST", "/v1/jobs", job, true);
+  Result<Answer> answer = context.change("POST", "/v1/jobs", job);
   if (!answer)
     return context.fail(answer.error());
   if (answer.value().Status == 409)
@@ -170,7 +170,7 @@
   if (!model::isName(context.In.Argument))
     return context.fail({Errc::CliUsage, "the argument is not a job id"});
   Result<Answer> answer = context.change(
-      "DELETE", "/v1/jobs/" + context.In.Argument, json::value(), true);
+      "DELETE", "/v1/jobs/" + context.In.Argument, json::value());
   if (!answer)
     return context.fail(answer.error());
   if (answer.value().Status == 409)
--- a/packages/cli/src/Run.cpp
+++ b/packages/cli/src/Run.cpp
@@ -100,7 +100,7 @@
   if (!zones)
     return context.fail(zones.error());
   context.Zones = zones.value();
-  if (in.Values.Daemons.empty() && in.Values.Callers.empty())
+  if (in.Values.Daemons.empty())
     return context.fail({Errc::CliUsage,
                          "no daemon is given; add --daemon=ip:port or "
                          "--settings=FILE"});
--- a/packages/cli/src/ZoneCommands.cpp
+++ b/packages/cli/src/ZoneCommands.cpp
@@ -126,6 +126,10 @@
   if (!model::isName(context.In.Argument))
     return context.fail(
         {Errc::CliUsage, "\"" + context.In.Argument + "\" is not a zone name"});
+  // Other operators and customers see it in the events.
+  if (context.In.Values.Reason.empty())
+    return context.fail({Errc::CliUsage, "the reason is missing; add "
+                                         "--reason=\"WHY\""});
   Result<Accepted> accepted = sendChange(context, out);
   if (!accepted)
     return context.fail(accepted.error());
--- a/tests/unit/unit-cli.cpp
+++ b/tests/unit/unit-cli.cpp
@@ -6,7 +6,9 @@
 #include "endivedoor/cli/detail/LineDiff.h"
 #include "endivedoor/cli/detail/Table.h"
 #include "endivedoor/cli/detail/Timeline.h"
+#include "endivedoor/platform/HttpServer.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <gtest/gtest.h>
@@ -17,6 +19,7 @@
 #include <iterator>
 #include <set>
 #include <sstream>
+#include <thread>
 
 using namespace endivedoor;
 using namespace endivedoor::cli;
@@ -25,7 +28,8 @@
 
 namespace {
 
-const std::string D1 = "--daemon=127.0.0.1:1", D2 = "--daemon=127.0.0.1:2";
+const std::string D1 = "--daemon=127.0.0.1:1", D2 = "--daemon=127.0.0.1:2",
+                  Why = "--reason=power work";
 
 /// Daemons that answer as each test says.
 class FakeDaemons : public Exchange {
@@ -90,6 +94,7 @@
       {{"zone", "out", D1}, "NAME is missing"},
       {{"zone", "out", "a/b", D1}, "not a zone name"},
       {{"rules", "apply", "f", "--base-version=x", D1}, "whole number"},
+      {{"zone", "out", "m", D1}, "--reason"},
       {{"report", D1}, "--contract"},
       {{"job", "cancel", "../x", D1}, "not a job id"},
       {{"zones", "--settings=/nonexistent"}, "could not be read"},
@@ -262,7 +267,7 @@
 
 // Guards promise P4 as told to operators: "out" before it is certain.
 TEST_F(ZoneOut, OutIsSaidAfterThreeSecondsWithTheSilentDaemonsNamed) {
-  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Done);
+  EXPECT_EQ(call({"zone", "out", "m", D1, Why}), ExitCode::Done);
   EXPECT_GE(Daemons.Clock.now() - Start, 3s);
   EXPECT_EQ(Out.str(), "Accepted as version 9\n"
                        "DAEMON  ZONE  STATE  IN FORCE\n"
@@ -275,7 +280,8 @@
 // Guards against waiting longer than needed.
 TEST_F(ZoneOut, OutIsSaidOnceAllAcknowledged) {
   AckAt = Start + 200ms;
-  EXPECT_EQ(call({"zone", "out", "m", D1, "--output=json"}), ExitCode::Done);
+  EXPECT_EQ(call({"zone", "out", "m", D1, Why, "--output=json"}),
+            ExitCode::Done);
   EXPECT_LT(Daemons.Clock.now() - Start, 1s);
   auto out = boost::json::parse(Out.str());
   EXPECT_TRUE(out.at("unanswered").as_array().empty());
@@ -285,15 +291,15 @@
 // Guards against a lost answer or race that keeps a zone in service unnoticed.
 TEST_F(ZoneOut, LostAnswerIsReadBackAndRacesAreRepeated) {
   Posts = {lost()};
-  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Unknown);
+  EXPECT_EQ(call({"zone", "out", "m", D1, Why}), ExitCode::Unknown);
   EXPECT_EQ(Out.str(), "");
   TookEffect = true;
-  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Done);
+  EXPECT_EQ(call({"zone", "out", "m", D1, Why}), ExitCode::Done);
   Posts = {json(409, R"({"current":{"author":"sipho"}})"),
            json(200, R"({"version":9})")};
-  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Done);
+  EXPECT_EQ(call({"zone", "out", "m", D1, Why}), ExitCode::Done);
   Posts = {json(409, R"({"current":{"author":"sipho"}})")};
-  EXPECT_EQ(call({"zone", "out", "m", D1}), ExitCode::Refused);
+  EXPECT_EQ(call({"zone", "out", "m", D1, Why}), ExitCode::Refused);
   EXPECT_NE(Err.str().find("sipho"), std::string::npos);
 }
 
@@ -308,6 +314,30 @@
   EXPECT_EQ(call({"wait", "ready", D1, "--within=1s"}), ExitCode::Unreachable);
 }
 
+// Guards against a wrong mapping between the sockets and the answers above.
+TEST(HttpCommandLine, RealServerIsAskedAndAClosedPortIsUnreachable) {
+  boost::asio::io_context io;
+  platform::HttpServerOptions options;
+  options.Listen = {"127.0.0.1", 0};
+  platform::HttpServer server(
+      io.get_executor(), options,
+      [](platform::HttpRequest)
+          -> boost::asio::awaitable<platform::HttpResponse> {
+        co_return platform::HttpResponse{
+            200, {}, R"({"zones":[{"zone":"midrand","out":false}]})"};
+      });
+  ASSERT_TRUE(server.start());
+  std::thread thread([&] { io.run(); });
+  std::ostringstream out, err;
+  std::string daemon = "--daemon=127.0.0.1:" + std::to_string(server.port());
+  EXPECT_EQ(runOverHttp({"zones", daemon}, {out, err}), ExitCode::Done);
+  EXPECT_NE(out.str().find("midrand  no"), std::string::npos) << out.str();
+  io.stop();
+  thread.join();
+  EXPECT_EQ(runOverHttp({"zones", "--daemon=127.0.0.1:1"}, {out, err}),
+            ExitCode::Unreachable);
+}
+
 // Guards against jobs of another owner being left out.
 TEST_F(CommandLine, JobsOfAllOwnersAreMerged) {
   Daemons.Answer = [](int port, auto &) {
@@ -444,7 +474,7 @@
        std::vector<std::vector<std::string>>{{"timeline", D1},
                                              {"timeline", D1, "--output=trace"},
                                              {"zones", D1},
-                                             {"zone", "out", "m", D1},
+                                             {"zone", "out", "m", D1, Why},
                                              {"status", D1},
                                              {"jobs", D1},
                                              {"rules", "show", D1},
