Forget a document that did not come into force

One document with a far too high version, from a faulty peer, kept every later one from being delivered or pushed until a restart; only polling the store still brought them. An offered document now counts for one second. The new test fails without the change.

--- a/packages/peer/include/endivedoor/peer/detail/ConfigSpreader.h
+++ b/packages/peer/include/endivedoor/peer/detail/ConfigSpreader.h
@@ -80,6 +80,9 @@
   std::vector<ConfigSend> sendToRelays(const SharedDocument &document,
                                        base::TimePoint now);
   std::optional<Member> newestPeer();
+  /// Forgets a document that did not come into force, so that one with a wrong
+  /// version does not keep out those that follow.
+  void expireOffer(base::TimePoint now);
 
   base::ZoneId Zone;
   Members Peers;
--- a/packages/peer/src/ConfigSpreader.cpp
+++ b/packages/peer/src/ConfigSpreader.cpp
@@ -50,6 +50,7 @@
                                                 base::TimePoint now) {
   if (version <= InForce)
     return {};
+  expireOffer(now);
   InForce = version;
   PullAt.reset();
   Latest = std::make_shared<const ConfigDocument>(
@@ -70,9 +71,8 @@
 ConfigSpreader::Delivery ConfigSpreader::receive(const std::string &from,
                                                  const ConfigDocument &document,
                                                  base::TimePoint now) {
-  bool repeated = document.Version < Offered ||
-                  (document.Version == Offered && now - OfferedAt < RetryAfter);
-  if (document.Version <= InForce || repeated)
+  expireOffer(now);
+  if (document.Version <= std::max(InForce, Offered))
     return {};
   Offered = document.Version;
   OfferedAt = now;
@@ -110,11 +110,16 @@
   return best;
 }
 
+void ConfigSpreader::expireOffer(base::TimePoint now) {
+  if (Offered > InForce && now - OfferedAt >= RetryAfter)
+    Offered = InForce;
+}
+
 std::vector<ConfigSend> ConfigSpreader::advance(base::TimePoint now) {
   std::optional<Member> peer = newestPeer();
+  expireOffer(now);
   // A document that arrived is given time to come into force.
-  bool waiting = Offered > InForce && now - OfferedAt < RetryAfter;
-  if (!peer || waiting) {
+  if (!peer || Offered > InForce) {
     PullAt.reset();
     return {};
   }
--- a/tests/unit/unit-peer-spreading.cpp
+++ b/tests/unit/unit-peer-spreading.cpp
@@ -211,6 +211,20 @@
   EXPECT_LE(group.Nodes[1].Delivered, 11);
 }
 
+// Guards against one document with a far too high version that keeps every
+// later one from being delivered or pushed.
+TEST(ConfigSpreading, RefusedHighVersionDoesNotBlockLaterOnes) {
+  Group group(1, 3);
+  auto &spreader = *group.Nodes[0].Spreader;
+  EXPECT_TRUE(spreader.receive("n1", {1000000, "{}", false}, group.Clock.now())
+                  .Deliver);
+  group.Clock.advance(1s);
+  EXPECT_TRUE(
+      spreader.receive("n1", {1, "{}", false}, group.Clock.now()).Deliver);
+  spreader.publish(1, "{}", group.Clock.now());
+  EXPECT_EQ(spreader.publish(2, "{}", group.Clock.now()).size(), 2u);
+}
+
 // Guards against any order, loss or repetition of messages that makes a daemon
 // go back, or keeps it from the newest version once messages arrive again.
 RC_GTEST_PROP(ConfigSpreading, AnyDeliveryOrderConverges, ()) {
