End the search for YAML documents at the second one

Change: documents are counted with an event handler that keeps nothing, up to the second one. Ruled out: a text search for "---", which also matches inside block scalars; a limit of memory. Conclusion: the text "," is now one of the fixed hostile cases.

--- a/packages/model/src/Settings.cpp
+++ b/packages/model/src/Settings.cpp
@@ -1,5 +1,6 @@
 #include "endivedoor/model/Settings.h"
 
+#include "detail/YamlDocuments.h"
 #include "detail/YamlSection.h"
 
 #include "endivedoor/model/Scalars.h"
@@ -313,13 +314,11 @@
     return out;
   }
   try {
-    std::vector<YAML::Node> documents = YAML::LoadAll(text);
-    if (documents.size() > 1)
-      faults.add(documents[1].Mark(), Errc::SettingsSyntax,
+    if (auto second = detail::findSecondDocument(text))
+      faults.add(*second, Errc::SettingsSyntax,
                  "the file holds more than one document",
                  "keep one; remove the \"---\" line between them");
-    readRoot(faults, documents.empty() ? YAML::Node() : documents[0],
-             out.Value);
+    readRoot(faults, YAML::Load(text), out.Value);
     checkUnique(faults, out.Value);
     checkZones(faults, out.Value);
     checkTiming(faults, out.Value.Timing);
--- a/tests/unit/unit-settings.cpp
+++ b/tests/unit/unit-settings.cpp
@@ -189,6 +189,7 @@
 TEST(Settings, HostileTextIsRejectedWithoutException) {
   const std::string hostile[] = {
       "",
+      ",",
       "\t",
       "a: [",
       "name: \xff\xfe",
