--- a/packages/control/src/Control.cpp
+++ b/packages/control/src/Control.cpp
@@ -71,25 +71,28 @@
   State->Ctx.spawn(State->campaign());
 }
 
-/// Takes part in elections until the daemon stops.
+/// Takes part in elections until the daemon stops. Whether the shard has an
+/// owner is known from the polled configuration, without a call of its own.
 boost::asio::awaitable<void> Control::Impl::campaign() {
   detail::Backoff backoff;
   while (!Ctx.Stopping) {
-    auto won = co_await Election.campaign();
-    if (won && won.value()) {
-      OwnerDone = false;
-      co_await serve(*won.value());
-      OwnerDone = true;
+    // The jitter keeps the daemons of a zone from asking all at once.
+    base::Duration pause = Ctx.Settings.Timing.ConfigPoll / 10;
+    pause += pause * static_cast<int>(Ctx.Random() % 256) / 128;
+    if (Keeper.owners().count(Ctx.Settings.Zone) == 0) {
+      auto won = co_await Election.campaign();
+      if (won && won.value()) {
+        OwnerDone = false;
+        co_await serve(*won.value());
+        OwnerDone = true;
+      }
+      if (won)
+        backoff.reset();
+      else
+        pause = std::max(pause, backoff.next(Ctx.Random));
     }
     if (Ctx.Stopping)
       co_return;
-    // The jitter keeps the daemons of a zone from asking all at once.
-    base::Duration pause = Ctx.Settings.Timing.ConfigPoll;
-    pause = pause / 2 + pause / 100 * static_cast<int>(Ctx.Random() % 50);
-    if (won)
-      backoff.reset();
-    else
-      pause = std::max(pause, backoff.next(Ctx.Random));
     co_await Ctx.Sleep(pause);
   }
 }
--- a/packages/control/src/detail/Admission.cpp
+++ b/packages/control/src/detail/Admission.cpp
@@ -74,6 +74,9 @@
   if (job.Id.empty())
     job.Id = base::JobId(Ctx.nextWriteId());
   auto parts = route(job);
+  // An unreadable record would make the whole journal unreadable.
+  if (!parts.empty() && !parseJson(parts.front().second))
+    co_return base::Error{Errc::InvalidArgument, "a text is not UTF-8"};
   if (parts.empty())
     co_return base::Error{Errc::AdmissionClosed, "every zone is out"};
   auto written = co_await submit(std::move(parts));
@@ -84,8 +87,8 @@
 
 /// A job's tasks may have moved, so the cancellation goes to every zone.
 platform::Async<void> Admission::cancel(base::JobId job) {
-  if (job.empty())
-    co_return base::Error{Errc::JobUnknown, "empty id"};
+  if (job.empty() || !isStorable(job.str()))
+    co_return base::Error{Errc::JobUnknown, "not a valid id"};
   Command command;
   command.What = Command::Kind::Cancel;
   command.Job = job;
--- a/packages/control/src/detail/Codec.cpp
+++ b/packages/control/src/detail/Codec.cpp
@@ -77,6 +77,10 @@
   return value;
 }
 
+bool isStorable(const std::string &text) {
+  return parseJson(json::serialize(json::string(text))).has_value();
+}
+
 std::int64_t toMillis(base::WallTime time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              time.time_since_epoch())
--- a/packages/control/src/detail/Codec.h
+++ b/packages/control/src/detail/Codec.h
@@ -36,6 +36,8 @@
   std::string Fault;
 };
 
+/// Returns whether a text can be read back from a journal: it must be UTF-8.
+bool isStorable(const std::string &text);
 /// Parses a JSON text. Errors: ParseFailed.
 base::Result<boost::json::value> parseJson(const std::string &text);
 
--- a/packages/control/src/detail/RuleReport.cpp
+++ b/packages/control/src/detail/RuleReport.cpp
@@ -48,7 +48,20 @@
   }
 }
 
+void RuleReport::sumUp() {
+  TeamSlots.clear();
+  BatchTasks = 0;
+  for (const auto &[id, task] : Table.tasks()) {
+    if (!isLive(task))
+      continue;
+    const model::JobSpec &spec = Table.jobs().at(task.Task.Job).Spec;
+    TeamSlots[spec.Team] += spec.Size.Slots;
+    BatchTasks += spec.Kind == model::TaskKind::Batch ? 1 : 0;
+  }
+}
+
 void RuleReport::sample() {
+  sumUp();
   for (const model::Rule &it : Keeper.rules().Rules)
     count(it,
           std::visit([&](const auto &body) { return check(body); }, it.Body));
@@ -133,12 +146,8 @@
 }
 
 RuleReport::Verdict RuleReport::check(const model::TeamQuota &rule) const {
-  std::int64_t slots = 0;
-  for (const auto &[id, task] : Table.tasks()) {
-    const model::JobSpec &spec = Table.jobs().at(task.Task.Job).Spec;
-    if (isLive(task) && spec.Team == rule.Team)
-      slots += spec.Size.Slots;
-  }
+  auto it = TeamSlots.find(rule.Team);
+  std::int64_t slots = it == TeamSlots.end() ? 0 : it->second;
   return {true, slots <= rule.Slots, slots, std::to_string(slots) + " slots"};
 }
 
@@ -178,13 +187,8 @@
 }
 
 RuleReport::Verdict RuleReport::check(const model::ZoneOut &rule) const {
-  std::int64_t batch = 0;
-  for (const auto &[id, task] : Table.tasks())
-    if (isLive(task) &&
-        Table.jobs().at(task.Task.Job).Spec.Kind == model::TaskKind::Batch)
-      ++batch;
-  return {rule.Zone == Ctx.Settings.Zone, batch == 0, batch,
-          std::to_string(batch) + " batch tasks still run"};
+  return {rule.Zone == Ctx.Settings.Zone, BatchTasks == 0, BatchTasks,
+          std::to_string(BatchTasks) + " batch tasks still run"};
 }
 
 RuleReport::Verdict RuleReport::check(const model::WorkerOut &rule) const {
--- a/packages/control/src/detail/RuleReport.h
+++ b/packages/control/src/detail/RuleReport.h
@@ -59,6 +59,8 @@
   };
 
   std::int64_t hour() const;
+  /// Adds up once what several rules ask for.
+  void sumUp();
   void count(const model::Rule &rule, const Verdict &verdict);
   void dropOldHours();
   Verdict check(const model::AtLeastZones &rule) const;
@@ -76,6 +78,8 @@
   const TaskTable &Table;
   const WorkerLeases &Leases;
   const ZoneCounter &Zones;
+  std::map<base::TeamName, std::int64_t> TeamSlots;
+  std::int64_t BatchTasks = 0;
   std::map<Key, Row> Rows;
   std::map<base::TaskId, std::chrono::milliseconds> Latencies;
   std::set<Key> Dirty;
--- a/packages/control/src/detail/ShardOwner.cpp
+++ b/packages/control/src/detail/ShardOwner.cpp
@@ -9,6 +9,9 @@
 
 // A segment shares the 1 MB of a store value with base64 and the moved tasks.
 constexpr std::size_t SegmentBytes = 400 * 1024;
+// Tasks move only beside a small segment, since a request is limited as a
+// whole.
+constexpr std::size_t MovesBesideBytes = 100 * 1024;
 constexpr std::size_t StartsPerCommit = 256;
 // After this many commits without a change, the inbox is read less often.
 constexpr int IdleRoundsLimit = 20;
@@ -311,7 +314,10 @@
     return flight;
   // Commands leave the inbox only with the segment that completes them.
   flight.Content.ConsumedKeys.assign(Consumed.begin(), Consumed.end());
-  if (!flight.ZoneIn)
+  std::size_t bytes = 0;
+  for (const std::string &it : flight.Content.Ops)
+    bytes += it.size();
+  if (!flight.ZoneIn && bytes < MovesBesideBytes)
     flight.Moved = Moves.add(flight.Content);
   if (Report.due() || (Ctx.Stopping && !flight.Content.Ops.empty())) {
     Report.write(flight.Content.Ops, flight.Content.Puts);
--- a/packages/control/src/detail/ShardOwner.h
+++ b/packages/control/src/detail/ShardOwner.h
@@ -43,6 +43,7 @@
 
   void reported(WorkerEntry &worker,
                 const platform::RenewReply &reply) override;
+  void restarted(WorkerEntry &worker) override;
   void lapsed(WorkerEntry &worker) override;
   void changed(WorkerEntry &worker) override;
   std::vector<platform::AttemptRef>
--- a/packages/control/src/detail/ShardOwnerWorkers.cpp
+++ b/packages/control/src/detail/ShardOwnerWorkers.cpp
@@ -113,6 +113,12 @@
   }
 }
 
+/// Takes the token from every attempt, so that the next report decides at once.
+void ShardOwner::restarted(WorkerEntry &worker) {
+  for (const base::TaskId &id : Table.held(worker.Worker.Id))
+    Table.task(id)->Task.Token = base::FencingToken{0};
+}
+
 void ShardOwner::lapsed(WorkerEntry &worker) {
   for (const base::TaskId &id : Table.held(worker.Worker.Id))
     Life.lost(*Table.task(id), "its task lease has lapsed");
--- a/packages/control/src/detail/TaskLife.cpp
+++ b/packages/control/src/detail/TaskLife.cpp
@@ -14,7 +14,9 @@
 constexpr std::chrono::seconds LongestPause{30};
 // An id is refused for this long after its job has left or been cancelled;
 // commands stay in an inbox far shorter than this while a zone has an owner.
-constexpr std::chrono::hours TombstoneTime{24};
+constexpr std::chrono::hours TombstoneTime{1};
+// A checkpoint shares a store value with other records.
+constexpr std::size_t CheckpointBytes = 256 * 1024;
 
 TaskLife::TaskLife(Context &context, TaskTable &table,
                    policy::Scheduler &scheduler, Quarantine &quarantine,
@@ -227,6 +229,10 @@
 }
 
 void TaskLife::evicted(TaskRecord &task, const std::string &checkpoint) {
+  if (checkpoint.size() > CheckpointBytes || !isStorable(checkpoint)) {
+    lost(task, "the checkpoint is too large or not UTF-8");
+    return;
+  }
   bool cancelled = isEnd(task.Task.State);
   release(task, EndReason::Evicted);
   Bad.ended(task.Task.Worker, Ctx.Clock.now());
--- a/packages/control/src/detail/WorkerLeases.cpp
+++ b/packages/control/src/detail/WorkerLeases.cpp
@@ -46,6 +46,7 @@
     if (added) {
       entry->second = std::make_unique<WorkerEntry>();
       entry->second->Worker = it;
+      entry->second->ListedLeaving = it.Leaving;
       entry->second->LastContact = Ctx.Clock.now();
       Ctx.spawn(serve(*entry->second, keep));
       continue;
@@ -53,13 +54,23 @@
     WorkerEntry &known = *entry->second;
     known.Worker.Endpoint = it.Endpoint;
     known.Worker.Rack = it.Rack;
-    if (it.Leaving && !known.Worker.Leaving) {
-      known.Worker.Leaving = true;
-      Observer.changed(known);
-    }
+    known.ListedLeaving = it.Leaving;
+    updateLeaving(known);
   }
 }
 
+void WorkerLeases::updateLeaving(WorkerEntry &worker) {
+  bool leaving = worker.ListedLeaving || worker.SaysLeaving;
+  if (leaving == worker.Worker.Leaving)
+    return;
+  worker.Worker.Leaving = leaving;
+  if (leaving)
+    Ctx.Events.emit(EventCode::WorkerLeaving,
+                    {{"zone", Ctx.Settings.Zone.str()},
+                     {"worker", worker.Worker.Id.str()}});
+  Observer.changed(worker);
+}
+
 boost::asio::awaitable<void>
 WorkerLeases::serve(WorkerEntry &worker,
                     [[maybe_unused]] std::shared_ptr<void> keep) {
@@ -115,6 +126,8 @@
   worker.Compared = false;
   worker.Token = lease.value().Token;
   worker.Sequence = lease.value().Sequence;
+  if (!worker.Boot.empty() && worker.Boot != lease.value().Boot)
+    Observer.restarted(worker);
   worker.Boot = lease.value().Boot;
   worker.Worker.Capacity = lease.value().Capacity;
   Ctx.Events.emit(EventCode::WorkerClaimed,
@@ -144,14 +157,11 @@
     co_return;
   }
   worker.Sequence = std::max(worker.Sequence, reply.value().Sequence);
-  worker.Boot = reply.value().Boot;
   worker.Reports = reply.value().Tasks;
   bool news = !worker.Compared;
   worker.Compared = true;
-  if (reply.value().Leaving && !worker.Worker.Leaving) {
-    worker.Worker.Leaving = true;
-    news = true;
-  }
+  worker.SaysLeaving = reply.value().Leaving;
+  updateLeaving(worker);
   Observer.reported(worker, reply.value());
   if (news)
     Observer.changed(worker);
--- a/packages/control/src/detail/WorkerLeases.h
+++ b/packages/control/src/detail/WorkerLeases.h
@@ -18,6 +18,9 @@
   base::FencingToken Token{0};
   std::uint64_t Sequence = 0;
   std::string Boot;
+  /// The host list, or the worker itself, says that it leaves.
+  bool ListedLeaving = false;
+  bool SaysLeaving = false;
   bool Reachable = false;
   /// Its attempts have been compared with the records under the current token.
   bool Compared = false;
@@ -38,6 +41,8 @@
   /// A worker has reported its attempts under the current token.
   virtual void reported(WorkerEntry &worker,
                         const platform::RenewReply &reply) = 0;
+  /// A worker has restarted; nothing that ran on it before still runs.
+  virtual void restarted(WorkerEntry &worker) = 0;
   /// The task leases of a worker have lapsed without contact.
   virtual void lapsed(WorkerEntry &worker) = 0;
   /// Reachability, lease, capacity or leaving has changed.
@@ -78,6 +83,7 @@
   boost::asio::awaitable<void> drainCalls(WorkerEntry &worker,
                                           std::shared_ptr<void> keep);
   void contacted(WorkerEntry &worker, const base::Error *error);
+  void updateLeaving(WorkerEntry &worker);
   void checkLapse(WorkerEntry &worker);
 
   Context &Ctx;
--- a/packages/control/src/detail/ZoneMoves.cpp
+++ b/packages/control/src/detail/ZoneMoves.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t MoveBytes = 256 * 1024;
 // Size of an encoded task without its checkpoint, generously.
 constexpr std::size_t TaskBytes = 400;
-constexpr std::chrono::hours TombstoneTime{24};
+constexpr std::chrono::hours TombstoneTime{1};
 
 ZoneMoves::Groups ZoneMoves::queued() const {
   Groups groups;
