--- a/tests/unit/Fakes.h
+++ b/tests/unit/Fakes.h
@@ -218,6 +218,8 @@
   int FreezeAfterTxn = 0;
   /// This transaction reaches the store late; the daemon is frozen until then.
   int HoldTxn = 0;
+  /// Answers of the store arrive this much later.
+  base::Duration AnswerDelay{0};
   /// Starts reach workers this much later.
   base::Duration StartDelay{0};
   /// Starts that reached a worker.
@@ -244,7 +246,9 @@
       result = Data.apply(request);
     if (number == To.FreezeAfterTxn)
       To.Frozen = true;
-    co_await Sim.sleep(up && fault == Fault::None ? To.Delay / 2 : 200ms,
+    co_await Sim.sleep(To.AnswerDelay + (up && fault == Fault::None
+                                             ? To.Delay / 2
+                                             : base::Duration(200ms)),
                        &To.Frozen);
     if (!up)
       co_return base::Error{Errc::StoreUnavailable, "fake"};
--- a/tests/unit/unit-control-zones.cpp
+++ b/tests/unit/unit-control-zones.cpp
@@ -134,6 +134,23 @@
     }
 }
 
+TEST(ControlZones, LateAnswersOfTheStoreDoNotStretchThePermit) {
+  for (int n = 0; n < 40; ++n) {
+    TwoZones c;
+    c.admit(*c.A, Cluster::job(2, "j1"));
+    c.Sim.runFor(10ms * n);
+    // The owner goes on renewing its workers' leases and learns nothing.
+    c.A->To.AnswerDelay = 4s;
+    c.Sim.runFor(150ms);
+    c.zoneOut(*c.B, "a", true);
+    c.Sim.runFor(15s);
+    EXPECT_EQ("", c.violations()) << n;
+    c.A->To.AnswerDelay = {};
+    EXPECT_TRUE(c.Sim.runUntil([&] { return c.All.finished("j1.0") == 1; }))
+        << n;
+  }
+}
+
 TEST(ControlZones, ServicesStayAndQueuedTasksMove) {
   TwoZones c;
   model::JobSpec service = Cluster::job(2, "s");
