--- a/tests/unit/Fakes.h
+++ b/tests/unit/Fakes.h
@@ -218,6 +218,8 @@
   int FreezeAfterTxn = 0;
   /// This transaction reaches the store late; the daemon is frozen until then.
   int HoldTxn = 0;
+  /// Transactions without a condition, such as the configuration's poll, fail.
+  bool PollsCut = false;
   /// Answers of the store arrive this much later.
   base::Duration AnswerDelay{0};
   /// Starts reach workers this much later.
@@ -238,7 +240,8 @@
     if (number == To.HoldTxn)
       To.Frozen = true;
     co_await Sim.sleep(number == To.HoldTxn ? 5s : To.Delay / 2, nullptr);
-    bool up = !Data.Down && !To.StoreCut && fault != Fault::NotSent;
+    bool up = !Data.Down && !To.StoreCut && fault != Fault::NotSent &&
+              !(To.PollsCut && request.Compares.empty());
     Data.expire();
     platform::StoreTxnResult result;
     bool rejected = up && !Data.knowsLeases(request);
--- a/tests/unit/unit-control-workers.cpp
+++ b/tests/unit/unit-control-workers.cpp
@@ -157,6 +157,22 @@
   EXPECT_EQ(TaskState::Failed, c.state("j2"));
 }
 
+TEST(ControlWorkers, AttemptThatNoRecordKnowsIsStopped) {
+  OneZone c(1);
+  TaskRun stray;
+  stray.Task = base::TaskId("stray.0");
+  stray.Number = base::Attempt{1};
+  stray.Worker = base::WorkerId("w1");
+  stray.Service = true;
+  stray.Begin = c.Sim.Clock.now();
+  stray.LeaseEnd = stray.Begin + 30s;
+  c.All.Log.push_back(stray);
+  c.worker("w1").Running.push_back(0);
+  c.Sim.runFor(2s);
+  EXPECT_EQ(platform::AttemptState::Stopped, c.All.Log[0].State);
+  EXPECT_TRUE(c.All.Log[0].Acknowledged);
+}
+
 TEST(ControlWorkers, LeavingWorkerGetsNoStart) {
   OneZone c(1);
   c.worker("w1").Worker.Leaving = true;
--- a/tests/unit/unit-control-zones.cpp
+++ b/tests/unit/unit-control-zones.cpp
@@ -151,6 +151,18 @@
   }
 }
 
+TEST(ControlZones, CommitsLearnOfAZoneTakenOutWithoutThePoll) {
+  TwoZones c;
+  c.All.Workers["a1"].RunTime = c.All.Workers["a2"].RunTime = 300ms;
+  c.admit(*c.A, Cluster::job(200, "j1"));
+  c.Sim.runFor(1s);
+  c.A->To.PollsCut = true;
+  c.zoneOut(*c.B, "a", true);
+  c.Sim.runFor(10s);
+  EXPECT_EQ("", c.violations());
+  EXPECT_EQ(1u, c.A->Plane->configuration().Version);
+}
+
 TEST(ControlZones, ServicesStayAndQueuedTasksMove) {
   TwoZones c;
   model::JobSpec service = Cluster::job(2, "s");
