policy: fill service workers with harmless batch tasks first; experiment starts with mixed work

Cause: quiet batch tasks took the workers that noisy ones need, so these were held back longer than necessary. In the experiment, first fit profited from all services being placed first on empty workers, and work on cancelled tasks counted as done. Change: a cost that prefers workers with services for batch tasks; the experiment starts with services and batch jobs in random order and does not count work on cancelled tasks.

--- a/experiments/policy/Load.cpp
+++ b/experiments/policy/Load.cpp
@@ -85,6 +85,7 @@
   it.BadFrom = 200;
   it.BadUntil = 700;
   it.CancelAt = {330, 640};
+  it.InitialBatch = 100;
   declareWrongly(it, seed);
   return it;
 }
@@ -111,6 +112,7 @@
   it.BadFrom = 200;
   it.BadUntil = 700;
   it.CancelAt = {330, 640};
+  it.InitialBatch = 100;
   declareWrongly(it, seed);
   return it;
 }
@@ -141,7 +143,7 @@
   it.BadUntil = 200;
   it.BadShare = 0.01;
   it.CancelAt = {130};
-  it.InitialBatch = 14'400;
+  it.InitialBatch = 9'600;
   declareWrongly(it, seed);
   return it;
 }
@@ -160,6 +162,7 @@
   it.ZoneInAt = 35;
   it.BadFrom = 5;
   it.CancelAt = {40};
+  it.InitialBatch = 16;
   return it;
 }
 
--- a/experiments/policy/Load.h
+++ b/experiments/policy/Load.h
@@ -75,7 +75,8 @@
   double BadShare = 0.05;
   /// When a third of the batch jobs of the last minute is cancelled.
   std::vector<double> CancelAt;
-  /// Batch tasks queued at the start.
+  /// Batch tasks queued at the start; half of them of each of two quiet
+  /// classes.
   std::int32_t InitialBatch = 0;
 };
 
--- a/experiments/policy/Variants.cpp
+++ b/experiments/policy/Variants.cpp
@@ -29,6 +29,26 @@
       baseline("least loaded", BaselineKind::LeastLoaded),
       baseline("two choices", BaselineKind::TwoChoices),
       with("endivedoor", [](PolicySettings &) {}),
+      with("t hold .95", [](PolicySettings &s) { s.HoldRatio = 0.95; }),
+      with("t hold 1.1", [](PolicySettings &s) { s.HoldRatio = 1.1; }),
+      with("t guard high 1.1",
+           [](PolicySettings &s) {
+             s.Guard.HighRatio = 1.1;
+             s.Guard.EvictRatio = 1.2;
+             s.Guard.LowRatio = .9;
+           }),
+      with("t low .85",
+           [](PolicySettings &s) {
+             s.Guard.LowRatio = .85;
+             s.Guard.LiftAfter = std::chrono::milliseconds(2000);
+           }),
+      with("t both",
+           [](PolicySettings &s) {
+             s.HoldRatio = 1.0;
+             s.Guard.LowRatio = .85;
+             s.Guard.LiftAfter = std::chrono::milliseconds(2000);
+           }),
+      with("t cand 64", [](PolicySettings &s) { s.Candidates = 64; }),
       with("no hysteresis",
            [](PolicySettings &s) {
              s.Guard = policy::guardWithoutHysteresis();
@@ -43,6 +63,8 @@
            [](PolicySettings &s) { s.Interference = false; }),
       with("no holding back", [](PolicySettings &s) { s.HoldBack = false; }),
       with("no gathering", [](PolicySettings &s) { s.GatherServices = false; }),
+      with("no quiet beside services",
+           [](PolicySettings &s) { s.QuietBesideServices = false; }),
       with("no attribution", [](PolicySettings &s) { s.Attribution = false; }),
       with("declared sizes",
            [](PolicySettings &s) { s.MeasuredSizes = false; }),
--- a/experiments/policy/World.cpp
+++ b/experiments/policy/World.cpp
@@ -14,16 +14,21 @@
 World::World(const Load &load, std::uint64_t seed, const SchedulerFactory &make)
     : Of(load), Arriving(seed), Breaking(seed + 1000), Draw(seed + 2000) {
   addWorkers(seed, make);
-  for (std::size_t n = 0; n < Of.Classes.size(); ++n)
-    if (Of.Classes[n].Service)
-      for (std::int32_t i = 0; i < Of.TasksPerService; ++i)
-        addJob(n, 1, i % Of.Zones);
-  for (std::int32_t left = Of.InitialBatch; left > 0; left -= Of.TasksPerJob) {
-    std::size_t n = Draw() % Of.Classes.size();
-    while (Of.Classes[n].Service || Of.Classes[n].isNoisy())
-      n = Draw() % Of.Classes.size();
-    addJob(n, Of.TasksPerJob, emptiestZone());
+  // Services and batch jobs come in random order, as in a zone that has been in
+  // use for a while: a scheduler that profits from services being placed first
+  // on empty workers is not favoured.
+  std::vector<std::size_t> first;
+  for (std::size_t n = 0; n < Of.Classes.size(); ++n) {
+    const TrueClass &it = Of.Classes[n];
+    std::int32_t jobs = it.Service     ? Of.TasksPerService
+                        : it.isNoisy() ? 0
+                                       : Of.InitialBatch / Of.TasksPerJob / 2;
+    first.insert(first.end(), std::size_t(jobs), n);
   }
+  for (std::size_t n = first.size(); n > 1; --n)
+    std::swap(first[n - 1], first[Arriving() % n]);
+  for (std::size_t n : first)
+    addJob(n, Of.Classes[n].Service ? 1 : Of.TasksPerJob, emptiestZone());
 }
 
 void World::addWorkers(std::uint64_t seed, const SchedulerFactory &make) {
@@ -190,6 +195,8 @@
   std::sort(chosen.begin(), chosen.end(),
             [](FakeTask *a, FakeTask *b) { return a->Id < b->Id; });
   for (FakeTask *task : chosen) {
+    // What was done of a cancelled task is of no use.
+    Work -= task->Done;
     if (task->Worker >= 0) {
       end(*task, policy::EndReason::Cancelled);
     } else {
@@ -368,7 +375,6 @@
     stepWorker(n);
   deliver();
   decide();
-  if (getenv("DBG") && fmod(Now,10)<Step) { double cpu=0,b=0,sp=0,th=0; int n=0,sv=0,full=0; for (auto&w:Workers){auto p=pressureOn(w,Of);cpu+=p.Cpu;b+=p.Bandwidth+p.Cache; bool hs=false; for(auto*t:w.Tasks) if(!Of.Classes[t->Class].Service){sp+=speedOf(*t,p);th+=t->Throttle;n++;} else hs=true; sv+=hs; full+=int(w.Tasks.size())>=Of.Worker.Slots;} fprintf(stderr,"t %.0f run %d queued %ld cpu %.2f noise %.2f speed %.3f throttle %.1f workers-with-services %d full %d\n",Now,n,long(Zones[0].Queued),cpu/Workers.size(),b/Workers.size(),sp/n,th/n,sv,full);}
   std::erase_if(QueuedOrder, [&](const std::string &id) {
     auto it = Tasks.find(id);
     return it == Tasks.end() || it->second->Worker >= 0;
--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -64,6 +64,8 @@
   double HoldRatio = 0.85;
   /// Gathers services on some workers and leaves the others to batch work.
   bool GatherServices = true;
+  /// Fills workers that hold services with harmless batch tasks first.
+  bool QuietBesideServices = true;
   /// Attributes late measurements to what ran when they were taken; to what
   /// runs now if off.
   bool Attribution = true;
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -102,6 +102,9 @@
   bool keepsTargets(Index worker, const Shape &it) const;
 
   double loadCost(const Candidate &it) const;
+  /// Prefers workers with services for batch tasks that do no harm there, so
+  /// that the others stay free for noisy ones.
+  double fillCost(const Candidate &it) const;
   double interferenceCost(const Candidate &it) const;
   double spreadCost(const Candidate &it) const;
   double historyCost(const Candidate &it) const;
