policy: use the targets fully before tasks are held back or throttled

Change: hold back from 1.0, throttle from 1.1, lift from 0.9, evict from 1.2 of the target; placement cost is flat up to 0.6 of the target.

--- a/experiments/policy/Variants.cpp
+++ b/experiments/policy/Variants.cpp
@@ -29,26 +29,6 @@
       baseline("least loaded", BaselineKind::LeastLoaded),
       baseline("two choices", BaselineKind::TwoChoices),
       with("endivedoor", [](PolicySettings &) {}),
-      with("t hold .95", [](PolicySettings &s) { s.HoldRatio = 0.95; }),
-      with("t hold 1.1", [](PolicySettings &s) { s.HoldRatio = 1.1; }),
-      with("t guard high 1.1",
-           [](PolicySettings &s) {
-             s.Guard.HighRatio = 1.1;
-             s.Guard.EvictRatio = 1.2;
-             s.Guard.LowRatio = .9;
-           }),
-      with("t low .85",
-           [](PolicySettings &s) {
-             s.Guard.LowRatio = .85;
-             s.Guard.LiftAfter = std::chrono::milliseconds(2000);
-           }),
-      with("t both",
-           [](PolicySettings &s) {
-             s.HoldRatio = 1.0;
-             s.Guard.LowRatio = .85;
-             s.Guard.LiftAfter = std::chrono::milliseconds(2000);
-           }),
-      with("t cand 64", [](PolicySettings &s) { s.Candidates = 64; }),
       with("no hysteresis",
            [](PolicySettings &s) {
              s.Guard = policy::guardWithoutHysteresis();
--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -16,11 +16,11 @@
   bool Throttle = true;
   bool Evict = true;
   /// Neighbours are throttled at this ratio and above.
-  double HighRatio = 0.95;
+  double HighRatio = 1.1;
   /// Throttles are lifted at this ratio and below.
-  double LowRatio = 0.75;
+  double LowRatio = 0.9;
   /// Ratio from which on a neighbour may be evicted.
-  double EvictRatio = 1.1;
+  double EvictRatio = 1.2;
   /// How long the ratio must stay above EvictRatio before an eviction.
   std::chrono::milliseconds EvictAfter{8000};
   /// How long the ratio must stay below LowRatio before a throttle is lifted.
@@ -61,7 +61,7 @@
   /// Lets a batch task wait while it would push a service over HoldRatio of
   /// its target on every worker, until its latest start.
   bool HoldBack = true;
-  double HoldRatio = 0.85;
+  double HoldRatio = 1.0;
   /// Gathers services on some workers and leaves the others to batch work.
   bool GatherServices = true;
   /// Fills workers that hold services with harmless batch tasks first.
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -210,7 +210,7 @@
   double ratio = p95 / target;
   // Above 1.5 little is left to lose: noisy tasks then gather where they
   // already are.
-  return ratio + 5 * std::clamp(ratio - 0.7, 0.0, 0.8);
+  return 0.2 * ratio + 5 * std::clamp(ratio - 0.6, 0.0, 0.9);
 }
 
 double Placement::interferenceCost(const Candidate &it) const {
