policy: measure late tasks, and the interference cost by itself

Cause: the order by latest start showed no effect because deadlines were not measured; the interference cost and holding back were switched together. Change: share of late tasks as a measure; a setting for the interference cost.

--- a/experiments/policy/FakeWorker.h
+++ b/experiments/policy/FakeWorker.h
@@ -20,6 +20,8 @@
   std::size_t Class = 0;
   std::uint64_t JobNumber = 0;
   double AdmittedAt = 0;
+  /// In s of the run.
+  double Deadline = 0;
   /// Seconds of work at full speed, done, and done at the last checkpoint.
   double Work = 0;
   double Done = 0;
--- a/experiments/policy/Report.cpp
+++ b/experiments/policy/Report.cpp
@@ -17,7 +17,7 @@
   int Decimals;
 };
 
-constexpr std::array<Column, 7> Columns{{
+constexpr std::array<Column, 8> Columns{{
     {"latency_p95", "service p95 / undisturbed", &Measures::LatencyP95, 2},
     {"throughput", "batch work s/s", &Measures::Throughput, 1},
     {"evictions", "evictions", &Measures::Evictions, 0},
@@ -25,6 +25,7 @@
      &Measures::OutageWork, 0},
     {"failures", "failed attempts", &Measures::Failures, 0},
     {"starts", "starts", &Measures::Starts, 0},
+    {"late", "late tasks, %", &Measures::LatePercent, 2},
     {"unserved", "service-seconds not running", &Measures::UnservedSeconds, 0},
 }};
 
--- a/experiments/policy/Variants.cpp
+++ b/experiments/policy/Variants.cpp
@@ -39,8 +39,12 @@
            [](PolicySettings &s) { s.Guard.Throttle = s.Guard.Evict = false; }),
       with("youngest victim",
            [](PolicySettings &s) { s.Guard.ChooseVictim = false; }),
-      with("no interference model",
-           [](PolicySettings &s) { s.Interference = false; }),
+      with("no throttle and youngest victim",
+           [](PolicySettings &s) {
+             s.Guard.Throttle = s.Guard.ChooseVictim = false;
+           }),
+      with("no interference cost",
+           [](PolicySettings &s) { s.InterferenceCost = false; }),
       with("no holding back", [](PolicySettings &s) { s.HoldBack = false; }),
       with("no gathering", [](PolicySettings &s) { s.GatherServices = false; }),
       with("no quiet beside services",
--- a/experiments/policy/World.cpp
+++ b/experiments/policy/World.cpp
@@ -70,10 +70,10 @@
       base::MebiBytes{std::int64_t(of.MemoryMb * of.DeclaredMemory)}, 0};
   job->DeclaredRunTime = std::chrono::milliseconds(
       std::int64_t(of.Seconds * of.DeclaredSeconds * 1000));
+  double deadline = Now + of.Seconds * uniform(Arriving, 3, 12);
   if (!of.Service)
-    job->Deadline = Clock.wallNow() +
-                    std::chrono::seconds(
-                        std::int64_t(of.Seconds * uniform(Arriving, 3, 12)));
+    job->Deadline = Clock.wallNow() + std::chrono::milliseconds(
+                                          std::int64_t(deadline - Now) * 1000);
   bool fails = !of.Service && uniform(Arriving) < 0.01;
   for (std::int32_t n = 0; n < tasks; ++n) {
     auto task = std::make_unique<FakeTask>();
@@ -82,6 +82,7 @@
     task->Class = taskClass;
     task->JobNumber = Jobs;
     task->AdmittedAt = Now;
+    task->Deadline = deadline;
     task->AlwaysFails = fails;
     task->Work = of.Service ? 1e18 : of.Seconds * logNormal(Arriving, 0.3);
     task->MemoryMb = of.MemoryMb * std::min(1.5, logNormal(Arriving, 0.1));
@@ -254,6 +255,8 @@
   }
   if (task.Done < task.Work)
     return false;
+  ++Due;
+  LateTasks += Now > task.Deadline;
   end(task, policy::EndReason::Finished);
   Tasks.erase(task.Id.str());
   return true;
@@ -394,6 +397,12 @@
       during = Work - before;
   }
   Result.OutageWork = Of.ZoneOutAt > 0 ? during : 0;
+  for (const auto &[id, task] : Tasks) {
+    bool overdue = !Of.Classes[task->Class].Service && Now > task->Deadline;
+    Due += overdue;
+    LateTasks += overdue;
+  }
+  Result.LatePercent = 100 * LateTasks / std::max(1.0, Due);
   Result.Throughput = Work / Of.Seconds;
   auto rank =
       Latencies.begin() + std::ptrdiff_t(double(Latencies.size()) * 0.95);
--- a/experiments/policy/World.h
+++ b/experiments/policy/World.h
@@ -33,6 +33,9 @@
   double Failures = 0;
   double Starts = 0;
   double UnservedSeconds = 0;
+  /// Share of batch tasks that ended after their deadline, or had not ended by
+  /// then, in percent.
+  double LatePercent = 0;
 };
 
 class World {
@@ -98,6 +101,7 @@
   std::uint64_t Jobs = 0;
   std::vector<float> Latencies;
   double Work = 0;
+  double Due = 0, LateTasks = 0;
   Measures Result;
 };
 
--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -56,8 +56,8 @@
   /// Books less memory than declared where measurements allow it. The worker
   /// must then be told StartTask::Booked instead of the declared size.
   bool ReclaimMemory = false;
-  /// Places by the learned interference between classes and services.
-  bool Interference = true;
+  /// Prefers workers on which the learned interference does least harm.
+  bool InterferenceCost = true;
   /// Lets a batch task wait while it would push a service over HoldRatio of
   /// its target on every worker, until its latest start.
   bool HoldBack = true;
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -22,10 +22,10 @@
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
       Random(seed) {
-  if (settings.Interference)
-    Costs.push_back(&Placement::interferenceCost);
   if (settings.QuietBesideServices)
     Costs.push_back(&Placement::fillCost);
+  if (settings.InterferenceCost)
+    Costs.push_back(&Placement::interferenceCost);
   if (settings.HoldBack)
     Filters.push_back(&Placement::keepsTargets);
 }
