policy: let classes that are new beside a service take the blame for a change

Cause: the model split every error evenly over all classes present, so harmless neighbours were held back and throttled. Change: a gain for each weight that falls with its samples; neighbours that add less than a fifth of what the worst one adds are left alone.

--- a/packages/policy/src/detail/Guard.cpp
+++ b/packages/policy/src/detail/Guard.cpp
@@ -12,6 +12,9 @@
 static constexpr double Smoothing = 0.5;
 /// Neighbours that add less than this share of the target are left alone.
 static constexpr double NoticeableShare = 0.02;
+/// So are those that add less than this share of what the worst one adds: a
+/// class that is often beside a noisy one is given part of the blame.
+static constexpr double CulpritShare = 0.2;
 /// Work since the last checkpoint is not known, so the run time up to this
 /// bound counts as lost.
 static constexpr double LostSecondsAtMost = 600;
@@ -88,10 +91,12 @@
 
 const std::vector<Index> &Guard::culprits(Index worker, Index service,
                                           double targetMs) {
-  neighbours(worker);
+  double largest = 0;
+  for (Index task : neighbours(worker))
+    largest = std::max(largest, Model.weight(service, S.jobOf(task).Class));
+  double least = std::max(NoticeableShare * targetMs, CulpritShare * largest);
   std::erase_if(Neighbours, [&](Index task) {
-    return Model.weight(service, S.jobOf(task).Class) <
-           NoticeableShare * targetMs;
+    return Model.weight(service, S.jobOf(task).Class) < least;
   });
   return Neighbours;
 }
--- a/packages/policy/src/detail/Interference.cpp
+++ b/packages/policy/src/detail/Interference.cpp
@@ -11,6 +11,12 @@
 /// the service's base: it is tried first where it can do little harm.
 static constexpr double UnknownShare = 0.1;
 
+/// How readily a weight moves after \p seen samples: a change is rather due to
+/// a class that is new beside the service than to one that was long there.
+static double gain(std::uint64_t seen) {
+  return std::max(0.02, 1 / (1 + double(seen) / 10));
+}
+
 Interference::ServiceModel &Interference::record(Index service) {
   if (service >= Services.size())
     Services.resize(service + 1);
@@ -39,8 +45,10 @@
 
 void Interference::meet(ServiceModel &it, const Composition &mix) {
   for (const ClassAmount &part : mix)
-    if (part.Class >= it.Weights.size())
+    if (part.Class >= it.Weights.size()) {
       it.Weights.resize(part.Class + 1, -1);
+      it.Seen.resize(part.Class + 1);
+    }
   for (const ClassAmount &part : mix)
     if (it.Weights[part.Class] < 0)
       it.Weights[part.Class] = 0;
@@ -54,18 +62,15 @@
   ServiceModel &it = record(service);
   if (it.Samples++ == 0)
     it.Base = p95Ms;
-  double norm = 1;
   meet(it, mix);
+  double norm = gain(it.Samples);
   for (const ClassAmount &part : mix)
-    norm += part.Amount * part.Amount;
-  double error = p95Ms - predict(service, mix);
-  // The base follows falling measurements faster than rising ones: what it
-  // wrongly explains would be missing from the weights.
-  double step = StepSize * error / norm;
-  it.Base = std::max(0.0, it.Base + (error < 0 ? step : 0.2 * step));
+    norm += gain(it.Seen[part.Class]) * part.Amount * part.Amount;
+  double step = StepSize * (p95Ms - predict(service, mix)) / norm;
+  it.Base = std::max(0.0, it.Base + step * gain(it.Samples));
   for (const ClassAmount &part : mix) {
     double &w = it.Weights[part.Class];
-    w = std::max(0.0, w + step * part.Amount);
+    w = std::max(0.0, w + step * gain(it.Seen[part.Class]++) * part.Amount);
   }
 }
 
--- a/packages/policy/src/detail/Interference.h
+++ b/packages/policy/src/detail/Interference.h
@@ -9,7 +9,8 @@
 
 /// Linear model of a service's 95th percentile: a base and a weight for each
 /// class of neighbours, learned by normalized least mean squares (Widrow and
-/// Hoff 1960; Nagumo and Noda 1967) with weights kept at or above 0.
+/// Hoff 1960; Nagumo and Noda 1967) with a gain for each weight that falls with
+/// its samples. Weights are kept at or above 0.
 class Interference {
 public:
   /// Learns from one measurement.
@@ -28,6 +29,8 @@
     std::uint64_t Samples = 0;
     /// By class; negative if the class was never seen beside the service.
     std::vector<double> Weights;
+    /// Samples in which the class was present.
+    std::vector<std::uint64_t> Seen;
   };
   /// Marks the classes of \p mix as seen.
   static void meet(ServiceModel &it, const Composition &mix);
--- /dev/null
+++ b/tests/unit/unit-policy-capacity.cpp
@@ -0,0 +1,160 @@
+// Guards P1: whatever happens, no decision books more slots, connections,
+// memory or accelerators on a worker than it has. The ledger here is counted
+// from the decisions alone.
+#include "PolicyFixture.h"
+
+#include <rapidcheck/gtest.h>
+
+namespace endivedoor::policy {
+namespace {
+
+struct Running {
+  std::string Worker;
+  model::JobSpec Job;
+  base::Resources Booked;
+};
+
+/// Counts on its own what is taken where.
+class Ledger {
+public:
+  std::map<std::string, base::Resources> Capacity;
+  std::map<std::string, Running> Tasks;
+  std::map<std::string, model::JobSpec> Queued;
+
+  void take(const StartTask &it) {
+    auto job = Queued.find(it.Task.str());
+    RC_ASSERT(job != Queued.end());
+    Tasks[it.Task.str()] = {it.Worker.str(), job->second, it.Booked};
+    RC_ASSERT(it.Booked.Slots == job->second.Size.Slots);
+    RC_ASSERT(base::count(it.Booked.Memory) >=
+              base::count(job->second.Size.Memory));
+    Queued.erase(job);
+    check(it.Worker.str());
+  }
+  void check(const std::string &worker) const {
+    base::Resources sum;
+    for (const auto &[id, it] : Tasks)
+      if (it.Worker == worker)
+        sum += it.Booked;
+    sum.Cpu = base::MilliCores{0}; // processor time is shared, not exhausted
+    RC_ASSERT(sum.fitsIn(Capacity.at(worker)));
+  }
+};
+
+template <typename Map> typename Map::iterator pick(Map &from) {
+  return std::next(from.begin(), *rc::gen::inRange<int>(0, int(from.size())));
+}
+
+base::Resources randomSize(int scale) {
+  return size(*rc::gen::inRange(0, 4 * scale), *rc::gen::inRange(0, 9 * scale),
+              *rc::gen::inRange(0, 9), *rc::gen::inRange(1, 30000 * scale),
+              *rc::gen::inRange(0, 2 * scale));
+}
+
+struct Run {
+  base::ManualClock Clock;
+  std::unique_ptr<Scheduler> Chooser;
+  Ledger Truth;
+  int Names = 0;
+
+  void enqueue() {
+    model::JobSpec job = batch("j" + std::to_string(Names++), randomSize(1));
+    if (*rc::gen::inRange(0, 4) == 0) {
+      job.Kind = model::TaskKind::Service;
+      job.Service = base::ServiceName("orders");
+    }
+    job.Urgent = *rc::gen::inRange(0, 5) == 0;
+    job.Class = base::TaskClass(std::string(1, char('a' + Names % 3)));
+    for (int n = *rc::gen::inRange(1, 4); n > 0; --n) {
+      std::string id = job.Id.str() + "-" + std::to_string(n);
+      Truth.Queued[id] = job;
+      Chooser->enqueue(task(id), job);
+    }
+  }
+  void endOne() {
+    if (Truth.Tasks.empty())
+      return;
+    auto it = pick(Truth.Tasks);
+    auto reason = EndReason(*rc::gen::inRange(0, 5));
+    Chooser->ended(task(it->first), reason);
+    if (reason == EndReason::Failed || reason == EndReason::Evicted) {
+      Truth.Queued[it->first] = it->second.Job;
+      Chooser->enqueue(task(it->first), it->second.Job);
+    }
+    Truth.Tasks.erase(it);
+  }
+  void failStart() {
+    if (Truth.Tasks.empty())
+      return;
+    auto it = pick(Truth.Tasks);
+    Chooser->startFailed(task(it->first), base::WorkerId(it->second.Worker));
+    Truth.Queued[it->first] = it->second.Job;
+    Truth.Tasks.erase(it);
+  }
+  void cancelOne() {
+    if (Truth.Queued.empty())
+      return;
+    auto it = pick(Truth.Queued);
+    Chooser->cancel(task(it->first));
+    Truth.Queued.erase(it);
+  }
+  void observeOne() {
+    if (Truth.Tasks.empty())
+      return;
+    Measurement m;
+    m.Task = task(pick(Truth.Tasks)->first);
+    m.Cpu = base::MilliCores{*rc::gen::inRange(0, 9000)};
+    m.Memory = base::MebiBytes{*rc::gen::inRange(0, 20000)};
+    m.P95 = std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+    m.TakenAt = Clock.now() - *rc::gen::inRange(0, 5) * 1s;
+    Chooser->observe(m);
+  }
+  void leaveOrReturn() {
+    model::Worker it =
+        worker("w" + std::to_string(*rc::gen::inRange(0, 4)), "z", "r");
+    it.Capacity = Truth.Capacity.at(it.Id.str());
+    it.Leaving = *rc::gen::arbitrary<bool>();
+    Chooser->upsertWorker(it);
+  }
+  void decide() {
+    for (const Decision &it : Chooser->decide(*rc::gen::inRange(0, 20))) {
+      if (auto *start = std::get_if<StartTask>(&it))
+        Truth.take(*start);
+      if (auto *refused = std::get_if<RefuseJob>(&it))
+        std::erase_if(Truth.Queued, [&](const auto &entry) {
+          return entry.second.Id == refused->Job;
+        });
+    }
+  }
+};
+
+RC_GTEST_PROP(PolicyCapacity, NeverOverbookedUnderRandomEvents, ()) {
+  Run run;
+  PolicySettings settings;
+  settings.UrgentWait = 0ms;
+  run.Chooser =
+      makeScheduler(run.Clock, *rc::gen::arbitrary<unsigned>(), settings);
+  model::RuleSet rules;
+  rules.Rules.push_back(
+      {1, "latency service orders p95 100ms",
+       model::LatencyTarget{base::ServiceName("orders"), 100ms},
+       base::ContractName("karoo"), "test"});
+  run.Chooser->applyRules(rules);
+  for (int n = 0; n < 4; ++n) {
+    model::Worker it = worker("w" + std::to_string(n), "z", "r", randomSize(3));
+    run.Truth.Capacity[it.Id.str()] = it.Capacity;
+    run.Chooser->upsertWorker(it);
+  }
+  static constexpr void (Run::*events[])() = {
+      &Run::enqueue,    &Run::enqueue,       &Run::endOne,
+      &Run::failStart,  &Run::cancelOne,     &Run::observeOne,
+      &Run::observeOne, &Run::leaveOrReturn, &Run::decide};
+  for (int n = 0; n < 150; ++n) {
+    (run.*events[*rc::gen::inRange<std::size_t>(0, std::size(events))])();
+    run.Clock.advance(*rc::gen::inRange(0, 2000) * 1ms);
+    run.decide();
+  }
+}
+
+} // namespace
+} // namespace endivedoor::policy
--- /dev/null
+++ b/tests/unit/unit-policy-guard.cpp
@@ -0,0 +1,163 @@
+// Guards the order throttle, then evict; the hysteresis; and the choice of the
+// victim.
+#include "PolicyFixture.h"
+
+namespace endivedoor::policy {
+namespace {
+
+class PolicyGuard : public PolicyTest {
+protected:
+  void SetUp() override { prepare({}); }
+  /// One worker with a service that has a target of 100 ms and takes 40 ms
+  /// undisturbed, beside a batch task that does no harm.
+  void prepare(PolicySettings settings) {
+    settings.HoldBack = false;
+    build(settings);
+    Rules.Rules.clear();
+    rule(model::LatencyTarget{base::ServiceName("orders"), 100ms},
+         "latency service orders p95 100ms");
+    Chooser->upsertWorker(worker("w", "z", "r"));
+    Chooser->enqueue(task("s"), service("s", "orders"));
+    ASSERT_EQ(starts().size(), 1u);
+    report(60);
+    add("quiet", "quiet", 0);
+    report(60);
+  }
+  /// Starts a batch task that adds \p noise ms when it is not throttled.
+  void add(const std::string &id, const std::string &taskClass, double noise) {
+    model::JobSpec it = batch(id);
+    it.Class = base::TaskClass(taskClass);
+    Chooser->enqueue(task(id), it);
+    ASSERT_EQ(starts().size(), 1u);
+    Noise[id] = noise;
+  }
+  void end(const std::string &id, EndReason reason) {
+    Chooser->ended(task(id), reason);
+    Noise.erase(id);
+    Throttle.erase(id);
+  }
+  int latency() {
+    double sum = 40;
+    for (const auto &[id, noise] : Noise)
+      sum += noise * (100 - Throttle[id]) / 100.0;
+    return int(sum);
+  }
+  /// Reports the latency once a second.
+  void report(int seconds) {
+    for (int n = 0; n < seconds; ++n) {
+      Clock.advance(1s);
+      measure("s", 0s, latency());
+      for (const Decision &it : Chooser->decide(0)) {
+        if (auto *slower = std::get_if<ThrottleTask>(&it)) {
+          Throttle[slower->Task.str()] = slower->Percent;
+          ++Changes;
+        }
+        if (auto *leaves = std::get_if<EvictTask>(&it))
+          Evicted.push_back(leaves->Task.str());
+      }
+    }
+  }
+
+  std::map<std::string, double> Noise;
+  std::map<std::string, int> Throttle;
+  int Changes = 0;
+  std::vector<std::string> Evicted;
+};
+
+TEST_F(PolicyGuard, ThrottlesTheCulpritFirstThenEvictsIt) {
+  add("noisy", "noisy", 1500);
+  report(6);
+  EXPECT_EQ(Throttle["noisy"], 90);
+  EXPECT_TRUE(Evicted.empty());
+  report(30);
+  EXPECT_EQ(Evicted, std::vector<std::string>{"noisy"});
+  EXPECT_EQ(Throttle["quiet"], 0);
+}
+
+TEST_F(PolicyGuard, ThrottleThatSufficesEvictsNothing) {
+  add("noisy", "noisy", 200);
+  report(300);
+  EXPECT_GT(Throttle["noisy"], 0);
+  EXPECT_LE(latency(), 110);
+  EXPECT_TRUE(Evicted.empty());
+}
+
+TEST_F(PolicyGuard, YoungTaskIsNotEvicted) {
+  add("noisy", "noisy", 1500);
+  report(18);
+  EXPECT_TRUE(Evicted.empty());
+}
+
+TEST_F(PolicyGuard, SinglePeaksCauseNoEviction) {
+  add("noisy", "noisy", 0);
+  for (int n = 0; n < 20; ++n) {
+    Noise["noisy"] = 1500;
+    report(1);
+    Noise["noisy"] = 0;
+    report(6);
+  }
+  EXPECT_TRUE(Evicted.empty());
+}
+
+TEST_F(PolicyGuard, BetweenTheThresholdsNothingChanges) {
+  add("noisy", "noisy", 200);
+  report(10);
+  Noise["noisy"] = 0;
+  Noise["quiet"] = 60;
+  int before = Changes;
+  report(60);
+  EXPECT_EQ(Changes, before);
+  Noise["quiet"] = 0;
+  report(60);
+  EXPECT_EQ(Throttle["noisy"], 0);
+}
+
+TEST_F(PolicyGuard, FewerEvictionsThanWithoutHysteresis) {
+  auto wave = [&](PolicySettings settings) {
+    Evicted.clear();
+    Noise.clear();
+    Throttle.clear();
+    prepare(settings);
+    for (int n = 0; n < 10; ++n) {
+      std::string id = "noisy" + std::to_string(n);
+      add(id, "noisy", 1500);
+      report(12);
+      end(id, EndReason::Finished);
+      report(5);
+    }
+    return Evicted.size();
+  };
+  std::size_t with = wave({});
+  PolicySettings without;
+  without.Guard = guardWithoutHysteresis();
+  std::size_t compared = wave(without);
+  EXPECT_GT(compared, 0u);
+  EXPECT_LE(3 * with, compared);
+}
+
+TEST_F(PolicyGuard, VictimFreesMostForTheLeastLostWork) {
+  add("harmless-young", "quiet", 0);
+  add("long", "noisy", 10);
+  report(200);
+  add("short", "noisy", 10);
+  report(40);
+  Noise["long"] = Noise["short"] = 1500;
+  report(60);
+  ASSERT_FALSE(Evicted.empty());
+  EXPECT_EQ(Evicted[0], "short");
+}
+
+TEST_F(PolicyGuard, StaleMeasurementsAreNotActedOn) {
+  add("noisy", "noisy", 1500);
+  report(5);
+  int before = Changes;
+  base::TimePoint past = Clock.now() - 8s;
+  Clock.advance(10s);
+  for (int n = 0; n < 10; ++n)
+    measure("s", Clock.now() - past, 1500);
+  EXPECT_TRUE(Chooser->decide(0).empty());
+  EXPECT_EQ(Changes, before);
+}
+
+} // namespace
+} // namespace endivedoor::policy
--- /dev/null
+++ b/tests/unit/unit-policy-order.cpp
@@ -0,0 +1,101 @@
+// Guards the order of starts: urgent first, then the earliest latest start, and
+// a team over its quota waits without holding up others.
+#include "PolicyFixture.h"
+
+namespace endivedoor::policy {
+namespace {
+
+class PolicyOrder : public PolicyTest {
+protected:
+  void add(const std::string &id, base::Duration deadline,
+           base::Duration runTime, bool urgent = false,
+           const std::string &team = "team") {
+    model::JobSpec it = batch(id);
+    it.Deadline = Clock.wallNow() + deadline;
+    it.DeclaredRunTime =
+        std::chrono::duration_cast<std::chrono::milliseconds>(runTime);
+    it.Urgent = urgent;
+    it.Team = base::TeamName(team);
+    Chooser->enqueue(task(id), it);
+  }
+  std::string first() {
+    starts(1);
+    std::vector<StartTask> all = only<StartTask>(Last);
+    return all.empty() ? "" : all[0].Task.str();
+  }
+};
+
+TEST_F(PolicyOrder, UrgentThenEarliestLatestStart) {
+  add("late", 2h, 1min);
+  add("long", 2h, 100min);
+  add("soon", 30min, 1min);
+  add("urgent", 5h, 1min, true);
+  Chooser->upsertWorker(worker("w", "z", "r"));
+  for (const char *expected : {"urgent", "long", "soon", "late"})
+    EXPECT_EQ(first(), expected);
+}
+
+TEST_F(PolicyOrder, MeasuredRunTimeOutweighsDeclared) {
+  Chooser->upsertWorker(worker("w", "z", "r"));
+  for (int n = 0; n < 8; ++n) {
+    add("m" + std::to_string(n), 9h, 1min);
+    ASSERT_NE(first(), "");
+    Clock.advance(50min);
+    Chooser->ended(task("m" + std::to_string(n)), EndReason::Finished);
+  }
+  add("declared-short", 70min, 1min);
+  model::JobSpec other = batch("other-class");
+  other.Class = base::TaskClass("never-measured");
+  other.Deadline = Clock.wallNow() + 60min;
+  Chooser->enqueue(task("other-class"), other);
+  EXPECT_EQ(first(), "declared-short");
+}
+
+TEST_F(PolicyOrder, ClassDeadlineRuleCounts) {
+  rule(model::ClassDeadline{base::TaskClass("term"), 10min},
+       "deadline class term 10m");
+  add("declared", 1h, 1min);
+  model::JobSpec it = batch("term");
+  it.Class = base::TaskClass("term");
+  Chooser->enqueue(task("term"), it);
+  Chooser->upsertWorker(worker("w", "z", "r"));
+  EXPECT_EQ(first(), "term");
+  Clock.advance(11min);
+  Chooser->ended(task("term"), EndReason::Finished);
+  std::vector<RuleStatus> status = Chooser->ruleStatus();
+  ASSERT_EQ(status.size(), 1u);
+  EXPECT_EQ(status[0].Violated, 1u);
+  EXPECT_NE(status[0].WorstCase.find("job term took 660 s"), std::string::npos);
+}
+
+TEST_F(PolicyOrder, TeamOverQuotaWaitsAndOthersPass) {
+  rule(model::TeamQuota{base::TeamName("planning"), 2},
+       "quota team planning slots 2");
+  Chooser->upsertWorker(worker("w", "z", "r"));
+  for (const char *id : {"p1", "p2", "p3"})
+    add(id, 10min, 1min, false, "planning");
+  add("other", 5h, 1min);
+  EXPECT_EQ(starts().size(), 3u);
+  EXPECT_TRUE(starts().empty());
+  Chooser->ended(task("p1"), EndReason::Finished);
+  EXPECT_EQ(starts().count("p3"), 1u);
+}
+
+TEST_F(PolicyOrder, UrgentTaskEvictsBatchButNotUrgent) {
+  Chooser->upsertWorker(worker("w", "z", "r", size(2, 8, 8, 8000)));
+  add("batch", 1h, 1min);
+  add("first-urgent", 1h, 1min, true);
+  ASSERT_EQ(starts().size(), 2u);
+  add("urgent", 1h, 1min, true);
+  EXPECT_TRUE(only<EvictTask>(Chooser->decide(10)).empty());
+  Clock.advance(600ms);
+  std::vector<EvictTask> evicted = only<EvictTask>(Chooser->decide(10));
+  ASSERT_EQ(evicted.size(), 1u);
+  EXPECT_EQ(evicted[0].Task, task("batch"));
+  EXPECT_TRUE(only<EvictTask>(Chooser->decide(10)).empty());
+  Chooser->ended(task("batch"), EndReason::Evicted);
+  EXPECT_EQ(starts().count("urgent"), 1u);
+}
+
+} // namespace
+} // namespace endivedoor::policy
--- /dev/null
+++ b/tests/unit/unit-policy-quarantine.cpp
@@ -0,0 +1,83 @@
+// Guards that a worker that fails what it starts gets no more work than probes,
+// and that a job that fails everywhere is not blamed on the workers.
+#include "PolicyFixture.h"
+
+namespace endivedoor::policy {
+namespace {
+
+class PolicyQuarantine : public PolicyTest {
+protected:
+  PolicyQuarantine() { Chooser->upsertWorker(worker("bad", "z", "r")); }
+  void add(const std::string &id) { Chooser->enqueue(task(id), batch(id)); }
+  /// Lets the worker fail one job. Returns whether it was started there.
+  bool failOne(const std::string &id) {
+    add(id);
+    bool there = starts().count(id) == 1;
+    if (there)
+      Chooser->ended(task(id), EndReason::Failed);
+    else
+      Chooser->cancel(task(id));
+    return there;
+  }
+};
+
+TEST_F(PolicyQuarantine, ThreeJobsInARowThenProbesAtGrowingIntervals) {
+  EXPECT_TRUE(failOne("a"));
+  EXPECT_TRUE(failOne("b"));
+  EXPECT_TRUE(failOne("c"));
+  EXPECT_FALSE(failOne("d"));
+  Clock.advance(5s);
+  EXPECT_TRUE(failOne("e")); // the first probe
+  EXPECT_FALSE(failOne("f"));
+  Clock.advance(5s);
+  EXPECT_FALSE(failOne("g"));
+  Clock.advance(5s);
+  EXPECT_TRUE(failOne("h"));
+}
+
+TEST_F(PolicyQuarantine, OneProbeAtATimeAndReturnAfterSuccess) {
+  for (const char *id : {"a", "b", "c"})
+    failOne(id);
+  Clock.advance(5s);
+  add("p1");
+  add("p2");
+  EXPECT_EQ(starts().size(), 1u);
+  Chooser->ended(task("p1"), EndReason::Finished);
+  Chooser->ended(task("p2"), EndReason::Finished);
+  add("q");
+  EXPECT_EQ(starts().count("q"), 1u);
+}
+
+TEST_F(PolicyQuarantine, OldTasksDoNotProveTheWorkerWell) {
+  add("old");
+  ASSERT_EQ(starts().size(), 1u);
+  Clock.advance(20s);
+  for (const char *id : {"a", "b", "c"}) {
+    ASSERT_TRUE(failOne(id));
+    Clock.advance(1s);
+    measure("old", 0s, 0);
+  }
+  EXPECT_FALSE(failOne("d"));
+}
+
+TEST_F(PolicyQuarantine, JobThatFailsEverywhereBlamesNoWorker) {
+  for (int n = 0; n < 5; ++n)
+    Chooser->upsertWorker(worker("w" + std::to_string(n), "z", "r"));
+  for (int n = 0; n < 60; ++n) {
+    add("never");
+    ASSERT_EQ(starts().count("never"), 1u) << n;
+    Chooser->ended(task("never"), EndReason::Failed);
+    Clock.advance(1s);
+  }
+}
+
+TEST_F(PolicyQuarantine, RetryGoesToAnotherWorker) {
+  Chooser->upsertWorker(worker("good", "z", "r"));
+  add("t");
+  std::string first = starts()["t"];
+  Chooser->startFailed(task("t"), base::WorkerId(first));
+  EXPECT_NE(starts()["t"], first);
+}
+
+} // namespace
+} // namespace endivedoor::policy
