policy: learn interference by a diagonal Kalman filter, lift throttles by its prediction

Cause: while a culprit was throttled its gain was small, so blame moved to harmless neighbours; and lifting by fixed steps led straight to the next throttle. Change: each weight has a variance, and the least known one takes most of an error; a throttle is lifted as far as the model says the service can bear. The guard test now answers throttles and evictions as a worker would.

--- a/packages/policy/src/detail/Guard.cpp
+++ b/packages/policy/src/detail/Guard.cpp
@@ -73,9 +73,9 @@
       acted = evictOne(worker, service, targetMs, now, out);
   } else if (it.Calm && it.Throttled &&
              now - it.CalmSince >= Settings.LiftAfter) {
-    lift(worker, now, out);
+    double room = targetMs * Settings.HighRatio * 0.95 - p95Ms;
+    acted = lift(worker, service, room, now, out);
     it.CalmSince = now;
-    acted = true;
   }
   if (acted)
     it.ActedAt = now;
@@ -137,15 +137,25 @@
   return acted;
 }
 
-void Guard::lift(Index worker, base::TimePoint now,
-                 std::vector<Decision> &out) {
+bool Guard::lift(Index worker, Index service, double roomMs,
+                 base::TimePoint now, std::vector<Decision> &out) {
+  double added = 0;
+  for (Index task : neighbours(worker))
+    added += Model.weight(service, S.jobOf(task).Class) *
+             std::min(LiftPercent, S.Tasks[task].Throttle) / 100.0;
+  // As much as the model says the service can bear, so that the next
+  // measurement does not call for the throttle again.
+  double share = std::clamp(roomMs / std::max(added, 1e-3), 0.0, 1.0);
+  std::int32_t step =
+      std::int32_t(LiftPercent * share) / StepPercent * StepPercent;
   bool left = false;
-  for (Index task : neighbours(worker)) {
-    std::int32_t percent = std::max(0, S.Tasks[task].Throttle - LiftPercent);
+  for (Index task : Neighbours) {
+    std::int32_t percent = std::max(0, S.Tasks[task].Throttle - step);
     setThrottle(task, percent, now, out);
     left |= percent > 0;
   }
   record(worker).Throttled = left;
+  return step > 0;
 }
 
 double Guard::victimValue(Index task, Index service,
--- a/packages/policy/src/detail/Guard.h
+++ b/packages/policy/src/detail/Guard.h
@@ -62,7 +62,8 @@
                 base::TimePoint now, std::vector<Decision> &out);
   bool evictOne(Index worker, Index service, double targetMs,
                 base::TimePoint now, std::vector<Decision> &out);
-  void lift(Index worker, base::TimePoint now, std::vector<Decision> &out);
+  bool lift(Index worker, Index service, double roomMs, base::TimePoint now,
+            std::vector<Decision> &out);
   void setThrottle(Index task, std::int32_t percent, base::TimePoint now,
                    std::vector<Decision> &out);
   double victimValue(Index task, Index service, base::TimePoint now) const;
--- a/packages/policy/src/detail/Interference.cpp
+++ b/packages/policy/src/detail/Interference.cpp
@@ -4,19 +4,17 @@
 
 namespace endivedoor::policy::detail {
 
-/// Step of the normalized gradient: a compromise between noise of single
-/// measurements and the speed at which a new class is recognized.
-static constexpr double StepSize = 0.1;
+/// All as shares of the base: deviation of an unknown weight, drift of a known
+/// one from sample to sample.
+static constexpr double UnknownDeviation = 2;
+static constexpr double DriftDeviation = 0.01;
+/// Deviation of a measurement as a share of it. It covers noise and the part of
+/// the true curve that a linear model misses.
+static constexpr double MeasurementDeviation = 0.25;
 /// A class that was never seen beside a service is taken to add this share of
 /// the service's base: it is tried first where it can do little harm.
 static constexpr double UnknownShare = 0.1;
 
-/// How readily a weight moves after \p seen samples: a change is rather due to
-/// a class that is new beside the service than to one that was long there.
-static double gain(std::uint64_t seen) {
-  return std::max(0.02, 1 / (1 + double(seen) / 10));
-}
-
 Interference::ServiceModel &Interference::record(Index service) {
   if (service >= Services.size())
     Services.resize(service + 1);
@@ -44,14 +42,17 @@
 }
 
 void Interference::meet(ServiceModel &it, const Composition &mix) {
+  double variance = UnknownDeviation * UnknownDeviation * it.Base * it.Base;
   for (const ClassAmount &part : mix)
     if (part.Class >= it.Weights.size()) {
       it.Weights.resize(part.Class + 1, -1);
-      it.Seen.resize(part.Class + 1);
+      it.Variances.resize(part.Class + 1);
     }
   for (const ClassAmount &part : mix)
-    if (it.Weights[part.Class] < 0)
+    if (it.Weights[part.Class] < 0) {
       it.Weights[part.Class] = 0;
+      it.Variances[part.Class] = variance;
+    }
 }
 
 double Interference::base(Index service) const {
@@ -60,18 +61,25 @@
 
 void Interference::learn(Index service, const Composition &mix, double p95Ms) {
   ServiceModel &it = record(service);
-  if (it.Samples++ == 0)
+  if (it.Base <= 0) {
     it.Base = p95Ms;
+    it.BaseVariance = p95Ms * p95Ms;
+  }
   meet(it, mix);
-  double norm = gain(it.Samples);
+  double drift = DriftDeviation * DriftDeviation * it.Base * it.Base;
+  double noise = MeasurementDeviation * p95Ms;
+  double total = noise * noise + it.BaseVariance;
   for (const ClassAmount &part : mix)
-    norm += gain(it.Seen[part.Class]) * part.Amount * part.Amount;
-  double step = StepSize * (p95Ms - predict(service, mix)) / norm;
-  it.Base = std::max(0.0, it.Base + step * gain(it.Samples));
-  for (const ClassAmount &part : mix) {
-    double &w = it.Weights[part.Class];
-    w = std::max(0.0, w + step * gain(it.Seen[part.Class]++) * part.Amount);
-  }
+    total += it.Variances[part.Class] * part.Amount * part.Amount;
+  double error = p95Ms - predict(service, mix);
+  auto update = [&](double &value, double &variance, double amount) {
+    double gain = variance * amount / total;
+    value = std::max(0.0, value + gain * error);
+    variance += drift - gain * amount * variance;
+  };
+  update(it.Base, it.BaseVariance, 1);
+  for (const ClassAmount &part : mix)
+    update(it.Weights[part.Class], it.Variances[part.Class], part.Amount);
 }
 
 } // namespace endivedoor::policy::detail
--- a/packages/policy/src/detail/Interference.h
+++ b/packages/policy/src/detail/Interference.h
@@ -8,9 +8,9 @@
 namespace endivedoor::policy::detail {
 
 /// Linear model of a service's 95th percentile: a base and a weight for each
-/// class of neighbours, learned by normalized least mean squares (Widrow and
-/// Hoff 1960; Nagumo and Noda 1967) with a gain for each weight that falls with
-/// its samples. Weights are kept at or above 0.
+/// class of neighbours, learned by a Kalman filter (Kalman 1960) whose
+/// covariance matrix is kept diagonal. The weight that is known least takes
+/// most of the blame for an error. Weights are kept at or above 0.
 class Interference {
 public:
   /// Learns from one measurement.
@@ -26,11 +26,10 @@
 private:
   struct ServiceModel {
     double Base = 0;
-    std::uint64_t Samples = 0;
+    double BaseVariance = 0;
     /// By class; negative if the class was never seen beside the service.
     std::vector<double> Weights;
-    /// Samples in which the class was present.
-    std::vector<std::uint64_t> Seen;
+    std::vector<double> Variances;
   };
   /// Marks the classes of \p mix as seen.
   static void meet(ServiceModel &it, const Composition &mix);
--- a/tests/unit/unit-policy-guard.cpp
+++ b/tests/unit/unit-policy-guard.cpp
@@ -52,8 +52,10 @@
           Throttle[slower->Task.str()] = slower->Percent;
           ++Changes;
         }
-        if (auto *leaves = std::get_if<EvictTask>(&it))
+        if (auto *leaves = std::get_if<EvictTask>(&it)) {
           Evicted.push_back(leaves->Task.str());
+          end(Evicted.back(), EndReason::Evicted);
+        }
       }
     }
   }
