--- a/packages/policy/src/detail/History.cpp
+++ b/packages/policy/src/detail/History.cpp
@@ -49,6 +49,7 @@
     rec.Forgotten = std::prev(end)->At;
     rec.Changes.erase(rec.Changes.begin(), end);
   }
+  ++rec.Version;
   addAmount(rec.Current, taskClass, delta);
   rec.Changes.push_back({now, taskClass, delta});
 }
--- a/packages/policy/src/detail/History.h
+++ b/packages/policy/src/detail/History.h
@@ -29,6 +29,8 @@
   /// Records a change of a worker's composition.
   void change(Index worker, Index taskClass, double delta, base::TimePoint now);
   const Composition &current(Index worker);
+  /// Returns a number that grows with every change of the worker.
+  std::uint64_t version(Index worker) { return record(worker).Version; }
   /// Writes the composition at time \p t to \p out.
   ///
   /// \returns false if \p t is older than what is remembered.
@@ -46,6 +48,7 @@
     std::vector<Change> Changes;
     /// Changes up to this time are forgotten.
     base::TimePoint Forgotten{};
+    std::uint64_t Version = 0;
   };
   WorkerHistory &record(Index worker);
 
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -21,7 +21,7 @@
                                              &Placement::keepsSeparation},
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
-      Random(seed) {
+      Random(seed), Expected(In.S, In.Past, In.Model) {
   if (settings.QuietBesideServices)
     Costs.push_back(&Placement::fillCost);
   if (settings.InterferenceCost)
@@ -160,12 +160,13 @@
 bool Placement::keepsTargets(Index worker, const Shape &it) const {
   if (it.Kind != model::TaskKind::Batch || it.Pressing)
     return true;
-  for (const ServiceCount &there : In.S.Workers[worker].Services) {
-    Limit target = In.Rules.latency(there.Service);
-    double added = In.Model.weight(there.Service, it.Class);
+  const std::vector<ServiceCount> &services = In.S.Workers[worker].Services;
+  for (std::size_t n = 0; n < services.size(); ++n) {
+    Limit target = In.Rules.latency(services[n].Service);
+    double added = In.Model.weight(services[n].Service, it.Class);
     if (!target.set() || added < 0.02 * double(target.Value))
       continue;
-    double p95 = In.Model.predict(there.Service, In.Past.current(worker));
+    double p95 = Expected.of(worker, Now)[n];
     if (p95 + added > HoldRatio * double(target.Value))
       return false;
   }
@@ -214,18 +215,18 @@
 }
 
 double Placement::interferenceCost(const Candidate &it) const {
-  const Composition &mix = In.Past.current(it.Worker);
   double sum = 0;
-  for (const ServiceCount &there : it.Host.Services) {
+  for (std::size_t n = 0; n < it.Host.Services.size(); ++n) {
+    const ServiceCount &there = it.Host.Services[n];
     double added = In.Model.weight(there.Service, it.Of.Class);
     if (added <= 0)
       continue;
-    double p95 = In.Model.predict(there.Service, mix);
+    double p95 = Expected.of(it.Worker, Now)[n];
     double target = targetOf(there.Service);
     sum += there.Count * (strain(p95 + added, target) - strain(p95, target));
   }
   if (it.Of.Service != None) {
-    double p95 = In.Model.predict(it.Of.Service, mix);
+    double p95 = In.Model.predict(it.Of.Service, In.Past.current(it.Worker));
     sum += strain(p95, targetOf(it.Of.Service));
   }
   return 4 * sum;
@@ -330,6 +331,7 @@
 Index Placement::choose(const JobRec &job, base::TimePoint now) {
   Shape &it = Shapes[job.Shape];
   refresh(it);
+  Now = now;
   it.Pressing = job.Urgent || job.LatestStart < now.time_since_epoch().count();
   if (Index probe = chooseProbe(job, it, now); probe != None)
     return probe;
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -7,6 +7,7 @@
 #include "detail/FreeIndex.h"
 #include "detail/Guard.h"
 #include "detail/Health.h"
+#include "detail/PredictionCache.h"
 #include "detail/RuleBook.h"
 #include "detail/Spread.h"
 
@@ -126,6 +127,9 @@
   std::vector<Filter> Filters;
   std::vector<Cost> Costs;
   std::mt19937_64 Random;
+  mutable PredictionCache Expected;
+  /// Time of the choice that is being made.
+  base::TimePoint Now{};
   /// Workers that take new work, apart by whether they hold services: a sample
   /// of both finds the few service workers of a large zone.
   std::array<FreeIndex, 2> Free;
