--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -21,8 +21,10 @@
                                              &Placement::keepsSeparation},
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
-      Random(seed) {
-  if (settings.Interference)
+      Random(seed), Expected(In.S, In.Past, In.Model) {
+  if (settings.QuietBesideServices)
+    Costs.push_back(&Placement::fillCost);
+  if (settings.InterferenceCost)
     Costs.push_back(&Placement::interferenceCost);
   if (settings.HoldBack)
     Filters.push_back(&Placement::keepsTargets);
@@ -158,12 +160,13 @@
 bool Placement::keepsTargets(Index worker, const Shape &it) const {
   if (it.Kind != model::TaskKind::Batch || it.Pressing)
     return true;
-  for (const ServiceCount &there : In.S.Workers[worker].Services) {
-    Limit target = In.Rules.latency(there.Service);
-    double added = In.Model.weight(there.Service, it.Class);
+  const std::vector<ServiceCount> &services = In.S.Workers[worker].Services;
+  for (std::size_t n = 0; n < services.size(); ++n) {
+    Limit target = In.Rules.latency(services[n].Service);
+    double added = In.Model.weight(services[n].Service, it.Class);
     if (!target.set() || added < 0.02 * double(target.Value))
       continue;
-    double p95 = In.Model.predict(there.Service, In.Past.current(worker));
+    double p95 = Expected.of(worker, Now)[n];
     if (p95 + added > HoldRatio * double(target.Value))
       return false;
   }
@@ -191,6 +194,11 @@
   return 0.3 * use + 3 * std::max(0.0, use - 0.9);
 }
 
+double Placement::fillCost(const Candidate &it) const {
+  bool batch = it.Of.Kind == model::TaskKind::Batch;
+  return batch && !it.Host.Services.empty() ? -0.5 : 0;
+}
+
 double Placement::targetOf(Index service) const {
   Limit limit = In.Rules.latency(service);
   if (limit.set())
@@ -203,22 +211,22 @@
   double ratio = p95 / target;
   // Above 1.5 little is left to lose: noisy tasks then gather where they
   // already are.
-  return ratio + 5 * std::clamp(ratio - 0.7, 0.0, 0.8);
+  return 0.2 * ratio + 5 * std::clamp(ratio - 0.6, 0.0, 0.9);
 }
 
 double Placement::interferenceCost(const Candidate &it) const {
-  const Composition &mix = In.Past.current(it.Worker);
   double sum = 0;
-  for (const ServiceCount &there : it.Host.Services) {
+  for (std::size_t n = 0; n < it.Host.Services.size(); ++n) {
+    const ServiceCount &there = it.Host.Services[n];
     double added = In.Model.weight(there.Service, it.Of.Class);
     if (added <= 0)
       continue;
-    double p95 = In.Model.predict(there.Service, mix);
+    double p95 = Expected.of(it.Worker, Now)[n];
     double target = targetOf(there.Service);
     sum += there.Count * (strain(p95 + added, target) - strain(p95, target));
   }
   if (it.Of.Service != None) {
-    double p95 = In.Model.predict(it.Of.Service, mix);
+    double p95 = In.Model.predict(it.Of.Service, In.Past.current(it.Worker));
     sum += strain(p95, targetOf(it.Of.Service));
   }
   return 4 * sum;
@@ -323,6 +331,7 @@
 Index Placement::choose(const JobRec &job, base::TimePoint now) {
   Shape &it = Shapes[job.Shape];
   refresh(it);
+  Now = now;
   it.Pressing = job.Urgent || job.LatestStart < now.time_since_epoch().count();
   if (Index probe = chooseProbe(job, it, now); probe != None)
     return probe;
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -7,6 +7,7 @@
 #include "detail/FreeIndex.h"
 #include "detail/Guard.h"
 #include "detail/Health.h"
+#include "detail/PredictionCache.h"
 #include "detail/RuleBook.h"
 #include "detail/Spread.h"
 
@@ -102,13 +103,17 @@
   bool keepsTargets(Index worker, const Shape &it) const;
 
   double loadCost(const Candidate &it) const;
-  double interferenceCost(const Candidate &it) const;
+  /// Prefers workers with services for batch tasks that do no harm there, so
+  /// that the others stay free for noisy ones.
+  double fillCost(const Candidate &it) const;
   double spreadCost(const Candidate &it) const;
   double historyCost(const Candidate &it) const;
 
   void put(Index worker);
+  double interferenceCost(const Candidate &it) const;
   double targetOf(Index service) const;
-  /// Cost of a latency: linear, and steep near the target.
+  /// Cost of a latency: steep near the target. Above 1.5 times the target
+  /// little is left to lose: noisy tasks then gather where they already are.
   static double strain(double p95, double target);
   double costOf(const Candidate &it) const;
   Index chooseProbe(const JobRec &job, const Shape &it, base::TimePoint now);
@@ -122,6 +127,9 @@
   std::vector<Filter> Filters;
   std::vector<Cost> Costs;
   std::mt19937_64 Random;
+  mutable PredictionCache Expected;
+  /// Time of the choice that is being made.
+  base::TimePoint Now{};
   /// Workers that take new work, apart by whether they hold services: a sample
   /// of both finds the few service workers of a large zone.
   std::array<FreeIndex, 2> Free;
