--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -5,6 +5,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 #include <glog/logging.h>
 
 #include <cstdlib>
@@ -62,6 +63,11 @@
 static int run(int argc, char **argv) {
   replaceDashes(argc, argv);
   absl::SetProgramUsageMessage(Usage);
+  absl::FlagsUsageConfig usage;
+  usage.contains_help_flags = [](absl::string_view file) {
+    return file.find("packages/daemon/") != absl::string_view::npos;
+  };
+  absl::SetFlagsUsageConfig(usage);
   absl::ParseCommandLine(argc, argv);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
--- a/packages/server/include/endivedoor/server/Bookings.h
+++ b/packages/server/include/endivedoor/server/Bookings.h
@@ -28,7 +28,7 @@
   base::ServiceName Service;
   /// Value of the header Idempotency-Key.
   std::string Key;
-  /// Hash of method, path and body; a repeat must have the same.
+  /// Hash of method and body; a repeat must have the same.
   std::string Fingerprint;
   /// Time by which the booking has an answer or none is to be expected.
   std::chrono::milliseconds Timeout{0};
@@ -115,7 +115,8 @@
   std::size_t Pending = 0;
 };
 
-/// Returns the hash that tells two requests with the same key apart.
+/// Returns the hash that tells two requests with the same key apart. The path
+/// does not count, because callers may put an id of the call into it.
 std::string requestFingerprint(const platform::HttpRequest &request);
 
 } // namespace endivedoor::server
