--- a/packages/model/src/Scalars.cpp
+++ b/packages/model/src/Scalars.cpp
@@ -1,4 +1,4 @@
-#include "detail/Scalars.h"
+#include "endivedoor/model/Scalars.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -8,7 +8,7 @@
 #include <limits>
 #include <numeric>
 
-namespace endivedoor::model::detail {
+namespace endivedoor::model {
 
 namespace {
 
@@ -31,9 +31,9 @@
   if (digits == 0 || digits == std::string_view::npos)
     return std::nullopt;
   std::optional<std::uint64_t> n = parseNumber(text.substr(0, digits));
-  constexpr std::uint64_t Max = std::numeric_limits<std::int64_t>::max();
+  constexpr std::uint64_t most = std::numeric_limits<std::int64_t>::max();
   for (const Unit &it : units)
-    if (it.Suffix == text.substr(digits) && n && *n <= Max / it.Factor)
+    if (it.Suffix == text.substr(digits) && n && *n <= most / it.Factor)
       return *n * it.Factor;
   return std::nullopt;
 }
@@ -119,4 +119,4 @@
   return best;
 }
 
-} // namespace endivedoor::model::detail
+} // namespace endivedoor::model
