Read settings without YAML::LoadAll, which never ends on some texts

YAML::LoadAll adds documents without end at a flow indicator outside a flow. The settings text "," took 27 GB until the process was killed.

Settings are read with YAML::Load, and a second document is looked for with at most two calls of the parser. Texts that trail off into a flow indicator are now rejected too. The test program limits its memory to 1 GiB, so that such a fault fails as std::bad_alloc.

--- a/packages/model/src/Settings.cpp
+++ b/packages/model/src/Settings.cpp
@@ -4,8 +4,11 @@
 
 #include "endivedoor/model/Scalars.h"
 
+#include <yaml-cpp/eventhandler.h>
+
 #include <algorithm>
 #include <limits>
+#include <sstream>
 #include <tuple>
 
 namespace endivedoor::model {
@@ -293,6 +296,38 @@
                  "use at least 2 * rulesBytes + 16KiB");
 }
 
+/// Remembers where the content of a document begins.
+class DocumentMark final : public YAML::EventHandler {
+public:
+  void OnDocumentStart(const YAML::Mark &mark) override { Start = mark; }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark &, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark &, YAML::anchor_t) override {}
+  void OnScalar(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                const std::string &) override {}
+  void OnSequenceStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {}
+  void OnMapEnd() override {}
+
+  YAML::Mark Start;
+};
+
+/// Returns where a second document begins, if there is one. YAML::LoadAll is
+/// not used: it adds documents without end at a flow indicator outside a flow,
+/// such as the text ",".
+std::optional<YAML::Mark> findSecondDocument(const std::string &text) {
+  std::istringstream in(text);
+  YAML::Parser parser(in);
+  DocumentMark document;
+  if (parser.HandleNextDocument(document) &&
+      parser.HandleNextDocument(document))
+    return document.Start;
+  return std::nullopt;
+}
+
 } // namespace
 
 std::string TextFault::message() const {
@@ -313,13 +348,11 @@
     return out;
   }
   try {
-    std::vector<YAML::Node> documents = YAML::LoadAll(text);
-    if (documents.size() > 1)
-      faults.add(documents[1].Mark(), Errc::SettingsSyntax,
+    if (std::optional<YAML::Mark> second = findSecondDocument(text))
+      faults.add(*second, Errc::SettingsSyntax,
                  "the file holds more than one document",
-                 "keep one; remove the \"---\" line between them");
-    readRoot(faults, documents.empty() ? YAML::Node() : documents[0],
-             out.Value);
+                 "keep one; remove what follows it");
+    readRoot(faults, YAML::Load(text), out.Value);
     checkUnique(faults, out.Value);
     checkZones(faults, out.Value);
     checkTiming(faults, out.Value.Timing);
--- a/tests/unit/unit-settings.cpp
+++ b/tests/unit/unit-settings.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <sys/resource.h>
 
 using namespace endivedoor;
 using namespace endivedoor::model;
@@ -14,6 +15,13 @@
 
 namespace {
 
+/// Makes an endless allocation fail as std::bad_alloc here, instead of taking
+/// the memory of the machine.
+const bool MemoryIsLimited = [] {
+  const rlimit limit{1 << 30, 1 << 30};
+  return setrlimit(RLIMIT_AS, &limit) == 0;
+}();
+
 const std::string Minimal = R"(name: g-1
 zone: germiston
 listen: {callers: 127.0.0.1:21101, operators: 127.0.0.1:21201, peer: 127.0.0.1:21301}
@@ -187,6 +195,7 @@
 // Guards against yaml-cpp's exceptions leaving the adapter, and against
 // recursion and memory use that hostile text drives.
 TEST(Settings, HostileTextIsRejectedWithoutException) {
+  ASSERT_TRUE(MemoryIsLimited);
   const std::string hostile[] = {
       "",
       "\t",
@@ -203,6 +212,12 @@
       Minimal + "limits: *x",
       "name: !!binary x",
       "%YAML 9.9\n---\nname: x",
+      // yaml-cpp's LoadAll never ended on these and took all memory.
+      ",",
+      "]",
+      Minimal + ",",
+      Minimal + "}",
+      "? ,",
   };
   for (const std::string &it : hostile)
     EXPECT_FALSE(parseSettings("s.yaml", it).Faults.empty())
