--- a/packages/server/src/detail/Answers.cpp
+++ b/packages/server/src/detail/Answers.cpp
@@ -79,7 +79,7 @@
 
 boost::json::object errorToJson(const base::Error &error) {
   boost::json::object fields{{"number", static_cast<int>(error.Code)},
-                      {"message", error.message()}};
+                             {"message", error.message()}};
   return {{"error", std::move(fields)}};
 }
 
