--- a/bench/proxy/Main.cpp
+++ b/bench/proxy/Main.cpp
@@ -12,11 +12,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <algorithm>
+#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
-#include <malloc.h>
 #include <thread>
 #include <unistd.h>
 
@@ -169,24 +168,54 @@
   return resident * (sysconf(_SC_PAGESIZE) / 1024);
 }
 
+/// Finds the longest time for which this process did not run at all, since such
+/// a pause of the host spoils a round.
+class PauseWatch {
+public:
+  PauseWatch() {
+    std::thread([this] {
+      auto last = std::chrono::steady_clock::now();
+      while (true) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        auto now = std::chrono::steady_clock::now();
+        float took =
+            std::chrono::duration<float, std::milli>(now - last).count();
+        if (took > Longest)
+          Longest = took;
+        last = now;
+      }
+    }).detach();
+  }
+  /// Returns the longest pause since the last call, in milliseconds.
+  float take() { return Longest.exchange(0); }
+
+private:
+  std::atomic<float> Longest{0};
+};
+
 static void measureLatency(Bench &bench) {
+  auto *watch = new PauseWatch();
   constexpr double quantiles[] = {0.5, 0.99, 0.999};
   std::chrono::milliseconds time(1000 * absl::GetFlag(FLAGS_seconds));
   double rate = absl::GetFlag(FLAGS_rate);
   runOpenLoop(bench.Proxied, rate, std::chrono::milliseconds(500));
   std::printf("round  p50 direct/proxied/added  p99  p99.9 (microseconds)\n");
   for (int round = 1; round <= absl::GetFlag(FLAGS_rounds); ++round) {
+    watch->take();
     LoadResult direct = runOpenLoop(bench.Direct, rate, time);
+    float directPause = watch->take();
     LoadResult proxied = runOpenLoop(bench.Proxied, rate, time);
     std::printf("%d", round);
     for (double q : quantiles) {
       double d = direct.quantile(q), p = proxied.quantile(q);
       std::printf("  %.0f/%.0f/%.0f", d, p, p - d);
     }
-    std::printf("  failures %llu/%llu, %.0f requests a second\n",
-                static_cast<unsigned long long>(direct.Failures),
-                static_cast<unsigned long long>(proxied.Failures),
-                proxied.perSecond());
+    std::printf(
+        "  failures %llu/%llu, %.0f requests a second, longest pause of "
+        "an idle thread %.1f/%.1f ms\n",
+        static_cast<unsigned long long>(direct.Failures),
+        static_cast<unsigned long long>(proxied.Failures), proxied.perSecond(),
+        directPause, watch->take());
   }
 }
 
--- a/packages/server/include/endivedoor/server/JobEndpoints.h
+++ b/packages/server/include/endivedoor/server/JobEndpoints.h
@@ -53,7 +53,8 @@
 base::Result<model::JobSpec> parseJob(const std::string &text,
                                       base::WallTime now);
 
-/// Writes a job with its tasks as JSON.
+/// Writes a job as JSON: its state, the number of tasks in each state, and the
+/// latest attempt of each task.
 boost::json::value jobToJson(const control::JobStatus &job);
 
 /// Reads "ip:port". Errors: InvalidArgument.
--- a/packages/server/src/JobJson.cpp
+++ b/packages/server/src/JobJson.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -193,14 +194,43 @@
   return names[static_cast<std::size_t>(state)];
 }
 
+/// Returns the number of tasks in one of the states from \p first to \p last.
+static std::int64_t countTasks(const control::JobStatus &job,
+                               model::TaskState first, model::TaskState last) {
+  return std::ranges::count_if(job.Tasks, [&](const model::Task &it) {
+    return it.State >= first && it.State <= last;
+  });
+}
+
+/// Adds the number of tasks in each state, and the state of the whole job.
+static void addStates(json::object &o, const control::JobStatus &job) {
+  using State = model::TaskState;
+  std::int64_t queued = countTasks(job, State::Queued, State::Queued);
+  std::int64_t running = countTasks(job, State::Starting, State::Evicting);
+  std::int64_t finished = countTasks(job, State::Finished, State::Finished);
+  std::int64_t failed = countTasks(job, State::Failed, State::Failed);
+  std::int64_t cancelled = countTasks(job, State::Cancelled, State::Cancelled);
+  o["tasks"] = job.Tasks.size();
+  o["queued"] = queued;
+  o["running"] = running;
+  o["finished"] = finished;
+  o["failed"] = failed;
+  o["cancelled"] = cancelled;
+  o["state"] = running > 0     ? "running"
+               : queued > 0    ? "queued"
+               : cancelled > 0 ? "cancelled"
+               : failed > 0    ? "failed"
+                               : "finished";
+}
+
 json::value jobToJson(const control::JobStatus &job) {
-  json::array tasks;
+  json::array attempts;
   for (const model::Task &it : job.Tasks)
-    tasks.push_back({{"task", it.Id.str()},
-                     {"state", stateName(it.State)},
-                     {"attempt", base::toNumber(it.LatestAttempt)},
-                     {"worker", it.Worker.str()},
-                     {"failures", it.Failures}});
+    attempts.push_back({{"task", it.Id.str()},
+                        {"state", stateName(it.State)},
+                        {"attempt", base::toNumber(it.LatestAttempt)},
+                        {"worker", it.Worker.str()},
+                        {"failures", it.Failures}});
   const JobSpec &spec = job.Spec;
   bool isService = spec.Kind == model::TaskKind::Service;
   json::object o{{"job", spec.Id.str()},
@@ -212,7 +242,8 @@
                  {"service", spec.Service.str()},
                  {"slots", spec.Size.Slots},
                  {"urgent", spec.Urgent},
-                 {"tasks", std::move(tasks)}};
+                 {"attempts", std::move(attempts)}};
+  addStates(o, job);
   if (spec.Deadline)
     o["deadlineUnixMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(
                               spec.Deadline->time_since_epoch())
--- a/packages/server/src/OperatorServer.cpp
+++ b/packages/server/src/OperatorServer.cpp
@@ -79,17 +79,15 @@
   if (!outcome)
     return errorResponse(outcome.error());
   const control::ChangeOutcome &it = outcome.value();
-  json::object body = detail::configurationToJson(it.Current);
+  json::object current = detail::configurationToJson(it.Current);
   if (it.Accepted)
-    return jsonResponse(200, body);
+    return jsonResponse(200, current);
   base::Error error{Errc::ChangeConflict,
                     "version " + std::to_string(it.Current.Version) + " by " +
                         it.Current.Author + " is in force"};
-  body["error"] = error.message();
-  body["number"] = static_cast<int>(error.Code);
-  HttpResponse response = jsonResponse(409, body);
-  detail::setOutcome(response, detail::Outcome::NotRun);
-  return response;
+  return jsonResponse(409, {{"error", error.message()},
+                            {"number", static_cast<int>(error.Code)},
+                            {"current", std::move(current)}});
 }
 
 asio::awaitable<HttpResponse> OperatorServer::putRules(HttpRequest request) {
@@ -146,7 +144,9 @@
 }
 
 HttpResponse OperatorServer::zones() const {
-  return jsonResponse(200, detail::zonesToJson(Context.Control.zones()));
+  json::object body = detail::zonesToJson(Context.Control.zones());
+  body["configVersion"] = Context.Control.configuration().Version;
+  return jsonResponse(200, body);
 }
 
 HttpResponse OperatorServer::workers() const {
--- a/packages/server/src/detail/OperatorJson.cpp
+++ b/packages/server/src/detail/OperatorJson.cpp
@@ -75,7 +75,7 @@
     list.push_back({{"zone", it.Zone.str()},
                     {"out", it.Out},
                     {"owner", it.Owner},
-                    {"ownerEpoch", base::toNumber(it.OwnerEpoch)}});
+                    {"epoch", base::toNumber(it.OwnerEpoch)}});
   return {{"zones", std::move(list)}};
 }
 
@@ -99,6 +99,7 @@
                     {"reachable", it.Reachable},
                     {"quarantined", it.Quarantined},
                     {"tasks", it.Tasks},
+                    {"freeSlots", it.Free.Slots},
                     {"capacity", resourcesToJson(it.Worker.Capacity)},
                     {"free", resourcesToJson(it.Free)}});
   return {{"workers", std::move(list)}};
@@ -112,9 +113,9 @@
     for (const auto &[key, value] : it.Fields)
       fields[key] = value;
     const base::EventInfo &info = base::eventInfo(it.Code);
-    list.push_back({{"wallMicros", it.Time.WallMicros},
+    list.push_back({{"micros", it.Time.WallMicros},
                     {"counter", it.Time.Counter},
-                    {"number", static_cast<int>(it.Code)},
+                    {"code", static_cast<int>(it.Code)},
                     {"name", info.Name},
                     {"text", info.Text},
                     {"fields", std::move(fields)}});
--- a/tests/unit/unit-server-operators.cpp
+++ b/tests/unit/unit-server-operators.cpp
@@ -59,15 +59,19 @@
 
 // Guards against an endpoint that is missing or has another shape.
 TEST_F(OperatorApi, StateIsReadable) {
-  EXPECT_EQ(get("/v1/zones").at("zones").at(0).at("ownerEpoch"), 7);
+  EXPECT_EQ(get("/v1/zones").at("zones").at(0).at("epoch"), 7);
   EXPECT_EQ(get("/v1/workers").at("workers").as_array().size(), 1u);
   EXPECT_EQ(get("/v1/rules").at("version"), 0);
   EXPECT_EQ(get("/v1/members").at("members").at(0).at("name"), "e1");
-  EXPECT_EQ(get("/v1/jobs").at("jobs").at(0).at("job"), "j-1");
+  json::value job = get("/v1/jobs").at("jobs").at(0);
+  EXPECT_EQ(job.at("job"), "j-1");
+  EXPECT_EQ(job.at("state"), "queued");
+  EXPECT_EQ(job.at("tasks"), 1);
+  EXPECT_EQ(job.at("attempts").at(0).at("state"), "queued");
   EXPECT_EQ(get("/v1/report/karoo").at("rows").at(0), "karoo");
   Host.Events.emit(base::EventCode::DaemonStarted, {{"k", "v"}});
   json::value events = get("/v1/events");
-  EXPECT_EQ(events.at("events").at(0).at("number"), 8001);
+  EXPECT_EQ(events.at("events").at(0).at("code"), 8001);
   EXPECT_EQ(events.at("events").at(0).at("fields").at("k"), "v");
   EXPECT_EQ(ask("GET", "/healthz").Status, 200u);
   EXPECT_EQ(ask("GET", "/readyz").Status, 200u);
@@ -85,7 +89,7 @@
   EXPECT_EQ(json::parse(ask("PUT", "/v1/rules", rules).Body).at("version"), 1);
   HttpResponse lost = ask("PUT", "/v1/rules", rules);
   EXPECT_EQ(lost.Status, 409u);
-  EXPECT_EQ(json::parse(lost.Body).at("author"), "ana");
+  EXPECT_EQ(json::parse(lost.Body).at("current").at("author"), "ana");
   EXPECT_EQ(json::parse(lost.Body).at("number"), 615);
   const std::string why = R"({"author":"ana","reason":"power work"})";
   json::value out = json::parse(ask("POST", "/v1/zones/z1/out", why).Body);
