--- a/packages/server/src/JobJson.cpp
+++ b/packages/server/src/JobJson.cpp
@@ -13,7 +13,6 @@
 using base::Errc;
 using base::fail;
 using model::JobSpec;
-using model::TaskState;
 
 constexpr std::size_t LongestName = 128;
 constexpr std::int64_t MostTasks = 100000;
@@ -195,23 +194,33 @@
   return names[static_cast<std::size_t>(state)];
 }
 
-static std::size_t countTasks(const control::JobStatus &job,
-                              std::initializer_list<TaskState> states) {
-  return static_cast<std::size_t>(
-      std::count_if(job.Tasks.begin(), job.Tasks.end(), [&](const auto &it) {
-        return std::find(states.begin(), states.end(), it.State) !=
-               states.end();
-      }));
+/// Returns the number of tasks in one of the states from \p first to \p last.
+static std::int64_t countTasks(const control::JobStatus &job,
+                               model::TaskState first, model::TaskState last) {
+  return std::ranges::count_if(job.Tasks, [&](const model::Task &it) {
+    return it.State >= first && it.State <= last;
+  });
 }
 
-/// A job is as far as its least advanced task; one failed task fails it.
-static std::string_view jobState(const control::JobStatus &job) {
-  for (TaskState it :
-       {TaskState::Failed, TaskState::Running, TaskState::Evicting,
-        TaskState::Starting, TaskState::Queued, TaskState::Cancelled})
-    if (countTasks(job, {it}) > 0)
-      return stateName(it);
-  return stateName(TaskState::Finished);
+/// Adds the number of tasks in each state, and the state of the whole job.
+static void addStates(json::object &o, const control::JobStatus &job) {
+  using State = model::TaskState;
+  std::int64_t queued = countTasks(job, State::Queued, State::Queued);
+  std::int64_t running = countTasks(job, State::Starting, State::Evicting);
+  std::int64_t finished = countTasks(job, State::Finished, State::Finished);
+  std::int64_t failed = countTasks(job, State::Failed, State::Failed);
+  std::int64_t cancelled = countTasks(job, State::Cancelled, State::Cancelled);
+  o["tasks"] = job.Tasks.size();
+  o["queued"] = queued;
+  o["running"] = running;
+  o["finished"] = finished;
+  o["failed"] = failed;
+  o["cancelled"] = cancelled;
+  o["state"] = running > 0     ? "running"
+               : queued > 0    ? "queued"
+               : cancelled > 0 ? "cancelled"
+               : failed > 0    ? "failed"
+                               : "finished";
 }
 
 json::value jobToJson(const control::JobStatus &job) {
@@ -224,24 +233,17 @@
                         {"failures", it.Failures}});
   const JobSpec &spec = job.Spec;
   bool isService = spec.Kind == model::TaskKind::Service;
-  json::object o{
-      {"job", spec.Id.str()},
-      {"name", spec.Name},
-      {"team", spec.Team.str()},
-      {"contract", spec.Contract.str()},
-      {"class", spec.Class.str()},
-      {"kind", isService ? "service" : "batch"},
-      {"service", spec.Service.str()},
-      {"slots", spec.Size.Slots},
-      {"urgent", spec.Urgent},
-      {"state", jobState(job)},
-      {"tasks", job.Tasks.size()},
-      {"finished", countTasks(job, {TaskState::Finished})},
-      {"running", countTasks(job, {TaskState::Starting, TaskState::Running,
-                                   TaskState::Evicting})},
-      {"queued", countTasks(job, {TaskState::Queued})},
-      {"failed", countTasks(job, {TaskState::Failed})},
-      {"attempts", std::move(attempts)}};
+  json::object o{{"job", spec.Id.str()},
+                 {"name", spec.Name},
+                 {"team", spec.Team.str()},
+                 {"contract", spec.Contract.str()},
+                 {"class", spec.Class.str()},
+                 {"kind", isService ? "service" : "batch"},
+                 {"service", spec.Service.str()},
+                 {"slots", spec.Size.Slots},
+                 {"urgent", spec.Urgent},
+                 {"attempts", std::move(attempts)}};
+  addStates(o, job);
   if (spec.Deadline)
     o["deadlineUnixMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(
                               spec.Deadline->time_since_epoch())
