--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -78,7 +78,7 @@
   bool EvictForUrgent = true;
   std::chrono::milliseconds UrgentWait{500};
   /// Workers that are scored for one start.
-  std::uint32_t Candidates = 32;
+  std::uint32_t Candidates = 16;
   /// A job that fits no worker is refused when no new worker has appeared for
   /// this time: workers become known one by one after a change of owner.
   std::chrono::milliseconds RefuseAfter{3000};
--- a/packages/policy/src/detail/PredictionCache.h
+++ b/packages/policy/src/detail/PredictionCache.h
@@ -9,7 +9,7 @@
 
 namespace endivedoor::policy::detail {
 
-/// A worker is looked at about 30 times for each start on it, so its
+/// A worker is looked at about 15 times for each start on it, so its
 /// predictions are kept until its tasks change. Without a change they are
 /// renewed after a second, because the model goes on learning.
 class PredictionCache {
