policy: keep expected latencies for five seconds

Cause: with one second, most candidates at 5,000 workers were computed anew. Change: five seconds; a change of the worker's tasks still drops them at once.

--- a/packages/policy/src/detail/PredictionCache.h
+++ b/packages/policy/src/detail/PredictionCache.h
@@ -11,7 +11,7 @@
 
 /// A worker is looked at about 15 times for each start on it, so its
 /// predictions are kept until its tasks change. Without a change they are
-/// renewed after a second, because the model goes on learning.
+/// renewed after five seconds, because the model goes on learning.
 class PredictionCache {
 public:
   PredictionCache(const State &s, History &past, const Interference &model)
@@ -24,7 +24,7 @@
       Entries.resize(worker + 1);
     Entry &it = Entries[worker];
     std::uint64_t version = Past.version(worker);
-    if (it.Version == version && now - it.At < std::chrono::seconds(1))
+    if (it.Version == version && now - it.At < std::chrono::seconds(5))
       return it.Values;
     it.Version = version;
     it.At = now;
