Test a zone that is taken out under faults

Change: tests/fault with a shared fixture; fault-zone-out takes a zone out while it is cut from the platform (both ways, answers only) and while its owner is frozen for longer than its leases. The harness cuts the platform one way, and frees the ports of a daemon before it starts it again. Ruled out: judging by what the daemons report; the workers' records decide.

--- /dev/null
+++ b/tests/fault/FaultFixture.h
@@ -0,0 +1,205 @@
+/// \file
+/// Shared fixture of the fault tests: an installation of three zones, load on
+/// it, and the judgement of all promises by the stand-ins' own records.
+#ifndef ENDIVEDOOR_TESTS_FAULT_FAULTFIXTURE_H
+#define ENDIVEDOOR_TESTS_FAULT_FAULTFIXTURE_H
+
+#include "harness/Cluster.h"
+#include "harness/Http.h"
+#include "harness/Judge.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <map>
+#include <random>
+#include <set>
+#include <signal.h>
+#include <thread>
+
+namespace endivedoor::fault {
+
+using namespace harness;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+/// P4 and P8: no start later than this after the zone-out or the notice.
+constexpr Micros StartBound = 3'000'000;
+/// Seed of all random moments and of the load.
+constexpr std::uint64_t Seed = 20261204;
+
+class FaultTest : public ::testing::Test {
+protected:
+  /// Starts the installation on the ports from \p basePort; each test program
+  /// has its own.
+  void open(std::uint16_t basePort, int entryHosts = 2) {
+    ClusterShape shape;
+    for (const char *it : Zones)
+      shape.Zones.push_back({it, entryHosts, 3});
+    shape.BasePort = basePort;
+    shape.HostListLag = 500ms;
+    // The shortest task lease that the settings allow, so that a lost worker
+    // is replaced within the time of a test.
+    shape.Timing = "  taskLease: 5s\n  zoneRamp: 1s\n  requestTimeout: 2s\n"
+                   "  drainDelay: 500ms\n  drainLimit: 10s\n";
+    const auto *info = ::testing::UnitTest::GetInstance()->current_test_info();
+    Site = std::make_unique<Cluster>(
+        shape, std::string(ENDIVEDOOR_FAULT_FOLDER) + "/" +
+                   info->test_suite_name() + "." + info->name());
+    ASSERT_TRUE(Site->start());
+    for (const char *it : Zones)
+      ASSERT_FALSE(submit(it, Service).empty());
+    ASSERT_TRUE(waitFor(8s, [&] { return servicesAnswer(); }));
+  }
+
+  /// Returns the job's id, or an empty text if it was not acknowledged.
+  std::string submit(const std::string &zone, const std::string &job) {
+    json::value body =
+        callJson(Site->daemonsOf(zone).front()->Callers, "/v1/jobs", job);
+    return body.is_object() ? std::string(body.at("job").as_string()) : "";
+  }
+
+  bool servicesAnswer() {
+    for (const DaemonPlace &it : Site->daemons()) {
+      auto answer = call(it.Callers, {"GET", "/s/orders/warm", {}, ""}, 2s);
+      if (!answer || answer.value().Status != 200)
+        return false;
+    }
+    return true;
+  }
+
+  /// Starts the load; finishLoad() waits for its end.
+  void startLoad(std::chrono::seconds time, std::vector<std::string> extra = {
+                                                "--rate=80", "--jobs=0.15"}) {
+    std::string targets;
+    for (const DaemonPlace &it : Site->daemons())
+      targets += (targets.empty() ? "" : ",") + it.Callers.str();
+    std::vector<std::string> arguments = {
+        program("standin-caller"),
+        "--target=" + targets,
+        "--bookings=0.2",
+        "--repeats=0.3",
+        "--timeout=5s",
+        "--seconds=" + std::to_string(time.count()),
+        "--seed=" + std::to_string(Seed),
+        "--log=" + Site->folder() + "/caller.jsonl"};
+    arguments.insert(arguments.end(), extra.begin(), extra.end());
+    LoadTime = time;
+    Load = std::make_unique<Process>(arguments, Site->folder() + "/caller.out");
+  }
+
+  /// Waits for the end of the load and checks its answers.
+  void finishLoad() {
+    ASSERT_TRUE(Load);
+    // P5: the caller ends with another status if an answer was not its own.
+    EXPECT_EQ(Load->wait(LoadTime + 10s), std::optional<int>(0));
+    std::ifstream text(Load->logFile());
+    for (std::string line; std::getline(text, line);)
+      std::cout << "load: " << line << "\n";
+  }
+
+  /// Runs the operators' program; returns its exit status.
+  int operate(std::vector<std::string> arguments) {
+    arguments.insert(arguments.begin(), program("endivedoor"));
+    for (const DaemonPlace &it : Site->daemons())
+      arguments.push_back("--daemon=" + it.Operators.str());
+    Process child(std::move(arguments), Site->folder() + "/operator.out");
+    return child.wait(15s).value_or(-1);
+  }
+
+  /// Ids of the jobs that the load got an acknowledgement for.
+  std::set<std::string> acknowledgedJobs() const {
+    std::set<std::string> jobs;
+    for (const json::object &row : Site->records("caller"))
+      if (row.at("kind").as_string() == "job" &&
+          row.at("status").to_number<int>() == 201)
+        jobs.emplace(row.at("job").as_string());
+    return jobs;
+  }
+
+  /// How often the task of each acknowledged job finished, by the workers'
+  /// records.
+  std::map<std::string, int> finishedRuns() const {
+    std::map<std::string, std::string> jobOf;
+    std::map<std::string, int> runs;
+    for (const std::string &it : acknowledgedJobs())
+      runs[it] = 0;
+    for (const json::object &row : Site->records("workers")) {
+      if (row.at("event").as_string() == "start")
+        jobOf[row.at("task").as_string().c_str()] = row.at("job").as_string();
+      if (row.at("event").as_string() == "end" &&
+          row.at("reason").as_string() == "finished")
+        if (auto it = runs.find(jobOf[row.at("task").as_string().c_str()]);
+            it != runs.end())
+          ++it->second;
+    }
+    return runs;
+  }
+
+  /// No acknowledged job is lost, and none runs to its end twice.
+  void expectJobsFinished(milliseconds limit) {
+    waitFor(limit, [&] {
+      std::this_thread::sleep_for(200ms);
+      for (const auto &[job, n] : finishedRuns())
+        if (n == 0)
+          return false;
+      return true;
+    });
+    std::map<std::string, int> runs = finishedRuns();
+    std::cout << "jobs acknowledged: " << runs.size() << "\n";
+    EXPECT_GT(runs.size(), 20u) << "the load admitted too few jobs";
+    for (const auto &[job, n] : runs)
+      EXPECT_EQ(n, 1) << "finished runs of job " << job;
+  }
+
+  static void expectNone(const char *promise,
+                         const std::vector<std::string> &found) {
+    EXPECT_TRUE(found.empty()) << promise << ": " << found.size() << " cases";
+    for (std::size_t i = 0; i < std::min<std::size_t>(found.size(), 5); ++i)
+      ADD_FAILURE() << promise << ": " << found[i];
+  }
+
+  /// The promises that hold under every fault.
+  void judge() const {
+    Records workers = Site->records("workers");
+    Records caller = Site->records("caller");
+    expectNone("P1", findOverloads(workers, {}));
+    expectNone("P2", findDoubledTasks(workers));
+    expectNone("P3", findWrongResumptions(workers, {}));
+    expectNone("P6", findFalseNotRun(workers, caller));
+    expectNone("P7", findDoubledBookings(workers));
+    std::map<std::string, int> events;
+    for (const json::object &row : workers)
+      ++events[std::string(row.at("event").as_string()) +
+               (row.contains("reason") && row.at("event") != "request-refused"
+                    ? ":" + std::string(row.at("reason").as_string())
+                    : "")];
+    EXPECT_FALSE(events.contains("connections-over-limit")) << "P1";
+    std::cout << "workers' records:";
+    for (const auto &[name, n] : events)
+      std::cout << " " << name << "=" << n;
+    std::cout << "\n";
+  }
+
+  milliseconds moment(int from, int to) {
+    return milliseconds(std::uniform_int_distribution(from, to)(Random));
+  }
+  static void sleep(milliseconds time) { std::this_thread::sleep_for(time); }
+
+  static constexpr const char *Zones[] = {"east", "north", "west"};
+  static constexpr const char *Service =
+      R"({"name":"orders","team":"orders","contract":"mabena","class":"orders",
+      "kind":"service","service":"orders","tasks":2,"slots":1,"connections":16,
+      "milliCores":2000,"memoryMb":4096,"payload":"{\"serviceMs\":5}"})";
+
+  std::unique_ptr<Cluster> Site;
+  std::unique_ptr<Process> Load;
+  std::chrono::seconds LoadTime{0};
+  std::mt19937_64 Random{Seed};
+};
+
+} // namespace endivedoor::fault
+
+#endif
--- /dev/null
+++ b/tests/fault/fault-zone-out.cpp
@@ -0,0 +1,70 @@
+// P4 and P3: no task starts in a zone later than 3 s after the command line
+// reported it out, and its work moves to other zones and resumes exactly once.
+#include "FaultFixture.h"
+
+using namespace endivedoor::fault;
+
+namespace {
+
+class ZoneOut : public FaultTest {
+protected:
+  /// Takes the zone out while \p harm lasts, and judges the result.
+  void takeOut(const std::function<void()> &harm,
+               const std::function<void()> &heal) {
+    startLoad(8s, {"--rate=80", "--jobs=0.12", LongJob});
+    sleep(2s);
+    harm();
+    sleep(500ms);
+    ASSERT_EQ(operate({"zone", "out", "north", "--author=karoo",
+                       "--reason=power work"}),
+              0);
+    Micros reported = nowMicros();
+    // Longer than the placement lease, the owner's lease and the task lease.
+    sleep(5500ms);
+    heal();
+    finishLoad();
+    expectJobsFinished(12s);
+    Records workers = Site->records("workers");
+    EXPECT_FALSE(findStarts(workers, "north", 0, reported).empty())
+        << "nothing ran in the zone before";
+    expectNone(
+        "P4", findStarts(workers, "north", reported + StartBound, nowMicros()));
+    judge();
+  }
+
+  /// P3 is proved only if work was evicted and resumed.
+  void expectResumptions() const {
+    int resumed = 0;
+    for (const json::object &row : Site->records("workers"))
+      resumed += row.at("event").as_string() == "resume";
+    EXPECT_GT(resumed, 0) << "P3";
+  }
+
+  static constexpr const char *LongJob =
+      R"(--job={"payload":"{\"runMs\":4000}"})";
+};
+
+} // namespace
+
+TEST_F(ZoneOut, CutFromThePlatformStartsNothing) {
+  ASSERT_NO_FATAL_FAILURE(open(26000));
+  takeOut([&] { Site->cutPlatform("north", true); },
+          [&] { Site->cutPlatform("north", false); });
+}
+
+// The answers are lost, while every write takes effect.
+TEST_F(ZoneOut, CutOneWayFromThePlatformStartsNothing) {
+  ASSERT_NO_FATAL_FAILURE(open(26000));
+  takeOut([&] { Site->cutPlatform("north", true, "backward"); },
+          [&] { Site->cutPlatform("north", false); });
+}
+
+// The old owner wakes with starts that it had planned before the zone-out.
+TEST_F(ZoneOut, OwnerFrozenLongerThanItsLeasesStartsNothing) {
+  ASSERT_NO_FATAL_FAILURE(open(26000));
+  DaemonPlace *owner = Site->owner("north");
+  ASSERT_NE(owner, nullptr);
+  takeOut([&] { owner->Child->signal(SIGSTOP); },
+          [&] { owner->Child->signal(SIGCONT); });
+  expectResumptions();
+}
--- a/tests/harness/Cluster.cpp
+++ b/tests/harness/Cluster.cpp
@@ -272,6 +272,8 @@
 }
 
 void Cluster::startDaemon(DaemonPlace &daemon) {
+  // The ports of a process that runs or was just killed must be free again.
+  daemon.Child.reset();
   daemon.Child = std::make_unique<Process>(
       std::vector<std::string>{program("endivedoord"),
                                "--settings=" + daemon.SettingsFile},
@@ -318,12 +320,13 @@
   return json::serialize(json::object{{"cut", cut ? mode : "none"}});
 }
 
-void Cluster::cutPlatform(const std::string &zone, bool cut) {
+void Cluster::cutPlatform(const std::string &zone, bool cut,
+                          const std::string &mode) {
   setLinks(
       [&](const std::string &n) {
         return n == "store:" + zone || n == "hosts:" + zone;
       },
-      linkMode(cut, "both"));
+      linkMode(cut, mode));
 }
 
 void Cluster::cutZones(const std::string &from, const std::string &to, bool cut,
--- a/tests/harness/Cluster.h
+++ b/tests/harness/Cluster.h
@@ -80,8 +80,9 @@
   model::Address workerAddress(const std::string &zone, int index) const;
 
   /// Cuts or heals the links between a zone and the platform (store and host
-  /// list).
-  void cutPlatform(const std::string &zone, bool cut);
+  /// list); \p mode is "both", "forward" (requests) or "backward" (answers).
+  void cutPlatform(const std::string &zone, bool cut,
+                   const std::string &mode = "both");
   /// Cuts or heals the links from zone \p from to zone \p to; \p mode is
   /// "both", "forward" or "backward".
   void cutZones(const std::string &from, const std::string &to, bool cut,
