Test a store that is down, slow or loses answers

Cause: the behaviour of section 6 for the store was not tested with real processes. Change: fault-store, with an outage of 6 s, delays of 100 and 450 ms, and lost answers by key prefix. Ruled out: comparing the busiest single second; the stated bound is for the ten seconds after the return.

--- /dev/null
+++ b/tests/fault/fault-store.cpp
@@ -0,0 +1,128 @@
+// Section 6, "store down or slow" and "answer of the store lost": requests go
+// on, nothing is lost or doubled, and a store that returns is not hit by a
+// storm.
+#include "FaultFixture.h"
+
+using namespace endivedoor::fault;
+
+namespace {
+
+class Store : public FaultTest {
+protected:
+  using Counts = std::map<std::string, std::int64_t>;
+  using Seconds = std::map<std::int64_t, Counts>;
+
+  static std::int64_t second() { return nowMicros() / 1'000'000; }
+
+  /// Calls of each kind in the whole seconds of [from, to).
+  Counts calls(std::int64_t from, std::int64_t to) {
+    Counts sum;
+    json::value all = callJson(Site->store(), "/admin/counters");
+    for (const json::value &it : all.at("seconds").as_array())
+      if (std::int64_t s = it.at("second").to_number<std::int64_t>();
+          s >= from && s < to)
+        for (const auto &kind : it.at("calls").as_object()) {
+          auto n = kind.value().to_number<std::int64_t>();
+          sum[std::string(kind.key())] += n;
+          sum["all"] += n;
+        }
+    return sum;
+  }
+
+  static void print(const char *when, const Counts &counts,
+                    std::int64_t seconds) {
+    std::cout << "store calls a second " << when << ":";
+    for (const auto &[kind, n] : counts)
+      std::cout << " " << kind << "="
+                << static_cast<double>(n) / static_cast<double>(seconds);
+    std::cout << "\n";
+  }
+
+  /// Share of plain requests that were answered.
+  double answeredShare() const {
+    double all = 0, answered = 0;
+    for (const json::object &row : Site->records("caller"))
+      if (row.at("kind").as_string() == "request") {
+        ++all;
+        answered += row.at("outcome").as_string() == "answered";
+      }
+    std::cout << "requests answered: " << answered << " of " << all << "\n";
+    return all > 0 ? answered / all : 0;
+  }
+
+  int starts(Micros from, Micros to) const {
+    int n = 0;
+    for (const char *it : Zones)
+      n += static_cast<int>(
+          findStarts(Site->records("workers"), it, from, to).size());
+    return n;
+  }
+
+  void outage(const char *mode) {
+    startLoad(26s);
+    sleep(1500ms);
+    std::int64_t normalFrom = second();
+    sleep(5s);
+    std::int64_t normalTo = second();
+    setOutage(mode, true);
+    // Longer than the owner's lease, so that every shard changes hands.
+    sleep(6s);
+    setOutage(mode, false);
+    Micros back = nowMicros();
+    std::int64_t backAt = second();
+    sleep(11s);
+    finishLoad();
+    Counts normal = calls(normalFrom, normalTo);
+    Counts after = calls(backAt, backAt + 10);
+    print("in normal operation", normal, normalTo - normalFrom);
+    print("in the 10 s after the outage", after, 10);
+    EXPECT_LE(static_cast<double>(after["all"]) / 10,
+              2.0 * static_cast<double>(normal["all"]) /
+                  static_cast<double>(normalTo - normalFrom))
+        << "a storm on the recovering store";
+    EXPECT_EQ(answeredShare(), 1.0) << "requests need no store";
+    EXPECT_GT(starts(back, nowMicros()), 0) << "starts did not resume";
+    expectJobsFinished(10s);
+    judge();
+  }
+
+  void setOutage(const char *mode, bool on) {
+    Site->storeAdmin("/admin/outage",
+                     json::serialize(json::object{{"on", on}, {"mode", mode}}));
+  }
+};
+
+} // namespace
+
+TEST_F(Store, DownAndBackIsNotHitByAStorm) {
+  ASSERT_NO_FATAL_FAILURE(open(29000));
+  outage("close");
+}
+
+TEST_F(Store, SlowOrLosingAnswersLosesAndRepeatsNothing) {
+  ASSERT_NO_FATAL_FAILURE(open(29000));
+  startLoad(14s);
+  // 500 ms is the time after which a call counts as unanswered.
+  for (int ms : {100, 450, 0}) {
+    Site->storeAdmin("/admin/delay", json::serialize(json::object{{"ms", ms}}));
+    sleep(1s);
+  }
+  std::vector<std::string> prefixes = {"/endivedoor/bookings/",
+                                       "/endivedoor/config/"};
+  for (const char *zone : Zones)
+    for (const char *part : {"shards/0/segments/", "shards/0/owner", "inbox/"})
+      prefixes.push_back(std::string("/endivedoor/zones/") + zone + "/" + part);
+  for (const std::string &it : prefixes) {
+    json::object drop{{"answers", 4}, {"prefix", it}};
+    Site->storeAdmin("/admin/drop", json::serialize(drop));
+    if (it.find("config") != std::string::npos)
+      operate({"zone", "out", "north", "--author=a", "--reason=test"});
+    sleep(moment(400, 900));
+  }
+  Site->storeAdmin("/admin/drop", R"({"answers":0,"prefix":""})");
+  EXPECT_EQ(operate({"zone", "in", "north", "--author=a", "--reason=test"}), 0);
+  finishLoad();
+  expectJobsFinished(12s);
+  EXPECT_EQ(answeredShare(), 1.0) << "requests need no store";
+  judge();
+}
