Test bookings that race through all entry hosts

Cause: P6 and P7 were tested only inside one process. Change: fault-bookings sends each key to all entry hosts at once, also while store answers are lost and while the entry hosts are killed in turn. Ruled out: judging by the answers alone; the workers record each request that ran.

--- /dev/null
+++ b/tests/fault/fault-bookings.cpp
@@ -0,0 +1,99 @@
+// P7 and P6: a booking that must not be repeated runs at most once, and what
+// was reported as not run did not run.
+#include "FaultFixture.h"
+
+using namespace endivedoor::fault;
+using endivedoor::platform::HttpRequest;
+
+namespace {
+
+class Bookings : public FaultTest {
+protected:
+  /// Sends the same key to all entry hosts at once, as a caller does that
+  /// repeats a booking whose answer is late; writes the answers down as the
+  /// caller stand-in does.
+  void race(int rounds, const char *round) {
+    for (int i = 0; i < rounds; ++i) {
+      std::string key = std::string(round) + "-" + std::to_string(i);
+      std::vector<std::thread> callers;
+      int n = 0;
+      for (const DaemonPlace &it : Site->daemons())
+        callers.emplace_back(&Bookings::book, this, it.Callers, key,
+                             key + "-" + std::to_string(n++));
+      for (std::thread &it : callers)
+        it.join();
+    }
+  }
+
+  void book(endivedoor::model::Address to, std::string key, std::string id) {
+    HttpRequest request{"POST", "/s/orders/book", {}, "{}"};
+    request.Headers = {{"Idempotency-Key", key}, {"X-Request-Id", id}};
+    auto answer = call(to, request, 5s);
+    std::string outcome = "lost", body;
+    if (answer) {
+      outcome = endivedoor::platform::findHeader(answer.value().Headers,
+                                                 "Endivedoor-Outcome");
+      body = answer.value().Status == 200 ? answer.value().Body : "";
+    }
+    std::lock_guard lock(Mutex);
+    Answers.push_back({{"id", id}, {"outcome", outcome}});
+    ++Outcomes[outcome];
+    if (!body.empty())
+      Bodies[key].insert(body);
+  }
+
+  void judgeRaces(int answered) {
+    Records workers = Site->records("workers");
+    expectNone("P7", findDoubledBookings(workers));
+    expectNone("P6", findFalseNotRun(workers, Answers));
+    for (const auto &[key, bodies] : Bodies)
+      EXPECT_EQ(bodies.size(), 1u) << "P7: two answers for " << key;
+    for (const auto &[name, n] : Outcomes)
+      std::cout << "outcome " << name << "=" << n << "\n";
+    EXPECT_GE(Bodies.size(), static_cast<std::size_t>(answered))
+        << "too few bookings ran to prove anything";
+  }
+
+  std::mutex Mutex;
+  Records Answers;
+  std::map<std::string, int> Outcomes;
+  std::map<std::string, std::set<std::string>> Bodies;
+};
+
+} // namespace
+
+TEST_F(Bookings, RacedThroughAllEntryHostsRunOnce) {
+  ASSERT_NO_FATAL_FAILURE(open(28000));
+  race(60, "race");
+  judgeRaces(60);
+}
+
+TEST_F(Bookings, RacedWhileStoreAnswersAreLostRunOnce) {
+  ASSERT_NO_FATAL_FAILURE(open(28000));
+  for (int i = 0; i < 20; ++i) {
+    Site->storeAdmin("/admin/drop",
+                     R"({"answers":2,"prefix":"/endivedoor/bookings/"})");
+    race(1, ("drop" + std::to_string(i)).c_str());
+  }
+  judgeRaces(10);
+}
+
+// A claim whose owner is dead must not be run by another entry host.
+TEST_F(Bookings, RacedWhileClaimOwnersDieRunOnce) {
+  ASSERT_NO_FATAL_FAILURE(open(28000));
+  std::atomic<bool> done = false;
+  std::thread killer([&] {
+    for (std::size_t i = 0; !done; ++i) {
+      DaemonPlace &it = Site->daemons()[i % Site->daemons().size()];
+      it.Child->signal(SIGKILL);
+      Site->startDaemon(it);
+      sleep(moment(50, 400));
+    }
+  });
+  auto end = std::chrono::steady_clock::now() + 8s;
+  for (int i = 0; std::chrono::steady_clock::now() < end; ++i)
+    race(1, ("kill" + std::to_string(i)).c_str());
+  done = true;
+  killer.join();
+  judgeRaces(10);
+}
