--- a/tests/unit/Fakes.h
+++ b/tests/unit/Fakes.h
@@ -716,8 +716,9 @@
 
 /// One daemon with its control plane.
 struct Daemon {
+  /// \param systemTimer sleeps on the system's timer instead of virtual time.
   Daemon(Simulation &sim, StoreData &data, Fleet &fleet, std::string name,
-         std::string zone)
+         std::string zone, bool systemTimer = false)
       : Hybrid(sim.Clock), Events(name, Hybrid, 10000), Store(sim, data, To),
         Workers(sim, fleet, To), Hosts(sim, fleet, To) {
     Settings.Name = name;
@@ -732,7 +733,10 @@
           Scheduler = made.get();
           return made;
         },
-        [&sim, this](base::Duration d) { return sim.sleep(d, &To.Frozen); });
+        systemTimer
+            ? control::SleepFunction()
+            : [&sim,
+               this](base::Duration d) { return sim.sleep(d, &To.Frozen); });
     Plane->start();
   }
   bool owns() const { return Plane->jobs().has_value(); }
--- a/tests/unit/unit-control-basics.cpp
+++ b/tests/unit/unit-control-basics.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 using namespace fakes;
 using model::TaskState;
 
@@ -61,4 +63,25 @@
   EXPECT_EQ(1u, c.All.Log.size());
 }
 
+TEST(ControlBasics, SystemTimerDrivesTheLoops) {
+  Cluster c;
+  c.All.add("w1", "a").RunTime = 10ms;
+  c.Daemons.push_back(
+      std::make_unique<Daemon>(c.Sim, c.Data, c.All, "d1", "a", true));
+  Daemon &d = *c.Daemons.back();
+  auto within = [&](auto done) {
+    for (int n = 0; n < 10000 && !done(); ++n) {
+      c.Sim.runFor(1ms);
+      std::this_thread::sleep_for(1ms);
+    }
+    return done();
+  };
+  ASSERT_TRUE(within([&] { return d.owns(); }));
+  c.admit(d, Cluster::job(1, "j1"));
+  ASSERT_TRUE(within([&] { return c.state("j1") == TaskState::Finished; }));
+  c.Sim.spawn(d.Plane->stop());
+  ASSERT_TRUE(
+      within([&] { return d.count(base::EventCode::OwnerHandedOver) == 1; }));
+}
+
 } // namespace
