policy: take out the preference for quiet tasks beside services

Cause: since the model tells culprits from bystanders, the preference does not earn its place. Change: the cost and its setting are removed.

--- a/experiments/policy/Variants.cpp
+++ b/experiments/policy/Variants.cpp
@@ -47,8 +47,6 @@
            [](PolicySettings &s) { s.InterferenceCost = false; }),
       with("no holding back", [](PolicySettings &s) { s.HoldBack = false; }),
       with("no gathering", [](PolicySettings &s) { s.GatherServices = false; }),
-      with("no quiet beside services",
-           [](PolicySettings &s) { s.QuietBesideServices = false; }),
       with("no attribution", [](PolicySettings &s) { s.Attribution = false; }),
       with("declared sizes",
            [](PolicySettings &s) { s.MeasuredSizes = false; }),
--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -64,8 +64,6 @@
   double HoldRatio = 1.0;
   /// Gathers services on some workers and leaves the others to batch work.
   bool GatherServices = true;
-  /// Fills workers that hold services with harmless batch tasks first.
-  bool QuietBesideServices = true;
   /// Attributes late measurements to what ran when they were taken; to what
   /// runs now if off.
   bool Attribution = true;
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -22,8 +22,6 @@
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
       Random(seed), Expected(In.S, In.Past, In.Model) {
-  if (settings.QuietBesideServices)
-    Costs.push_back(&Placement::fillCost);
   if (settings.InterferenceCost)
     Costs.push_back(&Placement::interferenceCost);
   if (settings.HoldBack)
@@ -194,11 +192,6 @@
   return 0.3 * use + 3 * std::max(0.0, use - 0.9);
 }
 
-double Placement::fillCost(const Candidate &it) const {
-  bool batch = it.Of.Kind == model::TaskKind::Batch;
-  return batch && !it.Host.Services.empty() ? -0.5 : 0;
-}
-
 double Placement::targetOf(Index service) const {
   Limit limit = In.Rules.latency(service);
   if (limit.set())
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -103,14 +103,11 @@
   bool keepsTargets(Index worker, const Shape &it) const;
 
   double loadCost(const Candidate &it) const;
-  /// Prefers workers with services for batch tasks that do no harm there, so
-  /// that the others stay free for noisy ones.
-  double fillCost(const Candidate &it) const;
   double spreadCost(const Candidate &it) const;
   double historyCost(const Candidate &it) const;
+  double interferenceCost(const Candidate &it) const;
 
   void put(Index worker);
-  double interferenceCost(const Candidate &it) const;
   double targetOf(Index service) const;
   /// Cost of a latency: steep near the target. Above 1.5 times the target
   /// little is left to lose: noisy tasks then gather where they already are.
