--- a/experiments/policy/Variants.cpp
+++ b/experiments/policy/Variants.cpp
@@ -50,8 +50,6 @@
       with("no attribution", [](PolicySettings &s) { s.Attribution = false; }),
       with("declared sizes",
            [](PolicySettings &s) { s.MeasuredSizes = false; }),
-      with("reclaimed memory",
-           [](PolicySettings &s) { s.ReclaimMemory = true; }),
       with("order of arrival",
            [](PolicySettings &s) { s.OrderByLatestStart = false; }),
       with("no quarantine", [](PolicySettings &s) { s.Quarantine = false; }),
--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -53,9 +53,6 @@
   GuardSettings Guard;
   /// Sizes and run times measured per class instead of the declared ones.
   bool MeasuredSizes = true;
-  /// Books less memory than declared where measurements allow it. The worker
-  /// must then be told StartTask::Booked instead of the declared size.
-  bool ReclaimMemory = false;
   /// Prefers workers on which the learned interference does least harm.
   bool InterferenceCost = true;
   /// Lets a batch task wait while it would push a service over HoldRatio of
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -12,8 +12,7 @@
 Placement::Placement(const PlacementInputs &in, const PolicySettings &settings,
                      std::uint64_t seed)
     : In(in), CandidateLimit(settings.Candidates),
-      Measured(settings.MeasuredSizes), Reclaim(settings.ReclaimMemory),
-      Gather(settings.GatherServices),
+      Measured(settings.MeasuredSizes), Gather(settings.GatherServices),
       HoldRatio(settings.HoldRatio), Filters{&Placement::hasRoom,
                                              &Placement::hasProcessorTime,
                                              &Placement::keepsReserve,
@@ -69,9 +68,10 @@
   if (Measured && known.MilliCores >= 0)
     it.CpuLoad = std::int64_t(known.MilliCores);
   if (Measured && known.MemoryMb >= 0) {
-    auto memory = std::int64_t(known.MemoryMb);
-    if (!Reclaim)
-      memory = std::max(memory, base::count(it.Declared.Memory));
+    // Never less than declared: a worker that checks the declared size would
+    // refuse the start.
+    std::int64_t memory =
+        std::max(std::int64_t(known.MemoryMb), base::count(it.Declared.Memory));
     it.Need.Memory = base::MebiBytes{memory};
   }
   if (!before.fitsIn(it.Need))
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -119,7 +119,7 @@
 
   PlacementInputs In;
   std::uint32_t CandidateLimit;
-  bool Measured, Reclaim, Gather;
+  bool Measured, Gather;
   double HoldRatio;
   std::vector<Filter> Filters;
   std::vector<Cost> Costs;
