--- a/packages/policy/include/endivedoor/policy/PolicySettings.h
+++ b/packages/policy/include/endivedoor/policy/PolicySettings.h
@@ -53,9 +53,6 @@
   GuardSettings Guard;
   /// Sizes and run times measured per class instead of the declared ones.
   bool MeasuredSizes = true;
-  /// Books less memory than declared where measurements allow it. The worker
-  /// must then be told StartTask::Booked instead of the declared size.
-  bool ReclaimMemory = false;
   /// Prefers workers on which the learned interference does least harm.
   bool InterferenceCost = true;
   /// Lets a batch task wait while it would push a service over HoldRatio of
@@ -64,8 +61,6 @@
   double HoldRatio = 1.0;
   /// Gathers services on some workers and leaves the others to batch work.
   bool GatherServices = true;
-  /// Fills workers that hold services with harmless batch tasks first.
-  bool QuietBesideServices = true;
   /// Attributes late measurements to what ran when they were taken; to what
   /// runs now if off.
   bool Attribution = true;
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -12,8 +12,7 @@
 Placement::Placement(const PlacementInputs &in, const PolicySettings &settings,
                      std::uint64_t seed)
     : In(in), CandidateLimit(settings.Candidates),
-      Measured(settings.MeasuredSizes), Reclaim(settings.ReclaimMemory),
-      Gather(settings.GatherServices),
+      Measured(settings.MeasuredSizes), Gather(settings.GatherServices),
       HoldRatio(settings.HoldRatio), Filters{&Placement::hasRoom,
                                              &Placement::hasProcessorTime,
                                              &Placement::keepsReserve,
@@ -22,8 +21,6 @@
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
       Random(seed), Expected(In.S, In.Past, In.Model) {
-  if (settings.QuietBesideServices)
-    Costs.push_back(&Placement::fillCost);
   if (settings.InterferenceCost)
     Costs.push_back(&Placement::interferenceCost);
   if (settings.HoldBack)
@@ -71,9 +68,10 @@
   if (Measured && known.MilliCores >= 0)
     it.CpuLoad = std::int64_t(known.MilliCores);
   if (Measured && known.MemoryMb >= 0) {
-    auto memory = std::int64_t(known.MemoryMb);
-    if (!Reclaim)
-      memory = std::max(memory, base::count(it.Declared.Memory));
+    // Never less than declared: a worker that checks the declared size would
+    // refuse the start.
+    std::int64_t memory =
+        std::max(std::int64_t(known.MemoryMb), base::count(it.Declared.Memory));
     it.Need.Memory = base::MebiBytes{memory};
   }
   if (!before.fitsIn(it.Need))
@@ -194,11 +192,6 @@
   return 0.3 * use + 3 * std::max(0.0, use - 0.9);
 }
 
-double Placement::fillCost(const Candidate &it) const {
-  bool batch = it.Of.Kind == model::TaskKind::Batch;
-  return batch && !it.Host.Services.empty() ? -0.5 : 0;
-}
-
 double Placement::targetOf(Index service) const {
   Limit limit = In.Rules.latency(service);
   if (limit.set())
