--- /dev/null
+++ b/tests/support/ControlStore.h
@@ -0,0 +1,251 @@
+/// \file
+/// The store of the tests of control, and what stands between it and a daemon.
+#ifndef ENDIVEDOOR_TESTS_SUPPORT_CONTROLSTORE_H
+#define ENDIVEDOOR_TESTS_SUPPORT_CONTROLSTORE_H
+
+#include "support/ControlSimulation.h"
+
+namespace fakes {
+
+/// Ways in which a call goes wrong.
+enum class Fault { None, NotSent, AnswerLost };
+
+/// The content of the store, shared by all daemons.
+class StoreData {
+public:
+  explicit StoreData(Simulation &sim) : Sim(sim) {}
+  std::map<std::string, platform::StoreEntry> Entries;
+  std::map<std::string, std::int64_t> Attached;
+  std::map<std::int64_t, std::pair<base::TimePoint, base::Duration>> Leases;
+  std::int64_t Revision = 1;
+  std::int64_t LastLease = 0;
+  bool Down = false;
+  std::uint64_t Calls = 0;
+  /// When each zone was taken out, as the accepted configuration says.
+  std::map<std::string, base::TimePoint> OutSince;
+  /// Calls that break the store's limits.
+  std::vector<std::string> Violations;
+
+  void expire() {
+    for (auto it = Leases.begin(); it != Leases.end();)
+      if (it->second.first < Sim.Clock.now())
+        it = revoke(it);
+      else
+        ++it;
+  }
+  std::map<std::int64_t, std::pair<base::TimePoint, base::Duration>>::iterator
+  revoke(std::map<std::int64_t,
+                  std::pair<base::TimePoint, base::Duration>>::iterator lease) {
+    ++Revision;
+    std::erase_if(Entries, [&](const auto &it) {
+      auto at = Attached.find(it.first);
+      return at != Attached.end() && at->second == lease->first;
+    });
+    return Leases.erase(lease);
+  }
+  bool holds(const platform::StoreCompare &compare) const {
+    auto it = Entries.find(compare.Key);
+    std::int64_t value = 0;
+    if (it != Entries.end())
+      value = compare.What == platform::StoreCompare::Field::CreateRevision
+                  ? it->second.CreateRevision
+                  : it->second.ModRevision;
+    return value == compare.Equals;
+  }
+  std::vector<platform::StoreEntry> range(const std::string &key,
+                                          const std::string &end,
+                                          std::int64_t limit) const {
+    std::vector<platform::StoreEntry> out;
+    for (auto it = Entries.lower_bound(key); it != Entries.end(); ++it) {
+      if (end.empty() ? it->first != key : it->first >= end)
+        break;
+      if (limit > 0 && out.size() == static_cast<std::size_t>(limit))
+        break;
+      out.push_back(it->second);
+    }
+    return out;
+  }
+  platform::StoreTxnResult apply(const platform::StoreTxn &txn) {
+    using Kind = platform::StoreOp::Kind;
+    platform::StoreTxnResult out;
+    out.Succeeded = std::all_of(txn.Compares.begin(), txn.Compares.end(),
+                                [&](const auto &it) { return holds(it); });
+    const auto &ops = out.Succeeded ? txn.Success : txn.Failure;
+    if (std::any_of(ops.begin(), ops.end(),
+                    [](const auto &it) { return it.What != Kind::Range; }))
+      ++Revision;
+    std::set<std::string> written;
+    for (const platform::StoreOp &it : ops) {
+      if (it.What != Kind::Range && !written.insert(it.Key).second)
+        Violations.push_back("duplicate key in a transaction: " + it.Key);
+      if (it.What == Kind::Range)
+        out.Ranges.push_back(range(it.Key, it.RangeEnd, it.Limit));
+      else if (it.What == Kind::Delete)
+        Entries.erase(it.Key);
+      else
+        put(it);
+    }
+    if (ops.size() > 128)
+      Violations.push_back("too many operations in a transaction");
+    out.Revision = Revision;
+    return out;
+  }
+  /// The store refuses puts under a lease that has lapsed.
+  bool knowsLeases(const platform::StoreTxn &txn) const {
+    return std::all_of(
+        txn.Success.begin(), txn.Success.end(), [&](const auto &it) {
+          return it.Lease == platform::LeaseId{0} ||
+                 Leases.count(static_cast<std::int64_t>(it.Lease)) > 0;
+        });
+  }
+  std::size_t count(const std::string &prefix) const {
+    return range(prefix, platform::prefixEnd(prefix), 0).size();
+  }
+
+private:
+  void put(const platform::StoreOp &op) {
+    if (op.Value.size() > 1000000)
+      Violations.push_back("value above 1 MB: " + op.Key);
+    auto [it, added] = Entries.try_emplace(op.Key);
+    it->second.Key = op.Key;
+    it->second.Value = op.Value;
+    it->second.ModRevision = Revision;
+    if (added)
+      it->second.CreateRevision = Revision;
+    Attached.erase(op.Key);
+    if (op.Key == "/endivedoor/config/current")
+      noteZones(control::configurationFromJson(op.Value).value());
+    if (op.Lease != platform::LeaseId{0})
+      Attached[op.Key] = static_cast<std::int64_t>(op.Lease);
+  }
+  void noteZones(const control::Configuration &config) {
+    std::erase_if(OutSince, [&](const auto &it) {
+      return config.ZonesOut.count(base::ZoneId(it.first)) == 0;
+    });
+    for (const base::ZoneId &it : config.ZonesOut)
+      OutSince.try_emplace(it.str(), Sim.Clock.now());
+  }
+  Simulation &Sim;
+};
+
+/// What stands between one daemon and the platform.
+struct Link {
+  bool Frozen = false;
+  bool StoreCut = false;
+  bool WorkersCut = false;
+  base::Duration Delay = 2ms;
+  /// Faults of the next store calls; afterwards the chance of each kind.
+  std::deque<Fault> StoreFaults;
+  int StoreFaultPercent = 0;
+  int WorkerFaultPercent = 0;
+  /// Number of store transactions sent; Frozen is set after this one took
+  /// effect.
+  int Txns = 0;
+  int FreezeAfterTxn = 0;
+  /// This transaction reaches the store late; the daemon is frozen until then.
+  int HoldTxn = 0;
+  /// Transactions without a condition, such as the configuration's poll, fail.
+  bool PollsCut = false;
+  /// Answers of the store arrive this much later.
+  base::Duration AnswerDelay{0};
+  /// Starts reach workers this much later.
+  base::Duration StartDelay{0};
+  /// Starts that reached a worker.
+  int StartsArrived = 0;
+};
+
+class FakeStore final : public platform::Store {
+public:
+  FakeStore(Simulation &sim, StoreData &data, Link &link)
+      : Sim(sim), Data(data), To(link) {}
+
+  platform::Async<platform::StoreTxnResult>
+  txn(platform::StoreTxn request) override {
+    Fault fault = nextFault();
+    int number = ++To.Txns;
+    if (number == To.HoldTxn)
+      To.Frozen = true;
+    co_await Sim.sleep(number == To.HoldTxn ? 5s : To.Delay / 2, nullptr);
+    bool up = !Data.Down && !To.StoreCut && fault != Fault::NotSent &&
+              !(To.PollsCut && request.Compares.empty());
+    Data.expire();
+    platform::StoreTxnResult result;
+    bool rejected = up && !Data.knowsLeases(request);
+    if (up && !rejected)
+      result = Data.apply(request);
+    if (number == To.FreezeAfterTxn)
+      To.Frozen = true;
+    co_await Sim.sleep(To.AnswerDelay + (up && fault == Fault::None
+                                             ? To.Delay / 2
+                                             : base::Duration(200ms)),
+                       &To.Frozen);
+    if (!up)
+      co_return base::Error{Errc::StoreUnavailable, "fake"};
+    if (fault == Fault::AnswerLost)
+      co_return base::Error{Errc::StoreAnswerLost, "fake"};
+    if (rejected)
+      co_return base::Error{Errc::StoreRejected, "requested lease not found"};
+    co_return result;
+  }
+  platform::Async<std::vector<platform::StoreEntry>>
+  range(std::string key, std::string end, std::int64_t limit) override {
+    bool reached = co_await reach();
+    if (!reached)
+      co_return base::Error{Errc::StoreUnavailable, "fake"};
+    co_return Data.range(key, end, limit);
+  }
+  platform::Async<platform::LeaseId>
+  grantLease(std::chrono::seconds ttl) override {
+    bool reached = co_await reach();
+    if (!reached)
+      co_return base::Error{Errc::StoreUnavailable, "fake"};
+    Data.Leases[++Data.LastLease] = {Sim.Clock.now() + ttl, ttl};
+    co_return platform::LeaseId{Data.LastLease};
+  }
+  platform::Async<void> keepAlive(platform::LeaseId lease) override {
+    bool reached = co_await reach();
+    if (!reached)
+      co_return base::Error{Errc::StoreUnavailable, "fake"};
+    auto it = Data.Leases.find(static_cast<std::int64_t>(lease));
+    if (it == Data.Leases.end())
+      co_return base::Error{Errc::StoreRejected, "no such lease"};
+    it->second.first = Sim.Clock.now() + it->second.second;
+    co_return base::success();
+  }
+  platform::Async<void> revokeLease(platform::LeaseId lease) override {
+    bool reached = co_await reach();
+    if (!reached)
+      co_return base::Error{Errc::StoreUnavailable, "fake"};
+    auto it = Data.Leases.find(static_cast<std::int64_t>(lease));
+    if (it != Data.Leases.end())
+      Data.revoke(it);
+    co_return base::success();
+  }
+
+private:
+  Fault nextFault() {
+    ++Data.Calls;
+    if (!To.StoreFaults.empty()) {
+      Fault fault = To.StoreFaults.front();
+      To.StoreFaults.pop_front();
+      return fault;
+    }
+    if (Sim.pick(100) >= To.StoreFaultPercent)
+      return Fault::None;
+    return Sim.pick(2) == 0 ? Fault::NotSent : Fault::AnswerLost;
+  }
+  awaitable<bool> reach() {
+    ++Data.Calls;
+    co_await Sim.sleep(To.Delay, &To.Frozen);
+    Data.expire();
+    co_return !Data.Down && !To.StoreCut &&
+        Sim.pick(100) >= To.StoreFaultPercent;
+  }
+  Simulation &Sim;
+  StoreData &Data;
+  Link &To;
+};
+
+} // namespace fakes
+
+#endif
--- /dev/null
+++ b/tests/support/ControlWorkers.h
@@ -0,0 +1,335 @@
+/// \file
+/// Workers of the tests of control, which judge what they are told.
+#ifndef ENDIVEDOOR_TESTS_SUPPORT_CONTROLWORKERS_H
+#define ENDIVEDOOR_TESTS_SUPPORT_CONTROLWORKERS_H
+
+#include "support/ControlStore.h"
+
+namespace fakes {
+
+/// One run of a task on a worker, kept for the verdict of a test.
+struct TaskRun {
+  base::TaskId Task;
+  base::Attempt Number{0};
+  base::WorkerId Worker;
+  std::string Resume;
+  base::Resources Size;
+  bool Service = false;
+  base::TimePoint Begin;
+  std::optional<base::TimePoint> End;
+  platform::AttemptState State = platform::AttemptState::Running;
+  std::string Checkpoint;
+  base::TimePoint LeaseEnd;
+  bool Acknowledged = false;
+  /// The worker has restarted since.
+  bool Forgotten = false;
+};
+
+/// A worker host. Follows docs/design.md, sections 4 and 5.
+struct FakeWorker {
+  model::Worker Worker;
+  std::string Holder;
+  base::Epoch HolderEpoch{0};
+  std::uint64_t Token = 0;
+  std::uint64_t Sequence = 0;
+  base::TimePoint LeaseEnd;
+  int Boot = 1;
+  bool Dead = false;
+  bool FailsAll = false;
+  base::Duration RunTime = 2s;
+  /// Indices of the running tasks in the fleet's log.
+  std::vector<std::size_t> Running;
+};
+
+/// All workers, and the log of what ran.
+class Fleet {
+public:
+  Fleet(Simulation &sim, const StoreData &data) : Sim(sim), Data(data) {}
+  std::map<std::string, FakeWorker> Workers;
+  std::vector<TaskRun> Log;
+  std::vector<std::string> Violations;
+
+  FakeWorker &add(const std::string &name, const std::string &zone,
+                  std::int32_t slots = 4) {
+    FakeWorker &it = Workers[name];
+    it.Worker.Id = base::WorkerId(name);
+    it.Worker.Zone = base::ZoneId(zone);
+    it.Worker.Rack = base::RackId("r1");
+    it.Worker.Endpoint = {name, 1};
+    it.Worker.Capacity = {slots, 64, base::MilliCores{32000},
+                          base::MebiBytes{125000}, 0};
+    return it;
+  }
+  std::vector<model::Worker> list() const {
+    std::vector<model::Worker> out;
+    for (const auto &[name, it] : Workers) {
+      out.push_back(it.Worker);
+      out.back().Capacity = {};
+    }
+    return out;
+  }
+  /// Ends tasks whose time or lease is over.
+  void settle() {
+    base::TimePoint now = Sim.Clock.now();
+    for (auto &[name, worker] : Workers)
+      for (std::size_t n : std::vector<std::size_t>(worker.Running)) {
+        TaskRun &run = Log[n];
+        if (run.LeaseEnd <= now &&
+            (run.Service || run.Begin + worker.RunTime > run.LeaseEnd))
+          end(worker, n, platform::AttemptState::Stopped, run.LeaseEnd);
+        else if (!run.Service && run.Begin + worker.RunTime <= now)
+          end(worker, n,
+              worker.FailsAll ? platform::AttemptState::Failed
+                              : platform::AttemptState::Finished,
+              run.Begin + worker.RunTime);
+      }
+  }
+  void end(FakeWorker &worker, std::size_t n, platform::AttemptState state,
+           base::TimePoint at) {
+    Log[n].State = state;
+    Log[n].End = at;
+    std::erase(worker.Running, n);
+  }
+  void reboot(FakeWorker &worker) {
+    settle();
+    for (std::size_t n : std::vector<std::size_t>(worker.Running))
+      end(worker, n, platform::AttemptState::Stopped, Sim.Clock.now());
+    for (TaskRun &it : Log)
+      it.Forgotten = it.Forgotten || it.Worker == worker.Worker.Id;
+    worker.LeaseEnd = {};
+    ++worker.Boot;
+  }
+  void judge(const FakeWorker &worker, const TaskRun &run) {
+    auto out = Data.OutSince.find(worker.Worker.Zone.str());
+    if (out != Data.OutSince.end() && Sim.Clock.now() - out->second > 3s)
+      Violations.push_back("started in a zone that is out: " + run.Task.str());
+    std::string intent = "\"task\":{\"id\":\"" + run.Task.str() + "\"";
+    std::string number =
+        "\"attempt\":" + std::to_string(base::toNumber(run.Number)) + ",";
+    bool durable = false;
+    for (const auto &[key, entry] : Data.Entries) {
+      std::size_t at = entry.Value.find(intent);
+      for (; at != std::string::npos; at = entry.Value.find(intent, at + 1))
+        durable = durable || entry.Value.find(number, at) < at + 200;
+    }
+    if (!durable)
+      Violations.push_back("started without a durable intent: " +
+                           run.Task.str());
+    base::Resources used = run.Size;
+    for (std::size_t n : worker.Running)
+      used += Log[n].Size;
+    if (!used.fitsIn(worker.Worker.Capacity))
+      Violations.push_back("over capacity: " + worker.Worker.Id.str());
+    std::string resume;
+    for (const TaskRun &it : Log) {
+      if (it.Task != run.Task)
+        continue;
+      if (!it.End)
+        Violations.push_back("live twice: " + run.Task.str());
+      // An acknowledged checkpoint is recorded, so no later run may start
+      // from an older one.
+      if (it.Acknowledged && !it.Checkpoint.empty())
+        resume = it.Checkpoint;
+      else if (!it.Checkpoint.empty() && it.Checkpoint == run.Resume)
+        resume = run.Resume;
+    }
+    if (run.Resume != resume)
+      Violations.push_back("wrong checkpoint: " + run.Task.str());
+  }
+  /// Runs of a task that finished.
+  int finished(const std::string &task) const {
+    return static_cast<int>(
+        std::count_if(Log.begin(), Log.end(), [&](const TaskRun &it) {
+          return it.Task.str() == task &&
+                 it.State == platform::AttemptState::Finished;
+        }));
+  }
+
+private:
+  Simulation &Sim;
+  const StoreData &Data;
+};
+
+class FakeWorkerClient final : public platform::WorkerClient {
+public:
+  FakeWorkerClient(Simulation &sim, Fleet &fleet, Link &link)
+      : Sim(sim), All(fleet), To(link) {}
+
+  platform::Async<platform::PlacementLease>
+  claim(model::Address worker, std::string holder, base::Epoch epoch,
+        std::chrono::milliseconds ttl) override {
+    return call<platform::PlacementLease>(worker, [=, this](FakeWorker &it) {
+      bool live = it.LeaseEnd > Sim.Clock.now();
+      if (live && epoch <= it.HolderEpoch)
+        return base::Result<platform::PlacementLease>(
+            base::Error{Errc::LeaseHeld, "held"});
+      it.Holder = holder;
+      it.HolderEpoch = epoch;
+      ++it.Token;
+      it.LeaseEnd = Sim.Clock.now() + ttl;
+      return base::Result<platform::PlacementLease>(platform::PlacementLease{
+          base::FencingToken{it.Token}, it.Sequence, std::to_string(it.Boot),
+          it.Worker.Capacity});
+    });
+  }
+  platform::Async<platform::RenewReply>
+  renew(model::Address worker, platform::RenewRequest request) override {
+    return call<platform::RenewReply>(worker, [=, this](FakeWorker &it) {
+      if (auto error = fence(it, request.Token))
+        return base::Result<platform::RenewReply>(*error);
+      it.LeaseEnd = Sim.Clock.now() + request.Ttl;
+      ++it.Sequence;
+      for (std::size_t n : it.Running)
+        All.Log[n].LeaseEnd = Sim.Clock.now() + request.TaskTtl;
+      platform::RenewReply reply;
+      reply.Sequence = it.Sequence;
+      reply.Boot = std::to_string(it.Boot);
+      reply.Leaving = it.Worker.Leaving;
+      for (TaskRun &run : All.Log) {
+        if (run.Worker != it.Worker.Id || run.Acknowledged || run.Forgotten)
+          continue;
+        for (const auto &ack : request.Acknowledged)
+          run.Acknowledged =
+              run.Acknowledged ||
+              (run.End && ack.Task == run.Task && ack.Number == run.Number);
+        if (!run.Acknowledged)
+          reply.Tasks.push_back(
+              {run.Task, run.Number, run.State, run.Checkpoint, 0});
+      }
+      return base::Result<platform::RenewReply>(reply);
+    });
+  }
+  platform::Async<void> start(model::Address worker,
+                              platform::StartRequest request) override {
+    return call<void>(
+        worker,
+        [=, this](FakeWorker &it) -> base::Result<void> {
+          ++To.StartsArrived;
+          if (auto error = fence(it, request.Token))
+            return *error;
+          if (request.Sequence + 2 < it.Sequence)
+            return base::Error{Errc::StartRefused, "old-sequence"};
+          if (it.Worker.Leaving)
+            return base::Error{Errc::StartRefused, "leaving"};
+          for (const TaskRun &run : All.Log)
+            if (run.Task == request.Task && run.Number == request.Number)
+              return base::Error{Errc::StartRefused, "duplicate"};
+          TaskRun run{request.Task,
+                      request.Number,
+                      it.Worker.Id,
+                      request.Resume,
+                      request.Size,
+                      request.Kind == model::TaskKind::Service,
+                      Sim.Clock.now(),
+                      {},
+                      {},
+                      {},
+                      Sim.Clock.now() + 30s};
+          All.judge(it, run);
+          it.Running.push_back(All.Log.size());
+          All.Log.push_back(run);
+          return base::success();
+        },
+        true);
+  }
+  platform::Async<std::string> evict(model::Address worker,
+                                     platform::AttemptRef attempt,
+                                     base::FencingToken token) override {
+    return call<std::string>(
+        worker, [=, this](FakeWorker &it) -> base::Result<std::string> {
+          if (auto error = fence(it, token))
+            return *error;
+          for (std::size_t n : it.Running)
+            if (All.Log[n].Task == attempt.Task &&
+                All.Log[n].Number == attempt.Number) {
+              std::string mark = attempt.Task.str() + "@" +
+                                 std::to_string(base::toNumber(attempt.Number));
+              All.Log[n].Checkpoint = mark;
+              All.end(it, n, platform::AttemptState::Evicted, Sim.Clock.now());
+              return mark;
+            }
+          return base::Error{Errc::StartRefused, "unknown"};
+        });
+  }
+  platform::Async<void> throttle(model::Address worker, platform::AttemptRef,
+                                 base::FencingToken token,
+                                 std::int32_t) override {
+    return call<void>(worker, [=, this](FakeWorker &it) -> base::Result<void> {
+      if (auto error = fence(it, token))
+        return *error;
+      return base::success();
+    });
+  }
+  platform::Async<void> stop(model::Address worker,
+                             platform::AttemptRef attempt,
+                             base::FencingToken token) override {
+    return call<void>(worker, [=, this](FakeWorker &it) -> base::Result<void> {
+      if (auto error = fence(it, token))
+        return *error;
+      for (std::size_t n : std::vector<std::size_t>(it.Running))
+        if (All.Log[n].Task == attempt.Task &&
+            All.Log[n].Number == attempt.Number)
+          All.end(it, n, platform::AttemptState::Stopped, Sim.Clock.now());
+      return base::success();
+    });
+  }
+  platform::Async<platform::WorkerStatus> status(model::Address) override {
+    co_return base::Error{Errc::WorkerUnreachable, "not faked"};
+  }
+
+private:
+  std::optional<base::Error> fence(const FakeWorker &it,
+                                   base::FencingToken token) const {
+    if (base::toNumber(token) != it.Token)
+      return base::Error{Errc::LeaseStale, "stale-token"};
+    if (it.LeaseEnd <= Sim.Clock.now())
+      return base::Error{Errc::LeaseStale, "lapsed"};
+    return std::nullopt;
+  }
+  template <typename T, typename Action>
+  platform::Async<T> call(model::Address address, Action action,
+                          bool isStart = false) {
+    bool faulty = Sim.pick(100) < To.WorkerFaultPercent;
+    Fault fault = !faulty            ? Fault::None
+                  : Sim.pick(2) == 0 ? Fault::NotSent
+                                     : Fault::AnswerLost;
+    // A faulty call may reach the worker late.
+    base::Duration delay = faulty ? 1ms * Sim.pick(3000) : To.Delay / 2;
+    if (isStart)
+      delay += To.StartDelay;
+    co_await Sim.sleep(delay, nullptr);
+    FakeWorker &worker = All.Workers.at(address.Ip);
+    All.settle();
+    if (worker.Dead || To.WorkersCut || fault == Fault::NotSent) {
+      co_await Sim.sleep(100ms, &To.Frozen);
+      co_return base::Error{Errc::WorkerUnreachable, "fake"};
+    }
+    base::Result<T> result = action(worker);
+    co_await Sim.sleep(fault == Fault::None ? To.Delay / 2 : 100ms, &To.Frozen);
+    if (fault == Fault::AnswerLost)
+      co_return base::Error{Errc::WorkerAnswerLost, "fake"};
+    co_return result;
+  }
+  Simulation &Sim;
+  Fleet &All;
+  Link &To;
+};
+
+class FakeHosts final : public platform::HostList {
+public:
+  FakeHosts(Simulation &sim, Fleet &fleet, Link &link)
+      : Sim(sim), All(fleet), To(link) {}
+  platform::Async<std::vector<model::Worker>> fetch() override {
+    co_await Sim.sleep(To.Delay, &To.Frozen);
+    co_return All.list();
+  }
+
+private:
+  Simulation &Sim;
+  Fleet &All;
+  Link &To;
+};
+
+} // namespace fakes
+
+#endif
