--- a/packages/base/tools/Catalogue.h
+++ b/packages/base/tools/Catalogue.h
@@ -29,7 +29,7 @@
 
 /// Returns the text of docs/events.md.
 inline std::string eventsPage() {
-  constexpr std::string_view Names[] = {"info", "warning", "error", "fatal"};
+  constexpr std::string_view names[] = {"info", "warning", "error", "fatal"};
   std::string page =
       "# Events\n\n"
       "Every log event has a number. A line of the log is a list of key=value "
@@ -41,7 +41,7 @@
     page += "\n## " + std::to_string(static_cast<int>(it.Code)) + " " +
             std::string(it.Name) + "\n\n";
     page += "- Severity: " +
-            std::string(Names[static_cast<std::size_t>(it.Level)]) + "\n";
+            std::string(names[static_cast<std::size_t>(it.Level)]) + "\n";
     page += "- Meaning: " + std::string(it.Text) + ".\n";
     page += "- What to do: " + std::string(it.Action) + ".\n";
   }
--- a/tests/harness/Http.cpp
+++ b/tests/harness/Http.cpp
@@ -22,11 +22,11 @@
 base::Result<platform::HttpResponse> call(const model::Address &to,
                                           platform::HttpRequest request,
                                           std::chrono::milliseconds timeout) {
-  static const base::SystemClock Clock;
+  static const base::SystemClock clock;
   asio::io_context io(1);
   base::Result<platform::HttpResponse> result =
       base::fail(base::Errc::Cancelled, "not run");
-  platform::HttpClient client(io.get_executor(), Clock,
+  platform::HttpClient client(io.get_executor(), clock,
                               platform::HttpLimits{16384, 64u << 20});
   asio::co_spawn(io, sendOnce(client, to, std::move(request), timeout, result),
                  asio::detached);
