--- /dev/null
+++ b/tests/fault/fault-stop.cpp
@@ -0,0 +1,63 @@
+// P9: a planned stop interrupts no request.
+#include "FaultFixture.h"
+
+using namespace endivedoor::fault;
+
+namespace {
+class Stop : public FaultTest {};
+} // namespace
+
+// The balancer is played as the page describes it: it sends new requests only
+// to entry hosts that report ready, and follows that report within the drain
+// delay.
+TEST_F(Stop, OfEachEntryHostUnderLoadCutsNoAnswer) {
+  ASSERT_NO_FATAL_FAILURE(open(30000, 2, 300));
+  std::atomic<bool> done = false;
+  std::atomic<int> sent = 0, cut = 0, refused = 0;
+  std::mutex mutex;
+  std::vector<std::string> faults;
+  auto isReady = [](const DaemonPlace &it) {
+    auto answer = call(it.Operators, {"GET", "/readyz", {}, ""}, 1s);
+    return answer && answer.value().Status == 200;
+  };
+  std::vector<std::thread> callers;
+  for (DaemonPlace &it : Site->daemons())
+    for (int n = 0; n < 6; ++n)
+      callers.emplace_back([&, place = &it] {
+        while (!done) {
+          if (!isReady(*place)) {
+            sleep(20ms);
+            continue;
+          }
+          // At most 400 ms pass between a health check and the last request
+          // after it, less than the drain delay of 500 ms.
+          auto last = std::chrono::steady_clock::now() + 400ms;
+          while (!done && std::chrono::steady_clock::now() < last) {
+            auto answer =
+                call(place->Callers, {"POST", "/s/orders/x", {}, "{}"}, 5s);
+            ++sent;
+            if (!answer || answer.value().Status != 200) {
+              ++(answer ? refused : cut);
+              std::lock_guard lock(mutex);
+              faults.push_back(place->Name + ": " +
+                               (answer ? std::to_string(answer.value().Status)
+                                       : answer.error().message()));
+            }
+          }
+        }
+      });
+  for (DaemonPlace &it : Site->daemons()) {
+    it.Child->signal(SIGTERM);
+    EXPECT_EQ(it.Child->wait(10s), std::optional<int>(0)) << it.Name;
+    Site->startDaemon(it);
+    EXPECT_TRUE(waitFor(8s, [&] { return isReady(it); })) << it.Name;
+  }
+  done = true;
+  for (std::thread &it : callers)
+    it.join();
+  std::cout << "requests " << sent << ", without answer " << cut
+            << ", answered but not 200 " << refused << "\n";
+  EXPECT_GT(sent, 500);
+  expectNone("P9", faults);
+  judge();
+}
