--- a/tests/fault/fault-bookings.cpp
+++ b/tests/fault/fault-bookings.cpp
@@ -63,13 +63,13 @@
 } // namespace
 
 TEST_F(Bookings, RacedThroughAllEntryHostsRunOnce) {
-  ASSERT_NO_FATAL_FAILURE(open(28000));
+  ASSERT_NO_FATAL_FAILURE(open(16000));
   race(60, "race");
   judgeRaces(60);
 }
 
 TEST_F(Bookings, RacedWhileStoreAnswersAreLostRunOnce) {
-  ASSERT_NO_FATAL_FAILURE(open(28000));
+  ASSERT_NO_FATAL_FAILURE(open(16000));
   for (int i = 0; i < 20; ++i) {
     Site->storeAdmin("/admin/drop",
                      R"({"answers":2,"prefix":"/endivedoor/bookings/"})");
@@ -80,7 +80,7 @@
 
 // A claim whose owner is dead must not be run by another entry host.
 TEST_F(Bookings, RacedWhileClaimOwnersDieRunOnce) {
-  ASSERT_NO_FATAL_FAILURE(open(28000));
+  ASSERT_NO_FATAL_FAILURE(open(16000));
   std::atomic<bool> done = false;
   std::thread killer([&] {
     for (std::size_t i = 0; !done; ++i) {
--- a/tests/fault/fault-config.cpp
+++ b/tests/fault/fault-config.cpp
@@ -11,7 +11,7 @@
   static constexpr Micros InForceBound = 4'000'000;
 
   void SetUp() override {
-    ASSERT_NO_FATAL_FAILURE(open(31000));
+    ASSERT_NO_FATAL_FAILURE(open(19000));
     for (DaemonPlace &it : Site->daemons())
       Pollers.emplace_back([this, place = &it] {
         while (!Done) {
--- a/tests/fault/fault-leaving.cpp
+++ b/tests/fault/fault-leaving.cpp
@@ -8,7 +8,7 @@
 
 class Leaving : public FaultTest {
 protected:
-  static constexpr std::uint16_t Port = 23000;
+  static constexpr std::uint16_t Port = 13000;
   static constexpr Micros UrgentBound = 2'400'000;
 
   void admin(int worker, const std::string &path, const std::string &body) {
--- a/tests/fault/fault-owner.cpp
+++ b/tests/fault/fault-owner.cpp
@@ -23,7 +23,7 @@
 
 // A task whose start was in flight when the owner died must not start twice.
 TEST_F(Owner, KilledAtSeededMomentsLosesAndRepeatsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(27000));
+  ASSERT_NO_FATAL_FAILURE(open(15000));
   startLoad(14s, {"--rate=80", "--jobs=0.3", Jobs});
   for (int i = 0; i < 4; ++i) {
     sleep(moment(500, 3000));
@@ -39,7 +39,7 @@
 
 // The frozen owner wakes in the middle of a commit or of a start.
 TEST_F(Owner, FrozenAtSeededMomentsLosesAndRepeatsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(27000));
+  ASSERT_NO_FATAL_FAILURE(open(15000));
   startLoad(14s, {"--rate=80", "--jobs=0.3", Jobs});
   for (int i = 0; i < 3; ++i) {
     sleep(moment(200, 1000));
@@ -55,7 +55,7 @@
 }
 
 TEST_F(Owner, EveryEntryHostReplacedLosesAndRepeatsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(27000));
+  ASSERT_NO_FATAL_FAILURE(open(15000));
   startLoad(8s, {"--rate=80", "--jobs=0.3", Jobs});
   for (DaemonPlace &it : Site->daemons()) {
     sleep(1s);
--- a/tests/fault/fault-pairs.cpp
+++ b/tests/fault/fault-pairs.cpp
@@ -67,7 +67,7 @@
 } // namespace
 
 TEST_F(Pairs, AtSeededMomentsKeepAllPromises) {
-  ASSERT_NO_FATAL_FAILURE(open(25000));
+  ASSERT_NO_FATAL_FAILURE(open(12000));
   startLoad(30s, {"--rate=80", "--jobs=0.2", "--cancels=0"});
   auto end = std::chrono::steady_clock::now() + 26s;
   while (std::chrono::steady_clock::now() < end) {
--- a/tests/fault/fault-stop.cpp
+++ b/tests/fault/fault-stop.cpp
@@ -11,7 +11,7 @@
 // to entry hosts that report ready, and follows that report within the drain
 // delay.
 TEST_F(Stop, OfEachEntryHostUnderLoadCutsNoAnswer) {
-  ASSERT_NO_FATAL_FAILURE(open(30000, 2, 300));
+  ASSERT_NO_FATAL_FAILURE(open(18000, 2, 300));
   std::atomic<bool> done = false;
   std::atomic<int> sent = 0, cut = 0, refused = 0;
   std::mutex mutex;
--- a/tests/fault/fault-store.cpp
+++ b/tests/fault/fault-store.cpp
@@ -95,12 +95,12 @@
 } // namespace
 
 TEST_F(Store, DownAndBackIsNotHitByAStorm) {
-  ASSERT_NO_FATAL_FAILURE(open(29000));
+  ASSERT_NO_FATAL_FAILURE(open(17000));
   outage("close");
 }
 
 TEST_F(Store, SlowOrLosingAnswersLosesAndRepeatsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(29000));
+  ASSERT_NO_FATAL_FAILURE(open(17000));
   startLoad(14s);
   // 500 ms is the time after which a call counts as unanswered.
   for (int ms : {100, 450, 0}) {
--- a/tests/fault/fault-zone-out.cpp
+++ b/tests/fault/fault-zone-out.cpp
@@ -47,21 +47,21 @@
 } // namespace
 
 TEST_F(ZoneOut, CutFromThePlatformStartsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(26000));
+  ASSERT_NO_FATAL_FAILURE(open(14000));
   takeOut([&] { Site->cutPlatform("north", true); },
           [&] { Site->cutPlatform("north", false); });
 }
 
 // The answers are lost, while every write takes effect.
 TEST_F(ZoneOut, CutOneWayFromThePlatformStartsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(26000));
+  ASSERT_NO_FATAL_FAILURE(open(14000));
   takeOut([&] { Site->cutPlatform("north", true, "backward"); },
           [&] { Site->cutPlatform("north", false); });
 }
 
 // The old owner wakes with starts that it had planned before the zone-out.
 TEST_F(ZoneOut, OwnerFrozenLongerThanItsLeasesStartsNothing) {
-  ASSERT_NO_FATAL_FAILURE(open(26000));
+  ASSERT_NO_FATAL_FAILURE(open(14000));
   DaemonPlace *owner = Site->owner("north");
   ASSERT_NE(owner, nullptr);
   takeOut([&] { owner->Child->signal(SIGSTOP); },
