--- a/packages/policy/src/detail/Guard.cpp
+++ b/packages/policy/src/detail/Guard.cpp
@@ -12,6 +12,9 @@
 static constexpr double Smoothing = 0.5;
 /// Neighbours that add less than this share of the target are left alone.
 static constexpr double NoticeableShare = 0.02;
+/// So are those that add less than this share of what the worst one adds: a
+/// class that is often beside a noisy one is given part of the blame.
+static constexpr double CulpritShare = 0.2;
 /// Work since the last checkpoint is not known, so the run time up to this
 /// bound counts as lost.
 static constexpr double LostSecondsAtMost = 600;
@@ -70,9 +73,9 @@
       acted = evictOne(worker, service, targetMs, now, out);
   } else if (it.Calm && it.Throttled &&
              now - it.CalmSince >= Settings.LiftAfter) {
-    lift(worker, now, out);
+    double room = targetMs * Settings.HighRatio * 0.95 - p95Ms;
+    acted = lift(worker, service, room, now, out);
     it.CalmSince = now;
-    acted = true;
   }
   if (acted)
     it.ActedAt = now;
@@ -88,10 +91,12 @@
 
 const std::vector<Index> &Guard::culprits(Index worker, Index service,
                                           double targetMs) {
-  neighbours(worker);
+  double largest = 0;
+  for (Index task : neighbours(worker))
+    largest = std::max(largest, Model.weight(service, S.jobOf(task).Class));
+  double least = std::max(NoticeableShare * targetMs, CulpritShare * largest);
   std::erase_if(Neighbours, [&](Index task) {
-    return Model.weight(service, S.jobOf(task).Class) <
-           NoticeableShare * targetMs;
+    return Model.weight(service, S.jobOf(task).Class) < least;
   });
   return Neighbours;
 }
@@ -132,15 +137,25 @@
   return acted;
 }
 
-void Guard::lift(Index worker, base::TimePoint now,
-                 std::vector<Decision> &out) {
+bool Guard::lift(Index worker, Index service, double roomMs,
+                 base::TimePoint now, std::vector<Decision> &out) {
+  double added = 0;
+  for (Index task : neighbours(worker))
+    added += Model.weight(service, S.jobOf(task).Class) *
+             std::min(LiftPercent, S.Tasks[task].Throttle) / 100.0;
+  // As much as the model says the service can bear, so that the next
+  // measurement does not call for the throttle again.
+  double share = std::clamp(roomMs / std::max(added, 1e-3), 0.0, 1.0);
+  std::int32_t step =
+      std::int32_t(LiftPercent * share) / StepPercent * StepPercent;
   bool left = false;
-  for (Index task : neighbours(worker)) {
-    std::int32_t percent = std::max(0, S.Tasks[task].Throttle - LiftPercent);
+  for (Index task : Neighbours) {
+    std::int32_t percent = std::max(0, S.Tasks[task].Throttle - step);
     setThrottle(task, percent, now, out);
     left |= percent > 0;
   }
   record(worker).Throttled = left;
+  return step > 0;
 }
 
 double Guard::victimValue(Index task, Index service,
--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -12,8 +12,7 @@
 Placement::Placement(const PlacementInputs &in, const PolicySettings &settings,
                      std::uint64_t seed)
     : In(in), CandidateLimit(settings.Candidates),
-      Measured(settings.MeasuredSizes), Reclaim(settings.ReclaimMemory),
-      Gather(settings.GatherServices),
+      Measured(settings.MeasuredSizes), Gather(settings.GatherServices),
       HoldRatio(settings.HoldRatio), Filters{&Placement::hasRoom,
                                              &Placement::hasProcessorTime,
                                              &Placement::keepsReserve,
@@ -21,8 +20,8 @@
                                              &Placement::keepsSeparation},
       Costs{&Placement::loadCost, &Placement::spreadCost,
             &Placement::historyCost},
-      Random(seed) {
-  if (settings.Interference)
+      Random(seed), Expected(In.S, In.Past, In.Model) {
+  if (settings.InterferenceCost)
     Costs.push_back(&Placement::interferenceCost);
   if (settings.HoldBack)
     Filters.push_back(&Placement::keepsTargets);
@@ -69,9 +68,10 @@
   if (Measured && known.MilliCores >= 0)
     it.CpuLoad = std::int64_t(known.MilliCores);
   if (Measured && known.MemoryMb >= 0) {
-    auto memory = std::int64_t(known.MemoryMb);
-    if (!Reclaim)
-      memory = std::max(memory, base::count(it.Declared.Memory));
+    // Never less than declared: a worker that checks the declared size would
+    // refuse the start.
+    std::int64_t memory =
+        std::max(std::int64_t(known.MemoryMb), base::count(it.Declared.Memory));
     it.Need.Memory = base::MebiBytes{memory};
   }
   if (!before.fitsIn(it.Need))
@@ -158,12 +158,13 @@
 bool Placement::keepsTargets(Index worker, const Shape &it) const {
   if (it.Kind != model::TaskKind::Batch || it.Pressing)
     return true;
-  for (const ServiceCount &there : In.S.Workers[worker].Services) {
-    Limit target = In.Rules.latency(there.Service);
-    double added = In.Model.weight(there.Service, it.Class);
+  const std::vector<ServiceCount> &services = In.S.Workers[worker].Services;
+  for (std::size_t n = 0; n < services.size(); ++n) {
+    Limit target = In.Rules.latency(services[n].Service);
+    double added = In.Model.weight(services[n].Service, it.Class);
     if (!target.set() || added < 0.02 * double(target.Value))
       continue;
-    double p95 = In.Model.predict(there.Service, In.Past.current(worker));
+    double p95 = Expected.of(worker, Now)[n];
     if (p95 + added > HoldRatio * double(target.Value))
       return false;
   }
@@ -203,22 +204,22 @@
   double ratio = p95 / target;
   // Above 1.5 little is left to lose: noisy tasks then gather where they
   // already are.
-  return ratio + 5 * std::clamp(ratio - 0.7, 0.0, 0.8);
+  return 0.2 * ratio + 5 * std::clamp(ratio - 0.6, 0.0, 0.9);
 }
 
 double Placement::interferenceCost(const Candidate &it) const {
-  const Composition &mix = In.Past.current(it.Worker);
   double sum = 0;
-  for (const ServiceCount &there : it.Host.Services) {
+  for (std::size_t n = 0; n < it.Host.Services.size(); ++n) {
+    const ServiceCount &there = it.Host.Services[n];
     double added = In.Model.weight(there.Service, it.Of.Class);
     if (added <= 0)
       continue;
-    double p95 = In.Model.predict(there.Service, mix);
+    double p95 = Expected.of(it.Worker, Now)[n];
     double target = targetOf(there.Service);
     sum += there.Count * (strain(p95 + added, target) - strain(p95, target));
   }
   if (it.Of.Service != None) {
-    double p95 = In.Model.predict(it.Of.Service, mix);
+    double p95 = In.Model.predict(it.Of.Service, In.Past.current(it.Worker));
     sum += strain(p95, targetOf(it.Of.Service));
   }
   return 4 * sum;
@@ -323,6 +324,7 @@
 Index Placement::choose(const JobRec &job, base::TimePoint now) {
   Shape &it = Shapes[job.Shape];
   refresh(it);
+  Now = now;
   it.Pressing = job.Urgent || job.LatestStart < now.time_since_epoch().count();
   if (Index probe = chooseProbe(job, it, now); probe != None)
     return probe;
--- a/tests/unit/unit-server-operators.cpp
+++ b/tests/unit/unit-server-operators.cpp
@@ -63,7 +63,11 @@
   EXPECT_EQ(get("/v1/workers").at("workers").as_array().size(), 1u);
   EXPECT_EQ(get("/v1/rules").at("version"), 0);
   EXPECT_EQ(get("/v1/members").at("members").at(0).at("name"), "e1");
-  EXPECT_EQ(get("/v1/jobs").at("jobs").at(0).at("job"), "j-1");
+  json::value job = get("/v1/jobs").at("jobs").at(0);
+  EXPECT_EQ(job.at("job"), "j-1");
+  EXPECT_EQ(job.at("state"), "queued");
+  EXPECT_EQ(job.at("tasks"), 1);
+  EXPECT_EQ(job.at("attempts").at(0).at("state"), "queued");
   EXPECT_EQ(get("/v1/report/karoo").at("rows").at(0), "karoo");
   Host.Events.emit(base::EventCode::DaemonStarted, {{"k", "v"}});
   json::value events = get("/v1/events");
