policy: keep a service's tasks off a single worker

Cause: services gather on workers, and the cost of a second task of the same service there was smaller than the gain of gathering, so all four tasks of a service could land on one worker and end with it. Change: a cost when every task of a service already placed runs on the candidate. Conclusion: stays; the new test of unit-policy-rules fails without it (1 worker, wanted 2).

--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -185,6 +185,9 @@
   return true;
 }
 
+/// More than the gain of gathering, less than what a rule costs.
+constexpr double SingleWorkerCost = 10;
+
 double Placement::loadCost(const Candidate &it) const {
   double capacity =
       double(std::max<std::int64_t>(1, base::count(it.Host.Capacity.Cpu)));
@@ -247,6 +250,9 @@
   // other workers are left to noisy tasks.
   if (Gather)
     sum += share < 0.5 ? -2 * share : 2 * share;
+  // A service with all of its tasks on one worker ends with that worker.
+  if (same > 0 && same == In.Where.total(it.Of.Service))
+    sum += SingleWorkerCost;
   Limit zones = In.Rules.atLeastZones(it.Of.Service);
   if (zones.set() && In.Where.inZone(it.Of.Service, it.Host.Zone) > 0 &&
       In.Where.zones(it.Of.Service) < zones.Value)
--- a/tests/unit/unit-policy-rules.cpp
+++ b/tests/unit/unit-policy-rules.cpp
@@ -52,6 +52,18 @@
   EXPECT_NE(status().WorstCase.find("2 of 3 zones"), std::string::npos);
 }
 
+// Guards against a service that ends with a single worker because its tasks
+// gathered there; no rule asks for more.
+TEST_F(PolicyRules, ServiceWithoutRulesUsesTwoWorkers) {
+  for (int n = 0; n < 6; ++n)
+    Chooser->upsertWorker(worker("w" + std::to_string(n), "z", "r1"));
+  addServices(2);
+  std::set<std::string> workers;
+  for (const auto &[id, host] : starts())
+    workers.insert(host);
+  EXPECT_EQ(workers.size(), 2u);
+}
+
 TEST_F(PolicyRules, SeparatedClassAndServiceNeverMeet) {
   Chooser->upsertWorker(worker("w1", "z", "r"));
   Chooser->upsertWorker(worker("w2", "z", "r"));
