Do not count a start that was not taken against the worker

Change: control tells the scheduler that such a task left the worker without a verdict and queues it again; a decision that control rejects is treated alike. A probe that ends without a verdict is repeated after its interval instead of after 5 min. Ruled out: ending the quarantine at a new boot id, which would release a worker that fails every start and restarts.

--- a/packages/control/src/detail/ShardOwner.cpp
+++ b/packages/control/src/detail/ShardOwner.cpp
@@ -282,7 +282,7 @@
                    {"reason", obstacle}});
   if (task != nullptr && !task->Holding &&
       task->Task.State == TaskState::Queued)
-    Scheduler->startFailed(decision.Task, decision.Worker);
+    Life.chooseAgain(*task);
 }
 
 void ShardOwner::follow(const policy::ThrottleTask &decision) {
--- a/packages/control/src/detail/TaskLife.cpp
+++ b/packages/control/src/detail/TaskLife.cpp
@@ -155,7 +155,15 @@
     return;
   }
   task.Task.State = TaskState::Queued;
-  Scheduler.startFailed(task.Task.Id, task.Task.Worker);
+  chooseAgain(task);
+}
+
+/// A start that did not reach the worker, or that the worker had no room or no
+/// right for, says nothing about the worker's health: as a failed start it
+/// would count towards quarantine, and a restarted worker got no work for 5 s.
+void TaskLife::chooseAgain(const TaskRecord &task) {
+  Scheduler.ended(task.Task.Id, EndReason::WorkerLost);
+  Scheduler.enqueue(task.Task.Id, spec(task));
 }
 
 void TaskLife::running(TaskRecord &task) {
--- a/packages/control/src/detail/TaskLife.h
+++ b/packages/control/src/detail/TaskLife.h
@@ -31,6 +31,8 @@
             base::FencingToken token);
   /// starting -> queued: the attempt certainly never ran.
   void startRefused(TaskRecord &task, const std::string &reason);
+  /// Lets the scheduler choose a worker again for a queued task.
+  void chooseAgain(const TaskRecord &task);
   /// starting -> running.
   void running(TaskRecord &task);
   /// running -> evicting.
--- a/packages/policy/src/detail/AdaptiveScheduler.cpp
+++ b/packages/policy/src/detail/AdaptiveScheduler.cpp
@@ -205,6 +205,8 @@
   }
   base::TimePoint startedAt = S.Tasks[n].StartedAt;
   unplace(n);
+  if (reason == EndReason::WorkerLost)
+    Fitness.probeLost(host, Clock.now());
   if (reason == EndReason::Failed &&
       Fitness.failed(host, S.Tasks[n].Job, Clock.now()))
     Places.narrowed(host);
--- a/packages/policy/src/detail/Health.cpp
+++ b/packages/policy/src/detail/Health.cpp
@@ -76,6 +76,11 @@
   return Due;
 }
 
+void Health::probeLost(Index worker, base::TimePoint now) {
+  if (isQuarantined(worker))
+    Workers[worker].NextProbe = now + Workers[worker].Interval;
+}
+
 void Health::probeStarted(Index worker, base::TimePoint now) {
   WorkerHealth &it = record(worker);
   // Without an answer the next probe waits for the longest interval.
--- a/packages/policy/src/detail/Health.h
+++ b/packages/policy/src/detail/Health.h
@@ -31,6 +31,9 @@
   const std::vector<Index> &dueProbes(base::TimePoint now);
   /// A task was started on a quarantined worker as a probe.
   void probeStarted(Index worker, base::TimePoint now);
+  /// A task left the worker without showing whether the worker is healthy; a
+  /// quarantined one is probed again after its interval.
+  void probeLost(Index worker, base::TimePoint now);
   /// Whether a failure of the job says nothing about a worker: its tasks
   /// failed on several workers and never finished on any.
   bool isSuspect(const JobRec &job) const;
