policy: evict for waiting work only where it then can run

Ruled out: a pause between evictions alone, which would slow the useless evictions without ending them. Conclusion: stays; the new test of unit-policy-rules fails without it.

--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -172,6 +172,19 @@
 }
 
 bool Placement::keepsSeparation(Index worker, const Shape &it) const {
+  return isSeparated(worker, it, None);
+}
+
+bool Placement::isOpenedBy(Index victim, Index worker,
+                           const JobRec &job) const {
+  const Shape &it = Shapes[job.Shape];
+  return keepsRackLimit(worker, it) && isSeparated(worker, it, victim) &&
+         !passes(worker, it);
+}
+
+/// Whether the separation rules allow the task on the worker, \p except left
+/// out of the tasks there.
+bool Placement::isSeparated(Index worker, const Shape &it, Index except) const {
   for (const Separation &rule : In.Rules.separations()) {
     if (it.Class == rule.Class)
       for (const ServiceCount &there : In.S.Workers[worker].Services)
@@ -179,7 +192,7 @@
           return false;
     if (it.Service == rule.Service)
       for (Index task : In.S.Workers[worker].Tasks)
-        if (In.S.jobOf(task).Class == rule.Class)
+        if (task != except && In.S.jobOf(task).Class == rule.Class)
           return false;
   }
   return true;
--- a/packages/policy/src/detail/Placement.h
+++ b/packages/policy/src/detail/Placement.h
@@ -83,6 +83,9 @@
   }
   bool isOpen(Index worker) const;
   bool passes(Index worker, const Shape &it) const;
+  /// Whether the rules let the job's next task run on the worker once \p victim
+  /// is gone, and the worker does not take it as it is.
+  bool isOpenedBy(Index victim, Index worker, const JobRec &job) const;
 
 private:
   struct Candidate {
@@ -100,6 +103,7 @@
   bool keepsReserve(Index worker, const Shape &it) const;
   bool keepsRackLimit(Index worker, const Shape &it) const;
   bool keepsSeparation(Index worker, const Shape &it) const;
+  bool isSeparated(Index worker, const Shape &it, Index except) const;
   bool keepsTargets(Index worker, const Shape &it) const;
 
   double loadCost(const Candidate &it) const;
--- a/packages/policy/src/detail/Starts.cpp
+++ b/packages/policy/src/detail/Starts.cpp
@@ -100,7 +100,8 @@
       const TaskRec &it = S.Tasks[task];
       const JobRec &other = S.Jobs[it.Job];
       if (other.Kind != model::TaskKind::Batch || other.Urgent || it.Evicting ||
-          !makesRoom(host, it, Places.need(job)))
+          !makesRoom(host, it, Places.need(job)) ||
+          !Places.isOpenedBy(task, n, job))
         continue;
       // The youngest task has the least work to lose.
       if (best == None || it.StartedAt > S.Tasks[best].StartedAt)
--- a/tests/unit/unit-policy-rules.cpp
+++ b/tests/unit/unit-policy-rules.cpp
@@ -52,6 +52,22 @@
   EXPECT_NE(status().WorstCase.find("2 of 3 zones"), std::string::npos);
 }
 
+// Guards against evictions that cannot help: in a session, a service task that
+// only the rack limit kept waiting had a batch task evicted every 100 ms.
+TEST_F(PolicyRules, RackLimitEvictsNoBatchTask) {
+  for (int n = 0; n < 2; ++n)
+    Chooser->upsertWorker(worker("w" + std::to_string(n), "z", "r1"));
+  rule(model::SpreadRacks{base::ServiceName("orders"), 2},
+       "spread racks service orders max 2");
+  addServices(3);
+  Chooser->enqueue(task("batch"), batch("batch"));
+  EXPECT_EQ(starts().size(), 3u);
+  for (int n = 0; n < 5; ++n) {
+    Clock.advance(std::chrono::milliseconds(600));
+    EXPECT_TRUE(only<EvictTask>(Chooser->decide(10)).empty());
+  }
+}
+
 // Guards against a service that ends with a single worker because its tasks
 // gathered there; no rule asks for more.
 TEST_F(PolicyRules, ServiceWithoutRulesUsesTwoWorkers) {
