Run the session for both users, with a cancelled job

Cause: the session showed one of the two installations and no cancellation. Ruled out: two programs, which would differ in names only.

--- a/scripts/session.sh
+++ b/scripts/session.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
-exec build/bin/endivedoor-session --folder=build/session
+exec build/bin/endivedoor-session --folder=build/session "$@"
--- a/tests/session/Session.cpp
+++ b/tests/session/Session.cpp
@@ -1,4 +1,4 @@
-// A session that a person can watch: Karoo's installation as real processes,
+// A session that a person can watch: a user's installation as real processes,
 // real traffic, a zone that leaves and returns, then the report. Ends by
 // itself. The summary holds only facts that are the same on every run, and is
 // compared with the golden file.
@@ -8,6 +8,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <signal.h>
@@ -26,21 +27,54 @@
 /// P4: no start later than this after the command reported the zone out.
 constexpr Micros StartBound = 3'000'000;
 
+/// What differs between the installations of the two users.
+struct Site {
+  std::string Name;
+  std::vector<ZoneShape> Zones;
+  int WorkersPerRack = 8;
+  std::uint16_t BasePort = 0;
+  std::string Service;
+  std::string BatchClass;
+  /// Customer whose report is shown.
+  std::string Contract;
+  std::string ZoneOut;
+};
+
+const std::vector<Site> Sites = {
+    {"karoo",
+     {{"germiston", 3, 17}, {"midrand", 3, 17}, {"vereeniging", 2, 16}},
+     8,
+     21400,
+     "orders",
+     "delivery-run",
+     "mabena",
+     "midrand"},
+    {"siam",
+     {{"bkk-a", 3, 22}, {"bkk-b", 3, 22}, {"bkk-c", 2, 21}},
+     11,
+     22400,
+     "loans",
+     "term-batch",
+     "siam-schools",
+     "bkk-b"},
+};
+
 class Session {
 public:
-  explicit Session(std::string folder)
-      : Folder(std::move(folder)), Karoo(shape(), Folder) {}
+  Session(const Site &site, std::string folder)
+      : Place(site), Folder(std::move(folder)), Daemons(shape(site), Folder) {}
 
   int run();
   const std::string &summary() const { return Summary; }
 
 private:
-  static ClusterShape shape() {
+  static ClusterShape shape(const Site &site) {
     ClusterShape shape;
-    shape.Zones = {
-        {"germiston", 3, 17}, {"midrand", 3, 17}, {"vereeniging", 2, 16}};
-    shape.BasePort = 21400;
-    shape.SettingsFolder = std::string(ENDIVEDOOR_SOURCE_DIR) + "/config/karoo";
+    shape.Zones = site.Zones;
+    shape.WorkersPerRack = site.WorkersPerRack;
+    shape.BasePort = site.BasePort;
+    shape.SettingsFolder =
+        std::string(ENDIVEDOOR_SOURCE_DIR) + "/config/" + site.Name;
     return shape;
   }
 
@@ -58,13 +92,17 @@
 
   /// Runs the operators' program; prints its output; returns its exit status.
   int operate(std::vector<std::string> arguments);
-  void submit(const std::string &zone, const std::string &job);
+  void submit(const std::string &zone, const json::object &job);
+  json::object serviceJob() const;
+  json::object batchJob(std::chrono::milliseconds runTime) const;
+  bool cancelLastJob();
   bool waitForServices();
   void trafficAndZoneChange();
   void judge();
 
+  const Site &Place;
   std::string Folder;
-  Cluster Karoo;
+  Cluster Daemons;
   std::string Summary;
   std::vector<std::string> Jobs;
   Micros OutReported = 0, InSent = 0;
@@ -77,7 +115,7 @@
     line += " " + it;
   say(line);
   arguments.insert(arguments.begin(), program("endivedoor"));
-  for (const DaemonPlace &it : Karoo.daemons())
+  for (const DaemonPlace &it : Daemons.daemons())
     arguments.push_back("--daemon=" + it.Operators.str());
   std::string file = Folder + "/operator.out";
   std::remove(file.c_str());
@@ -89,19 +127,66 @@
   return status.value_or(-1);
 }
 
-void Session::submit(const std::string &zone, const std::string &job) {
-  platform::HttpRequest request{"POST", "/v1/jobs", {}, job};
-  auto answer = call(Karoo.daemonsOf(zone).front()->Callers, request);
+void Session::submit(const std::string &zone, const json::object &job) {
+  platform::HttpRequest request{"POST", "/v1/jobs", {}, json::serialize(job)};
+  auto answer = call(Daemons.daemonsOf(zone).front()->Callers, request);
   if (answer && answer.value().Status == 201) {
     json::value body = json::parse(answer.value().Body);
     Jobs.emplace_back(body.at("job").as_string());
   }
 }
 
+json::object Session::serviceJob() const {
+  return {{"name", Place.Service},
+          {"team", "desk"},
+          {"contract", Place.Contract},
+          {"class", Place.Service},
+          {"kind", "service"},
+          {"service", Place.Service},
+          {"tasks", 4},
+          {"slots", 1},
+          {"connections", 16},
+          {"milliCores", 2000},
+          {"memoryMb", 4096},
+          {"payload", R"({"serviceMs":8})"}};
+}
+
+json::object Session::batchJob(std::chrono::milliseconds runTime) const {
+  json::object payload{{"runMs", runTime.count()}};
+  return {{"name", Place.BatchClass},
+          {"team", "planning"},
+          {"contract", Place.Contract},
+          {"class", Place.BatchClass},
+          {"kind", "batch"},
+          {"tasks", 20},
+          {"slots", 1},
+          {"milliCores", 2000},
+          {"memoryMb", 2048},
+          {"declaredRunTimeMs", 3000},
+          {"deadlineMs", 60000},
+          {"payload", json::serialize(payload)}};
+}
+
+bool Session::cancelLastJob() {
+  if (Jobs.empty())
+    return false;
+  const std::string &job = Jobs.back();
+  const DaemonPlace &daemon = Daemons.daemons().front();
+  auto hasState = [&](const std::string &state) {
+    return waitFor(10s, [&] {
+      json::value answer = callJson(daemon.Operators, "/v1/jobs/" + job);
+      return answer.is_object() && answer.at("state").as_string() == state;
+    });
+  };
+  return hasState("running") && operate({"job", "cancel", job}) == 0 &&
+         hasState("cancelled");
+}
+
 bool Session::waitForServices() {
   return waitFor(15s, [&] {
-    for (const DaemonPlace &it : Karoo.daemons()) {
-      auto answer = call(it.Callers, {"GET", "/s/orders/warm", {}, ""}, 2s);
+    for (const DaemonPlace &it : Daemons.daemons()) {
+      auto answer = call(it.Callers,
+                         {"GET", "/s/" + Place.Service + "/warm", {}, ""}, 2s);
       if (!answer || answer.value().Status != 200)
         return false;
     }
@@ -111,26 +196,26 @@
 
 void Session::trafficAndZoneChange() {
   std::string targets;
-  for (const DaemonPlace &it : Karoo.daemons())
+  for (const DaemonPlace &it : Daemons.daemons())
     targets += (targets.empty() ? "" : ",") + it.Callers.str();
   std::string file = Folder + "/caller.out";
   auto start = std::chrono::steady_clock::now();
   Process caller({program("standin-caller"), "--target=" + targets,
-                  "--rate=300", "--service=orders", "--bookings=0.1",
+                  "--rate=300", "--service=" + Place.Service, "--bookings=0.1",
                   "--repeats=0.2", "--jobs=0.02",
                   "--seconds=" + std::to_string(TrafficTime.count()),
                   "--log=" + Folder + "/caller.jsonl"},
                  file);
   std::this_thread::sleep_until(start + ZoneOutAt);
-  int out = operate(
-      {"zone", "out", "midrand", "--author=karoo", "--reason=power work"});
+  int out = operate({"zone", "out", Place.ZoneOut, "--author=" + Place.Name,
+                     "--reason=power work"});
   OutReported = nowMicros();
-  note(std::string("zone out midrand: ") + (out == 0 ? "done" : "FAILED"));
+  note("zone out " + Place.ZoneOut + ": " + (out == 0 ? "done" : "FAILED"));
   std::this_thread::sleep_until(start + ZoneInAt);
   InSent = nowMicros();
-  int in = operate(
-      {"zone", "in", "midrand", "--author=karoo", "--reason=power is back"});
-  note(std::string("zone in midrand: ") + (in == 0 ? "done" : "FAILED"));
+  int in = operate({"zone", "in", Place.ZoneOut, "--author=" + Place.Name,
+                    "--reason=power is back"});
+  note("zone in " + Place.ZoneOut + ": " + (in == 0 ? "done" : "FAILED"));
   std::optional<int> status = caller.wait(TrafficTime + 30s);
   note(std::string("caller ended by itself: ") + (status == 0 ? "yes" : "NO"));
   std::ifstream text(file);
@@ -145,15 +230,16 @@
 }
 
 void Session::judge() {
-  Records workers = Karoo.records("workers"), caller = Karoo.records("caller");
+  Records workers = Daemons.records("workers"),
+          caller = Daemons.records("caller");
   say("records: " + std::to_string(workers.size()) + " of workers, " +
       std::to_string(caller.size()) + " of callers");
   verdict("no worker held more than it can", findOverloads(workers, {}));
   verdict("no task ran in two places at once", findDoubledTasks(workers));
   verdict("no checkpoint resumed twice, none lost",
           findWrongResumptions(workers, {}));
-  verdict("no start in midrand later than 3 s after it was out",
-          findStarts(workers, "midrand", OutReported + StartBound, InSent));
+  verdict("no start in " + Place.ZoneOut + " later than 3 s after it was out",
+          findStarts(workers, Place.ZoneOut, OutReported + StartBound, InSent));
   verdict("no booking ran twice", findDoubledBookings(workers));
   verdict("no request reported not-run had run",
           findFalseNotRun(workers, caller));
@@ -162,39 +248,38 @@
 }
 
 int Session::run() {
-  say("starting 8 daemons, 50 workers, the store and the host list");
-  bool up = Karoo.start(30s);
+  int workers = 0;
+  for (const ZoneShape &it : Place.Zones)
+    workers += it.Workers;
+  say("starting " + std::to_string(Daemons.daemons().size()) + " daemons, " +
+      std::to_string(workers) + " workers, the store and the host list");
+  bool up = Daemons.start(30s);
   note(std::string("all daemons ready, every zone has an owner: ") +
        (up ? "yes" : "NO"));
   if (!up)
     return 1;
   std::string rules =
-      std::string(ENDIVEDOOR_SOURCE_DIR) + "/config/karoo.rules";
+      std::string(ENDIVEDOOR_SOURCE_DIR) + "/config/" + Place.Name + ".rules";
   note(std::string("rules applied: ") +
-       (operate({"rules", "apply", rules, "--author=karoo"}) == 0 ? "yes"
-                                                                  : "NO"));
-  for (const char *zone : {"germiston", "midrand", "vereeniging"}) {
-    submit(
-        zone,
-        R"({"name":"orders","team":"orders","contract":"mabena","class":"orders",
-      "kind":"service","service":"orders","tasks":4,"slots":1,"connections":16,"milliCores":2000,
-      "memoryMb":4096,"payload":"{\"serviceMs\":8}"})");
-    submit(
-        zone,
-        R"({"name":"delivery-runs","team":"planning","contract":"karoo","class":"delivery-run",
-      "kind":"batch","tasks":20,"slots":1,"milliCores":2000,"memoryMb":2048,
-      "declaredRunTimeMs":3000,"deadlineMs":60000,"payload":"{\"runMs\":4000}"})");
+       (operate({"rules", "apply", rules, "--author=" + Place.Name}) == 0
+            ? "yes"
+            : "NO"));
+  for (const ZoneShape &it : Place.Zones) {
+    submit(it.Name, serviceJob());
+    submit(it.Name, batchJob(4s));
   }
   note("jobs admitted: " + std::to_string(Jobs.size()));
-  note(std::string("order service answers at every entry host: ") +
-       (waitForServices() ? "yes" : "NO"));
+  note("service " + Place.Service +
+       " answers at every entry host: " + (waitForServices() ? "yes" : "NO"));
   trafficAndZoneChange();
+  submit(Place.Zones.front().Name, batchJob(1h));
+  note(std::string("job cancelled: ") + (cancelLastJob() ? "yes" : "NO"));
   operate({"status"});
-  operate({"report", "--contract=mabena"});
-  for (DaemonPlace &it : Karoo.daemons())
+  operate({"report", "--contract=" + Place.Contract});
+  for (DaemonPlace &it : Daemons.daemons())
     it.Child->signal(SIGTERM);
   bool clean = true;
-  for (DaemonPlace &it : Karoo.daemons())
+  for (DaemonPlace &it : Daemons.daemons())
     clean = it.Child->wait(15s) == 0 && clean;
   note(std::string("planned stop of all daemons with status 0: ") +
        (clean ? "yes" : "NO"));
@@ -214,11 +299,16 @@
 int main(int argc, char **argv) {
   std::string folder = option(argc, argv, "folder");
   std::string golden = option(argc, argv, "golden");
-  if (folder.empty()) {
-    std::cerr << "usage: endivedoor-session --folder=FOLDER [--golden=FILE]\n";
+  std::string name = option(argc, argv, "site");
+  auto site = std::find_if(Sites.begin(), Sites.end(), [&](const Site &it) {
+    return it.Name == (name.empty() ? "karoo" : name);
+  });
+  if (folder.empty() || site == Sites.end()) {
+    std::cerr << "usage: endivedoor-session --folder=FOLDER "
+                 "[--site=karoo|siam] [--golden=FILE]\n";
     return 2;
   }
-  Session session(folder);
+  Session session(*site, folder);
   int status = session.run();
   std::cout << "summary\n" << session.summary();
   if (golden.empty())
