--- a/packages/policy/src/detail/Placement.cpp
+++ b/packages/policy/src/detail/Placement.cpp
@@ -172,6 +172,19 @@
 }
 
 bool Placement::keepsSeparation(Index worker, const Shape &it) const {
+  return isSeparated(worker, it, None);
+}
+
+bool Placement::isOpenedBy(Index victim, Index worker,
+                           const JobRec &job) const {
+  const Shape &it = Shapes[job.Shape];
+  return keepsRackLimit(worker, it) && isSeparated(worker, it, victim) &&
+         !passes(worker, it);
+}
+
+/// Whether the separation rules allow the task on the worker, \p except left
+/// out of the tasks there.
+bool Placement::isSeparated(Index worker, const Shape &it, Index except) const {
   for (const Separation &rule : In.Rules.separations()) {
     if (it.Class == rule.Class)
       for (const ServiceCount &there : In.S.Workers[worker].Services)
@@ -179,12 +192,15 @@
           return false;
     if (it.Service == rule.Service)
       for (Index task : In.S.Workers[worker].Tasks)
-        if (In.S.jobOf(task).Class == rule.Class)
+        if (task != except && In.S.jobOf(task).Class == rule.Class)
           return false;
   }
   return true;
 }
 
+/// More than the gain of gathering, less than what a rule costs.
+constexpr double SingleWorkerCost = 10;
+
 double Placement::loadCost(const Candidate &it) const {
   double capacity =
       double(std::max<std::int64_t>(1, base::count(it.Host.Capacity.Cpu)));
@@ -247,6 +263,9 @@
   // other workers are left to noisy tasks.
   if (Gather)
     sum += share < 0.5 ? -2 * share : 2 * share;
+  // A service with all of its tasks on one worker ends with that worker.
+  if (same > 0 && same == In.Where.total(it.Of.Service))
+    sum += SingleWorkerCost;
   Limit zones = In.Rules.atLeastZones(it.Of.Service);
   if (zones.set() && In.Where.inZone(it.Of.Service, it.Host.Zone) > 0 &&
       In.Where.zones(it.Of.Service) < zones.Value)
