--- a/packages/base/include/endivedoor/base/Clock.h
+++ b/packages/base/include/endivedoor/base/Clock.h
@@ -31,6 +31,14 @@
   WallTime wallNow() const override;
 };
 
+/// Like SystemClock, but its monotonic time includes the time for which the host
+/// was suspended. For rights that end by time.
+class BootClock final : public Clock {
+public:
+  TimePoint now() const override;
+  WallTime wallNow() const override;
+};
+
 /// A clock that moves only when told, for tests and experiments. Not
 /// thread-safe.
 class ManualClock final : public Clock {
--- /dev/null
+++ b/packages/daemon/src/DispatchDaemon.h
@@ -0,0 +1,50 @@
+/// \file
+/// The daemon on an installation's own platform: wiring and life cycle.
+#ifndef ENDIVEDOOR_DAEMON_DISPATCHDAEMON_H
+#define ENDIVEDOOR_DAEMON_DISPATCHDAEMON_H
+
+#include "endivedoor/installation/Installation.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <thread>
+
+namespace endivedoor::daemon {
+
+/// Lives until the process ends; it is never destroyed, because suspended
+/// coroutines refer to its parts.
+class DispatchDaemon {
+public:
+  explicit DispatchDaemon(model::DispatchSettings settings);
+
+  /// Serves until a stop signal. The calling thread becomes the control thread.
+  ///
+  /// \returns the exit status: 0 after a planned stop, 1 if the daemon cannot
+  /// start.
+  int run();
+
+private:
+  boost::asio::awaitable<void> handleSignals();
+  boost::asio::awaitable<void> watchReadiness();
+  boost::asio::awaitable<void> stop();
+  boost::asio::awaitable<void> waitUntil(base::TimePoint time);
+
+  model::DispatchSettings Config;
+  base::BootClock Time;
+  base::HybridClock Hybrid{Time};
+  base::EventLog Events;
+  boost::asio::io_context Io{1};
+  boost::asio::io_context TrafficIo{1};
+  boost::asio::signal_set Signals;
+  installation::Installation Platform;
+  dispatch::DispatchNode Node;
+  installation::FrontDoor Front;
+  std::thread Traffic;
+  bool Configured = false;
+  bool Stopping = false;
+};
+
+} // namespace endivedoor::daemon
+
+#endif
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,7 @@
 #include "Daemon.h"
+#include "DispatchDaemon.h"
 
+#include "endivedoor/model/DispatchSettings.h"
 #include "endivedoor/model/Settings.h"
 
 #include <absl/flags/flag.h>
@@ -33,20 +35,48 @@
 
 constexpr int SettingsFaults = 2;
 
-static std::optional<model::Settings> readSettings(const std::string &file) {
+static std::optional<std::string> readText(const std::string &file) {
   std::ifstream in(file);
   std::string text{std::istreambuf_iterator<char>(in), {}};
-  if (!in.is_open() || in.bad()) {
-    base::Error error{base::Errc::IoFailed, "--settings " + file};
-    std::cerr << error.message() << "\n";
-    return std::nullopt;
-  }
-  model::SettingsOutcome outcome = model::parseSettings(file, text);
-  for (const model::TextFault &it : outcome.Faults)
+  if (in.is_open() && !in.bad())
+    return text;
+  base::Error error{base::Errc::IoFailed, "--settings " + file};
+  std::cerr << error.message() << "\n";
+  return std::nullopt;
+}
+
+/// Prints the faults of settings; returns whether there are none.
+static bool report(const std::vector<model::TextFault> &faults) {
+  for (const model::TextFault &it : faults)
     std::cerr << it.message() << "\n";
-  if (!outcome.Faults.empty())
-    return std::nullopt;
-  return std::move(outcome.Value);
+  return faults.empty();
+}
+
+static bool checksOnly() {
+  if (absl::GetFlag(FLAGS_check_config))
+    std::cout << "the settings are valid\n";
+  return absl::GetFlag(FLAGS_check_config);
+}
+
+static int runDaemon(const std::string &file, const std::string &text) {
+  model::SettingsOutcome outcome = model::parseSettings(file, text);
+  if (!report(outcome.Faults))
+    return SettingsFaults;
+  if (checksOnly())
+    return 0;
+  auto *daemon = new Daemon(std::move(outcome.Value));
+  return daemon->run();
+}
+
+static int runDispatch(const std::string &file, const std::string &text) {
+  model::DispatchSettingsOutcome outcome =
+      model::parseDispatchSettings(file, text);
+  if (!report(outcome.Faults))
+    return SettingsFaults;
+  if (checksOnly())
+    return 0;
+  auto *daemon = new DispatchDaemon(std::move(outcome.Value));
+  return daemon->run();
 }
 
 /// Lets flags be written with dashes: --check-config.
@@ -69,18 +99,16 @@
   };
   absl::SetFlagsUsageConfig(usage);
   absl::ParseCommandLine(argc, argv);
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  std::optional<model::Settings> settings =
-      readSettings(absl::GetFlag(FLAGS_settings));
-  if (!settings)
+  std::string file = absl::GetFlag(FLAGS_settings);
+  std::optional<std::string> text = readText(file);
+  if (!text)
     return SettingsFaults;
-  if (absl::GetFlag(FLAGS_check_config)) {
-    std::cout << "the settings are valid\n";
-    return 0;
-  }
-  auto *daemon = new Daemon(std::move(*settings));
-  return daemon->run();
+  bool dispatch = model::isDispatchSettings(*text);
+  // On an installation's platform, logs are read from standard output.
+  FLAGS_logtostdout = dispatch;
+  FLAGS_logtostderr = !dispatch;
+  google::InitGoogleLogging(argv[0]);
+  return dispatch ? runDispatch(file, *text) : runDaemon(file, *text);
 }
 
 } // namespace endivedoor::daemon
--- /dev/null
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -0,0 +1,142 @@
+/// \file
+/// The state and decisions of one shard: its jobs, its workers, its records.
+#ifndef ENDIVEDOOR_DISPATCH_SHARD_H
+#define ENDIVEDOOR_DISPATCH_SHARD_H
+
+#include "endivedoor/base/Event.h"
+#include "endivedoor/dispatch/Records.h"
+#include "endivedoor/dispatch/ShardOptions.h"
+#include "endivedoor/dispatch/TaskWorker.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace endivedoor::dispatch {
+
+namespace detail {
+struct ShardState;
+}
+
+/// An order for a worker.
+struct Order {
+  enum class Kind { Start, Stop, Pace };
+  Kind What = Kind::Start;
+  WorkerRef To;
+  RunId Id;
+  /// For a start.
+  std::string Payload;
+  std::string Checkpoint;
+  WorkerTime Deadline{0};
+  /// For a pace.
+  std::int32_t Percent = 100;
+};
+
+/// The next hold of a worker.
+struct HoldPlan {
+  WorkerRef To;
+  HoldRequest Request;
+  /// The worker's lists are known.
+  bool Synced = false;
+  /// Runs of this shard are on the worker.
+  bool Busy = false;
+};
+
+/// What a shard tells others about itself.
+struct ShardLoad {
+  /// Jobs without a started task, by queue.
+  std::map<std::string, std::int64_t> Pending;
+  base::MilliCores FreeCpu{0};
+  base::MebiBytes FreeMemory{0};
+};
+
+/// One term of ownership of a shard. Holds no clock and does no I/O: the caller
+/// passes in what happened and when, and carries out what is returned.
+///
+/// Not thread-safe.
+class Shard {
+public:
+  /// \param number of the shard.
+  /// \param term number of this ownership, from 1.
+  /// \param token fencing token of this ownership at the workers.
+  Shard(ShardOptions options, std::int32_t number, std::int64_t term,
+        base::FencingToken token, base::EventLog &events);
+  ~Shard();
+
+  /// Adds a job that is stored.
+  ///
+  /// \param revision of its index record.
+  /// \param inherited an earlier owner may have started tasks of it.
+  void addJob(model::AcceptedJob job, std::int64_t revision, bool inherited,
+              base::TimePoint now);
+  /// Takes over what an earlier owner recorded.
+  void restore(model::JobNumber job, const JobProgress &progress,
+               std::int64_t revision);
+  /// Stops all tasks of a job whose cancellation is stored.
+  void cancelJob(model::JobNumber job, base::TimePoint now);
+  bool hasJob(model::JobNumber job) const;
+  std::optional<model::JobState> jobState(model::JobNumber job) const;
+
+  /// Names the workers that an earlier owner may have used. Tasks of inherited
+  /// jobs that no list shows wait until each has answered or its longest lease
+  /// has run out.
+  void suspect(const std::vector<RosterEntry> &roster, base::TimePoint now);
+
+  /// Adds or updates a worker from its own entry.
+  void offerWorker(const model::WorkerProfile &profile, base::TimePoint now);
+  /// A worker's entry is gone: it gets no new work. Its runs count as running
+  /// until it says otherwise or its lease has run out.
+  void withdrawWorker(const base::WorkerId &worker);
+  void setZonesOut(std::set<base::ZoneId> zones);
+  std::vector<WorkerRef> workers() const;
+  bool hasWorker(const base::WorkerId &worker) const;
+  /// The roster that must be stored before orders go to its workers.
+  std::vector<RosterEntry> roster() const;
+  void rosterStored(const std::vector<RosterEntry> &roster);
+
+  /// \param mayExtend whether this owner may still prolong leases.
+  /// \returns nothing if the worker is not of this shard any more.
+  std::optional<HoldPlan> nextHold(const base::WorkerId &worker,
+                                   base::TimePoint now, bool mayExtend);
+  void onHoldFailed(const base::WorkerId &worker, const std::string &cause);
+  void onHold(const base::WorkerId &worker, const HoldReport &report,
+              base::TimePoint sent, base::TimePoint received);
+  void onStart(const Order &order, base::Result<OrderAnswer> answer,
+               base::TimePoint now);
+  void onStop(const Order &order, base::Result<OrderAnswer> answer,
+              base::TimePoint now);
+  /// The pace is ordered again with the next plan.
+  void onPaceFailed(const Order &order);
+
+  /// Decides what to start, stop and pace now.
+  ///
+  /// \param wall time of day, for jobs with due times.
+  /// Cost: linear in the live tasks and the workers.
+  std::vector<Order> plan(base::TimePoint now, base::WallTime wall,
+                          bool mayStart);
+
+  /// Returns records that must be stored, at most \p limit.
+  std::vector<JobWrite> takeWrites(std::size_t limit);
+  /// \param stored the writes of one commit with their new revisions.
+  void onStored(const std::vector<JobWrite> &stored);
+  /// The writes were not applied and are due again.
+  void onNotStored(const std::vector<JobWrite> &writes);
+  bool hasWrites() const;
+  /// A job that had ended here was cancelled before its end was stored.
+  void cancelFinished(model::JobNumber job);
+
+  ShardLoad load() const;
+  /// Another owner has used a higher token; this term is over.
+  bool isFenced() const;
+  std::int32_t number() const;
+  base::FencingToken token() const;
+
+private:
+  std::unique_ptr<detail::ShardState> Self;
+};
+
+} // namespace endivedoor::dispatch
+
+#endif
--- /dev/null
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -0,0 +1,468 @@
+#include "endivedoor/dispatch/DispatchNode.h"
+
+#include "detail/JobDesk.h"
+#include "detail/NodeRecords.h"
+#include "detail/ShardRunner.h"
+#include "detail/Sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace endivedoor::dispatch {
+
+namespace asio = boost::asio;
+using base::EventCode;
+using base::TimePoint;
+using detail::ShardRunner;
+using namespace std::chrono_literals;
+
+/// Renewals of the node's lease for each of its times to live.
+constexpr int RenewalsOfLease = 4;
+constexpr auto RetryPause = 150ms;
+/// Time between looks at vacant shards, the layout and the assignment.
+constexpr auto UpkeepInterval = 250ms;
+/// After a start, workers are counted when no new one came for this long.
+constexpr auto SettleTime = 700ms;
+/// Head start of the best-placed node for a vacant shard over the next.
+constexpr auto RankDelay = 80ms;
+/// Head start of the last owner, whose lease may have lapsed in an outage.
+constexpr auto LastOwnerDelay = 200ms;
+
+struct DispatchNode::Impl : std::enable_shared_from_this<Impl> {
+  asio::any_io_executor Executor;
+  DispatchOptions Options;
+  MetadataStore &Store;
+  TaskWorker &Calls;
+  const base::Clock &Time;
+  base::EventLog &Events;
+  PrefixMirror Directory;
+  detail::NodeView View;
+  std::map<std::int32_t, std::shared_ptr<ShardRunner>> Owned;
+  std::map<std::int32_t, TimePoint> VacantSince;
+  std::set<std::int32_t> Claiming;
+  std::map<base::WorkerId, model::WorkerProfile> Workers;
+  std::set<base::ZoneId> ZonesOut;
+  TimePoint WorkersChanged;
+  TimePoint LastWord;
+  StoreLease Lease{0};
+  bool Leaving = false;
+  bool Upkeeping = false;
+  detail::JobDesk Desk;
+
+  Impl(asio::any_io_executor executor, DispatchOptions options,
+       MetadataStore &store, TaskWorker &calls, const base::Clock &clock,
+       base::EventLog &events)
+      : Executor(executor), Options(std::move(options)), Store(store),
+        Calls(calls), Time(clock), Events(events),
+        Directory(executor, store, keys::directory(),
+                  {[this](const StoredItem &it) { onDirectory(it); },
+                   [this](const std::string &key) { onDeparture(key); },
+                   [this] { spawnUpkeep(); }},
+                  events),
+        WorkersChanged(clock.now()), LastWord(clock.now()),
+        Desk(store, clock, View) {}
+
+  void onDirectory(const StoredItem &item);
+  void onDeparture(const std::string &key);
+  void spawnUpkeep();
+  asio::awaitable<void> upkeepLoop();
+  asio::awaitable<void> upkeep();
+  asio::awaitable<void> leaseLoop();
+  asio::awaitable<bool> joinAnew();
+  asio::awaitable<void> storeLayout();
+  asio::awaitable<void> assignWorkers();
+  asio::awaitable<void> claim(std::int32_t shard);
+  asio::awaitable<void> release(std::shared_ptr<ShardRunner> runner);
+  std::chrono::milliseconds claimDelay(std::int32_t shard) const;
+  void own(detail::Term term);
+  void distribute(ShardRunner &runner);
+  bool belongsTo(const base::WorkerId &worker, std::int32_t shard) const;
+  std::string entryValue() const {
+    return detail::encodeOwner({Options.Name, Options.Instance, 0});
+  }
+};
+
+void DispatchNode::Impl::onDirectory(const StoredItem &item) {
+  std::string fault = View.apply(item);
+  if (!fault.empty())
+    Events.emit(EventCode::RecordUnreadable,
+                {{"key", item.Key}, {"cause", fault}});
+  if (item.Key == keys::assignment())
+    for (const auto &[shard, runner] : Owned)
+      distribute(*runner);
+}
+
+void DispatchNode::Impl::onDeparture(const std::string &key) {
+  View.remove(key);
+}
+
+bool DispatchNode::Impl::belongsTo(const base::WorkerId &worker,
+                                   std::int32_t shard) const {
+  auto it = View.Assignment.find(worker);
+  return it != View.Assignment.end() && it->second == shard;
+}
+
+void DispatchNode::Impl::distribute(ShardRunner &runner) {
+  for (const auto &[id, worker] : Workers)
+    if (belongsTo(id, runner.term().Shard))
+      runner.offerWorker(worker);
+}
+
+/// The node with the highest score comes first for a shard.
+static std::size_t scoreOf(const std::string &node, std::int32_t shard) {
+  return std::hash<std::string>{}(node + "/" + std::to_string(shard));
+}
+
+std::chrono::milliseconds
+DispatchNode::Impl::claimDelay(std::int32_t shard) const {
+  std::map<std::string, std::int32_t> owned;
+  for (const auto &[number, owner] : View.Owners)
+    ++owned[owner.Node];
+  auto rankOf = [&](const std::string &node) {
+    auto it = owned.find(node);
+    std::int32_t load = it == owned.end() ? 0 : it->second;
+    return std::pair(load, scoreOf(node, shard));
+  };
+  auto own = rankOf(Options.Name);
+  std::int32_t before = 0;
+  for (const std::string &it : View.Members)
+    before += it != Options.Name && rankOf(it) < own;
+  std::chrono::milliseconds delay = before * RankDelay;
+  auto last = View.LastOwners.find(shard);
+  bool released = View.Released.contains(shard);
+  if (last != View.LastOwners.end() && last->second != Options.Name &&
+      !released && View.Members.contains(last->second))
+    delay += LastOwnerDelay;
+  return delay;
+}
+
+void DispatchNode::Impl::spawnUpkeep() {
+  asio::co_spawn(
+      Executor, [self = shared_from_this()] { return self->upkeep(); },
+      asio::detached);
+}
+
+asio::awaitable<void> DispatchNode::Impl::upkeepLoop() {
+  while (!Leaving) {
+    co_await upkeep();
+    co_await detail::sleepFor(VacantSince.empty() ? UpkeepInterval : 40ms);
+  }
+}
+
+asio::awaitable<void> DispatchNode::Impl::upkeep() {
+  if (Upkeeping || Leaving || !Directory.isSynced() || Lease == StoreLease{0})
+    co_return;
+  Upkeeping = true;
+  if (View.Shards == 0)
+    co_await storeLayout();
+  if (Owned.contains(0))
+    co_await assignWorkers();
+  TimePoint now = Time.now();
+  for (std::int32_t shard = 0; shard < View.Shards; ++shard) {
+    auto owner = View.Owners.find(shard);
+    // An entry of an earlier run of this daemon is as good as none.
+    bool stale = owner != View.Owners.end() &&
+                 owner->second.Node == Options.Name &&
+                 owner->second.Instance != Options.Instance;
+    if ((owner != View.Owners.end() && !stale) || Owned.contains(shard)) {
+      VacantSince.erase(shard);
+      continue;
+    }
+    TimePoint since = VacantSince.try_emplace(shard, now).first->second;
+    if (now - since < claimDelay(shard) || !Claiming.insert(shard).second)
+      continue;
+    asio::co_spawn(
+        Executor, [self = shared_from_this(), shard] { return self->claim(shard); },
+        asio::detached);
+  }
+  Upkeeping = false;
+}
+
+asio::awaitable<void> DispatchNode::Impl::storeLayout() {
+  if (Workers.empty() || Time.now() - WorkersChanged < SettleTime)
+    co_return;
+  auto shards = std::max<std::int32_t>(
+      1, static_cast<std::int32_t>(
+             std::lround(static_cast<double>(Workers.size()) /
+                         Options.WorkersPerShard)));
+  Commit commit;
+  commit.Conditions = {{keys::layout(), 0}};
+  commit.Writes = {{keys::layout(), detail::encodeLayout(shards)}};
+  // Another node's layout arrives by the watch.
+  base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
+  if (done && done.value().Applied)
+    Events.emit(EventCode::LayoutStored, {{"shards", std::to_string(shards)}});
+}
+
+asio::awaitable<void> DispatchNode::Impl::assignWorkers() {
+  std::map<std::int32_t, std::int64_t> capacity;
+  std::map<std::pair<std::int32_t, base::ZoneId>, std::int64_t> inZone;
+  for (std::int32_t i = 0; i < View.Shards; ++i)
+    capacity[i] = 0;
+  std::map<base::WorkerId, std::int32_t> next;
+  bool changed = false;
+  for (const auto &[id, shard] : View.Assignment) {
+    auto it = Workers.find(id);
+    if (it == Workers.end())
+      continue;
+    next[id] = shard;
+    capacity[shard] += count(it->second.Capacity.Cpu);
+    inZone[{shard, it->second.Zone}] += count(it->second.Capacity.Cpu);
+  }
+  for (const auto &[id, worker] : Workers) {
+    if (next.contains(id))
+      continue;
+    changed = true;
+    auto best = std::min_element(
+        capacity.begin(), capacity.end(), [&](const auto &a, const auto &b) {
+          return std::pair(inZone[{a.first, worker.Zone}], a.second) <
+                 std::pair(inZone[{b.first, worker.Zone}], b.second);
+        });
+    next[id] = best->first;
+    best->second += count(worker.Capacity.Cpu);
+    inZone[{best->first, worker.Zone}] += count(worker.Capacity.Cpu);
+  }
+  auto owner = Owned.find(0);
+  if (!changed || owner == Owned.end())
+    co_return;
+  Commit commit;
+  commit.Conditions = {
+      {keys::owner(0), owner->second->term().Revision},
+      {keys::assignment(), Directory.revisionOf(keys::assignment())}};
+  commit.Writes = {{keys::assignment(), detail::encodeAssignment(next)}};
+  base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
+  if (done && done.value().Applied)
+    Events.emit(EventCode::WorkersAssigned,
+                {{"workers", std::to_string(next.size())}});
+}
+
+asio::awaitable<void> DispatchNode::Impl::claim(std::int32_t shard) {
+  base::Result<std::optional<StoredItem>> record =
+      co_await Store.read(keys::owner(shard));
+  detail::OwnerEntry last;
+  std::int64_t revision = 0;
+  if (record && record.value()) {
+    revision = record.value()->Revision;
+    if (auto entry = detail::decodeOwner(record.value()->Value))
+      last = entry.value();
+  }
+  auto seen = View.Owners.find(shard);
+  bool vacant = seen == View.Owners.end() ||
+                seen->second.Node == Options.Name;
+  if (record && vacant && !Leaving && !Owned.contains(shard)) {
+    Commit commit;
+    commit.Conditions = {
+        {keys::shardEntry(shard), Directory.revisionOf(keys::shardEntry(shard))},
+        {keys::owner(shard), revision}};
+    detail::OwnerEntry entry{Options.Name, Options.Instance, last.Term + 1};
+    commit.Writes = {
+        {keys::owner(shard), detail::encodeOwner(entry)},
+        {keys::shardEntry(shard), detail::encodeOwner(entry), Lease}};
+    TimePoint sent = Time.now();
+    base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
+    if (done && done.value().Applied) {
+      LastWord = std::max(LastWord, sent);
+      own({shard, entry.Term, done.value().Revision});
+    } else if (!done) {
+      Events.emit(EventCode::ClaimFailed, {{"shard", std::to_string(shard)},
+                                           {"cause", done.error().message()}});
+    }
+  }
+  VacantSince.erase(shard);
+  Claiming.erase(shard);
+}
+
+void DispatchNode::Impl::own(detail::Term term) {
+  Events.emit(EventCode::ShardOwned, {{"shard", std::to_string(term.Shard)},
+                                      {"term", std::to_string(term.Number)},
+                                      {"token", std::to_string(term.Revision)}});
+  detail::RunnerContext context{Executor,
+                                Options,
+                                Store,
+                                Calls,
+                                Time,
+                                Events,
+                                [this] { return LastWord; },
+                                [this](TimePoint sent) {
+                                  LastWord = std::max(LastWord, sent);
+                                },
+                                [this](std::int32_t shard) {
+                                  Owned.erase(shard);
+                                }};
+  auto runner = std::make_shared<ShardRunner>(std::move(context), term);
+  Owned[term.Shard] = runner;
+  runner->setZonesOut(ZonesOut);
+  distribute(*runner);
+  runner->start();
+}
+
+/// Takes a new lease and attaches the node's entries to it. A shard whose owner
+/// record is unchanged stays with this node.
+asio::awaitable<bool> DispatchNode::Impl::joinAnew() {
+  base::Result<StoreLease> lease =
+      co_await Store.grantLease(Options.NodeLease);
+  if (!lease)
+    co_return false;
+  Commit member;
+  member.Writes = {
+      {keys::member(Options.Name), entryValue(), lease.value()}};
+  base::Result<CommitOutcome> joined = co_await Store.commit(std::move(member));
+  if (!joined || !joined.value().Applied)
+    co_return false;
+  Lease = lease.value();
+  std::vector<std::shared_ptr<ShardRunner>> kept;
+  for (const auto &[shard, runner] : Owned)
+    kept.push_back(runner);
+  for (const std::shared_ptr<ShardRunner> &it : kept) {
+    const detail::Term &term = it->term();
+    Commit commit;
+    // The entry may still hang on the lease that ended.
+    base::Result<std::optional<StoredItem>> entry =
+        co_await Store.read(keys::shardEntry(term.Shard));
+    if (!entry)
+      co_return false;
+    commit.Conditions = {
+        {keys::owner(term.Shard), term.Revision},
+        {keys::shardEntry(term.Shard),
+         entry.value() ? entry.value()->Revision : 0}};
+    commit.Writes = {{keys::shardEntry(term.Shard),
+                      detail::encodeOwner(
+                          {Options.Name, Options.Instance, term.Number}),
+                      Lease}};
+    base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
+    if (!done)
+      co_return false;
+    if (!done.value().Applied && !it->isStopped()) {
+      Events.emit(EventCode::ShardGivenUp,
+                  {{"shard", std::to_string(term.Shard)},
+                   {"cause", "the node's lease lapsed"}});
+      it->stop();
+      Owned.erase(term.Shard);
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<void> DispatchNode::Impl::leaseLoop() {
+  bool reachable = true;
+  while (!Leaving) {
+    TimePoint sent = Time.now();
+    bool answered = false;
+    if (Lease == StoreLease{0}) {
+      answered = co_await joinAnew();
+    } else {
+      base::Result<void> renewed = co_await Store.renewLease(Lease);
+      answered = renewed.has_value();
+      if (!renewed && renewed.error().Code == base::Errc::StoreRejected) {
+        Events.emit(EventCode::NodeLeaseLost, {{"node", Options.Name}});
+        Lease = StoreLease{0};
+        continue;
+      }
+    }
+    if (answered)
+      LastWord = std::max(LastWord, sent);
+    if (answered != reachable)
+      Events.emit(answered ? EventCode::StoreReached : EventCode::StoreUnreached,
+                  {{"node", Options.Name}});
+    reachable = answered;
+    co_await detail::sleepFor(
+        answered ? base::Duration(Options.NodeLease / RenewalsOfLease)
+                 : base::Duration(RetryPause));
+  }
+}
+
+asio::awaitable<void>
+DispatchNode::Impl::release(std::shared_ptr<ShardRunner> runner) {
+  co_await runner->flush();
+  runner->stop();
+  std::int32_t shard = runner->term().Shard;
+  Commit commit;
+  commit.Conditions = {{keys::owner(shard), runner->term().Revision}};
+  commit.Writes = {{keys::shardEntry(shard), detail::encodeOwner({})}};
+  base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
+  Events.emit(EventCode::ShardReleased,
+              {{"shard", std::to_string(shard)},
+               {"stored", done ? "yes" : done.error().message()}});
+  Owned.erase(shard);
+}
+
+DispatchNode::DispatchNode(asio::any_io_executor executor,
+                           DispatchOptions options, MetadataStore &store,
+                           TaskWorker &workers, const base::Clock &clock,
+                           base::EventLog &events)
+    : Self(std::make_shared<Impl>(std::move(executor), std::move(options),
+                                  store, workers, clock, events)) {}
+
+DispatchNode::~DispatchNode() = default;
+
+void DispatchNode::start() {
+  Self->Directory.start();
+  asio::co_spawn(Self->Executor, Self->leaseLoop(), asio::detached);
+  asio::co_spawn(Self->Executor, Self->upkeepLoop(), asio::detached);
+}
+
+asio::awaitable<void> DispatchNode::leave() {
+  Self->Leaving = true;
+  std::vector<std::shared_ptr<ShardRunner>> owned;
+  for (const auto &[shard, runner] : Self->Owned)
+    owned.push_back(runner);
+  for (const std::shared_ptr<ShardRunner> &it : owned)
+    co_await Self->release(it);
+  if (Self->Lease != StoreLease{0})
+    if (base::Result<void> ended = co_await Self->Store.endLease(Self->Lease);
+        !ended)
+      Self->Events.emit(EventCode::StoreUnreached,
+                        {{"cause", ended.error().message()}});
+}
+
+void DispatchNode::setZonesOut(std::set<base::ZoneId> zones) {
+  if (zones == Self->ZonesOut)
+    return;
+  Self->ZonesOut = std::move(zones);
+  for (const auto &[shard, runner] : Self->Owned)
+    runner->setZonesOut(Self->ZonesOut);
+}
+
+void DispatchNode::offerWorker(const model::WorkerProfile &worker) {
+  if (!Self->Workers.contains(worker.Id))
+    Self->WorkersChanged = Self->Time.now();
+  Self->Workers[worker.Id] = worker;
+  for (const auto &[shard, runner] : Self->Owned)
+    if (Self->belongsTo(worker.Id, shard))
+      runner->offerWorker(worker);
+}
+
+void DispatchNode::withdrawWorker(const base::WorkerId &worker) {
+  Self->Workers.erase(worker);
+  for (const auto &[shard, runner] : Self->Owned)
+    runner->withdrawWorker(worker);
+}
+
+asio::awaitable<SubmitOutcome> DispatchNode::submit(model::AcceptedJob job) {
+  return Self->Desk.submit(std::move(job));
+}
+
+asio::awaitable<CancelOutcome> DispatchNode::cancel(model::JobNumber job) {
+  return Self->Desk.cancel(job);
+}
+
+Async<std::optional<model::JobState>>
+DispatchNode::state(model::JobNumber job) {
+  return Self->Desk.state(job);
+}
+
+Async<std::int64_t> DispatchNode::pending(std::string queue) {
+  return Self->Desk.pending(std::move(queue));
+}
+
+bool DispatchNode::isConnected() const {
+  return Self->Directory.isSynced() && Self->View.Shards > 0 &&
+         Self->Time.now() - Self->LastWord < 2 * Self->Options.NodeLease;
+}
+
+std::size_t DispatchNode::ownedShards() const { return Self->Owned.size(); }
+
+} // namespace endivedoor::dispatch
--- /dev/null
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -0,0 +1,150 @@
+#include "detail/JobDesk.h"
+
+#include "detail/Sleep.h"
+
+#include <algorithm>
+
+namespace endivedoor::dispatch::detail {
+
+namespace asio = boost::asio;
+using base::Errc;
+using model::JobState;
+using namespace std::chrono_literals;
+
+/// Age up to which load records are used again.
+constexpr auto LoadAge = 700ms;
+/// Attempts at the store for one call of a caller, and the pause between them;
+/// together they stay well below the wait of a caller.
+constexpr int Attempts = 3;
+constexpr auto AttemptPause = 120ms;
+
+Async<void> JobDesk::refreshLoads() {
+  if (Time.now() - LoadsRead < LoadAge)
+    co_return base::success();
+  base::Result<Listing> list = co_await Store.list(keys::loads());
+  if (!list)
+    co_return list.as_failure();
+  for (const StoredItem &it : list.value().Items) {
+    base::Result<ShardLoad> load = decodeLoad(it.Value);
+    if (!load)
+      co_return load.as_failure();
+    Loads[std::atoi(it.Key.substr(keys::loads().size()).c_str())] =
+        load.value();
+  }
+  LoadsRead = Time.now();
+  co_return base::success();
+}
+
+/// Returns the shard with the most room, and takes the job's needs off it until
+/// the next load record.
+std::int32_t JobDesk::chooseShard(const model::AcceptedJob &job) {
+  std::int64_t cpu = 0, memory = 0;
+  bool filler = true;
+  for (const model::StepSpec &it : job.Graph.Steps) {
+    cpu += it.Count * count(it.Size.Cpu);
+    memory += it.Count * count(it.Size.Memory);
+    filler = filler && it.Filler;
+  }
+  std::int32_t best = NextShard++ % View.Shards;
+  std::int64_t bestRoom = INT64_MIN;
+  for (std::int32_t i = 0; i < View.Shards; ++i) {
+    std::int32_t shard = (NextShard + i) % View.Shards;
+    auto it = Loads.find(shard);
+    std::int64_t room = 0;
+    if (it != Loads.end())
+      room = filler ? count(it->second.FreeMemory) : count(it->second.FreeCpu);
+    if (room > bestRoom) {
+      best = shard;
+      bestRoom = room;
+    }
+  }
+  ShardLoad &load = Loads[best];
+  if (!filler)
+    load.FreeCpu = base::MilliCores{count(load.FreeCpu) - cpu};
+  load.FreeMemory = base::MebiBytes{count(load.FreeMemory) - memory};
+  return best;
+}
+
+asio::awaitable<SubmitOutcome> JobDesk::submit(model::AcceptedJob job) {
+  if (View.Shards == 0)
+    co_return SubmitOutcome::Refused;
+  // Without load records the shards take turns.
+  co_await refreshLoads();
+  std::int32_t shard = chooseShard(job);
+  Commit commit;
+  commit.Conditions = {{keys::index(job.Id), 0}};
+  commit.Writes = {
+      {keys::index(job.Id), encodeIndex({shard, JobState::Queued})},
+      {keys::job(shard, job.Id), encodeJob(job)}};
+  bool unknown = false;
+  for (int i = 0; i < Attempts; ++i) {
+    base::Result<CommitOutcome> done = co_await Store.commit(commit);
+    // A job with this id is stored already, by this call or an earlier one.
+    if (done)
+      co_return SubmitOutcome::Accepted;
+    unknown = unknown || done.error().Code != Errc::StoreUnavailable;
+    co_await sleepFor(AttemptPause);
+  }
+  co_return unknown ? SubmitOutcome::Unknown : SubmitOutcome::Refused;
+}
+
+asio::awaitable<CancelOutcome> JobDesk::cancel(model::JobNumber job) {
+  bool unknown = false;
+  for (int i = 0; i < Attempts; ++i) {
+    base::Result<std::optional<StoredItem>> item =
+        co_await Store.read(keys::index(job));
+    if (!item) {
+      co_await sleepFor(AttemptPause);
+      continue;
+    }
+    if (!item.value())
+      co_return CancelOutcome::NoSuchJob;
+    base::Result<JobIndex> index = decodeIndex(item.value()->Value);
+    if (!index)
+      co_return CancelOutcome::Refused;
+    if (index.value().State == JobState::Cancelled)
+      co_return CancelOutcome::Cancelled;
+    if (model::isFinal(index.value().State))
+      co_return CancelOutcome::NoSuchJob;
+    std::int32_t shard = index.value().Shard;
+    Commit commit;
+    commit.Conditions = {{keys::index(job), item.value()->Revision}};
+    commit.Writes = {
+        {keys::index(job), encodeIndex({shard, JobState::Cancelled})},
+        {keys::cancel(shard, job), "{}"}};
+    base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
+    if (done && done.value().Applied)
+      co_return CancelOutcome::Cancelled;
+    if (!done) {
+      unknown = unknown || done.error().Code != Errc::StoreUnavailable;
+      co_await sleepFor(AttemptPause);
+    }
+  }
+  co_return unknown ? CancelOutcome::Unknown : CancelOutcome::Refused;
+}
+
+Async<std::optional<JobState>> JobDesk::state(model::JobNumber job) {
+  base::Result<std::optional<StoredItem>> item =
+      co_await Store.read(keys::index(job));
+  if (!item)
+    co_return item.as_failure();
+  if (!item.value())
+    co_return std::optional<JobState>();
+  base::Result<JobIndex> index = decodeIndex(item.value()->Value);
+  if (!index)
+    co_return index.as_failure();
+  co_return std::optional<JobState>(index.value().State);
+}
+
+Async<std::int64_t> JobDesk::pending(std::string queue) {
+  base::Result<void> read = co_await refreshLoads();
+  if (!read)
+    co_return read.as_failure();
+  std::int64_t sum = 0;
+  for (const auto &[shard, load] : Loads)
+    if (auto it = load.Pending.find(queue); it != load.Pending.end())
+      sum += it->second;
+  co_return sum;
+}
+
+} // namespace endivedoor::dispatch::detail
--- /dev/null
+++ b/packages/dispatch/src/Jobs.cpp
@@ -0,0 +1,309 @@
+#include "detail/ShardState.h"
+
+#include <algorithm>
+
+namespace endivedoor::dispatch {
+
+namespace detail {
+
+using base::EventCode;
+using model::JobNumber;
+using model::JobState;
+
+std::string taskText(const TaskKey &key) {
+  return jobText(key.Job) + "." + std::to_string(key.Occurrence) + "." +
+         std::to_string(key.Step) + "." + std::to_string(key.Index);
+}
+
+const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key) {
+  return job.Job.Graph.Steps[static_cast<std::size_t>(key.Step)];
+}
+
+JobEntry *ShardState::findJob(JobNumber job) {
+  auto it = Jobs.find(job);
+  return it == Jobs.end() ? nullptr : it->second.get();
+}
+
+TaskEntry *ShardState::findTask(const TaskKey &key, JobEntry **job) {
+  JobEntry *found = findJob(key.Job);
+  if (job)
+    *job = found;
+  if (!found || key.Step < 0 || key.Index < 0)
+    return nullptr;
+  auto it = found->Occurrences.find(key.Occurrence);
+  if (it == found->Occurrences.end())
+    return nullptr;
+  auto step = static_cast<std::size_t>(key.Step);
+  auto index = static_cast<std::size_t>(key.Index);
+  std::vector<StepEntry> &steps = it->second.Steps;
+  if (step >= steps.size() || index >= steps[step].Tasks.size())
+    return nullptr;
+  return &steps[step].Tasks[index];
+}
+
+Occurrence &ShardState::openOccurrence(JobEntry &job, std::int32_t number,
+                                       TimePoint now) {
+  auto [it, added] = job.Occurrences.try_emplace(number);
+  Occurrence &o = it->second;
+  if (!added)
+    return o;
+  o.Number = number;
+  o.Created = now;
+  for (const model::StepSpec &step : job.Job.Graph.Steps) {
+    StepEntry entry;
+    entry.Tasks.resize(static_cast<std::size_t>(step.Count));
+    entry.Idle = step.Count;
+    o.Steps.push_back(std::move(entry));
+  }
+  return o;
+}
+
+void ShardState::touch(JobEntry &job) {
+  ++job.Version;
+  if (job.InWrite || job.Version != job.StoredVersion + 1)
+    return;
+  Dirty.push_back(job.Job.Id);
+}
+
+void ShardState::finish(JobEntry &job, JobState state) {
+  if (!job.isLive())
+    return;
+  job.State = state;
+  Events.emit(EventCode::JobEnded,
+              {{"job", jobText(job.Job.Id)},
+               {"state", std::to_string(static_cast<int>(state))},
+               {"shard", std::to_string(Number)}});
+}
+
+void ShardState::checkComplete(JobEntry &job, Occurrence &o) {
+  if (o.Complete || !job.isLive())
+    return;
+  for (std::size_t i = 0; i < o.Steps.size(); ++i)
+    if (job.Job.Graph.Steps[i].Lasting ||
+        o.Steps[i].DoneCount < job.Job.Graph.Steps[i].Count)
+      return;
+  o.Complete = true;
+  std::int32_t due = std::max(1, job.Job.Graph.Repeats);
+  std::int32_t complete = 0;
+  for (const auto &[number, it] : job.Occurrences)
+    complete += it.Complete;
+  if (complete >= due)
+    finish(job, JobState::Succeeded);
+}
+
+void ShardState::removeRun(JobEntry &job, const TaskKey &key,
+                           std::int64_t run) {
+  TaskEntry *task = findTask(key);
+  if (!task)
+    return;
+  auto it = std::find_if(task->Runs.begin(), task->Runs.end(),
+                         [&](const Run &r) { return r.Number == run; });
+  if (it == task->Runs.end())
+    return;
+  release(*it->Where, {key, run});
+  task->Runs.erase(it);
+  --job.Runs;
+  if (task->Runs.empty() && !task->Done)
+    ++job.Occurrences[key.Occurrence]
+          .Steps[static_cast<std::size_t>(key.Step)]
+          .Idle;
+}
+
+bool ShardState::hasSuspects() const {
+  return std::any_of(Workers.begin(), Workers.end(), [](const auto &it) {
+    return it.second->SuspectUntil.has_value();
+  });
+}
+
+} // namespace detail
+
+using detail::JobEntry;
+using detail::Occurrence;
+using detail::TaskEntry;
+using model::JobNumber;
+using model::JobState;
+
+/// Sum of the declared run times along the longest chain of steps.
+static std::chrono::milliseconds longestChain(const model::JobGraph &graph) {
+  std::vector<std::chrono::milliseconds> ends;
+  std::chrono::milliseconds longest{0};
+  for (const model::StepSpec &it : graph.Steps) {
+    std::chrono::milliseconds begin{0};
+    for (std::int32_t before : it.After)
+      if (before >= 0 && static_cast<std::size_t>(before) < ends.size())
+        begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
+    ends.push_back(begin + it.Estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+void Shard::addJob(model::AcceptedJob job, std::int64_t revision,
+                   bool inherited, base::TimePoint now) {
+  detail::ShardState &s = *Self;
+  if (s.findJob(job.Id))
+    return;
+  auto entry = std::make_unique<JobEntry>();
+  entry->Accepted = now;
+  entry->Inherited = inherited;
+  entry->IndexRevision = revision;
+  entry->Objective =
+      now + job.Terms.Target +
+      std::chrono::duration_cast<base::Duration>(longestChain(job.Graph) *
+                                                 job.Terms.Stretch);
+  entry->Job = std::move(job);
+  if (entry->Job.Graph.Repeats == 0)
+    s.openOccurrence(*entry, 0, now);
+  s.Live.push_back(entry.get());
+  JobNumber id = entry->Job.Id;
+  s.Jobs.emplace(id, std::move(entry));
+}
+
+void Shard::restore(JobNumber job, const JobProgress &progress,
+                    std::int64_t revision) {
+  detail::ShardState &s = *Self;
+  JobEntry *entry = s.findJob(job);
+  if (!entry)
+    return;
+  entry->ProgressRevision = revision;
+  for (const OccurrenceProgress &from : progress.Occurrences) {
+    Occurrence &o = s.openOccurrence(*entry, from.Number, entry->Accepted);
+    o.Complete = from.Complete;
+    for (const TaskProgress &it : from.Tasks) {
+      TaskEntry *task = s.findTask({job, from.Number, it.Step, it.Index});
+      if (!task)
+        continue;
+      detail::StepEntry &step = o.Steps[static_cast<std::size_t>(it.Step)];
+      task->FailedRuns = it.FailedRuns;
+      for (std::int64_t run : it.FailedRuns)
+        task->LastRun = std::max(task->LastRun, run);
+      task->Checkpoint = it.Checkpoint;
+      if (it.Done && !task->Done) {
+        task->Done = true;
+        ++step.DoneCount;
+        --step.Idle;
+      }
+    }
+    if (from.Complete)
+      o.Complete = true;
+    else
+      s.checkComplete(*entry, o);
+  }
+  if (!entry->isLive())
+    s.touch(*entry);
+}
+
+void Shard::cancelJob(JobNumber job, base::TimePoint) {
+  if (JobEntry *entry = Self->findJob(job))
+    Self->finish(*entry, JobState::Cancelled);
+}
+
+bool Shard::hasJob(JobNumber job) const {
+  return Self->findJob(job) != nullptr;
+}
+
+std::optional<JobState> Shard::jobState(JobNumber job) const {
+  JobEntry *entry = Self->findJob(job);
+  if (!entry)
+    return std::nullopt;
+  // A final state counts once it is stored.
+  if (!entry->isLive() && entry->StoredVersion < entry->Version)
+    return JobState::Running;
+  return entry->State;
+}
+
+/// Progress in its stored form: only what differs from a job not begun.
+static JobProgress progressOf(const JobEntry &job) {
+  JobProgress progress;
+  for (const auto &[number, o] : job.Occurrences) {
+    OccurrenceProgress to;
+    to.Number = number;
+    to.Complete = o.Complete;
+    for (std::size_t s = 0; !o.Complete && s < o.Steps.size(); ++s)
+      for (std::size_t i = 0; i < o.Steps[s].Tasks.size(); ++i) {
+        const TaskEntry &t = o.Steps[s].Tasks[i];
+        if (t.Done || !t.FailedRuns.empty() || !t.Checkpoint.empty())
+          to.Tasks.push_back({static_cast<std::int32_t>(s),
+                              static_cast<std::int32_t>(i), t.Done,
+                              t.FailedRuns, t.Done ? "" : t.Checkpoint});
+      }
+    progress.Occurrences.push_back(std::move(to));
+  }
+  return progress;
+}
+
+std::vector<JobWrite> Shard::takeWrites(std::size_t limit) {
+  detail::ShardState &s = *Self;
+  std::vector<JobWrite> writes;
+  while (!s.Dirty.empty() && writes.size() < limit) {
+    JobEntry *job = s.findJob(s.Dirty.front());
+    s.Dirty.pop_front();
+    if (!job || job->InWrite || job->Version == job->StoredVersion)
+      continue;
+    JobWrite write;
+    write.Job = job->Job.Id;
+    write.Version = job->Version;
+    if (job->isLive()) {
+      write.Revision = job->ProgressRevision;
+      write.Progress = progressOf(*job);
+    } else {
+      write.Revision = job->IndexRevision;
+      write.Final = job->State;
+    }
+    job->InWrite = true;
+    writes.push_back(std::move(write));
+  }
+  return writes;
+}
+
+void Shard::onStored(const std::vector<JobWrite> &stored) {
+  detail::ShardState &s = *Self;
+  for (const JobWrite &it : stored) {
+    JobEntry *job = s.findJob(it.Job);
+    if (!job)
+      continue;
+    job->InWrite = false;
+    job->StoredVersion = it.Version;
+    (it.Final ? job->IndexRevision : job->ProgressRevision) = it.Revision;
+    if (job->Version != job->StoredVersion)
+      s.Dirty.push_back(it.Job);
+  }
+}
+
+void Shard::onNotStored(const std::vector<JobWrite> &writes) {
+  detail::ShardState &s = *Self;
+  for (const JobWrite &it : writes) {
+    JobEntry *job = s.findJob(it.Job);
+    if (!job)
+      continue;
+    job->InWrite = false;
+    (it.Final ? job->IndexRevision : job->ProgressRevision) = it.Revision;
+    s.Dirty.push_back(it.Job);
+  }
+}
+
+void Shard::cancelFinished(JobNumber job) {
+  if (JobEntry *entry = Self->findJob(job))
+    entry->State = JobState::Cancelled;
+}
+
+bool Shard::hasWrites() const { return !Self->Dirty.empty(); }
+
+ShardLoad Shard::load() const {
+  ShardLoad load;
+  for (const JobEntry *it : Self->Live)
+    if (it->isLive() && !it->Started)
+      ++load.Pending[it->Job.Queue];
+  std::int64_t cpu = 0, memory = 0;
+  for (const auto &[id, w] : Self->Workers) {
+    if (!w->isUsable() || Self->ZonesOut.contains(w->Profile.Zone))
+      continue;
+    cpu += count(w->Profile.Capacity.Cpu) - count(w->Used.Cpu);
+    memory += count(w->Profile.Capacity.Memory) - count(w->Used.Memory);
+  }
+  load.FreeCpu = base::MilliCores{cpu};
+  load.FreeMemory = base::MebiBytes{memory};
+  return load;
+}
+
+} // namespace endivedoor::dispatch
--- /dev/null
+++ b/packages/dispatch/src/Loads.cpp
@@ -0,0 +1,40 @@
+#include "detail/Loads.h"
+
+#include "endivedoor/platform/Json.h"
+
+#include <boost/json.hpp>
+
+namespace endivedoor::dispatch::detail {
+
+namespace json = boost::json;
+
+std::string encodeLoad(const ShardLoad &load) {
+  json::object pending;
+  for (const auto &[queue, jobs] : load.Pending)
+    pending[queue] = jobs;
+  return json::serialize(
+      json::object{{"pending", std::move(pending)},
+                   {"freeCpu", count(load.FreeCpu)},
+                   {"freeMemory", count(load.FreeMemory)}});
+}
+
+base::Result<ShardLoad> decodeLoad(const std::string &text) {
+  base::Result<json::value> value = platform::parseJson(text);
+  if (!value)
+    return value.as_failure();
+  std::string fault;
+  platform::JsonView v(value.value(), fault);
+  ShardLoad load;
+  load.FreeCpu = base::MilliCores{v.optionalNumber("freeCpu", INT32_MIN, platform::MaxInt64)};
+  load.FreeMemory = base::MebiBytes{v.optionalNumber("freeMemory", INT32_MIN, platform::MaxInt64)};
+  if (!v.ok())
+    return base::fail(base::Errc::ParseFailed, fault);
+  const json::value *pending = value.value().as_object().if_contains("pending");
+  if (pending && pending->is_object())
+    for (const auto &[queue, jobs] : pending->as_object())
+      if (jobs.is_int64())
+        load.Pending[std::string(queue)] = jobs.as_int64();
+  return load;
+}
+
+} // namespace endivedoor::dispatch::detail
--- /dev/null
+++ b/packages/dispatch/src/NodeRecords.cpp
@@ -0,0 +1,106 @@
+#include "detail/NodeRecords.h"
+
+#include "endivedoor/platform/Json.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <optional>
+
+namespace endivedoor::dispatch::detail {
+
+namespace json = boost::json;
+using platform::JsonView;
+
+std::string encodeOwner(const OwnerEntry &owner) {
+  return json::serialize(json::object{{"node", owner.Node},
+                                      {"instance", owner.Instance},
+                                      {"term", owner.Term}});
+}
+
+std::string encodeLayout(std::int32_t shards) {
+  return json::serialize(json::object{{"shards", shards}});
+}
+
+std::string
+encodeAssignment(const std::map<base::WorkerId, std::int32_t> &shards) {
+  json::object to;
+  for (const auto &[worker, shard] : shards)
+    to[worker.str()] = shard;
+  return json::serialize(json::object{{"workers", std::move(to)}});
+}
+
+base::Result<OwnerEntry> decodeOwner(const std::string &text) {
+  base::Result<json::value> value = platform::parseJson(text);
+  if (!value)
+    return value.as_failure();
+  std::string fault;
+  JsonView v(value.value(), fault);
+  OwnerEntry owner{v.optionalText("node"), v.optionalText("instance"),
+                   v.optionalNumber("term", 0, platform::MaxInt64)};
+  if (!fault.empty())
+    return base::fail(base::Errc::ParseFailed, fault);
+  return owner;
+}
+
+/// Returns the number at the end of a key behind \p prefix.
+static std::optional<std::int32_t> shardOf(const std::string &key,
+                                           const std::string &prefix) {
+  if (!key.starts_with(prefix))
+    return std::nullopt;
+  std::int32_t shard = 0;
+  const char *end = key.data() + key.size();
+  auto [at, ec] = std::from_chars(key.data() + prefix.size(), end, shard);
+  if (ec != std::errc() || at != end)
+    return std::nullopt;
+  return shard;
+}
+
+static std::string shardPrefix() { return keys::directory() + "shard/"; }
+
+std::string NodeView::apply(const StoredItem &item) {
+  if (item.Key.starts_with(keys::members())) {
+    Members.insert(item.Key.substr(keys::members().size()));
+    return {};
+  }
+  base::Result<json::value> value = platform::parseJson(item.Value);
+  if (!value)
+    return value.error().message();
+  std::string fault;
+  JsonView v(value.value(), fault);
+  if (std::optional<std::int32_t> shard = shardOf(item.Key, shardPrefix())) {
+    base::Result<OwnerEntry> owner = decodeOwner(item.Value);
+    if (!owner)
+      return owner.error().message();
+    if (owner.value().Node.empty()) {
+      Owners.erase(*shard);
+      Released.insert(*shard);
+    } else {
+      Released.erase(*shard);
+      LastOwners[*shard] = owner.value().Node;
+      Owners[*shard] = owner.value();
+    }
+  } else if (item.Key == keys::layout()) {
+    constexpr std::int32_t MaxShards = 4096;
+    Shards = static_cast<std::int32_t>(v.number("shards", 1, MaxShards));
+  } else if (item.Key == keys::assignment()) {
+    Assignment.clear();
+    const json::value *workers =
+        value.value().as_object().if_contains("workers");
+    if (workers && workers->is_object())
+      for (const auto &[worker, shard] : workers->as_object())
+        if (shard.is_int64())
+          Assignment[base::WorkerId(std::string(worker))] =
+              static_cast<std::int32_t>(shard.as_int64());
+  }
+  return fault;
+}
+
+void NodeView::remove(const std::string &key) {
+  if (key.starts_with(keys::members()))
+    Members.erase(key.substr(keys::members().size()));
+  if (std::optional<std::int32_t> shard = shardOf(key, shardPrefix()))
+    Owners.erase(*shard);
+}
+
+} // namespace endivedoor::dispatch::detail
--- /dev/null
+++ b/packages/dispatch/src/Placement.cpp
@@ -0,0 +1,140 @@
+#include "detail/Placement.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace endivedoor::dispatch::detail {
+
+/// Share of their declared processor need that lasting tasks are taken to use.
+constexpr double LastingLoad = 0.6;
+/// Fillers are started while their declared need stays below this share of what
+/// the other tasks are taken to leave.
+constexpr double FillerLimit = 1.15;
+
+static bool hasLabel(const WorkerState &w, const std::string &label) {
+  const std::vector<std::string> &labels = w.Profile.Labels;
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+static bool fits(const WorkerState &w, const model::StepSpec &step) {
+  const base::Resources &all = w.Profile.Capacity;
+  std::int64_t cpu = step.Filler ? 0 : count(step.Size.Cpu);
+  return count(w.Used.Cpu) + cpu <= count(all.Cpu) &&
+         count(w.Used.Memory) + count(step.Size.Memory) <= count(all.Memory) &&
+         w.Used.Accelerators + step.Size.Accelerators <= all.Accelerators;
+}
+
+/// Processor time that fillers on the worker can expect, in thousandths of a
+/// core.
+static double leftover(const WorkerState &w) {
+  double serving = static_cast<double>(w.LastingCpu);
+  double others = static_cast<double>(count(w.Used.Cpu)) - serving;
+  return static_cast<double>(count(w.Profile.Capacity.Cpu)) - others -
+         LastingLoad * serving;
+}
+
+static bool mayRun(const ShardState &shard, const JobEntry &job,
+                   const model::StepSpec &step, const WorkerState &w,
+                   TimePoint now) {
+  return w.isUsable() && w.Clock && now >= w.AvoidUntil &&
+         w.Profile.Service == job.Job.Terms.Service &&
+         !shard.ZonesOut.contains(w.Profile.Zone) &&
+         (step.Requirement.empty() || hasLabel(w, step.Requirement)) &&
+         fits(w, step);
+}
+
+/// Returns how well the worker suits; higher is better, nothing means not now.
+static std::optional<double> suitability(const model::StepSpec &step,
+                                         const WorkerState &w,
+                                         std::int32_t sameStep) {
+  double score = 0;
+  if (step.Filler) {
+    double room = leftover(w) * w.FillerPercent / 100.0;
+    double taken = static_cast<double>(w.FillerCpu + count(step.Size.Cpu));
+    if (w.FillerPercent < 100 || taken > FillerLimit * room)
+      return std::nullopt;
+    score = (room - taken) / static_cast<double>(count(w.Profile.Capacity.Cpu));
+  } else {
+    double free = static_cast<double>(count(w.Profile.Capacity.Cpu) -
+                                      count(w.Used.Cpu) -
+                                      count(step.Size.Cpu));
+    score = free / static_cast<double>(count(w.Profile.Capacity.Cpu));
+  }
+  if (!step.Affinity.empty() && hasLabel(w, step.Affinity))
+    score += 10;
+  return score - 0.05 * sameStep - 0.3 * w.Faults;
+}
+
+WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
+                          const model::StepSpec &step, const StepCounts &counts,
+                          const WorkerState *besides, TimePoint now) {
+  WorkerState *best = nullptr;
+  double bestScore = 0;
+  for (const auto &[id, w] : shard.Workers) {
+    if (w.get() == besides || !mayRun(shard, job, step, *w, now))
+      continue;
+    auto it = counts.find(w.get());
+    std::int32_t same = it == counts.end() ? 0 : it->second;
+    if (step.MaxPerWorker > 0 && same >= step.MaxPerWorker)
+      continue;
+    std::optional<double> score = suitability(step, *w, same);
+    if (score && (!best || *score > bestScore)) {
+      best = w.get();
+      bestScore = *score;
+    }
+  }
+  return best;
+}
+
+/// Returns the rack label of a worker: its last label, after its kind.
+static std::string rackOf(const WorkerState &w) {
+  return w.Profile.Labels.size() > 1 ? w.Profile.Labels.back() : std::string();
+}
+
+/// Fills workers one after the other; returns nothing if not all tasks fit.
+static std::vector<WorkerState *>
+packGang(const ShardState &shard, const JobEntry &job,
+         const model::StepSpec &step, const std::string &rack, TimePoint now) {
+  std::vector<WorkerState *> places;
+  for (const auto &[id, w] : shard.Workers) {
+    if (!mayRun(shard, job, step, *w, now) ||
+        (!rack.empty() && rackOf(*w) != rack))
+      continue;
+    base::Resources free = w->Profile.Capacity;
+    free -= w->Used;
+    for (std::int32_t n = 0; step.MaxPerWorker == 0 || n < step.MaxPerWorker;
+         ++n) {
+      base::Resources size = step.Size;
+      if (step.Filler)
+        size.Cpu = base::MilliCores{0};
+      if (!size.fitsIn(free) ||
+          places.size() == static_cast<std::size_t>(step.Count))
+        break;
+      free -= size;
+      places.push_back(w.get());
+    }
+  }
+  if (places.size() < static_cast<std::size_t>(step.Count))
+    places.clear();
+  return places;
+}
+
+std::vector<WorkerState *> chooseGang(const ShardState &shard,
+                                      const JobEntry &job,
+                                      const model::StepSpec &step,
+                                      TimePoint now) {
+  std::set<std::string> racks;
+  for (const auto &[id, w] : shard.Workers)
+    racks.insert(rackOf(*w));
+  if (!step.Affinity.empty())
+    if (auto places = packGang(shard, job, step, step.Affinity, now);
+        !places.empty())
+      return places;
+  if (step.SameRack)
+    for (const std::string &rack : racks)
+      if (auto places = packGang(shard, job, step, rack, now); !places.empty())
+        return places;
+  return packGang(shard, job, step, {}, now);
+}
+
+} // namespace endivedoor::dispatch::detail
--- /dev/null
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -0,0 +1,155 @@
+#include "endivedoor/dispatch/PrefixMirror.h"
+
+#include "detail/Sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <set>
+
+namespace endivedoor::dispatch {
+
+namespace asio = boost::asio;
+using base::EventCode;
+using namespace std::chrono_literals;
+
+/// Longest wait that the store offers; each wait costs one call.
+constexpr auto WatchWait = 25s;
+/// Pause after a failed call; bounds the calls made during an outage.
+constexpr auto RetryPause = 150ms;
+
+struct PrefixMirror::Impl : std::enable_shared_from_this<Impl> {
+  asio::any_io_executor Executor;
+  MetadataStore &Store;
+  std::string Prefix;
+  Handlers Report;
+  base::EventLog &Events;
+  std::map<std::string, std::int64_t> Revisions;
+  std::int64_t AsOf = 0;
+  bool Listed = false;
+  bool Reachable = true;
+  bool Stopped = false;
+
+  Impl(asio::any_io_executor executor, MetadataStore &store, std::string prefix,
+       Handlers handlers, base::EventLog &events)
+      : Executor(std::move(executor)), Store(store), Prefix(std::move(prefix)),
+        Report(std::move(handlers)), Events(events) {}
+
+  void written(const StoredItem &item) {
+    std::int64_t &known = Revisions[item.Key];
+    if (item.Revision <= known)
+      return;
+    known = item.Revision;
+    Report.Written(item);
+  }
+
+  void deleted(const std::string &key, std::int64_t revision) {
+    auto it = Revisions.find(key);
+    if (it == Revisions.end() || it->second > revision)
+      return;
+    Revisions.erase(it);
+    Report.Deleted(key);
+  }
+
+  void setReachable(bool reachable, const std::string &cause) {
+    if (reachable == Reachable)
+      return;
+    Reachable = reachable;
+    Events.emit(reachable ? EventCode::WatchRegained : EventCode::WatchLost,
+                {{"prefix", Prefix}, {"cause", cause}});
+  }
+
+  asio::awaitable<bool> relist() {
+    base::Result<Listing> list = co_await Store.list(Prefix);
+    if (Stopped)
+      co_return false;
+    if (!list) {
+      setReachable(false, list.error().message());
+      co_return false;
+    }
+    setReachable(true, "");
+    std::set<std::string> present;
+    for (const StoredItem &it : list.value().Items) {
+      present.insert(it.Key);
+      written(it);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[key, revision] : Revisions)
+      if (!present.contains(key) && revision <= list.value().AsOf)
+        missing.push_back(key);
+    for (const std::string &it : missing)
+      deleted(it, list.value().AsOf);
+    AsOf = list.value().AsOf;
+    Listed = true;
+    Report.Synced();
+    co_return true;
+  }
+
+  asio::awaitable<bool> follow() {
+    base::Result<Changes> changes =
+        co_await Store.watch(Prefix, AsOf, WatchWait);
+    if (Stopped)
+      co_return false;
+    if (!changes) {
+      setReachable(false, changes.error().message());
+      co_return false;
+    }
+    setReachable(true, "");
+    if (changes.value().HistoryLost) {
+      Events.emit(EventCode::WatchHistoryLost,
+                  {{"prefix", Prefix}, {"after", std::to_string(AsOf)}});
+      Listed = co_await relist();
+      co_return Listed;
+    }
+    for (const Change &it : changes.value().List) {
+      if (it.Deleted)
+        deleted(it.Item.Key, it.Revision);
+      else
+        written(it.Item);
+      if (Stopped)
+        co_return false;
+    }
+    AsOf = std::max(AsOf, changes.value().AsOf);
+    if (!changes.value().List.empty())
+      Report.Synced();
+    co_return true;
+  }
+
+  asio::awaitable<void> run() {
+    auto self = shared_from_this();
+    bool needsList = true;
+    while (!Stopped) {
+      bool done = needsList ? co_await relist() : co_await follow();
+      if (Stopped)
+        co_return;
+      if (done) {
+        needsList = false;
+        continue;
+      }
+      needsList = !Listed;
+      co_await detail::sleepFor(RetryPause);
+    }
+  }
+};
+
+PrefixMirror::PrefixMirror(asio::any_io_executor executor, MetadataStore &store,
+                           std::string prefix, Handlers handlers,
+                           base::EventLog &events)
+    : Self(std::make_shared<Impl>(std::move(executor), store,
+                                  std::move(prefix), std::move(handlers),
+                                  events)) {}
+
+PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
+
+void PrefixMirror::start() {
+  asio::co_spawn(Self->Executor, Self->run(), asio::detached);
+}
+
+bool PrefixMirror::isSynced() const { return Self->Listed; }
+
+std::int64_t PrefixMirror::revisionOf(const std::string &key) const {
+  auto it = Self->Revisions.find(key);
+  return it == Self->Revisions.end() ? 0 : it->second;
+}
+
+} // namespace endivedoor::dispatch
--- /dev/null
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -0,0 +1,458 @@
+#include "detail/ShardRunner.h"
+
+#include "detail/Loads.h"
+#include "detail/Sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace endivedoor::dispatch::detail {
+
+namespace asio = boost::asio;
+using base::EventCode;
+using base::TimePoint;
+using namespace std::chrono_literals;
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Events within this time lead to one plan.
+constexpr auto PlanDelay = 5ms;
+/// A plan is made at least this often, for leases, due times and pacing.
+constexpr auto PlanInterval = 150ms;
+/// Changes within this time share a commit.
+constexpr auto CommitDelay = 25ms;
+constexpr auto CommitRetry = 200ms;
+/// How often the load record is stored; half of the 2 s that it may be old.
+constexpr auto LoadInterval = 800ms;
+/// Wait of a hold at a worker with runs; bounds the age of its gauges.
+constexpr auto BusyWait = 500ms;
+/// Wait of a hold at an idle worker.
+constexpr auto IdleWait = 2000ms;
+/// Allowance for the transfer of an answer.
+constexpr auto CallTimeout = 900ms;
+/// Ends within this time share one hold.
+constexpr auto HoldPause = 25ms;
+constexpr auto HoldRetry = 300ms;
+/// Entries of a commit for one job: two conditions or writes, two deletes.
+constexpr std::size_t EntriesOfJob = 4;
+/// The owner's condition and the load record.
+constexpr std::size_t FixedEntries = 2;
+constexpr std::size_t JobsOfCommit =
+    (MaxCommitEntries - FixedEntries) / EntriesOfJob;
+
+ShardRunner::ShardRunner(RunnerContext context, Term term)
+    : Context(std::move(context)), Current(term),
+      State(Context.Options.Shard, term.Shard, term.Number,
+            base::FencingToken{static_cast<std::uint64_t>(term.Revision)},
+            Context.Events),
+      PlanTimer(Context.Executor), CommitTimer(Context.Executor) {}
+
+void ShardRunner::start() {
+  asio::co_spawn(Context.Executor,
+                 [self = shared_from_this()] { return self->load(); },
+                 asio::detached);
+}
+
+void ShardRunner::stop() {
+  Stopped = true;
+  Mirror.reset();
+  PlanTimer.cancel();
+  CommitTimer.cancel();
+}
+
+void ShardRunner::lose(const char *cause) {
+  if (Stopped)
+    return;
+  Context.Events.emit(EventCode::ShardGivenUp,
+                      {{"shard", std::to_string(Current.Shard)},
+                       {"term", std::to_string(Current.Number)},
+                       {"cause", cause}});
+  stop();
+  Context.Lost(Current.Shard);
+}
+
+bool ShardRunner::mayOrder() const {
+  return Context.Time.now() - Context.LastWord() <
+         Context.Options.Shard.OwnerGrace;
+}
+
+asio::awaitable<void> ShardRunner::load() {
+  auto self = shared_from_this();
+  while (!Stopped) {
+    base::Result<std::optional<StoredItem>> roster =
+        co_await Context.Store.read(keys::roster(Current.Shard));
+    if (Stopped)
+      co_return;
+    if (!roster) {
+      co_await sleepFor(CommitRetry);
+      continue;
+    }
+    if (roster.value()) {
+      RosterRevision = roster.value()->Revision;
+      base::Result<std::vector<RosterEntry>> list =
+          decodeRoster(roster.value()->Value);
+      if (!list)
+        co_return lose("the roster cannot be read");
+      StoredRoster = list.value();
+      State.suspect(list.value(), Context.Time.now());
+    }
+    break;
+  }
+  std::vector<StoredItem> progress;
+  while (!Stopped) {
+    base::Result<Listing> list =
+        co_await Context.Store.list(keys::progressOf(Current.Shard));
+    if (Stopped)
+      co_return;
+    if (list) {
+      progress = std::move(list.value().Items);
+      break;
+    }
+    co_await sleepFor(CommitRetry);
+  }
+  PrefixMirror::Handlers handlers;
+  handlers.Written = [this](const StoredItem &item) { onItem(item); };
+  handlers.Deleted = [](const std::string &) {};
+  handlers.Synced = [this, progress = std::move(progress)]() mutable {
+    if (!Loaded) {
+      Loaded = true;
+      std::string prefix = keys::progressOf(Current.Shard);
+      for (const StoredItem &it : progress) {
+        base::Result<model::JobNumber> id =
+            parseJobNumber(it.Key.substr(prefix.size()));
+        base::Result<JobProgress> record = decodeProgress(it.Value);
+        if (id && record)
+          State.restore(id.value(), record.value(), it.Revision);
+        else
+          Context.Events.emit(EventCode::RecordUnreadable, {{"key", it.Key}});
+      }
+      progress.clear();
+      Context.Events.emit(EventCode::ShardLoaded,
+                          {{"shard", std::to_string(Current.Shard)},
+                           {"term", std::to_string(Current.Number)}});
+      auto self = shared_from_this();
+      asio::co_spawn(
+          Context.Executor, [self] { return self->planLoop(); },
+          asio::detached);
+      asio::co_spawn(
+          Context.Executor, [self] { return self->commitLoop(); },
+          asio::detached);
+    }
+    poke();
+  };
+  Mirror = std::make_unique<PrefixMirror>(Context.Executor, Context.Store,
+                                          keys::shard(Current.Shard),
+                                          std::move(handlers), Context.Events);
+  Mirror->start();
+  spawnHolds();
+}
+
+void ShardRunner::onItem(const StoredItem &item) {
+  std::string prefix = keys::shard(Current.Shard);
+  if (item.Key == keys::owner(Current.Shard)) {
+    if (item.Revision > Current.Revision)
+      lose("another node has taken the shard");
+    return;
+  }
+  constexpr std::size_t KindLength = 2;
+  std::string kind = item.Key.substr(prefix.size(), KindLength);
+  base::Result<model::JobNumber> id =
+      parseJobNumber(item.Key.substr(prefix.size() + KindLength));
+  if (!id) {
+    Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
+    return;
+  }
+  if (kind == "c/")
+    return State.cancelJob(id.value(), Context.Time.now());
+  base::Result<model::AcceptedJob> job = decodeJob(id.value(), item.Value);
+  if (!job) {
+    Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
+    return;
+  }
+  bool inherited = item.Revision <= Current.Revision;
+  State.addJob(std::move(job.value()), item.Revision, inherited,
+               Context.Time.now());
+}
+
+void ShardRunner::setZonesOut(std::set<base::ZoneId> zones) {
+  State.setZonesOut(std::move(zones));
+  poke();
+}
+
+void ShardRunner::offerWorker(const model::WorkerProfile &worker) {
+  State.offerWorker(worker, Context.Time.now());
+  spawnHolds();
+  poke();
+}
+
+void ShardRunner::withdrawWorker(const base::WorkerId &worker) {
+  State.withdrawWorker(worker);
+  poke();
+}
+
+void ShardRunner::poke() {
+  if (PlanDue || Stopped)
+    return;
+  PlanDue = true;
+  PlanTimer.expires_after(PlanDelay);
+}
+
+void ShardRunner::spawnHolds() {
+  for (const WorkerRef &it : State.workers()) {
+    if (!Holding.insert(it.Id).second)
+      continue;
+    asio::co_spawn(
+        Context.Executor,
+        [self = shared_from_this(), id = it.Id] { return self->holdLoop(id); },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> ShardRunner::holdLoop(base::WorkerId worker) {
+  auto self = shared_from_this();
+  while (!Stopped && State.hasWorker(worker)) {
+    TimePoint sent = Context.Time.now();
+    std::optional<HoldPlan> plan = State.nextHold(worker, sent, mayOrder());
+    if (!plan)
+      break;
+    plan->Request.Wait = !plan->Synced ? 0ms : plan->Busy ? BusyWait : IdleWait;
+    base::Result<HoldReport> report = co_await Context.Workers.hold(
+        plan->To, plan->Request, plan->Request.Wait + CallTimeout);
+    if (Stopped)
+      co_return;
+    if (!report) {
+      State.onHoldFailed(worker, report.error().message());
+      co_await sleepFor(HoldRetry);
+      continue;
+    }
+    State.onHold(worker, report.value(), sent, Context.Time.now());
+    if (State.isFenced())
+      co_return lose("a worker has seen a higher token");
+    poke();
+    if (State.hasWrites())
+      CommitTimer.cancel();
+    co_await sleepFor(HoldPause);
+  }
+  Holding.erase(worker);
+}
+
+asio::awaitable<void> ShardRunner::planLoop() {
+  auto self = shared_from_this();
+  while (!Stopped) {
+    PlanDue = false;
+    for (Order &it :
+         State.plan(Context.Time.now(), Context.Time.wallNow(),
+                    mayOrder() && !Flushing))
+      asio::co_spawn(
+          Context.Executor,
+          [self, order = std::move(it)] { return self->carryOut(order); },
+          asio::detached);
+    if (State.isFenced())
+      co_return lose("a worker has seen a higher token");
+    if (State.roster() != StoredRoster)
+      CommitTimer.cancel();
+    // poke() shortens the wait.
+    PlanTimer.expires_after(PlanInterval);
+    co_await PlanTimer.async_wait(AsTuple);
+    if (PlanDue && !Stopped)
+      co_await sleepFor(PlanDelay);
+  }
+}
+
+asio::awaitable<void> ShardRunner::carryOut(Order order) {
+  auto self = shared_from_this();
+  if (Stopped)
+    co_return;
+  base::FencingToken token = State.token();
+  switch (order.What) {
+  case Order::Kind::Start: {
+    StartRequest request;
+    request.Id = order.Id;
+    request.Payload = order.Payload;
+    request.Checkpoint = order.Checkpoint;
+    request.Deadline = order.Deadline;
+    request.Token = token;
+    auto answer = co_await Context.Workers.start(order.To, std::move(request),
+                                                 CallTimeout);
+    if (!Stopped)
+      State.onStart(order, std::move(answer), Context.Time.now());
+    break;
+  }
+  case Order::Kind::Stop: {
+    auto answer =
+        co_await Context.Workers.stop(order.To, order.Id, token, CallTimeout);
+    if (!Stopped)
+      State.onStop(order, std::move(answer), Context.Time.now());
+    break;
+  }
+  case Order::Kind::Pace: {
+    auto answer = co_await Context.Workers.pace(
+        order.To, order.Id, order.Percent, token, CallTimeout);
+    if (!Stopped && !answer)
+      State.onPaceFailed(order);
+    break;
+  }
+  }
+}
+
+asio::awaitable<void> ShardRunner::commitLoop() {
+  auto self = shared_from_this();
+  while (!Stopped) {
+    co_await commitOnce();
+    if (Stopped)
+      co_return;
+    if (State.hasWrites()) {
+      co_await sleepFor(CommitDelay);
+      continue;
+    }
+    CommitTimer.expires_after(LoadInterval);
+    co_await CommitTimer.async_wait(AsTuple);
+    if (!Stopped)
+      co_await sleepFor(CommitDelay);
+  }
+}
+
+void ShardRunner::addLoad(Commit &commit) {
+  TimePoint now = Context.Time.now();
+  if (now - LoadStored < LoadInterval)
+    return;
+  std::string load = encodeLoad(State.load());
+  if (load == StoredLoad)
+    return;
+  commit.Writes.push_back({keys::load(Current.Shard), load});
+}
+
+asio::awaitable<void> ShardRunner::storeRoster() {
+  std::vector<RosterEntry> roster = State.roster();
+  if (roster == StoredRoster)
+    co_return;
+  Commit commit;
+  commit.Conditions = {{keys::owner(Current.Shard), Current.Revision},
+                       {keys::roster(Current.Shard), RosterRevision}};
+  std::string value = encodeRoster(roster);
+  commit.Writes = {{keys::roster(Current.Shard), value}};
+  base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
+  if (Stopped || !done)
+    co_return;
+  if (!done.value().Applied) {
+    for (const StoredItem &it : done.value().Current) {
+      if (it.Key == keys::owner(Current.Shard) &&
+          it.Revision != Current.Revision)
+        co_return lose("another node has taken the shard");
+      if (it.Key != keys::roster(Current.Shard))
+        continue;
+      RosterRevision = it.Revision;
+      // An own write whose answer was lost.
+      if (base::Result<std::vector<RosterEntry>> list =
+              decodeRoster(it.Value)) {
+        StoredRoster = list.value();
+        State.rosterStored(StoredRoster);
+      }
+    }
+    co_return;
+  }
+  RosterRevision = done.value().Revision;
+  StoredRoster = roster;
+  State.rosterStored(roster);
+  poke();
+}
+
+/// Adds the conditions, writes and deletes of one record.
+static void addWrite(Commit &commit, std::int32_t shard, const JobWrite &it) {
+  if (!it.Final) {
+    commit.Conditions.push_back({keys::progress(shard, it.Job), it.Revision});
+    commit.Writes.push_back(
+        {keys::progress(shard, it.Job), encodeProgress(it.Progress)});
+    return;
+  }
+  commit.Conditions.push_back({keys::index(it.Job), it.Revision});
+  commit.Writes.push_back(
+      {keys::index(it.Job), encodeIndex({shard, *it.Final})});
+  commit.Deletes.push_back(keys::job(shard, it.Job));
+  commit.Deletes.push_back(keys::progress(shard, it.Job));
+}
+
+asio::awaitable<void> ShardRunner::commitOnce() {
+  co_await storeRoster();
+  if (Stopped)
+    co_return;
+  std::vector<JobWrite> writes = State.takeWrites(JobsOfCommit);
+  Commit commit;
+  commit.Conditions.push_back({keys::owner(Current.Shard), Current.Revision});
+  for (const JobWrite &it : writes)
+    addWrite(commit, Current.Shard, it);
+  addLoad(commit);
+  if (commit.Writes.empty())
+    co_return;
+  TimePoint sent = Context.Time.now();
+  base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
+  if (Stopped)
+    co_return;
+  if (!done) {
+    State.onNotStored(writes);
+    co_await sleepFor(CommitRetry);
+    co_return;
+  }
+  if (!done.value().Applied)
+    co_return onConflict(writes, done.value());
+  Context.StoreAnswered(sent);
+  if (commit.Writes.back().Key == keys::load(Current.Shard)) {
+    StoredLoad = commit.Writes.back().Value;
+    LoadStored = sent;
+  }
+  for (JobWrite &it : writes)
+    it.Revision = done.value().Revision;
+  State.onStored(writes);
+}
+
+void ShardRunner::onConflict(std::vector<JobWrite> &writes,
+                             const CommitOutcome &outcome) {
+  std::map<std::string, StoredItem> current;
+  for (const StoredItem &it : outcome.Current)
+    current[it.Key] = it;
+  auto owner = current.find(keys::owner(Current.Shard));
+  if (owner == current.end() || owner->second.Revision != Current.Revision)
+    return lose("another node has taken the shard");
+  // A write whose answer was lost has been applied, or a caller has cancelled
+  // the job.
+  std::vector<JobWrite> again;
+  std::vector<JobWrite> stored;
+  for (JobWrite &it : writes) {
+    std::string key = it.Final ? keys::index(it.Job)
+                               : keys::progress(Current.Shard, it.Job);
+    auto item = current.find(key);
+    std::int64_t revision =
+        item == current.end() ? 0 : item->second.Revision;
+    if (revision == it.Revision) {
+      again.push_back(it);
+      continue;
+    }
+    it.Revision = revision;
+    if (!it.Final) {
+      again.push_back(it);
+      continue;
+    }
+    base::Result<JobIndex> index =
+        item == current.end() ? base::Result<JobIndex>(JobIndex{})
+                              : decodeIndex(item->second.Value);
+    if (index && index.value().State == model::JobState::Cancelled)
+      State.cancelFinished(it.Job);
+    stored.push_back(it);
+  }
+  State.onNotStored(again);
+  State.onStored(stored);
+}
+
+asio::awaitable<void> ShardRunner::flush() {
+  auto self = shared_from_this();
+  Flushing = true;
+  /// Rounds of commits before the shard is handed over; what is not stored by
+  /// then is in the workers' lists.
+  constexpr int Rounds = 8;
+  for (int i = 0; i < Rounds && !Stopped && Loaded && State.hasWrites(); ++i)
+    co_await commitOnce();
+}
+
+} // namespace endivedoor::dispatch::detail
--- /dev/null
+++ b/packages/dispatch/src/detail/JobDesk.h
@@ -0,0 +1,38 @@
+/// \file
+/// The calls of job callers, answered from the store.
+#ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_JOBDESK_H
+#define ENDIVEDOOR_DISPATCH_SRC_DETAIL_JOBDESK_H
+
+#include "detail/Loads.h"
+#include "detail/NodeRecords.h"
+
+#include "endivedoor/base/Clock.h"
+#include "endivedoor/dispatch/DispatchNode.h"
+
+namespace endivedoor::dispatch::detail {
+
+class JobDesk {
+public:
+  JobDesk(MetadataStore &store, const base::Clock &clock, const NodeView &view)
+      : Store(store), Time(clock), View(view) {}
+
+  boost::asio::awaitable<SubmitOutcome> submit(model::AcceptedJob job);
+  boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job);
+  Async<std::optional<model::JobState>> state(model::JobNumber job);
+  Async<std::int64_t> pending(std::string queue);
+
+private:
+  Async<void> refreshLoads();
+  std::int32_t chooseShard(const model::AcceptedJob &job);
+
+  MetadataStore &Store;
+  const base::Clock &Time;
+  const NodeView &View;
+  std::map<std::int32_t, ShardLoad> Loads;
+  base::TimePoint LoadsRead{};
+  std::int32_t NextShard = 0;
+};
+
+} // namespace endivedoor::dispatch::detail
+
+#endif
--- /dev/null
+++ b/packages/dispatch/src/detail/Placement.h
@@ -0,0 +1,30 @@
+/// \file
+/// The choice of a worker for a task.
+#ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_PLACEMENT_H
+#define ENDIVEDOOR_DISPATCH_SRC_DETAIL_PLACEMENT_H
+
+#include "detail/ShardState.h"
+
+namespace endivedoor::dispatch::detail {
+
+/// Tasks of one step on each worker.
+using StepCounts = std::map<const WorkerState *, std::int32_t>;
+
+/// Returns the best worker for one more task of a step, or null if none may run
+/// it now.
+///
+/// \param counts tasks of the step that each worker has.
+/// \param besides a worker that must not be chosen; null for none.
+WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
+                          const model::StepSpec &step, const StepCounts &counts,
+                          const WorkerState *besides, TimePoint now);
+
+/// Returns a worker for each task of a gang, or nothing if not all find room.
+std::vector<WorkerState *> chooseGang(const ShardState &shard,
+                                      const JobEntry &job,
+                                      const model::StepSpec &step,
+                                      TimePoint now);
+
+} // namespace endivedoor::dispatch::detail
+
+#endif
--- /dev/null
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -0,0 +1,92 @@
+/// \file
+/// Carries out the decisions of one shard for one term of ownership.
+#ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDRUNNER_H
+#define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDRUNNER_H
+
+#include "endivedoor/dispatch/DispatchNode.h"
+#include "endivedoor/dispatch/PrefixMirror.h"
+#include "endivedoor/dispatch/Shard.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace endivedoor::dispatch::detail {
+
+/// A term of ownership, as acquired in the store.
+struct Term {
+  std::int32_t Shard = 0;
+  std::int64_t Number = 0;
+  /// Revision of the owner record; also the fencing token.
+  std::int64_t Revision = 0;
+};
+
+/// What a runner needs of its node.
+struct RunnerContext {
+  boost::asio::any_io_executor Executor;
+  const DispatchOptions &Options;
+  MetadataStore &Store;
+  TaskWorker &Workers;
+  const base::Clock &Time;
+  base::EventLog &Events;
+  /// When the latest successful call to the store was sent.
+  std::function<base::TimePoint()> LastWord;
+  std::function<void(base::TimePoint sent)> StoreAnswered;
+  /// The term is over.
+  std::function<void(std::int32_t shard)> Lost;
+};
+
+class ShardRunner : public std::enable_shared_from_this<ShardRunner> {
+public:
+  ShardRunner(RunnerContext context, Term term);
+
+  void start();
+  /// Ends all activity; orders that are under way may still be carried out.
+  void stop();
+  /// Stops giving orders and stores what is known.
+  boost::asio::awaitable<void> flush();
+
+  const Term &term() const { return Current; }
+  bool isStopped() const { return Stopped; }
+  void setZonesOut(std::set<base::ZoneId> zones);
+  void offerWorker(const model::WorkerProfile &worker);
+  void withdrawWorker(const base::WorkerId &worker);
+
+private:
+  boost::asio::awaitable<void> load();
+  void onItem(const StoredItem &item);
+  void poke();
+  boost::asio::awaitable<void> planLoop();
+  boost::asio::awaitable<void> commitLoop();
+  boost::asio::awaitable<void> commitOnce();
+  boost::asio::awaitable<void> storeRoster();
+  void addLoad(Commit &commit);
+  void onConflict(std::vector<JobWrite> &writes, const CommitOutcome &outcome);
+  boost::asio::awaitable<void> holdLoop(base::WorkerId worker);
+  void spawnHolds();
+  boost::asio::awaitable<void> carryOut(Order order);
+  void lose(const char *cause);
+  bool mayOrder() const;
+
+  RunnerContext Context;
+  Term Current;
+  Shard State;
+  std::unique_ptr<PrefixMirror> Mirror;
+  boost::asio::steady_timer PlanTimer;
+  boost::asio::steady_timer CommitTimer;
+  std::set<base::WorkerId> Holding;
+  std::vector<RosterEntry> StoredRoster;
+  std::int64_t RosterRevision = 0;
+  std::string StoredLoad;
+  base::TimePoint LoadStored;
+  bool PlanDue = false;
+  bool Loaded = false;
+  bool Stopped = false;
+  bool Flushing = false;
+};
+
+} // namespace endivedoor::dispatch::detail
+
+#endif
--- /dev/null
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -0,0 +1,223 @@
+/// \file
+/// The tables of a shard: jobs with their tasks, and workers with their runs.
+#ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDSTATE_H
+#define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDSTATE_H
+
+#include "endivedoor/dispatch/Shard.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace endivedoor::dispatch::detail {
+
+using base::TimePoint;
+using model::JobNumber;
+using model::TaskKey;
+
+struct WorkerState;
+
+enum class RunPhase {
+  /// The start has been sent.
+  Starting,
+  /// The worker has confirmed the run.
+  Running,
+  /// The answer to the start was lost; the run may appear later.
+  Doubtful,
+  Stopping
+};
+
+/// One run of a task on a worker.
+struct Run {
+  WorkerState *Where = nullptr;
+  std::int64_t Number = 0;
+  RunPhase Phase = RunPhase::Starting;
+  /// When the phase was entered.
+  TimePoint Since;
+  TimePoint Started;
+  /// When the worker confirmed the latest stop; lists that were asked for later
+  /// show whether the run exists.
+  std::optional<TimePoint> StopConfirmed;
+  TimePoint StopSent;
+  std::int32_t Percent = 100;
+  std::int64_t Gauge = 0;
+  bool HasGauge = false;
+  /// Percent of speed that was ordered last.
+  std::int32_t Paced = 100;
+  /// When the worker last reported that the run used its processor.
+  TimePoint LastBusy;
+};
+
+struct TaskEntry {
+  std::vector<Run> Runs;
+  std::vector<std::int64_t> FailedRuns;
+  std::int64_t LastRun = 0;
+  std::string Checkpoint;
+  bool Done = false;
+};
+
+struct StepEntry {
+  std::vector<TaskEntry> Tasks;
+  std::int32_t DoneCount = 0;
+  /// Tasks without a run that are not done.
+  std::int32_t Idle = 0;
+};
+
+struct Occurrence {
+  std::int32_t Number = 0;
+  std::vector<StepEntry> Steps;
+  bool Complete = false;
+  TimePoint Created;
+};
+
+struct JobEntry {
+  model::AcceptedJob Job;
+  model::JobState State = model::JobState::Queued;
+  TimePoint Accepted;
+  /// An earlier owner may have started tasks.
+  bool Inherited = false;
+  bool Started = false;
+  std::int64_t IndexRevision = 0;
+  std::int64_t ProgressRevision = 0;
+  std::uint64_t Version = 0;
+  std::uint64_t StoredVersion = 0;
+  bool InWrite = false;
+  std::map<std::int32_t, Occurrence> Occurrences;
+  /// Time at which the job is late; the order of service.
+  TimePoint Objective;
+  /// Runs on workers, over all tasks.
+  std::int32_t Runs = 0;
+
+  bool isLive() const { return !model::isFinal(State); }
+  bool lasts() const {
+    return !Job.Graph.Steps.empty() && Job.Graph.Steps.front().Lasting;
+  }
+};
+
+/// An end that the worker may forget once its job's record is stored.
+struct PendingEnd {
+  std::int64_t Number = 0;
+  JobNumber Job{0};
+  std::uint64_t Version = 0;
+};
+
+struct ClockSample {
+  WorkerTime Clock{0};
+  /// When the answer that carried it had arrived.
+  TimePoint At;
+};
+
+struct WorkerState {
+  model::WorkerProfile Profile;
+  /// The worker's entry is there.
+  bool Listed = false;
+  /// The latest hold was answered.
+  bool Reachable = true;
+  /// Its lists are known under the present token.
+  bool Synced = false;
+  /// The stored roster names it, so orders may go there.
+  bool InRoster = false;
+  /// An earlier owner may have runs there that no list has shown yet.
+  std::optional<TimePoint> SuspectUntil;
+  std::optional<ClockSample> Clock;
+  /// Latest deadline that the worker may have received.
+  WorkerTime Promised{0};
+  std::int64_t ProcessedEnds = 0;
+  std::int64_t LastSeen = 0;
+  std::deque<PendingEnd> PendingEnds;
+  std::map<RunId, base::Resources> Runs;
+  base::Resources Used;
+  /// Declared processor need of the fillers.
+  std::int64_t FillerCpu = 0;
+  /// Processor need of lasting tasks, which seldom use it all.
+  std::int64_t LastingCpu = 0;
+  /// No starts before then.
+  TimePoint AvoidUntil;
+  /// Recent failures of runs here, halved by each success.
+  double Faults = 0;
+  /// Share of speed of the fillers here, and when it was changed last.
+  std::int32_t FillerPercent = 100;
+  TimePoint PaceChanged;
+  /// Since when a lasting task here has been over its target.
+  std::optional<TimePoint> OverTarget;
+  /// Runs that belong to no live job and must be stopped.
+  std::map<RunId, TimePoint> Strays;
+
+  WorkerRef ref() const { return {Profile.Id, Profile.Endpoint}; }
+  bool isUsable() const {
+    return Listed && Synced && InRoster && !Profile.Draining;
+  }
+};
+
+struct ShardState {
+  ShardOptions Options;
+  std::int32_t Number = 0;
+  std::int64_t Term = 0;
+  base::FencingToken Token{0};
+  base::EventLog &Events;
+  ShardState(ShardOptions options, std::int32_t number, std::int64_t term,
+             base::FencingToken token, base::EventLog &events)
+      : Options(options), Number(number), Term(term), Token(token),
+        Events(events) {}
+
+  bool Fenced = false;
+  std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
+  std::vector<JobEntry *> Live;
+  std::map<base::WorkerId, std::unique_ptr<WorkerState>> Workers;
+  std::set<base::ZoneId> ZonesOut;
+  std::deque<JobNumber> Dirty;
+  std::vector<Order> Outbox;
+
+  // Jobs.cpp
+  JobEntry *findJob(JobNumber job);
+  TaskEntry *findTask(const TaskKey &key, JobEntry **job = nullptr);
+  Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
+  void touch(JobEntry &job);
+  void finish(JobEntry &job, model::JobState state);
+  void checkComplete(JobEntry &job, Occurrence &occurrence);
+  void removeRun(JobEntry &job, const TaskKey &key, std::int64_t run);
+  bool hasSuspects() const;
+
+  // Workers.cpp
+  void processEnd(WorkerState &worker, const EndedTask &end, TimePoint now);
+  void processRunning(WorkerState &worker, const HoldReport &report,
+                      TimePoint sent, TimePoint now);
+  void adopt(WorkerState &worker, const RunningTask &row, TimePoint now);
+  /// Everything on the worker has ended without leaving an end.
+  void loseRuns(WorkerState &worker, const char *cause);
+  void reserve(WorkerState &worker, const RunId &run,
+               const model::StepSpec &step);
+  void release(WorkerState &worker, const RunId &run);
+  void dropLapsed(TimePoint now);
+  std::optional<WorkerTime> workerNow(const WorkerState &worker,
+                                      TimePoint now) const;
+
+  // Plan.cpp
+  void openDue(base::WallTime wall, TimePoint now);
+  void startReady(TimePoint now);
+  void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
+                 TimePoint now);
+  void startGang(JobEntry &job, Occurrence &occurrence, std::int32_t step,
+                 TimePoint now);
+  void startTask(JobEntry &job, const TaskKey &key, TaskEntry &task,
+                 WorkerState &worker, TimePoint now, std::int64_t run);
+  void stopNeedless(TimePoint now);
+  void stopRun(const TaskKey &key, Run &run, TimePoint now);
+  void moveFromDraining(TimePoint now);
+  void relieveStuck(TimePoint now);
+
+  // Pacing.cpp
+  void paceFillers(TimePoint now);
+};
+
+/// Returns the step of a task.
+const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key);
+
+/// Text of a task for logs.
+std::string taskText(const TaskKey &key);
+
+} // namespace endivedoor::dispatch::detail
+
+#endif
--- /dev/null
+++ b/packages/model/src/DispatchSettings.cpp
@@ -0,0 +1,86 @@
+#include "endivedoor/model/DispatchSettings.h"
+
+#include "detail/YamlSection.h"
+
+#include <yaml-cpp/yaml.h>
+
+namespace endivedoor::model {
+
+using base::Errc;
+using detail::YamlFaults;
+using detail::YamlSection;
+using namespace std::chrono_literals;
+
+struct BoundField {
+  const char *Key;
+  std::chrono::milliseconds DispatchSettings::*Member;
+  detail::Bounds<std::chrono::milliseconds> Range;
+};
+
+constexpr BoundField BoundFields[] = {
+    {"longestHold", &DispatchSettings::LongestHold, {1s, 10min}},
+    {"stopTime", &DispatchSettings::StopTime, {1ms, 1min}},
+    {"early", &DispatchSettings::Early, {0ms, 1min}},
+    {"harmTime", &DispatchSettings::HarmTime, {100ms, 10min}},
+    {"stopGrace", &DispatchSettings::StopGrace, {100ms, 1h}},
+    {"shortestLease", &DispatchSettings::ShortestLease, {1ms, 1min}},
+};
+
+static void readRoot(YamlFaults &faults, const YAML::Node &node,
+                     DispatchSettings &to) {
+  YamlSection root(faults, node, "",
+                   {"name", "zone", "listen", "installation", "bounds",
+                    "workersPerShard", "keptEvents"});
+  root.readName("name", to.Name);
+  std::string zone;
+  root.readName("zone", zone);
+  to.Zone = base::ZoneId(zone);
+  if (std::optional<YAML::Node> it = root.require("listen")) {
+    YamlSection listen(faults, *it, "listen", {"callers", "health", "metrics"});
+    listen.readAddress("callers", to.Callers);
+    listen.readAddress("health", to.Health);
+    listen.readAddress("metrics", to.Metrics);
+  }
+  if (std::optional<YAML::Node> it = root.require("installation")) {
+    YamlSection section(faults, *it, "installation", {"store"});
+    section.readAddress("store", to.Store);
+  }
+  if (std::optional<YAML::Node> it = root.find("bounds")) {
+    std::vector<std::string> keys;
+    for (const BoundField &field : BoundFields)
+      keys.emplace_back(field.Key);
+    YamlSection bounds(faults, *it, "bounds", keys);
+    for (const BoundField &field : BoundFields)
+      bounds.readDuration(field.Key, to.*field.Member, field.Range);
+  }
+  if (auto n = root.readNumber("workersPerShard", {1, 10000}))
+    to.WorkersPerShard = static_cast<std::int32_t>(*n);
+  if (auto n = root.readNumber("keptEvents", {16, 1 << 20}))
+    to.KeptEvents = *n;
+}
+
+bool isDispatchSettings(const std::string &text) {
+  try {
+    YAML::Node node = YAML::Load(text);
+    return node.IsMap() && node["installation"];
+  } catch (const YAML::Exception &) {
+    // parseSettings reports the fault.
+    return false;
+  }
+}
+
+DispatchSettingsOutcome parseDispatchSettings(const std::string &file,
+                                              const std::string &text) {
+  DispatchSettingsOutcome out;
+  YamlFaults faults{file, {}, {}};
+  try {
+    readRoot(faults, YAML::Load(text), out.Value);
+  } catch (const YAML::Exception &e) {
+    faults.add(e.mark, Errc::SettingsSyntax, "not valid YAML: " + e.msg,
+               "correct the text at this place");
+  }
+  out.Faults = std::move(faults.List);
+  return out;
+}
+
+} // namespace endivedoor::model
--- a/packages/server/src/detail/RunOn.h
+++ b/packages/platform/include/endivedoor/platform/RunOn.h
@@ -1,7 +1,7 @@
 /// \file
 /// Awaits an operation that runs on another thread's executor.
-#ifndef ENDIVEDOOR_SERVER_DETAIL_RUNON_H
-#define ENDIVEDOOR_SERVER_DETAIL_RUNON_H
+#ifndef ENDIVEDOOR_PLATFORM_RUNON_H
+#define ENDIVEDOOR_PLATFORM_RUNON_H
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -10,7 +10,7 @@
 
 #include <optional>
 
-namespace endivedoor::server::detail {
+namespace endivedoor::platform {
 
 template <typename T>
 boost::asio::awaitable<void> storeInto(boost::asio::awaitable<T> operation,
@@ -30,6 +30,6 @@
   co_return std::move(*result);
 }
 
-} // namespace endivedoor::server::detail
+} // namespace endivedoor::platform
 
 #endif
--- a/packages/server/src/CallerServer.cpp
+++ b/packages/server/src/CallerServer.cpp
@@ -2,7 +2,7 @@
 
 #include "detail/Answers.h"
 #include "detail/CallHeaders.h"
-#include "detail/RunOn.h"
+#include "endivedoor/platform/RunOn.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -145,7 +145,7 @@
   if (!request.Path.starts_with("/v1/jobs"))
     co_return errorResponse({Errc::PathUnknown, request.Path});
   Counts.add(Counter::JobCalls);
-  co_return co_await detail::runOn(Context.Control,
+  co_return co_await platform::runOn(Context.Control,
                                    Context.Jobs.handle(std::move(request)));
 }
 
@@ -212,7 +212,7 @@
                          requestFingerprint(call.Request),
                          std::chrono::ceil<std::chrono::milliseconds>(
                              call.Deadline - Context.Time.now())};
-  base::Result<ClaimOutcome> outcome = co_await detail::runOn(
+  base::Result<ClaimOutcome> outcome = co_await platform::runOn(
       Context.Control, Context.Booking.claim(std::move(booking)));
   if (!outcome) {
     Counts.add(Counter::BookingsRefused);
