Place and move filling tasks by what they add to serving tasks

Change: a ridge regression learns the ms that each filling program adds to each serving program; fillers go where the sum stays under the target, the culprits move away from their checkpoint; serving tasks of one program share workers; the worker list is read at intervals. Ruled out: the load of other tasks (its coefficient is near 0 in the recorded gauges).

--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -29,8 +29,11 @@
     std::function<void()> Synced;
   };
 
+  /// \param pause time between two answers of the watch; changes within it share
+  /// one call.
   PrefixMirror(boost::asio::any_io_executor executor, MetadataStore &store,
-               std::string prefix, Handlers handlers, base::EventLog &events);
+               std::string prefix, Handlers handlers, base::EventLog &events,
+               std::chrono::milliseconds pause = {});
   ~PrefixMirror();
   PrefixMirror(const PrefixMirror &) = delete;
   PrefixMirror &operator=(const PrefixMirror &) = delete;
--- a/packages/dispatch/src/Pacing.cpp
+++ b/packages/dispatch/src/Pacing.cpp
@@ -1,4 +1,4 @@
-#include "detail/ShardState.h"
+#include "detail/Sharing.h"
 
 #include <algorithm>
 
@@ -6,83 +6,169 @@
 
 using namespace std::chrono_literals;
 
-/// Response time of a lasting task, as a share of its target, above which the
-/// fillers beside it are slowed, and below which they regain speed.
-constexpr double SlowAbove = 0.85;
-constexpr double RegainBelow = 0.6;
 /// Gauges cover the last half second, so a change shows after this time.
 constexpr auto GaugeTime = 600ms;
-constexpr std::int32_t RegainStep = 25;
-/// Below this share the fillers are paused altogether.
-constexpr std::int32_t LeastPercent = 20;
+/// Time between two measurements of a worker that count.
+constexpr auto ObserveInterval = 250ms;
+/// Share of the target above which a measured response time is acted upon.
+constexpr double ActAbove = 0.92;
+/// Share of the target that a filler must add to be moved away.
+constexpr double CulpritShare = 0.08;
+/// Share of the target that is aimed at by moving fillers away.
+constexpr double AimShare = 0.85;
+/// Part of the time for which a target may be missed, after which every filler
+/// of the worker is paused.
+constexpr int PauseDivisor = 3;
 
-/// Returns the worst response time of the lasting tasks on a worker as a share
-/// of their target; 0 if none has one.
-static double worstRatio(ShardState &shard, const WorkerState &w) {
-  double worst = 0;
+std::vector<policy::FillerShare> fillersOf(const ShardState &shard,
+                                           const WorkerState &w,
+                                           bool measured) {
+  std::vector<policy::FillerShare> shares;
+  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
+  for (const RunView &it : runsOn(shard, w))
+    if (it.Step->Filler) {
+      double cpu = static_cast<double>(count(it.Step->Size.Cpu));
+      if (measured && it.Where->HasGauge)
+        cpu = static_cast<double>(it.Where->Gauge);
+      shares.push_back({it.Step->Image, cpu / capacity});
+    }
+  return shares;
+}
+
+std::vector<RunView> runsOn(const ShardState &shard, const WorkerState &w) {
+  std::vector<RunView> views;
   for (const auto &[id, size] : w.Runs) {
-    JobEntry *job = nullptr;
-    TaskEntry *task = shard.findTask(id.Task, &job);
-    if (!task)
+    auto job = shard.Jobs.find(id.Task.Job);
+    if (job == shard.Jobs.end())
       continue;
-    const model::StepSpec &step = stepOf(*job, id.Task);
-    if (step.Target.count() == 0)
+    TaskEntry *task = const_cast<ShardState &>(shard).findTask(id.Task);
+    if (!task)
       continue;
-    for (const Run &it : task->Runs)
-      if (it.Where == &w && it.Phase == RunPhase::Running && it.HasGauge)
-        worst = std::max(worst, static_cast<double>(it.Gauge) /
-                                    static_cast<double>(step.Target.count()));
+    for (Run &it : task->Runs)
+      if (it.Where == &w && it.Number == id.Run)
+        views.push_back({id, &stepOf(*job->second, id.Task), &it});
+  }
+  return views;
+}
+
+double predictedShare(const ShardState &shard, const WorkerState &w,
+                      const model::StepSpec &filler) {
+  std::vector<policy::FillerShare> fillers = fillersOf(shard, w, false);
+  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
+  fillers.push_back(
+      {filler.Image, static_cast<double>(count(filler.Size.Cpu)) / capacity});
+  double worst = 0;
+  for (const auto &[image, target] : w.Serving) {
+    double ms = shard.Pairs.base(image);
+    for (const policy::FillerShare &it : fillers)
+      ms += shard.Pairs.slope(image, it.Image) * it.Share;
+    worst = std::max(worst, ms / static_cast<double>(target.count()));
   }
   return worst;
 }
 
-/// Orders the worker's share for each filler that does not have it yet.
-static void paceRuns(ShardState &shard, WorkerState &w) {
-  for (const auto &[id, size] : w.Runs) {
-    JobEntry *job = nullptr;
-    TaskEntry *task = shard.findTask(id.Task, &job);
-    if (!task || !stepOf(*job, id.Task).Filler)
+void ShardState::observe(WorkerState &w, TimePoint now) {
+  if (w.Serving.empty() || now - w.Observed < ObserveInterval)
+    return;
+  w.Observed = now;
+  std::vector<policy::FillerShare> fillers = fillersOf(*this, w, true);
+  for (const RunView &it : runsOn(*this, w))
+    if (it.Step->Target.count() > 0 && it.Where->HasGauge &&
+        it.Where->Gauge > 0)
+      Pairs.observe(it.Step->Image, static_cast<double>(it.Where->Gauge),
+                    fillers);
+}
+
+void ShardState::paceRun(WorkerState &w, const RunId &id, Run &run,
+                         std::int32_t percent) {
+  if (run.Phase != RunPhase::Running || run.Paced == percent)
+    return;
+  run.Paced = percent;
+  Order order;
+  order.What = Order::Kind::Pace;
+  order.To = w.ref();
+  order.Id = id;
+  order.Percent = percent;
+  Outbox.push_back(std::move(order));
+}
+
+/// Stops the fillers that the model holds responsible for a missed target, the
+/// largest share first, until the target is expected to be kept. They go on
+/// elsewhere from their checkpoint.
+void ShardState::moveCulprits(WorkerState &w, TimePoint now) {
+  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
+  std::vector<RunView> runs = runsOn(*this, w);
+  for (const RunView &serving : runs) {
+    double target = static_cast<double>(serving.Step->Target.count());
+    double ms = static_cast<double>(serving.Where->Gauge);
+    if (target == 0 || !serving.Where->HasGauge || ms <= ActAbove * target)
       continue;
-    for (Run &it : task->Runs) {
-      if (it.Where != &w || it.Number != id.Run ||
-          it.Phase != RunPhase::Running || it.Paced == w.FillerPercent)
-        continue;
-      it.Paced = w.FillerPercent;
-      Order order;
-      order.What = Order::Kind::Pace;
-      order.To = w.ref();
-      order.Id = id;
-      order.Percent = w.FillerPercent;
-      shard.Outbox.push_back(std::move(order));
+    auto added = [&](const RunView &it) {
+      return Pairs.slope(serving.Step->Image, it.Step->Image) *
+             static_cast<double>(count(it.Step->Size.Cpu)) / capacity;
+    };
+    std::vector<RunView> fillers;
+    for (const RunView &it : runs)
+      if (it.Step->Filler && it.Where->Phase == RunPhase::Running &&
+          added(it) > CulpritShare * target)
+        fillers.push_back(it);
+    std::sort(fillers.begin(), fillers.end(),
+              [&](const RunView &a, const RunView &b) {
+                return added(a) > added(b);
+              });
+    for (const RunView &it : fillers) {
+      if (ms <= AimShare * target)
+        break;
+      ms -= added(it);
+      Events.emit(base::EventCode::FillerMoved,
+                  {{"task", taskText(it.Id.Task)},
+                   {"worker", w.Profile.Id.str()},
+                   {"servedMs", std::to_string(serving.Where->Gauge)},
+                   {"targetMs", std::to_string(serving.Step->Target.count())},
+                   {"addedMs", std::to_string(static_cast<int>(added(it)))}});
+      paceRun(w, it.Id, *it.Where, 0);
+      stopRun(it.Id.Task, *it.Where, now);
+      w.PaceChanged = now;
     }
   }
 }
 
 void ShardState::paceFillers(TimePoint now) {
   for (auto &[id, w] : Workers) {
-    if (w->FillerCpu == 0) {
+    if (w->Serving.empty() || w->FillerCpu == 0) {
+      w->OverTarget.reset();
       w->FillerPercent = 100;
       continue;
     }
-    if (now - w->PaceChanged >= GaugeTime) {
-      double worst = worstRatio(*this, *w);
-      std::int32_t percent = w->FillerPercent;
-      if (worst > SlowAbove)
-        percent = worst > 1 ? percent / 3 : percent / 2;
-      else if (worst < RegainBelow)
-        percent = std::min(100, percent + RegainStep);
-      if (percent < LeastPercent)
-        percent = 0;
-      if (percent != w->FillerPercent) {
-        Events.emit(base::EventCode::FillersPaced,
-                    {{"worker", id.str()},
-                     {"percent", std::to_string(percent)},
-                     {"worst", std::to_string(worst)}});
-        w->FillerPercent = percent;
-        w->PaceChanged = now;
-      }
+    std::vector<RunView> runs = runsOn(*this, *w);
+    double worst = 0;
+    for (const RunView &it : runs)
+      if (it.Step->Target.count() > 0 && it.Where->HasGauge)
+        worst = std::max(worst, static_cast<double>(it.Where->Gauge) /
+                                    static_cast<double>(
+                                        it.Step->Target.count()));
+    if (worst <= ActAbove)
+      w->OverTarget.reset();
+    else if (!w->OverTarget)
+      w->OverTarget = now;
+    if (now - w->PaceChanged < GaugeTime)
+      continue;
+    if (worst > ActAbove)
+      moveCulprits(*w, now);
+    std::int32_t percent = 100;
+    if (w->OverTarget && now - *w->OverTarget > Options.HarmTime / PauseDivisor)
+      percent = 0;
+    if (percent != w->FillerPercent) {
+      w->FillerPercent = percent;
+      w->PaceChanged = now;
+      Events.emit(base::EventCode::FillersPaced,
+                  {{"worker", id.str()},
+                   {"percent", std::to_string(percent)},
+                   {"worst", std::to_string(worst)}});
     }
-    paceRuns(*this, *w);
+    for (const RunView &it : runs)
+      if (it.Step->Filler)
+        paceRun(*w, it.Id, *it.Where, percent);
   }
 }
 
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -1,5 +1,7 @@
 #include "detail/Placement.h"
 
+#include "detail/Sharing.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -10,6 +12,9 @@
 /// Fillers are started while their declared need stays below this share of what
 /// the other tasks are taken to leave.
 constexpr double FillerLimit = 1.15;
+/// Expected response time of a serving task, as a share of its target, up to
+/// which a filler may join.
+constexpr double FillerAim = 0.8;
 
 static bool hasLabel(const WorkerState &w, const std::string &label) {
   const std::vector<std::string> &labels = w.Profile.Labels;
@@ -43,8 +48,23 @@
          fits(w, step);
 }
 
+/// Share of the distinct serving programs of a worker that one more costs: a
+/// filler finds the more places, the fewer programs share a worker.
+constexpr double MixCost = 0.5;
+
+/// Number of programs with a target on the worker besides \p image.
+static std::int32_t otherPrograms(const WorkerState &w,
+                                  const std::string &image) {
+  std::int32_t others = 0;
+  for (auto it = w.Serving.begin(); it != w.Serving.end();
+       it = w.Serving.upper_bound(it->first))
+    others += it->first != image;
+  return others;
+}
+
 /// Returns how well the worker suits; higher is better, nothing means not now.
-static std::optional<double> suitability(const model::StepSpec &step,
+static std::optional<double> suitability(const ShardState &shard,
+                                         const model::StepSpec &step,
                                          const WorkerState &w,
                                          std::int32_t sameStep) {
   double score = 0;
@@ -53,12 +73,18 @@
     double taken = static_cast<double>(w.FillerCpu + count(step.Size.Cpu));
     if (w.FillerPercent < 100 || taken > FillerLimit * room)
       return std::nullopt;
+    double predicted = predictedShare(shard, w, step);
+    if (predicted > FillerAim)
+      return std::nullopt;
     score = (room - taken) / static_cast<double>(count(w.Profile.Capacity.Cpu));
+    score -= predicted;
   } else {
     double free = static_cast<double>(count(w.Profile.Capacity.Cpu) -
                                       count(w.Used.Cpu) -
                                       count(step.Size.Cpu));
     score = free / static_cast<double>(count(w.Profile.Capacity.Cpu));
+    if (step.Target.count() > 0)
+      score -= MixCost * otherPrograms(w, step.Image);
   }
   if (!step.Affinity.empty() && hasLabel(w, step.Affinity))
     score += 10;
@@ -77,7 +103,7 @@
     std::int32_t same = it == counts.end() ? 0 : it->second;
     if (step.MaxPerWorker > 0 && same >= step.MaxPerWorker)
       continue;
-    std::optional<double> score = suitability(step, *w, same);
+    std::optional<double> score = suitability(shard, step, *w, same);
     if (score && (!best || *score > bestScore)) {
       best = w.get();
       bestScore = *score;
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -13,8 +13,9 @@
 using base::EventCode;
 using namespace std::chrono_literals;
 
-/// Longest wait that the store offers; each wait costs one call.
-constexpr auto WatchWait = 25s;
+/// Wait of a watch. A connection may fall silent without an error, so it bounds
+/// the age of what is known; each wait costs one call.
+constexpr auto WatchWait = 2s;
 /// Pause after a failed call; bounds the calls made during an outage.
 constexpr auto RetryPause = 150ms;
 
@@ -24,6 +25,7 @@
   std::string Prefix;
   Handlers Report;
   base::EventLog &Events;
+  std::chrono::milliseconds Pause;
   std::map<std::string, std::int64_t> Revisions;
   std::int64_t AsOf = 0;
   bool Listed = false;
@@ -31,9 +33,10 @@
   bool Stopped = false;
 
   Impl(asio::any_io_executor executor, MetadataStore &store, std::string prefix,
-       Handlers handlers, base::EventLog &events)
+       Handlers handlers, base::EventLog &events,
+       std::chrono::milliseconds pause)
       : Executor(std::move(executor)), Store(store), Prefix(std::move(prefix)),
-        Report(std::move(handlers)), Events(events) {}
+        Report(std::move(handlers)), Events(events), Pause(pause) {}
 
   void written(const StoredItem &item) {
     std::int64_t &known = Revisions[item.Key];
@@ -124,6 +127,8 @@
         co_return;
       if (done) {
         needsList = false;
+        if (Pause.count() > 0)
+          co_await detail::sleepFor(Pause);
         continue;
       }
       needsList = !Listed;
@@ -134,10 +139,11 @@
 
 PrefixMirror::PrefixMirror(asio::any_io_executor executor, MetadataStore &store,
                            std::string prefix, Handlers handlers,
-                           base::EventLog &events)
+                           base::EventLog &events,
+                           std::chrono::milliseconds pause)
     : Self(std::make_shared<Impl>(std::move(executor), store,
                                   std::move(prefix), std::move(handlers),
-                                  events)) {}
+                                  events, pause)) {}
 
 PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
 
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -42,6 +42,8 @@
     size.Cpu = base::MilliCores{0};
   } else if (step.Lasting) {
     worker.LastingCpu += count(size.Cpu);
+    if (step.Target.count() > 0)
+      worker.Serving.emplace(step.Image, step.Target);
   }
   worker.Used += size;
   worker.Runs.emplace(run, size);
@@ -59,8 +61,12 @@
   const model::StepSpec &step = stepOf(*job, run.Task);
   if (step.Filler)
     worker.FillerCpu -= count(step.Size.Cpu);
-  else if (step.Lasting)
-    worker.LastingCpu -= count(step.Size.Cpu);
+  if (step.Filler || !step.Lasting)
+    return;
+  worker.LastingCpu -= count(step.Size.Cpu);
+  auto serving = worker.Serving.find(step.Image);
+  if (step.Target.count() > 0 && serving != worker.Serving.end())
+    worker.Serving.erase(serving);
 }
 
 void ShardState::loseRuns(WorkerState &worker, const char *cause) {
@@ -422,6 +428,7 @@
       s.processEnd(w, end, received);
   bool first = !w.Synced;
   s.processRunning(w, report, sent, received);
+  s.observe(w, received);
   if (report.MoreEnded)
     return;
   w.SuspectUntil.reset();
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -4,6 +4,7 @@
 #define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDSTATE_H
 
 #include "endivedoor/dispatch/Shard.h"
+#include "endivedoor/policy/PairModel.h"
 
 #include <deque>
 #include <map>
@@ -142,6 +143,10 @@
   TimePoint PaceChanged;
   /// Since when a lasting task here has been over its target.
   std::optional<TimePoint> OverTarget;
+  /// Programs of the tasks with a target here, one entry for each task.
+  std::multimap<std::string, std::chrono::milliseconds> Serving;
+  /// When the gauges of the worker were last used for learning.
+  TimePoint Observed;
   /// Runs that belong to no live job and must be stopped.
   std::map<RunId, TimePoint> Strays;
 
@@ -169,6 +174,7 @@
   std::set<base::ZoneId> ZonesOut;
   std::deque<JobNumber> Dirty;
   std::vector<Order> Outbox;
+  policy::PairModel Pairs;
 
   // Jobs.cpp
   JobEntry *findJob(JobNumber job);
@@ -209,7 +215,11 @@
   void relieveStuck(TimePoint now);
 
   // Pacing.cpp
+  void observe(WorkerState &worker, TimePoint now);
   void paceFillers(TimePoint now);
+  void paceRun(WorkerState &worker, const RunId &id, Run &run,
+               std::int32_t percent);
+  void moveCulprits(WorkerState &worker, TimePoint now);
 };
 
 /// Returns the step of a task.
--- /dev/null
+++ b/packages/dispatch/src/detail/Sharing.h
@@ -0,0 +1,32 @@
+/// \file
+/// Which tasks share a worker, and what that does to those with a target.
+#ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARING_H
+#define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARING_H
+
+#include "detail/ShardState.h"
+
+namespace endivedoor::dispatch::detail {
+
+/// A run with its step. Valid until the tables change.
+struct RunView {
+  RunId Id;
+  const model::StepSpec *Step = nullptr;
+  Run *Where = nullptr;
+};
+
+std::vector<RunView> runsOn(const ShardState &shard, const WorkerState &w);
+
+/// Returns the processor shares of the fillers on a worker.
+///
+/// \param measured as the worker measured them; else as declared.
+std::vector<policy::FillerShare>
+fillersOf(const ShardState &shard, const WorkerState &w, bool measured);
+
+/// Returns the response time that is expected of the worst task with a target
+/// on the worker if \p filler joined, as a share of its target.
+double predictedShare(const ShardState &shard, const WorkerState &w,
+                      const model::StepSpec &filler);
+
+} // namespace endivedoor::dispatch::detail
+
+#endif
--- /dev/null
+++ b/packages/policy/include/endivedoor/policy/PairModel.h
@@ -0,0 +1,61 @@
+/// \file
+/// How much the programs that fill a worker slow the programs that serve on it.
+#ifndef ENDIVEDOOR_POLICY_PAIRMODEL_H
+#define ENDIVEDOOR_POLICY_PAIRMODEL_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace endivedoor::policy {
+
+/// Share of a worker's processor that a filling program uses.
+struct FillerShare {
+  std::string Image;
+  double Share = 0;
+};
+
+/// Learns, for each serving program, its response time alone and the time that
+/// each filling program adds for a full worker's processor.
+///
+/// A ridge regression with exponential forgetting: response time = base + sum
+/// of slope times share. Slopes are not negative.
+class PairModel {
+public:
+  /// Adds a measurement.
+  ///
+  /// \param serving program of the task that was measured.
+  /// \param responseMs its response time, in ms.
+  /// \param fillers what ran beside it while it was measured.
+  /// Cost: quadratic in the filling programs seen.
+  void observe(const std::string &serving, double responseMs,
+               const std::vector<FillerShare> &fillers);
+
+  /// Returns the ms that \p filler adds for each full share; 0 if unknown.
+  double slope(const std::string &serving, const std::string &filler) const;
+
+  /// Returns the response time alone, in ms; 0 if it was never measured.
+  double base(const std::string &serving) const;
+
+  /// Returns whether the pair has been measured often enough to be relied on.
+  bool isKnown(const std::string &serving, const std::string &filler) const;
+
+private:
+  struct Fit {
+    /// Filling programs in the order of the unknowns; unknown 0 is the base.
+    std::map<std::string, std::size_t> Index;
+    std::vector<std::vector<double>> Normal;
+    std::vector<double> Right;
+    std::vector<double> Solution;
+    std::size_t SinceSolved = 0;
+  };
+
+  static void solve(Fit &fit);
+  static std::size_t indexOf(Fit &fit, const std::string &filler);
+
+  std::map<std::string, Fit> Fits;
+};
+
+} // namespace endivedoor::policy
+
+#endif
