Ask workers only after a shard's jobs are known; keep cancellations read before their jobs

Change: holds begin after the load; early cancellations are kept; records of cancelled jobs are removed when their runs have ended; ended jobs are forgotten.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -109,6 +109,25 @@
           .Idle;
 }
 
+void ShardState::retire() {
+  for (JobEntry *job : Live)
+    if (job->State == JobState::Cancelled && job->Runs == 0 &&
+        !job->RemovalDue) {
+      job->RemovalDue = true;
+      touch(*job);
+    }
+  std::vector<JobNumber> ended;
+  std::erase_if(Live, [&](const JobEntry *job) {
+    bool over = !job->isLive() && job->Runs == 0 &&
+                job->StoredVersion == job->Version;
+    if (over)
+      ended.push_back(job->Job.Id);
+    return over;
+  });
+  for (JobNumber it : ended)
+    Jobs.erase(it);
+}
+
 bool ShardState::hasSuspects() const {
   return std::any_of(Workers.begin(), Workers.end(), [](const auto &it) {
     return it.second->SuspectUntil.has_value();
@@ -157,6 +176,8 @@
   s.Live.push_back(entry.get());
   JobNumber id = entry->Job.Id;
   s.Jobs.emplace(id, std::move(entry));
+  if (s.CancelledEarly.erase(id) > 0)
+    cancelJob(id, now);
 }
 
 void Shard::restore(JobNumber job, const JobProgress &progress,
@@ -196,6 +217,8 @@
 void Shard::cancelJob(JobNumber job, base::TimePoint) {
   if (JobEntry *entry = Self->findJob(job))
     Self->finish(*entry, JobState::Cancelled);
+  else
+    Self->CancelledEarly.insert(job);
 }
 
 bool Shard::hasJob(JobNumber job) const {
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -309,10 +309,7 @@
   if (mayStart)
     s.startReady(now);
   s.paceFillers(now);
-  std::erase_if(s.Live, [](const detail::JobEntry *job) {
-    return !job->isLive() && job->Runs == 0 &&
-           job->StoredVersion == job->Version;
-  });
+  s.retire();
   return std::exchange(s.Outbox, {});
 }
 
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -139,6 +139,7 @@
       asio::co_spawn(
           Context.Executor, [self] { return self->commitLoop(); },
           asio::detached);
+      spawnHolds();
     }
     poke();
   };
@@ -146,7 +147,6 @@
                                           keys::shard(Current.Shard),
                                           std::move(handlers), Context.Events);
   Mirror->start();
-  spawnHolds();
 }
 
 void ShardRunner::onItem(const StoredItem &item) {
@@ -199,7 +199,11 @@
   PlanTimer.expires_after(PlanDelay);
 }
 
+/// A worker's lists mean nothing before the jobs are known: their runs would be
+/// taken for strays.
 void ShardRunner::spawnHolds() {
+  if (!Loaded)
+    return;
   for (const WorkerRef &it : State.workers()) {
     if (!Holding.insert(it.Id).second)
       continue;
@@ -367,9 +371,14 @@
         {keys::progress(shard, it.Job), encodeProgress(it.Progress)});
     return;
   }
-  commit.Conditions.push_back({keys::index(it.Job), it.Revision});
-  commit.Writes.push_back(
-      {keys::index(it.Job), encodeIndex({shard, *it.Final})});
+  if (*it.Final == model::JobState::Cancelled) {
+    // The caller's cancellation has written the index.
+    commit.Deletes.push_back(keys::cancel(shard, it.Job));
+  } else {
+    commit.Conditions.push_back({keys::index(it.Job), it.Revision});
+    commit.Writes.push_back(
+        {keys::index(it.Job), encodeIndex({shard, *it.Final})});
+  }
   commit.Deletes.push_back(keys::job(shard, it.Job));
   commit.Deletes.push_back(keys::progress(shard, it.Job));
 }
@@ -384,7 +393,7 @@
   for (const JobWrite &it : writes)
     addWrite(commit, Current.Shard, it);
   addLoad(commit);
-  if (commit.Writes.empty())
+  if (commit.Writes.empty() && commit.Deletes.empty())
     co_return;
   TimePoint sent = Context.Time.now();
   base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
@@ -398,7 +407,8 @@
   if (!done.value().Applied)
     co_return onConflict(writes, done.value());
   Context.StoreAnswered(sent);
-  if (commit.Writes.back().Key == keys::load(Current.Shard)) {
+  if (!commit.Writes.empty() &&
+      commit.Writes.back().Key == keys::load(Current.Shard)) {
     StoredLoad = commit.Writes.back().Value;
     LoadStored = sent;
   }
@@ -420,6 +430,10 @@
   std::vector<JobWrite> again;
   std::vector<JobWrite> stored;
   for (JobWrite &it : writes) {
+    if (it.Final == model::JobState::Cancelled) {
+      again.push_back(it);
+      continue;
+    }
     std::string key = it.Final ? keys::index(it.Job)
                                : keys::progress(Current.Shard, it.Job);
     auto item = current.find(key);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -85,6 +85,8 @@
   std::uint64_t Version = 0;
   std::uint64_t StoredVersion = 0;
   bool InWrite = false;
+  /// The records of a cancelled job are to be removed.
+  bool RemovalDue = false;
   std::map<std::int32_t, Occurrence> Occurrences;
   /// Time at which the job is late; the order of service.
   TimePoint Objective;
@@ -170,6 +172,8 @@
   bool Fenced = false;
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> Live;
+  /// Cancelled jobs whose own record has not been read yet.
+  std::set<JobNumber> CancelledEarly;
   std::map<base::WorkerId, std::unique_ptr<WorkerState>> Workers;
   std::set<base::ZoneId> ZonesOut;
   std::deque<JobNumber> Dirty;
@@ -183,6 +187,8 @@
   void touch(JobEntry &job);
   void finish(JobEntry &job, model::JobState state);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
+  /// Removes the records of cancelled jobs, and forgets what has ended.
+  void retire();
   void removeRun(JobEntry &job, const TaskKey &key, std::int64_t run);
   bool hasSuspects() const;
 
