--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -30,7 +30,7 @@
   /// a killed daemon stands still; at least two renewals must fit.
   milliseconds NodeLease{1500};
   /// Workers that one shard owner is to serve.
-  std::int32_t WorkersPerShard = 24;
+  std::int32_t WorkersPerShard = 72;
 };
 
 enum class SubmitOutcome {
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -23,10 +23,14 @@
 
 static bool fits(const WorkerState &w, const model::StepSpec &step) {
   const base::Resources &all = w.Profile.Capacity;
+  base::Resources taken = w.Used;
+  if (!step.Lasting)
+    taken += w.Kept;
   std::int64_t cpu = step.Filler ? 0 : count(step.Size.Cpu);
-  return count(w.Used.Cpu) + cpu <= count(all.Cpu) &&
-         count(w.Used.Memory) + count(step.Size.Memory) <= count(all.Memory) &&
-         w.Used.Accelerators + step.Size.Accelerators <= all.Accelerators;
+  // A filler needs no processor of its own.
+  return (cpu == 0 || count(taken.Cpu) + cpu <= count(all.Cpu)) &&
+         count(taken.Memory) + count(step.Size.Memory) <= count(all.Memory) &&
+         taken.Accelerators + step.Size.Accelerators <= all.Accelerators;
 }
 
 /// Processor time that fillers on the worker can expect, in thousandths of a
@@ -38,14 +42,20 @@
          LastingLoad * serving;
 }
 
-static bool mayRun(const ShardState &shard, const JobEntry &job,
-                   const model::StepSpec &step, const WorkerState &w,
-                   TimePoint now) {
+/// Returns whether the worker may have tasks of the step, room aside.
+static bool mayServe(const ShardState &shard, const JobEntry &job,
+                     const model::StepSpec &step, const WorkerState &w,
+                     TimePoint now) {
   return w.isUsable() && w.Clock && now >= w.AvoidUntil &&
          w.Profile.Service == job.Job.Terms.Service &&
          !shard.ZonesOut.contains(w.Profile.Zone) &&
-         (step.Requirement.empty() || hasLabel(w, step.Requirement)) &&
-         fits(w, step);
+         (step.Requirement.empty() || hasLabel(w, step.Requirement));
+}
+
+static bool mayRun(const ShardState &shard, const JobEntry &job,
+                   const model::StepSpec &step, const WorkerState &w,
+                   TimePoint now) {
+  return mayServe(shard, job, step, w, now) && fits(w, step);
 }
 
 /// Share of the distinct serving programs of a worker that one more costs: a
@@ -82,7 +92,8 @@
     double free = static_cast<double>(count(w.Profile.Capacity.Cpu) -
                                       count(w.Used.Cpu) -
                                       count(step.Size.Cpu));
-    score = free / static_cast<double>(count(w.Profile.Capacity.Cpu));
+    // The tightest room first, so that large tasks find room.
+    score = -free / static_cast<double>(count(w.Profile.Capacity.Cpu));
     if (step.Target.count() > 0)
       score -= MixCost * otherPrograms(w, step.Image);
   }
@@ -112,6 +123,33 @@
   return best;
 }
 
+void keepRoom(ShardState &shard, const JobEntry &job,
+              const model::StepSpec &step, const StepCounts &counts,
+              TimePoint now) {
+  WorkerState *best = nullptr;
+  std::int64_t bestFree = 0;
+  for (const auto &[id, w] : shard.Workers) {
+    auto it = counts.find(w.get());
+    std::int32_t same = it == counts.end() ? 0 : it->second;
+    if (!mayServe(shard, job, step, *w, now) || count(w->Kept.Cpu) > 0 ||
+        (step.MaxPerWorker > 0 && same >= step.MaxPerWorker))
+      continue;
+    // Room once the short tasks have ended; they are short by comparison.
+    std::int64_t free = count(w->Profile.Capacity.Cpu) - w->LastingCpu;
+    std::int64_t memory =
+        count(w->Profile.Capacity.Memory) - w->LastingMemory;
+    if (free < count(step.Size.Cpu) || memory < count(step.Size.Memory))
+      continue;
+    std::int64_t now = count(w->Profile.Capacity.Cpu) - count(w->Used.Cpu);
+    if (!best || now > bestFree) {
+      best = w.get();
+      bestFree = now;
+    }
+  }
+  if (best)
+    best->Kept = step.Size;
+}
+
 /// Returns the rack label of a worker: its last label, after its kind.
 static std::string rackOf(const WorkerState &w) {
   return w.Profile.Labels.size() > 1 ? w.Profile.Labels.back() : std::string();
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -106,8 +106,12 @@
       continue;
     WorkerState *worker =
         chooseWorker(*this, job, spec, counts, nullptr, now);
-    if (!worker)
+    if (!worker && !spec.Lasting)
       return;
+    if (!worker) {
+      keepRoom(*this, job, spec, counts, now);
+      continue;
+    }
     startTask(job, {job.Job.Id, o.Number, step, i}, task, *worker, now,
               nextRun(job, task, Term));
     ++counts[worker];
@@ -153,6 +157,8 @@
 
 void ShardState::startReady(TimePoint now) {
   bool suspects = hasSuspects();
+  for (auto &[id, w] : Workers)
+    w->Kept = {};
   std::vector<JobEntry *> order;
   for (JobEntry *it : Live)
     if (it->isLive() && !(suspects && it->Inherited))
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -42,6 +42,7 @@
     size.Cpu = base::MilliCores{0};
   } else if (step.Lasting) {
     worker.LastingCpu += count(size.Cpu);
+    worker.LastingMemory += count(size.Memory);
     if (step.Target.count() > 0)
       worker.Serving.emplace(step.Image, step.Target);
   }
@@ -64,6 +65,7 @@
   if (step.Filler || !step.Lasting)
     return;
   worker.LastingCpu -= count(step.Size.Cpu);
+  worker.LastingMemory -= count(step.Size.Memory);
   auto serving = worker.Serving.find(step.Image);
   if (step.Target.count() > 0 && serving != worker.Serving.end())
     worker.Serving.erase(serving);
@@ -163,22 +165,22 @@
                        TimePoint now) {
   JobEntry *job = nullptr;
   TaskEntry *task = findTask(row.Id.Task, &job);
-  bool wanted = task && job->isLive() && !task->Done;
-  if (wanted && !task->Runs.empty() && !stepOf(*job, row.Id.Task).Speculative)
-    wanted = false;
-  if (!wanted) {
+  if (!task) {
     worker.Strays.emplace(row.Id, TimePoint{});
     return;
   }
   const model::StepSpec &step = stepOf(*job, row.Id.Task);
-  if (task->Runs.empty())
+  // A run that is not wanted still takes room until it has been stopped.
+  bool wanted = job->isLive() && !task->Done &&
+                (task->Runs.empty() || step.Speculative);
+  if (task->Runs.empty() && !task->Done)
     --job->Occurrences[row.Id.Task.Occurrence]
           .Steps[static_cast<std::size_t>(row.Id.Task.Step)]
           .Idle;
   Run run;
   run.Where = &worker;
   run.Number = row.Id.Run;
-  run.Phase = RunPhase::Running;
+  run.Phase = wanted ? RunPhase::Running : RunPhase::Stopping;
   run.Since = run.Started = run.LastBusy = now;
   run.Percent = run.Paced = step.Lasting ? 100 : row.Percent;
   task->Runs.push_back(run);
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -19,6 +19,12 @@
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *besides, TimePoint now);
 
+/// Keeps the room of a worker for a lasting task that fits nowhere now, until
+/// the short tasks there have ended. Holds until the next plan.
+void keepRoom(ShardState &shard, const JobEntry &job,
+              const model::StepSpec &step, const StepCounts &counts,
+              TimePoint now);
+
 /// Returns a worker for each task of a gang, or nothing if not all find room.
 std::vector<WorkerState *> chooseGang(const ShardState &shard,
                                       const JobEntry &job,
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -136,6 +136,10 @@
   std::int64_t FillerCpu = 0;
   /// Processor need of lasting tasks, which seldom use it all.
   std::int64_t LastingCpu = 0;
+  /// Memory of lasting tasks.
+  std::int64_t LastingMemory = 0;
+  /// Room that is kept for a lasting task which waits for short ones to end.
+  base::Resources Kept;
   /// No starts before then.
   TimePoint AvoidUntil;
   /// Recent failures of runs here, halved by each success.
--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -30,7 +30,7 @@
   /// Shortest lease of the store.
   std::chrono::milliseconds ShortestLease{1000};
   /// Workers that one shard owner is to serve.
-  std::int32_t WorkersPerShard = 24;
+  std::int32_t WorkersPerShard = 72;
   /// Events kept in memory for the time line.
   std::size_t KeptEvents = 256;
 };
