Plans reuse what one plan has computed; a worker with strays gets no starts

Change: the expected response times of a worker are kept for one plan; a step larger than one that found no room is not tried again in the plan; a worker with runs of unknown size gets no starts. Ruled out: the store's rates (2,000 reads, 400 writes are far away); a fault of the watch. Tests: unit-dispatch-shard (9); StrayRun_KeepsItsWorkerFromStarts fails without the change.

--- a/packages/dispatch/src/Pacing.cpp
+++ b/packages/dispatch/src/Pacing.cpp
@@ -20,50 +20,64 @@
 /// of the worker is paused.
 constexpr int PauseDivisor = 3;
 
-std::vector<policy::FillerShare> fillersOf(const ShardState &shard,
-                                           const WorkerState &w,
-                                           bool measured) {
-  std::vector<policy::FillerShare> shares;
-  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
-  for (const RunView &it : runsOn(shard, w))
-    if (it.Step->Filler) {
-      double cpu = static_cast<double>(count(it.Step->Size.Cpu));
-      if (measured && it.Where->HasGauge)
-        cpu = static_cast<double>(it.Where->Gauge);
-      shares.push_back({it.Step->Image, cpu / capacity});
-    }
-  return shares;
-}
-
-std::vector<RunView> runsOn(const ShardState &shard, const WorkerState &w) {
+std::vector<RunView> runsOn(ShardState &shard, const WorkerState &w) {
   std::vector<RunView> views;
-  for (const auto &[id, size] : w.Runs) {
-    auto job = shard.Jobs.find(id.Task.Job);
-    if (job == shard.Jobs.end())
-      continue;
-    TaskEntry *task = const_cast<ShardState &>(shard).findTask(id.Task);
+  for (const auto &[id, held] : w.Runs) {
+    TaskEntry *task = shard.findTask(id.Task);
     if (!task)
       continue;
     for (Run &it : task->Runs)
       if (it.Where == &w && it.Number == id.Run)
-        views.push_back({id, &stepOf(*job->second, id.Task), &it});
+        views.push_back({id, held.Step, &it});
   }
   return views;
 }
 
-double predictedShare(const ShardState &shard, const WorkerState &w,
-                      const model::StepSpec &filler) {
-  std::vector<policy::FillerShare> fillers = fillersOf(shard, w, false);
+/// Returns the processor shares that the fillers of a worker were measured at.
+static std::vector<policy::FillerShare>
+measuredFillers(const WorkerState &w, const std::vector<RunView> &runs) {
+  std::vector<policy::FillerShare> shares;
   double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
-  fillers.push_back(
-      {filler.Image, static_cast<double>(count(filler.Size.Cpu)) / capacity});
-  double worst = 0;
-  for (const auto &[image, target] : w.Serving) {
-    double ms = shard.Pairs.base(image);
-    for (const policy::FillerShare &it : fillers)
-      ms += shard.Pairs.slope(image, it.Image) * it.Share;
-    worst = std::max(worst, ms / static_cast<double>(target.count()));
+  for (const RunView &it : runs) {
+    if (!it.Step->Filler)
+      continue;
+    std::int64_t cpu =
+        it.Where->HasGauge ? it.Where->Gauge : count(it.Step->Size.Cpu);
+    shares.push_back({it.Step->Image, static_cast<double>(cpu) / capacity});
   }
+  return shares;
+}
+
+static std::vector<ServedProgram> servedOn(const ShardState &shard,
+                                           const WorkerState &w) {
+  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
+  std::vector<ServedProgram> served;
+  for (auto it = w.Serving.begin(); it != w.Serving.end();
+       it = w.Serving.upper_bound(it->first)) {
+    ServedProgram program{it->first, shard.Pairs.base(it->first),
+                          static_cast<double>(it->second.count())};
+    for (const auto &[id, held] : w.Runs)
+      if (held.Step->Filler)
+        program.ExpectedMs += shard.Pairs.slope(it->first, held.Step->Image) *
+                              static_cast<double>(count(held.Step->Size.Cpu)) /
+                              capacity;
+    served.push_back(std::move(program));
+  }
+  return served;
+}
+
+double predictedShare(const ShardState &shard, WorkerState &w,
+                      const model::StepSpec &filler) {
+  if (!w.Served)
+    w.Served = servedOn(shard, w);
+  double share = static_cast<double>(count(filler.Size.Cpu)) /
+                 static_cast<double>(count(w.Profile.Capacity.Cpu));
+  double worst = 0;
+  for (const ServedProgram &it : *w.Served)
+    worst = std::max(
+        worst, (it.ExpectedMs +
+                shard.Pairs.slope(it.Image, filler.Image) * share) /
+                   it.TargetMs);
   return worst;
 }
 
@@ -71,8 +85,9 @@
   if (w.Serving.empty() || now - w.Observed < ObserveInterval)
     return;
   w.Observed = now;
-  std::vector<policy::FillerShare> fillers = fillersOf(*this, w, true);
-  for (const RunView &it : runsOn(*this, w))
+  std::vector<RunView> runs = runsOn(*this, w);
+  std::vector<policy::FillerShare> fillers = measuredFillers(w, runs);
+  for (const RunView &it : runs)
     if (it.Step->Target.count() > 0 && it.Where->HasGauge &&
         it.Where->Gauge > 0)
       Pairs.observe(it.Step->Image, static_cast<double>(it.Where->Gauge),
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -46,7 +46,8 @@
 static bool mayServe(const ShardState &shard, const JobEntry &job,
                      const model::StepSpec &step, const WorkerState &w,
                      TimePoint now) {
-  return w.isUsable() && w.Clock && now >= w.AvoidUntil &&
+  // The size of a stray is not known.
+  return w.isUsable() && w.Clock && now >= w.AvoidUntil && w.Strays.empty() &&
          w.Profile.Service == job.Job.Terms.Service &&
          !shard.ZonesOut.contains(w.Profile.Zone) &&
          (step.Requirement.empty() || hasLabel(w, step.Requirement));
@@ -75,7 +76,7 @@
 /// Returns how well the worker suits; higher is better, nothing means not now.
 static std::optional<double> suitability(const ShardState &shard,
                                          const model::StepSpec &step,
-                                         const WorkerState &w,
+                                         WorkerState &w,
                                          std::int32_t sameStep) {
   double score = 0;
   if (step.Filler) {
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -94,11 +94,25 @@
   return counts;
 }
 
+bool ShardState::isHopeless(const model::StepSpec &step) const {
+  return std::any_of(
+      NoRoomFor.begin(), NoRoomFor.end(), [&](const model::StepSpec *it) {
+        return it->Filler == step.Filler && it->Image == step.Image &&
+               it->Requirement == step.Requirement &&
+               count(it->Size.Cpu) <= count(step.Size.Cpu) &&
+               count(it->Size.Memory) <= count(step.Size.Memory) &&
+               it->Size.Accelerators <= step.Size.Accelerators &&
+               it->Lasting == step.Lasting;
+      });
+}
+
 void ShardState::startStep(JobEntry &job, Occurrence &o, std::int32_t step,
                            TimePoint now) {
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
+  if (isHopeless(spec))
+    return;
   auto counts = runsByWorker(entry);
   for (std::int32_t i = 0; i < spec.Count && entry.Idle > 0; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
@@ -106,8 +120,12 @@
       continue;
     WorkerState *worker =
         chooseWorker(*this, job, spec, counts, nullptr, now);
-    if (!worker && !spec.Lasting)
+    if (!worker && !spec.Lasting) {
+      // A limit on each worker depends on the job, not on the program.
+      if (spec.MaxPerWorker == 0)
+        NoRoomFor.push_back(&spec);
       return;
+    }
     if (!worker) {
       keepRoom(*this, job, spec, counts, now);
       continue;
@@ -157,8 +175,11 @@
 
 void ShardState::startReady(TimePoint now) {
   bool suspects = hasSuspects();
-  for (auto &[id, w] : Workers)
+  NoRoomFor.clear();
+  for (auto &[id, w] : Workers) {
     w->Kept = {};
+    w->Served.reset();
+  }
   std::vector<JobEntry *> order;
   for (JobEntry *it : Live)
     if (it->isLive() && !(suspects && it->Inherited))
@@ -241,7 +262,7 @@
   for (auto &[id, w] : Workers) {
     if (!w->Profile.Draining || w->Runs.empty())
       continue;
-    for (const auto &[run, size] : w->Runs) {
+    for (const auto &[run, held] : w->Runs) {
       JobEntry *job = nullptr;
       TaskEntry *task = findTask(run.Task, &job);
       if (!task || !stepOf(*job, run.Task).Lasting)
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -18,7 +18,7 @@
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
 /// Events within this time lead to one plan.
-constexpr auto PlanDelay = 5ms;
+constexpr auto PlanDelay = 8ms;
 /// A plan is made at least this often, for leases, due times and pacing.
 constexpr auto PlanInterval = 150ms;
 /// Changes within this time share a commit.
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -47,19 +47,18 @@
       worker.Serving.emplace(step.Image, step.Target);
   }
   worker.Used += size;
-  worker.Runs.emplace(run, size);
+  worker.Runs.emplace(run, HeldRun{size, &step});
+  worker.Served.reset();
 }
 
 void ShardState::release(WorkerState &worker, const RunId &run) {
   auto it = worker.Runs.find(run);
   if (it == worker.Runs.end())
     return;
-  worker.Used -= it->second;
+  const model::StepSpec &step = *it->second.Step;
+  worker.Used -= it->second.Size;
   worker.Runs.erase(it);
-  JobEntry *job = findJob(run.Task.Job);
-  if (!job)
-    return;
-  const model::StepSpec &step = stepOf(*job, run.Task);
+  worker.Served.reset();
   if (step.Filler)
     worker.FillerCpu -= count(step.Size.Cpu);
   if (step.Filler || !step.Lasting)
@@ -73,7 +72,7 @@
 
 void ShardState::loseRuns(WorkerState &worker, const char *cause) {
   std::vector<RunId> lost;
-  for (const auto &[id, size] : worker.Runs)
+  for (const auto &[id, held] : worker.Runs)
     lost.push_back(id);
   for (const RunId &it : lost) {
     JobEntry *job = nullptr;
@@ -223,7 +222,7 @@
     return;
   // Runs that the list should show, and neither shows nor has as ended.
   std::vector<RunId> missing;
-  for (const auto &[id, size] : worker.Runs) {
+  for (const auto &[id, held] : worker.Runs) {
     if (listed.contains(id))
       continue;
     TaskEntry *task = findTask(id.Task);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -106,6 +106,21 @@
   std::uint64_t Version = 0;
 };
 
+/// Room that a run takes on its worker. The step belongs to the run's job, which
+/// is kept for as long as it has runs.
+struct HeldRun {
+  base::Resources Size;
+  const model::StepSpec *Step = nullptr;
+};
+
+/// What a serving program on a worker is expected to respond in, with the
+/// fillers that are there.
+struct ServedProgram {
+  std::string Image;
+  double ExpectedMs = 0;
+  double TargetMs = 0;
+};
+
 struct ClockSample {
   WorkerTime Clock{0};
   /// When the answer that carried it had arrived.
@@ -130,7 +145,7 @@
   std::int64_t ProcessedEnds = 0;
   std::int64_t LastSeen = 0;
   std::deque<PendingEnd> PendingEnds;
-  std::map<RunId, base::Resources> Runs;
+  std::map<RunId, HeldRun> Runs;
   base::Resources Used;
   /// Declared processor need of the fillers.
   std::int64_t FillerCpu = 0;
@@ -151,6 +166,8 @@
   std::optional<TimePoint> OverTarget;
   /// Programs of the tasks with a target here, one entry for each task.
   std::multimap<std::string, std::chrono::milliseconds> Serving;
+  /// Computed when it is needed, until runs come or go.
+  std::optional<std::vector<ServedProgram>> Served;
   /// When the gauges of the worker were last used for learning.
   TimePoint Observed;
   /// Runs that belong to no live job and must be stopped.
@@ -182,6 +199,9 @@
   std::set<base::ZoneId> ZonesOut;
   std::deque<JobNumber> Dirty;
   std::vector<Order> Outbox;
+  /// Steps that found no worker in the present plan; larger ones of the same
+  /// program are not tried.
+  std::vector<const model::StepSpec *> NoRoomFor;
   policy::PairModel Pairs;
 
   // Jobs.cpp
@@ -213,6 +233,7 @@
   // Plan.cpp
   void openDue(base::WallTime wall, TimePoint now);
   void startReady(TimePoint now);
+  bool isHopeless(const model::StepSpec &step) const;
   void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
   void startGang(JobEntry &job, Occurrence &occurrence, std::int32_t step,
--- a/packages/dispatch/src/detail/Sharing.h
+++ b/packages/dispatch/src/detail/Sharing.h
@@ -14,17 +14,11 @@
   Run *Where = nullptr;
 };
 
-std::vector<RunView> runsOn(const ShardState &shard, const WorkerState &w);
-
-/// Returns the processor shares of the fillers on a worker.
-///
-/// \param measured as the worker measured them; else as declared.
-std::vector<policy::FillerShare>
-fillersOf(const ShardState &shard, const WorkerState &w, bool measured);
+std::vector<RunView> runsOn(ShardState &shard, const WorkerState &w);
 
 /// Returns the response time that is expected of the worst task with a target
 /// on the worker if \p filler joined, as a share of its target.
-double predictedShare(const ShardState &shard, const WorkerState &w,
+double predictedShare(const ShardState &shard, WorkerState &w,
                       const model::StepSpec &filler);
 
 } // namespace endivedoor::dispatch::detail
--- /dev/null
+++ b/tests/support/ShardFixture.h
@@ -0,0 +1,111 @@
+/// \file
+/// A shard with workers that are described by hand.
+#ifndef ENDIVEDOOR_TESTS_SUPPORT_SHARDFIXTURE_H
+#define ENDIVEDOOR_TESTS_SUPPORT_SHARDFIXTURE_H
+
+#include "endivedoor/dispatch/Shard.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace endivedoor::tests {
+
+using namespace std::chrono_literals;
+using dispatch::HoldReport;
+using dispatch::Order;
+using dispatch::OrderAnswer;
+using dispatch::RunEnd;
+using dispatch::RunId;
+using dispatch::Shard;
+using model::JobNumber;
+using model::TaskKey;
+
+class ShardFixture : public testing::Test {
+protected:
+  static constexpr std::int64_t Term = 3;
+  static constexpr std::int64_t Cores = 32000;
+
+  static model::WorkerProfile worker(const std::string &id) {
+    model::WorkerProfile w;
+    w.Id = base::WorkerId(id);
+    w.Service = base::ServiceName("desk");
+    w.Endpoint = {"10.0.0.1", 8080};
+    w.Zone = base::ZoneId("a");
+    w.Capacity.Cpu = base::MilliCores{Cores};
+    w.Capacity.Memory = base::MebiBytes{128000};
+    w.Labels = {"a", "r1"};
+    w.Born = 1000ms;
+    return w;
+  }
+
+  static model::StepSpec step(std::int32_t count, std::int64_t cpu = 4000) {
+    model::StepSpec s;
+    s.Count = count;
+    s.Size.Cpu = base::MilliCores{cpu};
+    s.Size.Memory = base::MebiBytes{1000};
+    s.Estimate = 500ms;
+    return s;
+  }
+
+  static model::AcceptedJob job(std::uint64_t id,
+                                std::vector<model::StepSpec> steps) {
+    model::AcceptedJob j;
+    j.Id = JobNumber{id};
+    j.Queue = "q";
+    j.Terms.Service = base::ServiceName("desk");
+    j.Terms.MaxAttempts = 2;
+    j.Graph.Steps = std::move(steps);
+    return j;
+  }
+
+  /// Offers a worker, stores the roster and answers the first hold.
+  void join(const std::string &id, HoldReport report = {}) {
+    Owned.offerWorker(worker(id), now());
+    Owned.rosterStored(Owned.roster());
+    hold(id, std::move(report));
+  }
+
+  void hold(const std::string &id, HoldReport report = {}) {
+    Owned.nextHold(base::WorkerId(id), now(), true);
+    if (report.Clock == 0ms)
+      report.Clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now().time_since_epoch());
+    if (report.Born == 0ms)
+      report.Born = 1000ms;
+    base::TimePoint sent = now();
+    Time.advance(1ms);
+    Owned.onHold(base::WorkerId(id), report, sent, now());
+  }
+
+  std::vector<Order> plan(Order::Kind kind = Order::Kind::Start) {
+    Time.advance(10ms);
+    std::vector<Order> orders = Owned.plan(now(), Time.wallNow(), true);
+    std::erase_if(orders, [&](const Order &it) { return it.What != kind; });
+    return orders;
+  }
+
+  void confirm(const std::vector<Order> &orders) {
+    for (const Order &it : orders)
+      Owned.onStart(it, OrderAnswer::Done, now());
+  }
+
+  void store() {
+    std::vector<dispatch::JobWrite> writes = Owned.takeWrites(100);
+    for (dispatch::JobWrite &it : writes)
+      it.Revision = ++Revision;
+    Owned.onStored(writes);
+  }
+
+  base::TimePoint now() const { return Time.now(); }
+
+  base::ManualClock Time;
+  base::HybridClock Hybrid{Time};
+  base::EventLog Events{"test", Hybrid, 64};
+  std::int64_t Revision = 100;
+  Shard Owned{{}, 0, Term, base::FencingToken{7}, Events};
+};
+
+} // namespace endivedoor::tests
+
+#endif
--- /dev/null
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -0,0 +1,156 @@
+// Guards against the faults found on the users' bench: takeovers that stop or
+// repeat running tasks, cancellations that are lost, rooms counted wrong.
+#include "support/ShardFixture.h"
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+
+namespace {
+
+using ShardTakeover = ShardFixture;
+using ShardStart = ShardFixture;
+using ShardCancel = ShardFixture;
+
+dispatch::RunningTask running(std::uint64_t job, std::int32_t index,
+                              std::int64_t run) {
+  return {{{JobNumber{job}, 0, 0, index}, run}, "", 100, 0, false};
+}
+
+// A new owner must count the runs that an earlier owner has started.
+TEST_F(ShardTakeover, ListedRuns_KeepTheirRoom) {
+  model::StepSpec lasting = step(6, 5000);
+  lasting.Lasting = true;
+  lasting.Target = 18ms;
+  Owned.suspect({{base::WorkerId("w1"), {"10.0.0.1", 8080}}}, now());
+  Owned.addJob(job(1, {lasting}), 5, true, now());
+  HoldReport report;
+  for (std::int32_t i = 0; i < 6; ++i)
+    report.Running.push_back(running(1, i, 1));
+  join("w1", report);
+  Owned.addJob(job(2, {step(1)}), 200, false, now());
+  EXPECT_TRUE(plan().empty());
+  hold("w1", report);
+  EXPECT_TRUE(plan().empty());
+  EXPECT_TRUE(plan(Order::Kind::Stop).empty());
+  EXPECT_EQ(count(Owned.load().FreeCpu), Cores - 30000);
+}
+
+// A worker that is cut off may run tasks of inherited jobs.
+TEST_F(ShardTakeover, SilentWorker_BlocksInheritedJobsOnly) {
+  Owned.suspect({{base::WorkerId("w1"), {"10.0.0.1", 8080}},
+                 {base::WorkerId("w2"), {"10.0.0.2", 8080}}},
+                now());
+  Owned.addJob(job(1, {step(1)}), 5, true, now());
+  Owned.addJob(job(2, {step(1)}), 200, false, now());
+  join("w2");
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Id.Task.Job, JobNumber{2});
+  EXPECT_EQ(orders[0].Id.Run, 1);
+  confirm(orders);
+  Time.advance(30s);
+  plan();
+  hold("w2");
+  orders = plan();
+  EXPECT_TRUE(std::any_of(orders.begin(), orders.end(), [](const Order &it) {
+    return it.Id.Task.Job == JobNumber{1} && it.Id.Run > 1024;
+  }));
+}
+
+// The size of a run of a job that has ended is not known.
+TEST_F(ShardTakeover, StrayRun_KeepsItsWorkerFromStarts) {
+  HoldReport report;
+  report.Running.push_back(running(9, 0, 1));
+  join("w1", report);
+  Owned.addJob(job(2, {step(1)}), 200, false, now());
+  EXPECT_TRUE(plan().empty());
+  Time.advance(1s);
+  ASSERT_EQ(plan(Order::Kind::Stop).size(), 1u);
+  hold("w1");
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+// Cancel records sort before job records in a listing.
+TEST_F(ShardCancel, ReadBeforeItsJob_StartsNothing) {
+  join("w1");
+  Owned.cancelJob(JobNumber{1}, now());
+  Owned.addJob(job(1, {step(1)}), 5, true, now());
+  EXPECT_TRUE(plan().empty());
+}
+
+TEST_F(ShardCancel, RunningTask_IsStoppedAndItsRecordsRemoved) {
+  join("w1");
+  Owned.addJob(job(1, {step(1)}), 5, false, now());
+  confirm(plan());
+  Owned.cancelJob(JobNumber{1}, now());
+  std::vector<Order> stops = plan(Order::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_TRUE(Owned.takeWrites(10).empty());
+  HoldReport report;
+  report.Ended = {{1, stops[0].Id, RunEnd::Stopped, ""}};
+  hold("w1", report);
+  plan();
+  std::vector<dispatch::JobWrite> writes = Owned.takeWrites(10);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Final, model::JobState::Cancelled);
+}
+
+TEST_F(ShardStart, FullWorker_GetsNoMore) {
+  join("w1");
+  Owned.addJob(job(1, {step(9)}), 5, false, now());
+  EXPECT_EQ(plan().size(), 8u);
+  EXPECT_TRUE(plan().empty());
+}
+
+// A worker forgets the ends that it is told were seen.
+TEST_F(ShardStart, End_IsSeenOnlyAfterItIsStored) {
+  join("w1");
+  Owned.addJob(job(1, {step(2)}), 5, false, now());
+  std::vector<Order> orders = plan();
+  confirm(orders);
+  HoldReport report;
+  report.Ended = {{1, orders[0].Id, RunEnd::Done, ""}};
+  report.Running = {{orders[1].Id, "", 50, 0, false}};
+  hold("w1", report);
+  auto seen = [&] {
+    return Owned.nextHold(base::WorkerId("w1"), now(), true)->Request.LastSeen;
+  };
+  EXPECT_EQ(seen(), 0);
+  store();
+  EXPECT_EQ(seen(), 1);
+}
+
+TEST_F(ShardStart, LostAnswer_IsStoppedBeforeTheTaskStartsElsewhere) {
+  join("w1");
+  Owned.addJob(job(1, {step(1)}), 5, false, now());
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  Owned.onStart(orders[0],
+                base::fail(base::Errc::WorkerAnswerLost, "timeout"), now());
+  Time.advance(1s);
+  EXPECT_TRUE(plan().empty());
+  Time.advance(1s);
+  std::vector<Order> stops = plan(Order::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  Owned.onStop(stops[0], OrderAnswer::Done, now());
+  Time.advance(1ms);
+  hold("w1");
+  orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Id.Run, 2);
+}
+
+TEST_F(ShardStart, LapsedLease_FreesTheTask) {
+  join("w1");
+  Owned.addJob(job(1, {step(1)}), 5, false, now());
+  confirm(plan());
+  Time.advance(5s);
+  EXPECT_TRUE(plan().empty());
+  join("w2");
+  EXPECT_TRUE(plan().empty());
+  Time.advance(2s);
+  hold("w2");
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+} // namespace
