Structured log lines on standard output, metrics, bounded and without waiting

Cause: on-call engineers have only logs and metrics; lines were written one by one through glog and could block.

--- a/packages/base/include/endivedoor/base/Event.h
+++ b/packages/base/include/endivedoor/base/Event.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <initializer_list>
+#include <map>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -40,6 +41,8 @@
 /// Returns the catalogue row of \p code.
 const EventInfo &eventInfo(EventCode code);
 
+class LineSink;
+
 /// A named value of an event, for example {"worker", "g-07"}.
 using EventField = std::pair<std::string, std::string>;
 
@@ -65,6 +68,18 @@
   /// Returns the kept events, oldest first.
   std::vector<EventRecord> snapshot() const;
 
+  /// Returns how often each event has been emitted, lines that were held back
+  /// included.
+  std::map<EventCode, std::uint64_t> counts() const;
+
+  /// Sends the lines to \p sink alone. Must outlive the log.
+  void setSink(LineSink *sink);
+  /// Holds back lines of one event beyond \p perSecond; 0 means no limit.
+  /// Warnings and errors count like others.
+  void setLimit(std::size_t perSecond);
+  /// Returns the number of lines held back since the last call.
+  std::uint64_t takeHeldBack();
+
   const std::string &process() const { return Process; }
 
 private:
@@ -73,6 +88,19 @@
   std::size_t Capacity;
   mutable std::mutex Mutex;
   std::deque<EventRecord> Ring;
+  /// Lines of one event in the present second.
+  struct Rate {
+    std::uint64_t Total = 0;
+    std::int64_t Second = 0;
+    std::size_t Lines = 0;
+  };
+
+  bool admit(EventCode code, HybridTime time);
+
+  std::map<EventCode, Rate> Rates;
+  std::size_t Limit = 0;
+  std::uint64_t HeldBack = 0;
+  LineSink *Sink = nullptr;
 };
 
 /// Ends the process with the event InvariantBroken.
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -1,6 +1,7 @@
 #include "endivedoor/base/Event.h"
 
 #include "endivedoor/base/Error.h"
+#include "endivedoor/base/LineSink.h"
 
 #include <glog/logging.h>
 
@@ -37,6 +38,20 @@
   return quoted + "\"";
 }
 
+static const char *levelName(Severity level) {
+  switch (level) {
+  case Severity::Info:
+    return "info";
+  case Severity::Warning:
+    return "warning";
+  case Severity::Error:
+    return "error";
+  case Severity::Fatal:
+    break;
+  }
+  return "fatal";
+}
+
 static std::string formatLine(const std::string &process, HybridTime time,
                               const EventInfo &info,
                               const std::vector<EventField> &fields) {
@@ -58,7 +73,25 @@
 void EventLog::emit(EventCode code, std::vector<EventField> fields) {
   const EventInfo &info = eventInfo(code);
   HybridTime time = Hybrid.tick();
+  LineSink *sink = nullptr;
+  {
+    std::lock_guard lock(Mutex);
+    Ring.push_back({time, code, fields});
+    if (Ring.size() > Capacity)
+      Ring.pop_front();
+    if (!admit(code, time))
+      return;
+    sink = Sink;
+  }
   std::string line = formatLine(Process, time, info, fields);
+  if (sink) {
+    google::LogSeverity level = info.Level == Severity::Info
+                                    ? google::GLOG_INFO
+                                    : google::GLOG_WARNING;
+    google::LogMessage(__FILE__, __LINE__, level, sink, false).stream()
+        << "level=" << levelName(info.Level) << " " << line;
+    return;
+  }
   switch (info.Level) {
   case Severity::Info:
     LOG(INFO) << line;
@@ -72,10 +105,44 @@
   case Severity::Fatal:
     LOG(FATAL) << line;
   }
+}
+
+bool EventLog::admit(EventCode code, HybridTime time) {
+  constexpr std::int64_t MicrosOfSecond = 1'000'000;
+  Rate &rate = Rates[code];
+  ++rate.Total;
+  auto second = static_cast<std::int64_t>(time.WallMicros) / MicrosOfSecond;
+  if (rate.Second != second) {
+    rate.Second = second;
+    rate.Lines = 0;
+  }
+  if (Limit == 0 || ++rate.Lines <= Limit)
+    return true;
+  ++HeldBack;
+  return false;
+}
+
+std::map<EventCode, std::uint64_t> EventLog::counts() const {
+  std::lock_guard lock(Mutex);
+  std::map<EventCode, std::uint64_t> counts;
+  for (const auto &[code, rate] : Rates)
+    counts[code] = rate.Total;
+  return counts;
+}
+
+void EventLog::setSink(LineSink *sink) {
+  std::lock_guard lock(Mutex);
+  Sink = sink;
+}
+
+void EventLog::setLimit(std::size_t perSecond) {
+  std::lock_guard lock(Mutex);
+  Limit = perSecond;
+}
+
+std::uint64_t EventLog::takeHeldBack() {
   std::lock_guard lock(Mutex);
-  Ring.push_back({time, code, std::move(fields)});
-  if (Ring.size() > Capacity)
-    Ring.pop_front();
+  return std::exchange(HeldBack, 0);
 }
 
 std::vector<EventRecord> EventLog::snapshot() const {
--- /dev/null
+++ b/packages/base/src/LineSink.cpp
@@ -0,0 +1,53 @@
+#include "endivedoor/base/LineSink.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
+
+namespace endivedoor::base {
+
+/// Lines below warnings are written together up to this size.
+constexpr std::size_t BatchBytes = 4096;
+
+LineSink::LineSink(int descriptor, std::size_t capacity)
+    : Descriptor(descriptor), Capacity(capacity) {
+  int flags = ::fcntl(descriptor, F_GETFL);
+  if (flags >= 0)
+    ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void LineSink::send(google::LogSeverity severity, const char *, const char *,
+                    int, const google::LogMessageTime &, const char *message,
+                    std::size_t length) {
+  std::lock_guard lock(Mutex);
+  if (Buffer.size() + length + 1 > Capacity) {
+    ++Dropped;
+    return;
+  }
+  Buffer.append(message, length);
+  Buffer += '\n';
+  if (severity >= google::GLOG_WARNING || Buffer.size() >= BatchBytes)
+    flushLocked();
+}
+
+void LineSink::flush() {
+  std::lock_guard lock(Mutex);
+  flushLocked();
+}
+
+void LineSink::flushLocked() {
+  while (!Buffer.empty()) {
+    ssize_t n = ::write(Descriptor, Buffer.data(), Buffer.size());
+    // The rest stays until the reader has caught up.
+    if (n <= 0)
+      return;
+    Buffer.erase(0, static_cast<std::size_t>(n));
+  }
+}
+
+std::uint64_t LineSink::takeDropped() {
+  std::lock_guard lock(Mutex);
+  return std::exchange(Dropped, 0);
+}
+
+} // namespace endivedoor::base
--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <unistd.h>
 
 namespace endivedoor::daemon {
 
@@ -22,6 +23,8 @@
 
 /// How often readiness is looked at; well below the balancer's second.
 constexpr auto ReadinessInterval = 200ms;
+/// Log lines reach the reader at the latest after this time.
+constexpr auto FlushInterval = 250ms;
 /// The balancer asks each second and takes a node out after two misses.
 constexpr auto BalancerDelay = 2500ms;
 /// Part of the stop's grace that is kept for the end of the process.
@@ -50,14 +53,17 @@
 }
 
 DispatchDaemon::DispatchDaemon(model::DispatchSettings settings)
-    : Config(std::move(settings)),
+    : Config(std::move(settings)), Lines(STDOUT_FILENO),
       Events(Config.Name, Hybrid, Config.KeptEvents),
       Signals(Io, SIGTERM, SIGINT, SIGHUP),
-      Platform(Io.get_executor(), Config, Time, Events),
+      Platform(Io.get_executor(), Config, Time, Events, Times),
       Node(Io.get_executor(), optionsOf(Config), Platform.store(),
-           Platform.workers(), Time, Events),
+           Platform.workers(), Time, Events, Times),
       Front(TrafficIo.get_executor(), Io.get_executor(), Config, Node,
-            Events) {}
+            Events, Times) {
+  Events.setSink(&Lines);
+  Events.setLimit(Config.LinesPerSecond);
+}
 
 int DispatchDaemon::run() {
   if (base::Result<void> done = Front.start(); !done) {
@@ -75,12 +81,14 @@
   Node.start();
   asio::co_spawn(Io, handleSignals(), asio::detached);
   asio::co_spawn(Io, watchReadiness(), asio::detached);
+  asio::co_spawn(Io, flushLog(), asio::detached);
   Traffic = std::thread([this] {
     auto guard = asio::make_work_guard(TrafficIo);
     TrafficIo.run();
   });
   Io.run();
   Events.emit(EventCode::DaemonStopped);
+  Lines.flush();
   return 0;
 }
 
@@ -96,6 +104,19 @@
   }
 }
 
+asio::awaitable<void> DispatchDaemon::flushLog() {
+  while (true) {
+    std::uint64_t held = Events.takeHeldBack();
+    std::uint64_t dropped = Lines.takeDropped();
+    if (held + dropped > 0)
+      Events.emit(EventCode::LogLinesDropped,
+                  {{"heldBack", std::to_string(held)},
+                   {"dropped", std::to_string(dropped)}});
+    Lines.flush();
+    co_await waitUntil(Time.now() + FlushInterval);
+  }
+}
+
 asio::awaitable<void> DispatchDaemon::handleSignals() {
   while (true) {
     auto [ec, signal] = co_await Signals.async_wait(AsTuple);
--- a/packages/daemon/src/DispatchDaemon.h
+++ b/packages/daemon/src/DispatchDaemon.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVEDOOR_DAEMON_DISPATCHDAEMON_H
 #define ENDIVEDOOR_DAEMON_DISPATCHDAEMON_H
 
+#include "endivedoor/base/LineSink.h"
 #include "endivedoor/installation/Installation.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,13 +28,16 @@
 private:
   boost::asio::awaitable<void> handleSignals();
   boost::asio::awaitable<void> watchReadiness();
+  boost::asio::awaitable<void> flushLog();
   boost::asio::awaitable<void> stop();
   boost::asio::awaitable<void> waitUntil(base::TimePoint time);
 
   model::DispatchSettings Config;
   base::BootClock Time;
   base::HybridClock Hybrid{Time};
+  base::LineSink Lines;
   base::EventLog Events;
+  dispatch::Metrics Times;
   boost::asio::io_context Io{1};
   boost::asio::io_context TrafficIo{1};
   boost::asio::signal_set Signals;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -104,9 +104,7 @@
   if (!text)
     return SettingsFaults;
   bool dispatch = model::isDispatchSettings(*text);
-  // On an installation's platform, logs are read from standard output.
-  FLAGS_logtostdout = dispatch;
-  FLAGS_logtostderr = !dispatch;
+  FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   return dispatch ? runDispatch(file, *text) : runDaemon(file, *text);
 }
--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -5,6 +5,7 @@
 #define ENDIVEDOOR_DISPATCH_DISPATCHNODE_H
 
 #include "endivedoor/dispatch/MetadataStore.h"
+#include "endivedoor/dispatch/Metrics.h"
 #include "endivedoor/dispatch/ShardOptions.h"
 #include "endivedoor/dispatch/TaskWorker.h"
 
@@ -50,7 +51,8 @@
 public:
   DispatchNode(boost::asio::any_io_executor executor, DispatchOptions options,
                MetadataStore &store, TaskWorker &workers,
-               const base::Clock &clock, base::EventLog &events);
+               const base::Clock &clock, base::EventLog &events,
+               Metrics &metrics);
   ~DispatchNode();
 
   /// Joins the other nodes and begins to take shards.
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -4,6 +4,7 @@
 #define ENDIVEDOOR_DISPATCH_SHARD_H
 
 #include "endivedoor/base/Event.h"
+#include "endivedoor/dispatch/Metrics.h"
 #include "endivedoor/dispatch/Records.h"
 #include "endivedoor/dispatch/ShardOptions.h"
 #include "endivedoor/dispatch/TaskWorker.h"
@@ -62,7 +63,7 @@
   /// \param term number of this ownership, from 1.
   /// \param token fencing token of this ownership at the workers.
   Shard(ShardOptions options, std::int32_t number, std::int64_t term,
-        base::FencingToken token, base::EventLog &events);
+        base::FencingToken token, base::EventLog &events, Metrics &metrics);
   ~Shard();
 
   /// Adds a job that is stored.
@@ -120,7 +121,7 @@
   /// Returns records that must be stored, at most \p limit.
   std::vector<JobWrite> takeWrites(std::size_t limit);
   /// \param stored the writes of one commit with their new revisions.
-  void onStored(const std::vector<JobWrite> &stored);
+  void onStored(const std::vector<JobWrite> &stored, base::TimePoint now);
   /// The writes were not applied and are due again.
   void onNotStored(const std::vector<JobWrite> &writes);
   bool hasWrites() const;
@@ -128,6 +129,7 @@
   void cancelFinished(model::JobNumber job);
 
   ShardLoad load() const;
+  std::size_t liveJobs() const;
   /// Another owner has used a higher token; this term is over.
   bool isFenced() const;
   std::int32_t number() const;
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -38,6 +38,7 @@
   TaskWorker &Calls;
   const base::Clock &Time;
   base::EventLog &Events;
+  Metrics &Times;
   PrefixMirror Directory;
   detail::NodeView View;
   std::map<std::int32_t, std::shared_ptr<ShardRunner>> Owned;
@@ -54,9 +55,9 @@
 
   Impl(asio::any_io_executor executor, DispatchOptions options,
        MetadataStore &store, TaskWorker &calls, const base::Clock &clock,
-       base::EventLog &events)
+       base::EventLog &events, Metrics &metrics)
       : Executor(executor), Options(std::move(options)), Store(store),
-        Calls(calls), Time(clock), Events(events),
+        Calls(calls), Time(clock), Events(events), Times(metrics),
         Directory(executor, store, keys::directory(),
                   {[this](const StoredItem &it) { onDirectory(it); },
                    [this](const std::string &key) { onDeparture(key); },
@@ -285,15 +286,18 @@
                                 Calls,
                                 Time,
                                 Events,
+                                Times,
                                 [this] { return LastWord; },
                                 [this](TimePoint sent) {
                                   LastWord = std::max(LastWord, sent);
                                 },
                                 [this](std::int32_t shard) {
                                   Owned.erase(shard);
+                                  Times.setShards(Owned.size());
                                 }};
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
+  Times.setShards(Owned.size());
   runner->setZonesOut(ZonesOut);
   distribute(*runner);
   runner->start();
@@ -392,9 +396,9 @@
 DispatchNode::DispatchNode(asio::any_io_executor executor,
                            DispatchOptions options, MetadataStore &store,
                            TaskWorker &workers, const base::Clock &clock,
-                           base::EventLog &events)
+                           base::EventLog &events, Metrics &metrics)
     : Self(std::make_shared<Impl>(std::move(executor), std::move(options),
-                                  store, workers, clock, events)) {}
+                                  store, workers, clock, events, metrics)) {}
 
 DispatchNode::~DispatchNode() = default;
 
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -279,7 +279,8 @@
   return writes;
 }
 
-void Shard::onStored(const std::vector<JobWrite> &stored) {
+void Shard::onStored(const std::vector<JobWrite> &stored,
+                     base::TimePoint now) {
   detail::ShardState &s = *Self;
   for (const JobWrite &it : stored) {
     JobEntry *job = s.findJob(it.Job);
@@ -287,6 +288,8 @@
       continue;
     job->InWrite = false;
     job->StoredVersion = it.Version;
+    if (it.Final == JobState::Succeeded)
+      s.Times.observeCompletion(now - job->Accepted);
     (it.Final ? job->IndexRevision : job->ProgressRevision) = it.Revision;
     if (job->Version != job->StoredVersion)
       s.Dirty.push_back(it.Job);
@@ -312,6 +315,8 @@
 
 bool Shard::hasWrites() const { return !Self->Dirty.empty(); }
 
+std::size_t Shard::liveJobs() const { return Self->Live.size(); }
+
 ShardLoad Shard::load() const {
   ShardLoad load;
   for (const JobEntry *it : Self->Live)
--- /dev/null
+++ b/packages/dispatch/src/Metrics.cpp
@@ -0,0 +1,97 @@
+#include "endivedoor/dispatch/Metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace endivedoor::dispatch {
+
+using prometheus::Histogram;
+
+/// Upper bounds of the buckets in seconds: calls take milliseconds, jobs
+/// seconds.
+static const Histogram::BucketBoundaries CallBuckets = {
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5};
+static const Histogram::BucketBoundaries JobBuckets = {
+    0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64};
+
+static double seconds(base::Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+struct Metrics::Impl {
+  prometheus::Registry Registry;
+  prometheus::Family<Histogram> &Calls =
+      prometheus::BuildHistogram()
+          .Name("endivedoor_call_seconds")
+          .Help("Time of calls to the store and to workers")
+          .Register(Registry);
+  Histogram &FirstStart = prometheus::BuildHistogram()
+                              .Name("endivedoor_first_start_seconds")
+                              .Help("From a job's acceptance to its first start")
+                              .Register(Registry)
+                              .Add({}, JobBuckets);
+  Histogram &Completion =
+      prometheus::BuildHistogram()
+          .Name("endivedoor_completion_seconds")
+          .Help("From a job's acceptance to its stored final state")
+          .Register(Registry)
+          .Add({}, JobBuckets);
+  prometheus::Gauge &Shards = prometheus::BuildGauge()
+                                  .Name("endivedoor_owned_shards")
+                                  .Help("Shards that this node owns")
+                                  .Register(Registry)
+                                  .Add({});
+  prometheus::Gauge &Jobs = prometheus::BuildGauge()
+                                .Name("endivedoor_live_jobs")
+                                .Help("Jobs of the owned shards that have not "
+                                      "ended")
+                                .Register(Registry)
+                                .Add({});
+};
+
+Metrics::Metrics() : Self(new Impl) {}
+Metrics::~Metrics() = default;
+
+void Metrics::observeCall(const std::string &peer, const std::string &call,
+                          const std::string &outcome, base::Duration time) {
+  Self->Calls
+      .Add({{"peer", peer}, {"call", call}, {"outcome", outcome}}, CallBuckets)
+      .Observe(seconds(time));
+}
+
+void Metrics::observeFirstStart(base::Duration sinceAccepted) {
+  Self->FirstStart.Observe(seconds(sinceAccepted));
+}
+
+void Metrics::observeCompletion(base::Duration sinceAccepted) {
+  Self->Completion.Observe(seconds(sinceAccepted));
+}
+
+void Metrics::setShards(std::size_t owned) {
+  Self->Shards.Set(static_cast<double>(owned));
+}
+
+void Metrics::setJobs(std::size_t live) {
+  Self->Jobs.Set(static_cast<double>(live));
+}
+
+std::string Metrics::render(const base::EventLog &events) const {
+  prometheus::MetricFamily family;
+  family.name = "endivedoor_events_total";
+  family.help = "Events by name; docs/events.md says what each means";
+  family.type = prometheus::MetricType::Counter;
+  for (const auto &[code, count] : events.counts()) {
+    prometheus::ClientMetric metric;
+    metric.label = {{"event", std::string(base::eventInfo(code).Name)}};
+    metric.counter.value = static_cast<double>(count);
+    family.metric.push_back(std::move(metric));
+  }
+  std::vector<prometheus::MetricFamily> all = Self->Registry.Collect();
+  all.push_back(std::move(family));
+  return prometheus::TextSerializer().Serialize(all);
+}
+
+} // namespace endivedoor::dispatch
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -56,6 +56,8 @@
   task.LastRun = number;
   task.Runs.push_back(run);
   ++job.Runs;
+  if (!job.Started)
+    Times.observeFirstStart(now - job.Accepted);
   job.Started = true;
   RunId id{key, number};
   reserve(worker, id, step);
@@ -311,9 +313,10 @@
 } // namespace detail
 
 Shard::Shard(ShardOptions options, std::int32_t number, std::int64_t term,
-             base::FencingToken token, base::EventLog &events)
+             base::FencingToken token, base::EventLog &events,
+             Metrics &metrics)
     : Self(std::make_unique<detail::ShardState>(options, number, term, token,
-                                                events)) {}
+                                                events, metrics)) {}
 
 Shard::~Shard() = default;
 
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -46,7 +46,7 @@
     : Context(std::move(context)), Current(term),
       State(Context.Options.Shard, term.Shard, term.Number,
             base::FencingToken{static_cast<std::uint64_t>(term.Revision)},
-            Context.Events),
+            Context.Events, Context.Times),
       PlanTimer(Context.Executor), CommitTimer(Context.Executor) {}
 
 void ShardRunner::start() {
@@ -257,6 +257,7 @@
       co_return lose("a worker has seen a higher token");
     if (State.roster() != StoredRoster)
       CommitTimer.cancel();
+    Context.Times.setJobs(State.liveJobs());
     // poke() shortens the wait.
     PlanTimer.expires_after(PlanInterval);
     co_await PlanTimer.async_wait(AsTuple);
@@ -414,7 +415,7 @@
   }
   for (JobWrite &it : writes)
     it.Revision = done.value().Revision;
-  State.onStored(writes);
+  State.onStored(writes, Context.Time.now());
 }
 
 void ShardRunner::onConflict(std::vector<JobWrite> &writes,
@@ -456,7 +457,7 @@
     stored.push_back(it);
   }
   State.onNotStored(again);
-  State.onStored(stored);
+  State.onStored(stored, Context.Time.now());
 }
 
 asio::awaitable<void> ShardRunner::flush() {
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -31,6 +31,7 @@
   TaskWorker &Workers;
   const base::Clock &Time;
   base::EventLog &Events;
+  Metrics &Times;
   /// When the latest successful call to the store was sent.
   std::function<base::TimePoint()> LastWord;
   std::function<void(base::TimePoint sent)> StoreAnswered;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -185,10 +185,11 @@
   std::int64_t Term = 0;
   base::FencingToken Token{0};
   base::EventLog &Events;
+  Metrics &Times;
   ShardState(ShardOptions options, std::int32_t number, std::int64_t term,
-             base::FencingToken token, base::EventLog &events)
+             base::FencingToken token, base::EventLog &events, Metrics &metrics)
       : Options(options), Number(number), Term(term), Token(token),
-        Events(events) {}
+        Events(events), Times(metrics) {}
 
   bool Fenced = false;
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -31,6 +31,9 @@
   std::chrono::milliseconds ShortestLease{1000};
   /// Workers that one shard owner is to serve.
   std::int32_t WorkersPerShard = 72;
+  /// Log lines of one event in a second; more are held back and counted. 0
+  /// means no limit.
+  std::size_t LinesPerSecond = 200;
   /// Events kept in memory for the time line.
   std::size_t KeptEvents = 256;
 };
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -30,7 +30,7 @@
                      DispatchSettings &to) {
   YamlSection root(faults, node, "",
                    {"name", "zone", "listen", "installation", "bounds",
-                    "workersPerShard", "keptEvents"});
+                    "workersPerShard", "keptEvents", "logLinesPerSecond"});
   root.readName("name", to.Name);
   std::string zone;
   root.readName("zone", zone);
@@ -55,6 +55,8 @@
   }
   if (auto n = root.readNumber("workersPerShard", {1, 10000}))
     to.WorkersPerShard = static_cast<std::int32_t>(*n);
+  if (auto n = root.readNumber("logLinesPerSecond", {0, 1 << 20}))
+    to.LinesPerSecond = *n;
   if (auto n = root.readNumber("keptEvents", {16, 1 << 20}))
     to.KeptEvents = *n;
 }
--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -5,7 +5,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config git
   libboost1.81-dev libboost-json1.81-dev libzmq3-dev cppzmq-dev
   libprotobuf-dev protobuf-compiler libyaml-cpp-dev libgoogle-glog-dev libabsl-dev
-  librapidcheck-dev libgtest-dev libgmock-dev libbenchmark-dev libxxhash-dev
+  prometheus-cpp-dev librapidcheck-dev libgtest-dev libgmock-dev libbenchmark-dev libxxhash-dev
   clang-format clang-tidy clang-tools gnuplot-nox)
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
   exit 0
--- a/tests/support/ShardFixture.h
+++ b/tests/support/ShardFixture.h
@@ -94,7 +94,7 @@
     std::vector<dispatch::JobWrite> writes = Owned.takeWrites(100);
     for (dispatch::JobWrite &it : writes)
       it.Revision = ++Revision;
-    Owned.onStored(writes);
+    Owned.onStored(writes, now());
   }
 
   base::TimePoint now() const { return Time.now(); }
@@ -103,7 +103,8 @@
   base::HybridClock Hybrid{Time};
   base::EventLog Events{"test", Hybrid, 64};
   std::int64_t Revision = 100;
-  Shard Owned{{}, 0, Term, base::FencingToken{7}, Events};
+  dispatch::Metrics Times;
+  Shard Owned{{}, 0, Term, base::FencingToken{7}, Events, Times};
 };
 
 } // namespace endivedoor::tests
