Count one fault a job against a worker; a filler without processor time is not stuck

Change: one fault a job; the pause is bounded; fillers are moved only after three times the idle time and without a pause for the worker; workers that suit scarce fillers are left to them.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -8,7 +8,7 @@
 namespace endivedoor::dispatch::detail {
 
 /// Share of their declared processor need that lasting tasks are taken to use.
-constexpr double LastingLoad = 0.6;
+constexpr double LastingLoad = 0.45;
 /// Fillers are started while their declared need stays below this share of what
 /// the other tasks are taken to leave.
 constexpr double FillerLimit = 1.15;
@@ -59,6 +59,16 @@
   return mayServe(shard, job, step, w, now) && fits(w, step);
 }
 
+/// Weight of the need of other waiting programs for a worker against its room.
+constexpr double PressureCost = 1.0;
+/// Largest share of its pressure that one program can have.
+constexpr double MaxPressure = 2.0;
+/// Share of a worker that a filler is taken to use when a program is weighed
+/// against the targets there.
+constexpr double TypicalShare = 0.1;
+/// Share of the target that such a filler may add on a worker that suits it.
+constexpr double SuitableShare = 0.2;
+
 /// Share of the distinct serving programs of a worker that one more costs: a
 /// filler finds the more places, the fewer programs share a worker.
 constexpr double MixCost = 0.5;
@@ -89,6 +99,10 @@
       return std::nullopt;
     score = (room - taken) / static_cast<double>(count(w.Profile.Capacity.Cpu));
     score -= predicted;
+    // Workers that suit scarce programs are left to those.
+    auto own = shard.Pressures.find(step.Image);
+    score -= PressureCost *
+             (w.Pressure - (own == shard.Pressures.end() ? 0 : own->second));
   } else {
     double free = static_cast<double>(count(w.Profile.Capacity.Cpu) -
                                       count(w.Used.Cpu) -
@@ -124,6 +138,37 @@
   return best;
 }
 
+static bool suits(const ShardState &shard, const WorkerState &w,
+                  const std::string &filler) {
+  for (auto it = w.Serving.begin(); it != w.Serving.end();
+       it = w.Serving.upper_bound(it->first))
+    if (shard.Pairs.slope(it->first, filler) * TypicalShare >
+        SuitableShare * static_cast<double>(it->second.count()))
+      return false;
+  return true;
+}
+
+std::map<std::string, double>
+pressuresOf(ShardState &shard, const std::map<std::string, double> &waiting) {
+  std::map<std::string, double> pressures;
+  for (auto &[id, w] : shard.Workers)
+    w->Pressure = 0;
+  for (const auto &[image, cpu] : waiting) {
+    double room = 0;
+    std::vector<WorkerState *> suitable;
+    for (auto &[id, w] : shard.Workers)
+      if (w->isUsable() && suits(shard, *w, image)) {
+        room += std::max(0.0, leftover(*w));
+        suitable.push_back(w.get());
+      }
+    double pressure = room > 0 ? std::min(MaxPressure, cpu / room) : 0;
+    pressures[image] = pressure;
+    for (WorkerState *it : suitable)
+      it->Pressure += pressure;
+  }
+  return pressures;
+}
+
 void keepRoom(ShardState &shard, const JobEntry &job,
               const model::StepSpec &step, const StepCounts &counts,
               TimePoint now) {
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -25,6 +25,8 @@
 constexpr auto StuckTime = 1500ms;
 /// A run that has used no processor for this long is stuck.
 constexpr auto IdleTime = 1500ms;
+/// A filler is given this many times as long.
+constexpr int FillerFactor = 3;
 
 void ShardState::openDue(base::WallTime wall, TimePoint now) {
   for (JobEntry *job : Live) {
@@ -175,6 +177,19 @@
   return true;
 }
 
+void ShardState::weighFillers() {
+  std::map<std::string, double> waiting;
+  for (const JobEntry *job : Live)
+    for (const auto &[number, o] : job->Occurrences)
+      for (std::size_t i = 0; i < o.Steps.size(); ++i) {
+        const model::StepSpec &step = job->Job.Graph.Steps[i];
+        if (step.Filler && o.Steps[i].Idle > 0 && isReady(*job, o, i))
+          waiting[step.Image] +=
+              static_cast<double>(o.Steps[i].Idle * count(step.Size.Cpu));
+      }
+  Pressures = pressuresOf(*this, waiting);
+}
+
 void ShardState::startReady(TimePoint now) {
   bool suspects = hasSuspects();
   NoRoomFor.clear();
@@ -182,6 +197,7 @@
     w->Kept = {};
     w->Served.reset();
   }
+  weighFillers();
   std::vector<JobEntry *> order;
   for (JobEntry *it : Live)
     if (it->isLive() && !(suspects && it->Inherited))
@@ -292,13 +308,18 @@
           if (task.Done || task.Runs.size() != 1)
             continue;
           Run &run = task.Runs.front();
-          bool idle = now - run.LastBusy > IdleTime;
-          if (run.Phase != RunPhase::Running || !idle ||
+          // A filler may find no processor time left by others.
+          bool idle = !spec.Filler && now - run.LastBusy > IdleTime;
+          bool late = now - run.Started > FillerFactor * limit &&
+                      now - run.LastBusy > FillerFactor * IdleTime;
+          if (run.Phase != RunPhase::Running || (!idle && !late) ||
               now - run.Started < StuckTime)
             continue;
           TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
                       static_cast<std::int32_t>(i)};
-          run.Where->AvoidUntil = std::max(run.Where->AvoidUntil, now + limit);
+          if (idle)
+            run.Where->AvoidUntil =
+                std::max(run.Where->AvoidUntil, now + limit);
           Events.emit(EventCode::RunStuck,
                       {{"task", taskText(key)},
                        {"run", std::to_string(run.Number)},
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -20,9 +20,11 @@
 /// Factor by which each success lowers a worker's fault count.
 constexpr double FaultDecay = 0.7;
 /// Fault count from which a worker is avoided.
-constexpr double FaultLimit = 1.5;
+constexpr double FaultLimit = 2.5;
 /// How long a worker with many faults is avoided, for each fault counted.
 constexpr auto FaultPause = 1500ms;
+/// Faults that lengthen the pause.
+constexpr double MaxFaults = 4;
 
 namespace detail {
 
@@ -130,12 +132,15 @@
     checkComplete(*job, o);
     record = true;
   } else if (end.How == RunEnd::Failed) {
-    worker.Faults += 1;
+    // A job that can never be done fails all of its tasks, wherever they run.
+    if (worker.LastFault != end.Id.Task.Job)
+      worker.Faults += 1;
+    worker.LastFault = end.Id.Task.Job;
     if (worker.Faults >= FaultLimit)
       worker.AvoidUntil =
           std::max(worker.AvoidUntil,
                    now + std::chrono::duration_cast<base::Duration>(
-                             FaultPause * worker.Faults));
+                             FaultPause * std::min(worker.Faults, MaxFaults)));
     bool known = std::find(task->FailedRuns.begin(), task->FailedRuns.end(),
                            end.Id.Run) != task->FailedRuns.end();
     if (!step.Lasting && !known) {
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -19,6 +19,13 @@
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *besides, TimePoint now);
 
+/// Returns how scarce suitable workers are for each waiting filling program, and
+/// sets each worker's sum of them.
+///
+/// \param waiting processor need of the waiting tasks of each program.
+std::map<std::string, double>
+pressuresOf(ShardState &shard, const std::map<std::string, double> &waiting);
+
 /// Keeps the room of a worker for a lasting task that fits nowhere now, until
 /// the short tasks there have ended. Holds until the next plan.
 void keepRoom(ShardState &shard, const JobEntry &job,
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -159,6 +159,8 @@
   TimePoint AvoidUntil;
   /// Recent failures of runs here, halved by each success.
   double Faults = 0;
+  /// Job of the latest failure here.
+  JobNumber LastFault{0};
   /// Share of speed of the fillers here, and when it was changed last.
   std::int32_t FillerPercent = 100;
   TimePoint PaceChanged;
@@ -168,6 +170,8 @@
   std::multimap<std::string, std::chrono::milliseconds> Serving;
   /// Computed when it is needed, until runs come or go.
   std::optional<std::vector<ServedProgram>> Served;
+  /// Sum of the pressures of the waiting fillers that suit this worker.
+  double Pressure = 0;
   /// When the gauges of the worker were last used for learning.
   TimePoint Observed;
   /// Runs that belong to no live job and must be stopped.
@@ -204,6 +208,9 @@
   /// program are not tried.
   std::vector<const model::StepSpec *> NoRoomFor;
   policy::PairModel Pairs;
+  /// Waiting processor need of each filling program against the processor time
+  /// of the workers that suit it, at the present plan.
+  std::map<std::string, double> Pressures;
 
   // Jobs.cpp
   JobEntry *findJob(JobNumber job);
@@ -234,6 +241,7 @@
   // Plan.cpp
   void openDue(base::WallTime wall, TimePoint now);
   void startReady(TimePoint now);
+  void weighFillers();
   bool isHopeless(const model::StepSpec &step) const;
   void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
