--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -71,7 +71,7 @@
 
 /// Share of the distinct serving programs of a worker that one more costs: a
 /// filler finds the more places, the fewer programs share a worker.
-constexpr double MixCost = 0.5;
+constexpr double MixCost = 2.0;
 
 /// Number of programs with a target on the worker besides \p image.
 static std::int32_t otherPrograms(const WorkerState &w,
