--- a/packages/base/include/endivedoor/base/Clock.h
+++ b/packages/base/include/endivedoor/base/Clock.h
@@ -31,8 +31,8 @@
   WallTime wallNow() const override;
 };
 
-/// Like SystemClock, but its monotonic time includes the time for which the host
-/// was suspended. For rights that end by time.
+/// Like SystemClock, but its monotonic time includes the time for which the
+/// host was suspended. For rights that end by time.
 class BootClock final : public Clock {
 public:
   TimePoint now() const override;
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -85,9 +85,8 @@
   }
   std::string line = formatLine(Process, time, info, fields);
   if (sink) {
-    google::LogSeverity level = info.Level == Severity::Info
-                                    ? google::GLOG_INFO
-                                    : google::GLOG_WARNING;
+    google::LogSeverity level =
+        info.Level == Severity::Info ? google::GLOG_INFO : google::GLOG_WARNING;
     google::LogMessage(__FILE__, __LINE__, level, sink, false).stream()
         << "level=" << levelName(info.Level) << " " << line;
     return;
--- a/packages/cli/include/endivedoor/cli/detail/Context.h
+++ b/packages/cli/include/endivedoor/cli/detail/Context.h
@@ -116,6 +116,7 @@
 ExitCode runReport(Context &context);
 ExitCode runStatus(Context &context);
 ExitCode runWaitReady(Context &context);
+ExitCode runExplain(Context &context);
 
 } // namespace endivedoor::cli::detail
 
--- a/packages/cli/src/Run.cpp
+++ b/packages/cli/src/Run.cpp
@@ -100,7 +100,8 @@
   if (!zones)
     return context.fail(zones.error());
   context.Zones = zones.value();
-  if (in.Values.Daemons.empty())
+  // A command on files asks no daemon.
+  if (in.Values.Daemons.empty() && in.Chosen->Run != detail::runExplain)
     return context.fail({Errc::CliUsage,
                          "no daemon is given; add --daemon=ip:port or "
                          "--settings=FILE"});
--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -59,8 +59,8 @@
       Platform(Io.get_executor(), Config, Time, Events, Times),
       Node(Io.get_executor(), optionsOf(Config), Platform.store(),
            Platform.workers(), Time, Events, Times),
-      Front(TrafficIo.get_executor(), Io.get_executor(), Config, Node,
-            Events, Times) {
+      Front(TrafficIo.get_executor(), Io.get_executor(), Config, Node, Events,
+            Times) {
   Events.setSink(&Lines);
   Events.setLimit(Config.LinesPerSecond);
 }
--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -4,14 +4,13 @@
 #ifndef ENDIVEDOOR_DISPATCH_DISPATCHNODE_H
 #define ENDIVEDOOR_DISPATCH_DISPATCHNODE_H
 
+#include "endivedoor/base/Clock.h"
+#include "endivedoor/base/Event.h"
 #include "endivedoor/dispatch/MetadataStore.h"
 #include "endivedoor/dispatch/Metrics.h"
 #include "endivedoor/dispatch/ShardOptions.h"
 #include "endivedoor/dispatch/TaskWorker.h"
 
-#include "endivedoor/base/Clock.h"
-#include "endivedoor/base/Event.h"
-
 #include <boost/asio/any_io_executor.hpp>
 
 #include <memory>
--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -29,8 +29,8 @@
     std::function<void()> Synced;
   };
 
-  /// \param pause time between two answers of the watch; changes within it share
-  /// one call.
+  /// \param pause time between two answers of the watch; changes within it
+  /// share one call.
   PrefixMirror(boost::asio::any_io_executor executor, MetadataStore &store,
                std::string prefix, Handlers handlers, base::EventLog &events,
                std::chrono::milliseconds pause = {});
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -176,7 +176,8 @@
     if (now - since < claimDelay(shard) || !Claiming.insert(shard).second)
       continue;
     asio::co_spawn(
-        Executor, [self = shared_from_this(), shard] { return self->claim(shard); },
+        Executor,
+        [self = shared_from_this(), shard] { return self->claim(shard); },
         asio::detached);
   }
   Upkeeping = false;
@@ -186,9 +187,8 @@
   if (Workers.empty() || Time.now() - WorkersChanged < SettleTime)
     co_return;
   auto shards = std::max<std::int32_t>(
-      1, static_cast<std::int32_t>(
-             std::lround(static_cast<double>(Workers.size()) /
-                         Options.WorkersPerShard)));
+      1, static_cast<std::int32_t>(std::lround(
+             static_cast<double>(Workers.size()) / Options.WorkersPerShard)));
   Commit commit;
   commit.Conditions = {{keys::layout(), 0}};
   commit.Writes = {{keys::layout(), detail::encodeLayout(shards)}};
@@ -251,13 +251,12 @@
       last = entry.value();
   }
   auto seen = View.Owners.find(shard);
-  bool vacant = seen == View.Owners.end() ||
-                seen->second.Node == Options.Name;
+  bool vacant = seen == View.Owners.end() || seen->second.Node == Options.Name;
   if (record && vacant && !Leaving && !Owned.contains(shard)) {
     Commit commit;
-    commit.Conditions = {
-        {keys::shardEntry(shard), Directory.revisionOf(keys::shardEntry(shard))},
-        {keys::owner(shard), revision}};
+    commit.Conditions = {{keys::shardEntry(shard),
+                          Directory.revisionOf(keys::shardEntry(shard))},
+                         {keys::owner(shard), revision}};
     detail::OwnerEntry entry{Options.Name, Options.Instance, last.Term + 1};
     commit.Writes = {
         {keys::owner(shard), detail::encodeOwner(entry)},
@@ -277,24 +276,24 @@
 }
 
 void DispatchNode::Impl::own(detail::Term term) {
-  Events.emit(EventCode::ShardOwned, {{"shard", std::to_string(term.Shard)},
-                                      {"term", std::to_string(term.Number)},
-                                      {"token", std::to_string(term.Revision)}});
-  detail::RunnerContext context{Executor,
-                                Options,
-                                Store,
-                                Calls,
-                                Time,
-                                Events,
-                                Times,
-                                [this] { return LastWord; },
-                                [this](TimePoint sent) {
-                                  LastWord = std::max(LastWord, sent);
-                                },
-                                [this](std::int32_t shard) {
-                                  Owned.erase(shard);
-                                  Times.setShards(Owned.size());
-                                }};
+  Events.emit(EventCode::ShardOwned,
+              {{"shard", std::to_string(term.Shard)},
+               {"term", std::to_string(term.Number)},
+               {"token", std::to_string(term.Revision)}});
+  detail::RunnerContext context{
+      Executor,
+      Options,
+      Store,
+      Calls,
+      Time,
+      Events,
+      Times,
+      [this] { return LastWord; },
+      [this](TimePoint sent) { LastWord = std::max(LastWord, sent); },
+      [this](std::int32_t shard) {
+        Owned.erase(shard);
+        Times.setShards(Owned.size());
+      }};
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
   Times.setShards(Owned.size());
@@ -306,13 +305,11 @@
 /// Takes a new lease and attaches the node's entries to it. A shard whose owner
 /// record is unchanged stays with this node.
 asio::awaitable<bool> DispatchNode::Impl::joinAnew() {
-  base::Result<StoreLease> lease =
-      co_await Store.grantLease(Options.NodeLease);
+  base::Result<StoreLease> lease = co_await Store.grantLease(Options.NodeLease);
   if (!lease)
     co_return false;
   Commit member;
-  member.Writes = {
-      {keys::member(Options.Name), entryValue(), lease.value()}};
+  member.Writes = {{keys::member(Options.Name), entryValue(), lease.value()}};
   base::Result<CommitOutcome> joined = co_await Store.commit(std::move(member));
   if (!joined || !joined.value().Applied)
     co_return false;
@@ -328,14 +325,13 @@
         co_await Store.read(keys::shardEntry(term.Shard));
     if (!entry)
       co_return false;
-    commit.Conditions = {
-        {keys::owner(term.Shard), term.Revision},
+    commit.Conditions = {{keys::owner(term.Shard), term.Revision},
+                         {keys::shardEntry(term.Shard),
+                          entry.value() ? entry.value()->Revision : 0}};
+    commit.Writes = {
         {keys::shardEntry(term.Shard),
-         entry.value() ? entry.value()->Revision : 0}};
-    commit.Writes = {{keys::shardEntry(term.Shard),
-                      detail::encodeOwner(
-                          {Options.Name, Options.Instance, term.Number}),
-                      Lease}};
+         detail::encodeOwner({Options.Name, Options.Instance, term.Number}),
+         Lease}};
     base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
     if (!done)
       co_return false;
@@ -369,7 +365,8 @@
     if (answered)
       LastWord = std::max(LastWord, sent);
     if (answered != reachable)
-      Events.emit(answered ? EventCode::StoreReached : EventCode::StoreUnreached,
+      Events.emit(answered ? EventCode::StoreReached
+                           : EventCode::StoreUnreached,
                   {{"node", Options.Name}});
     reachable = answered;
     co_await detail::sleepFor(
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -118,8 +118,8 @@
     }
   std::vector<JobNumber> ended;
   std::erase_if(Live, [&](const JobEntry *job) {
-    bool over = !job->isLive() && job->Runs == 0 &&
-                job->StoredVersion == job->Version;
+    bool over =
+        !job->isLive() && job->Runs == 0 && job->StoredVersion == job->Version;
     if (over)
       ended.push_back(job->Job.Id);
     return over;
@@ -166,10 +166,9 @@
   entry->Accepted = now;
   entry->Inherited = inherited;
   entry->IndexRevision = revision;
-  entry->Objective =
-      now + job.Terms.Target +
-      std::chrono::duration_cast<base::Duration>(longestChain(job.Graph) *
-                                                 job.Terms.Stretch);
+  entry->Objective = now + job.Terms.Target +
+                     std::chrono::duration_cast<base::Duration>(
+                         longestChain(job.Graph) * job.Terms.Stretch);
   entry->Job = std::move(job);
   if (entry->Job.Graph.Repeats == 0)
     s.openOccurrence(*entry, 0, now);
@@ -279,8 +278,7 @@
   return writes;
 }
 
-void Shard::onStored(const std::vector<JobWrite> &stored,
-                     base::TimePoint now) {
+void Shard::onStored(const std::vector<JobWrite> &stored, base::TimePoint now) {
   detail::ShardState &s = *Self;
   for (const JobWrite &it : stored) {
     JobEntry *job = s.findJob(it.Job);
--- a/packages/dispatch/src/Loads.cpp
+++ b/packages/dispatch/src/Loads.cpp
@@ -12,10 +12,9 @@
   json::object pending;
   for (const auto &[queue, jobs] : load.Pending)
     pending[queue] = jobs;
-  return json::serialize(
-      json::object{{"pending", std::move(pending)},
-                   {"freeCpu", count(load.FreeCpu)},
-                   {"freeMemory", count(load.FreeMemory)}});
+  return json::serialize(json::object{{"pending", std::move(pending)},
+                                      {"freeCpu", count(load.FreeCpu)},
+                                      {"freeMemory", count(load.FreeMemory)}});
 }
 
 base::Result<ShardLoad> decodeLoad(const std::string &text) {
@@ -25,8 +24,10 @@
   std::string fault;
   platform::JsonView v(value.value(), fault);
   ShardLoad load;
-  load.FreeCpu = base::MilliCores{v.optionalNumber("freeCpu", INT32_MIN, platform::MaxInt64)};
-  load.FreeMemory = base::MebiBytes{v.optionalNumber("freeMemory", INT32_MIN, platform::MaxInt64)};
+  load.FreeCpu = base::MilliCores{
+      v.optionalNumber("freeCpu", INT32_MIN, platform::MaxInt64)};
+  load.FreeMemory = base::MebiBytes{
+      v.optionalNumber("freeMemory", INT32_MIN, platform::MaxInt64)};
   if (!v.ok())
     return base::fail(base::Errc::ParseFailed, fault);
   const json::value *pending = value.value().as_object().if_contains("pending");
--- a/packages/dispatch/src/Metrics.cpp
+++ b/packages/dispatch/src/Metrics.cpp
@@ -28,11 +28,12 @@
           .Name("endivedoor_call_seconds")
           .Help("Time of calls to the store and to workers")
           .Register(Registry);
-  Histogram &FirstStart = prometheus::BuildHistogram()
-                              .Name("endivedoor_first_start_seconds")
-                              .Help("From a job's acceptance to its first start")
-                              .Register(Registry)
-                              .Add({}, JobBuckets);
+  Histogram &FirstStart =
+      prometheus::BuildHistogram()
+          .Name("endivedoor_first_start_seconds")
+          .Help("From a job's acceptance to its first start")
+          .Register(Registry)
+          .Add({}, JobBuckets);
   Histogram &Completion =
       prometheus::BuildHistogram()
           .Name("endivedoor_completion_seconds")
--- a/packages/dispatch/src/Pacing.cpp
+++ b/packages/dispatch/src/Pacing.cpp
@@ -74,10 +74,10 @@
                  static_cast<double>(count(w.Profile.Capacity.Cpu));
   double worst = 0;
   for (const ServedProgram &it : *w.Served)
-    worst = std::max(
-        worst, (it.ExpectedMs +
-                shard.Pairs.slope(it.Image, filler.Image) * share) /
-                   it.TargetMs);
+    worst =
+        std::max(worst, (it.ExpectedMs +
+                         shard.Pairs.slope(it.Image, filler.Image) * share) /
+                            it.TargetMs);
   return worst;
 }
 
@@ -159,9 +159,9 @@
     double worst = 0;
     for (const RunView &it : runs)
       if (it.Step->Target.count() > 0 && it.Where->HasGauge)
-        worst = std::max(worst, static_cast<double>(it.Where->Gauge) /
-                                    static_cast<double>(
-                                        it.Step->Target.count()));
+        worst =
+            std::max(worst, static_cast<double>(it.Where->Gauge) /
+                                static_cast<double>(it.Step->Target.count()));
     if (worst <= ActAbove)
       w->OverTarget.reset();
     else if (!w->OverTarget)
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -105,8 +105,7 @@
              (w.Pressure - (own == shard.Pressures.end() ? 0 : own->second));
   } else {
     double free = static_cast<double>(count(w.Profile.Capacity.Cpu) -
-                                      count(w.Used.Cpu) -
-                                      count(step.Size.Cpu));
+                                      count(w.Used.Cpu) - count(step.Size.Cpu));
     // The tightest room first, so that large tasks find room.
     score = -free / static_cast<double>(count(w.Profile.Capacity.Cpu));
     if (step.Target.count() > 0)
@@ -182,8 +181,7 @@
       continue;
     // Room once the short tasks have ended; they are short by comparison.
     std::int64_t free = count(w->Profile.Capacity.Cpu) - w->LastingCpu;
-    std::int64_t memory =
-        count(w->Profile.Capacity.Memory) - w->LastingMemory;
+    std::int64_t memory = count(w->Profile.Capacity.Memory) - w->LastingMemory;
     if (free < count(step.Size.Cpu) || memory < count(step.Size.Memory))
       continue;
     std::int64_t now = count(w->Profile.Capacity.Cpu) - count(w->Used.Cpu);
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -1,6 +1,5 @@
-#include "detail/ShardState.h"
-
 #include "detail/Placement.h"
+#include "detail/ShardState.h"
 
 #include <algorithm>
 
@@ -51,8 +50,8 @@
   run.Where = &worker;
   run.Number = number;
   run.Since = run.Started = run.LastBusy = now;
-  StepEntry &entry = job.Occurrences[key.Occurrence]
-                         .Steps[static_cast<std::size_t>(key.Step)];
+  StepEntry &entry =
+      job.Occurrences[key.Occurrence].Steps[static_cast<std::size_t>(key.Step)];
   if (task.Runs.empty())
     --entry.Idle;
   task.LastRun = number;
@@ -122,8 +121,7 @@
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     if (task.Done || !task.Runs.empty())
       continue;
-    WorkerState *worker =
-        chooseWorker(*this, job, spec, counts, nullptr, now);
+    WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now);
     if (!worker && !spec.Lasting) {
       // A limit on each worker depends on the job, not on the program.
       if (spec.MaxPerWorker == 0)
@@ -203,13 +201,11 @@
     if (it->isLive() && !(suspects && it->Inherited))
       order.push_back(it);
   // Lasting tasks first, then by priority, then by the time that is left.
-  std::sort(order.begin(), order.end(),
-            [](const JobEntry *a, const JobEntry *b) {
-              return std::tuple(!a->lasts(), a->Job.Terms.Priority,
-                                a->Objective) <
-                     std::tuple(!b->lasts(), b->Job.Terms.Priority,
-                                b->Objective);
-            });
+  std::sort(
+      order.begin(), order.end(), [](const JobEntry *a, const JobEntry *b) {
+        return std::tuple(!a->lasts(), a->Job.Terms.Priority, a->Objective) <
+               std::tuple(!b->lasts(), b->Job.Terms.Priority, b->Objective);
+      });
   for (JobEntry *job : order)
     for (auto &[number, o] : job->Occurrences) {
       if (o.Complete)
@@ -251,14 +247,15 @@
         StepEntry &entry = o.Steps[s];
         bool gang = job->Job.Graph.Steps[s].Gang;
         // A gang without all of its members does no work.
-        bool broken = gang && entry.Idle > 0 && entry.Idle < job->Job.Graph.Steps[s].Count;
+        bool broken = gang && entry.Idle > 0 &&
+                      entry.Idle < job->Job.Graph.Steps[s].Count;
         for (std::size_t i = 0; i < entry.Tasks.size(); ++i) {
           TaskEntry &task = entry.Tasks[i];
           TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
                       static_cast<std::int32_t>(i)};
           for (Run &it : task.Runs) {
-            bool doubtful = it.Phase == RunPhase::Doubtful &&
-                            now - it.Since > DoubtTime;
+            bool doubtful =
+                it.Phase == RunPhase::Doubtful && now - it.Since > DoubtTime;
             bool needless = !job->isLive() || task.Done || doubtful || broken;
             if (needless || it.Phase == RunPhase::Stopping)
               stopRun(key, it, now);
@@ -334,8 +331,7 @@
 } // namespace detail
 
 Shard::Shard(ShardOptions options, std::int32_t number, std::int64_t term,
-             base::FencingToken token, base::EventLog &events,
-             Metrics &metrics)
+             base::FencingToken token, base::EventLog &events, Metrics &metrics)
     : Self(std::make_unique<detail::ShardState>(options, number, term, token,
                                                 events, metrics)) {}
 
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -141,9 +141,8 @@
                            std::string prefix, Handlers handlers,
                            base::EventLog &events,
                            std::chrono::milliseconds pause)
-    : Self(std::make_shared<Impl>(std::move(executor), store,
-                                  std::move(prefix), std::move(handlers),
-                                  events, pause)) {}
+    : Self(std::make_shared<Impl>(std::move(executor), store, std::move(prefix),
+                                  std::move(handlers), events, pause)) {}
 
 PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
 
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -193,31 +193,30 @@
 
 base::Result<model::AcceptedJob> decodeJob(JobNumber id,
                                            const std::string &text) {
-  return decode<model::AcceptedJob>(
-      text, [&](const json::value &value, const JsonView &v) {
-        model::AcceptedJob job;
-        job.Id = id;
-        job.Queue = v.text("queue");
-        job.Terms.Service = base::ServiceName(v.text("service"));
-        job.Terms.Priority = small(v, "priority");
-        job.Terms.MaxAttempts = small(v, "maxAttempts");
-        job.Terms.Stretch = v.optionalReal("stretch", 0, 1e6, 1);
-        job.Terms.Target = std::chrono::milliseconds(small(v, "targetMs"));
-        job.Graph.Payload = v.optionalText("payload", MaxPayload);
-        job.Graph.Repeats = small(v, "repeats");
-        job.Graph.FirstDue = std::chrono::milliseconds(
-            v.optionalNumber("firstDueMs", 0, platform::MaxInt64));
-        job.Graph.Interval = std::chrono::milliseconds(
-            v.optionalNumber("intervalMs", 0, platform::MaxInt64));
-        std::vector<JsonView> steps = v.list("steps", MaxSteps);
-        const json::value *raw = value.as_object().if_contains("steps");
-        for (std::size_t i = 0; i < steps.size(); ++i) {
-          job.Graph.Steps.push_back(stepFromJson(steps[i]));
-          readNumbers(raw->as_array()[i], "after",
-                      job.Graph.Steps.back().After);
-        }
-        return job;
-      });
+  return decode<model::AcceptedJob>(text, [&](const json::value &value,
+                                              const JsonView &v) {
+    model::AcceptedJob job;
+    job.Id = id;
+    job.Queue = v.text("queue");
+    job.Terms.Service = base::ServiceName(v.text("service"));
+    job.Terms.Priority = small(v, "priority");
+    job.Terms.MaxAttempts = small(v, "maxAttempts");
+    job.Terms.Stretch = v.optionalReal("stretch", 0, 1e6, 1);
+    job.Terms.Target = std::chrono::milliseconds(small(v, "targetMs"));
+    job.Graph.Payload = v.optionalText("payload", MaxPayload);
+    job.Graph.Repeats = small(v, "repeats");
+    job.Graph.FirstDue = std::chrono::milliseconds(
+        v.optionalNumber("firstDueMs", 0, platform::MaxInt64));
+    job.Graph.Interval = std::chrono::milliseconds(
+        v.optionalNumber("intervalMs", 0, platform::MaxInt64));
+    std::vector<JsonView> steps = v.list("steps", MaxSteps);
+    const json::value *raw = value.as_object().if_contains("steps");
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      job.Graph.Steps.push_back(stepFromJson(steps[i]));
+      readNumbers(raw->as_array()[i], "after", job.Graph.Steps.back().After);
+    }
+    return job;
+  });
 }
 
 std::string encodeIndex(const JobIndex &index) {
@@ -295,10 +294,9 @@
       text, [](const json::value &, const JsonView &v) {
         std::vector<RosterEntry> roster;
         for (const JsonView &it : v.list("workers", MaxTasks))
-          roster.push_back(
-              {base::WorkerId(it.text("id")),
-               {it.text("ip"),
-                static_cast<std::uint16_t>(it.number("port", 1, 65535))}});
+          roster.push_back({base::WorkerId(it.text("id")),
+                            {it.text("ip"), static_cast<std::uint16_t>(
+                                                it.number("port", 1, 65535))}});
         return roster;
       });
 }
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -50,9 +50,9 @@
       PlanTimer(Context.Executor), CommitTimer(Context.Executor) {}
 
 void ShardRunner::start() {
-  asio::co_spawn(Context.Executor,
-                 [self = shared_from_this()] { return self->load(); },
-                 asio::detached);
+  asio::co_spawn(
+      Context.Executor, [self = shared_from_this()] { return self->load(); },
+      asio::detached);
 }
 
 void ShardRunner::stop() {
@@ -246,9 +246,8 @@
   auto self = shared_from_this();
   while (!Stopped) {
     PlanDue = false;
-    for (Order &it :
-         State.plan(Context.Time.now(), Context.Time.wallNow(),
-                    mayOrder() && !Flushing))
+    for (Order &it : State.plan(Context.Time.now(), Context.Time.wallNow(),
+                                mayOrder() && !Flushing))
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->carryOut(order); },
@@ -435,11 +434,10 @@
       again.push_back(it);
       continue;
     }
-    std::string key = it.Final ? keys::index(it.Job)
-                               : keys::progress(Current.Shard, it.Job);
+    std::string key =
+        it.Final ? keys::index(it.Job) : keys::progress(Current.Shard, it.Job);
     auto item = current.find(key);
-    std::int64_t revision =
-        item == current.end() ? 0 : item->second.Revision;
+    std::int64_t revision = item == current.end() ? 0 : item->second.Revision;
     if (revision == it.Revision) {
       again.push_back(it);
       continue;
@@ -449,9 +447,9 @@
       again.push_back(it);
       continue;
     }
-    base::Result<JobIndex> index =
-        item == current.end() ? base::Result<JobIndex>(JobIndex{})
-                              : decodeIndex(item->second.Value);
+    base::Result<JobIndex> index = item == current.end()
+                                       ? base::Result<JobIndex>(JobIndex{})
+                                       : decodeIndex(item->second.Value);
     if (index && index.value().State == model::JobState::Cancelled)
       State.cancelFinished(it.Job);
     stored.push_back(it);
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -175,8 +175,8 @@
   }
   const model::StepSpec &step = stepOf(*job, row.Id.Task);
   // A run that is not wanted still takes room until it has been stopped.
-  bool wanted = job->isLive() && !task->Done &&
-                (task->Runs.empty() || step.Speculative);
+  bool wanted =
+      job->isLive() && !task->Done && (task->Runs.empty() || step.Speculative);
   if (task->Runs.empty() && !task->Done)
     --job->Occurrences[row.Id.Task.Occurrence]
           .Steps[static_cast<std::size_t>(row.Id.Task.Step)]
@@ -258,8 +258,7 @@
     auto left = std::chrono::duration<double, std::milli>(w->Promised -
                                                           w->Clock->Clock) *
                 ClockDrift;
-    if (now < w->Clock->At +
-                  std::chrono::duration_cast<base::Duration>(left) +
+    if (now < w->Clock->At + std::chrono::duration_cast<base::Duration>(left) +
                   LapseMargin)
       continue;
     w->Synced = false;
@@ -278,10 +277,10 @@
 void Shard::suspect(const std::vector<RosterEntry> &roster,
                     base::TimePoint now) {
   detail::ShardState &s = *Self;
-  auto longest = std::chrono::duration<double, std::milli>(
-                     s.Options.LongestHold) *
-                     ClockDrift +
-                 s.Options.OwnerGrace + 1s;
+  auto longest =
+      std::chrono::duration<double, std::milli>(s.Options.LongestHold) *
+          ClockDrift +
+      s.Options.OwnerGrace + 1s;
   for (const RosterEntry &it : roster) {
     auto &entry = s.Workers[it.Id];
     if (!entry)
@@ -294,8 +293,7 @@
   }
 }
 
-void Shard::offerWorker(const model::WorkerProfile &profile,
-                        base::TimePoint) {
+void Shard::offerWorker(const model::WorkerProfile &profile, base::TimePoint) {
   detail::ShardState &s = *Self;
   auto &entry = s.Workers[profile.Id];
   if (!entry)
@@ -457,11 +455,10 @@
   TaskEntry *task = s.findTask(order.Id.Task, &job);
   if (!task)
     return;
-  auto run = std::find_if(task->Runs.begin(), task->Runs.end(),
-                          [&](const Run &r) {
-                            return r.Number == order.Id.Run &&
-                                   r.Where->Profile.Id == order.To.Id;
-                          });
+  auto run =
+      std::find_if(task->Runs.begin(), task->Runs.end(), [&](const Run &r) {
+        return r.Number == order.Id.Run && r.Where->Profile.Id == order.To.Id;
+      });
   if (run == task->Runs.end())
     return;
   WorkerState &w = *run->Where;
@@ -472,9 +469,8 @@
     }
     return;
   }
-  std::string cause =
-      answer ? std::to_string(static_cast<int>(answer.value()))
-             : answer.error().message();
+  std::string cause = answer ? std::to_string(static_cast<int>(answer.value()))
+                             : answer.error().message();
   s.Events.emit(base::EventCode::StartFailed,
                 {{"task", detail::taskText(order.Id.Task)},
                  {"run", std::to_string(order.Id.Run)},
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -19,8 +19,8 @@
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *besides, TimePoint now);
 
-/// Returns how scarce suitable workers are for each waiting filling program, and
-/// sets each worker's sum of them.
+/// Returns how scarce suitable workers are for each waiting filling program,
+/// and sets each worker's sum of them.
 ///
 /// \param waiting processor need of the waiting tasks of each program.
 std::map<std::string, double>
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -106,8 +106,8 @@
   std::uint64_t Version = 0;
 };
 
-/// Room that a run takes on its worker. The step belongs to the run's job, which
-/// is kept for as long as it has runs.
+/// Room that a run takes on its worker. The step belongs to the run's job,
+/// which is kept for as long as it has runs.
 struct HeldRun {
   base::Resources Size;
   const model::StepSpec *Step = nullptr;
--- a/packages/dispatch/src/detail/Sleep.h
+++ b/packages/dispatch/src/detail/Sleep.h
@@ -14,11 +14,9 @@
 namespace endivedoor::dispatch::detail {
 
 inline boost::asio::awaitable<void> sleepFor(std::chrono::nanoseconds time) {
-  boost::asio::steady_timer timer(
-      co_await boost::asio::this_coro::executor);
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
   timer.expires_after(time);
-  co_await timer.async_wait(
-      boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/server/src/CallerServer.cpp
+++ b/packages/server/src/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/Answers.h"
 #include "detail/CallHeaders.h"
+
 #include "endivedoor/platform/RunOn.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -146,7 +147,7 @@
     co_return errorResponse({Errc::PathUnknown, request.Path});
   Counts.add(Counter::JobCalls);
   co_return co_await platform::runOn(Context.Control,
-                                   Context.Jobs.handle(std::move(request)));
+                                     Context.Jobs.handle(std::move(request)));
 }
 
 base::Result<CallerServer::Call> CallerServer::readCall(HttpRequest &request) {
--- /dev/null
+++ b/tests/support/StoreInMemory.h
@@ -0,0 +1,154 @@
+/// \file
+/// A metadata store in memory, with faults that tests switch on.
+#ifndef ENDIVEDOOR_TESTS_SUPPORT_STOREINMEMORY_H
+#define ENDIVEDOOR_TESTS_SUPPORT_STOREINMEMORY_H
+
+#include "endivedoor/dispatch/MetadataStore.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace endivedoor::tests {
+
+namespace asio = boost::asio;
+using dispatch::Async;
+
+class StoreInMemory final : public dispatch::MetadataStore {
+public:
+  /// No call is answered or takes effect.
+  bool Down = false;
+  /// The next commits take effect without an answer.
+  int LostCommits = 0;
+  /// Watches answer that their history is gone, once for each.
+  int LostHistories = 0;
+  int Lists = 0;
+
+  void put(const std::string &key, const std::string &value) {
+    apply({{}, {{key, value}}, {}});
+  }
+  void erase(const std::string &key) { apply({{}, {}, {key}}); }
+  bool has(const std::string &key) const { return Items.contains(key); }
+  /// Removes the keys of a lease, like a lapse.
+  void lapse(dispatch::StoreLease lease) {
+    std::vector<std::string> keys;
+    for (const auto &[key, it] : Leases)
+      if (it == lease)
+        keys.push_back(key);
+    for (const std::string &it : keys)
+      erase(it);
+    Ended.insert(lease);
+  }
+
+  Async<dispatch::CommitOutcome> commit(dispatch::Commit c) override {
+    if (Down)
+      co_return base::fail(base::Errc::StoreUnavailable, "down");
+    dispatch::CommitOutcome outcome;
+    bool holds = true;
+    for (const dispatch::Condition &it : c.Conditions) {
+      auto item = Items.find(it.Key);
+      std::int64_t revision = item == Items.end() ? 0 : item->second.Revision;
+      holds = holds && revision == it.Revision;
+      outcome.Current.push_back(item == Items.end()
+                                    ? dispatch::StoredItem{it.Key, "", 0}
+                                    : item->second);
+    }
+    if (holds) {
+      outcome.Applied = true;
+      outcome.Revision = apply(c);
+    }
+    if (LostCommits > 0) {
+      --LostCommits;
+      co_return base::fail(base::Errc::StoreAnswerLost, "lost");
+    }
+    co_return outcome;
+  }
+
+  Async<std::optional<dispatch::StoredItem>> read(std::string key) override {
+    if (Down)
+      co_return base::fail(base::Errc::StoreUnavailable, "down");
+    auto it = Items.find(key);
+    co_return it == Items.end()
+        ? std::optional<dispatch::StoredItem>()
+        : std::optional<dispatch::StoredItem>(it->second);
+  }
+
+  Async<dispatch::Listing> list(std::string prefix) override {
+    ++Lists;
+    if (Down)
+      co_return base::fail(base::Errc::StoreUnavailable, "down");
+    dispatch::Listing listing;
+    listing.AsOf = Revision;
+    for (const auto &[key, item] : Items)
+      if (key.starts_with(prefix))
+        listing.Items.push_back(item);
+    co_return listing;
+  }
+
+  Async<dispatch::Changes> watch(std::string prefix, std::int64_t after,
+                                 std::chrono::milliseconds) override {
+    asio::steady_timer timer(co_await asio::this_coro::executor,
+                             std::chrono::milliseconds(1));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (Down)
+      co_return base::fail(base::Errc::StoreUnavailable, "down");
+    dispatch::Changes changes;
+    if (LostHistories > 0) {
+      --LostHistories;
+      changes.HistoryLost = true;
+      co_return changes;
+    }
+    changes.AsOf = Revision;
+    for (const dispatch::Change &it : History)
+      if (it.Revision > after && it.Item.Key.starts_with(prefix))
+        changes.List.push_back(it);
+    co_return changes;
+  }
+
+  Async<dispatch::StoreLease> grantLease(std::chrono::milliseconds) override {
+    if (Down)
+      co_return base::fail(base::Errc::StoreUnavailable, "down");
+    co_return dispatch::StoreLease{++Granted};
+  }
+  Async<void> renewLease(dispatch::StoreLease lease) override {
+    if (Down)
+      co_return base::fail(base::Errc::StoreUnavailable, "down");
+    if (Ended.contains(lease))
+      co_return base::fail(base::Errc::StoreRejected, "ended");
+    co_return base::success();
+  }
+  Async<void> endLease(dispatch::StoreLease lease) override {
+    lapse(lease);
+    co_return base::success();
+  }
+
+private:
+  std::int64_t apply(const dispatch::Commit &c) {
+    ++Revision;
+    for (const dispatch::Write &it : c.Writes) {
+      Items[it.Key] = {it.Key, it.Value, Revision};
+      Leases[it.Key] = it.Lease;
+      History.push_back({Items[it.Key], Revision, false});
+    }
+    for (const std::string &it : c.Deletes)
+      if (Items.erase(it) > 0)
+        History.push_back({{it, "", 0}, Revision, true});
+    return Revision;
+  }
+
+  std::int64_t Revision = 1;
+  std::int64_t Granted = 0;
+  std::map<std::string, dispatch::StoredItem> Items;
+  std::map<std::string, dispatch::StoreLease> Leases;
+  std::set<dispatch::StoreLease> Ended;
+  std::deque<dispatch::Change> History;
+};
+
+} // namespace endivedoor::tests
+
+#endif
--- /dev/null
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -0,0 +1,299 @@
+// Guards what callers are told when the store loses answers or is away, the
+// handing over of shards, and mirrors whose history is gone.
+#include "support/StoreInMemory.h"
+
+#include "endivedoor/dispatch/DispatchNode.h"
+#include "endivedoor/dispatch/PrefixMirror.h"
+#include "endivedoor/dispatch/Records.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <functional>
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+using namespace std::chrono_literals;
+using dispatch::CancelOutcome;
+using dispatch::DispatchNode;
+using dispatch::SubmitOutcome;
+using model::JobNumber;
+using model::JobState;
+
+namespace {
+
+/// Workers that run every task at once and to its end.
+class ObedientWorkers final : public dispatch::TaskWorker {
+public:
+  std::map<base::WorkerId, std::vector<dispatch::EndedTask>> Ends;
+  std::map<base::WorkerId, base::FencingToken> Tokens;
+  std::map<dispatch::RunId, int> Starts;
+
+  Async<dispatch::HoldReport> hold(dispatch::WorkerRef to,
+                                   dispatch::HoldRequest request,
+                                   std::chrono::milliseconds) override {
+    asio::steady_timer timer(co_await asio::this_coro::executor, 2ms);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    dispatch::HoldReport report;
+    report.Fenced = request.Token < Tokens[to.Id];
+    Tokens[to.Id] = std::max(Tokens[to.Id], request.Token);
+    report.Clock = 1000ms;
+    report.Born = 1ms;
+    for (const dispatch::EndedTask &it : Ends[to.Id])
+      if (it.Number > request.LastSeen)
+        report.Ended.push_back(it);
+    co_return report;
+  }
+  Async<dispatch::OrderAnswer> start(dispatch::WorkerRef to,
+                                     dispatch::StartRequest request,
+                                     std::chrono::milliseconds) override {
+    if (request.Token < Tokens[to.Id])
+      co_return dispatch::OrderAnswer::Fenced;
+    ++Starts[request.Id];
+    std::vector<dispatch::EndedTask> &ends = Ends[to.Id];
+    ends.push_back({static_cast<std::int64_t>(ends.size()) + 1, request.Id,
+                    dispatch::RunEnd::Done, ""});
+    co_return dispatch::OrderAnswer::Done;
+  }
+  Async<dispatch::OrderAnswer> stop(dispatch::WorkerRef, dispatch::RunId,
+                                    base::FencingToken,
+                                    std::chrono::milliseconds) override {
+    co_return dispatch::OrderAnswer::Done;
+  }
+  Async<dispatch::OrderAnswer> pace(dispatch::WorkerRef, dispatch::RunId,
+                                    std::int32_t, base::FencingToken,
+                                    std::chrono::milliseconds) override {
+    co_return dispatch::OrderAnswer::Done;
+  }
+};
+
+class NodeFixture : public testing::Test {
+protected:
+  void runFor(std::chrono::milliseconds time) { Io.run_for(time); }
+
+  bool runUntil(const std::function<bool()> &done,
+                std::chrono::milliseconds limit = 8000ms) {
+    auto end = std::chrono::steady_clock::now() + limit;
+    while (!done() && std::chrono::steady_clock::now() < end)
+      Io.run_for(5ms);
+    return done();
+  }
+
+  template <typename T> T await(asio::awaitable<T> operation) {
+    std::optional<T> result;
+    auto store = [](asio::awaitable<T> op,
+                    std::optional<T> &to) -> asio::awaitable<void> {
+      to.emplace(co_await std::move(op));
+    };
+    asio::co_spawn(Io, store(std::move(operation), result), asio::detached);
+    runUntil([&] { return result.has_value(); });
+    return *result;
+  }
+
+  DispatchNode &join(const std::string &name) {
+    dispatch::DispatchOptions options;
+    options.Name = name;
+    options.Instance = name + "-1";
+    options.NodeLease = 400ms;
+    Nodes.push_back(std::make_unique<DispatchNode>(
+        Io.get_executor(), options, Store, Workers, Time, Events, Times));
+    for (int i = 0; i < 3; ++i) {
+      model::WorkerProfile w;
+      w.Id = base::WorkerId("w" + std::to_string(i));
+      w.Service = base::ServiceName("desk");
+      w.Endpoint = {"10.0.0.1", 8080};
+      w.Zone = base::ZoneId("a");
+      w.Capacity.Cpu = base::MilliCores{32000};
+      w.Capacity.Memory = base::MebiBytes{128000};
+      Nodes.back()->offerWorker(w);
+    }
+    Nodes.back()->start();
+    return *Nodes.back();
+  }
+
+  static model::AcceptedJob job(std::uint64_t id, std::int32_t tasks = 3) {
+    model::AcceptedJob j;
+    j.Id = JobNumber{id};
+    j.Queue = "q";
+    j.Terms.Service = base::ServiceName("desk");
+    j.Terms.MaxAttempts = 2;
+    model::StepSpec step;
+    step.Count = tasks;
+    step.Size.Cpu = base::MilliCores{100};
+    step.Estimate = 100ms;
+    model::StepSpec second = step;
+    second.After = {0};
+    j.Graph.Steps = {step, second};
+    return j;
+  }
+
+  JobState stateOf(DispatchNode &node, std::uint64_t id) {
+    auto state = await(node.state(JobNumber{id}));
+    return state && state.value() ? *state.value() : JobState::Queued;
+  }
+
+  asio::io_context Io{1};
+  base::SystemClock Time;
+  base::HybridClock Hybrid{Time};
+  base::EventLog Events{"test", Hybrid, 64};
+  dispatch::Metrics Times;
+  StoreInMemory Store;
+  ObedientWorkers Workers;
+  std::vector<std::unique_ptr<DispatchNode>> Nodes;
+};
+
+using DispatchNodeCalls = NodeFixture;
+using DispatchNodeOwnership = NodeFixture;
+using PrefixMirrorWatch = NodeFixture;
+
+TEST_F(DispatchNodeCalls, Job_RunsToItsEnd) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
+  EXPECT_EQ(Workers.Starts.size(), 6u);
+}
+
+// A commit without an answer is read back; the job must not be refused.
+TEST_F(DispatchNodeCalls, LostAnswer_IsNotReportedAsRefused) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  Store.LostCommits = 1;
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  Store.LostCommits = 100;
+  SubmitOutcome outcome = await(node.submit(job(2)));
+  EXPECT_EQ(outcome, SubmitOutcome::Unknown);
+  Store.LostCommits = 0;
+}
+
+TEST_F(DispatchNodeCalls, StoreAway_JobIsRefusedAndNeverRuns) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  Store.Down = true;
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Refused);
+  Store.Down = false;
+  runFor(500ms);
+  EXPECT_TRUE(Workers.Starts.empty());
+}
+
+TEST_F(DispatchNodeCalls, RepeatedJob_RunsOnce) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  ASSERT_TRUE(
+      runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  runFor(200ms);
+  for (const auto &[run, starts] : Workers.Starts)
+    EXPECT_EQ(starts, 1);
+  EXPECT_EQ(Workers.Starts.size(), 6u);
+}
+
+TEST_F(DispatchNodeCalls, Cancel_OfUnknownAndOfLiveJob) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.cancel(JobNumber{9})), CancelOutcome::NoSuchJob);
+  model::AcceptedJob waiting = job(1);
+  waiting.Graph.Steps[0].Requirement = "no worker has this";
+  EXPECT_EQ(await(node.submit(waiting)), SubmitOutcome::Accepted);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  EXPECT_EQ(stateOf(node, 1), JobState::Cancelled);
+  EXPECT_TRUE(runUntil([&] {
+    return !Store.has(dispatch::keys::job(0, JobNumber{1})) &&
+           !Store.has(dispatch::keys::cancel(0, JobNumber{1}));
+  }));
+}
+
+TEST_F(DispatchNodeOwnership, PlannedStop_HandsOverAtOnce) {
+  DispatchNode &first = join("n1");
+  ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
+  DispatchNode &second = join("n2");
+  runFor(300ms);
+  auto leave = [](DispatchNode &node) -> asio::awaitable<bool> {
+    co_await node.leave();
+    co_return true;
+  };
+  EXPECT_TRUE(await(leave(first)));
+  EXPECT_TRUE(runUntil([&] { return second.ownedShards() == 1; }, 1000ms));
+  EXPECT_EQ(await(second.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(second, 1) == JobState::Succeeded; }));
+}
+
+// The old owner's lease lapses while it is away; its token is then too low.
+TEST_F(DispatchNodeOwnership, LapsedLease_IsTakenOverWithAHigherToken) {
+  DispatchNode &first = join("n1");
+  ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
+  DispatchNode &second = join("n2");
+  runFor(300ms);
+  base::FencingToken before = Workers.Tokens[base::WorkerId("w0")];
+  Store.lapse(dispatch::StoreLease{1});
+  EXPECT_TRUE(runUntil([&] {
+    return first.ownedShards() + second.ownedShards() == 1 &&
+           Store.has(dispatch::keys::shardEntry(0));
+  }));
+  EXPECT_EQ(await(second.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(second, 1) == JobState::Succeeded; }));
+  EXPECT_GE(Workers.Tokens[base::WorkerId("w0")], before);
+}
+
+TEST_F(PrefixMirrorWatch, LostHistory_IsReadAgain) {
+  std::map<std::string, std::string> copy;
+  Store.put("p/a", "1");
+  dispatch::PrefixMirror mirror(
+      Io.get_executor(), Store, "p/",
+      {[&](const dispatch::StoredItem &it) { copy[it.Key] = it.Value; },
+       [&](const std::string &key) { copy.erase(key); }, [] {}},
+      Events);
+  mirror.start();
+  ASSERT_TRUE(runUntil([&] { return copy.size() == 1; }));
+  Store.LostHistories = 1;
+  Store.put("p/b", "2");
+  Store.erase("p/a");
+  EXPECT_TRUE(runUntil([&] {
+    return copy == std::map<std::string, std::string>{{"p/b", "2"}};
+  }));
+  EXPECT_GE(Store.Lists, 2);
+  Store.Down = true;
+  runFor(300ms);
+  Store.Down = false;
+  Store.put("p/c", "3");
+  EXPECT_TRUE(runUntil([&] { return copy.contains("p/c"); }));
+}
+
+RC_GTEST_PROP(Records, Job_SurvivesItsTextForm, ()) {
+  model::AcceptedJob job;
+  job.Id = JobNumber{*rc::gen::arbitrary<std::uint64_t>()};
+  job.Queue = "q";
+  job.Terms.Service = base::ServiceName("s");
+  job.Terms.MaxAttempts = *rc::gen::inRange(1, 9);
+  job.Graph.Payload =
+      *rc::gen::container<std::string>(rc::gen::inRange(' ', '~'));
+  model::StepSpec step;
+  step.Count = *rc::gen::inRange(1, 100);
+  step.Size.Cpu = base::MilliCores{*rc::gen::inRange(0, 90000)};
+  step.Filler = *rc::gen::arbitrary<bool>();
+  step.Image = "i1";
+  job.Graph.Steps = {step, step};
+  job.Graph.Steps[1].After = {0};
+  auto back = dispatch::decodeJob(job.Id, dispatch::encodeJob(job));
+  RC_ASSERT(back.has_value());
+  RC_ASSERT(dispatch::encodeJob(back.value()) == dispatch::encodeJob(job));
+}
+
+TEST(Records, HostileText_IsRefused) {
+  for (const char *it : {"", "[]", "{\"steps\":3}", "{\"queue\":1}", "null"}) {
+    EXPECT_FALSE(dispatch::decodeJob(JobNumber{1}, it)) << it;
+  }
+  EXPECT_FALSE(dispatch::decodeIndex("{\"state\":9}"));
+  EXPECT_FALSE(dispatch::parseJobNumber("12345678901234567"));
+  EXPECT_FALSE(dispatch::parseJobNumber("xyz"));
+}
+
+} // namespace
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -125,8 +125,8 @@
   Owned.addJob(job(1, {step(1)}), 5, false, now());
   std::vector<Order> orders = plan();
   ASSERT_EQ(orders.size(), 1u);
-  Owned.onStart(orders[0],
-                base::fail(base::Errc::WorkerAnswerLost, "timeout"), now());
+  Owned.onStart(orders[0], base::fail(base::Errc::WorkerAnswerLost, "timeout"),
+                now());
   Time.advance(1s);
   EXPECT_TRUE(plan().empty());
   Time.advance(1s);
--- /dev/null
+++ b/tests/unit/unit-installation.cpp
@@ -0,0 +1,298 @@
+// Guards the translation of the users' platform: entries from other writers,
+// answers of the store that say whether a call took effect, task names.
+#include "../../platform/Decode.h"
+#include "../../platform/KvStore.h"
+#include "../../platform/Workers.h"
+
+#include "endivedoor/model/DispatchSettings.h"
+#include "endivedoor/platform/HttpServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <functional>
+#include <iterator>
+
+using namespace endivedoor;
+using namespace endivedoor::installation;
+using namespace std::chrono_literals;
+using base::Errc;
+using platform::HttpRequest;
+using platform::HttpResponse;
+
+namespace {
+
+const char *const Entry =
+    R"({"service":"desk","address":"10.0.0.9:8080","zone":"a","version":"v1",
+    "slots":8,"state":"ready","cold_remaining_ms":0,
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+    "labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"born":77})";
+
+TEST(DecodeWorker, Entry_IsRead) {
+  auto worker = decodeWorker("i-1", Entry);
+  ASSERT_TRUE(worker.has_value());
+  EXPECT_EQ(count(worker.value().Capacity.Cpu), 16000);
+  EXPECT_EQ(worker.value().Labels.back(), "r1-3");
+  EXPECT_EQ(worker.value().Born, 77ms);
+  EXPECT_FALSE(worker.value().Draining);
+}
+
+// Entries may come from another writer and then name no worker to use.
+TEST(DecodeWorker, ForeignEntry_IsUnusable) {
+  for (const char *it :
+       {"", "{}", "[1]", "\xff\xfe", R"({"service":"desk"})",
+        R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+            "state":"gone","capacity":{"cpu":1,"mem_mb":1}})",
+        R"({"service":7,"address":"10.0.0.9:8080","zone":"a",
+            "state":"ready","capacity":{"cpu":1,"mem_mb":1}})",
+        R"({"service":"desk","address":"10.0.0.9","zone":"a",
+            "state":"ready","capacity":{"cpu":1,"mem_mb":1}})",
+        R"({"service":"desk","address":"10.0.0.9:80","zone":"a",
+            "state":"ready","capacity":{"cpu":"x","mem_mb":1}})"})
+    EXPECT_FALSE(decodeWorker("i-1", it).has_value()) << it;
+}
+
+TEST(DecodeJob, EveryField_HasItsPlace) {
+  auto graph = decodeJobGraph(
+      R"({"spec":"p","repeat_count":2,"start_at_ms":5,"interval_ms":7,
+      "steps":[{"count":2,"cpu":500,"mem_mb":256,"gpu":1,"estimated_ms":900,
+      "requirements":"big","affinity":"r1","image":"i","max_per_server":1,
+      "target_ms":18,"may_miss":1,"checkpointing":true,"gang":true,
+      "same_rack":true,"speculative":true,"long_running":true,"fills":true},
+      {"count":1,"after":[0]}]})");
+  ASSERT_TRUE(graph.has_value());
+  const model::StepSpec &s = graph.value().Steps[0];
+  EXPECT_EQ(s.Size.Accelerators, 1);
+  EXPECT_EQ(s.Requirement, "big");
+  EXPECT_EQ(s.Affinity, "r1");
+  EXPECT_EQ(s.MaxPerWorker, 1);
+  EXPECT_EQ(s.Target, 18ms);
+  EXPECT_TRUE(s.Checkpoints && s.Gang && s.SameRack && s.Speculative &&
+              s.Lasting && s.Filler);
+  EXPECT_EQ(graph.value().Repeats, 2);
+  EXPECT_EQ(graph.value().Steps[1].After, std::vector<std::int32_t>{0});
+}
+
+TEST(DecodeJob, HostileBody_IsRefused) {
+  for (const char *it :
+       {"", "7", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+        R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":99999999}]})",
+        R"({"steps":[{"count":1,"after":[0]}]})",
+        R"({"steps":[{"count":1,"cpu":-5}]})", R"({"steps":[7]})"})
+    EXPECT_FALSE(decodeJobGraph(it).has_value()) << it;
+}
+
+TEST(DecodeTaskName, NameAndHostileNames) {
+  auto key = decodeTaskName("5c0e7a21d94b36f8.1.2.17");
+  ASSERT_TRUE(key.has_value());
+  EXPECT_EQ(key->Occurrence, 1);
+  EXPECT_EQ(key->Index, 17);
+  for (const char *it :
+       {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.1.2",
+        "5c0e7a21d94b36f8.1.2.17.4", "zz.0.0.0", "5c0e7a21d94b36f8.1.-2.17"})
+    EXPECT_FALSE(decodeTaskName(it).has_value()) << it;
+}
+
+TEST(DecodeConfiguration, RoutesAndFaults) {
+  auto config = decodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+      "service":"desk","priority":2,"max_attempts":3,"stretch":1.5,
+      "target_latency_ms":250}],"services":[],"limits":{}})");
+  ASSERT_TRUE(config.has_value());
+  EXPECT_EQ(config.value().Routes[0].Terms.Priority, 2);
+  EXPECT_EQ(config.value().Routes[0].Terms.Target, 250ms);
+  EXPECT_FALSE(decodeConfiguration("{}").has_value());
+  EXPECT_FALSE(decodeConfiguration(R"({"version":1,"routes":[{}]})"));
+}
+
+TEST(DispatchSettings, TemplateOfTheDeployment_IsValid) {
+  std::ifstream in(std::string(ENDIVEDOOR_SOURCE_DIR) +
+                   "/deploy/node.yaml.tmpl");
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  const std::pair<const char *, const char *> values[] = {
+      {"{{node}}", "edge-1"},
+      {"{{zone}}", "a"},
+      {"{{listen.front}}", "10.0.0.1:8161"},
+      {"{{listen.ready}}", "10.0.0.1:8167"},
+      {"{{ip}}", "10.0.0.1"},
+      {"{{internal_ports.0}}", "7720"},
+      {"{{platform.address}}", "10.0.0.7:8169"},
+      {"{{bounds.hold_max_ms}}", "10000"},
+      {"{{bounds.stop_ms}}", "900"},
+      {"{{bounds.early_ms}}", "250"},
+      {"{{bounds.harm_ms}}", "4000"},
+      {"{{bounds.grace_s}}", "6"},
+      {"{{platform.ttl_min_ms}}", "1000"}};
+  for (const auto &[from, to] : values)
+    for (std::size_t at; (at = text.find(from)) != std::string::npos;)
+      text.replace(at, std::string(from).size(), to);
+  ASSERT_EQ(text.find("{{"), std::string::npos) << text;
+  EXPECT_TRUE(model::isDispatchSettings(text));
+  model::DispatchSettingsOutcome outcome =
+      model::parseDispatchSettings("node.yaml", text);
+  for (const model::TextFault &it : outcome.Faults)
+    ADD_FAILURE() << it.message();
+  EXPECT_EQ(outcome.Value.LongestHold, 10s);
+  EXPECT_EQ(outcome.Value.Metrics.Port, 7720);
+}
+
+TEST(DispatchSettings, Faults_AreReportedAllAtOnce) {
+  model::DispatchSettingsOutcome outcome = model::parseDispatchSettings(
+      "f", "name: a b\nzone: z\ninstallation: {store: x}\nwrong: 1\n");
+  EXPECT_GE(outcome.Faults.size(), 4u);
+}
+
+/// A peer that answers as each test says.
+class InstallationCalls : public testing::Test {
+protected:
+  InstallationCalls()
+      : Server(Io.get_executor(), options(),
+               [this](HttpRequest r) -> boost::asio::awaitable<HttpResponse> {
+                 Paths.push_back(r.Method + " " + r.Path);
+                 Bodies.push_back(r.Body);
+                 Headers = r.Headers;
+                 co_return Answer(r);
+               }),
+        Http(Io.get_executor(), Time, platform::HttpLimits{}) {
+    EXPECT_TRUE(Server.start().has_value());
+    Peer = {"127.0.0.1", Server.port()};
+    Store = makeKvStore(Http, Peer, Time, Times);
+    Calls = makeWorkers(Http, Time, Times);
+  }
+
+  static platform::HttpServerOptions options() {
+    platform::HttpServerOptions o;
+    o.Listen = {"127.0.0.1", 0};
+    return o;
+  }
+
+  template <typename T> T await(boost::asio::awaitable<T> operation) {
+    std::optional<T> result;
+    auto store = [](boost::asio::awaitable<T> op,
+                    std::optional<T> &to) -> boost::asio::awaitable<void> {
+      to.emplace(co_await std::move(op));
+    };
+    boost::asio::co_spawn(Io, store(std::move(operation), result),
+                          boost::asio::detached);
+    while (!result)
+      Io.run_one();
+    return *result;
+  }
+
+  boost::asio::io_context Io{1};
+  base::SystemClock Time;
+  dispatch::Metrics Times;
+  platform::HttpServer Server;
+  platform::HttpClient Http;
+  model::Address Peer;
+  std::unique_ptr<dispatch::MetadataStore> Store;
+  std::unique_ptr<dispatch::TaskWorker> Calls;
+  std::function<HttpResponse(const HttpRequest &)> Answer;
+  std::vector<std::string> Paths, Bodies;
+  platform::HttpHeaders Headers;
+};
+
+TEST_F(InstallationCalls, StoreRefusals_SayThatNothingWasDone) {
+  for (unsigned status : {429u, 503u}) {
+    Answer = [&](const HttpRequest &) { return HttpResponse{status, {}, ""}; };
+    auto done = await(Store->commit({{}, {{"k", "v"}}, {}}));
+    ASSERT_FALSE(done.has_value());
+    EXPECT_EQ(done.error().Code, Errc::StoreUnavailable);
+  }
+}
+
+// A connection that ends without an answer may have had its effect.
+TEST_F(InstallationCalls, NoAnswer_IsUnknown) {
+  Answer = [](const HttpRequest &) { return HttpResponse{0, {}, ""}; };
+  auto done = await(Store->commit({{}, {{"k", "v"}}, {}}));
+  ASSERT_FALSE(done.has_value());
+  EXPECT_EQ(done.error().Code, Errc::StoreAnswerLost);
+}
+
+TEST_F(InstallationCalls, ConflictingCommit_ShowsWhatIsThere) {
+  Answer = [](const HttpRequest &) {
+    return HttpResponse{
+        412, {}, R"({"items":[{"key":"k","value":"bm9kZS0x","revision":9}]})"};
+  };
+  auto done = await(Store->commit({{{"k", 0}}, {{"k", "v"}}, {}}));
+  ASSERT_TRUE(done.has_value());
+  EXPECT_FALSE(done.value().Applied);
+  EXPECT_EQ(done.value().Current[0].Value, "node-1");
+  EXPECT_NE(Bodies[0].find("\"value\":\"dg==\""), std::string::npos);
+}
+
+TEST_F(InstallationCalls, Listing_ReadsAllPagesFromTheFirstRevision) {
+  Answer = [](const HttpRequest &r) {
+    bool first = r.Path.find("after") == std::string::npos;
+    return HttpResponse{
+        200,
+        {},
+        first
+            ? R"({"items":[{"key":"a","value":"","revision":1}],"has_more":true,"as_of":5})"
+            : R"({"items":[{"key":"b","value":"","revision":6}],"as_of":8})"};
+  };
+  auto list = await(Store->list("p/"));
+  ASSERT_TRUE(list.has_value());
+  EXPECT_EQ(list.value().Items.size(), 2u);
+  EXPECT_EQ(list.value().AsOf, 5);
+}
+
+TEST_F(InstallationCalls, Watch_TellsLostHistoryAndDeletes) {
+  Answer = [](const HttpRequest &) { return HttpResponse{410, {}, ""}; };
+  auto lost = await(Store->watch("p/", 3, 10ms));
+  ASSERT_TRUE(lost.has_value());
+  EXPECT_TRUE(lost.value().HistoryLost);
+  Answer = [](const HttpRequest &) {
+    return HttpResponse{
+        200,
+        {},
+        R"({"events":[{"key":"k","revision":4,"deleted":true}],"as_of":4})"};
+  };
+  auto changes = await(Store->watch("p/", 3, 10ms));
+  ASSERT_TRUE(changes.has_value());
+  EXPECT_TRUE(changes.value().List[0].Deleted);
+}
+
+TEST_F(InstallationCalls, Hold_ReadsRowsAndNamesTheLife) {
+  Answer = [](const HttpRequest &) {
+    return HttpResponse{
+        200,
+        {},
+        R"({"clock_ms":4821,"born":77,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,900]],
+            "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})"};
+  };
+  auto report = await(Calls->hold({base::WorkerId("i-1"), Peer}, {}, 500ms));
+  ASSERT_TRUE(report.has_value());
+  EXPECT_EQ(report.value().Clock, 4821ms);
+  EXPECT_EQ(report.value().Running[0].Gauge, 900);
+  EXPECT_EQ(report.value().Ended[0].How, dispatch::RunEnd::Done);
+  EXPECT_EQ(platform::findHeader(Headers, "Expect-Instance"), "i-1");
+}
+
+TEST_F(InstallationCalls, Start_TellsWhyItWasRejected) {
+  using dispatch::OrderAnswer;
+  const std::pair<const char *, OrderAnswer> reasons[] = {
+      {"fence", OrderAnswer::Fenced},
+      {"old", OrderAnswer::OldRun},
+      {"late", OrderAnswer::Late},
+      {"room", OrderAnswer::NoRoom},
+      {"ticket", OrderAnswer::NoTicket}};
+  for (const auto &[reason, expected] : reasons) {
+    Answer = [&](const HttpRequest &) {
+      return HttpResponse{
+          409, {}, std::string("{\"reason\":\"") + reason + "\"}"};
+    };
+    auto answer = await(Calls->start({base::WorkerId("i-1"), Peer}, {}, 500ms));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer.value(), expected);
+  }
+  Answer = [](const HttpRequest &) { return HttpResponse{421, {}, ""}; };
+  EXPECT_EQ(
+      await(Calls->start({base::WorkerId("i-1"), Peer}, {}, 500ms)).value(),
+      OrderAnswer::WrongLife);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/unit-policy-pairmodel.cpp
@@ -0,0 +1,42 @@
+// Guards the placement of filling programs: a program that slows a serving one
+// must be told from those that ran beside it.
+#include "endivedoor/policy/PairModel.h"
+
+#include <gtest/gtest.h>
+
+using endivedoor::policy::PairModel;
+
+namespace {
+
+TEST(PairModel, HarmfulProgram_IsToldFromItsNeighbours) {
+  PairModel model;
+  for (int i = 0; i < 200; ++i) {
+    double harmful = (i % 5) * 0.05, harmless = (i % 3) * 0.1;
+    model.observe("s", 8 + 200 * harmful,
+                  {{"harmful", harmful}, {"harmless", harmless}});
+  }
+  EXPECT_NEAR(model.slope("s", "harmful"), 200, 20);
+  EXPECT_LT(model.slope("s", "harmless"), 10);
+  EXPECT_NEAR(model.base("s"), 8, 1.5);
+  EXPECT_TRUE(model.isKnown("s", "harmful"));
+}
+
+TEST(PairModel, UnknownPair_IsTakenAsHarmless) {
+  PairModel model;
+  model.observe("s", 9, {});
+  EXPECT_EQ(model.slope("s", "new"), 0);
+  EXPECT_FALSE(model.isKnown("s", "new"));
+  EXPECT_EQ(model.base("other"), 0);
+}
+
+TEST(PairModel, OneStall_DoesNotOutweighTheRest) {
+  PairModel model;
+  for (int i = 0; i < 40; ++i)
+    model.observe("s", 10, {{"f", 0.1}});
+  model.observe("s", 100000, {{"f", 0.1}});
+  for (int i = 0; i < 16; ++i)
+    model.observe("s", 10, {{"f", 0.1}});
+  EXPECT_LT(model.base("s") + 0.1 * model.slope("s", "f"), 13);
+}
+
+} // namespace
