Refuse calls at once while the store is known to be away

Change: calls are refused with "not run" while the node's lease renewals go unanswered; no attempt begins later than 1 s after the call. Test: StoreKnownToBeAway_IsRefusedAtOnce, failed before (1.5 s).

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -49,6 +49,9 @@
   TimePoint WorkersChanged;
   TimePoint LastWord;
   StoreLease Lease{0};
+  /// The latest renewal of the lease was answered. Calls of callers are refused
+  /// at once while it is not, so that they are not held for nothing.
+  bool Reachable = true;
   bool Leaving = false;
   bool Upkeeping = false;
   detail::JobDesk Desk;
@@ -347,7 +350,6 @@
 }
 
 asio::awaitable<void> DispatchNode::Impl::leaseLoop() {
-  bool reachable = true;
   while (!Leaving) {
     TimePoint sent = Time.now();
     bool answered = false;
@@ -364,11 +366,11 @@
     }
     if (answered)
       LastWord = std::max(LastWord, sent);
-    if (answered != reachable)
+    if (answered != Reachable)
       Events.emit(answered ? EventCode::StoreReached
                            : EventCode::StoreUnreached,
                   {{"node", Options.Name}});
-    reachable = answered;
+    Reachable = answered;
     co_await detail::sleepFor(
         answered ? base::Duration(Options.NodeLease / RenewalsOfLease)
                  : base::Duration(RetryPause));
@@ -443,16 +445,22 @@
 }
 
 asio::awaitable<SubmitOutcome> DispatchNode::submit(model::AcceptedJob job) {
-  return Self->Desk.submit(std::move(job));
+  if (!Self->Reachable)
+    co_return SubmitOutcome::Refused;
+  co_return co_await Self->Desk.submit(std::move(job));
 }
 
 asio::awaitable<CancelOutcome> DispatchNode::cancel(model::JobNumber job) {
-  return Self->Desk.cancel(job);
+  if (!Self->Reachable)
+    co_return CancelOutcome::Refused;
+  co_return co_await Self->Desk.cancel(job);
 }
 
 Async<std::optional<model::JobState>>
 DispatchNode::state(model::JobNumber job) {
-  return Self->Desk.state(job);
+  if (!Self->Reachable)
+    co_return base::fail(base::Errc::StoreUnavailable, "the node is cut off");
+  co_return co_await Self->Desk.state(job);
 }
 
 Async<std::int64_t> DispatchNode::pending(std::string queue) {
--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -13,10 +13,12 @@
 
 /// Age up to which load records are used again.
 constexpr auto LoadAge = 700ms;
-/// Attempts at the store for one call of a caller, and the pause between them;
-/// together they stay well below the wait of a caller.
+/// Attempts at the store for one call of a caller, and the pause between them.
 constexpr int Attempts = 3;
 constexpr auto AttemptPause = 120ms;
+/// No attempt begins later than this: a caller waits 3 s, and one attempt takes
+/// up to 0.9 s.
+constexpr auto LastAttempt = 1000ms;
 
 Async<void> JobDesk::refreshLoads() {
   if (Time.now() - LoadsRead < LoadAge)
@@ -77,7 +79,8 @@
       {keys::index(job.Id), encodeIndex({shard, JobState::Queued})},
       {keys::job(shard, job.Id), encodeJob(job)}};
   bool unknown = false;
-  for (int i = 0; i < Attempts; ++i) {
+  base::TimePoint end = Time.now() + LastAttempt;
+  for (int i = 0; i < Attempts && Time.now() < end; ++i) {
     base::Result<CommitOutcome> done = co_await Store.commit(commit);
     // A job with this id is stored already, by this call or an earlier one.
     if (done)
@@ -90,7 +93,8 @@
 
 asio::awaitable<CancelOutcome> JobDesk::cancel(model::JobNumber job) {
   bool unknown = false;
-  for (int i = 0; i < Attempts; ++i) {
+  base::TimePoint end = Time.now() + LastAttempt;
+  for (int i = 0; i < Attempts && Time.now() < end; ++i) {
     base::Result<std::optional<StoredItem>> item =
         co_await Store.read(keys::index(job));
     if (!item) {
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -180,6 +180,19 @@
   EXPECT_TRUE(Workers.Starts.empty());
 }
 
+// A caller must not be held until its deadline when the store is known to be
+// away.
+TEST_F(DispatchNodeCalls, StoreKnownToBeAway_IsRefusedAtOnce) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  Store.Down = true;
+  runFor(400ms);
+  auto begun = std::chrono::steady_clock::now();
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Refused);
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, 100ms);
+  Store.Down = false;
+}
+
 TEST_F(DispatchNodeCalls, RepeatedJob_RunsOnce) {
   DispatchNode &node = join("n1");
   ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
