--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -44,8 +44,6 @@
   options.Instance = makeInstance(config.Name);
   options.Shard.LongestHold = config.LongestHold;
   options.Shard.Hold = std::min(options.Shard.Hold, config.LongestHold);
-  options.Shard.StopTime = config.StopTime;
-  options.Shard.Early = config.Early;
   options.Shard.HarmTime = config.HarmTime;
   options.NodeLease = std::max(options.NodeLease, config.ShortestLease);
   options.WorkersPerShard = config.WorkersPerShard;
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -77,8 +77,6 @@
                std::int64_t revision);
   /// Stops all tasks of a job whose cancellation is stored.
   void cancelJob(model::JobNumber job, base::TimePoint now);
-  bool hasJob(model::JobNumber job) const;
-  std::optional<model::JobState> jobState(model::JobNumber job) const;
 
   /// Names the workers that an earlier owner may have used. Tasks of inherited
   /// jobs that no list shows wait until each has answered or its longest lease
@@ -132,7 +130,6 @@
   std::size_t liveJobs() const;
   /// Another owner has used a higher token; this term is over.
   bool isFenced() const;
-  std::int32_t number() const;
   base::FencingToken token() const;
 
 private:
--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -12,16 +12,11 @@
 struct ShardOptions {
   /// Longest lease that a worker grants.
   milliseconds LongestHold{10000};
-  /// Time for which each hold asks; half of it must outlive a short cut.
+  /// Time for which each hold asks. Tasks outlive a cut of the network that is
+  /// shorter, and start elsewhere after a longer one.
   milliseconds Hold{6000};
-  /// Longest time that a stop takes at a worker.
-  milliseconds StopTime{900};
-  /// How much earlier than its due time an occurrence may start.
-  milliseconds Early{250};
   /// Time for which a lasting task may be over its target.
   milliseconds HarmTime{4000};
-  /// Factor by which work away from its rack or data takes longer.
-  double FarFactor = 3;
   /// An owner gives no orders later than this after its last word from the
   /// store. It outlives a store outage of usual length.
   milliseconds OwnerGrace{8000};
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -220,20 +220,6 @@
     Self->CancelledEarly.insert(job);
 }
 
-bool Shard::hasJob(JobNumber job) const {
-  return Self->findJob(job) != nullptr;
-}
-
-std::optional<JobState> Shard::jobState(JobNumber job) const {
-  JobEntry *entry = Self->findJob(job);
-  if (!entry)
-    return std::nullopt;
-  // A final state counts once it is stored.
-  if (!entry->isLive() && entry->StoredVersion < entry->Version)
-    return JobState::Running;
-  return entry->State;
-}
-
 /// Progress in its stored form: only what differs from a job not begun.
 static JobProgress progressOf(const JobEntry &job) {
   JobProgress progress;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -342,7 +342,6 @@
 }
 
 bool Shard::isFenced() const { return Self->Fenced; }
-std::int32_t Shard::number() const { return Self->Number; }
 base::FencingToken Shard::token() const { return Self->Token; }
 
 std::vector<Order> Shard::plan(base::TimePoint now, base::WallTime wall,
--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -19,10 +19,6 @@
   Address Store;
   /// Longest lease that a worker grants.
   std::chrono::milliseconds LongestHold{10000};
-  /// Longest time that a stop takes at a worker.
-  std::chrono::milliseconds StopTime{900};
-  /// How much earlier than due an occurrence of a job may start.
-  std::chrono::milliseconds Early{250};
   /// Time for which a lasting task may be over its target.
   std::chrono::milliseconds HarmTime{4000};
   /// Time between the stop signal and the kill.
--- a/packages/model/include/endivedoor/model/JobGraph.h
+++ b/packages/model/include/endivedoor/model/JobGraph.h
@@ -109,8 +109,6 @@
   base::Resources Capacity;
   std::vector<std::string> Labels;
   bool Draining = false;
-  /// Shortest time for which a draining worker stays; 0 if unknown.
-  std::chrono::milliseconds Stays{0};
   /// Start of this life of the worker, since 1970; 0 if unknown.
   std::chrono::milliseconds Born{0};
 };
@@ -129,8 +127,6 @@
 struct QueueConfiguration {
   std::int64_t Version = 0;
   std::vector<QueueRoute> Routes;
-  /// Services whose workers reject what does not fit.
-  std::vector<base::ServiceName> Checking;
   std::size_t MaxBodyBytes = 256 * 1024;
 };
 
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -19,8 +19,6 @@
 
 constexpr BoundField BoundFields[] = {
     {"longestHold", &DispatchSettings::LongestHold, {1s, 10min}},
-    {"stopTime", &DispatchSettings::StopTime, {1ms, 1min}},
-    {"early", &DispatchSettings::Early, {0ms, 1min}},
     {"harmTime", &DispatchSettings::HarmTime, {100ms, 10min}},
     {"stopGrace", &DispatchSettings::StopGrace, {100ms, 1h}},
     {"shortestLease", &DispatchSettings::ShortestLease, {1ms, 1min}},
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -121,8 +121,6 @@
       {"{{internal_ports.0}}", "7720"},
       {"{{platform.address}}", "10.0.0.7:8169"},
       {"{{bounds.hold_max_ms}}", "10000"},
-      {"{{bounds.stop_ms}}", "900"},
-      {"{{bounds.early_ms}}", "250"},
       {"{{bounds.harm_ms}}", "4000"},
       {"{{bounds.grace_s}}", "6"},
       {"{{platform.ttl_min_ms}}", "1000"}};
