Nodes with more processor own more shards; names as the linter wants

Change: members tell their cores; the rank for a vacant shard is the owned shards by cores, claims under way included.

--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -107,10 +107,10 @@
 }
 
 bool EventLog::admit(EventCode code, HybridTime time) {
-  constexpr std::int64_t MicrosOfSecond = 1'000'000;
+  constexpr std::int64_t microsOfSecond = 1'000'000;
   Rate &rate = Rates[code];
   ++rate.Total;
-  auto second = static_cast<std::int64_t>(time.WallMicros) / MicrosOfSecond;
+  auto second = static_cast<std::int64_t>(time.WallMicros) / microsOfSecond;
   if (rate.Second != second) {
     rate.Second = second;
     rate.Lines = 0;
--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -46,6 +46,7 @@
   options.Shard.Hold = std::min(options.Shard.Hold, config.LongestHold);
   options.Shard.HarmTime = config.HarmTime;
   options.NodeLease = std::max(options.NodeLease, config.ShortestLease);
+  options.ProcessorShare = config.ProcessorShare;
   options.WorkersPerShard = config.WorkersPerShard;
   return options;
 }
--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -26,6 +26,8 @@
   /// Unique name of this run of the daemon.
   std::string Instance;
   ShardOptions Shard;
+  /// Cores that the node may use; nodes with more own more shards.
+  double ProcessorShare = 1;
   /// Time to live of the node's lease in the store. Bounds how long a shard of
   /// a killed daemon stands still; at least two renewals must fit.
   milliseconds NodeLease{1500};
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -84,9 +84,6 @@
   void own(detail::Term term);
   void distribute(ShardRunner &runner);
   bool belongsTo(const base::WorkerId &worker, std::int32_t shard) const;
-  std::string entryValue() const {
-    return detail::encodeOwner({Options.Name, Options.Instance, 0});
-  }
 };
 
 void DispatchNode::Impl::onDirectory(const StoredItem &item) {
@@ -125,15 +122,16 @@
   std::map<std::string, std::int32_t> owned;
   for (const auto &[number, owner] : View.Owners)
     ++owned[owner.Node];
-  auto rankOf = [&](const std::string &node) {
-    auto it = owned.find(node);
-    std::int32_t load = it == owned.end() ? 0 : it->second;
-    return std::pair(load, scoreOf(node, shard));
+  owned[Options.Name] =
+      std::max(owned[Options.Name],
+               static_cast<std::int32_t>(Owned.size() + Claiming.size()));
+  auto rankOf = [&](const std::string &node, double cores) {
+    return std::pair((owned[node] + 1) / cores, scoreOf(node, shard));
   };
-  auto own = rankOf(Options.Name);
+  auto own = rankOf(Options.Name, Options.ProcessorShare);
   std::int32_t before = 0;
-  for (const std::string &it : View.Members)
-    before += it != Options.Name && rankOf(it) < own;
+  for (const auto &[node, cores] : View.Members)
+    before += node != Options.Name && rankOf(node, cores) < own;
   std::chrono::milliseconds delay = before * RankDelay;
   auto last = View.LastOwners.find(shard);
   bool released = View.Released.contains(shard);
@@ -216,9 +214,10 @@
     capacity[shard] += count(it->second.Capacity.Cpu);
     inZone[{shard, it->second.Zone}] += count(it->second.Capacity.Cpu);
   }
-  for (const auto &[id, worker] : Workers) {
+  for (const auto &[id, profile] : Workers) {
     if (next.contains(id))
       continue;
+    const model::WorkerProfile &worker = profile;
     changed = true;
     auto best = std::min_element(
         capacity.begin(), capacity.end(), [&](const auto &a, const auto &b) {
@@ -312,7 +311,10 @@
   if (!lease)
     co_return false;
   Commit member;
-  member.Writes = {{keys::member(Options.Name), entryValue(), lease.value()}};
+  member.Writes = {
+      {keys::member(Options.Name),
+       detail::encodeMember(Options.Instance, Options.ProcessorShare),
+       lease.value()}};
   base::Result<CommitOutcome> joined = co_await Store.commit(std::move(member));
   if (!joined || !joined.value().Applied)
     co_return false;
--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -71,7 +71,8 @@
   if (View.Shards == 0)
     co_return SubmitOutcome::Refused;
   // Without load records the shards take turns.
-  co_await refreshLoads();
+  if (base::Result<void> read = co_await refreshLoads(); !read)
+    Loads.clear();
   std::int32_t shard = chooseShard(job);
   Commit commit;
   commit.Conditions = {{keys::index(job.Id), 0}};
--- a/packages/dispatch/src/NodeRecords.cpp
+++ b/packages/dispatch/src/NodeRecords.cpp
@@ -18,6 +18,11 @@
                                       {"term", owner.Term}});
 }
 
+std::string encodeMember(const std::string &instance, double processorShare) {
+  return json::serialize(
+      json::object{{"instance", instance}, {"cores", processorShare}});
+}
+
 std::string encodeLayout(std::int32_t shards) {
   return json::serialize(json::object{{"shards", shards}});
 }
@@ -59,15 +64,17 @@
 static std::string shardPrefix() { return keys::directory() + "shard/"; }
 
 std::string NodeView::apply(const StoredItem &item) {
-  if (item.Key.starts_with(keys::members())) {
-    Members.insert(item.Key.substr(keys::members().size()));
-    return {};
-  }
   base::Result<json::value> value = platform::parseJson(item.Value);
   if (!value)
     return value.error().message();
   std::string fault;
   JsonView v(value.value(), fault);
+  if (item.Key.starts_with(keys::members())) {
+    constexpr double least = 0.001, most = 1000;
+    Members[item.Key.substr(keys::members().size())] =
+        v.optionalReal("cores", least, most, 1);
+    return fault;
+  }
   if (std::optional<std::int32_t> shard = shardOf(item.Key, shardPrefix())) {
     base::Result<OwnerEntry> owner = decodeOwner(item.Value);
     if (!owner)
@@ -81,8 +88,8 @@
       Owners[*shard] = owner.value();
     }
   } else if (item.Key == keys::layout()) {
-    constexpr std::int32_t MaxShards = 4096;
-    Shards = static_cast<std::int32_t>(v.number("shards", 1, MaxShards));
+    constexpr std::int32_t maxShards = 4096;
+    Shards = static_cast<std::int32_t>(v.number("shards", 1, maxShards));
   } else if (item.Key == keys::assignment()) {
     Assignment.clear();
     const json::value *workers =
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -54,11 +54,11 @@
 }
 
 base::Result<JobNumber> parseJobNumber(std::string_view text) {
-  constexpr std::size_t Digits = 16;
+  constexpr std::size_t digits = 16;
   std::uint64_t n = 0;
   auto [end, ec] =
       std::from_chars(text.data(), text.data() + text.size(), n, 16);
-  if (text.size() != Digits || ec != std::errc() ||
+  if (text.size() != digits || ec != std::errc() ||
       end != text.data() + text.size())
     return fail(Errc::ParseFailed, "not a job id: " + std::string(text));
   return JobNumber{n};
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -156,10 +156,10 @@
       lose("another node has taken the shard");
     return;
   }
-  constexpr std::size_t KindLength = 2;
-  std::string kind = item.Key.substr(prefix.size(), KindLength);
+  constexpr std::size_t kindLength = 2;
+  std::string kind = item.Key.substr(prefix.size(), kindLength);
   base::Result<model::JobNumber> id =
-      parseJobNumber(item.Key.substr(prefix.size() + KindLength));
+      parseJobNumber(item.Key.substr(prefix.size() + kindLength));
   if (!id) {
     Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
     return;
@@ -461,10 +461,10 @@
 asio::awaitable<void> ShardRunner::flush() {
   auto self = shared_from_this();
   Flushing = true;
-  /// Rounds of commits before the shard is handed over; what is not stored by
+  /// rounds of commits before the shard is handed over; what is not stored by
   /// then is in the workers' lists.
-  constexpr int Rounds = 8;
-  for (int i = 0; i < Rounds && !Stopped && Loaded && State.hasWrites(); ++i)
+  constexpr int rounds = 8;
+  for (int i = 0; i < rounds && !Stopped && Loaded && State.hasWrites(); ++i)
     co_await commitOnce();
 }
 
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -506,10 +506,10 @@
   TaskEntry *task = Self->findTask(order.Id.Task);
   if (!task)
     return;
-  constexpr std::int32_t Unknown = -1;
+  constexpr std::int32_t unknown = -1;
   for (Run &it : task->Runs)
     if (it.Number == order.Id.Run && it.Where->Profile.Id == order.To.Id)
-      it.Paced = Unknown;
+      it.Paced = unknown;
 }
 
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/detail/NodeRecords.h
+++ b/packages/dispatch/src/detail/NodeRecords.h
@@ -21,6 +21,8 @@
 };
 
 std::string encodeOwner(const OwnerEntry &owner);
+/// \param processorShare cores that the node may use.
+std::string encodeMember(const std::string &instance, double processorShare);
 std::string encodeLayout(std::int32_t shards);
 std::string
 encodeAssignment(const std::map<base::WorkerId, std::int32_t> &shards);
@@ -36,7 +38,8 @@
   std::map<std::int32_t, std::string> LastOwners;
   /// Shards that their owner has given back.
   std::set<std::int32_t> Released;
-  std::set<std::string> Members;
+  /// Nodes that are there, with the cores that each may use.
+  std::map<std::string, double> Members;
   std::map<base::WorkerId, std::int32_t> Assignment;
 
   /// Takes over a record; returns a fault or an empty text.
--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -25,6 +25,8 @@
   std::chrono::milliseconds StopGrace{6000};
   /// Shortest lease of the store.
   std::chrono::milliseconds ShortestLease{1000};
+  /// Cores that the daemon may use.
+  double ProcessorShare = 1;
   /// Workers that one shard owner is to serve.
   std::int32_t WorkersPerShard = 72;
   /// Log lines of one event in a second; more are held back and counted. 0
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -28,7 +28,8 @@
                      DispatchSettings &to) {
   YamlSection root(faults, node, "",
                    {"name", "zone", "listen", "installation", "bounds",
-                    "workersPerShard", "keptEvents", "logLinesPerSecond"});
+                    "workersPerShard", "processorShare", "keptEvents",
+                    "logLinesPerSecond"});
   root.readName("name", to.Name);
   std::string zone;
   root.readName("zone", zone);
@@ -55,6 +56,14 @@
     to.WorkersPerShard = static_cast<std::int32_t>(*n);
   if (auto n = root.readNumber("logLinesPerSecond", {0, 1 << 20}))
     to.LinesPerSecond = *n;
+  if (std::optional<YAML::Node> it = root.find("processorShare")) {
+    constexpr double least = 0.001, most = 1000;
+    to.ProcessorShare = it->as<double>(0);
+    if (to.ProcessorShare < least || to.ProcessorShare > most)
+      faults.add(it->Mark(), Errc::SettingsWrongValue,
+                 "\"processorShare\" is not a number of cores",
+                 "use 0.001 to 1000");
+  }
   if (auto n = root.readNumber("keptEvents", {16, 1 << 20}))
     to.KeptEvents = *n;
 }
--- a/packages/policy/src/PairModel.cpp
+++ b/packages/policy/src/PairModel.cpp
@@ -62,10 +62,10 @@
 /// Gauss-Seidel with slopes kept at 0 or above; the matrix is symmetric and,
 /// with the priors, positive definite.
 void PairModel::solve(Fit &fit) {
-  constexpr int Rounds = 25;
+  constexpr int rounds = 25;
   fit.SinceSolved = 0;
   std::size_t n = fit.Right.size();
-  for (int round = 0; round < Rounds; ++round)
+  for (int round = 0; round < rounds; ++round)
     for (std::size_t i = 0; i < n; ++i) {
       double sum = fit.Right[i];
       for (std::size_t j = 0; j < n; ++j)
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -120,6 +120,7 @@
       {"{{ip}}", "10.0.0.1"},
       {"{{internal_ports.0}}", "7720"},
       {"{{platform.address}}", "10.0.0.7:8169"},
+      {"{{limits.cpu_share}}", "0.25"},
       {"{{bounds.hold_max_ms}}", "10000"},
       {"{{bounds.harm_ms}}", "4000"},
       {"{{bounds.grace_s}}", "6"},
@@ -134,6 +135,7 @@
   for (const model::TextFault &it : outcome.Faults)
     ADD_FAILURE() << it.message();
   EXPECT_EQ(outcome.Value.LongestHold, 10s);
+  EXPECT_EQ(outcome.Value.ProcessorShare, 0.25);
   EXPECT_EQ(outcome.Value.Metrics.Port, 7720);
 }
 
@@ -278,7 +280,9 @@
       {"late", OrderAnswer::Late},
       {"room", OrderAnswer::NoRoom},
       {"ticket", OrderAnswer::NoTicket}};
-  for (const auto &[reason, expected] : reasons) {
+  for (const auto &it : reasons) {
+    const char *reason = it.first;
+    OrderAnswer expected = it.second;
     Answer = [&](const HttpRequest &) {
       return HttpResponse{
           409, {}, std::string("{\"reason\":\"") + reason + "\"}"};
