--- /dev/null
+++ b/tests/unit/unit-linesink.cpp
@@ -0,0 +1,48 @@
+// Guards the daemon against a log reader that is slow: lines are dropped and
+// counted, and writing never waits.
+#include "endivedoor/base/LineSink.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <unistd.h>
+
+using endivedoor::base::LineSink;
+
+namespace {
+
+TEST(LineSink, FullPipe_CostsLinesAndNoTime) {
+  int ends[2];
+  ASSERT_EQ(::pipe(ends), 0);
+  LineSink sink(ends[1], 4096);
+  std::string line(1000, 'x');
+  google::LogMessageTime time;
+  // More than the pipe and the buffer hold together; a write that waited would
+  // never return.
+  constexpr int lines = 500;
+  for (int i = 0; i < lines; ++i)
+    sink.send(google::GLOG_WARNING, "", "", 0, time, line.data(), line.size());
+  std::uint64_t dropped = sink.takeDropped();
+  EXPECT_GT(dropped, 0u);
+  EXPECT_LT(dropped, 500u);
+  EXPECT_EQ(sink.takeDropped(), 0u);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST(LineSink, Lines_ArriveWholeAndInOrder) {
+  int ends[2];
+  ASSERT_EQ(::pipe(ends), 0);
+  LineSink sink(ends[1]);
+  google::LogMessageTime time;
+  sink.send(google::GLOG_INFO, "", "", 0, time, "one", 3);
+  sink.send(google::GLOG_INFO, "", "", 0, time, "two", 3);
+  sink.flush();
+  char buf[16];
+  ssize_t n = ::read(ends[0], buf, sizeof buf);
+  EXPECT_EQ(std::string(buf, static_cast<std::size_t>(n)), "one\ntwo\n");
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+} // namespace
