Claim a shard again after a claim whose answer was lost

Change: an entry that names this node counts as vacant while the node does not run the shard. Ruled out: a stand-in at fault: the entry is in the store, attached to a live lease. Test: ClaimWithoutAnswer_IsMadeGood, seen to fail before.

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -208,11 +208,11 @@
   TimePoint now = Time.now();
   for (std::int32_t shard = 0; shard < View.Shards; ++shard) {
     auto owner = View.Owners.find(shard);
-    // An entry of an earlier run of this daemon is as good as none.
-    bool stale = owner != View.Owners.end() &&
-                 owner->second.Node == Options.Name &&
-                 owner->second.Instance != Options.Instance;
-    if ((owner != View.Owners.end() && !stale) || Owned.contains(shard)) {
+    // An entry of an earlier run of this daemon, or of a claim whose answer was
+    // lost, is as good as none.
+    bool own =
+        owner != View.Owners.end() && owner->second.Node == Options.Name;
+    if ((owner != View.Owners.end() && !own) || Owned.contains(shard)) {
       VacantSince.erase(shard);
       continue;
     }
--- a/tests/support/StoreInMemory.h
+++ b/tests/support/StoreInMemory.h
@@ -25,6 +25,8 @@
   bool Down = false;
   /// The next commits take effect without an answer.
   int LostCommits = 0;
+  /// The next commit that writes this key takes effect without an answer.
+  std::string LoseAnswerFor;
   /// Watches answer that their history is gone, once for each.
   int LostHistories = 0;
   int Lists = 0;
@@ -62,6 +64,11 @@
       outcome.Applied = true;
       outcome.Revision = apply(c);
     }
+    for (const dispatch::Write &it : c.Writes)
+      if (it.Key == LoseAnswerFor) {
+        LoseAnswerFor.clear();
+        co_return base::fail(base::Errc::StoreAnswerLost, "lost");
+      }
     if (LostCommits > 0) {
       --LostCommits;
       co_return base::fail(base::Errc::StoreAnswerLost, "lost");
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -257,6 +257,18 @@
   EXPECT_GE(Workers.Tokens[base::WorkerId("w0")], before);
 }
 
+// A claim that took effect without an answer must not leave the shard to
+// nobody.
+TEST_F(DispatchNodeOwnership, ClaimWithoutAnswer_IsMadeGood) {
+  Store.LoseAnswerFor = dispatch::keys::owner(0);
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return Store.LoseAnswerFor.empty(); }));
+  EXPECT_TRUE(runUntil([&] { return node.ownedShards() == 1; }, 3000ms));
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
+}
+
 // The first node up after a power failure must not take every shard: alone it
 // is too slow for all of them.
 TEST_F(DispatchNodeOwnership, FirstNodeUp_LeavesShardsToTheNext) {
