--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -210,8 +210,7 @@
     auto owner = View.Owners.find(shard);
     // An entry of an earlier run of this daemon, or of a claim whose answer was
     // lost, is as good as none.
-    bool own =
-        owner != View.Owners.end() && owner->second.Node == Options.Name;
+    bool own = owner != View.Owners.end() && owner->second.Node == Options.Name;
     if ((owner != View.Owners.end() && !own) || Owned.contains(shard)) {
       VacantSince.erase(shard);
       continue;
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -137,6 +137,32 @@
   return best;
 }
 
+PlacementFaults explainWait(const ShardState &shard, const JobEntry &job,
+                            const model::StepSpec &step, TimePoint now) {
+  PlacementFaults faults;
+  for (const auto &[id, w] : shard.Workers) {
+    if (w->Profile.Service != job.Job.Terms.Service)
+      continue;
+    ++faults.Workers;
+    base::Resources left = w->Profile.Capacity;
+    left -= w->Used;
+    bool noCpu = !step.Filler && count(step.Size.Cpu) > count(left.Cpu);
+    if (shard.ZonesOut.contains(w->Profile.Zone))
+      ++faults.ZoneOut;
+    else if (!step.Requirement.empty() && !hasLabel(*w, step.Requirement))
+      ++faults.NoLabel;
+    else if (!mayServe(shard, job, step, *w, now))
+      ++faults.Unusable;
+    else if (noCpu)
+      ++faults.NoCpu;
+    else if (!fits(*w, step))
+      ++faults.NoMemory;
+    else
+      ++faults.Other;
+  }
+  return faults;
+}
+
 static bool suits(const ShardState &shard, const WorkerState &w,
                   const std::string &filler) {
   for (auto it = w.Serving.begin(); it != w.Serving.end();
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -24,6 +24,8 @@
 constexpr auto StuckTime = 1500ms;
 /// A run that has used no processor for this long is stuck.
 constexpr auto IdleTime = 1500ms;
+/// A step that waits is logged after this time, and again as often.
+constexpr auto WaitLogInterval = 2000ms;
 /// A filler is given this many times as long.
 constexpr int FillerFactor = 3;
 
@@ -109,6 +111,34 @@
       });
 }
 
+/// Logs, now and then, why a step does not go on.
+void ShardState::noteWait(const JobEntry &job, const Occurrence &o,
+                          std::int32_t step, StepEntry &entry, TimePoint now) {
+  if (!entry.WaitsSince)
+    entry.WaitsSince = now;
+  if (now - *entry.WaitsSince < WaitLogInterval ||
+      now - entry.WaitLogged < WaitLogInterval)
+    return;
+  entry.WaitLogged = now;
+  const model::StepSpec &spec =
+      job.Job.Graph.Steps[static_cast<std::size_t>(step)];
+  PlacementFaults why = explainWait(*this, job, spec, now);
+  Events.emit(EventCode::TaskWaits,
+              {{"job", jobText(job.Job.Id)},
+               {"step", std::to_string(o.Number) + "." + std::to_string(step)},
+               {"idle", std::to_string(entry.Idle)},
+               {"waitedMs", std::to_string((now - *entry.WaitsSince) / 1ms)},
+               {"cpu", std::to_string(count(spec.Size.Cpu))},
+               {"memory", std::to_string(count(spec.Size.Memory))},
+               {"workers", std::to_string(why.Workers)},
+               {"unusable", std::to_string(why.Unusable)},
+               {"zoneOut", std::to_string(why.ZoneOut)},
+               {"noLabel", std::to_string(why.NoLabel)},
+               {"noCpu", std::to_string(why.NoCpu)},
+               {"noMemory", std::to_string(why.NoMemory)},
+               {"other", std::to_string(why.Other)}});
+}
+
 void ShardState::startStep(JobEntry &job, Occurrence &o, std::int32_t step,
                            TimePoint now) {
   const model::StepSpec &spec =
@@ -122,6 +152,10 @@
     if (task.Done || !task.Runs.empty())
       continue;
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now);
+    if (!worker)
+      noteWait(job, o, step, entry, now);
+    else
+      entry.WaitsSince.reset();
     if (!worker && !spec.Lasting) {
       // A limit on each worker depends on the job, not on the program.
       if (spec.MaxPerWorker == 0)
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -19,6 +19,23 @@
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *besides, TimePoint now);
 
+/// Why the workers of a shard do not take a task; each counts once.
+struct PlacementFaults {
+  std::int32_t Workers = 0;
+  /// Not listed, not synchronized, draining or avoided for now.
+  std::int32_t Unusable = 0;
+  std::int32_t ZoneOut = 0;
+  std::int32_t NoLabel = 0;
+  std::int32_t NoCpu = 0;
+  std::int32_t NoMemory = 0;
+  /// The step has its largest number of tasks there, or the targets of others
+  /// would suffer.
+  std::int32_t Other = 0;
+};
+
+PlacementFaults explainWait(const ShardState &shard, const JobEntry &job,
+                            const model::StepSpec &step, TimePoint now);
+
 /// Returns how scarce suitable workers are for each waiting filling program,
 /// and sets each worker's sum of them.
 ///
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -64,6 +64,9 @@
   std::int32_t DoneCount = 0;
   /// Tasks without a run that are not done.
   std::int32_t Idle = 0;
+  /// Since when the next task has found no worker, and when that was logged.
+  std::optional<TimePoint> WaitsSince;
+  TimePoint WaitLogged;
 };
 
 struct Occurrence {
@@ -245,6 +248,8 @@
   bool isHopeless(const model::StepSpec &step) const;
   void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
+  void noteWait(const JobEntry &job, const Occurrence &occurrence,
+                std::int32_t step, StepEntry &entry, TimePoint now);
   void startGang(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
   void startTask(JobEntry &job, const TaskKey &key, TaskEntry &task,
--- a/tests/standins/installation/TaskHost.h
+++ b/tests/standins/installation/TaskHost.h
@@ -54,6 +54,8 @@
     dispatch::RunId Id;
     dispatch::RunEnd How = dispatch::RunEnd::Done;
     std::string Checkpoint;
+    /// The worker's lease has lapsed since.
+    bool Lapsed = false;
   };
 
   Awaitable<HttpResponse> handle(HttpRequest request);
