Draw the shard of a job by the room that is left for its sort

Change: the load record tells the room for short, lasting and filling tasks, the queue taken off; a shard is drawn with a chance in proportion to it. Ruled out: waiting for workers after a takeover (unusable 0), memory (noMemory 0). Tests: unit-dispatch-routing.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -49,8 +49,11 @@
 struct ShardLoad {
   /// Jobs without a started task, by queue.
   std::map<std::string, std::int64_t> Pending;
-  base::MilliCores FreeCpu{0};
-  base::MebiBytes FreeMemory{0};
+  /// Processor capacity that is left when the waiting tasks of each sort have
+  /// found room; negative if they do not all fit.
+  base::MilliCores RoomForShort{0};
+  base::MilliCores RoomForLasting{0};
+  base::MilliCores RoomForFillers{0};
 };
 
 /// One term of ownership of a shard. Holds no clock and does no I/O: the caller
--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -37,40 +37,26 @@
   co_return base::success();
 }
 
-/// Returns the shard with the most room, and takes the job's needs off it until
-/// the next load record.
+/// Draws a shard by its room, and takes the job's needs off it until the next
+/// load record.
 std::int32_t JobDesk::chooseShard(const model::AcceptedJob &job) {
-  std::int64_t cpu = 0, memory = 0;
-  bool filler = true;
-  for (const model::StepSpec &it : job.Graph.Steps) {
+  std::vector<std::int64_t> rooms;
+  for (std::int32_t i = 0; i < View.Shards; ++i)
+    rooms.push_back(count(roomFor(Loads[i], job.Graph)));
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::int32_t shard = drawShard(rooms, draw(Random));
+  std::int64_t cpu = 0;
+  for (const model::StepSpec &it : job.Graph.Steps)
     cpu += it.Count * count(it.Size.Cpu);
-    memory += it.Count * count(it.Size.Memory);
-    filler = filler && it.Filler;
-  }
-  std::int32_t best = NextShard++ % View.Shards;
-  std::int64_t bestRoom = INT64_MIN;
-  for (std::int32_t i = 0; i < View.Shards; ++i) {
-    std::int32_t shard = (NextShard + i) % View.Shards;
-    auto it = Loads.find(shard);
-    std::int64_t room = 0;
-    if (it != Loads.end())
-      room = filler ? count(it->second.FreeMemory) : count(it->second.FreeCpu);
-    if (room > bestRoom) {
-      best = shard;
-      bestRoom = room;
-    }
-  }
-  ShardLoad &load = Loads[best];
-  if (!filler)
-    load.FreeCpu = base::MilliCores{count(load.FreeCpu) - cpu};
-  load.FreeMemory = base::MebiBytes{count(load.FreeMemory) - memory};
-  return best;
+  base::MilliCores &room = roomFor(Loads[shard], job.Graph);
+  room = base::MilliCores{count(room) - cpu};
+  return shard;
 }
 
 asio::awaitable<SubmitOutcome> JobDesk::submit(model::AcceptedJob job) {
   if (View.Shards == 0)
     co_return SubmitOutcome::Refused;
-  // Without load records the shards take turns.
+  // Without load records every shard is as likely.
   if (base::Result<void> read = co_await refreshLoads(); !read)
     Loads.clear();
   std::int32_t shard = chooseShard(job);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -1,3 +1,5 @@
+#include "detail/Loads.h"
+#include "detail/Placement.h"
 #include "detail/ShardState.h"
 
 #include <algorithm>
@@ -301,20 +303,37 @@
 
 std::size_t Shard::liveJobs() const { return Self->Live.size(); }
 
+/// Takes the needs of a job's idle tasks off the room of their sort.
+static void takeWaiting(const JobEntry &job, ShardLoad &load) {
+  base::MilliCores &room = detail::roomFor(load, job.Job.Graph);
+  for (const auto &[number, o] : job.Occurrences)
+    for (std::size_t i = 0; i < o.Steps.size(); ++i)
+      room = base::MilliCores{count(room) -
+                              o.Steps[i].Idle *
+                                  count(job.Job.Graph.Steps[i].Size.Cpu)};
+}
+
 ShardLoad Shard::load() const {
   ShardLoad load;
-  for (const JobEntry *it : Self->Live)
-    if (it->isLive() && !it->Started)
-      ++load.Pending[it->Job.Queue];
-  std::int64_t cpu = 0, memory = 0;
+  std::int64_t free = 0, lasting = 0, leftover = 0;
   for (const auto &[id, w] : Self->Workers) {
     if (!w->isUsable() || Self->ZonesOut.contains(w->Profile.Zone))
       continue;
-    cpu += count(w->Profile.Capacity.Cpu) - count(w->Used.Cpu);
-    memory += count(w->Profile.Capacity.Memory) - count(w->Used.Memory);
+    std::int64_t capacity = count(w->Profile.Capacity.Cpu);
+    free += capacity - count(w->Used.Cpu);
+    lasting += capacity - w->LastingCpu;
+    leftover += static_cast<std::int64_t>(detail::leftover(*w)) - w->FillerCpu;
+  }
+  load.RoomForShort = base::MilliCores{free};
+  load.RoomForLasting = base::MilliCores{lasting};
+  load.RoomForFillers = base::MilliCores{leftover};
+  for (const JobEntry *it : Self->Live) {
+    if (!it->isLive())
+      continue;
+    if (!it->Started)
+      ++load.Pending[it->Job.Queue];
+    takeWaiting(*it, load);
   }
-  load.FreeCpu = base::MilliCores{cpu};
-  load.FreeMemory = base::MebiBytes{memory};
   return load;
 }
 
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -33,9 +33,7 @@
          taken.Accelerators + step.Size.Accelerators <= all.Accelerators;
 }
 
-/// Processor time that fillers on the worker can expect, in thousandths of a
-/// core.
-static double leftover(const WorkerState &w) {
+double leftover(const WorkerState &w) {
   double serving = static_cast<double>(w.LastingCpu);
   double others = static_cast<double>(count(w.Used.Cpu)) - serving;
   return static_cast<double>(count(w.Profile.Capacity.Cpu)) - others -
--- a/packages/dispatch/src/detail/JobDesk.h
+++ b/packages/dispatch/src/detail/JobDesk.h
@@ -9,6 +9,8 @@
 #include "endivedoor/base/Clock.h"
 #include "endivedoor/dispatch/DispatchNode.h"
 
+#include <random>
+
 namespace endivedoor::dispatch::detail {
 
 class JobDesk {
@@ -30,7 +32,7 @@
   const NodeView &View;
   std::map<std::int32_t, ShardLoad> Loads;
   base::TimePoint LoadsRead{};
-  std::int32_t NextShard = 0;
+  std::mt19937_64 Random{std::random_device{}()};
 };
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -10,6 +10,10 @@
 /// Tasks of one step on each worker.
 using StepCounts = std::map<const WorkerState *, std::int32_t>;
 
+/// Returns the processor time that fillers on the worker can expect, in
+/// thousandths of a core.
+double leftover(const WorkerState &w);
+
 /// Returns the best worker for one more task of a step, or null if none may run
 /// it now.
 ///
