Keep a worker's shard while its entry is away; show begun jobs as running

Change: a worker stays in the assignment for 60 s after its entry has gone. Ruled out: room (no event 7536 after 55 s), the store (no rejected calls). Also: a job that has begun is marked in the index, in a commit that happens anyway, and is shown as running. Tests: WorkerThatReturns_KeepsItsShard, seen to fail before; BegunJob_IsShownAsRunning, MarkWithoutAnswer_JobEnds.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -76,6 +76,13 @@
   JobProgress Progress;
 };
 
+/// The note in the index that a job has begun.
+struct BeginMark {
+  model::JobNumber Job{0};
+  /// Revision that the index must have.
+  std::int64_t Revision = 0;
+};
+
 /// A worker that runs of a shard may be on.
 struct RosterEntry {
   base::WorkerId Id;
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -126,6 +126,12 @@
   /// The writes were not applied and are due again.
   void onNotStored(const std::vector<JobWrite> &writes);
   bool hasWrites() const;
+  /// Returns jobs that have begun and are not marked so, at most \p limit. They
+  /// wait for a commit that happens anyway.
+  std::vector<BeginMark> takeMarks(std::size_t limit);
+  /// \param marks stored with their new revisions, or not stored and due again
+  /// with the revisions that the index has.
+  void onMarked(const std::vector<BeginMark> &marks, bool stored);
   /// A job that had ended here was cancelled before its end was stored.
   void cancelFinished(model::JobNumber job);
 
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -30,6 +30,9 @@
 constexpr auto RankDelay = 80ms;
 /// Head start of the last owner, whose lease may have lapsed in an outage.
 constexpr auto LastOwnerDelay = 200ms;
+/// A worker keeps its shard for this long after its entry has gone. Longer than
+/// any lease on it, an outage of the store and the reading of all entries.
+constexpr auto AbsentTime = 60s;
 /// A node that has just started leaves each further vacant shard to others for
 /// this long: after a power failure they start within a second of each other.
 constexpr auto StartDelay = 400ms;
@@ -56,6 +59,8 @@
   std::set<std::int32_t> Claiming;
   std::map<base::WorkerId, model::WorkerProfile> Workers;
   std::set<base::ZoneId> ZonesOut;
+  /// Assigned workers without an entry.
+  std::map<base::WorkerId, TimePoint> AbsentSince;
   TimePoint WorkersChanged;
   TimePoint LastWord;
   TimePoint Started;
@@ -249,10 +254,17 @@
     capacity[i] = 0;
   std::map<base::WorkerId, std::int32_t> next;
   bool changed = false;
+  TimePoint now = Time.now();
   for (const auto &[id, shard] : View.Assignment) {
     auto it = Workers.find(id);
-    if (it == Workers.end())
+    if (it == Workers.end()) {
+      // An owner that goes on using a worker which another shard was given
+      // would fence it, and be fenced, without end.
+      if (now - AbsentSince.try_emplace(id, now).first->second < AbsentTime)
+        next[id] = shard;
       continue;
+    }
+    AbsentSince.erase(id);
     next[id] = shard;
     capacity[shard] += count(it->second.Capacity.Cpu);
     inZone[{shard, it->second.Zone}] += count(it->second.Capacity.Cpu);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -299,6 +299,41 @@
     entry->State = JobState::Cancelled;
 }
 
+std::vector<BeginMark> Shard::takeMarks(std::size_t limit) {
+  detail::ShardState &s = *Self;
+  std::vector<BeginMark> marks;
+  for (std::size_t left = s.Begun.size(); left > 0 && marks.size() < limit;
+       --left) {
+    JobEntry *job = s.findJob(s.Begun.front());
+    s.Begun.pop_front();
+    if (!job || !job->isLive())
+      continue;
+    // A commit must not depend on its own writes.
+    if (job->InWrite) {
+      s.Begun.push_back(job->Job.Id);
+      continue;
+    }
+    job->InWrite = true;
+    marks.push_back({job->Job.Id, job->IndexRevision});
+  }
+  return marks;
+}
+
+void Shard::onMarked(const std::vector<BeginMark> &marks, bool stored) {
+  detail::ShardState &s = *Self;
+  for (const BeginMark &it : marks) {
+    JobEntry *job = s.findJob(it.Job);
+    if (!job)
+      continue;
+    job->InWrite = false;
+    job->IndexRevision = it.Revision;
+    if (!stored)
+      s.Begun.push_back(it.Job);
+    if (job->Version != job->StoredVersion)
+      s.Dirty.push_back(it.Job);
+  }
+}
+
 bool Shard::hasWrites() const { return !Self->Dirty.empty(); }
 
 std::size_t Shard::liveJobs() const { return Self->Live.size(); }
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -59,8 +59,12 @@
   task.LastRun = number;
   task.Runs.push_back(run);
   ++job.Runs;
-  if (!job.Started)
+  if (!job.Started) {
     Times.observeFirstStart(now - job.Accepted);
+    // The revision of an inherited job's index is not known.
+    if (!job.Inherited)
+      Begun.push_back(job.Job.Id);
+  }
   job.Started = true;
   RunId id{key, number};
   reserve(worker, id, step);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -37,6 +37,8 @@
 constexpr auto HoldRetry = 300ms;
 /// Entries of a commit for one job: two conditions or writes, two deletes.
 constexpr std::size_t EntriesOfJob = 4;
+/// Entries of a mark that a job has begun: a condition and a write.
+constexpr std::size_t EntriesOfMark = 2;
 /// The owner's condition and the load record.
 constexpr std::size_t FixedEntries = 2;
 constexpr std::size_t JobsOfCommit =
@@ -383,6 +385,21 @@
   commit.Deletes.push_back(keys::progress(shard, it.Job));
 }
 
+/// Adds marks of begun jobs to a commit that has room for them.
+std::vector<BeginMark> ShardRunner::addMarks(Commit &commit) {
+  std::size_t entries =
+      commit.Conditions.size() + commit.Writes.size() + commit.Deletes.size();
+  std::vector<BeginMark> marks =
+      State.takeMarks((MaxCommitEntries - entries) / EntriesOfMark);
+  for (const BeginMark &it : marks) {
+    commit.Conditions.push_back({keys::index(it.Job), it.Revision});
+    commit.Writes.push_back(
+        {keys::index(it.Job),
+         encodeIndex({Current.Shard, model::JobState::Running})});
+  }
+  return marks;
+}
+
 asio::awaitable<void> ShardRunner::commitOnce() {
   co_await storeRoster();
   if (Stopped)
@@ -395,29 +412,35 @@
   addLoad(commit);
   if (commit.Writes.empty() && commit.Deletes.empty())
     co_return;
+  std::vector<BeginMark> marks = addMarks(commit);
   TimePoint sent = Context.Time.now();
   base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
   if (Stopped)
     co_return;
   if (!done) {
     State.onNotStored(writes);
+    State.onMarked(marks, false);
     co_await sleepFor(CommitRetry);
     co_return;
   }
   if (!done.value().Applied)
-    co_return onConflict(writes, done.value());
+    co_return onConflict(writes, marks, done.value());
   Context.StoreAnswered(sent);
-  if (!commit.Writes.empty() &&
-      commit.Writes.back().Key == keys::load(Current.Shard)) {
-    StoredLoad = commit.Writes.back().Value;
-    LoadStored = sent;
-  }
+  for (const Write &it : commit.Writes)
+    if (it.Key == keys::load(Current.Shard)) {
+      StoredLoad = it.Value;
+      LoadStored = sent;
+    }
+  for (BeginMark &it : marks)
+    it.Revision = done.value().Revision;
+  State.onMarked(marks, true);
   for (JobWrite &it : writes)
     it.Revision = done.value().Revision;
   State.onStored(writes, Context.Time.now());
 }
 
 void ShardRunner::onConflict(std::vector<JobWrite> &writes,
+                             std::vector<BeginMark> &marks,
                              const CommitOutcome &outcome) {
   std::map<std::string, StoredItem> current;
   for (const StoredItem &it : outcome.Current)
@@ -450,10 +473,24 @@
     base::Result<JobIndex> index = item == current.end()
                                        ? base::Result<JobIndex>(JobIndex{})
                                        : decodeIndex(item->second.Value);
+    // A mark whose answer was lost, or of an earlier owner.
+    if (index && item != current.end() && !isFinal(index.value().State)) {
+      again.push_back(it);
+      continue;
+    }
     if (index && index.value().State == model::JobState::Cancelled)
       State.cancelFinished(it.Job);
     stored.push_back(it);
   }
+  std::vector<BeginMark> unmarked;
+  std::vector<BeginMark> marked;
+  for (BeginMark &it : marks) {
+    auto item = current.find(keys::index(it.Job));
+    std::int64_t revision = item == current.end() ? 0 : item->second.Revision;
+    (revision == it.Revision ? unmarked : marked).push_back({it.Job, revision});
+  }
+  State.onMarked(unmarked, false);
+  State.onMarked(marked, true);
   State.onNotStored(again);
   State.onStored(stored, Context.Time.now());
 }
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -64,7 +64,9 @@
   boost::asio::awaitable<void> commitOnce();
   boost::asio::awaitable<void> storeRoster();
   void addLoad(Commit &commit);
-  void onConflict(std::vector<JobWrite> &writes, const CommitOutcome &outcome);
+  std::vector<BeginMark> addMarks(Commit &commit);
+  void onConflict(std::vector<JobWrite> &writes, std::vector<BeginMark> &marks,
+                  const CommitOutcome &outcome);
   boost::asio::awaitable<void> holdLoop(base::WorkerId worker);
   void spawnHolds();
   boost::asio::awaitable<void> carryOut(Order order);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -206,6 +206,8 @@
   std::map<base::WorkerId, std::unique_ptr<WorkerState>> Workers;
   std::set<base::ZoneId> ZonesOut;
   std::deque<JobNumber> Dirty;
+  /// Jobs that have begun, to be marked so in the index.
+  std::deque<JobNumber> Begun;
   std::vector<Order> Outbox;
   /// Steps that found no worker in the present plan; larger ones of the same
   /// program are not tried.
--- a/tests/support/StoreInMemory.h
+++ b/tests/support/StoreInMemory.h
@@ -36,6 +36,10 @@
   }
   void erase(const std::string &key) { apply({{}, {}, {key}}); }
   bool has(const std::string &key) const { return Items.contains(key); }
+  std::string valueOf(const std::string &key) const {
+    auto it = Items.find(key);
+    return it == Items.end() ? std::string() : it->second.Value;
+  }
   /// Removes the keys of a lease, like a lapse.
   void lapse(dispatch::StoreLease lease) {
     std::vector<std::string> keys;
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -31,6 +31,9 @@
   std::map<base::WorkerId, std::vector<dispatch::EndedTask>> Ends;
   std::map<base::WorkerId, base::FencingToken> Tokens;
   std::map<dispatch::RunId, int> Starts;
+  /// Tasks run on instead of ending.
+  bool Busy = false;
+  std::map<base::WorkerId, std::vector<dispatch::RunningTask>> Running;
 
   Async<dispatch::HoldReport> hold(dispatch::WorkerRef to,
                                    dispatch::HoldRequest request,
@@ -42,6 +45,7 @@
     Tokens[to.Id] = std::max(Tokens[to.Id], request.Token);
     report.Clock = 1000ms;
     report.Born = 1ms;
+    report.Running = Running[to.Id];
     for (const dispatch::EndedTask &it : Ends[to.Id])
       if (it.Number > request.LastSeen)
         report.Ended.push_back(it);
@@ -53,6 +57,10 @@
     if (request.Token < Tokens[to.Id])
       co_return dispatch::OrderAnswer::Fenced;
     ++Starts[request.Id];
+    if (Busy) {
+      Running[to.Id].push_back({request.Id, "", 100, 0, false});
+      co_return dispatch::OrderAnswer::Done;
+    }
     std::vector<dispatch::EndedTask> &ends = Ends[to.Id];
     ends.push_back({static_cast<std::int64_t>(ends.size()) + 1, request.Id,
                     dispatch::RunEnd::Done, ""});
@@ -171,6 +179,38 @@
   Store.LostCommits = 0;
 }
 
+// Callers ask whether a job has begun; a cancellation must get through beside
+// the mark that it has.
+TEST_F(DispatchNodeCalls, BegunJob_IsShownAsRunning) {
+  Workers.Busy = true;
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_TRUE(runUntil([&] { return stateOf(node, 1) == JobState::Running; }));
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  EXPECT_EQ(stateOf(node, 1), JobState::Cancelled);
+}
+
+// A mark that took effect without an answer must not hide the job's end.
+TEST_F(DispatchNodeCalls, MarkWithoutAnswer_JobEnds) {
+  Workers.Busy = true;
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.submit(job(1, 1))), SubmitOutcome::Accepted);
+  Store.LoseAnswerFor = dispatch::keys::index(JobNumber{1});
+  ASSERT_TRUE(runUntil([&] { return Store.LoseAnswerFor.empty(); }));
+  Workers.Busy = false;
+  for (auto &[worker, running] : Workers.Running) {
+    for (const dispatch::RunningTask &it : running)
+      Workers.Ends[worker].push_back(
+          {static_cast<std::int64_t>(Workers.Ends[worker].size()) + 1, it.Id,
+           dispatch::RunEnd::Done, ""});
+    running.clear();
+  }
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
+}
+
 TEST_F(DispatchNodeCalls, StoreAway_JobIsRefusedAndNeverRuns) {
   DispatchNode &node = join("n1");
   ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
@@ -285,6 +325,29 @@
       1500ms));
 }
 
+// A worker whose entry comes and goes must stay with its shard: two owners of
+// one worker fence each other without end.
+TEST_F(DispatchNodeOwnership, WorkerThatReturns_KeepsItsShard) {
+  Store.put(dispatch::keys::layout(), R"({"shards":3})");
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] {
+    return Store.valueOf(dispatch::keys::assignment()).find("w2") !=
+           std::string::npos;
+  }));
+  std::string before = Store.valueOf(dispatch::keys::assignment());
+  node.withdrawWorker(base::WorkerId("w1"));
+  // A new worker makes the assignment be stored again.
+  model::WorkerProfile added;
+  added.Id = base::WorkerId("w9");
+  added.Service = base::ServiceName("desk");
+  added.Zone = base::ZoneId("a");
+  node.offerWorker(added);
+  ASSERT_TRUE(runUntil(
+      [&] { return Store.valueOf(dispatch::keys::assignment()) != before; }));
+  EXPECT_NE(Store.valueOf(dispatch::keys::assignment()).find("w1"),
+            std::string::npos);
+}
+
 TEST_F(DispatchNodeOwnership, SmallOwner_HandsOverToALargerNode) {
   DispatchNode &small = join("n1", 0.1);
   ASSERT_TRUE(runUntil([&] { return small.ownedShards() == 1; }));
