Orders that may have reached a worker's new life are in doubt, not lost

A start that was sent in between ran in the new life; then the entry of the new life arrived, all runs there counted as lost, and the task was started on w-0 beside it: TWICE. Change: only runs that the earlier life has shown are lost; others are in doubt until the new life's list tells. Ruled out: the lease (it had 5 s left). Tests: StartInANewLife_IsNotRepeated, seen to fail before; RunOfAnEarlierLife_StartsElsewhereAtOnce.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -90,6 +90,45 @@
                                       {"runs", std::to_string(lost.size())}});
 }
 
+void ShardState::beginLife(WorkerState &worker, const char *cause,
+                           TimePoint now) {
+  std::vector<RunId> lost;
+  for (const auto &[id, held] : worker.Runs) {
+    JobEntry *job = nullptr;
+    TaskEntry *task = findTask(id.Task, &job);
+    if (!task)
+      continue;
+    for (Run &it : task->Runs) {
+      if (it.Number != id.Run || it.Where != &worker)
+        continue;
+      bool earlier = it.Phase != RunPhase::Starting &&
+                     it.Phase != RunPhase::Doubtful && worker.Clock &&
+                     it.Since < worker.Clock->At;
+      if (earlier) {
+        lost.push_back(id);
+        continue;
+      }
+      // The order may have reached the new life, whose list will tell.
+      it.Phase = RunPhase::Doubtful;
+      it.Since = now;
+    }
+  }
+  for (const RunId &it : lost)
+    if (JobEntry *job = findJob(it.Task.Job))
+      removeRun(*job, it.Task, it.Run);
+  worker.Strays.clear();
+  worker.Synced = false;
+  worker.Clock.reset();
+  worker.Promised = WorkerTime{0};
+  worker.ProcessedEnds = worker.LastSeen = 0;
+  worker.PendingEnds.clear();
+  Events.emit(EventCode::RunsLost,
+              {{"worker", worker.Profile.Id.str()},
+               {"cause", cause},
+               {"runs", std::to_string(lost.size())},
+               {"doubtful", std::to_string(worker.Runs.size())}});
+}
+
 void ShardState::processEnd(WorkerState &worker, const EndedTask &end,
                             TimePoint now) {
   worker.ProcessedEnds = end.Number;
@@ -293,7 +332,7 @@
   }
 }
 
-void Shard::offerWorker(const model::WorkerProfile &profile, base::TimePoint) {
+void Shard::offerWorker(const model::WorkerProfile &profile, TimePoint now) {
   detail::ShardState &s = *Self;
   auto &entry = s.Workers[profile.Id];
   if (!entry)
@@ -311,14 +350,8 @@
   w.Profile = profile;
   w.Profile.Born = born;
   w.Listed = true;
-  if (reborn) {
-    s.loseRuns(w, "the worker has started anew");
-    w.Synced = false;
-    w.Clock.reset();
-    w.Promised = WorkerTime{0};
-    w.ProcessedEnds = w.LastSeen = 0;
-    w.PendingEnds.clear();
-  }
+  if (reborn)
+    s.beginLife(w, "the worker has started anew", now);
 }
 
 void Shard::withdrawWorker(const base::WorkerId &worker) {
@@ -409,19 +442,15 @@
     s.Fenced = true;
     return;
   }
-  bool reborn = report.WrongLife ||
-                (w.Profile.Born.count() != 0 && report.Born.count() != 0 &&
-                 report.Born != w.Profile.Born);
-  if (reborn) {
-    s.loseRuns(w, "another life of the worker answered");
-    w.Synced = false;
-    w.Clock.reset();
-    w.Promised = WorkerTime{0};
-    w.ProcessedEnds = w.LastSeen = 0;
-    w.PendingEnds.clear();
-    if (report.WrongLife)
-      return;
+  if (report.WrongLife) {
+    // Orders name the worker, so none has reached another one.
+    s.loseRuns(w, "another worker answered");
+    s.beginLife(w, "another worker answered", received);
+    return;
   }
+  if (w.Profile.Born.count() != 0 && report.Born.count() != 0 &&
+      report.Born != w.Profile.Born)
+    s.beginLife(w, "another life of the worker answered", received);
   if (!w.Reachable) {
     w.Reachable = true;
     s.Events.emit(base::EventCode::WorkerHeard, {{"worker", worker.str()}});
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -76,6 +76,46 @@
   EXPECT_TRUE(plan().empty());
 }
 
+// A start that reaches a worker just after its crash runs in the new life. Soak
+// seed 13: the entry of the new life came later, and the task was started
+// again.
+TEST_F(ShardStart, StartInANewLife_IsNotRepeated) {
+  join("w1");
+  Owned.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  confirm(orders);
+  model::WorkerProfile reborn = worker("w1");
+  reborn.Born = 2000ms;
+  Owned.offerWorker(reborn, now());
+  join("w2");
+  EXPECT_TRUE(plan().empty());
+  HoldReport report;
+  report.Born = 2000ms;
+  report.Running.push_back(running(1, 0, orders[0].Id.Run));
+  hold("w1", report);
+  Time.advance(1s);
+  EXPECT_TRUE(plan().empty());
+  EXPECT_TRUE(plan(Order::Kind::Stop).empty());
+}
+
+TEST_F(ShardStart, RunOfAnEarlierLife_StartsElsewhereAtOnce) {
+  join("w1");
+  Owned.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  confirm(orders);
+  Time.advance(50ms);
+  HoldReport report;
+  report.Running.push_back(running(1, 0, orders[0].Id.Run));
+  hold("w1", report);
+  join("w2");
+  model::WorkerProfile reborn = worker("w1");
+  reborn.Born = 2000ms;
+  Owned.offerWorker(reborn, now());
+  EXPECT_EQ(plan().size(), 1u);
+}
+
 // The size of a run of a job that has ended is not known.
 TEST_F(ShardTakeover, StrayRun_KeepsItsWorkerFromStarts) {
   HoldReport report;
