Route jobs only to shards whose workers can run every step

Change: the shard is drawn among those with suitable workers, its room weighted by their share. Tests: RoutingSuitable (3).

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -57,8 +57,7 @@
   std::map<std::int32_t, std::shared_ptr<ShardRunner>> Owned;
   std::map<std::int32_t, TimePoint> VacantSince;
   std::set<std::int32_t> Claiming;
-  std::map<base::WorkerId, model::WorkerProfile> Workers;
-  std::set<base::ZoneId> ZonesOut;
+  detail::WorkerView Workers;
   /// Assigned workers without an entry.
   std::map<base::WorkerId, TimePoint> AbsentSince;
   TimePoint WorkersChanged;
@@ -85,7 +84,7 @@
                   events),
         WorkersChanged(clock.now()), LastWord(clock.now()),
         Started(clock.now()), LastHandover(clock.now()),
-        Desk(store, clock, View) {}
+        Desk(store, clock, View, Workers) {}
 
   void onDirectory(const StoredItem &item);
   void onDeparture(const std::string &key);
@@ -126,7 +125,7 @@
 }
 
 void DispatchNode::Impl::distribute(ShardRunner &runner) {
-  for (const auto &[id, worker] : Workers)
+  for (const auto &[id, worker] : Workers.Profiles)
     if (belongsTo(id, runner.term().Shard))
       runner.offerWorker(worker);
 }
@@ -233,11 +232,12 @@
 }
 
 asio::awaitable<void> DispatchNode::Impl::storeLayout() {
-  if (Workers.empty() || Time.now() - WorkersChanged < SettleTime)
+  if (Workers.Profiles.empty() || Time.now() - WorkersChanged < SettleTime)
     co_return;
   auto shards = std::max<std::int32_t>(
-      1, static_cast<std::int32_t>(std::lround(
-             static_cast<double>(Workers.size()) / Options.WorkersPerShard)));
+      1, static_cast<std::int32_t>(
+             std::lround(static_cast<double>(Workers.Profiles.size()) /
+                         Options.WorkersPerShard)));
   Commit commit;
   commit.Conditions = {{keys::layout(), 0}};
   commit.Writes = {{keys::layout(), detail::encodeLayout(shards)}};
@@ -256,8 +256,8 @@
   bool changed = false;
   TimePoint now = Time.now();
   for (const auto &[id, shard] : View.Assignment) {
-    auto it = Workers.find(id);
-    if (it == Workers.end()) {
+    auto it = Workers.Profiles.find(id);
+    if (it == Workers.Profiles.end()) {
       // An owner that goes on using a worker which another shard was given
       // would fence it, and be fenced, without end.
       if (now - AbsentSince.try_emplace(id, now).first->second < AbsentTime)
@@ -269,7 +269,7 @@
     capacity[shard] += count(it->second.Capacity.Cpu);
     inZone[{shard, it->second.Zone}] += count(it->second.Capacity.Cpu);
   }
-  for (const auto &[id, profile] : Workers) {
+  for (const auto &[id, profile] : Workers.Profiles) {
     if (next.contains(id))
       continue;
     const model::WorkerProfile &worker = profile;
@@ -354,7 +354,7 @@
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
   Times.setShards(Owned.size());
-  runner->setZonesOut(ZonesOut);
+  runner->setZonesOut(Workers.ZonesOut);
   distribute(*runner);
   runner->start();
 }
@@ -479,24 +479,24 @@
 }
 
 void DispatchNode::setZonesOut(std::set<base::ZoneId> zones) {
-  if (zones == Self->ZonesOut)
+  if (zones == Self->Workers.ZonesOut)
     return;
-  Self->ZonesOut = std::move(zones);
+  Self->Workers.ZonesOut = std::move(zones);
   for (const auto &[shard, runner] : Self->Owned)
-    runner->setZonesOut(Self->ZonesOut);
+    runner->setZonesOut(Self->Workers.ZonesOut);
 }
 
 void DispatchNode::offerWorker(const model::WorkerProfile &worker) {
-  if (!Self->Workers.contains(worker.Id))
+  if (!Self->Workers.Profiles.contains(worker.Id))
     Self->WorkersChanged = Self->Time.now();
-  Self->Workers[worker.Id] = worker;
+  Self->Workers.Profiles[worker.Id] = worker;
   for (const auto &[shard, runner] : Self->Owned)
     if (Self->belongsTo(worker.Id, shard))
       runner->offerWorker(worker);
 }
 
 void DispatchNode::withdrawWorker(const base::WorkerId &worker) {
-  Self->Workers.erase(worker);
+  Self->Workers.Profiles.erase(worker);
   for (const auto &[shard, runner] : Self->Owned)
     runner->withdrawWorker(worker);
 }
--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -37,14 +37,28 @@
   co_return base::success();
 }
 
-/// Draws a shard by its room, and takes the job's needs off it until the next
-/// load record.
+/// Draws a shard by its room, of those with suitable workers, and takes the
+/// job's needs off it until the next load record.
 std::int32_t JobDesk::chooseShard(const model::AcceptedJob &job) {
+  if (View.Shards == 1)
+    return 0;
+  std::vector<double> shares = suitableShares(View, Workers, job);
+  bool any = std::any_of(shares.begin(), shares.end(),
+                         [](double it) { return it > 0; });
+  std::vector<std::int32_t> shards;
   std::vector<std::int64_t> rooms;
-  for (std::int32_t i = 0; i < View.Shards; ++i)
-    rooms.push_back(count(roomFor(Loads[i], job.Graph)));
+  for (std::int32_t i = 0; i < View.Shards; ++i) {
+    double share = shares[static_cast<std::size_t>(i)];
+    if (any && share == 0)
+      continue;
+    std::int64_t room = count(roomFor(Loads[i], job.Graph));
+    shards.push_back(i);
+    rooms.push_back(room > 0 && any ? static_cast<std::int64_t>(
+                                          static_cast<double>(room) * share)
+                                    : room);
+  }
   std::uniform_real_distribution<double> draw(0, 1);
-  std::int32_t shard = drawShard(rooms, draw(Random));
+  std::int32_t shard = shards[drawShard(rooms, draw(Random))];
   std::int64_t cpu = 0;
   for (const model::StepSpec &it : job.Graph.Steps)
     cpu += it.Count * count(it.Size.Cpu);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -1,5 +1,5 @@
-#include "detail/Loads.h"
 #include "detail/Placement.h"
+#include "detail/Routing.h"
 #include "detail/ShardState.h"
 
 #include <algorithm>
--- /dev/null
+++ b/packages/dispatch/src/Routing.cpp
@@ -0,0 +1,83 @@
+#include "detail/Routing.h"
+
+#include <algorithm>
+
+namespace endivedoor::dispatch::detail {
+
+base::MilliCores &roomFor(ShardLoad &load, const model::JobGraph &graph) {
+  if (!graph.Steps.empty() && graph.Steps.front().Lasting)
+    return load.RoomForLasting;
+  bool fills = std::all_of(graph.Steps.begin(), graph.Steps.end(),
+                           [](const model::StepSpec &it) { return it.Filler; });
+  return fills ? load.RoomForFillers : load.RoomForShort;
+}
+
+static bool canRun(const model::WorkerProfile &worker,
+                   const model::StepSpec &step) {
+  const std::vector<std::string> &labels = worker.Labels;
+  bool hasLabel =
+      step.Requirement.empty() ||
+      std::find(labels.begin(), labels.end(), step.Requirement) != labels.end();
+  return hasLabel && step.Size.fitsIn(worker.Capacity);
+}
+
+std::vector<double> suitableShares(const NodeView &view,
+                                   const WorkerView &workers,
+                                   const model::AcceptedJob &job) {
+  auto shards = static_cast<std::size_t>(view.Shards);
+  const std::vector<model::StepSpec> &steps = job.Graph.Steps;
+  std::vector<std::int32_t> all(shards);
+  // Suitable workers by shard, then step.
+  std::vector<std::vector<std::int32_t>> suitable(
+      shards, std::vector<std::int32_t>(steps.size()));
+  for (const auto &[id, shard] : view.Assignment) {
+    auto it = workers.Profiles.find(id);
+    if (it == workers.Profiles.end() || shard < 0 || shard >= view.Shards)
+      continue;
+    const model::WorkerProfile &worker = it->second;
+    auto number = static_cast<std::size_t>(shard);
+    if (worker.Service != job.Terms.Service)
+      continue;
+    ++all[number];
+    if (worker.Draining || workers.ZonesOut.contains(worker.Zone))
+      continue;
+    for (std::size_t i = 0; i < steps.size(); ++i)
+      suitable[number][i] += canRun(worker, steps[i]);
+  }
+  std::vector<double> shares(shards);
+  for (std::size_t i = 0; i < shards; ++i) {
+    std::int32_t least = all[i];
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      std::int32_t count = suitable[i][s];
+      // Tasks that must run side by side need as many places.
+      bool together = steps[s].Lasting || steps[s].Gang;
+      if (together && steps[s].MaxPerWorker > 0 &&
+          count * steps[s].MaxPerWorker < steps[s].Count)
+        count = 0;
+      least = std::min(least, count);
+    }
+    shares[i] = all[i] > 0 ? static_cast<double>(least) / all[i] : 0;
+  }
+  return shares;
+}
+
+/// Share of the largest difference in room that the fullest shard counts with:
+/// records are up to 2 s old, so it may have room again.
+constexpr double LeastShare = 0.02;
+
+std::size_t drawShard(const std::vector<std::int64_t> &rooms, double draw) {
+  auto [least, most] = std::minmax_element(rooms.begin(), rooms.end());
+  double spread = static_cast<double>(*most - *least);
+  double base = std::max(1.0, spread * LeastShare);
+  // Room below 0 is a queue: only how much longer it is counts.
+  double floor = std::min(0.0, static_cast<double>(*least));
+  std::vector<double> sums;
+  double sum = 0;
+  for (std::int64_t it : rooms)
+    sums.push_back(sum += static_cast<double>(it) - floor + base);
+  auto at = std::upper_bound(sums.begin(), sums.end(), draw * sum);
+  return static_cast<std::int32_t>(std::min<std::ptrdiff_t>(
+      at - sums.begin(), static_cast<std::ptrdiff_t>(sums.size()) - 1));
+}
+
+} // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/detail/JobDesk.h
+++ b/packages/dispatch/src/detail/JobDesk.h
@@ -4,7 +4,7 @@
 #define ENDIVEDOOR_DISPATCH_SRC_DETAIL_JOBDESK_H
 
 #include "detail/Loads.h"
-#include "detail/NodeRecords.h"
+#include "detail/Routing.h"
 
 #include "endivedoor/base/Clock.h"
 #include "endivedoor/dispatch/DispatchNode.h"
@@ -15,8 +15,9 @@
 
 class JobDesk {
 public:
-  JobDesk(MetadataStore &store, const base::Clock &clock, const NodeView &view)
-      : Store(store), Time(clock), View(view) {}
+  JobDesk(MetadataStore &store, const base::Clock &clock, const NodeView &view,
+          const WorkerView &workers)
+      : Store(store), Time(clock), View(view), Workers(workers) {}
 
   boost::asio::awaitable<SubmitOutcome> submit(model::AcceptedJob job);
   boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job);
@@ -30,6 +31,7 @@
   MetadataStore &Store;
   const base::Clock &Time;
   const NodeView &View;
+  const WorkerView &Workers;
   std::map<std::int32_t, ShardLoad> Loads;
   base::TimePoint LoadsRead{};
   std::mt19937_64 Random{std::random_device{}()};
--- a/packages/dispatch/src/detail/Loads.h
+++ b/packages/dispatch/src/detail/Loads.h
@@ -11,17 +11,6 @@
 /// Errors: ParseFailed.
 base::Result<ShardLoad> decodeLoad(const std::string &text);
 
-/// Returns the room that a shard has for jobs like \p graph.
-base::MilliCores &roomFor(ShardLoad &load, const model::JobGraph &graph);
-
-/// Draws a shard with a chance in proportion to its room over that of the
-/// fullest one. Nodes that choose at the same time from the same records must
-/// not all choose the same shard.
-///
-/// \param rooms of the shards in order; not empty.
-/// \param draw a number from 0 up to 1.
-std::int32_t drawShard(const std::vector<std::int64_t> &rooms, double draw);
-
 } // namespace endivedoor::dispatch::detail
 
 #endif
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -236,8 +236,8 @@
   void adopt(WorkerState &worker, const RunningTask &row, TimePoint now);
   /// Everything on the worker has ended without leaving an end.
   void loseRuns(WorkerState &worker, const char *cause);
-  /// The worker has started anew. What its earlier life ran is gone; orders that
-  /// may have reached the new life are in doubt.
+  /// The worker has started anew. What its earlier life ran is gone; orders
+  /// that may have reached the new life are in doubt.
   void beginLife(WorkerState &worker, const char *cause, TimePoint now);
   void reserve(WorkerState &worker, const RunId &run,
                const model::StepSpec &step);
--- a/tests/unit/unit-dispatch-routing.cpp
+++ b/tests/unit/unit-dispatch-routing.cpp
@@ -2,6 +2,7 @@
 // from the same records must neither all choose the same shard nor fill a shard
 // beyond what it holds while others have room.
 #include "detail/Loads.h"
+#include "detail/Routing.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -19,8 +20,7 @@
   std::vector<int> jobs(rooms.size());
   constexpr int draws = 10000;
   for (int i = 0; i < draws; ++i)
-    ++jobs[static_cast<std::size_t>(
-        drawShard(rooms, static_cast<double>(i) / draws))];
+    ++jobs[drawShard(rooms, static_cast<double>(i) / draws)];
   EXPECT_GT(jobs[1], jobs[0]);
   EXPECT_GT(jobs[0], jobs[2]);
   EXPECT_GT(jobs[2], jobs[3]);
@@ -33,8 +33,7 @@
   std::uniform_real_distribution<double> draw(0, 1);
   std::vector<int> jobs(7);
   for (int i = 0; i < 160; ++i)
-    ++jobs[static_cast<std::size_t>(
-        drawShard(std::vector<std::int64_t>(7, 2'000'000), draw(random)))];
+    ++jobs[drawShard(std::vector<std::int64_t>(7, 2'000'000), draw(random))];
   for (int it : jobs) {
     EXPECT_GT(it, 160 / 7 / 2);
     EXPECT_LT(it, 160 * 2 / 7);
@@ -46,9 +45,7 @@
   RC_PRE(!some.empty());
   std::vector<std::int64_t> rooms(some.begin(), some.end());
   for (double at : {0.0, 0.5, 0.999999}) {
-    std::int32_t shard = drawShard(rooms, at);
-    RC_ASSERT(shard >= 0);
-    RC_ASSERT(static_cast<std::size_t>(shard) < rooms.size());
+    RC_ASSERT(drawShard(rooms, at) < rooms.size());
   }
 }
 
@@ -66,6 +63,72 @@
   EXPECT_EQ(count(detail::roomFor(load, graph)), 2);
 }
 
+class RoutingFixture : public testing::Test {
+protected:
+  RoutingFixture() { View.Shards = 2; }
+
+  void addWorker(const std::string &id, std::int32_t shard,
+                 std::vector<std::string> labels) {
+    model::WorkerProfile worker;
+    worker.Id = base::WorkerId(id);
+    worker.Service = base::ServiceName("desk");
+    worker.Zone = base::ZoneId(shard == 0 ? "a" : "b");
+    worker.Labels = std::move(labels);
+    worker.Capacity.Cpu = base::MilliCores{8000};
+    Workers.Profiles[worker.Id] = worker;
+    View.Assignment[worker.Id] = shard;
+  }
+
+  static model::AcceptedJob job(const std::string &label, std::int64_t cpu) {
+    model::AcceptedJob j;
+    j.Terms.Service = base::ServiceName("desk");
+    j.Graph.Steps.resize(1);
+    j.Graph.Steps[0].Count = 2;
+    j.Graph.Steps[0].Requirement = label;
+    j.Graph.Steps[0].Size.Cpu = base::MilliCores{cpu};
+    return j;
+  }
+
+  std::vector<double> shares(const model::AcceptedJob &j) const {
+    return detail::suitableShares(View, Workers, j);
+  }
+
+  detail::NodeView View;
+  detail::WorkerView Workers;
+};
+
+using RoutingSuitable = RoutingFixture;
+
+// A job that needs a label must not go to a shard without such a worker, where
+// it would wait for ever. Soak seed 12.
+TEST_F(RoutingSuitable, ShardWithoutTheLabel_HasNoShare) {
+  addWorker("w0", 0, {"plain"});
+  addWorker("w1", 1, {"plain"});
+  addWorker("w2", 1, {"large"});
+  EXPECT_EQ(shares(job("large", 100)), (std::vector<double>{0, 0.5}));
+  EXPECT_EQ(shares(job("", 100)), (std::vector<double>{1, 1}));
+  EXPECT_EQ(shares(job("", 9000)), (std::vector<double>{0, 0}));
+}
+
+TEST_F(RoutingSuitable, DrainingWorkersAndZonesOut_DoNotCount) {
+  addWorker("w0", 0, {"plain"});
+  addWorker("w1", 1, {"plain"});
+  Workers.ZonesOut.insert(base::ZoneId("a"));
+  EXPECT_EQ(shares(job("", 100)), (std::vector<double>{0, 1}));
+  Workers.Profiles[base::WorkerId("w1")].Draining = true;
+  EXPECT_EQ(shares(job("", 100)), (std::vector<double>{0, 0}));
+}
+
+TEST_F(RoutingSuitable, SideBySide_NeedsAsManyPlaces) {
+  addWorker("w0", 0, {});
+  addWorker("w1", 1, {});
+  addWorker("w2", 1, {});
+  model::AcceptedJob lasting = job("", 100);
+  lasting.Graph.Steps[0].Lasting = true;
+  lasting.Graph.Steps[0].MaxPerWorker = 1;
+  EXPECT_EQ(shares(lasting), (std::vector<double>{0, 1}));
+}
+
 TEST(ShardLoads, Record_SurvivesItsTextForm) {
   ShardLoad load;
   load.RoomForShort = base::MilliCores{-5};
