Move waiting jobs to shards with room; wait after a takeover only as long as an earlier owner can act

While it is not known whether the commit took effect, the job does not start. Change 2: the wait counts the lease that owners ask for (6 s); the 8 s are added only while an earlier owner may be alive: not after a release, and not once a later process of its node has joined. The owner record names those who may be. Tests: JobWithoutWorkers_MovesToAnotherShard (the jobs never start without the move), Handover_SurvivesItsTextForm, EndedOwner_ShortensTheWait. The soak starts a daemon only after the last one has ended, and prints exit statuses.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -76,6 +76,22 @@
   JobProgress Progress;
 };
 
+/// What a job's earlier shard hands over with it.
+struct Handover {
+  JobProgress Progress;
+  /// Highest number of a run of any of its tasks.
+  std::int64_t LastRun = 0;
+};
+
+/// A job without runs that another shard may take.
+struct JobMove {
+  model::AcceptedJob Job;
+  model::JobState State = model::JobState::Queued;
+  Handover Facts;
+  /// Revision that the index must have.
+  std::int64_t Revision = 0;
+};
+
 /// The note in the index that a job has begun.
 struct BeginMark {
   model::JobNumber Job{0};
@@ -90,7 +106,9 @@
   friend auto operator<=>(const RosterEntry &, const RosterEntry &) = default;
 };
 
-std::string encodeJob(const model::AcceptedJob &job);
+/// \param facts for a job that comes from another shard; null for a new one.
+std::string encodeJob(const model::AcceptedJob &job,
+                      const Handover *facts = nullptr);
 std::string encodeIndex(const JobIndex &index);
 std::string encodeProgress(const JobProgress &progress);
 std::string encodeRoster(const std::vector<RosterEntry> &roster);
@@ -98,6 +116,8 @@
 /// Errors of the decoders: ParseFailed.
 base::Result<model::AcceptedJob> decodeJob(model::JobNumber id,
                                            const std::string &text);
+/// Returns what came with the record of a job; nothing for a new job.
+base::Result<std::optional<Handover>> decodeHandover(const std::string &text);
 base::Result<JobIndex> decodeIndex(const std::string &text);
 base::Result<JobProgress> decodeProgress(const std::string &text);
 base::Result<std::vector<RosterEntry>> decodeRoster(const std::string &text);
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -82,9 +82,15 @@
   void cancelJob(model::JobNumber job, base::TimePoint now);
 
   /// Names the workers that an earlier owner may have used. Tasks of inherited
-  /// jobs that no list shows wait until each has answered or its longest lease
-  /// has run out.
-  void suspect(const std::vector<RosterEntry> &roster, base::TimePoint now);
+  /// jobs that no list shows wait until each has answered or its lease has run
+  /// out.
+  ///
+  /// \param active an earlier owner may still prolong leases.
+  void suspect(const std::vector<RosterEntry> &roster, bool active,
+               base::TimePoint now);
+  /// No earlier owner gives orders any more: leases that it asked for before
+  /// run out.
+  void earlierOwnersEnded(base::TimePoint now);
 
   /// Adds or updates a worker from its own entry.
   void offerWorker(const model::WorkerProfile &profile, base::TimePoint now);
@@ -132,6 +138,16 @@
   /// \param marks stored with their new revisions, or not stored and due again
   /// with the revisions that the index has.
   void onMarked(const std::vector<BeginMark> &marks, bool stored);
+  /// Returns jobs that have waited here without a run, at most \p limit. They
+  /// are not started before onMoveTried.
+  std::vector<JobMove> takeMoves(std::size_t limit, base::TimePoint now);
+  /// \param moved another shard has the job now; otherwise it stays here.
+  /// \param revision of its index.
+  void onMoveTried(model::JobNumber job, bool moved, std::int64_t revision,
+                   base::TimePoint now);
+  /// Takes over what a job's earlier shard knew.
+  void restore(model::JobNumber job, const Handover &facts);
+
   /// A job that had ended here was cancelled before its end was stored.
   void cancelFinished(model::JobNumber job);
 
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -98,6 +98,10 @@
   asio::awaitable<void> claim(std::int32_t shard);
   asio::awaitable<void> release(std::shared_ptr<ShardRunner> runner);
   std::chrono::milliseconds claimDelay(std::int32_t shard) const;
+  bool hasEnded(const detail::Process &process, std::int64_t since) const;
+  std::vector<detail::Process> earlierOwners(std::int32_t shard,
+                                             const detail::OwnerEntry &last,
+                                             std::int64_t revision) const;
   void spreadLoad();
   void own(detail::Term term);
   void distribute(ShardRunner &runner);
@@ -139,7 +143,7 @@
 DispatchNode::Impl::claimDelay(std::int32_t shard) const {
   std::map<std::string, std::int32_t> owned;
   for (const auto &[number, owner] : View.Owners)
-    ++owned[owner.Node];
+    ++owned[owner.Owner.Node];
   owned[Options.Name] =
       std::max(owned[Options.Name],
                static_cast<std::int32_t>(Owned.size() + Claiming.size()));
@@ -148,8 +152,8 @@
   };
   auto own = rankOf(Options.Name, Options.ProcessorShare);
   std::int32_t before = 0;
-  for (const auto &[node, cores] : View.Members)
-    before += node != Options.Name && rankOf(node, cores) < own;
+  for (const auto &[node, member] : View.Members)
+    before += node != Options.Name && rankOf(node, member.Cores) < own;
   std::chrono::milliseconds delay = before * RankDelay;
   if (Time.now() - Started < StartTime)
     delay += static_cast<int>(Owned.size() + Claiming.size()) * StartDelay;
@@ -170,12 +174,13 @@
     return;
   std::map<std::string, std::int32_t> owned;
   for (const auto &[number, owner] : View.Owners)
-    ++owned[owner.Node];
+    ++owned[owner.Owner.Node];
   double own = static_cast<double>(Owned.size()) / Options.ProcessorShare;
   bool better = std::any_of(
       View.Members.begin(), View.Members.end(), [&](const auto &member) {
         return member.first != Options.Name &&
-               (owned[member.first] + 1) / member.second <= own * HandoverGain;
+               (owned[member.first] + 1) / member.second.Cores <=
+                   own * HandoverGain;
       });
   if (!better)
     return;
@@ -214,7 +219,8 @@
     auto owner = View.Owners.find(shard);
     // An entry of an earlier run of this daemon, or of a claim whose answer was
     // lost, is as good as none.
-    bool own = owner != View.Owners.end() && owner->second.Node == Options.Name;
+    bool own =
+        owner != View.Owners.end() && owner->second.Owner.Node == Options.Name;
     if ((owner != View.Owners.end() && !own) || Owned.contains(shard)) {
       VacantSince.erase(shard);
       continue;
@@ -227,6 +233,10 @@
         [self = shared_from_this(), shard] { return self->claim(shard); },
         asio::detached);
   }
+  for (const auto &[shard, runner] : Owned)
+    runner->dropEarlier([&](const detail::Process &it) {
+      return hasEnded(it, runner->term().EarlierRevision);
+    });
   spreadLoad();
   Upkeeping = false;
 }
@@ -297,6 +307,35 @@
                 {{"workers", std::to_string(next.size())}});
 }
 
+/// Returns whether a process has ended: a later one of its node has joined. One
+/// node runs one daemon at a time.
+///
+/// \param since a revision at which the process was known to run.
+bool DispatchNode::Impl::hasEnded(const detail::Process &process,
+                                  std::int64_t since) const {
+  auto member = View.Members.find(process.Node);
+  return member != View.Members.end() &&
+         member->second.Instance != process.Instance &&
+         Directory.revisionOf(keys::member(process.Node)) > since;
+}
+
+/// Returns the earlier owners of a shard that may still give orders.
+///
+/// \param last the owner record as it is, and its revision.
+std::vector<detail::Process>
+DispatchNode::Impl::earlierOwners(std::int32_t shard,
+                                  const detail::OwnerEntry &last,
+                                  std::int64_t revision) const {
+  std::vector<detail::Process> earlier = last.Earlier;
+  if (!last.Owner.Node.empty() && !View.Released.contains(shard))
+    earlier.push_back(last.Owner);
+  // An earlier term of this node has ended with its process or its runner.
+  std::erase_if(earlier, [&](const detail::Process &it) {
+    return it.Node == Options.Name || hasEnded(it, revision);
+  });
+  return earlier;
+}
+
 asio::awaitable<void> DispatchNode::Impl::claim(std::int32_t shard) {
   base::Result<std::optional<StoredItem>> record =
       co_await Store.read(keys::owner(shard));
@@ -308,13 +347,16 @@
       last = entry.value();
   }
   auto seen = View.Owners.find(shard);
-  bool vacant = seen == View.Owners.end() || seen->second.Node == Options.Name;
+  bool vacant =
+      seen == View.Owners.end() || seen->second.Owner.Node == Options.Name;
   if (record && vacant && !Leaving && !Owned.contains(shard)) {
     Commit commit;
     commit.Conditions = {{keys::shardEntry(shard),
                           Directory.revisionOf(keys::shardEntry(shard))},
                          {keys::owner(shard), revision}};
-    detail::OwnerEntry entry{Options.Name, Options.Instance, last.Term + 1};
+    detail::OwnerEntry entry{{Options.Name, Options.Instance},
+                             last.Term + 1,
+                             earlierOwners(shard, last, revision)};
     commit.Writes = {
         {keys::owner(shard), detail::encodeOwner(entry)},
         {keys::shardEntry(shard), detail::encodeOwner(entry), Lease}};
@@ -322,7 +364,7 @@
     base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
     if (done && done.value().Applied) {
       LastWord = std::max(LastWord, sent);
-      own({shard, entry.Term, done.value().Revision});
+      own({shard, entry.Term, done.value().Revision, entry.Earlier, revision});
     } else if (!done) {
       Events.emit(EventCode::ClaimFailed, {{"shard", std::to_string(shard)},
                                            {"cause", done.error().message()}});
@@ -347,10 +389,16 @@
       Times,
       [this] { return LastWord; },
       [this](TimePoint sent) { LastWord = std::max(LastWord, sent); },
+      {},
       [this](std::int32_t shard) {
         Owned.erase(shard);
         Times.setShards(Owned.size());
       }};
+  if (View.Shards > 1)
+    context.FindShard = [this](const model::AcceptedJob &job,
+                               std::int32_t from) {
+      return Desk.findShard(job, from);
+    };
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
   Times.setShards(Owned.size());
@@ -388,10 +436,10 @@
     commit.Conditions = {{keys::owner(term.Shard), term.Revision},
                          {keys::shardEntry(term.Shard),
                           entry.value() ? entry.value()->Revision : 0}};
-    commit.Writes = {
-        {keys::shardEntry(term.Shard),
-         detail::encodeOwner({Options.Name, Options.Instance, term.Number}),
-         Lease}};
+    commit.Writes = {{keys::shardEntry(term.Shard),
+                      detail::encodeOwner(
+                          {{Options.Name, Options.Instance}, term.Number, {}}),
+                      Lease}};
     base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
     if (!done)
       co_return false;
--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -57,8 +57,14 @@
                                           static_cast<double>(room) * share)
                                     : room);
   }
-  std::uniform_real_distribution<double> draw(0, 1);
-  std::int32_t shard = shards[drawShard(rooms, draw(Random))];
+  return draw(job, shards, rooms);
+}
+
+std::int32_t JobDesk::draw(const model::AcceptedJob &job,
+                           const std::vector<std::int32_t> &shards,
+                           const std::vector<std::int64_t> &rooms) {
+  std::uniform_real_distribution<double> number(0, 1);
+  std::int32_t shard = shards[drawShard(rooms, number(Random))];
   std::int64_t cpu = 0;
   for (const model::StepSpec &it : job.Graph.Steps)
     cpu += it.Count * count(it.Size.Cpu);
@@ -67,6 +73,33 @@
   return shard;
 }
 
+asio::awaitable<std::optional<std::int32_t>>
+JobDesk::findShard(model::AcceptedJob job, std::int32_t from) {
+  if (View.Shards < 2)
+    co_return std::nullopt;
+  if (base::Result<void> read = co_await refreshLoads(); !read)
+    co_return std::nullopt;
+  std::vector<double> shares = suitableShares(View, Workers, job);
+  std::int64_t own = count(roomFor(Loads[from], job.Graph));
+  std::vector<std::int32_t> shards;
+  std::vector<std::int64_t> rooms;
+  for (std::int32_t i = 0; i < View.Shards; ++i) {
+    std::int64_t room = count(roomFor(Loads[i], job.Graph));
+    double share = shares[static_cast<std::size_t>(i)];
+    // A shard without workers for the job hands it to any that has some.
+    bool better = room > 0 && (room > own ||
+                               shares[static_cast<std::size_t>(from)] < share);
+    if (i == from || share == 0 || !better)
+      continue;
+    shards.push_back(i);
+    rooms.push_back(
+        static_cast<std::int64_t>(static_cast<double>(room) * share));
+  }
+  if (shards.empty())
+    co_return std::nullopt;
+  co_return draw(job, shards, rooms);
+}
+
 asio::awaitable<SubmitOutcome> JobDesk::submit(model::AcceptedJob job) {
   if (View.Shards == 0)
     co_return SubmitOutcome::Refused;
--- a/packages/dispatch/src/NodeRecords.cpp
+++ b/packages/dispatch/src/NodeRecords.cpp
@@ -13,9 +13,14 @@
 using platform::JsonView;
 
 std::string encodeOwner(const OwnerEntry &owner) {
-  return json::serialize(json::object{{"node", owner.Node},
-                                      {"instance", owner.Instance},
-                                      {"term", owner.Term}});
+  json::array earlier;
+  for (const Process &it : owner.Earlier)
+    earlier.push_back(
+        json::object{{"node", it.Node}, {"instance", it.Instance}});
+  return json::serialize(json::object{{"node", owner.Owner.Node},
+                                      {"instance", owner.Owner.Instance},
+                                      {"term", owner.Term},
+                                      {"earlier", std::move(earlier)}});
 }
 
 std::string encodeMember(const std::string &instance, double processorShare) {
@@ -41,10 +46,20 @@
     return value.as_failure();
   std::string fault;
   JsonView v(value.value(), fault);
-  OwnerEntry owner{v.optionalText("node"), v.optionalText("instance"),
-                   v.optionalNumber("term", 0, platform::MaxInt64)};
+  OwnerEntry owner{{v.optionalText("node"), v.optionalText("instance")},
+                   v.optionalNumber("term", 0, platform::MaxInt64),
+                   {}};
   if (!fault.empty())
     return base::fail(base::Errc::ParseFailed, fault);
+  const json::value *earlier = value.value().as_object().if_contains("earlier");
+  if (earlier && earlier->is_array())
+    for (const json::value &it : earlier->as_array()) {
+      JsonView row(it, fault);
+      owner.Earlier.push_back(
+          {row.optionalText("node"), row.optionalText("instance")});
+      if (!fault.empty())
+        return base::fail(base::Errc::ParseFailed, fault);
+    }
   return owner;
 }
 
@@ -71,20 +86,20 @@
   JsonView v(value.value(), fault);
   if (item.Key.starts_with(keys::members())) {
     constexpr double least = 0.001, most = 1000;
-    Members[item.Key.substr(keys::members().size())] =
-        v.optionalReal("cores", least, most, 1);
+    Members[item.Key.substr(keys::members().size())] = {
+        v.optionalText("instance"), v.optionalReal("cores", least, most, 1)};
     return fault;
   }
   if (std::optional<std::int32_t> shard = shardOf(item.Key, shardPrefix())) {
     base::Result<OwnerEntry> owner = decodeOwner(item.Value);
     if (!owner)
       return owner.error().message();
-    if (owner.value().Node.empty()) {
+    if (owner.value().Owner.Node.empty()) {
       Owners.erase(*shard);
       Released.insert(*shard);
     } else {
       Released.erase(*shard);
-      LastOwners[*shard] = owner.value().Node;
+      LastOwners[*shard] = owner.value().Owner.Node;
       Owners[*shard] = owner.value();
     }
   } else if (item.Key == keys::layout()) {
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -90,7 +90,7 @@
 static std::int64_t nextRun(const JobEntry &job, const TaskEntry &task,
                             std::int64_t term) {
   std::int64_t base = job.Inherited ? (term - 1) * RunsOfTerm : 0;
-  return std::max(task.LastRun, base) + 1;
+  return std::max({task.LastRun, base, job.EarlierRuns}) + 1;
 }
 
 /// Tasks of a step on each worker, for limits and for spreading.
@@ -148,8 +148,10 @@
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
-  if (isHopeless(spec))
+  if (isHopeless(spec)) {
+    noteWait(job, o, step, entry, now);
     return;
+  }
   auto counts = runsByWorker(entry);
   for (std::int32_t i = 0; i < spec.Count && entry.Idle > 0; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
@@ -185,8 +187,11 @@
   if (entry.Idle < spec.Count)
     return;
   std::vector<WorkerState *> places = chooseGang(*this, job, spec, now);
-  if (places.empty())
+  if (places.empty()) {
+    noteWait(job, o, step, entry, now);
     return;
+  }
+  entry.WaitsSince.reset();
   std::int64_t run = 0;
   std::string checkpoint;
   for (const TaskEntry &it : entry.Tasks) {
@@ -236,7 +241,7 @@
   weighFillers();
   std::vector<JobEntry *> order;
   for (JobEntry *it : Live)
-    if (it->isLive() && !(suspects && it->Inherited))
+    if (it->isLive() && !it->Moving && !(suspects && it->Inherited))
       order.push_back(it);
   // Lasting tasks first, then by priority, then by the time that is left.
   std::sort(
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -172,8 +172,12 @@
 
 } // namespace
 
-std::string encodeJob(const model::AcceptedJob &job) {
+std::string encodeJob(const model::AcceptedJob &job, const Handover *facts) {
   json::object to;
+  if (facts) {
+    to["progress"] = encodeProgress(facts->Progress);
+    to["lastRun"] = facts->LastRun;
+  }
   to["queue"] = job.Queue;
   to["service"] = job.Terms.Service.str();
   setIf(to, "priority", job.Terms.Priority);
@@ -219,6 +223,28 @@
   });
 }
 
+base::Result<std::optional<Handover>> decodeHandover(const std::string &text) {
+  std::string progress;
+  auto facts = decode<std::optional<Handover>>(
+      text,
+      [&](const json::value &value,
+          const JsonView &v) -> std::optional<Handover> {
+        if (!value.as_object().contains("progress"))
+          return std::nullopt;
+        progress = v.text("progress");
+        Handover handover;
+        handover.LastRun = v.number("lastRun", 0, platform::MaxInt64);
+        return handover;
+      });
+  if (!facts || !facts.value())
+    return facts;
+  base::Result<JobProgress> read = decodeProgress(progress);
+  if (!read)
+    return read.as_failure();
+  facts.value()->Progress = std::move(read.value());
+  return facts;
+}
+
 std::string encodeIndex(const JobIndex &index) {
   json::object to;
   to["shard"] = index.Shard;
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -45,9 +45,9 @@
     (MaxCommitEntries - FixedEntries) / EntriesOfJob;
 
 ShardRunner::ShardRunner(RunnerContext context, Term term)
-    : Context(std::move(context)), Current(term),
-      State(Context.Options.Shard, term.Shard, term.Number,
-            base::FencingToken{static_cast<std::uint64_t>(term.Revision)},
+    : Context(std::move(context)), Current(std::move(term)),
+      State(Context.Options.Shard, Current.Shard, Current.Number,
+            base::FencingToken{static_cast<std::uint64_t>(Current.Revision)},
             Context.Events, Context.Times),
       PlanTimer(Context.Executor), CommitTimer(Context.Executor) {}
 
@@ -98,7 +98,7 @@
       if (!list)
         co_return lose("the roster cannot be read");
       StoredRoster = list.value();
-      State.suspect(list.value(), Context.Time.now());
+      State.suspect(list.value(), !Current.Earlier.empty(), Context.Time.now());
     }
     break;
   }
@@ -173,9 +173,27 @@
     Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
     return;
   }
+  base::Result<std::optional<Handover>> facts = decodeHandover(item.Value);
+  if (!facts) {
+    Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
+    return;
+  }
   bool inherited = item.Revision <= Current.Revision;
   State.addJob(std::move(job.value()), item.Revision, inherited,
                Context.Time.now());
+  if (facts.value())
+    State.restore(id.value(), *facts.value());
+}
+
+void ShardRunner::dropEarlier(
+    const std::function<bool(const Process &)> &hasEnded) {
+  if (Current.Earlier.empty())
+    return;
+  std::erase_if(Current.Earlier, hasEnded);
+  if (Current.Earlier.empty()) {
+    State.earlierOwnersEnded(Context.Time.now());
+    poke();
+  }
 }
 
 void ShardRunner::setZonesOut(std::set<base::ZoneId> zones) {
@@ -307,6 +325,10 @@
   auto self = shared_from_this();
   while (!Stopped) {
     co_await commitOnce();
+    if (Stopped)
+      co_return;
+    if (!Flushing && Context.FindShard)
+      co_await moveJobs();
     if (Stopped)
       co_return;
     if (State.hasWrites()) {
@@ -495,6 +517,66 @@
   State.onStored(stored, Context.Time.now());
 }
 
+/// Jobs that are handed over between two commits; each is a call.
+constexpr std::size_t MovesOfRound = 2;
+
+asio::awaitable<void> ShardRunner::moveJobs() {
+  for (JobMove &it : State.takeMoves(MovesOfRound, Context.Time.now())) {
+    std::optional<std::int32_t> to =
+        co_await Context.FindShard(it.Job, Current.Shard);
+    if (Stopped)
+      co_return;
+    if (to)
+      co_await moveJob(it, *to);
+    else
+      State.onMoveTried(it.Job.Id, false, it.Revision, Context.Time.now());
+    if (Stopped)
+      co_return;
+  }
+}
+
+/// Tries until it is known whether the job has moved: a job that may have moved
+/// must not start here.
+asio::awaitable<void> ShardRunner::moveJob(JobMove move, std::int32_t to) {
+  model::JobNumber id = move.Job.Id;
+  std::int32_t from = Current.Shard;
+  while (!Stopped) {
+    Commit commit;
+    commit.Conditions = {{keys::owner(from), Current.Revision},
+                         {keys::index(id), move.Revision}};
+    commit.Writes = {{keys::index(id), encodeIndex({to, move.State})},
+                     {keys::job(to, id), encodeJob(move.Job, &move.Facts)}};
+    commit.Deletes = {keys::job(from, id), keys::progress(from, id)};
+    base::Result<CommitOutcome> done =
+        co_await Context.Store.commit(std::move(commit));
+    if (Stopped)
+      co_return;
+    if (!done) {
+      co_await sleepFor(CommitRetry);
+      continue;
+    }
+    std::int64_t revision = done.value().Revision;
+    bool moved = done.value().Applied;
+    for (const StoredItem &it : done.value().Current) {
+      if (moved)
+        break;
+      if (it.Key == keys::owner(from) && it.Revision != Current.Revision)
+        co_return lose("another node has taken the shard");
+      if (it.Key != keys::index(id))
+        continue;
+      revision = it.Revision;
+      base::Result<JobIndex> index = decodeIndex(it.Value);
+      moved = index && index.value().Shard != from;
+    }
+    State.onMoveTried(id, moved, revision, Context.Time.now());
+    if (moved)
+      Context.Events.emit(EventCode::JobMoved, {{"job", jobText(id)},
+                                                {"from", std::to_string(from)},
+                                                {"to", std::to_string(to)}});
+    co_return;
+  }
+}
+
 asio::awaitable<void> ShardRunner::flush() {
   auto self = shared_from_this();
   Flushing = true;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -15,6 +15,8 @@
 
 /// Allowance for the granularity of timers when a lease is taken as lapsed.
 constexpr auto LapseMargin = 100ms;
+/// Longest time of a call on its way, from the calls' time limit.
+constexpr auto TransferTime = 1000ms;
 /// A worker whose order failed gets no other one for this long.
 constexpr auto OrderPause = 500ms;
 /// Factor by which each success lowers a worker's fault count.
@@ -313,13 +315,20 @@
 
 } // namespace detail
 
-void Shard::suspect(const std::vector<RosterEntry> &roster,
-                    base::TimePoint now) {
+/// Time after which a lease that is asked for now has run out on any worker.
+static base::Duration leaseTime(const ShardOptions &options) {
+  return std::chrono::duration_cast<base::Duration>(
+             std::chrono::duration<double, std::milli>(options.Hold) *
+             ClockDrift) +
+         LapseMargin;
+}
+
+void Shard::suspect(const std::vector<RosterEntry> &roster, bool active,
+                    TimePoint now) {
   detail::ShardState &s = *Self;
-  auto longest =
-      std::chrono::duration<double, std::milli>(s.Options.LongestHold) *
-          ClockDrift +
-      s.Options.OwnerGrace + 1s;
+  TimePoint until = now + leaseTime(s.Options);
+  if (active)
+    until += s.Options.OwnerGrace + TransferTime;
   for (const RosterEntry &it : roster) {
     auto &entry = s.Workers[it.Id];
     if (!entry)
@@ -327,11 +336,18 @@
     entry->Profile.Id = it.Id;
     entry->Profile.Endpoint = it.Endpoint;
     entry->InRoster = true;
-    entry->SuspectUntil =
-        now + std::chrono::duration_cast<base::Duration>(longest);
+    entry->SuspectUntil = until;
   }
 }
 
+void Shard::earlierOwnersEnded(TimePoint now) {
+  detail::ShardState &s = *Self;
+  TimePoint until = now + leaseTime(s.Options);
+  for (auto &[id, w] : s.Workers)
+    if (w->SuspectUntil)
+      w->SuspectUntil = std::min(*w->SuspectUntil, until);
+}
+
 void Shard::offerWorker(const model::WorkerProfile &profile, TimePoint now) {
   detail::ShardState &s = *Self;
   auto &entry = s.Workers[profile.Id];
@@ -470,9 +486,9 @@
   if (!first)
     return;
   w.Synced = true;
-  // An earlier owner may have asked for the longest lease.
+  // An earlier owner may have asked for a lease just before.
   if (!w.Runs.empty())
-    w.Promised = std::max(w.Promised, report.Clock + s.Options.LongestHold);
+    w.Promised = std::max(w.Promised, report.Clock + s.Options.Hold);
   s.Events.emit(base::EventCode::WorkerSynced,
                 {{"worker", worker.str()},
                  {"running", std::to_string(report.Running.size())},
--- a/packages/dispatch/src/detail/JobDesk.h
+++ b/packages/dispatch/src/detail/JobDesk.h
@@ -24,8 +24,16 @@
   Async<std::optional<model::JobState>> state(model::JobNumber job);
   Async<std::int64_t> pending(std::string queue);
 
+  /// Returns another shard that has room for a job and more of it than
+  /// \p from, or nothing.
+  boost::asio::awaitable<std::optional<std::int32_t>>
+  findShard(model::AcceptedJob job, std::int32_t from);
+
 private:
   Async<void> refreshLoads();
+  std::int32_t draw(const model::AcceptedJob &job,
+                    const std::vector<std::int32_t> &shards,
+                    const std::vector<std::int64_t> &rooms);
   std::int32_t chooseShard(const model::AcceptedJob &job);
 
   MetadataStore &Store;
--- a/packages/dispatch/src/detail/NodeRecords.h
+++ b/packages/dispatch/src/detail/NodeRecords.h
@@ -12,12 +12,27 @@
 
 namespace endivedoor::dispatch::detail {
 
-/// Who owns a shard; an empty node means that it was released.
-struct OwnerEntry {
+/// One process of a node's daemon.
+struct Process {
   std::string Node;
-  /// Run of the node's daemon.
   std::string Instance;
+  friend bool operator==(const Process &, const Process &) = default;
+};
+
+/// Who owns a shard; an empty node means that it was released.
+struct OwnerEntry {
+  Process Owner;
   std::int64_t Term = 0;
+  /// Earlier owners that may still give orders: neither have they released the
+  /// shard, nor has a later process of their node been seen.
+  std::vector<Process> Earlier;
+};
+
+/// A node that is there.
+struct Member {
+  std::string Instance;
+  /// Cores that it may use.
+  double Cores = 1;
 };
 
 std::string encodeOwner(const OwnerEntry &owner);
@@ -38,8 +53,7 @@
   std::map<std::int32_t, std::string> LastOwners;
   /// Shards that their owner has given back.
   std::set<std::int32_t> Released;
-  /// Nodes that are there, with the cores that each may use.
-  std::map<std::string, double> Members;
+  std::map<std::string, Member> Members;
   std::map<base::WorkerId, std::int32_t> Assignment;
 
   /// Takes over a record; returns a fault or an empty text.
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -3,6 +3,8 @@
 #ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDRUNNER_H
 #define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDRUNNER_H
 
+#include "detail/NodeRecords.h"
+
 #include "endivedoor/dispatch/DispatchNode.h"
 #include "endivedoor/dispatch/PrefixMirror.h"
 #include "endivedoor/dispatch/Shard.h"
@@ -12,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace endivedoor::dispatch::detail {
 
@@ -21,6 +24,10 @@
   std::int64_t Number = 0;
   /// Revision of the owner record; also the fencing token.
   std::int64_t Revision = 0;
+  /// Earlier owners that may still give orders.
+  std::vector<Process> Earlier;
+  /// Revision of the owner record of the latest of them.
+  std::int64_t EarlierRevision = 0;
 };
 
 /// What a runner needs of its node.
@@ -35,6 +42,11 @@
   /// When the latest successful call to the store was sent.
   std::function<base::TimePoint()> LastWord;
   std::function<void(base::TimePoint sent)> StoreAnswered;
+  /// Returns another shard with room for a job, or nothing; null if there is
+  /// only one shard.
+  std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
+      const model::AcceptedJob &job, std::int32_t from)>
+      FindShard;
   /// The term is over.
   std::function<void(std::int32_t shard)> Lost;
 };
@@ -51,6 +63,8 @@
 
   const Term &term() const { return Current; }
   bool isStopped() const { return Stopped; }
+  /// Forgets earlier owners that have surely ended.
+  void dropEarlier(const std::function<bool(const Process &)> &hasEnded);
   void setZonesOut(std::set<base::ZoneId> zones);
   void offerWorker(const model::WorkerProfile &worker);
   void withdrawWorker(const base::WorkerId &worker);
@@ -62,6 +76,8 @@
   boost::asio::awaitable<void> planLoop();
   boost::asio::awaitable<void> commitLoop();
   boost::asio::awaitable<void> commitOnce();
+  boost::asio::awaitable<void> moveJobs();
+  boost::asio::awaitable<void> moveJob(JobMove move, std::int32_t to);
   boost::asio::awaitable<void> storeRoster();
   void addLoad(Commit &commit);
   std::vector<BeginMark> addMarks(Commit &commit);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -88,6 +88,11 @@
   std::uint64_t Version = 0;
   std::uint64_t StoredVersion = 0;
   bool InWrite = false;
+  /// It is being handed to another shard, and not started meanwhile.
+  bool Moving = false;
+  TimePoint MoveTried;
+  /// Highest run number of an earlier shard.
+  std::int64_t EarlierRuns = 0;
   /// The records of a cancelled job are to be removed.
   bool RemovalDue = false;
   std::map<std::int32_t, Occurrence> Occurrences;
--- a/tests/soak/Plant.cpp
+++ b/tests/soak/Plant.cpp
@@ -93,6 +93,8 @@
 }
 
 void Plant::startDaemon(DaemonSlot &slot) {
+  // The ports are free once the last process has ended.
+  slot.Running.reset();
   slot.Running = std::make_unique<harness::Process>(
       std::vector<std::string>{std::string(ENDIVEDOOR_BIN_DIR) + "/endivedoord",
                                "--settings",
@@ -147,7 +149,8 @@
   std::vector<std::string> crashed;
   for (DaemonSlot &it : Daemons)
     if (!it.Taken && it.Running && !it.Running->isRunning()) {
-      crashed.push_back(it.Name);
+      crashed.push_back(it.Name + ", status " +
+                        std::to_string(it.Running->wait(0ms).value_or(0)));
       startDaemon(it);
     }
   return crashed;
--- a/tests/soak/Plant.h
+++ b/tests/soak/Plant.h
@@ -50,7 +50,8 @@
   /// Ends every fault of stand-ins and starts what is down; links are healed
   /// by the caller.
   void heal();
-  /// Returns the names of daemons that ended by themselves since the last call.
+  /// Returns the names and exit statuses of daemons that ended by themselves
+  /// since the last call, and starts them again.
   std::vector<std::string> takeCrashed();
 
   standin::KeyValues Store;
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -348,6 +348,38 @@
             std::string::npos);
 }
 
+// A job must not wait for ever in a shard whose workers cannot run it while
+// another shard's can. Soak seed 30.
+TEST_F(DispatchNodeOwnership, JobWithoutWorkers_MovesToAnotherShard) {
+  Store.put(dispatch::keys::layout(), R"({"shards":2})");
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 2; }));
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    model::AcceptedJob waiting = job(id, 1);
+    waiting.Graph.Steps[0].Requirement = "large";
+    EXPECT_EQ(await(node.submit(waiting)), SubmitOutcome::Accepted);
+  }
+  model::WorkerProfile large;
+  large.Id = base::WorkerId("w9");
+  large.Service = base::ServiceName("desk");
+  large.Endpoint = {"10.0.0.9", 8080};
+  large.Zone = base::ZoneId("a");
+  large.Capacity.Cpu = base::MilliCores{32000};
+  large.Capacity.Memory = base::MebiBytes{128000};
+  large.Labels = {"large"};
+  node.offerWorker(large);
+  EXPECT_TRUE(runUntil(
+      [&] {
+        for (std::uint64_t id = 1; id <= 6; ++id)
+          if (stateOf(node, id) != JobState::Succeeded)
+            return false;
+        return true;
+      },
+      12000ms));
+  for (const auto &[run, starts] : Workers.Starts)
+    EXPECT_EQ(starts, 1);
+}
+
 TEST_F(DispatchNodeOwnership, SmallOwner_HandsOverToALargerNode) {
   DispatchNode &small = join("n1", 0.1);
   ASSERT_TRUE(runUntil([&] { return small.ownedShards() == 1; }));
@@ -383,6 +415,24 @@
   EXPECT_TRUE(runUntil([&] { return copy.contains("p/c"); }));
 }
 
+TEST(Records, Handover_SurvivesItsTextForm) {
+  model::AcceptedJob job;
+  job.Id = JobNumber{1};
+  job.Queue = "q";
+  job.Terms.Service = base::ServiceName("s");
+  job.Graph.Steps.resize(1);
+  dispatch::Handover facts;
+  facts.LastRun = 7;
+  facts.Progress.Occurrences.push_back({1, false, {{0, 2, true, {3}, ""}}});
+  auto back = dispatch::decodeHandover(dispatch::encodeJob(job, &facts));
+  ASSERT_TRUE(back && back.value());
+  EXPECT_EQ(back.value()->LastRun, 7);
+  ASSERT_EQ(back.value()->Progress.Occurrences.size(), 1u);
+  EXPECT_TRUE(back.value()->Progress.Occurrences[0].Tasks[0].Done);
+  EXPECT_FALSE(dispatch::decodeHandover(dispatch::encodeJob(job)).value());
+  EXPECT_FALSE(dispatch::decodeHandover(R"({"progress":7,"lastRun":1})"));
+}
+
 RC_GTEST_PROP(Records, Job_SurvivesItsTextForm, ()) {
   model::AcceptedJob job;
   job.Id = JobNumber{*rc::gen::arbitrary<std::uint64_t>()};
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -21,7 +21,7 @@
   model::StepSpec lasting = step(6, 5000);
   lasting.Lasting = true;
   lasting.Target = 18ms;
-  Owned.suspect({{base::WorkerId("w1"), {"10.0.0.1", 8080}}}, now());
+  Owned.suspect({{base::WorkerId("w1"), {"10.0.0.1", 8080}}}, true, now());
   Owned.addJob(job(1, {lasting}), 5, true, now());
   HoldReport report;
   for (std::int32_t i = 0; i < 6; ++i)
@@ -41,7 +41,7 @@
 TEST_F(ShardTakeover, SilentWorker_BlocksInheritedJobsOnly) {
   Owned.suspect({{base::WorkerId("w1"), {"10.0.0.1", 8080}},
                  {base::WorkerId("w2"), {"10.0.0.2", 8080}}},
-                now());
+                true, now());
   Owned.addJob(job(1, {step(1)}), 5, true, now());
   Owned.addJob(job(2, {step(1)}), 200, false, now());
   join("w2");
@@ -116,6 +116,23 @@
   EXPECT_EQ(plan().size(), 1u);
 }
 
+// After a power failure a worker that is gone for good must not hold up all
+// inherited tasks for as long as a live earlier owner could prolong its lease.
+TEST_F(ShardTakeover, EndedOwner_ShortensTheWait) {
+  auto startsAfter = [&](base::Duration time) {
+    Time.advance(time);
+    return !plan().empty();
+  };
+  Owned.suspect({{base::WorkerId("w1"), {"10.0.0.1", 8080}}}, true, now());
+  Owned.addJob(job(1, {step(1)}), 5, true, now());
+  join("w2");
+  EXPECT_FALSE(startsAfter(7s));
+  Owned.earlierOwnersEnded(now());
+  EXPECT_FALSE(startsAfter(6s));
+  hold("w2");
+  EXPECT_TRUE(startsAfter(300ms));
+}
+
 // The size of a run of a job that has ended is not known.
 TEST_F(ShardTakeover, StrayRun_KeepsItsWorkerFromStarts) {
   HoldReport report;
