--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -68,6 +68,7 @@
   if (base::Result<void> done = Front.start(); !done) {
     Events.emit(EventCode::DaemonCannotStart,
                 {{"cause", done.error().message()}});
+    Lines.flush();
     return 1;
   }
   Events.emit(EventCode::DaemonStarted, {{"zone", Config.Zone.str()},
