A new owner goes on from what the last one has learned about programs that share workers

Change: the sums of the regression are stored every 2 s with another record, and read at a takeover. Tests: PairModel.Facts_CarryWhatWasLearned, PairRecords.*.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -26,6 +26,8 @@
 std::string roster(std::int32_t shard);
 std::string loads();
 std::string load(std::int32_t shard);
+/// What an owner has learned about programs that share workers.
+std::string pairs(std::int32_t shard);
 std::string directory();
 std::string shardEntry(std::int32_t shard);
 std::string members();
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -8,6 +8,7 @@
 #include "endivedoor/dispatch/Records.h"
 #include "endivedoor/dispatch/ShardOptions.h"
 #include "endivedoor/dispatch/TaskWorker.h"
+#include "endivedoor/policy/PairModel.h"
 
 #include <map>
 #include <memory>
@@ -152,6 +153,8 @@
   void cancelFinished(model::JobNumber job);
 
   ShardLoad load() const;
+  /// What has been learned about programs that share workers.
+  policy::PairModel &pairs();
   std::size_t liveJobs() const;
   /// Another owner has used a higher token; this term is over.
   bool isFenced() const;
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -399,6 +399,8 @@
 
 bool Shard::hasWrites() const { return !Self->Dirty.empty(); }
 
+policy::PairModel &Shard::pairs() { return Self->Pairs; }
+
 std::size_t Shard::liveJobs() const { return Self->Live.size(); }
 
 /// Takes the needs of a job's idle tasks off the room of their sort.
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -37,6 +37,7 @@
 std::string roster(std::int32_t shard) { return of("r", shard); }
 std::string loads() { return "endivedoor/q/"; }
 std::string load(std::int32_t shard) { return of("q", shard); }
+std::string pairs(std::int32_t shard) { return of("m", shard); }
 std::string directory() { return "endivedoor/d/"; }
 std::string shardEntry(std::int32_t shard) { return of("d/shard", shard); }
 std::string members() { return directory() + "member/"; }
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -1,6 +1,7 @@
 #include "detail/ShardRunner.h"
 
 #include "detail/Loads.h"
+#include "detail/PairRecords.h"
 #include "detail/Sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,8 @@
 constexpr auto CommitRetry = 200ms;
 /// How often the load record is stored; half of the 2 s that it may be old.
 constexpr auto LoadInterval = 800ms;
+/// How often what was learned is stored; a successor loses this much.
+constexpr auto PairsInterval = 2000ms;
 /// Wait of a hold at a worker with runs; bounds the age of its gauges.
 constexpr auto BusyWait = 500ms;
 /// Wait of a hold at an idle worker.
@@ -39,8 +42,8 @@
 constexpr std::size_t EntriesOfJob = 4;
 /// Entries of a mark that a job has begun: a condition and a write.
 constexpr std::size_t EntriesOfMark = 2;
-/// The owner's condition and the load record.
-constexpr std::size_t FixedEntries = 2;
+/// The owner's condition, the load record and the record of pairs.
+constexpr std::size_t FixedEntries = 3;
 constexpr std::size_t JobsOfCommit =
     (MaxCommitEntries - FixedEntries) / EntriesOfJob;
 
@@ -102,6 +105,20 @@
     }
     break;
   }
+  // Without it the new owner learns anew.
+  base::Result<std::optional<StoredItem>> pairs =
+      co_await Context.Store.read(keys::pairs(Current.Shard));
+  if (Stopped)
+    co_return;
+  if (pairs && pairs.value()) {
+    base::Result<std::vector<policy::PairFacts>> facts =
+        decodePairs(pairs.value()->Value);
+    if (facts)
+      State.pairs().adopt(facts.value());
+    else
+      Context.Events.emit(EventCode::RecordUnreadable,
+                          {{"key", keys::pairs(Current.Shard)}});
+  }
   std::vector<StoredItem> progress;
   while (!Stopped) {
     base::Result<Listing> list =
@@ -350,6 +367,12 @@
   if (load == StoredLoad)
     return;
   commit.Writes.push_back({keys::load(Current.Shard), load});
+  // With a record that is stored anyway.
+  std::vector<policy::PairFacts> facts = State.pairs().facts();
+  if (now - PairsStored < PairsInterval || facts.empty())
+    return;
+  PairsStored = now;
+  commit.Writes.push_back({keys::pairs(Current.Shard), encodePairs(facts)});
 }
 
 asio::awaitable<void> ShardRunner::storeRoster() {
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -100,6 +100,7 @@
   std::int64_t RosterRevision = 0;
   std::string StoredLoad;
   base::TimePoint LoadStored;
+  base::TimePoint PairsStored{};
   bool PlanDue = false;
   bool Loaded = false;
   bool Stopped = false;
--- a/packages/policy/include/endivedoor/policy/PairModel.h
+++ b/packages/policy/include/endivedoor/policy/PairModel.h
@@ -15,6 +15,18 @@
   double Share = 0;
 };
 
+/// What has been learned about one serving program: the sums of its regression.
+struct PairFacts {
+  std::string Serving;
+  /// Filling programs in the order of the unknowns from 1; unknown 0 is the
+  /// base.
+  std::vector<std::string> Fillers;
+  /// The normal matrix, and the right-hand side: one row and entry for each
+  /// unknown.
+  std::vector<std::vector<double>> Normal;
+  std::vector<double> Right;
+};
+
 /// Learns, for each serving program, its response time alone and the time that
 /// each filling program adds for a full worker's processor.
 ///
@@ -40,6 +52,12 @@
   /// Returns whether the pair has been measured often enough to be relied on.
   bool isKnown(const std::string &serving, const std::string &filler) const;
 
+  /// Returns what has been learned, for another model to go on from.
+  std::vector<PairFacts> facts() const;
+  /// Goes on from what another model has learned; programs that this one knows
+  /// are left out, and so are facts whose sizes do not match.
+  void adopt(const std::vector<PairFacts> &facts);
+
 private:
   struct Fit {
     /// Filling programs in the order of the unknowns; unknown 0 is the base.
--- a/packages/policy/src/PairModel.cpp
+++ b/packages/policy/src/PairModel.cpp
@@ -76,6 +76,37 @@
     }
 }
 
+std::vector<PairFacts> PairModel::facts() const {
+  std::vector<PairFacts> all;
+  for (const auto &[serving, fit] : Fits) {
+    PairFacts facts{serving, {}, fit.Normal, fit.Right};
+    facts.Fillers.resize(fit.Index.size());
+    for (const auto &[filler, index] : fit.Index)
+      facts.Fillers[index - 1] = filler;
+    all.push_back(std::move(facts));
+  }
+  return all;
+}
+
+void PairModel::adopt(const std::vector<PairFacts> &facts) {
+  for (const PairFacts &it : facts) {
+    std::size_t n = it.Fillers.size() + 1;
+    bool matches =
+        it.Right.size() == n && it.Normal.size() == n &&
+        std::all_of(it.Normal.begin(), it.Normal.end(),
+                    [&](const auto &row) { return row.size() == n; });
+    if (!matches || Fits.contains(it.Serving))
+      continue;
+    Fit &fit = Fits[it.Serving];
+    for (std::size_t i = 0; i < it.Fillers.size(); ++i)
+      fit.Index.emplace(it.Fillers[i], i + 1);
+    fit.Normal = it.Normal;
+    fit.Right = it.Right;
+    fit.Solution.assign(n, 0);
+    solve(fit);
+  }
+}
+
 double PairModel::slope(const std::string &serving,
                         const std::string &filler) const {
   auto fit = Fits.find(serving);
--- a/tests/unit/unit-dispatch-routing.cpp
+++ b/tests/unit/unit-dispatch-routing.cpp
@@ -2,6 +2,7 @@
 // from the same records must neither all choose the same shard nor fill a shard
 // beyond what it holds while others have room.
 #include "detail/Loads.h"
+#include "detail/PairRecords.h"
 #include "detail/Routing.h"
 
 #include <gtest/gtest.h>
@@ -141,4 +142,22 @@
   EXPECT_EQ(back.value().Pending["q"], 3);
 }
 
+TEST(PairRecords, Facts_SurviveTheirTextForm) {
+  policy::PairFacts facts{"desk", {"x"}, {{1.5, 0.25}, {0.25, 2}}, {3, 4}};
+  auto back = detail::decodePairs(detail::encodePairs({facts}));
+  ASSERT_TRUE(back && back.value().size() == 1);
+  EXPECT_EQ(back.value()[0].Normal, facts.Normal);
+  EXPECT_EQ(back.value()[0].Right, facts.Right);
+  EXPECT_EQ(back.value()[0].Fillers, facts.Fillers);
+}
+
+TEST(PairRecords, HostileText_IsRefused) {
+  for (const char *it :
+       {"", "{}", "[7]", "[{}]",
+        R"([{"serving":"s","fillers":[7],"normal":[[1]],"right":[1]}])",
+        R"([{"serving":"s","fillers":[],"normal":[7],"right":[1]}])",
+        R"([{"serving":"s","fillers":[],"normal":[["x"]],"right":[1]}])"})
+    EXPECT_FALSE(detail::decodePairs(it).has_value()) << it;
+}
+
 } // namespace
--- a/tests/unit/unit-policy-pairmodel.cpp
+++ b/tests/unit/unit-policy-pairmodel.cpp
@@ -39,4 +39,31 @@
   EXPECT_LT(model.base("s") + 0.1 * model.slope("s", "f"), 13);
 }
 
+// A new owner of a shard must not learn from nothing: until it has, it places
+// fillers where they hurt.
+TEST(PairModel, Facts_CarryWhatWasLearned) {
+  PairModel model;
+  for (int i = 0; i < 200; ++i)
+    model.observe("desk", 5 + 40 * 0.01 * (i % 10) + 3 * 0.01 * (i % 7),
+                  {{"heavy", 0.01 * (i % 10)}, {"light", 0.01 * (i % 7)}});
+  PairModel successor;
+  successor.adopt(model.facts());
+  EXPECT_NEAR(successor.slope("desk", "heavy"), model.slope("desk", "heavy"),
+              2);
+  EXPECT_NEAR(successor.base("desk"), model.base("desk"), 0.2);
+  EXPECT_TRUE(successor.isKnown("desk", "heavy"));
+  // What the successor has learned itself stays.
+  successor.observe("other", 7, {});
+  successor.adopt({{"other", {"x"}, {{1, 0}, {0, 1}}, {1, 1}}});
+  EXPECT_NEAR(successor.base("other"), 7, 0.1);
+}
+
+TEST(PairModel, FactsOfOtherSizes_AreLeftOut) {
+  PairModel model;
+  model.adopt({{"desk", {"x"}, {{1}}, {1, 1}},
+               {"till", {}, {{1}, {1}}, {1}},
+               {"door", {"x"}, {{1, 0}, {0}}, {1, 1}}});
+  EXPECT_EQ(model.base("desk") + model.base("till") + model.base("door"), 0);
+}
+
 } // namespace
