--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -229,4 +229,86 @@
   EXPECT_EQ(plan().size(), 1u);
 }
 
+using ShardPlaces = ShardFixture;
+
+TEST_F(ShardPlaces, DrainingWorker_GetsNoStarts) {
+  join("w1");
+  model::WorkerProfile draining = worker("w1");
+  draining.Draining = true;
+  Owned.offerWorker(draining, now());
+  Owned.addJob(job(1, {step(1)}), 200, false, now());
+  EXPECT_TRUE(plan().empty());
+  join("w2");
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].To.Id, base::WorkerId("w2"));
+}
+
+TEST_F(ShardPlaces, ZoneThatIsOut_GetsNoStarts) {
+  join("w1");
+  Owned.setZonesOut({base::ZoneId("a")});
+  Owned.addJob(job(1, {step(1)}), 200, false, now());
+  EXPECT_TRUE(plan().empty());
+  Owned.setZonesOut({});
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+// A member that starts without the others waits for them and wastes its room.
+TEST_F(ShardPlaces, Gang_StartsAsAWholeWithOneRunNumber) {
+  join("w1");
+  model::StepSpec gang = step(3, 16000);
+  gang.Gang = true;
+  Owned.addJob(job(1, {gang}), 200, false, now());
+  EXPECT_TRUE(plan().empty());
+  join("w2");
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 3u);
+  for (const Order &it : orders)
+    EXPECT_EQ(it.Id.Run, orders[0].Id.Run);
+}
+
+TEST_F(ShardPlaces, GangWithoutAMember_IsStoppedAndStartsAgain) {
+  join("w1");
+  model::StepSpec gang = step(2, 1000);
+  gang.Gang = true;
+  Owned.addJob(job(1, {gang}), 200, false, now());
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 2u);
+  confirm(orders);
+  HoldReport report;
+  report.Ended.push_back({1, orders[0].Id, RunEnd::Failed, ""});
+  report.Running.push_back(running(1, orders[1].Id.Task.Index, 1));
+  hold("w1", report);
+  std::vector<Order> stops = plan(Order::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_EQ(stops[0].Id, orders[1].Id);
+  HoldReport ended;
+  ended.Ended.push_back({2, orders[1].Id, RunEnd::Broken, ""});
+  hold("w1", ended);
+  orders = plan();
+  ASSERT_EQ(orders.size(), 2u);
+  EXPECT_EQ(orders[0].Id.Run, 2);
+}
+
+TEST_F(ShardPlaces, DueTimes_OpenOneOccurrenceEach) {
+  join("w1");
+  model::AcceptedJob repeated = job(1, {step(1)});
+  repeated.Graph.Repeats = 2;
+  repeated.Graph.FirstDue =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Time.wallNow().time_since_epoch()) +
+      1000ms;
+  repeated.Graph.Interval = 500ms;
+  Owned.addJob(repeated, 200, false, now());
+  EXPECT_TRUE(plan().empty());
+  Time.advance(1000ms);
+  std::vector<Order> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Id.Task.Occurrence, 0);
+  Time.advance(500ms);
+  orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Id.Task.Occurrence, 1);
+}
+
 } // namespace
