--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -233,10 +233,12 @@
         [self = shared_from_this(), shard] { return self->claim(shard); },
         asio::detached);
   }
-  for (const auto &[shard, runner] : Owned)
-    runner->dropEarlier([&](const detail::Process &it) {
-      return hasEnded(it, runner->term().EarlierRevision);
+  for (const auto &owned : Owned) {
+    std::int64_t since = owned.second->term().EarlierRevision;
+    owned.second->dropEarlier([this, since](const detail::Process &it) {
+      return hasEnded(it, since);
     });
+  }
   spreadLoad();
   Upkeeping = false;
 }
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -12,19 +12,16 @@
 todo=()
 for unit in "${units[@]}"; do
   key="$(echo "$headers $(sha256sum "$unit")" | sha256sum | cut -d' ' -f1)"
-  [ -e "$cache/$key" ] || todo+=("$unit")
+  [ -e "$cache/$key" ] || todo+=("$unit" "$cache/$key")
 done
 [ "${#todo[@]}" -eq 0 ] && exit 0
 log="$(mktemp)"
 trap 'rm -f "$log"' EXIT
 # The build's g++ warning options are unknown to clang.
-if ! printf '%s\n' "${todo[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build \
-    --extra-arg=-Wno-unknown-warning-option >"$log" 2>&1; then
+if ! printf '%s\n' "${todo[@]}" | xargs -P "$(nproc)" -n 2 sh -c \
+    'clang-tidy --quiet -p build --extra-arg=-Wno-unknown-warning-option "$0" && touch "$1"' \
+    >"$log" 2>&1; then
   grep -vE 'warnings? (generated|treated)|^Suppressed|^Use -header-filter' "$log"
   echo "clang-tidy found faults"
   exit 1
 fi
-for unit in "${todo[@]}"; do
-  key="$(echo "$headers $(sha256sum "$unit")" | sha256sum | cut -d' ' -f1)"
-  touch "$cache/$key"
-done
--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -192,8 +192,12 @@
   bool cancelled = chance(lasting ? 0.5 : 0.1);
   base::TimePoint cancelAt = Time.now() + milliseconds(number(0, 2500));
   // Now and then a copy of the submission arrives late.
-  if (chance(0.1))
-    co_await send("POST", path, bodyOf(job.Graph));
+  if (chance(0.1)) {
+    base::Result<HttpResponse> again =
+        co_await send("POST", path, bodyOf(job.Graph));
+    if (again && again.value().Status == 404)
+      Under.Book.onNoQueue(id);
+  }
   while (!Stopped) {
     co_await pause(milliseconds(number(100, 900)));
     if (cancelled && !job.CancelSent && Time.now() >= cancelAt)
