--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -30,6 +30,9 @@
   std::int64_t EarlierRevision = 0;
 };
 
+/// Pause before a call to the store is tried again.
+constexpr std::chrono::milliseconds CommitRetry{200};
+
 /// What a runner needs of its node.
 struct RunnerContext {
   boost::asio::any_io_executor Executor;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -234,7 +234,7 @@
   void removeRun(JobEntry &job, const TaskKey &key, std::int64_t run);
   bool hasSuspects() const;
 
-  // Workers.cpp
+  // Takeover.cpp and Workers.cpp
   void processEnd(WorkerState &worker, const EndedTask &end, TimePoint now);
   void processRunning(WorkerState &worker, const HoldReport &report,
                       TimePoint sent, TimePoint now);
@@ -277,6 +277,12 @@
   void moveCulprits(WorkerState &worker, TimePoint now);
 };
 
+/// Allowance for the granularity of timers when a lease is taken as lapsed.
+constexpr std::chrono::milliseconds LapseMargin{100};
+
+/// Returns progress in its stored form: only what differs from a job not begun.
+JobProgress progressOf(const JobEntry &job);
+
 /// Returns the step of a task.
 const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key);
 
