--- a/tests/soak/Injector.cpp
+++ b/tests/soak/Injector.cpp
@@ -15,6 +15,7 @@
 /// Time between SIGTERM and SIGKILL; the stopGrace of the settings.
 constexpr auto StopGrace = 6000ms;
 
+/// A kind that stands twice is drawn twice as often.
 const std::vector<Injector::Kind> Injector::Kinds = {
     {"kill", &Injector::killDaemon},
     {"stop", &Injector::stopDaemon},
