Read load records at a submission only where there is a choice of shards

Change: with one shard the job goes there at once. Test: OneShard_NeedsNoLoadRecords, seen to fail before.

--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -40,8 +40,6 @@
 /// Draws a shard by its room, of those with suitable workers, and takes the
 /// job's needs off it until the next load record.
 std::int32_t JobDesk::chooseShard(const model::AcceptedJob &job) {
-  if (View.Shards == 1)
-    return 0;
   std::vector<double> shares = suitableShares(View, Workers, job);
   bool any = std::any_of(shares.begin(), shares.end(),
                          [](double it) { return it > 0; });
@@ -103,10 +101,13 @@
 asio::awaitable<SubmitOutcome> JobDesk::submit(model::AcceptedJob job) {
   if (View.Shards == 0)
     co_return SubmitOutcome::Refused;
-  // Without load records every shard is as likely.
-  if (base::Result<void> read = co_await refreshLoads(); !read)
-    Loads.clear();
-  std::int32_t shard = chooseShard(job);
+  std::int32_t shard = 0;
+  if (View.Shards > 1) {
+    // Without load records every shard is as likely.
+    if (base::Result<void> read = co_await refreshLoads(); !read)
+      Loads.clear();
+    shard = chooseShard(job);
+  }
   Commit commit;
   commit.Conditions = {{keys::index(job.Id), 0}};
   commit.Writes = {
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -167,6 +167,16 @@
   EXPECT_EQ(Workers.Starts.size(), 6u);
 }
 
+// Each call to the store is paid for and slow when the store is.
+TEST_F(DispatchNodeCalls, OneShard_NeedsNoLoadRecords) {
+  DispatchNode &node = join("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  runFor(100ms);
+  int before = Store.Lists;
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  EXPECT_EQ(Store.Lists, before);
+}
+
 // A commit without an answer is read back; the job must not be refused.
 TEST_F(DispatchNodeCalls, LostAnswer_IsNotReportedAsRefused) {
   DispatchNode &node = join("n1");
