Route lasting jobs to shards that hold the whole of them

Lasting jobs were drawn to shards with less room than they need, and pieces of workers too small for a lasting task counted as room. Change: among the shards that hold the whole job if there are any; room is counted in whole lasting tasks. Sites with one shard are not concerned. Tests: LastingJob_GoesWhereAllOfItFits.

--- a/packages/dispatch/src/JobDesk.cpp
+++ b/packages/dispatch/src/JobDesk.cpp
@@ -37,6 +37,14 @@
   co_return base::success();
 }
 
+/// Processor need of all tasks of a job.
+static std::int64_t needOf(const model::AcceptedJob &job) {
+  std::int64_t cpu = 0;
+  for (const model::StepSpec &it : job.Graph.Steps)
+    cpu += it.Count * count(it.Size.Cpu);
+  return cpu;
+}
+
 /// Draws a shard by its room, of those with suitable workers, and takes the
 /// job's needs off it until the next load record.
 std::int32_t JobDesk::chooseShard(const model::AcceptedJob &job) {
@@ -55,6 +63,9 @@
                                           static_cast<double>(room) * share)
                                     : room);
   }
+  // The tasks stay, and those without room wait for as long as the job lasts.
+  if (!job.Graph.Steps.empty() && job.Graph.Steps.front().Lasting)
+    keepFitting(needOf(job), shards, rooms);
   return draw(job, shards, rooms);
 }
 
@@ -63,11 +74,8 @@
                            const std::vector<std::int64_t> &rooms) {
   std::uniform_real_distribution<double> number(0, 1);
   std::int32_t shard = shards[drawShard(rooms, number(Random))];
-  std::int64_t cpu = 0;
-  for (const model::StepSpec &it : job.Graph.Steps)
-    cpu += it.Count * count(it.Size.Cpu);
   base::MilliCores &room = roomFor(Loads[shard], job.Graph);
-  room = base::MilliCores{count(room) - cpu};
+  room = base::MilliCores{count(room) - needOf(job)};
   return shard;
 }
 
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -314,15 +314,30 @@
                                   count(job.Job.Graph.Steps[i].Size.Cpu)};
 }
 
+/// Returns the mean processor need of the lasting tasks that run, or 1.
+static std::int64_t meanLastingSize(const detail::ShardState &s) {
+  std::int64_t cpu = 0, tasks = 0;
+  for (const auto &[id, w] : s.Workers)
+    for (const auto &[run, held] : w->Runs)
+      if (held.Step->Lasting) {
+        cpu += count(held.Step->Size.Cpu);
+        ++tasks;
+      }
+  return tasks > 0 ? std::max<std::int64_t>(1, cpu / tasks) : 1;
+}
+
 ShardLoad Shard::load() const {
   ShardLoad load;
   std::int64_t free = 0, lasting = 0, leftover = 0;
+  std::int64_t size = meanLastingSize(*Self);
   for (const auto &[id, w] : Self->Workers) {
     if (!w->isUsable() || Self->ZonesOut.contains(w->Profile.Zone))
       continue;
     std::int64_t capacity = count(w->Profile.Capacity.Cpu);
     free += capacity - count(w->Used.Cpu);
-    lasting += capacity - w->LastingCpu;
+    // What is left on a worker beside its lasting tasks is of no use to more of
+    // them if it is smaller than one.
+    lasting += (capacity - w->LastingCpu) / size * size;
     leftover += static_cast<std::int64_t>(detail::leftover(*w)) - w->FillerCpu;
   }
   load.RoomForShort = base::MilliCores{free};
--- a/packages/dispatch/src/Routing.cpp
+++ b/packages/dispatch/src/Routing.cpp
@@ -61,6 +61,18 @@
   return shares;
 }
 
+void keepFitting(std::int64_t need, std::vector<std::int32_t> &shards,
+                 std::vector<std::int64_t> &rooms) {
+  std::vector<std::int32_t> kept;
+  for (std::size_t i = 0; i < shards.size(); ++i)
+    if (rooms[i] >= need)
+      kept.push_back(shards[i]);
+  if (kept.empty())
+    return;
+  std::erase_if(rooms, [&](std::int64_t room) { return room < need; });
+  shards = std::move(kept);
+}
+
 /// Share of the largest difference in room that the fullest shard counts with:
 /// records are up to 2 s old, so it may have room again.
 constexpr double LeastShare = 0.02;
--- a/packages/dispatch/src/detail/Routing.h
+++ b/packages/dispatch/src/detail/Routing.h
@@ -30,6 +30,12 @@
                                    const WorkerView &workers,
                                    const model::AcceptedJob &job);
 
+/// Keeps the shards with at least \p need of room, if there are any.
+///
+/// \param rooms of the shards, in their order.
+void keepFitting(std::int64_t need, std::vector<std::int32_t> &shards,
+                 std::vector<std::int64_t> &rooms);
+
 /// Draws a shard with a chance in proportion to its room over that of the
 /// fullest one. Nodes that choose at the same time from the same records must
 /// not all choose the same shard.
--- a/tests/unit/unit-dispatch-routing.cpp
+++ b/tests/unit/unit-dispatch-routing.cpp
@@ -28,6 +28,18 @@
   EXPECT_LT(jobs[3], draws / 50);
 }
 
+// A lasting job that does not fit as a whole leaves tasks waiting for as long
+// as it lasts.
+TEST(ShardDraw, LastingJob_GoesWhereAllOfItFits) {
+  std::vector<std::int32_t> shards = {0, 1, 2};
+  std::vector<std::int64_t> rooms = {50, 90, 84};
+  detail::keepFitting(84, shards, rooms);
+  EXPECT_EQ(shards, (std::vector<std::int32_t>{1, 2}));
+  EXPECT_EQ(rooms, (std::vector<std::int64_t>{90, 84}));
+  detail::keepFitting(500, shards, rooms);
+  EXPECT_EQ(shards.size(), 2u);
+}
+
 // 40 nodes hand in four jobs each before the next load record.
 TEST(ShardDraw, ManyNodesAtOnce_FillShardsAlike) {
   std::mt19937_64 random(7);
