--- a/tests/soak/soak-installation.cpp
+++ b/tests/soak/soak-installation.cpp
@@ -94,6 +94,9 @@
             << plant.Book.starts() << " starts, faults";
   for (const auto &[kind, count] : injector.injected())
     std::cout << " " << kind << " " << count;
+  std::cout << "; store calls";
+  for (const auto &[kind, count] : plant.Store.calls())
+    std::cout << " " << kind << " " << count;
   std::cout << (broken.empty() ? ", kept" : ", BROKEN") << std::endl;
   for (const std::string &it : broken)
     std::cout << "  " << it << std::endl;
--- a/tests/standins/installation/KeyValues.cpp
+++ b/tests/standins/installation/KeyValues.cpp
@@ -97,11 +97,6 @@
   wake();
 }
 
-std::uint64_t KeyValues::calls(const std::string &kind) const {
-  auto it = Calls.find(kind);
-  return it == Calls.end() ? 0 : it->second;
-}
-
 Awaitable<void> KeyValues::expireLeases() {
   while (true) {
     co_await pause(LeaseSweep);
--- a/tests/standins/installation/KeyValues.h
+++ b/tests/standins/installation/KeyValues.h
@@ -44,7 +44,8 @@
   void dropHistory();
   void setFaults(Faults faults);
   const Faults &faults() const { return Current; }
-  std::uint64_t calls(const std::string &kind) const;
+  /// Calls by kind, counted from the start.
+  const std::map<std::string, std::uint64_t> &calls() const { return Calls; }
 
 private:
   struct Item {
