--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -1,5 +1,6 @@
 #include "detail/Placement.h"
 
+#include "detail/Routing.h"
 #include "detail/Sharing.h"
 
 #include <algorithm>
@@ -16,11 +17,6 @@
 /// which a filler may join.
 constexpr double FillerAim = 0.8;
 
-static bool hasLabel(const WorkerState &w, const std::string &label) {
-  const std::vector<std::string> &labels = w.Profile.Labels;
-  return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 static bool fits(const WorkerState &w, const model::StepSpec &step) {
   const base::Resources &all = w.Profile.Capacity;
   base::Resources taken = w.Used;
@@ -48,7 +44,7 @@
   return w.isUsable() && w.Clock && now >= w.AvoidUntil && w.Strays.empty() &&
          w.Profile.Service == job.Job.Terms.Service &&
          !shard.ZonesOut.contains(w.Profile.Zone) &&
-         (step.Requirement.empty() || hasLabel(w, step.Requirement));
+         (step.Requirement.empty() || hasLabel(w.Profile, step.Requirement));
 }
 
 static bool mayRun(const ShardState &shard, const JobEntry &job,
@@ -109,7 +105,7 @@
     if (step.Target.count() > 0)
       score -= MixCost * otherPrograms(w, step.Image);
   }
-  if (!step.Affinity.empty() && hasLabel(w, step.Affinity))
+  if (!step.Affinity.empty() && hasLabel(w.Profile, step.Affinity))
     score += 10;
   return score - 0.05 * sameStep - 0.3 * w.Faults;
 }
@@ -147,7 +143,8 @@
     bool noCpu = !step.Filler && count(step.Size.Cpu) > count(left.Cpu);
     if (shard.ZonesOut.contains(w->Profile.Zone))
       ++faults.ZoneOut;
-    else if (!step.Requirement.empty() && !hasLabel(*w, step.Requirement))
+    else if (!step.Requirement.empty() &&
+             !hasLabel(w->Profile, step.Requirement))
       ++faults.NoLabel;
     else if (!mayServe(shard, job, step, *w, now))
       ++faults.Unusable;
--- a/packages/dispatch/src/Routing.cpp
+++ b/packages/dispatch/src/Routing.cpp
@@ -12,13 +12,15 @@
   return fills ? load.RoomForFillers : load.RoomForShort;
 }
 
+bool hasLabel(const model::WorkerProfile &worker, const std::string &label) {
+  const std::vector<std::string> &labels = worker.Labels;
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 static bool canRun(const model::WorkerProfile &worker,
                    const model::StepSpec &step) {
-  const std::vector<std::string> &labels = worker.Labels;
-  bool hasLabel =
-      step.Requirement.empty() ||
-      std::find(labels.begin(), labels.end(), step.Requirement) != labels.end();
-  return hasLabel && step.Size.fitsIn(worker.Capacity);
+  return (step.Requirement.empty() || hasLabel(worker, step.Requirement)) &&
+         step.Size.fitsIn(worker.Capacity);
 }
 
 std::vector<double> suitableShares(const NodeView &view,
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -294,8 +294,8 @@
 asio::awaitable<void> ShardRunner::flush() {
   auto self = shared_from_this();
   Flushing = true;
-  /// rounds of commits before the shard is handed over; what is not stored by
-  /// then is in the workers' lists.
+  // Commits before the shard is handed over; what is not stored by then is in
+  // the workers' lists.
   constexpr int rounds = 8;
   for (int i = 0; i < rounds && !Stopped && Loaded && State.hasWrites(); ++i)
     co_await commitOnce();
--- a/packages/dispatch/src/detail/Routing.h
+++ b/packages/dispatch/src/detail/Routing.h
@@ -20,6 +20,9 @@
   std::set<base::ZoneId> ZonesOut;
 };
 
+/// Returns whether a worker carries a label.
+bool hasLabel(const model::WorkerProfile &worker, const std::string &label);
+
 /// Returns the room that a shard has for jobs like \p graph.
 base::MilliCores &roomFor(ShardLoad &load, const model::JobGraph &graph);
 
--- a/tests/soak/Plant.cpp
+++ b/tests/soak/Plant.cpp
@@ -1,8 +1,5 @@
 #include "Plant.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -23,11 +20,6 @@
 const char *const Zones[] = {"a", "b", "c"};
 constexpr std::size_t ZoneCount = std::size(Zones);
 
-Awaitable<void> pause(std::chrono::milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 std::string Plant::address(int offset) const {
   return "127.0.0.1:" + std::to_string(Options.BasePort + offset);
 }
--- a/tests/soak/Plant.h
+++ b/tests/soak/Plant.h
@@ -19,6 +19,7 @@
 
 namespace asio = boost::asio;
 using standin::Awaitable;
+using standin::pause;
 
 struct PlantOptions {
   std::uint64_t Seed = 1;
@@ -77,8 +78,6 @@
 /// Failed runs of one task after which a job of these queues fails.
 constexpr std::int32_t MaxAttempts = 3;
 
-Awaitable<void> pause(std::chrono::milliseconds time);
-
 } // namespace endivedoor::soak
 
 #endif
--- a/tests/standins/installation/KeyValues.cpp
+++ b/tests/standins/installation/KeyValues.cpp
@@ -24,11 +24,6 @@
 constexpr auto LeaseSweep = 40ms;
 const std::string Root = "/endivedoor/";
 
-static Awaitable<void> pause(milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  co_await timer.async_wait(Tuple);
-}
-
 /// Returns the value of a name in the query of a path.
 static std::string query(const std::string &path, const std::string &name) {
   std::size_t at = path.find('?');
--- a/tests/standins/installation/TaskHost.cpp
+++ b/tests/standins/installation/TaskHost.cpp
@@ -51,11 +51,6 @@
   return "done";
 }
 
-static std::string taskName(const model::TaskKey &key) {
-  return dispatch::jobText(key.Job) + "." + std::to_string(key.Occurrence) +
-         "." + std::to_string(key.Step) + "." + std::to_string(key.Index);
-}
-
 TaskHost::TaskHost(asio::io_context &io, const base::Clock &clock,
                    KeyValues &store, Ledger &ledger,
                    model::WorkerProfile profile, model::Address listen,
@@ -248,14 +243,15 @@
     std::int64_t gauge = 0;
     if (step)
       gauge = step->Lasting ? 5 : Current.Stuck ? 0 : count(step->Size.Cpu);
-    running.push_back(json::array{taskName(id.Task), id.Run, run.Checkpoint,
-                                  run.Percent, gauge});
+    running.push_back(json::array{installation::encodeTaskName(id.Task), id.Run,
+                                  run.Checkpoint, run.Percent, gauge});
   }
   for (const End &it : Ended) {
     if (ended.size() == EndRows)
       break;
-    ended.push_back(json::array{it.Number, taskName(it.Id.Task), it.Id.Run,
-                                nameOf(it.How), it.Checkpoint});
+    ended.push_back(json::array{it.Number,
+                                installation::encodeTaskName(it.Id.Task),
+                                it.Id.Run, nameOf(it.How), it.Checkpoint});
   }
   return {{"running", std::move(running)},
           {"ended", std::move(ended)},
--- a/tests/support/Standin.h
+++ b/tests/support/Standin.h
@@ -8,8 +8,12 @@
 #include "endivedoor/platform/HttpServer.h"
 #include "endivedoor/platform/Json.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <cstdio>
@@ -35,6 +39,11 @@
       status, {{"Content-Type", "application/json"}}, json::serialize(body)};
 }
 
+inline Awaitable<void> pause(std::chrono::milliseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, time);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 /// Closes the connection without an answer.
 inline HttpResponse noAnswer() { return {0, {}, {}}; }
 
