Keep runners and mirrors alive while their callbacks run

Cause: PrefixMirror went on with a listing after one of its handlers had destroyed it. If the listing of a shard that was still loading reported a newer owner record, ShardRunner::endTerm() reset the mirror and had the node erase the runner, whose member function it was; the rest of the listing and the callback's captures used freed memory.

Before: unit-dispatch-lifetime with AddressSanitizer on the old sources: heap-use-after-free in the callback of ShardRunner::endTerm (ShardLostWhileLoading), in ShardRunner::maySendCommands (DestroyedWhileRunning), and two failed counts without a sanitizer (DestroyedByWrittenHandler, DestroyedByDeletedHandler). ShardLostWithWatchHistory passed before: a loaded runner is kept by its loops. After: all five pass with AddressSanitizer and UndefinedBehaviorSanitizer. Ruled out: the watch itself (pollWatch() checked already).

--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -18,7 +18,7 @@
 
 /// Lists a prefix, then watches it, and lists it again if the store has
 /// compacted the watched revisions. Reports each change once, in revision
-/// order.
+/// order. A handler may destroy the mirror; no handler is called after that.
 class PrefixMirror {
 public:
   struct Handlers {
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -94,6 +94,11 @@
         Started(clock.now()), LastHandover(clock.now()),
         JobRequests(store, clock, View, Workers) {}
 
+  /// Returns the runners of the owned shards. A call to a runner may end its
+  /// term and so change Owned.
+  std::vector<std::shared_ptr<ShardRunner>> runners() const;
+  /// Removes a runner unless a later term of its shard has begun.
+  void removeRunner(const ShardRunner &runner);
   void onDirectoryItem(const StoredItem &item);
   void onDirectoryDelete(const std::string &key);
   void spawnReconcile();
@@ -116,14 +121,28 @@
   bool isAssignedTo(const base::WorkerId &worker, std::int32_t shard) const;
 };
 
+std::vector<std::shared_ptr<ShardRunner>> DispatchNode::Impl::runners() const {
+  std::vector<std::shared_ptr<ShardRunner>> list;
+  for (const auto &[shard, runner] : Owned)
+    list.push_back(runner);
+  return list;
+}
+
+void DispatchNode::Impl::removeRunner(const ShardRunner &runner) {
+  auto it = Owned.find(runner.term().Shard);
+  if (it != Owned.end() && it->second.get() == &runner)
+    Owned.erase(it);
+  MetricsRegistry.setOwnedShards(Owned.size());
+}
+
 void DispatchNode::Impl::onDirectoryItem(const StoredItem &item) {
   std::string fault = View.apply(item);
   if (!fault.empty())
     Events.emit(EventCode::RecordUnreadable,
                 {{"key", item.Key}, {"cause", fault}});
   if (item.Key == keys::assignment())
-    for (const auto &[shard, runner] : Owned)
-      addAssignedWorkers(*runner);
+    for (const std::shared_ptr<ShardRunner> &it : runners())
+      addAssignedWorkers(*it);
 }
 
 void DispatchNode::Impl::onDirectoryDelete(const std::string &key) {
@@ -245,9 +264,9 @@
         [self = shared_from_this(), shard] { return self->claim(shard); },
         asio::detached);
   }
-  for (const auto &owned : Owned) {
-    std::int64_t since = owned.second->term().PreviousOwnerRevision;
-    owned.second->dropEndedOwners([this, since](const detail::Process &it) {
+  for (const std::shared_ptr<ShardRunner> &owned : runners()) {
+    std::int64_t since = owned->term().PreviousOwnerRevision;
+    owned->dropEndedOwners([this, since](const detail::Process &it) {
       return hasEnded(it, since);
     });
   }
@@ -396,27 +415,26 @@
               {{"shard", std::to_string(term.Shard)},
                {"term", std::to_string(term.Number)},
                {"token", std::to_string(term.Revision)}});
-  detail::RunnerContext context{Executor,
-                                Options,
-                                Store,
-                                WorkerCalls,
-                                Time,
-                                Events,
-                                MetricsRegistry,
-                                [this] { return LastStoreContact; },
-                                [this](TimePoint sent) {
-                                  LastStoreContact =
-                                      std::max(LastStoreContact, sent);
-                                },
-                                {},
-                                [this](std::int32_t shard) {
-                                  Owned.erase(shard);
-                                  MetricsRegistry.setOwnedShards(Owned.size());
-                                }};
+  // The node's destructor clears Owned, which ends the cycle of references.
+  std::shared_ptr<Impl> self = shared_from_this();
+  detail::RunnerContext context{
+      Executor,
+      Options,
+      Store,
+      WorkerCalls,
+      Time,
+      Events,
+      MetricsRegistry,
+      [self] { return self->LastStoreContact; },
+      [self](TimePoint sent) {
+        self->LastStoreContact = std::max(self->LastStoreContact, sent);
+      },
+      {},
+      [self](const ShardRunner &runner) { self->removeRunner(runner); }};
   if (View.Shards > 1)
-    context.FindShard = [this](const model::AcceptedJob &job,
+    context.FindShard = [self](const model::AcceptedJob &job,
                                std::int32_t from) {
-      return JobRequests.findShard(job, from);
+      return self->JobRequests.findShard(job, from);
     };
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
@@ -440,10 +458,7 @@
   if (!joined || !joined.value().Applied)
     co_return false;
   Lease = lease.value();
-  std::vector<std::shared_ptr<ShardRunner>> runners;
-  for (const auto &[shard, runner] : Owned)
-    runners.push_back(runner);
-  for (const std::shared_ptr<ShardRunner> &it : runners) {
+  for (const std::shared_ptr<ShardRunner> &it : runners()) {
     const detail::Term &term = it->term();
     Commit commit;
     // The entry may still be attached to the expired lease.
@@ -466,7 +481,7 @@
                   {{"shard", std::to_string(term.Shard)},
                    {"cause", "the node's lease expired"}});
       it->stop();
-      Owned.erase(term.Shard);
+      removeRunner(*it);
     }
   }
   co_return true;
@@ -512,7 +527,7 @@
   Events.emit(EventCode::ShardReleased,
               {{"shard", std::to_string(shard)},
                {"stored", done ? "yes" : done.error().message()}});
-  Owned.erase(shard);
+  removeRunner(*runner);
 }
 
 DispatchNode::DispatchNode(asio::any_io_executor executor,
@@ -522,20 +537,26 @@
     : Self(std::make_shared<Impl>(std::move(executor), std::move(options),
                                   store, workers, clock, events, metrics)) {}
 
-DispatchNode::~DispatchNode() = default;
+DispatchNode::~DispatchNode() {
+  Self->Leaving = true;
+  for (const std::shared_ptr<ShardRunner> &it : Self->runners())
+    it->stop();
+  Self->Owned.clear();
+}
 
 void DispatchNode::start() {
   Self->Directory.start();
-  asio::co_spawn(Self->Executor, Self->leaseLoop(), asio::detached);
-  asio::co_spawn(Self->Executor, Self->reconcileLoop(), asio::detached);
+  asio::co_spawn(
+      Self->Executor, [self = Self] { return self->leaseLoop(); },
+      asio::detached);
+  asio::co_spawn(
+      Self->Executor, [self = Self] { return self->reconcileLoop(); },
+      asio::detached);
 }
 
 asio::awaitable<void> DispatchNode::leave() {
   Self->Leaving = true;
-  std::vector<std::shared_ptr<ShardRunner>> owned;
-  for (const auto &[shard, runner] : Self->Owned)
-    owned.push_back(runner);
-  for (const std::shared_ptr<ShardRunner> &it : owned)
+  for (const std::shared_ptr<ShardRunner> &it : Self->runners())
     co_await Self->release(it);
   if (Self->Lease != LeaseId{0})
     if (base::Result<void> ended =
@@ -549,23 +570,23 @@
   if (zones == Self->Workers.ZonesOutOfService)
     return;
   Self->Workers.ZonesOutOfService = std::move(zones);
-  for (const auto &[shard, runner] : Self->Owned)
-    runner->setZonesOutOfService(Self->Workers.ZonesOutOfService);
+  for (const std::shared_ptr<ShardRunner> &it : Self->runners())
+    it->setZonesOutOfService(Self->Workers.ZonesOutOfService);
 }
 
 void DispatchNode::updateWorker(const model::WorkerProfile &worker) {
   if (!Self->Workers.Profiles.contains(worker.Id))
     Self->WorkersChanged = Self->Time.now();
   Self->Workers.Profiles[worker.Id] = worker;
-  for (const auto &[shard, runner] : Self->Owned)
-    if (Self->isAssignedTo(worker.Id, shard))
-      runner->updateWorker(worker);
+  for (const std::shared_ptr<ShardRunner> &it : Self->runners())
+    if (Self->isAssignedTo(worker.Id, it->term().Shard))
+      it->updateWorker(worker);
 }
 
 void DispatchNode::unlistWorker(const base::WorkerId &worker) {
   Self->Workers.Profiles.erase(worker);
-  for (const auto &[shard, runner] : Self->Owned)
-    runner->unlistWorker(worker);
+  for (const std::shared_ptr<ShardRunner> &it : Self->runners())
+    it->unlistWorker(worker);
 }
 
 asio::awaitable<SubmitOutcome> DispatchNode::submit(model::AcceptedJob job) {
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -76,13 +76,18 @@
     for (const StoredItem &it : list.value().Items) {
       present.insert(it.Key);
       applyWrite(it);
+      if (Stopped)
+        co_return false;
     }
     std::vector<std::string> missing;
     for (const auto &[key, revision] : Revisions)
       if (!present.contains(key) && revision <= list.value().AsOf)
         missing.push_back(key);
-    for (const std::string &it : missing)
+    for (const std::string &it : missing) {
       applyDelete(it, list.value().AsOf);
+      if (Stopped)
+        co_return false;
+    }
     AsOf = list.value().AsOf;
     Listed = true;
     Callbacks.Synced();
@@ -148,7 +153,8 @@
 PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
 
 void PrefixMirror::start() {
-  asio::co_spawn(Self->Executor, Self->run(), asio::detached);
+  asio::co_spawn(
+      Self->Executor, [self = Self] { return self->run(); }, asio::detached);
 }
 
 bool PrefixMirror::isSynced() const { return Self->Listed; }
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -57,12 +57,13 @@
 void ShardRunner::endTerm(const char *cause) {
   if (Stopped)
     return;
+  auto self = shared_from_this();
   Context.Events.emit(EventCode::ShardGivenUp,
                       {{"shard", std::to_string(CurrentTerm.Shard)},
                        {"term", std::to_string(CurrentTerm.Number)},
                        {"cause", cause}});
   stop();
-  Context.OnTermEnded(CurrentTerm.Shard);
+  Context.OnTermEnded(*this);
 }
 
 bool ShardRunner::maySendCommands() const {
@@ -104,8 +105,7 @@
     if (facts)
       State.colocationModel().importStatistics(facts.value());
     else
-      Context.Events.emit(EventCode::RecordUnreadable,
-                          {{"key", keys::colocation(CurrentTerm.Shard)}});
+      reportUnreadable(*pairs.value(), facts.error());
   }
   std::vector<StoredItem> progress;
   while (!Stopped) {
@@ -120,35 +120,15 @@
     co_await sleepFor(CommitRetryDelay);
   }
   PrefixMirror::Handlers handlers;
-  handlers.Written = [this](const StoredItem &item) { onItem(item); };
+  handlers.Written = [runner = weak_from_this()](const StoredItem &item) {
+    if (std::shared_ptr<ShardRunner> self = runner.lock())
+      self->onItem(item);
+  };
   handlers.Deleted = [](const std::string &) {};
-  handlers.Synced = [this, progress = std::move(progress)]() mutable {
-    if (!Loaded) {
-      Loaded = true;
-      std::string prefix = keys::progressPrefix(CurrentTerm.Shard);
-      for (const StoredItem &it : progress) {
-        base::Result<model::JobNumber> id =
-            parseJobNumber(it.Key.substr(prefix.size()));
-        base::Result<JobProgress> record = decodeProgress(it.Value);
-        if (id && record)
-          State.restore(id.value(), record.value(), it.Revision);
-        else
-          Context.Events.emit(EventCode::RecordUnreadable, {{"key", it.Key}});
-      }
-      progress.clear();
-      Context.Events.emit(EventCode::ShardLoaded,
-                          {{"shard", std::to_string(CurrentTerm.Shard)},
-                           {"term", std::to_string(CurrentTerm.Number)}});
-      auto self = shared_from_this();
-      asio::co_spawn(
-          Context.Executor, [self] { return self->planLoop(); },
-          asio::detached);
-      asio::co_spawn(
-          Context.Executor, [self] { return self->commitLoop(); },
-          asio::detached);
-      spawnPollLoops();
-    }
-    requestPlan();
+  handlers.Synced = [runner = weak_from_this(),
+                     progress = std::move(progress)]() mutable {
+    if (std::shared_ptr<ShardRunner> self = runner.lock())
+      self->onSynced(std::move(progress));
   };
   Mirror = std::make_unique<PrefixMirror>(Context.Executor, Context.Store,
                                           keys::shardPrefix(CurrentTerm.Shard),
@@ -156,6 +136,33 @@
   Mirror->start();
 }
 
+void ShardRunner::onSynced(std::vector<StoredItem> progress) {
+  if (!Loaded) {
+    Loaded = true;
+    std::string prefix = keys::progressPrefix(CurrentTerm.Shard);
+    for (const StoredItem &it : progress) {
+      base::Result<model::JobNumber> id =
+          parseJobNumber(it.Key.substr(prefix.size()));
+      base::Result<JobProgress> record = decodeProgress(it.Value);
+      if (id && record)
+        State.restore(id.value(), record.value(), it.Revision);
+      else
+        reportUnreadable(it, id ? record.error() : id.error());
+    }
+    Context.Events.emit(EventCode::ShardLoaded,
+                        {{"shard", std::to_string(CurrentTerm.Shard)},
+                         {"term", std::to_string(CurrentTerm.Number)}});
+    auto self = shared_from_this();
+    asio::co_spawn(
+        Context.Executor, [self] { return self->planLoop(); }, asio::detached);
+    asio::co_spawn(
+        Context.Executor, [self] { return self->commitLoop(); },
+        asio::detached);
+    spawnPollLoops();
+  }
+  requestPlan();
+}
+
 void ShardRunner::onItem(const StoredItem &item) {
   std::string prefix = keys::shardPrefix(CurrentTerm.Shard);
   if (item.Key == keys::owner(CurrentTerm.Shard)) {
@@ -167,23 +174,17 @@
   std::string kind = item.Key.substr(prefix.size(), kindLength);
   base::Result<model::JobNumber> id =
       parseJobNumber(item.Key.substr(prefix.size() + kindLength));
-  if (!id) {
-    Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
-    return;
-  }
+  if (!id)
+    return reportUnreadable(item, id.error());
   if (kind == "c/")
     return State.cancelJob(id.value(), Context.Time.now());
   base::Result<model::AcceptedJob> job = decodeJob(id.value(), item.Value);
-  if (!job) {
-    Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
-    return;
-  }
+  if (!job)
+    return reportUnreadable(item, job.error());
   base::Result<std::optional<JobHandover>> handover =
       decodeHandover(item.Value);
-  if (!handover) {
-    Context.Events.emit(EventCode::RecordUnreadable, {{"key", item.Key}});
-    return;
-  }
+  if (!handover)
+    return reportUnreadable(item, handover.error());
   bool inherited = item.Revision <= CurrentTerm.Revision;
   State.addJob(std::move(job.value()), item.Revision, inherited,
                Context.Time.now());
@@ -191,6 +192,16 @@
     State.restore(id.value(), *handover.value());
 }
 
+/// Logs a record that is skipped. The record stays in the store, so that the
+/// next owner reads it again; a job stays accepted and visible.
+void ShardRunner::reportUnreadable(const StoredItem &item,
+                                   const base::Error &error) {
+  Context.Events.emit(EventCode::RecordUnreadable,
+                      {{"key", item.Key},
+                       {"bytes", std::to_string(item.Value.size())},
+                       {"cause", error.message()}});
+}
+
 void ShardRunner::dropEndedOwners(
     const std::function<bool(const Process &)> &hasEnded) {
   if (CurrentTerm.EarlierOwners.empty())
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -34,7 +34,10 @@
 /// Delay before a failed call to the store is retried.
 constexpr std::chrono::milliseconds CommitRetryDelay{200};
 
-/// Dependencies of a runner, provided by its node.
+class ShardRunner;
+
+/// Dependencies of a runner, provided by its node. The functions must keep what
+/// they refer to alive.
 struct RunnerContext {
   boost::asio::any_io_executor Executor;
   const DispatchOptions &Options;
@@ -52,7 +55,7 @@
       const model::AcceptedJob &job, std::int32_t from)>
       FindShard;
   /// Called when the term has ended.
-  std::function<void(std::int32_t shard)> OnTermEnded;
+  std::function<void(const ShardRunner &runner)> OnTermEnded;
 };
 
 class ShardRunner : public std::enable_shared_from_this<ShardRunner> {
@@ -76,6 +79,9 @@
 private:
   boost::asio::awaitable<void> load();
   void onItem(const StoredItem &item);
+  /// \param progress the progress records; used by the first call only.
+  void onSynced(std::vector<StoredItem> progress);
+  void reportUnreadable(const StoredItem &item, const base::Error &error);
   void requestPlan();
   boost::asio::awaitable<void> planLoop();
   boost::asio::awaitable<void> commitLoop();
@@ -91,6 +97,8 @@
   boost::asio::awaitable<void> pollLoop(base::WorkerId worker);
   void spawnPollLoops();
   boost::asio::awaitable<void> executeCommand(WorkerCommand order);
+  /// Ends the term, after which the node no longer refers to this runner. May
+  /// be called from a callback of the runner's mirror.
   void endTerm(const char *cause);
   bool maySendCommands() const;
 
--- a/tests/support/InMemoryStore.h
+++ b/tests/support/InMemoryStore.h
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -32,6 +33,11 @@
   /// Number of next watches that report lost history.
   int PendingHistoryLosses = 0;
   int ListCalls = 0;
+  /// Time that a listing takes. The caller is suspended meanwhile, which it is
+  /// not with 0.
+  std::chrono::milliseconds ListDelay{0};
+  /// Called before each listing with its prefix; null for none.
+  std::function<void(const std::string &prefix)> BeforeList;
 
   void put(const std::string &key, const std::string &value) {
     apply({{}, {{key, value}}, {}});
@@ -97,6 +103,12 @@
 
   Async<dispatch::Listing> list(std::string prefix) override {
     ++ListCalls;
+    if (ListDelay.count() > 0) {
+      asio::steady_timer timer(co_await asio::this_coro::executor, ListDelay);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (BeforeList)
+      BeforeList(prefix);
     if (Unavailable)
       co_return base::fail(base::Errc::StoreUnavailable,
                            "store is unavailable");
