Make every stored job record readable, and decoders free of exceptions

By reading: names, sizes and times that the wire allows but the decoder rejects were stored as well (image names above 256 bytes, cpu or estimates above 2^31), and as_array()/as_object()/as_int64() throw on malformed records, which ends the coroutine of the mirror silently, so that the node never reads a record again.

A record that cannot be read stays in the store, its job stays visible, and the next owner reads it again.

--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -42,6 +42,9 @@
   Accepted,
   /// The job is not stored and will not be.
   Refused,
+  /// As Refused; the job exceeds the limits of a record and never can be
+  /// stored.
+  Invalid,
   /// It is not known whether the job is stored.
   Unknown
 };
--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -36,6 +36,21 @@
 std::string assignment();
 } // namespace keys
 
+/// Bounds of stored records. The encoders enforce them too, so that every
+/// stored record can be read back.
+namespace limits {
+/// Longest name of a queue, service, label, image, node or process, in bytes.
+constexpr std::size_t MaxNameBytes = 256;
+/// Longest payload of a job, in bytes.
+constexpr std::size_t MaxPayloadBytes = 4000;
+/// Longest checkpoint, in bytes; longer ones are not stored.
+constexpr std::size_t MaxCheckpointBytes = 4096;
+constexpr std::size_t MaxSteps = 64;
+constexpr std::int32_t MaxTasksPerJob = 10000;
+/// Largest record, in bytes; the largest value that the store accepts.
+constexpr std::size_t MaxRecordBytes = 1 << 20;
+} // namespace limits
+
 /// Formats a job number as 16 lower-case hexadecimal digits.
 std::string formatJobNumber(model::JobNumber job);
 /// Errors: ParseFailed.
@@ -111,9 +126,11 @@
 
 /// \param handover state of a job that moves from another shard; null for a new
 /// job.
-std::string encodeJob(const model::AcceptedJob &job,
-                      const JobHandover *handover = nullptr);
+/// Errors: LimitExceeded if a part of the job is outside the limits.
+base::Result<std::string> encodeJob(const model::AcceptedJob &job,
+                                    const JobHandover *handover = nullptr);
 std::string encodeIndex(const JobIndexEntry &index);
+/// Omits the checkpoints if the record would exceed MaxRecordBytes with them.
 std::string encodeProgress(const JobProgress &progress);
 std::string encodeRoster(const std::vector<RosterEntry> &roster);
 
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -123,11 +123,14 @@
       Loads.clear();
     shard = chooseShard(job);
   }
+  base::Result<std::string> record = encodeJob(job);
+  if (!record)
+    co_return SubmitOutcome::Invalid;
   Commit commit;
   commit.Conditions = {{keys::index(job.Id), 0}};
   commit.Writes = {
       {keys::index(job.Id), encodeIndex({shard, JobState::Queued})},
-      {keys::job(shard, job.Id), encodeJob(job)}};
+      {keys::job(shard, job.Id), std::move(record.value())}};
   bool unknown = false;
   base::TimePoint lastStart = Time.now() + LastAttemptStart;
   for (int i = 0; i < MaxAttempts && Time.now() < lastStart; ++i) {
--- a/packages/dispatch/src/NodeRecords.cpp
+++ b/packages/dispatch/src/NodeRecords.cpp
@@ -51,7 +51,8 @@
                    {}};
   if (!fault.empty())
     return base::fail(base::Errc::ParseFailed, fault);
-  const json::value *earlier = value.value().as_object().if_contains("earlier");
+  const json::value *earlier =
+      value.value().get_object().if_contains("earlier");
   if (earlier && earlier->is_array())
     for (const json::value &it : earlier->as_array()) {
       JsonView row(it, fault);
@@ -88,9 +89,10 @@
   JsonView v(value.value(), fault);
   if (item.Key.starts_with(keys::memberPrefix())) {
     constexpr double minCores = 0.001, maxCores = 1000;
-    Members[item.Key.substr(keys::memberPrefix().size())] = {
-        v.optionalText("instance"),
-        v.optionalReal("cores", minCores, maxCores, 1)};
+    Member member{v.text("instance"),
+                  v.optionalReal("cores", minCores, maxCores, 1)};
+    if (fault.empty())
+      Members[item.Key.substr(keys::memberPrefix().size())] = member;
     return fault;
   }
   if (std::optional<std::int32_t> shard =
@@ -108,16 +110,21 @@
     }
   } else if (item.Key == keys::layout()) {
     constexpr std::int32_t maxShards = 4096;
-    Shards = static_cast<std::int32_t>(v.number("shards", 1, maxShards));
+    auto shards = static_cast<std::int32_t>(v.number("shards", 1, maxShards));
+    if (fault.empty())
+      Shards = shards;
   } else if (item.Key == keys::assignment()) {
+    const json::object *record = value.value().if_object();
+    const json::value *field =
+        record ? record->if_contains("workers") : nullptr;
+    const json::object *workers = field ? field->if_object() : nullptr;
+    if (!workers)
+      return "field workers is not an object";
     Assignment.clear();
-    const json::value *workers =
-        value.value().as_object().if_contains("workers");
-    if (workers && workers->is_object())
-      for (const auto &[worker, shard] : workers->as_object())
-        if (shard.is_int64())
-          Assignment[base::WorkerId(std::string(worker))] =
-              static_cast<std::int32_t>(shard.as_int64());
+    for (const auto &[worker, shard] : *workers)
+      if (shard.is_int64())
+        Assignment[base::WorkerId(std::string(worker))] =
+            static_cast<std::int32_t>(shard.get_int64());
   }
   return fault;
 }
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -75,10 +75,11 @@
 
 namespace {
 
-/// Limits for decoding records, derived from the limits for accepted jobs.
-constexpr std::size_t MaxSteps = 4096;
-constexpr std::size_t MaxTasks = 1 << 20;
-constexpr std::size_t MaxPayload = 1 << 20;
+/// Largest number of occurrences in a progress record, and of workers in a
+/// roster.
+constexpr std::size_t MaxListItems = 1 << 20;
+/// Largest stretch factor of a queue's policy.
+constexpr double MaxStretch = 1e6;
 
 void setUnlessDefault(json::object &to, const char *key, std::int64_t n) {
   if (n != 0)
@@ -140,16 +141,30 @@
   return s;
 }
 
+/// Returns the array in field \p key, or null if the field is absent. Records
+/// an error if it is not an array.
+const json::array *findArray(const json::value &from, const char *key,
+                             const JsonView &v) {
+  const json::object *object = from.if_object();
+  const json::value *field = object ? object->if_contains(key) : nullptr;
+  if (field && !field->is_array())
+    v.setError(key, "is not an array");
+  return field ? field->if_array() : nullptr;
+}
+
 /// Reads the array of integers in field \p key, which JsonView does not
 /// support.
-void readNumbers(const json::value &from, const char *key,
-                 std::vector<std::int32_t> &to) {
-  const json::value *list = from.as_object().if_contains(key);
-  if (!list || !list->is_array())
+template <typename T>
+void readNumbers(const json::value &from, const char *key, const JsonView &v,
+                 std::vector<T> &to) {
+  const json::array *list = findArray(from, key, v);
+  if (!list)
     return;
-  for (const json::value &it : list->as_array())
-    if (it.is_int64())
-      to.push_back(static_cast<std::int32_t>(it.as_int64()));
+  for (const json::value &it : *list) {
+    if (!it.is_int64())
+      return v.setError(key, "contains a value that is not an integer");
+    to.push_back(static_cast<T>(it.get_int64()));
+  }
 }
 
 template <typename T, typename F>
@@ -166,24 +181,76 @@
   return result;
 }
 
-TaskProgress taskFromJson(const json::value &from) {
+TaskProgress taskFromJson(const json::value &from, std::string &fault) {
   TaskProgress t;
-  std::string fault;
   JsonView v(from, fault);
   t.Step = readInt32(v, "s");
   t.Index = readInt32(v, "i");
   t.Done = readInt32(v, "d");
-  t.Checkpoint = v.optionalText("c", MaxPayload);
-  if (const json::value *runs = from.as_object().if_contains("f"))
-    for (const json::value &it : runs->as_array())
-      t.FailedRuns.push_back(it.as_int64());
+  t.Checkpoint = v.optionalText("c", limits::MaxCheckpointBytes);
+  readNumbers(from, "f", v, t.FailedRuns);
   return t;
 }
 
+bool isInt32(std::int64_t n) { return n >= 0 && n <= INT32_MAX; }
+
+bool isName(const std::string &name) {
+  return name.size() <= limits::MaxNameBytes;
+}
+
+/// Returns the name of the first part of a step that the decoder would reject,
+/// or null.
+const char *unreadablePartOf(const model::StepSpec &s) {
+  if (s.Count < 0 || s.Count > limits::MaxTasksPerJob)
+    return "count";
+  if (!isInt32(count(s.Size.Cpu)) || !isInt32(count(s.Size.Memory)) ||
+      !isInt32(s.Size.Accelerators))
+    return "size";
+  if (!isInt32(s.Estimate.count()) || !isInt32(s.Target.count()))
+    return "time";
+  if (!isName(s.Requirement) || !isName(s.Affinity) || !isName(s.Image))
+    return "name";
+  if (!isInt32(s.MaxPerWorker) || !isInt32(s.MaxUnavailable))
+    return "limit";
+  return nullptr;
+}
+
+/// Returns an error if the decoder would reject the record of the job.
+base::Result<void> checkReadable(const model::AcceptedJob &job) {
+  auto exceeds = [](const std::string &what) {
+    return fail(Errc::LimitExceeded, what);
+  };
+  if (job.Queue.empty() || !isName(job.Queue) ||
+      job.Policy.Service.str().empty() || !isName(job.Policy.Service.str()))
+    return exceeds("name of the queue or its service");
+  if (!isInt32(job.Policy.Priority) || !isInt32(job.Policy.MaxAttempts) ||
+      !isInt32(job.Policy.Target.count()) ||
+      !(job.Policy.Stretch >= 0 && job.Policy.Stretch <= MaxStretch))
+    return exceeds("policy of the queue");
+  if (job.Graph.Payload.size() > limits::MaxPayloadBytes)
+    return exceeds("payload");
+  if (!isInt32(job.Graph.Occurrences) || job.Graph.FirstDue.count() < 0 ||
+      job.Graph.Interval.count() < 0)
+    return exceeds("occurrences");
+  if (job.Graph.Steps.size() > limits::MaxSteps)
+    return exceeds("number of steps");
+  std::int64_t tasks = 0;
+  for (std::size_t i = 0; i < job.Graph.Steps.size(); ++i) {
+    if (const char *part = unreadablePartOf(job.Graph.Steps[i]))
+      return exceeds("step " + std::to_string(i) + ": " + part);
+    tasks += job.Graph.Steps[i].Count;
+  }
+  if (tasks > limits::MaxTasksPerJob)
+    return exceeds("number of tasks");
+  return base::success();
+}
+
 } // namespace
 
-std::string encodeJob(const model::AcceptedJob &job,
-                      const JobHandover *handover) {
+base::Result<std::string> encodeJob(const model::AcceptedJob &job,
+                                    const JobHandover *handover) {
+  if (base::Result<void> checked = checkReadable(job); !checked)
+    return checked.as_failure();
   json::object to;
   if (handover) {
     to["progress"] = encodeProgress(handover->Progress);
@@ -203,7 +270,11 @@
   for (const model::StepSpec &it : job.Graph.Steps)
     steps.push_back(stepToJson(it));
   to["steps"] = std::move(steps);
-  return json::serialize(to);
+  std::string text = json::serialize(to);
+  if (text.size() > limits::MaxRecordBytes)
+    return fail(Errc::LimitExceeded,
+                "record of " + std::to_string(text.size()) + " bytes");
+  return text;
 }
 
 base::Result<model::AcceptedJob> decodeJob(JobNumber id,
@@ -216,19 +287,19 @@
         job.Policy.Service = base::ServiceName(v.text("service"));
         job.Policy.Priority = readInt32(v, "priority");
         job.Policy.MaxAttempts = readInt32(v, "maxAttempts");
-        job.Policy.Stretch = v.optionalReal("stretch", 0, 1e6, 1);
+        job.Policy.Stretch = v.optionalReal("stretch", 0, MaxStretch, 1);
         job.Policy.Target = std::chrono::milliseconds(readInt32(v, "targetMs"));
-        job.Graph.Payload = v.optionalText("payload", MaxPayload);
+        job.Graph.Payload = v.optionalText("payload", limits::MaxPayloadBytes);
         job.Graph.Occurrences = readInt32(v, "repeats");
         job.Graph.FirstDue = std::chrono::milliseconds(
             v.optionalNumber("firstDueMs", 0, platform::MaxInt64));
         job.Graph.Interval = std::chrono::milliseconds(
             v.optionalNumber("intervalMs", 0, platform::MaxInt64));
-        std::vector<JsonView> steps = v.list("steps", MaxSteps);
-        const json::value *raw = value.as_object().if_contains("steps");
+        std::vector<JsonView> steps = v.list("steps", limits::MaxSteps);
+        const json::array *raw = findArray(value, "steps", v);
         for (std::size_t i = 0; i < steps.size(); ++i) {
           job.Graph.Steps.push_back(stepFromJson(steps[i]));
-          readNumbers(raw->as_array()[i], "after",
+          readNumbers((*raw)[i], "after", steps[i],
                       job.Graph.Steps.back().Dependencies);
         }
         return job;
@@ -242,9 +313,9 @@
       text,
       [&](const json::value &value,
           const JsonView &v) -> std::optional<JobHandover> {
-        if (!value.as_object().contains("progress"))
+        if (!value.get_object().contains("progress"))
           return std::nullopt;
-        progress = v.text("progress");
+        progress = v.text("progress", limits::MaxRecordBytes);
         JobHandover handover;
         handover.LastRun = v.number("lastRun", 0, platform::MaxInt64);
         return handover;
@@ -276,7 +347,8 @@
       });
 }
 
-std::string encodeProgress(const JobProgress &progress) {
+static std::string serializeProgress(const JobProgress &progress,
+                                     std::size_t maxCheckpointBytes) {
   json::array occurrences;
   for (const OccurrenceProgress &it : progress.Occurrences) {
     json::object o;
@@ -288,7 +360,8 @@
       setUnlessDefault(task, "s", t.Step);
       setUnlessDefault(task, "i", t.Index);
       setUnlessDefault(task, "d", t.Done);
-      setIf(task, "c", t.Checkpoint);
+      if (t.Checkpoint.size() <= maxCheckpointBytes)
+        setIf(task, "c", t.Checkpoint);
       if (!t.FailedRuns.empty())
         task["f"] = json::value_from(t.FailedRuns);
       tasks.push_back(std::move(task));
@@ -299,23 +372,32 @@
   return json::serialize(json::object{{"o", std::move(occurrences)}});
 }
 
+std::string encodeProgress(const JobProgress &progress) {
+  std::string text = serializeProgress(progress, limits::MaxCheckpointBytes);
+  // Escaping the text for a job record can double its size.
+  if (text.size() > limits::MaxRecordBytes / 2)
+    text = serializeProgress(progress, 0);
+  return text;
+}
+
 base::Result<JobProgress> decodeProgress(const std::string &text) {
   return decode<JobProgress>(
       text, [](const json::value &value, const JsonView &v) {
         JobProgress progress;
-        std::vector<JsonView> list = v.list("o", MaxTasks);
-        const json::value *raw = value.as_object().if_contains("o");
+        std::vector<JsonView> list = v.list("o", MaxListItems);
+        const json::array *raw = findArray(value, "o", v);
+        std::string fault;
         for (std::size_t i = 0; i < list.size(); ++i) {
           OccurrenceProgress o;
           o.Number = readInt32(list[i], "k");
           o.Complete = readInt32(list[i], "x");
-          const json::value *tasks =
-              raw->as_array()[i].as_object().if_contains("t");
-          if (tasks && tasks->is_array())
-            for (const json::value &it : tasks->as_array())
-              o.Tasks.push_back(taskFromJson(it));
+          if (const json::array *tasks = findArray((*raw)[i], "t", list[i]))
+            for (const json::value &it : *tasks)
+              o.Tasks.push_back(taskFromJson(it, fault));
           progress.Occurrences.push_back(std::move(o));
         }
+        if (!fault.empty())
+          v.setError("t", fault);
         return progress;
       });
 }
@@ -333,7 +415,7 @@
   return decode<std::vector<RosterEntry>>(
       text, [](const json::value &, const JsonView &v) {
         std::vector<RosterEntry> roster;
-        for (const JsonView &it : v.list("workers", MaxTasks))
+        for (const JsonView &it : v.list("workers", MaxListItems))
           roster.push_back({base::WorkerId(it.text("id")),
                             {it.text("ip"), static_cast<std::uint16_t>(
                                                 it.number("port", 1, 65535))}});
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -264,12 +264,21 @@
 asio::awaitable<void> ShardRunner::moveJob(JobMove move, std::int32_t to) {
   model::JobNumber id = move.Job.Id;
   std::int32_t from = CurrentTerm.Shard;
+  base::Result<std::string> record = encodeJob(move.Job, &move.Handover);
+  if (!record) {
+    // The job stays; a record that its new owner cannot read would lose it.
+    Context.Events.emit(
+        EventCode::JobNotMoved,
+        {{"job", formatJobNumber(id)}, {"cause", record.error().message()}});
+    State.onMoveFinished(id, false, move.Revision, Context.Time.now());
+    co_return;
+  }
   while (!Stopped) {
     Commit commit;
     commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
                          {keys::index(id), move.Revision}};
     commit.Writes = {{keys::index(id), encodeIndex({to, move.State})},
-                     {keys::job(to, id), encodeJob(move.Job, &move.Handover)}};
+                     {keys::job(to, id), record.value()}};
     commit.Deletes = {keys::job(from, id), keys::progress(from, id)};
     base::Result<CommitOutcome> done =
         co_await Context.Store.commit(std::move(commit));
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -440,12 +440,14 @@
   dispatch::JobHandover handover;
   handover.LastRun = 7;
   handover.Progress.Occurrences.push_back({1, false, {{0, 2, true, {3}, ""}}});
-  auto decoded = dispatch::decodeHandover(dispatch::encodeJob(job, &handover));
+  auto decoded =
+      dispatch::decodeHandover(dispatch::encodeJob(job, &handover).value());
   ASSERT_TRUE(decoded && decoded.value());
   EXPECT_EQ(decoded.value()->LastRun, 7);
   ASSERT_EQ(decoded.value()->Progress.Occurrences.size(), 1u);
   EXPECT_TRUE(decoded.value()->Progress.Occurrences[0].Tasks[0].Done);
-  EXPECT_FALSE(dispatch::decodeHandover(dispatch::encodeJob(job)).value());
+  EXPECT_FALSE(
+      dispatch::decodeHandover(dispatch::encodeJob(job).value()).value());
   EXPECT_FALSE(dispatch::decodeHandover(R"({"progress":7,"lastRun":1})"));
 }
 
@@ -464,9 +466,10 @@
   step.Image = "i1";
   job.Graph.Steps = {step, step};
   job.Graph.Steps[1].Dependencies = {0};
-  auto decoded = dispatch::decodeJob(job.Id, dispatch::encodeJob(job));
+  auto decoded = dispatch::decodeJob(job.Id, dispatch::encodeJob(job).value());
   RC_ASSERT(decoded.has_value());
-  RC_ASSERT(dispatch::encodeJob(decoded.value()) == dispatch::encodeJob(job));
+  RC_ASSERT(dispatch::encodeJob(decoded.value()).value() ==
+            dispatch::encodeJob(job).value());
 }
 
 TEST(Records, MalformedText_IsRejected) {
