--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
+scripts/check-packages.py
 scripts/lint.sh
 scripts/sanitize.sh
 exec ctest --test-dir build --output-on-failure -j 4
