Delegate waiting tasks of a long-running job to a shard with room

Cause: a job with runs does not move between shards, so a long-running job whose shard is full keeps its other tasks waiting for as long as it lasts.

One commit marks them in the job's progress record and creates a job record with only these tasks in the other shard; the index entry stays with the job's shard, which passes a cancellation on before it removes its records. Tasks on offer are not started; a lost answer is retried until the outcome is known.

Ruled out: moving the whole job (its other tasks would stop), reassigning workers (two owners fence each other, and all workers have long-running tasks), one owner for all shards.

Tests: DispatchNodeDelegation (real node, store stand-in; lost answer, new owners, cancellation) and ShardDelegation.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -71,6 +71,8 @@
   /// Numbers of the runs that failed.
   std::vector<std::int64_t> FailedRuns;
   std::string Checkpoint;
+  /// Shard that runs the task instead of the job's own.
+  std::optional<std::int32_t> DelegatedTo = {};
 };
 
 struct OccurrenceProgress {
@@ -110,6 +112,32 @@
   std::int64_t Revision = 0;
 };
 
+struct TaskRef {
+  std::int32_t Step = 0;
+  std::int32_t Index = 0;
+};
+
+/// Tasks of a long-running job that another shard runs, because the job's own
+/// has no capacity for them. The job's shard keeps the index entry and passes a
+/// cancellation on.
+struct JobPart {
+  std::vector<TaskRef> Tasks;
+  /// Highest run number of these tasks in earlier shards.
+  std::int64_t LastRun = 0;
+};
+
+/// Waiting tasks that a shard offers to others.
+struct Delegation {
+  model::AcceptedJob Job;
+  JobPart Part;
+};
+
+/// A cancellation that must reach a shard that runs a part of the job.
+struct CancelForward {
+  model::JobNumber Job{0};
+  std::int32_t Shard = 0;
+};
+
 /// A pending update of a job's index entry to the state Running.
 struct StartedMark {
   model::JobNumber Job{0};
@@ -126,9 +154,11 @@
 
 /// \param handover state of a job that moves from another shard; null for a new
 /// job.
+/// \param part the tasks that the shard runs; null for the whole job.
 /// Errors: LimitExceeded if a part of the job is outside the limits.
 base::Result<std::string> encodeJob(const model::AcceptedJob &job,
-                                    const JobHandover *handover = nullptr);
+                                    const JobHandover *handover = nullptr,
+                                    const JobPart *part = nullptr);
 std::string encodeIndex(const JobIndexEntry &index);
 /// Omits the checkpoints if the record would exceed MaxRecordBytes with them.
 std::string encodeProgress(const JobProgress &progress);
@@ -140,6 +170,9 @@
 /// Returns the handover state in a job record, or std::nullopt for a new job.
 base::Result<std::optional<JobHandover>>
 decodeHandover(const std::string &text);
+/// Returns the tasks that a job record is limited to, or std::nullopt for a
+/// whole job.
+base::Result<std::optional<JobPart>> decodePart(const std::string &text);
 base::Result<JobIndexEntry> decodeIndex(const std::string &text);
 base::Result<JobProgress> decodeProgress(const std::string &text);
 base::Result<std::vector<RosterEntry>> decodeRoster(const std::string &text);
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -75,8 +75,9 @@
   ///
   /// \param revision store revision of its index record.
   /// \param inherited whether an earlier owner may have started tasks of it.
+  /// \param part the tasks that this shard runs; null for the whole job.
   void addJob(model::AcceptedJob job, std::int64_t revision, bool inherited,
-              base::TimePoint now);
+              base::TimePoint now, const JobPart *part = nullptr);
   /// Restores the progress that an earlier owner recorded.
   void restore(model::JobNumber job, const JobProgress &progress,
                std::int64_t revision);
@@ -156,6 +157,28 @@
   /// Restores the state that the job's earlier shard handed over.
   void restore(model::JobNumber job, const JobHandover &facts);
 
+  /// Returns tasks of long-running jobs that have waited here for long, at most
+  /// \p limit jobs. They are not started until onDelegationFinished has been
+  /// called.
+  std::vector<Delegation> takeDelegations(std::size_t limit,
+                                          base::TimePoint now);
+  /// Returns the job's progress record with the tasks delegated to a shard, and
+  /// its expected revision.
+  JobWrite delegate(const Delegation &offer, std::int32_t shard);
+  /// \param shard shard that has taken the tasks; std::nullopt if they stay
+  /// here.
+  /// \param revision store revision of the job's progress record; used only if
+  /// a shard has taken the tasks.
+  void onDelegationFinished(const Delegation &offer,
+                            std::optional<std::int32_t> shard,
+                            std::int64_t revision, base::TimePoint now);
+  /// Returns cancellations to be stored for other shards, at most \p limit.
+  std::vector<CancelForward> takeCancelForwards(std::size_t limit);
+  /// \param stored whether the cancellations were stored; if not, they are
+  /// queued again.
+  void onCancelForwards(const std::vector<CancelForward> &forwards,
+                        bool stored);
+
   /// Records that a job that had ended here was cancelled before its end was
   /// stored.
   void cancelFinished(model::JobNumber job);
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -45,6 +45,10 @@
   return cpu;
 }
 
+static bool isLongRunning(const model::JobGraph &graph) {
+  return !graph.Steps.empty() && graph.Steps.front().LongRunning;
+}
+
 /// Chooses a random shard, weighted by free capacity, among those with suitable
 /// workers. Reserves the job's CPU demand there until the next load record is
 /// read.
@@ -66,8 +70,8 @@
             : headroom);
   }
   // Long-running tasks stay where they start, and tasks that do not fit wait
-  // for as long as the job lasts.
-  if (!job.Graph.Steps.empty() && job.Graph.Steps.front().LongRunning)
+  // until another shard takes them.
+  if (isLongRunning(job.Graph))
     filterByHeadroom(totalCpuOf(job), shards, headrooms);
   return drawAndReserve(job, shards, headrooms);
 }
@@ -107,6 +111,14 @@
     headrooms.push_back(
         static_cast<std::int64_t>(static_cast<double>(headroom) * share));
   }
+  if (isLongRunning(job.Graph)) {
+    std::int64_t need = totalCpuOf(job);
+    for (std::size_t i = shards.size(); i-- > 0;)
+      if (headrooms[i] < need) {
+        shards.erase(shards.begin() + static_cast<std::ptrdiff_t>(i));
+        headrooms.erase(headrooms.begin() + static_cast<std::ptrdiff_t>(i));
+      }
+  }
   if (shards.empty())
     co_return std::nullopt;
   co_return drawAndReserve(job, shards, headrooms);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -105,22 +105,26 @@
   release(*it->Worker, {key, run});
   task->Runs.erase(it);
   --job.RunCount;
-  if (task->Runs.empty() && !task->Done)
+  if (task->Runs.empty() && task->isPending())
     ++job.Occurrences[key.Occurrence]
           .Steps[static_cast<std::size_t>(key.Step)]
           .WaitingCount;
 }
 
 void ShardState::removeEndedJobs() {
+  auto forwarded = [](const auto &shard) { return shard.second; };
   for (JobEntry *job : LiveJobs)
     if (job->State == JobState::Cancelled && job->RunCount == 0 &&
-        !job->RemovalDue) {
+        !job->RemovalDue &&
+        std::all_of(job->DelegatedShards.begin(), job->DelegatedShards.end(),
+                    forwarded)) {
       job->RemovalDue = true;
       markDirty(*job);
     }
   std::vector<JobNumber> ended;
   std::erase_if(LiveJobs, [&](const JobEntry *job) {
-    bool removable = !job->isLive() && job->RunCount == 0 &&
+    bool recorded = job->State != JobState::Cancelled || job->RemovalDue;
+    bool removable = !job->isLive() && recorded && job->RunCount == 0 &&
                      job->StoredVersion == job->Version;
     if (removable)
       ended.push_back(job->Job.Id);
@@ -145,10 +149,12 @@
     for (std::size_t s = 0; !o.Complete && s < o.Steps.size(); ++s)
       for (std::size_t i = 0; i < o.Steps[s].Tasks.size(); ++i) {
         const TaskEntry &t = o.Steps[s].Tasks[i];
-        if (t.Done || !t.FailedRuns.empty() || !t.Checkpoint.empty())
+        if (t.Done || t.DelegatedTo || !t.FailedRuns.empty() ||
+            !t.Checkpoint.empty())
           record.Tasks.push_back({static_cast<std::int32_t>(s),
                                   static_cast<std::int32_t>(i), t.Done,
-                                  t.FailedRuns, t.Done ? "" : t.Checkpoint});
+                                  t.FailedRuns, t.Done ? "" : t.Checkpoint,
+                                  t.DelegatedTo});
       }
     progress.Occurrences.push_back(std::move(record));
   }
@@ -180,8 +186,23 @@
   return longest;
 }
 
+/// Marks all tasks that are not in the part as run by other shards.
+static void limitToPart(detail::ShardState &s, JobEntry &job,
+                        const JobPart &part) {
+  std::set<std::pair<std::int32_t, std::int32_t>> own;
+  for (const TaskRef &it : part.Tasks)
+    own.emplace(it.Step, it.Index);
+  job.IsPart = true;
+  job.EarlierLastRun = part.LastRun;
+  for (auto &[number, o] : job.Occurrences)
+    for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step)
+      for (std::int32_t i = 0; i < job.Job.Graph.Steps[step].Count; ++i)
+        if (!own.contains({step, i}))
+          s.markRemote(job, {job.Job.Id, number, step, i});
+}
+
 void Shard::addJob(model::AcceptedJob job, std::int64_t revision,
-                   bool inherited, base::TimePoint now) {
+                   bool inherited, base::TimePoint now, const JobPart *part) {
   detail::ShardState &s = *State;
   if (s.findJob(job.Id))
     return;
@@ -197,7 +218,9 @@
     s.openOccurrence(*entry, 0, now);
   s.LiveJobs.push_back(entry.get());
   JobNumber id = entry->Job.Id;
-  s.Jobs.emplace(id, std::move(entry));
+  JobEntry &added = *s.Jobs.emplace(id, std::move(entry)).first->second;
+  if (part)
+    limitToPart(s, added, *part);
   if (s.CancelledEarly.erase(id) > 0)
     cancelJob(id, now);
 }
@@ -226,6 +249,11 @@
         ++step.DoneCount;
         --step.WaitingCount;
       }
+      if (it.DelegatedTo) {
+        s.markRemote(*entry, {job, from.Number, it.Step, it.Index});
+        task->DelegatedTo = it.DelegatedTo;
+        entry->DelegatedShards.try_emplace(*it.DelegatedTo, false);
+      }
     }
     if (from.Complete)
       o.Complete = true;
@@ -234,13 +262,18 @@
   }
   if (!entry->isLive())
     s.markDirty(*entry);
+  if (entry->State == JobState::Cancelled)
+    s.queueCancelForwards(*entry);
 }
 
 void Shard::cancelJob(JobNumber job, base::TimePoint) {
-  if (JobEntry *entry = State->findJob(job))
-    State->finishJob(*entry, JobState::Cancelled);
-  else
+  JobEntry *entry = State->findJob(job);
+  if (!entry) {
     State->CancelledEarly.insert(job);
+    return;
+  }
+  State->finishJob(*entry, JobState::Cancelled);
+  State->queueCancelForwards(*entry);
 }
 
 std::vector<JobWrite> Shard::takeWrites(std::size_t limit) {
@@ -300,7 +333,9 @@
     entry->State = JobState::Cancelled;
 }
 
-bool Shard::hasWrites() const { return !State->Dirty.empty(); }
+bool Shard::hasWrites() const {
+  return !State->Dirty.empty() || !State->CancelForwards.empty();
+}
 
 policy::ColocationModel &Shard::colocationModel() { return State->Colocation; }
 
@@ -352,7 +387,7 @@
   for (const JobEntry *it : State->LiveJobs) {
     if (!it->isLive())
       continue;
-    if (!it->Started)
+    if (!it->Started && !it->IsPart)
       ++load.Pending[it->Job.Queue];
     subtractWaiting(*it, load);
   }
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -49,16 +49,19 @@
 /// another shard. Equals the maximum age of the other shards' load records.
 constexpr auto MoveDelay = std::chrono::seconds(2);
 
-/// Returns whether a step of the job has waited longer than MoveDelay.
-static bool hasWaitedTooLong(const JobEntry &job, base::TimePoint now) {
+namespace detail {
+
+bool hasWaited(const JobEntry &job, base::Duration time, base::TimePoint now) {
   for (const auto &[number, o] : job.Occurrences)
-    for (const detail::StepEntry &it : o.Steps)
+    for (const StepEntry &it : o.Steps)
       if (it.WaitingCount > 0 && it.WaitingSince &&
-          now - *it.WaitingSince > MoveDelay)
+          now - *it.WaitingSince > time)
         return true;
   return false;
 }
 
+} // namespace detail
+
 std::vector<JobMove> Shard::takeMoves(std::size_t limit, base::TimePoint now) {
   detail::ShardState &s = *State;
   std::vector<JobMove> moves;
@@ -66,11 +69,12 @@
   for (JobEntry *job : s.LiveJobs) {
     if (moves.size() == limit)
       break;
-    bool movable = job->isLive() && job->RunCount == 0 && !job->WriteInFlight &&
-                   !job->Moving && job->Version == job->StoredVersion &&
-                   !(unverified && job->Inherited);
+    bool movable =
+        job->isLive() && !job->IsPart && job->DelegatedShards.empty() &&
+        job->RunCount == 0 && !job->WriteInFlight && !job->Moving &&
+        job->Version == job->StoredVersion && !(unverified && job->Inherited);
     if (!movable || now - job->LastMoveAttempt < MoveDelay ||
-        !hasWaitedTooLong(*job, now))
+        !hasWaited(*job, MoveDelay, now))
       continue;
     JobMove move{job->Job,
                  job->Started ? JobState::Running : JobState::Queued,
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -64,7 +64,7 @@
   if (!job.Started) {
     MetricsRegistry.observeFirstStart(now - job.Accepted);
     // The index revision of an inherited job is unknown.
-    if (!job.Inherited)
+    if (!job.Inherited && !job.IsPart)
       StartedUnmarked.push_back(job.Job.Id);
   }
   job.Started = true;
@@ -161,7 +161,7 @@
   auto counts = runsByWorker(entry);
   for (std::int32_t i = 0; i < spec.Count && entry.WaitingCount > 0; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
-    if (task.Done || !task.Runs.empty())
+    if (!task.isPending() || !task.Runs.empty())
       continue;
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now);
     if (!worker)
@@ -307,8 +307,8 @@
           for (Run &it : task.Runs) {
             bool unconfirmed = it.Phase == RunPhase::Unconfirmed &&
                                now - it.PhaseSince > UnconfirmedTimeout;
-            bool unneeded =
-                !job->isLive() || task.Done || unconfirmed || incomplete;
+            bool unneeded = !job->isLive() || !task.isPending() ||
+                            unconfirmed || incomplete;
             if (unneeded || it.Phase == RunPhase::Stopping)
               stopRun(key, it, now);
           }
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -189,6 +189,8 @@
   t.Done = readInt32(v, "d");
   t.Checkpoint = v.optionalText("c", limits::MaxCheckpointBytes);
   readNumbers(from, "f", v, t.FailedRuns);
+  if (v.has("l"))
+    t.DelegatedTo = readInt32(v, "l");
   return t;
 }
 
@@ -248,7 +250,8 @@
 } // namespace
 
 base::Result<std::string> encodeJob(const model::AcceptedJob &job,
-                                    const JobHandover *handover) {
+                                    const JobHandover *handover,
+                                    const JobPart *part) {
   if (base::Result<void> checked = checkReadable(job); !checked)
     return checked.as_failure();
   json::object to;
@@ -256,6 +259,13 @@
     to["progress"] = encodeProgress(handover->Progress);
     to["lastRun"] = handover->LastRun;
   }
+  if (part) {
+    json::array tasks;
+    for (const TaskRef &it : part->Tasks)
+      tasks.push_back(json::object{{"s", it.Step}, {"i", it.Index}});
+    to["part"] =
+        json::object{{"tasks", std::move(tasks)}, {"lastRun", part->LastRun}};
+  }
   to["queue"] = job.Queue;
   to["service"] = job.Policy.Service.str();
   setUnlessDefault(to, "priority", job.Policy.Priority);
@@ -308,6 +318,9 @@
 
 base::Result<std::optional<JobHandover>>
 decodeHandover(const std::string &text) {
+  // Few jobs are handed over, and parsing each record once more is costly.
+  if (text.find("\"progress\"") == std::string::npos)
+    return std::optional<JobHandover>();
   std::string progress;
   auto result = decode<std::optional<JobHandover>>(
       text,
@@ -329,6 +342,23 @@
   return result;
 }
 
+base::Result<std::optional<JobPart>> decodePart(const std::string &text) {
+  if (text.find("\"part\"") == std::string::npos)
+    return std::optional<JobPart>();
+  return decode<std::optional<JobPart>>(
+      text,
+      [](const json::value &, const JsonView &v) -> std::optional<JobPart> {
+        if (!v.has("part"))
+          return std::nullopt;
+        JsonView fields = v.object("part");
+        JobPart part;
+        part.LastRun = fields.number("lastRun", 0, platform::MaxInt64);
+        for (const JsonView &it : fields.list("tasks", limits::MaxTasksPerJob))
+          part.Tasks.push_back({readInt32(it, "s"), readInt32(it, "i")});
+        return part;
+      });
+}
+
 std::string encodeIndex(const JobIndexEntry &index) {
   json::object to;
   to["shard"] = index.Shard;
@@ -364,6 +394,8 @@
         setIf(task, "c", t.Checkpoint);
       if (!t.FailedRuns.empty())
         task["f"] = json::value_from(t.FailedRuns);
+      if (t.DelegatedTo)
+        task["l"] = *t.DelegatedTo;
       tasks.push_back(std::move(task));
     }
     o["t"] = std::move(tasks);
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -1,5 +1,5 @@
 // Commits of ShardRunner: job records, the roster, load and interference
-// records, and job moves.
+// records.
 #include "detail/ColocationRecords.h"
 #include "detail/Loads.h"
 #include "detail/ShardRunner.h"
@@ -26,9 +26,11 @@
 constexpr std::size_t EntriesPerJob = 4;
 /// Commit entries per started mark: a condition and a write.
 constexpr std::size_t EntriesPerMark = 2;
-/// The condition on the owner record, the load record and the interference
-/// record.
-constexpr std::size_t FixedEntries = 3;
+/// Cancellations per commit that are stored for other shards.
+constexpr std::size_t MaxCancelForwards = 1;
+/// The condition on the owner record, the load record, the interference record
+/// and the forwarded cancellations.
+constexpr std::size_t FixedEntries = 3 + MaxCancelForwards;
 constexpr std::size_t JobsPerCommit =
     (MaxCommitEntries - FixedEntries) / EntriesPerJob;
 
@@ -39,7 +41,7 @@
     if (Stopped)
       co_return;
     if (!Flushing && Context.FindShard)
-      co_await moveJobs();
+      co_await transferWork();
     if (Stopped)
       co_return;
     if (State.hasWrites()) {
@@ -155,6 +157,10 @@
   for (const JobWrite &it : writes)
     addJobWrite(commit, CurrentTerm.Shard, it);
   addLoadRecord(commit);
+  std::vector<CancelForward> forwards =
+      State.takeCancelForwards(MaxCancelForwards);
+  for (const CancelForward &it : forwards)
+    commit.Writes.push_back({keys::cancel(it.Shard, it.Job), "{}"});
   if (commit.Writes.empty() && commit.Deletes.empty())
     co_return;
   std::vector<StartedMark> marks = addStartedMarks(commit);
@@ -162,6 +168,7 @@
   base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
   if (Stopped)
     co_return;
+  State.onCancelForwards(forwards, done && done.value().Applied);
   if (!done) {
     State.onNotStored(writes);
     State.onStartedMarks(marks, false);
@@ -241,75 +248,6 @@
   State.onStored(stored, Context.Time.now());
 }
 
-/// Maximum number of jobs moved between two commits; each move costs one call.
-constexpr std::size_t MaxMovesPerRound = 2;
-
-asio::awaitable<void> ShardRunner::moveJobs() {
-  for (JobMove &it : State.takeMoves(MaxMovesPerRound, Context.Time.now())) {
-    std::optional<std::int32_t> to =
-        co_await Context.FindShard(it.Job, CurrentTerm.Shard);
-    if (Stopped)
-      co_return;
-    if (to)
-      co_await moveJob(it, *to);
-    else
-      State.onMoveFinished(it.Job.Id, false, it.Revision, Context.Time.now());
-    if (Stopped)
-      co_return;
-  }
-}
-
-/// Retries until the outcome is known: a job that may have moved must not be
-/// started here.
-asio::awaitable<void> ShardRunner::moveJob(JobMove move, std::int32_t to) {
-  model::JobNumber id = move.Job.Id;
-  std::int32_t from = CurrentTerm.Shard;
-  base::Result<std::string> record = encodeJob(move.Job, &move.Handover);
-  if (!record) {
-    // The job stays; a record that its new owner cannot read would lose it.
-    Context.Events.emit(
-        EventCode::JobNotMoved,
-        {{"job", formatJobNumber(id)}, {"cause", record.error().message()}});
-    State.onMoveFinished(id, false, move.Revision, Context.Time.now());
-    co_return;
-  }
-  while (!Stopped) {
-    Commit commit;
-    commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
-                         {keys::index(id), move.Revision}};
-    commit.Writes = {{keys::index(id), encodeIndex({to, move.State})},
-                     {keys::job(to, id), record.value()}};
-    commit.Deletes = {keys::job(from, id), keys::progress(from, id)};
-    base::Result<CommitOutcome> done =
-        co_await Context.Store.commit(std::move(commit));
-    if (Stopped)
-      co_return;
-    if (!done) {
-      co_await sleepFor(CommitRetryDelay);
-      continue;
-    }
-    std::int64_t revision = done.value().Revision;
-    bool moved = done.value().Applied;
-    for (const StoredItem &it : done.value().CurrentItems) {
-      if (moved)
-        break;
-      if (it.Key == keys::owner(from) && it.Revision != CurrentTerm.Revision)
-        co_return endTerm("another node has acquired the shard");
-      if (it.Key != keys::index(id))
-        continue;
-      revision = it.Revision;
-      base::Result<JobIndexEntry> index = decodeIndex(it.Value);
-      moved = index && index.value().Shard != from;
-    }
-    State.onMoveFinished(id, moved, revision, Context.Time.now());
-    if (moved)
-      Context.Events.emit(EventCode::JobMoved, {{"job", formatJobNumber(id)},
-                                                {"from", std::to_string(from)},
-                                                {"to", std::to_string(to)}});
-    co_return;
-  }
-}
-
 asio::awaitable<void> ShardRunner::flush() {
   auto self = shared_from_this();
   Flushing = true;
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -185,9 +185,12 @@
       decodeHandover(item.Value);
   if (!handover)
     return reportUnreadable(item, handover.error());
+  base::Result<std::optional<JobPart>> part = decodePart(item.Value);
+  if (!part)
+    return reportUnreadable(item, part.error());
   bool inherited = item.Revision <= CurrentTerm.Revision;
   State.addJob(std::move(job.value()), item.Revision, inherited,
-               Context.Time.now());
+               Context.Time.now(), part.value() ? &*part.value() : nullptr);
   if (handover.value())
     State.restore(id.value(), *handover.value());
 }
--- /dev/null
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -0,0 +1,144 @@
+// Transfers of work from ShardRunner to other shards: whole jobs, and tasks of
+// long-running jobs.
+#include "detail/ShardRunner.h"
+#include "detail/Sleep.h"
+
+namespace endivedoor::dispatch::detail {
+
+namespace asio = boost::asio;
+using base::EventCode;
+
+/// Maximum number of jobs of which tasks are delegated between two commits.
+constexpr std::size_t MaxDelegationsPerRound = 2;
+/// Maximum number of jobs moved between two commits; each move costs one call.
+constexpr std::size_t MaxMovesPerRound = 2;
+
+asio::awaitable<void> ShardRunner::transferWork() {
+  for (const Delegation &it :
+       State.takeDelegations(MaxDelegationsPerRound, Context.Time.now())) {
+    co_await delegateTasks(it);
+    if (Stopped)
+      co_return;
+  }
+  for (JobMove &it : State.takeMoves(MaxMovesPerRound, Context.Time.now())) {
+    std::optional<std::int32_t> to =
+        co_await Context.FindShard(it.Job, CurrentTerm.Shard);
+    if (Stopped)
+      co_return;
+    if (to)
+      co_await moveJob(it, *to);
+    else
+      State.onMoveFinished(it.Job.Id, false, it.Revision, Context.Time.now());
+    if (Stopped)
+      co_return;
+  }
+}
+
+/// Retries until the outcome is known: a job that may have moved must not be
+/// started here.
+asio::awaitable<void> ShardRunner::moveJob(JobMove move, std::int32_t to) {
+  model::JobNumber id = move.Job.Id;
+  std::int32_t from = CurrentTerm.Shard;
+  base::Result<std::string> record = encodeJob(move.Job, &move.Handover);
+  if (!record) {
+    // The job stays; a record that its new owner cannot read would lose it.
+    Context.Events.emit(
+        EventCode::JobNotMoved,
+        {{"job", formatJobNumber(id)}, {"cause", record.error().message()}});
+    State.onMoveFinished(id, false, move.Revision, Context.Time.now());
+    co_return;
+  }
+  while (!Stopped) {
+    Commit commit;
+    commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
+                         {keys::index(id), move.Revision}};
+    commit.Writes = {{keys::index(id), encodeIndex({to, move.State})},
+                     {keys::job(to, id), record.value()}};
+    commit.Deletes = {keys::job(from, id), keys::progress(from, id)};
+    base::Result<CommitOutcome> done =
+        co_await Context.Store.commit(std::move(commit));
+    if (Stopped)
+      co_return;
+    if (!done) {
+      co_await sleepFor(CommitRetryDelay);
+      continue;
+    }
+    std::int64_t revision = done.value().Revision;
+    bool moved = done.value().Applied;
+    for (const StoredItem &it : done.value().CurrentItems) {
+      if (moved)
+        break;
+      if (it.Key == keys::owner(from) && it.Revision != CurrentTerm.Revision)
+        co_return endTerm("another node has acquired the shard");
+      if (it.Key != keys::index(id))
+        continue;
+      revision = it.Revision;
+      base::Result<JobIndexEntry> index = decodeIndex(it.Value);
+      moved = index && index.value().Shard != from;
+    }
+    State.onMoveFinished(id, moved, revision, Context.Time.now());
+    if (moved)
+      Context.Events.emit(EventCode::JobMoved, {{"job", formatJobNumber(id)},
+                                                {"from", std::to_string(from)},
+                                                {"to", std::to_string(to)}});
+    co_return;
+  }
+}
+
+/// Retries until the outcome is known: tasks that another shard may have must
+/// not be started here.
+asio::awaitable<void> ShardRunner::delegateTasks(Delegation offer) {
+  model::JobNumber id = offer.Job.Id;
+  std::int32_t from = CurrentTerm.Shard;
+  model::AcceptedJob demand = offer.Job;
+  for (model::StepSpec &it : demand.Graph.Steps)
+    it.Count = 0;
+  for (const TaskRef &it : offer.Part.Tasks)
+    ++demand.Graph.Steps[static_cast<std::size_t>(it.Step)].Count;
+  std::optional<std::int32_t> to = co_await Context.FindShard(demand, from);
+  if (Stopped)
+    co_return;
+  base::Result<std::string> record = encodeJob(offer.Job, nullptr, &offer.Part);
+  if (!to || !record)
+    co_return State.onDelegationFinished(offer, std::nullopt, 0,
+                                         Context.Time.now());
+  JobWrite write = State.delegate(offer, *to);
+  Commit commit;
+  commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
+                       {keys::progress(from, id), write.Revision},
+                       {keys::job(*to, id), 0}};
+  commit.Writes = {{keys::progress(from, id), encodeProgress(write.Progress)},
+                   {keys::job(*to, id), std::move(record.value())}};
+  while (!Stopped) {
+    base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
+    if (Stopped)
+      co_return;
+    if (!done) {
+      co_await sleepFor(CommitRetryDelay);
+      continue;
+    }
+    std::int64_t revision = done.value().Revision;
+    bool taken = done.value().Applied;
+    for (const StoredItem &it : done.value().CurrentItems) {
+      if (taken)
+        break;
+      if (it.Key == keys::owner(from) && it.Revision != CurrentTerm.Revision)
+        co_return endTerm("another node has acquired the shard");
+      // Only this owner writes the progress record, so a change is an earlier
+      // attempt whose response was lost.
+      taken =
+          it.Key == keys::progress(from, id) && it.Revision != write.Revision;
+      revision = it.Revision;
+    }
+    if (taken)
+      Context.Events.emit(EventCode::TasksDelegated,
+                          {{"job", formatJobNumber(id)},
+                           {"from", std::to_string(from)},
+                           {"to", std::to_string(*to)},
+                           {"tasks", std::to_string(offer.Part.Tasks.size())}});
+    co_return State.onDelegationFinished(offer, taken ? to : std::nullopt,
+                                         revision, Context.Time.now());
+  }
+}
+
+} // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -81,9 +81,9 @@
   }
   const model::StepSpec &step = stepOf(*job, row.Id.Task);
   // An unwanted run still occupies capacity until it has been stopped.
-  bool wanted =
-      job->isLive() && !task->Done && (task->Runs.empty() || step.Speculative);
-  if (task->Runs.empty() && !task->Done)
+  bool wanted = job->isLive() && task->isPending() &&
+                (task->Runs.empty() || step.Speculative);
+  if (task->Runs.empty() && task->isPending())
     --job->Occurrences[row.Id.Task.Occurrence]
           .Steps[static_cast<std::size_t>(row.Id.Task.Step)]
           .WaitingCount;
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -86,7 +86,9 @@
   boost::asio::awaitable<void> planLoop();
   boost::asio::awaitable<void> commitLoop();
   boost::asio::awaitable<void> commitOnce();
-  boost::asio::awaitable<void> moveJobs();
+  /// Moves jobs and delegates tasks that wait here to other shards.
+  boost::asio::awaitable<void> transferWork();
+  boost::asio::awaitable<void> delegateTasks(Delegation offer);
   boost::asio::awaitable<void> moveJob(JobMove move, std::int32_t to);
   boost::asio::awaitable<void> storeRoster();
   void addLoadRecord(Commit &commit);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -57,12 +57,20 @@
   std::int64_t LastRun = 0;
   std::string Checkpoint;
   bool Done = false;
+  /// Another shard runs the task, or an offer to do so is in flight. The task
+  /// must not be started here.
+  bool Remote = false;
+  /// Shard to which this one has delegated the task.
+  std::optional<std::int32_t> DelegatedTo;
+
+  /// Returns whether this shard has to run the task.
+  bool isPending() const { return !Done && !Remote; }
 };
 
 struct StepEntry {
   std::vector<TaskEntry> Tasks;
   std::int32_t DoneCount = 0;
-  /// Number of tasks that are not done and have no run.
+  /// Number of pending tasks without a run.
   std::int32_t WaitingCount = 0;
   /// Since when no worker has been found for the next task, and when that was
   /// last logged.
@@ -94,6 +102,12 @@
   TimePoint LastMoveAttempt;
   /// Highest run number that an earlier shard has used.
   std::int64_t EarlierLastRun = 0;
+  /// The job's record names only a part of its tasks; its index entry belongs
+  /// to another shard.
+  bool IsPart = false;
+  /// Shards that run a part of the job, with whether the cancellation of the
+  /// job has been stored for them.
+  std::map<std::int32_t, bool> DelegatedShards;
   /// The records of this cancelled job must be removed.
   bool RemovalDue = false;
   std::map<std::int32_t, Occurrence> Occurrences;
@@ -222,6 +236,8 @@
   std::deque<JobNumber> Dirty;
   /// Started jobs whose index record does not say so yet.
   std::deque<JobNumber> StartedUnmarked;
+  /// Cancellations to be stored for the shards that run parts of the jobs.
+  std::deque<CancelForward> CancelForwards;
   std::vector<WorkerCommand> Outbox;
   /// Steps for which the current plan found no worker; tasks of the same
   /// program that are at least as large are not tried.
@@ -237,6 +253,10 @@
   Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
   void markDirty(JobEntry &job);
   void finishJob(JobEntry &job, model::JobState state);
+  // Delegation.cpp
+  /// Marks a task as run by another shard.
+  void markRemote(JobEntry &job, const TaskKey &key);
+  void queueCancelForwards(const JobEntry &job);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
   /// Schedules the removal of the records of cancelled jobs and removes ended
   /// jobs from the tables.
@@ -295,6 +315,10 @@
 /// has not started.
 JobProgress progressOf(const JobEntry &job);
 
+/// Returns whether a step of the job has waited longer than \p time for a
+/// worker.
+bool hasWaited(const JobEntry &job, base::Duration time, TimePoint now);
+
 /// Returns the step of a task.
 const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key);
 
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -14,6 +14,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <functional>
+#include <set>
 
 using namespace endivedoor;
 using namespace endivedoor::tests;
@@ -32,6 +33,7 @@
   std::map<base::WorkerId, std::vector<dispatch::EndedRun>> EndedRuns;
   std::map<base::WorkerId, base::FencingToken> Tokens;
   std::map<dispatch::RunId, int> StartCounts;
+  std::map<dispatch::RunId, int> StopCounts;
   /// Tasks keep running instead of completing.
   bool KeepRunning = false;
   std::map<base::WorkerId, std::vector<dispatch::RunStatus>> Running;
@@ -67,9 +69,15 @@
                          request.Run, dispatch::RunOutcome::Done, ""});
     co_return dispatch::CommandResult::Done;
   }
-  Async<dispatch::CommandResult> stop(dispatch::WorkerRef, dispatch::RunId,
-                                      base::FencingToken,
+  Async<dispatch::CommandResult> stop(dispatch::WorkerRef worker,
+                                      dispatch::RunId run, base::FencingToken,
                                       std::chrono::milliseconds) override {
+    ++StopCounts[run];
+    std::vector<dispatch::RunStatus> &running = Running[worker.Id];
+    if (std::erase_if(running, [&](const auto &it) { return it.Id == run; }))
+      EndedRuns[worker.Id].push_back(
+          {static_cast<std::int64_t>(EndedRuns[worker.Id].size()) + 1, run,
+           dispatch::RunOutcome::Stopped, ""});
     co_return dispatch::CommandResult::Done;
   }
   Async<dispatch::CommandResult> throttle(dispatch::WorkerRef, dispatch::RunId,
@@ -396,6 +404,112 @@
     EXPECT_EQ(starts, 1);
 }
 
+/// Adds workers w3 to w5 and a layout of two shards with three workers each,
+/// and submits a long-running job of which each shard can run only a half.
+class DispatchNodeDelegation : public NodeFixture {
+protected:
+  static constexpr std::size_t TaskCount = 6;
+
+  DispatchNode &startJobThatFillsTwoShards() {
+    Store.put(dispatch::keys::layout(), R"({"shards":2})");
+    Workers.KeepRunning = true;
+    DispatchNode &node = addNode("n1");
+    for (int i = 3; i < 6; ++i) {
+      model::WorkerProfile w;
+      w.Id = base::WorkerId("w" + std::to_string(i));
+      w.Service = base::ServiceName("desk");
+      w.Endpoint = {"10.0.0.1", 8080};
+      w.Zone = base::ZoneId("a");
+      w.Capacity.Cpu = base::MilliCores{32000};
+      w.Capacity.Memory = base::MebiBytes{128000};
+      node.updateWorker(w);
+    }
+    EXPECT_TRUE(runUntil([&] { return node.ownedShards() == 2; }));
+    runFor(500ms);
+    model::AcceptedJob lasting = job(1, TaskCount);
+    lasting.Graph.Steps.resize(1);
+    lasting.Graph.Steps[0].LongRunning = true;
+    lasting.Graph.Steps[0].Size.Cpu = base::MilliCores{20000};
+    EXPECT_EQ(await(node.submit(lasting)), SubmitOutcome::Accepted);
+    return node;
+  }
+
+  std::size_t runningTasks() const {
+    std::set<model::TaskKey> tasks;
+    for (const auto &[worker, running] : Workers.Running)
+      for (const dispatch::RunStatus &it : running)
+        tasks.insert(it.Id.Task);
+    return tasks.size();
+  }
+};
+
+// A task of a long-running job must not wait for as long as the job lasts in a
+// full shard while another shard has capacity: kcs-orders-large scale-1, where
+// all 68 workers of a shard lacked CPU for one of 24 tasks.
+TEST_F(DispatchNodeDelegation, FullShard_DelegatesWaitingTasks) {
+  startJobThatFillsTwoShards();
+  ASSERT_TRUE(runUntil([&] { return runningTasks() == TaskCount; }, 5000ms));
+  runFor(500ms);
+  EXPECT_EQ(runningTasks(), TaskCount);
+  EXPECT_EQ(Workers.StartCounts.size(), TaskCount);
+  for (const auto &[run, starts] : Workers.StartCounts)
+    EXPECT_EQ(starts, 1);
+}
+
+// The caller's cancellation names the job's own shard only.
+TEST_F(DispatchNodeDelegation, CancelledJob_EndsInAllShards) {
+  DispatchNode &node = startJobThatFillsTwoShards();
+  ASSERT_TRUE(runUntil([&] { return runningTasks() == TaskCount; }, 5000ms));
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  EXPECT_TRUE(runUntil([&] { return runningTasks() == 0; }, 2000ms));
+  runFor(1000ms);
+  for (std::int32_t shard : {0, 1}) {
+    EXPECT_FALSE(Store.has(dispatch::keys::job(shard, JobNumber{1}))) << shard;
+    EXPECT_FALSE(Store.has(dispatch::keys::progress(shard, JobNumber{1})))
+        << shard;
+    EXPECT_FALSE(Store.has(dispatch::keys::cancel(shard, JobNumber{1})))
+        << shard;
+  }
+  EXPECT_EQ(stateOf(node, 1), JobState::Cancelled);
+}
+
+// The answer to the commit that delegates is lost: the tasks must run in one
+// shard only.
+TEST_F(DispatchNodeDelegation, LostAnswer_TasksRunOnce) {
+  startJobThatFillsTwoShards();
+  ASSERT_TRUE(runUntil([&] { return runningTasks() >= TaskCount / 2; }));
+  std::int32_t own =
+      Store.valueOf(dispatch::keys::index(JobNumber{1})).find("\"shard\":0") !=
+              std::string::npos
+          ? 0
+          : 1;
+  Store.LoseAnswerForKey = dispatch::keys::job(1 - own, JobNumber{1});
+  ASSERT_TRUE(runUntil([&] { return runningTasks() == TaskCount; }, 5000ms));
+  EXPECT_TRUE(Store.LoseAnswerForKey.empty());
+  runFor(1000ms);
+  EXPECT_EQ(Workers.StartCounts.size(), TaskCount);
+}
+
+// Both shards change owners: the new owners must know which tasks each of them
+// runs, and a cancellation must still reach both.
+TEST_F(DispatchNodeDelegation, NewOwners_KeepThePartsApart) {
+  DispatchNode &first = startJobThatFillsTwoShards();
+  ASSERT_TRUE(runUntil([&] { return runningTasks() == TaskCount; }, 5000ms));
+  DispatchNode &second = addNode("n2");
+  runFor(300ms);
+  auto leave = [](DispatchNode &node) -> asio::awaitable<bool> {
+    co_await node.leave();
+    co_return true;
+  };
+  EXPECT_TRUE(await(leave(first)));
+  ASSERT_TRUE(runUntil([&] { return second.ownedShards() == 2; }));
+  runFor(3000ms);
+  EXPECT_EQ(runningTasks(), TaskCount);
+  EXPECT_EQ(Workers.StartCounts.size(), TaskCount);
+  EXPECT_EQ(await(second.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  EXPECT_TRUE(runUntil([&] { return runningTasks() == 0; }));
+}
+
 TEST_F(DispatchNodeOwnership, SmallOwner_HandsOverToALargerNode) {
   DispatchNode &small = addNode("n1", 0.1);
   ASSERT_TRUE(runUntil([&] { return small.ownedShards() == 1; }));
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -321,4 +321,102 @@
   EXPECT_EQ(orders[0].Run.Task.Occurrence, 1);
 }
 
+/// A shard with one worker that runs two of three tasks of a long-running job.
+class ShardDelegation : public ShardFixture {
+protected:
+  void SetUp() override {
+    addWorker("w1");
+    model::StepSpec lasting = step(3, 15000);
+    lasting.LongRunning = true;
+    TestShard.addJob(job(1, {lasting}), 1, false, now());
+    Started = plan();
+    ASSERT_EQ(Started.size(), 2u);
+    confirmStarts(Started);
+    Time.advance(2s);
+    plan();
+  }
+
+  /// The list of a worker on which both tasks still run.
+  PollReport running() const {
+    PollReport report;
+    for (const WorkerCommand &it : Started)
+      report.Running.push_back({it.Run, "", 100, 0, false});
+    return report;
+  }
+
+  PollReport stopped() const {
+    PollReport report;
+    std::int64_t n = 0;
+    for (const WorkerCommand &it : Started)
+      report.Ended.push_back({++n, it.Run, RunOutcome::Stopped, ""});
+    return report;
+  }
+
+  std::vector<WorkerCommand> Started;
+};
+
+// While the offer is in flight another shard may have taken the task already.
+TEST_F(ShardDelegation, OfferedTask_IsNotStartedHere) {
+  auto offers = TestShard.takeDelegations(4, now());
+  ASSERT_EQ(offers.size(), 1u);
+  ASSERT_EQ(offers[0].Part.Tasks.size(), 1u);
+  EXPECT_EQ(offers[0].Part.Tasks[0].Index, 2);
+  addWorker("w2");
+  poll("w1", running());
+  EXPECT_TRUE(plan().empty());
+  TestShard.delegate(offers[0], 5);
+  TestShard.onDelegationFinished(offers[0], 5, 9, now());
+  EXPECT_TRUE(plan().empty());
+}
+
+TEST_F(ShardDelegation, DeclinedTask_IsStartedHereOnceThereIsRoom) {
+  auto offers = TestShard.takeDelegations(4, now());
+  ASSERT_EQ(offers.size(), 1u);
+  TestShard.onDelegationFinished(offers[0], std::nullopt, 0, now());
+  EXPECT_TRUE(TestShard.takeDelegations(4, now()).empty());
+  addWorker("w2");
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+// The job's records name the shards that the cancellation must reach; they must
+// not be forgotten because the runs here end first.
+TEST_F(ShardDelegation, CancelledJob_IsRemovedOnlyAfterOtherShardsKnow) {
+  auto offers = TestShard.takeDelegations(4, now());
+  ASSERT_EQ(offers.size(), 1u);
+  TestShard.delegate(offers[0], 5);
+  TestShard.onDelegationFinished(offers[0], 5, 9, now());
+  TestShard.cancelJob(JobNumber{1}, now());
+  poll("w1", stopped());
+  plan();
+  plan();
+  EXPECT_TRUE(TestShard.takeWrites(9).empty());
+  auto forwards = TestShard.takeCancelForwards(9);
+  ASSERT_EQ(forwards.size(), 1u);
+  EXPECT_EQ(forwards[0].Shard, 5);
+  TestShard.onCancelForwards(forwards, false);
+  EXPECT_TRUE(TestShard.hasWrites());
+  forwards = TestShard.takeCancelForwards(9);
+  ASSERT_EQ(forwards.size(), 1u);
+  TestShard.onCancelForwards(forwards, true);
+  plan();
+  auto writes = TestShard.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Final, model::JobState::Cancelled);
+}
+
+// An order that a worker carries out late starts a task that another shard runs
+// by then.
+TEST_F(ShardDelegation, LateStartOfADelegatedTask_IsStopped) {
+  auto offers = TestShard.takeDelegations(4, now());
+  ASSERT_EQ(offers.size(), 1u);
+  TestShard.delegate(offers[0], 5);
+  TestShard.onDelegationFinished(offers[0], 5, 9, now());
+  PollReport report = running();
+  report.Running.push_back({{{JobNumber{1}, 0, 0, 2}, 7}, "", 100, 0, false});
+  poll("w1", report);
+  auto stops = plan(WorkerCommand::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_EQ(stops[0].Run.Number, 7);
+}
+
 } // namespace
