Let refused callers come back after as long as the store has been away

Cause: each refusal told the caller to come back after 1 s.

Change: returnDelay() expects an outage to last as long again as it has lasted, between 1 and 8 s, and spreads callers over half of that.

Ruled out: accepting jobs while the store is away (could be lost), holding the request until the store returns (most deadlines pass earlier, and the caller could not go to a node that reaches the store).

--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -74,6 +74,8 @@
 
   /// Stores a job. Idempotent for the same job.
   boost::asio::awaitable<SubmitOutcome> submit(model::AcceptedJob job);
+  /// Returns when a caller that was refused because of the store may come back.
+  std::chrono::seconds returnDelay();
   boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job);
   /// Returns the state of a job, or std::nullopt if there is no such job.
   /// Errors: those of MetadataStore.
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -5,11 +5,14 @@
 #include "detail/ShardRunner.h"
 #include "detail/Sleep.h"
 
+#include "endivedoor/dispatch/Refusal.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 
 namespace endivedoor::dispatch {
 
@@ -75,6 +78,8 @@
   /// Whether the latest lease renewal was answered. While it was not, callers'
   /// requests are rejected immediately rather than left to time out.
   bool Reachable = true;
+  /// Spreads the callers that are refused.
+  std::mt19937_64 Random{std::random_device{}()};
   bool Leaving = false;
   bool Reconciling = false;
   detail::JobRequestHandler JobRequests;
@@ -595,6 +600,12 @@
   co_return co_await Self->JobRequests.submit(std::move(job));
 }
 
+std::chrono::seconds DispatchNode::returnDelay() {
+  std::uniform_real_distribution<double> uniform(0, 1);
+  return dispatch::returnDelay(Self->Time.now() - Self->LastStoreContact,
+                               uniform(Self->Random));
+}
+
 asio::awaitable<CancelOutcome> DispatchNode::cancel(model::JobNumber job) {
   if (!Self->Reachable)
     co_return CancelOutcome::Refused;
