Share what shards learn about interference

Change: each owner reads the record of one other shard every 500 ms (two reads a second and at most some 160 kB/s for each owned shard, whether there are 8 or 80 shards) and adds its sums to its own; published sums contain only a shard's own measurements, and implausible ones are ignored.

Tests: PeerStatistics_AreUsedButNotPublishedAgain, _ReplaceTheEarlierOnesOfTheShard, ImplausiblePeerStatistics_AreIgnored.

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -435,6 +435,7 @@
         self->LastStoreContact = std::max(self->LastStoreContact, sent);
       },
       {},
+      [self] { return self->View.Shards; },
       [self](const ShardRunner &runner) { self->removeRunner(runner); }};
   if (View.Shards > 1)
     context.FindShard = [self](const model::AcceptedJob &job,
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -158,6 +158,9 @@
     asio::co_spawn(
         Context.Executor, [self] { return self->commitLoop(); },
         asio::detached);
+    asio::co_spawn(
+        Context.Executor, [self] { return self->readPeerModels(); },
+        asio::detached);
     spawnPollLoops();
   }
   requestPlan();
@@ -309,6 +312,35 @@
   }
 }
 
+/// Interval at which the record of one other shard is read. The cost does not
+/// depend on the number of shards: one read of at most some 80 kB each.
+constexpr auto PeerModelInterval = 500ms;
+
+asio::awaitable<void> ShardRunner::readPeerModels() {
+  auto self = shared_from_this();
+  std::int32_t next = CurrentTerm.Shard;
+  while (!Stopped) {
+    co_await sleepFor(PeerModelInterval);
+    if (Stopped || Context.ShardCount() < 2)
+      continue;
+    next = (next + 1) % Context.ShardCount();
+    if (next == CurrentTerm.Shard)
+      next = (next + 1) % Context.ShardCount();
+    base::Result<std::optional<StoredItem>> item =
+        co_await Context.Store.read(keys::colocation(next));
+    if (Stopped)
+      co_return;
+    if (!item || !item.value())
+      continue;
+    base::Result<std::vector<policy::ColocationStatistics>> published =
+        decodeColocation(item.value()->Value);
+    if (published)
+      State.colocationModel().setPeerStatistics(next, published.value());
+    else
+      reportUnreadable(*item.value(), published.error());
+  }
+}
+
 asio::awaitable<void> ShardRunner::executeCommand(WorkerCommand order) {
   auto self = shared_from_this();
   if (Stopped)
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -54,6 +54,7 @@
   std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
       const model::AcceptedJob &job, std::int32_t from)>
       FindShard;
+  std::function<std::int32_t()> ShardCount;
   /// Called when the term has ended.
   std::function<void(const ShardRunner &runner)> OnTermEnded;
 };
@@ -85,6 +86,8 @@
   void requestPlan();
   boost::asio::awaitable<void> planLoop();
   boost::asio::awaitable<void> commitLoop();
+  /// Reads what the other shards have learned about interference.
+  boost::asio::awaitable<void> readPeerModels();
   boost::asio::awaitable<void> commitOnce();
   /// Moves jobs and delegates tasks that wait here to other shards.
   boost::asio::awaitable<void> transferWork();
--- a/packages/policy/include/endivedoor/policy/ColocationModel.h
+++ b/packages/policy/include/endivedoor/policy/ColocationModel.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVEDOOR_POLICY_COLOCATIONMODEL_H
 #define ENDIVEDOOR_POLICY_COLOCATIONMODEL_H
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -64,12 +65,23 @@
   /// model already knows or with inconsistent sizes are ignored.
   void importStatistics(const std::vector<ColocationStatistics> &imported);
 
+  /// Replaces the regression sums that another shard has published. They count
+  /// in addition to this model's own and are not part of statistics(). Entries
+  /// with inconsistent sizes or an implausible weight are ignored.
+  ///
+  /// \param shard number of the other shard.
+  void setPeerStatistics(std::int32_t shard,
+                         const std::vector<ColocationStatistics> &published);
+
 private:
   struct Fit {
     /// Index of the unknown of each filler image; unknown 0 is the base.
     std::map<std::string, std::size_t> Index;
     std::vector<std::vector<double>> NormalMatrix;
     std::vector<double> RightHandSide;
+    /// Sums of all other shards.
+    std::vector<std::vector<double>> PeerMatrix;
+    std::vector<double> PeerSide;
     std::vector<double> Solution;
     std::size_t ObservationsSinceSolve = 0;
   };
@@ -81,7 +93,12 @@
   double pressureOf(const std::string &fillerImage) const;
   static std::size_t indexOf(Fit &fit, const std::string &fillerImage);
 
+  Fit &fitOf(const std::string &servingImage);
+  /// Adds up the sums of the other shards for one service.
+  void sumPeers(const std::string &servingImage, Fit &fit);
+
   std::map<std::string, Fit> Fits;
+  std::map<std::int32_t, std::vector<ColocationStatistics>> Peers;
   /// Mean ratio of slope to base over the services, by filler image.
   std::map<std::string, double> Pressures;
   /// The same over all fillers.
--- a/packages/policy/src/ColocationModel.cpp
+++ b/packages/policy/src/ColocationModel.cpp
@@ -31,25 +31,35 @@
   auto [it, added] = fit.Index.try_emplace(fillerImage, fit.Index.size() + 1);
   if (!added)
     return it->second;
-  for (std::vector<double> &row : fit.NormalMatrix)
-    row.push_back(0);
-  fit.NormalMatrix.emplace_back(fit.RightHandSide.size() + 1, 0.0);
+  std::size_t size = fit.RightHandSide.size() + 1;
+  for (auto *matrix : {&fit.NormalMatrix, &fit.PeerMatrix}) {
+    for (std::vector<double> &row : *matrix)
+      row.push_back(0);
+    matrix->emplace_back(size, 0.0);
+  }
   fit.RightHandSide.push_back(0);
+  fit.PeerSide.push_back(0);
   fit.Solution.push_back(0);
   return it->second;
 }
 
-void ColocationModel::observe(const std::string &servingImage,
-                              double responseMs,
-                              const std::vector<FillerShare> &fillers) {
+ColocationModel::Fit &ColocationModel::fitOf(const std::string &servingImage) {
   Fit &fit = Fits[servingImage];
   if (fit.RightHandSide.empty()) {
-    fit.NormalMatrix = {{0.0}};
-    fit.RightHandSide = {0.0};
-    fit.Solution = {responseMs};
+    fit.NormalMatrix = fit.PeerMatrix = {{0.0}};
+    fit.RightHandSide = fit.PeerSide = fit.Solution = {0.0};
   }
+  return fit;
+}
+
+void ColocationModel::observe(const std::string &servingImage,
+                              double responseMs,
+                              const std::vector<FillerShare> &fillers) {
+  Fit &fit = fitOf(servingImage);
   if (fit.Solution[0] > 0)
     responseMs = std::min(responseMs, OutlierFactor * fit.Solution[0]);
+  else
+    fit.Solution[0] = responseMs;
   std::map<std::size_t, double> row{{0, 1.0}};
   for (const FillerShare &filler : fillers)
     row[indexOf(fit, filler.Image)] += filler.Share;
@@ -84,8 +94,8 @@
       continue;
     for (const auto &[filler, i] : fit.Index) {
       // Between 0 without measurements and 1 with many.
-      double weight =
-          fit.NormalMatrix[i][i] / (fit.NormalMatrix[i][i] + SlopePrior);
+      double measured = fit.NormalMatrix[i][i] + fit.PeerMatrix[i][i];
+      double weight = measured / (measured + SlopePrior);
       double ratio = weight * fit.Solution[i] / fit.Solution[0];
       sums[filler].Weight += weight;
       sums[filler].Ratio += ratio;
@@ -110,13 +120,15 @@
     expected[i] = pressureOf(filler) * fit.Solution[0];
   for (int round = 0; round < rounds; ++round)
     for (std::size_t i = 0; i < n; ++i) {
-      double sum = fit.RightHandSide[i];
+      double sum = fit.RightHandSide[i] + fit.PeerSide[i];
       for (std::size_t j = 0; j < n; ++j)
         if (j != i)
-          sum -= fit.NormalMatrix[i][j] * fit.Solution[j];
+          sum -=
+              (fit.NormalMatrix[i][j] + fit.PeerMatrix[i][j]) * fit.Solution[j];
+      double weight = fit.NormalMatrix[i][i] + fit.PeerMatrix[i][i];
       double prior = i == 0 ? BasePrior : SlopePrior;
-      fit.Solution[i] = std::max(0.0, (sum + prior * expected[i]) /
-                                          (fit.NormalMatrix[i][i] + prior));
+      fit.Solution[i] =
+          std::max(0.0, (sum + prior * expected[i]) / (weight + prior));
     }
   if (++SolvesSinceUpdate >= PressureInterval) {
     SolvesSinceUpdate = 0;
@@ -127,6 +139,9 @@
 std::vector<ColocationStatistics> ColocationModel::statistics() const {
   std::vector<ColocationStatistics> all;
   for (const auto &[serving, fit] : Fits) {
+    // Known from other shards only.
+    if (fit.NormalMatrix[0][0] == 0)
+      continue;
     ColocationStatistics statistics{
         serving, {}, fit.NormalMatrix, fit.RightHandSide};
     statistics.Fillers.resize(fit.Index.size());
@@ -137,27 +152,78 @@
   return all;
 }
 
+/// Returns whether the sizes agree and the sums are those of the number of
+/// measurements that forgetting allows.
+static bool isPlausible(const ColocationStatistics &statistics) {
+  constexpr double maxWeight = 1.01 / (1 - ForgettingFactor);
+  std::size_t n = statistics.Fillers.size() + 1;
+  if (statistics.RightHandSide.size() != n ||
+      statistics.NormalMatrix.size() != n)
+    return false;
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::vector<double> &row = statistics.NormalMatrix[i];
+    if (row.size() != n || row[i] < 0 || row[i] > maxWeight)
+      return false;
+  }
+  return true;
+}
+
 void ColocationModel::importStatistics(
     const std::vector<ColocationStatistics> &imported) {
   for (const ColocationStatistics &statistics : imported) {
-    std::size_t n = statistics.Fillers.size() + 1;
-    bool matches =
-        statistics.RightHandSide.size() == n &&
-        statistics.NormalMatrix.size() == n &&
-        std::all_of(statistics.NormalMatrix.begin(),
-                    statistics.NormalMatrix.end(),
-                    [&](const auto &row) { return row.size() == n; });
-    if (!matches || Fits.contains(statistics.ServingImage))
+    if (!isPlausible(statistics) || Fits.contains(statistics.ServingImage))
+      continue;
+    Fit &fit = fitOf(statistics.ServingImage);
+    for (const std::string &it : statistics.Fillers)
+      indexOf(fit, it);
+    if (fit.RightHandSide.size() != statistics.RightHandSide.size())
       continue;
-    Fit &fit = Fits[statistics.ServingImage];
-    for (std::size_t i = 0; i < statistics.Fillers.size(); ++i)
-      fit.Index.emplace(statistics.Fillers[i], i + 1);
     fit.NormalMatrix = statistics.NormalMatrix;
     fit.RightHandSide = statistics.RightHandSide;
-    fit.Solution.assign(n, 0);
+    if (fit.NormalMatrix[0][0] > 0)
+      fit.Solution[0] = fit.RightHandSide[0] / fit.NormalMatrix[0][0];
+  }
+  // The iteration starts far from the solution, and the expected slopes depend
+  // on the solutions of all services.
+  constexpr int initialSolutions = 4;
+  for (int i = 0; i < initialSolutions; ++i) {
+    for (auto &[serving, fit] : Fits)
+      solve(fit);
+    updatePressures();
+  }
+}
+
+void ColocationModel::sumPeers(const std::string &servingImage, Fit &fit) {
+  for (std::vector<double> &row : fit.PeerMatrix)
+    std::fill(row.begin(), row.end(), 0.0);
+  std::fill(fit.PeerSide.begin(), fit.PeerSide.end(), 0.0);
+  for (const auto &[shard, published] : Peers)
+    for (const ColocationStatistics &statistics : published) {
+      if (statistics.ServingImage != servingImage)
+        continue;
+      std::vector<std::size_t> to{0};
+      for (const std::string &it : statistics.Fillers)
+        to.push_back(indexOf(fit, it));
+      for (std::size_t i = 0; i < to.size(); ++i) {
+        fit.PeerSide[to[i]] += statistics.RightHandSide[i];
+        for (std::size_t j = 0; j < to.size(); ++j)
+          fit.PeerMatrix[to[i]][to[j]] += statistics.NormalMatrix[i][j];
+      }
+    }
+}
+
+void ColocationModel::setPeerStatistics(
+    std::int32_t shard, const std::vector<ColocationStatistics> &published) {
+  std::vector<ColocationStatistics> &kept = Peers[shard];
+  kept.clear();
+  for (const ColocationStatistics &it : published)
+    if (isPlausible(it))
+      kept.push_back(it);
+  for (const ColocationStatistics &it : kept) {
+    Fit &fit = fitOf(it.ServingImage);
+    sumPeers(it.ServingImage, fit);
     solve(fit);
   }
-  updatePressures();
 }
 
 double ColocationModel::slope(const std::string &servingImage,
@@ -183,7 +249,9 @@
     return false;
   auto it = fit->second.Index.find(fillerImage);
   return it != fit->second.Index.end() &&
-         fit->second.NormalMatrix[it->second][it->second] >= MinKnownWeight;
+         fit->second.NormalMatrix[it->second][it->second] +
+                 fit->second.PeerMatrix[it->second][it->second] >=
+             MinKnownWeight;
 }
 
 } // namespace endivedoor::policy
--- a/tests/unit/unit-policy-pairmodel.cpp
+++ b/tests/unit/unit-policy-pairmodel.cpp
@@ -88,6 +88,45 @@
   EXPECT_NEAR(successor.base("other"), 7, 0.1);
 }
 
+/// A model that has measured one filler beside one service.
+static ColocationModel measuredModel(const std::string &serving, double slope,
+                                     int measurements = 400) {
+  ColocationModel model;
+  for (int i = 0; i < measurements; ++i)
+    model.observe(serving, 5 + slope * 0.02 * (i % 5), {{"f", 0.02 * (i % 5)}});
+  return model;
+}
+
+// Each of eight shards learned 480 pairs alone although all measure the same
+// programs.
+TEST(ColocationModel, PeerStatistics_AreUsedButNotPublishedAgain) {
+  ColocationModel model;
+  model.setPeerStatistics(3, measuredModel("desk", 100).statistics());
+  EXPECT_NEAR(model.slope("desk", "f"), 100, 10);
+  EXPECT_TRUE(model.isKnown("desk", "f"));
+  EXPECT_TRUE(model.statistics().empty());
+  for (int i = 0; i < 16; ++i)
+    model.observe("desk", 5, {{"g", 0.01}});
+  ASSERT_EQ(model.statistics().size(), 1u);
+  EXPECT_LE(model.statistics()[0].NormalMatrix[0][0], 16);
+}
+
+TEST(ColocationModel, PeerStatistics_ReplaceTheEarlierOnesOfTheShard) {
+  ColocationModel model;
+  model.setPeerStatistics(3, measuredModel("desk", 300).statistics());
+  model.setPeerStatistics(3, measuredModel("desk", 100).statistics());
+  EXPECT_NEAR(model.slope("desk", "f"), 100, 10);
+}
+
+// A shard that publishes nonsense must not outweigh the others.
+TEST(ColocationModel, ImplausiblePeerStatistics_AreIgnored) {
+  ColocationModel model = measuredModel("desk", 100);
+  model.setPeerStatistics(3, {{"desk", {"f"}, {{1e9, 1e9}, {1e9, 1e9}}, {1, 1}},
+                              {"desk", {"f"}, {{-1, 0}, {0, 1}}, {1, 1}},
+                              {"desk", {"f", "f"}, {{1}}, {1}}});
+  EXPECT_NEAR(model.slope("desk", "f"), 100, 10);
+}
+
 TEST(ColocationModel, StatisticsOfMismatchedSizes_AreIgnored) {
   ColocationModel model;
   model.importStatistics({{"desk", {"x"}, {{1}}, {1, 1}},
