--- a/packages/base/include/endivedoor/base/LineSink.h
+++ b/packages/base/include/endivedoor/base/LineSink.h
@@ -16,6 +16,8 @@
 /// line that does not fit into the buffer is dropped and counted. Thread-safe.
 class LineSink final : public google::LogSink {
 public:
+  /// Ignores SIGPIPE in the whole process.
+  ///
   /// \param descriptor file descriptor; the constructor makes it non-blocking.
   /// \param capacity maximum number of buffered bytes.
   explicit LineSink(int descriptor, std::size_t capacity = 256 * 1024);
--- a/packages/base/src/LineSink.cpp
+++ b/packages/base/src/LineSink.cpp
@@ -1,5 +1,8 @@
 #include "endivedoor/base/LineSink.h"
 
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
 #include <fcntl.h>
 #include <unistd.h>
 #include <utility>
@@ -12,6 +15,8 @@
 
 LineSink::LineSink(int descriptor, std::size_t capacity)
     : Descriptor(descriptor), Capacity(capacity) {
+  // A log reader that goes away must not end the daemon.
+  std::signal(SIGPIPE, SIG_IGN);
   int flags = ::fcntl(descriptor, F_GETFL);
   if (flags >= 0)
     ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
@@ -39,6 +44,13 @@
 void LineSink::flushLocked() {
   while (!Buffer.empty()) {
     ssize_t n = ::write(Descriptor, Buffer.data(), Buffer.size());
+    if (n < 0 && errno == EPIPE) {
+      // The reader is gone for good; buffered lines would only fill the buffer.
+      Dropped += static_cast<std::uint64_t>(
+          std::count(Buffer.begin(), Buffer.end(), '\n'));
+      Buffer.clear();
+      return;
+    }
     // The rest stays buffered until the reader catches up.
     if (n <= 0)
       return;
--- a/packages/cli/include/endivedoor/cli/detail/Context.h
+++ b/packages/cli/include/endivedoor/cli/detail/Context.h
@@ -120,6 +120,7 @@
 ExitCode runStatus(Context &context);
 ExitCode runWaitReady(Context &context);
 ExitCode runExplain(Context &context);
+ExitCode runUnreadable(Context &context);
 
 } // namespace endivedoor::cli::detail
 
--- a/packages/cli/src/LogFilter.cpp
+++ b/packages/cli/src/LogFilter.cpp
@@ -1,6 +1,7 @@
 #include "endivedoor/cli/detail/LogFilter.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <set>
 #include <sstream>
@@ -40,6 +41,30 @@
   return time;
 }
 
+/// Returns whether the line contains the id as a whole word: j-1 is not part of
+/// j-17. A dot ends a word, since task names begin with the id of their job.
+bool mentions(const std::string &line, const std::string &id) {
+  auto isIdCharacter = [&](std::size_t at) {
+    return at < line.size() &&
+           (std::isalnum(static_cast<unsigned char>(line[at])) ||
+            line[at] == '-' || line[at] == '_');
+  };
+  for (std::size_t at = line.find(id); at != std::string::npos;
+       at = line.find(id, at + 1))
+    if (!(at > 0 && isIdCharacter(at - 1)) && !isIdCharacter(at + id.size()))
+      return true;
+  return false;
+}
+
+/// Returns the value of a field of a line that may be quoted.
+std::string readText(const std::string &line, const std::string &name) {
+  std::string value = readField(line, name);
+  if (!value.starts_with('"'))
+    return value;
+  std::size_t at = line.find(" " + name + "=\"") + name.size() + 3;
+  return line.substr(at, line.find('"', at) - at);
+}
+
 } // namespace
 
 void appendEventLines(const std::string &text,
@@ -57,7 +82,7 @@
   std::set<std::string> workers;
   std::pair<std::uint64_t, std::uint64_t> first{UINT64_MAX, 0}, last{0, 0};
   for (const std::string &it : lines) {
-    if (it.find(id) == std::string::npos)
+    if (!mentions(it, id))
       continue;
     selected.push_back(it);
     workers.insert(readField(it, "worker"));
@@ -68,7 +93,7 @@
   for (const std::string &it : lines) {
     std::string worker = readField(it, "worker");
     bool relevant = worker.empty() || workers.contains(worker);
-    if (it.find(id) == std::string::npos && relevant &&
+    if (!mentions(it, id) && relevant &&
         LifecycleEvents.contains(readField(it, "name")) &&
         parseHybridTime(it) >= first && parseHybridTime(it) <= last)
       selected.push_back(it);
@@ -82,4 +107,19 @@
   return selected;
 }
 
+std::map<std::string, UnreadableRecord>
+selectUnreadableRecords(const std::vector<std::string> &lines) {
+  std::map<std::string, UnreadableRecord> records;
+  for (const std::string &it : lines) {
+    if (readField(it, "name") != "RecordUnreadable")
+      continue;
+    UnreadableRecord &record = records[readField(it, "key")];
+    record.Bytes = readField(it, "bytes");
+    record.Cause = readText(it, "cause");
+    record.Process = readField(it, "process");
+    ++record.Reports;
+  }
+  return records;
+}
+
 } // namespace endivedoor::cli::detail
--- a/packages/cli/src/Run.cpp
+++ b/packages/cli/src/Run.cpp
@@ -102,8 +102,10 @@
   if (!zones)
     return context.reportError(zones.error());
   context.Zones = zones.value();
-  // "explain" reads log files only and needs no daemon.
-  if (in.Flags.Daemons.empty() && in.Subcommand->Run != detail::runExplain)
+  // These read log files only and need no daemon.
+  bool readsLogs = in.Subcommand->Run == detail::runExplain ||
+                   in.Subcommand->Run == detail::runUnreadable;
+  if (in.Flags.Daemons.empty() && !readsLogs)
     return context.reportError({Errc::CliUsage,
                                 "no daemon is given; add --daemon=ip:port or "
                                 "--settings=FILE"});
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -60,7 +60,8 @@
   if (std::optional<YAML::Node> it = root.find("processorShare")) {
     constexpr double minCores = 0.001, maxCores = 1000;
     to.Cores = it->as<double>(0);
-    if (to.Cores < minCores || to.Cores > maxCores)
+    // Written so that it rejects NaN, which YAML can express.
+    if (!(to.Cores >= minCores && to.Cores <= maxCores))
       diagnostics.add(it->Mark(), Errc::SettingsWrongValue,
                       "\"processorShare\" is not a number of cores",
                       "use 0.001 to 1000");
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -145,6 +145,20 @@
   EXPECT_GE(outcome.Diagnostics.size(), 4u);
 }
 
+// NaN compares false with every bound; a node of NaN cores would rank neither
+// before nor after any other for a shard.
+TEST(DispatchSettings, ProcessorShareThatIsNoNumber_IsRejected) {
+  for (const char *share : {".nan", ".inf", "-1", "0", "x"}) {
+    model::DispatchSettingsOutcome outcome = model::parseDispatchSettings(
+        "f", std::string("name: a\nprocessorShare: ") + share + "\n");
+    bool reported = false;
+    for (const auto &it : outcome.Diagnostics)
+      reported =
+          reported || it.Text.find("processorShare") != std::string::npos;
+    EXPECT_TRUE(reported) << share;
+  }
+}
+
 /// Connects the adapter's clients to an HTTP server whose responses each test
 /// sets.
 class InstallationAdapter : public testing::Test {
--- a/tests/unit/unit-linesink.cpp
+++ b/tests/unit/unit-linesink.cpp
@@ -30,6 +30,20 @@
   ::close(ends[1]);
 }
 
+// A daemon whose log reader ends must go on: the write raised SIGPIPE, which
+// ended the process.
+TEST(LineSink, ReaderGone_DropsAndCountsLines) {
+  int ends[2];
+  ASSERT_EQ(::pipe(ends), 0);
+  LineSink sink(ends[1], 4096);
+  ::close(ends[0]);
+  google::LogMessageTime time;
+  for (int i = 0; i < 10; ++i)
+    sink.send(google::GLOG_WARNING, "", "", 0, time, "line", 4);
+  EXPECT_EQ(sink.takeDropped(), 10u);
+  ::close(ends[1]);
+}
+
 TEST(LineSink, Lines_AreWrittenCompleteAndInOrder) {
   int ends[2];
   ASSERT_EQ(::pipe(ends), 0);
--- a/tests/unit/unit-logstory.cpp
+++ b/tests/unit/unit-logstory.cpp
@@ -32,6 +32,35 @@
   EXPECT_NE(related[4].find("RunEnded"), std::string::npos);
 }
 
+// A job's story must not contain the lines of jobs whose ids begin like its
+// own.
+TEST(LogFilter, IdThatBeginsAnother_SelectsOnlyItsOwnLines) {
+  std::vector<std::string> lines;
+  appendEventLines("event=7501 name=JobQueued hlc=1.0 job=j-1\n"
+                   "event=7501 name=JobQueued hlc=2.0 job=j-17\n"
+                   "event=7505 name=RunStarted hlc=3.0 task=j-1.0.0.2\n"
+                   "event=7505 name=RunStarted hlc=4.0 task=aj-1.0.0.2\n",
+                   lines);
+  EXPECT_EQ(selectRelatedLines(lines, "j-1").size(), 2u);
+}
+
+TEST(LogFilter, UnreadableRecords_AreListedOnceWithTheirCause) {
+  std::vector<std::string> lines;
+  for (const char *process : {"n1", "n2"})
+    appendEventLines(
+        "event=7527 name=RecordUnreadable process=" + std::string(process) +
+            " hlc=1.0 key=endivedoor/s/7/j/aa bytes=512 "
+            "cause=\"field progress is too long\"\n",
+        lines);
+  auto records = selectUnreadableRecords(lines);
+  ASSERT_EQ(records.size(), 1u);
+  const UnreadableRecord &record = records["endivedoor/s/7/j/aa"];
+  EXPECT_EQ(record.Bytes, "512");
+  EXPECT_EQ(record.Cause, "field progress is too long");
+  EXPECT_EQ(record.Process, "n2");
+  EXPECT_EQ(record.Reports, 2);
+}
+
 TEST(LogFilter, UnknownId_SelectsNoLines) {
   EXPECT_TRUE(
       selectRelatedLines({" event=1 name=ShardOwned hlc=1.0"}, "bb").empty());
