Adapt the number of starts in flight to the link

Change: CallWindow limits the starts in flight of a node by the delay of answers; a plan decides on no more starts than that, the most urgent first, so what is held back is decided on again with newer data. Timeouts alone do not reduce the limit (a cut zone), except a whole window of them.

Ruled out: a limit from the link's nominal rate (polls, the store and callers share the link, and payloads differ).

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -10,6 +10,7 @@
 #include "endivedoor/dispatch/TaskWorker.h"
 #include "endivedoor/policy/ColocationModel.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -127,10 +128,13 @@
   /// Decides which runs to start, stop and throttle now.
   ///
   /// \param wall wall-clock time, for jobs with due times.
+  /// \param maxStarts maximum number of starts, for the most urgent tasks. A
+  /// gang counts as one.
   ///
   /// Cost: linear in the live tasks and the workers.
   std::vector<WorkerCommand> plan(base::TimePoint now, base::WallTime wall,
-                                  bool mayStart);
+                                  bool mayStart,
+                                  std::size_t maxStarts = SIZE_MAX);
 
   /// Returns records that must be stored, at most \p limit.
   std::vector<JobWrite> takeWrites(std::size_t limit);
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -78,6 +78,7 @@
   /// Whether the latest lease renewal was answered. While it was not, callers'
   /// requests are rejected immediately rather than left to time out.
   bool Reachable = true;
+  detail::CallWindow StartCalls;
   /// Spreads the callers that are refused.
   std::mt19937_64 Random{std::random_device{}()};
   bool Leaving = false;
@@ -430,6 +431,7 @@
       Time,
       Events,
       MetricsRegistry,
+      StartCalls,
       [self] { return self->LastStoreContact; },
       [self](TimePoint sent) {
         self->LastStoreContact = std::max(self->LastStoreContact, sent);
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -163,6 +163,8 @@
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     if (!task.isPending() || !task.Runs.empty())
       continue;
+    if (StartBudget == 0)
+      return;
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now);
     if (!worker)
       logWait(job, o, step, entry, now);
@@ -181,6 +183,7 @@
     }
     startTask(job, {job.Job.Id, o.Number, step, i}, task, *worker, now,
               nextRun(job, task, Term));
+    --StartBudget;
     ++counts[worker];
   }
 }
@@ -192,7 +195,7 @@
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
   // A gang starts as a whole, so every member of its previous run must have
   // ended.
-  if (entry.WaitingCount < spec.Count)
+  if (entry.WaitingCount < spec.Count || StartBudget == 0)
     return;
   std::vector<WorkerState *> places = chooseGang(*this, job, spec, now);
   if (places.empty()) {
@@ -200,6 +203,7 @@
     return;
   }
   entry.WaitingSince.reset();
+  --StartBudget;
   std::int64_t run = 0;
   std::string checkpoint;
   for (const TaskEntry &it : entry.Tasks) {
@@ -402,14 +406,15 @@
 base::FencingToken Shard::token() const { return State->Token; }
 
 std::vector<WorkerCommand> Shard::plan(base::TimePoint now, base::WallTime wall,
-                                       bool mayStart) {
+                                       bool mayStart, std::size_t maxStarts) {
   detail::ShardState &s = *State;
   s.expireLeases(now);
   s.openDueOccurrences(wall, now);
   s.stopUnneededRuns(now);
   s.moveOffDrainingWorkers(now);
   s.stopStuckRuns(now);
-  if (mayStart)
+  s.StartBudget = mayStart ? maxStarts : 0;
+  if (s.StartBudget > 0)
     s.startReadySteps(now);
   s.throttleFillers(now);
   s.removeEndedJobs();
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -292,9 +292,9 @@
   auto self = shared_from_this();
   while (!Stopped) {
     PlanDue = false;
-    for (WorkerCommand &it :
-         State.plan(Context.Time.now(), Context.Time.wallNow(),
-                    maySendCommands() && !Flushing))
+    for (WorkerCommand &it : State.plan(
+             Context.Time.now(), Context.Time.wallNow(),
+             maySendCommands() && !Flushing, Context.StartCalls.available()))
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->executeCommand(order); },
@@ -354,10 +354,18 @@
     request.Checkpoint = order.Checkpoint;
     request.Deadline = order.Deadline;
     request.Token = token;
+    TimePoint sent = Context.Time.now();
+    bool wasFull = Context.StartCalls.available() == 0;
+    Context.StartCalls.onSent();
     auto answer = co_await Context.WorkerCalls.start(
         order.Worker, std::move(request), CallTimeout);
-    if (!Stopped)
-      State.onStart(order, std::move(answer), Context.Time.now());
+    Context.StartCalls.onFinished(Context.Time.now() - sent, answer.has_value(),
+                                  Context.Time.now());
+    if (Stopped)
+      co_return;
+    State.onStart(order, std::move(answer), Context.Time.now());
+    if (wasFull)
+      requestPlan();
     break;
   }
   case WorkerCommand::Kind::Stop: {
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -4,6 +4,7 @@
 #ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDRUNNER_H
 #define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDRUNNER_H
 
+#include "detail/CallWindow.h"
 #include "detail/NodeRecords.h"
 
 #include "endivedoor/dispatch/DispatchNode.h"
@@ -46,6 +47,8 @@
   const base::Clock &Time;
   base::EventLog &Events;
   Metrics &MetricsRegistry;
+  /// Start commands in flight of all shards of the node.
+  CallWindow &StartCalls;
   /// Returns when the latest successful call to the store was sent.
   std::function<base::TimePoint()> LastStoreContact;
   std::function<void(base::TimePoint sent)> OnStoreContact;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -241,6 +241,8 @@
   /// Cancellations to be stored for the shards that run parts of the jobs.
   std::deque<CancelForward> CancelForwards;
   std::vector<WorkerCommand> Outbox;
+  /// Number of starts that the current plan may still decide on.
+  std::size_t StartBudget = 0;
   /// Steps for which the current plan found no worker; tasks of the same
   /// program that are at least as large are not tried.
   std::vector<const model::StepSpec *> UnplaceableSteps;
