Make smaller shards where the link is slow

Change: the setting linkMbps (filled from the platform's limits); the layout has at most eight workers a shard for each Mbit/s of the storing node's link. Nothing changes from 9 Mbit/s up.

Tests: DispatchNodeOwnership.SlowLink_MakesSmallerShards, DispatchSettings.LinkRateThatIsNoRate_IsRejected.

--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -50,6 +50,7 @@
   options.Shard.MaxTargetMissTime = config.MaxTargetMissTime;
   options.NodeLease = std::max(options.NodeLease, config.MinStoreLease);
   options.Cores = config.Cores;
+  options.LinkMbps = config.LinkMbps;
   options.WorkersPerShard = config.WorkersPerShard;
   return options;
 }
--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -29,11 +29,14 @@
   /// Number of cores that the node may use; nodes with more cores own more
   /// shards.
   double Cores = 1;
+  /// Rate of the node's link, in Mbit/s; limits the size of a shard.
+  double LinkMbps = 1000;
   /// Time to live of the node's lease in the store. Bounds how long the shards
   /// of a killed daemon stay without an owner. Must be long enough for at least
   /// two renewals.
   milliseconds NodeLease{1500};
-  /// Target number of workers per shard; determines the number of shards.
+  /// Target number of workers per shard; determines the number of shards. There
+  /// are more shards if the node that stores the layout has a slow link.
   std::int32_t WorkersPerShard = 72;
 };
 
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -30,6 +30,10 @@
 /// The number of shards is computed from the number of workers once no new
 /// worker has been added for this long.
 constexpr auto SettleTime = 700ms;
+/// Workers of a shard per Mbit/s of its owner's link. Polls and starts of one
+/// worker take up to 30 kbit/s, so a shard uses about a quarter of the link;
+/// the rest is for bursts, callers and the store.
+constexpr double WorkersPerMbps = 8;
 /// Claim delay for each node that ranks ahead of this one for a vacant shard.
 constexpr auto RankDelay = 80ms;
 /// Extra claim delay in favour of the last owner, whose lease may have expired
@@ -283,10 +287,11 @@
 asio::awaitable<void> DispatchNode::Impl::storeLayout() {
   if (Workers.Profiles.empty() || Time.now() - WorkersChanged < SettleTime)
     co_return;
+  double perShard = std::min(static_cast<double>(Options.WorkersPerShard),
+                             std::max(1.0, Options.LinkMbps * WorkersPerMbps));
   auto shards = std::max<std::int32_t>(
-      1, static_cast<std::int32_t>(
-             std::lround(static_cast<double>(Workers.Profiles.size()) /
-                         Options.WorkersPerShard)));
+      1, static_cast<std::int32_t>(std::lround(
+             static_cast<double>(Workers.Profiles.size()) / perShard)));
   Commit commit;
   commit.Conditions = {{keys::layout(), 0}};
   commit.Writes = {{keys::layout(), detail::encodeLayout(shards)}};
--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -27,6 +27,8 @@
   std::chrono::milliseconds MinStoreLease{1000};
   /// Cores that the daemon may use.
   double Cores = 1;
+  /// Rate of the host's network link, in Mbit/s.
+  double LinkMbps = 1000;
   /// Number of workers per shard owner.
   std::int32_t WorkersPerShard = 72;
   /// Maximum number of log lines per second and event code; further lines are
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -28,8 +28,8 @@
                      DispatchSettings &to) {
   YamlSection root(diagnostics, node, "",
                    {"name", "zone", "listen", "installation", "bounds",
-                    "workersPerShard", "processorShare", "keptEvents",
-                    "logLinesPerSecond"});
+                    "workersPerShard", "processorShare", "linkMbps",
+                    "keptEvents", "logLinesPerSecond"});
   root.readName("name", to.Name);
   std::string zone;
   root.readName("zone", zone);
@@ -66,6 +66,14 @@
                       "\"processorShare\" is not a number of cores",
                       "use 0.001 to 1000");
   }
+  if (std::optional<YAML::Node> it = root.find("linkMbps")) {
+    constexpr double minMbps = 0.01, maxMbps = 1e6;
+    to.LinkMbps = it->as<double>(0);
+    if (!(to.LinkMbps >= minMbps && to.LinkMbps <= maxMbps))
+      diagnostics.add(it->Mark(), Errc::SettingsWrongValue,
+                      "\"linkMbps\" is not a rate in Mbit/s",
+                      "use 0.01 to 1000000");
+  }
   if (auto n = root.readNumber("keptEvents", {16, 1 << 20}))
     to.RetainedEvents = *n;
 }
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -111,9 +111,11 @@
     return *result;
   }
 
-  DispatchNode &addNode(const std::string &name, double cores = 1) {
+  DispatchNode &addNode(const std::string &name, double cores = 1,
+                        double linkMbps = 1000) {
     dispatch::DispatchOptions options;
     options.Cores = cores;
+    options.LinkMbps = linkMbps;
     options.Name = name;
     options.Instance = name + "-1";
     options.NodeLease = 400ms;
@@ -510,6 +512,14 @@
   EXPECT_TRUE(runUntil([&] { return runningTasks() == 0; }));
 }
 
+// A node cannot poll and start on all workers through a slow link: large
+// quiet-1 with links of 2 Mbit/s, where one node owned all 85 workers.
+TEST_F(DispatchNodeOwnership, SlowLink_MakesSmallerShards) {
+  addNode("n1", 1, 0.2);
+  ASSERT_TRUE(runUntil([&] { return Store.has(dispatch::keys::layout()); }));
+  EXPECT_EQ(Store.valueOf(dispatch::keys::layout()), R"({"shards":2})");
+}
+
 TEST_F(DispatchNodeOwnership, SmallOwner_HandsOverToALargerNode) {
   DispatchNode &small = addNode("n1", 0.1);
   ASSERT_TRUE(runUntil([&] { return small.ownedShards() == 1; }));
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -121,6 +121,7 @@
       {"{{internal_ports.0}}", "7720"},
       {"{{platform.address}}", "10.0.0.7:8169"},
       {"{{limits.cpu_share}}", "0.25"},
+      {"{{limits.link_mbps}}", "20"},
       {"{{bounds.hold_max_ms}}", "10000"},
       {"{{bounds.harm_ms}}", "4000"},
       {"{{bounds.grace_s}}", "6"},
@@ -159,6 +160,17 @@
   }
 }
 
+TEST(DispatchSettings, LinkRateThatIsNoRate_IsRejected) {
+  for (const char *rate : {".nan", "0", "-2", "fast"}) {
+    model::DispatchSettingsOutcome outcome = model::parseDispatchSettings(
+        "f", std::string("name: a\nlinkMbps: ") + rate + "\n");
+    bool reported = false;
+    for (const auto &it : outcome.Diagnostics)
+      reported = reported || it.Text.find("linkMbps") != std::string::npos;
+    EXPECT_TRUE(reported) << rate;
+  }
+}
+
 /// Connects the adapter's clients to an HTTP server whose responses each test
 /// sets.
 class InstallationAdapter : public testing::Test {
