Give a filler job that suits no worker one run after 2.5 s

Expecting harm from unseen pairs makes this more likely.

Change: a job of which nothing has run for 2.5 s gets one run on the least unsuitable worker; a job that has come from another shard waits twice as long before it moves on, so that it gets this run first.

Test: ShardInterference.HarmfulEverywhere_OneRunAfterStarvation, which fails without the limit.

--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -73,8 +73,10 @@
         job->isLive() && !job->IsPart && job->DelegatedShards.empty() &&
         job->RunCount == 0 && !job->WriteInFlight && !job->Moving &&
         job->Version == job->StoredVersion && !(unverified && job->Inherited);
-    if (!movable || now - job->LastMoveAttempt < MoveDelay ||
-        !hasWaited(*job, MoveDelay, now))
+    // A job that suits no shard must not move on before it gets a run here.
+    auto delay = job->MovedHere ? 2 * MoveDelay : MoveDelay;
+    if (!movable || now - job->LastMoveAttempt < delay ||
+        !hasWaited(*job, delay, now))
       continue;
     JobMove move{job->Job,
                  job->Started ? JobState::Running : JobState::Queued,
@@ -110,6 +112,7 @@
   if (!entry)
     return;
   entry->EarlierLastRun = handover.LastRun;
+  entry->MovedHere = true;
   entry->Started = handover.LastRun > 0;
   restore(job, handover.Progress, 0);
 }
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -85,8 +85,8 @@
 /// Returns nothing if the worker cannot take it now.
 static std::optional<double> suitability(const ShardState &shard,
                                          const model::StepSpec &step,
-                                         WorkerState &w,
-                                         std::int32_t sameStep) {
+                                         WorkerState &w, std::int32_t sameStep,
+                                         bool starved) {
   double score = 0;
   if (step.Filler) {
     double capacity = fillerCapacity(w) * w.FillerSpeedPercent / 100.0;
@@ -94,7 +94,7 @@
     if (w.FillerSpeedPercent < 100 || demand > FillerOvercommit * capacity)
       return std::nullopt;
     double predicted = predictedTargetShare(shard, w, step);
-    if (predicted > MaxPredictedShare)
+    if (predicted > MaxPredictedShare && !starved)
       return std::nullopt;
     score = (capacity - demand) /
             static_cast<double>(count(w.Profile.Capacity.Cpu));
@@ -120,7 +120,8 @@
 
 WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
-                          const WorkerState *excluded, TimePoint now) {
+                          const WorkerState *excluded, TimePoint now,
+                          bool starved) {
   WorkerState *best = nullptr;
   double bestScore = 0;
   for (const auto &[id, w] : shard.Workers) {
@@ -130,7 +131,7 @@
     std::int32_t same = it == counts.end() ? 0 : it->second;
     if (step.MaxPerWorker > 0 && same >= step.MaxPerWorker)
       continue;
-    std::optional<double> score = suitability(shard, step, *w, same);
+    std::optional<double> score = suitability(shard, step, *w, same, starved);
     if (score && (!best || *score > bestScore)) {
       best = w.get();
       bestScore = *score;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -28,6 +28,10 @@
 constexpr auto MaxIdleTime = 1500ms;
 /// A waiting step is logged after this time, and at this interval from then on.
 constexpr auto WaitLogInterval = 2000ms;
+/// A filler job of which nothing has run for this long gets one run on the
+/// least unsuitable worker. Longer than MoveDelay, so that shards where it may
+/// suit are tried first.
+constexpr auto StarvationTime = 2500ms;
 /// Factor by which the run time and idle time limits are extended for fillers.
 constexpr int FillerStuckFactor = 3;
 
@@ -154,7 +158,9 @@
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
-  if (isKnownUnplaceable(spec)) {
+  bool starved = spec.Filler && job.RunCount == 0 && entry.WaitingSince &&
+                 now - *entry.WaitingSince > StarvationTime;
+  if (!starved && isKnownUnplaceable(spec)) {
     logWait(job, o, step, entry, now);
     return;
   }
@@ -165,7 +171,8 @@
       continue;
     if (StartBudget == 0)
       return;
-    WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now);
+    WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now,
+                                       starved && job.RunCount == 0);
     if (!worker)
       logWait(job, o, step, entry, now);
     else
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -19,9 +19,12 @@
 ///
 /// \param counts number of tasks of the step on each worker.
 /// \param excluded worker that must not be chosen; null for none.
+/// \param starved whether a filler may run where tasks are predicted to miss
+/// their targets.
 WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
-                          const WorkerState *excluded, TimePoint now);
+                          const WorkerState *excluded, TimePoint now,
+                          bool starved = false);
 
 /// Reasons for which the workers of a shard reject a task; each worker is
 /// counted under one reason.
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -99,6 +99,8 @@
   bool WriteInFlight = false;
   /// The job is being moved to another shard and must not be started.
   bool Moving = false;
+  /// The job has come from another shard.
+  bool MovedHere = false;
   TimePoint LastMoveAttempt;
   /// Highest run number that an earlier shard has used.
   std::int64_t EarlierLastRun = 0;
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -512,4 +512,27 @@
   EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
 }
 
+// A filler that the model holds harmful beside every serving task of every
+// shard must not wait forever while the workers are nearly idle: large quiet-1
+// --small seed 3, where a job moved between shards five times and never ran.
+TEST_F(ShardInterference, HarmfulEverywhere_OneRunAfterStarvation) {
+  for (int i = 0; i < 400; ++i) {
+    double share = 0.01 * (i % 10);
+    TestShard.colocationModel().observe("service", 2 + 400 * share,
+                                        {{"harmful", share}});
+  }
+  model::StepSpec fillers = step(3, 3200);
+  fillers.Filler = true;
+  fillers.Image = "harmful";
+  TestShard.addJob(job(3, {fillers}), 3, false, now());
+  base::TimePoint added = now();
+  while (now() - added < 2400ms) {
+    EXPECT_TRUE(plan().empty());
+    Time.advance(140ms);
+  }
+  Time.advance(300ms);
+  EXPECT_EQ(plan().size(), 1u);
+  EXPECT_TRUE(plan().empty());
+}
+
 } // namespace
