--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -87,6 +87,18 @@
   }
 };
 
+/// The system's clock with an offset that a test sets: a process that was
+/// paused finds its clock moved on.
+class OffsetClock final : public base::Clock {
+public:
+  base::Duration Offset{};
+  base::TimePoint now() const override { return System.now() + Offset; }
+  base::WallTime wallNow() const override { return System.wallNow(); }
+
+private:
+  base::SystemClock System;
+};
+
 class NodeFixture : public testing::Test {
 protected:
   void runFor(std::chrono::milliseconds time) { Io.run_for(time); }
@@ -158,7 +170,7 @@
   }
 
   asio::io_context Io{1};
-  base::SystemClock Time;
+  OffsetClock Time;
   base::HybridClock Hybrid{Time};
   base::EventLog Events{"test", Hybrid, 64};
   dispatch::Metrics MetricsRegistry;
@@ -304,6 +316,34 @@
       runUntil([&] { return stateOf(second, 1) == JobState::Succeeded; }));
 }
 
+// A process that was paused must not act on what it was allowed before: another
+// node may own the shard by now.
+TEST_F(DispatchNodeOwnership, PausedOwner_StartsNothingBeforeTheStoreAnswers) {
+  Workers.KeepRunning = true;
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  // Three workers hold one such task each; the fourth waits for room.
+  model::AcceptedJob large = job(1, 4);
+  large.Graph.Steps.resize(1);
+  large.Graph.Steps[0].Size.Cpu = base::MilliCores{20000};
+  EXPECT_EQ(await(node.submit(large)), SubmitOutcome::Accepted);
+  ASSERT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 3; }));
+  Store.Unavailable = true;
+  Time.Offset += 20s;
+  model::WorkerProfile added;
+  added.Id = base::WorkerId("w2");
+  added.Service = base::ServiceName("desk");
+  added.Endpoint = {"10.0.0.1", 8080};
+  added.Zone = base::ZoneId("a");
+  added.Capacity.Cpu = base::MilliCores{64000};
+  added.Capacity.Memory = base::MebiBytes{128000};
+  node.updateWorker(added);
+  runFor(1000ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+  Store.Unavailable = false;
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() >= 4; }));
+}
+
 // The owner's lease expires and the shard is claimed again. The fencing token
 // of the old owner is then too low.
 TEST_F(DispatchNodeOwnership, ExpiredLease_IsTakenOverWithAHigherToken) {
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -238,6 +238,51 @@
   EXPECT_EQ(plan().size(), 1u);
 }
 
+// A worker that is only slow to report must keep what it runs: starting it
+// again elsewhere would run it twice, giving it up would lose it.
+TEST_F(ShardStart, SilenceWithinTheLease_NeitherRepeatsNorDropsTheRun) {
+  addWorker("w1");
+  addWorker("w2");
+  TestShard.addJob(job(1, {step(1)}), 5, false, now());
+  auto orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  confirmStarts(orders);
+  std::string silent = orders[0].Worker.Id.str();
+  std::string other = silent == "w1" ? "w2" : "w1";
+  for (int i = 0; i < 5; ++i) {
+    TestShard.onPollFailed(base::WorkerId(silent), "timeout");
+    Time.advance(1s);
+    poll(other);
+    EXPECT_TRUE(plan().empty());
+    EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+  }
+  PollReport report;
+  report.Running.push_back({orders[0].Run, "", 100, 0, false});
+  poll(silent, report);
+  report = {};
+  report.Ended.push_back({1, orders[0].Run, RunOutcome::Done, ""});
+  poll(silent, report);
+  auto writes = TestShard.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Final, model::JobState::Succeeded);
+}
+
+// After a change of owner, the roster still names workers that have left the
+// directory meanwhile. They must be asked what they run, but get no work.
+TEST_F(ShardTakeover, WorkerThatHasLeft_GetsNoStarts) {
+  TestShard.markUnverified({{base::WorkerId("gone"), {"10.0.0.9", 8080}}},
+                           false, now());
+  TestShard.onRosterStored(TestShard.roster());
+  EXPECT_TRUE(TestShard.hasWorker(base::WorkerId("gone")));
+  poll("gone");
+  TestShard.addJob(job(1, {step(1)}), 5, false, now());
+  EXPECT_TRUE(plan().empty());
+  addWorker("w1");
+  auto orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Worker.Id.str(), "w1");
+}
+
 using ShardPlacement = ShardFixture;
 
 TEST_F(ShardPlacement, DrainingWorker_GetsNoStarts) {
