Wait for sleeping loops in the test of a destroyed node

DestroyedWhileRunning_CoroutinesEnd failed since the loop that reads the other shards' measurements sleeps for 500 ms and the test looked after 300 ms. The test's claim is that the coroutines end and touch nothing that is gone; it now waits for the end, as for the other conditions of this file, and AddressSanitizer watches all the while.

--- a/tests/unit/unit-dispatch-lifetime.cpp
+++ b/tests/unit/unit-dispatch-lifetime.cpp
@@ -185,9 +185,9 @@
   std::unique_ptr<DispatchNode> node = makeNode();
   ASSERT_TRUE(runUntil([&] { return node->ownedShards() == 1; }));
   node.reset();
-  runFor(300ms);
-  // Without a node no work is left, which stops the context.
-  EXPECT_TRUE(Io.stopped());
+  // Without a node no work is left, which stops the context. A loop that sleeps
+  // ends when it wakes up.
+  EXPECT_TRUE(runUntil([&] { return Io.stopped(); }));
   Io.restart();
   std::unique_ptr<DispatchNode> next = makeNode();
   EXPECT_TRUE(runUntil([&] { return next->ownedShards() == 1; }));
