Give up a task that crashes worker after worker

Cause: a run that was lost with its worker was queued again as if it had never run; only reported failures counted. Evidence: RunsLost in the logs, followed by a start of the same task, 11 times for one task.

Change: a worker that comes back as another incarnation without having drained has crashed, and each task on it becomes a suspect. Suspects are started on different workers, so the next crash names one of them. A task is given up after two crashes in which it was the latest start on its worker, or three if it was the only suspect, or four. The count and the number of the next run are stored before that run starts; an owner that finds no trace of an announced run counts it as a crash, so owners that are replaced before they see a crash do not lose it. The record moves with the job and with delegated tasks; a part that is given up ends the job in its own shard too.

A test of restarts expected the next start before anything was stored; it now expects it right after the record is, and none before.

--- a/packages/dispatch/include/endivedoor/dispatch/Metrics.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Metrics.h
@@ -30,6 +30,8 @@
   void observeCompletion(base::Duration sinceAccepted);
   void setOwnedShards(std::size_t owned);
   void setLiveJobs(std::size_t live);
+  /// Sets the number of runs of tasks that may have crashed a worker.
+  void setSuspectRuns(std::size_t suspects);
 
   /// Returns all metrics, including a counter for each event type in \p events,
   /// in Prometheus text format 0.0.4. Cost: linear in the number of metrics.
--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -6,6 +6,7 @@
 #include "endivedoor/base/Error.h"
 #include "endivedoor/model/JobGraph.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -62,6 +63,19 @@
   model::JobState State = model::JobState::Queued;
 };
 
+/// Crashes of workers that ended runs of a task.
+struct CrashRecord {
+  /// Numbers of the runs.
+  std::vector<std::int64_t> Runs;
+  /// How many of them were the latest start on their worker.
+  std::int32_t LatestStarts = 0;
+  /// Number of the task's next run, stored before that starts; 0 if there is
+  /// none. An owner that finds no trace of the run counts it as a crash.
+  std::int64_t AnnouncedRun = 0;
+  /// Longest time from a start to the crash.
+  std::chrono::milliseconds LongestRun{0};
+};
+
 /// Progress of one task. Tasks that are neither done nor ever failed are
 /// omitted.
 struct TaskProgress {
@@ -73,6 +87,7 @@
   std::string Checkpoint;
   /// Shard that runs the task instead of the job's own.
   std::optional<std::int32_t> DelegatedTo = {};
+  CrashRecord Crashes = {};
 };
 
 struct OccurrenceProgress {
@@ -115,6 +130,7 @@
 struct TaskRef {
   std::int32_t Step = 0;
   std::int32_t Index = 0;
+  CrashRecord Crashes = {};
 };
 
 /// Tasks of a long-running job that another shard runs, because the job's own
@@ -124,6 +140,9 @@
   std::vector<TaskRef> Tasks;
   /// Highest run number of these tasks in earlier shards.
   std::int64_t LastRun = 0;
+  /// Shard that the job's index entry belongs to; absent in records of versions
+  /// that did not store it.
+  std::optional<std::int32_t> HomeShard = {};
 };
 
 /// Waiting tasks that a shard offers to others.
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -115,7 +115,8 @@
   std::optional<PlannedPoll> nextPoll(const base::WorkerId &worker,
                                       base::TimePoint now,
                                       bool mayExtendLeases);
-  void onPollFailed(const base::WorkerId &worker, const std::string &cause);
+  void onPollFailed(const base::WorkerId &worker, const std::string &cause,
+                    base::TimePoint now);
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
   void onStart(const WorkerCommand &command, base::Result<CommandResult> result,
--- /dev/null
+++ b/packages/dispatch/src/Crashes.cpp
@@ -0,0 +1,194 @@
+// Tasks that crash their workers. A crash ends all runs of a worker, so each
+// task there becomes a suspect. Suspects are started on different workers,
+// which makes the next crash name one of them. Load pattern: a few tasks of a
+// full shard crash every worker that starts them.
+#include "detail/ShardState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivedoor::dispatch::detail {
+
+using base::EventCode;
+using namespace std::chrono_literals;
+
+/// Crashes after which a task may be given up.
+constexpr std::size_t MinCrashes = 2;
+/// Crashes after which a task that was a worker's only suspect is given up even
+/// if other tasks were started there later.
+constexpr std::size_t CrashesOfOnlySuspect = 3;
+/// Crashes after which a task is given up in any case. A task may be started
+/// twice after the third; one start is left for a first crash that no owner
+/// has seen.
+constexpr std::size_t MaxCrashes = 4;
+/// A run that is still there after this time clears its task, unless earlier
+/// runs took longer to crash.
+constexpr auto SurvivalTime = 5s;
+/// Factor of the longest time to a crash after which a run clears its task.
+constexpr int SurvivalFactor = 2;
+
+/// Returns whether the run may have been on the worker when it crashed. A start
+/// that was sent after the worker had fallen silent did not reach it.
+static bool wasPresent(const WorkerState &worker, const Run &run) {
+  return !worker.SilentSince || run.Started <= *worker.SilentSince;
+}
+
+/// Returns the key that all members of a gang share: they are started together,
+/// so a crash says the same of each.
+static TaskKey suspectKey(const JobEntry &job, TaskKey key) {
+  if (stepOf(job, key).Gang)
+    key.Index = -1;
+  return key;
+}
+
+static bool crashesWorkers(const CrashRecord &crashes, CrashEvidence evidence) {
+  std::size_t n = crashes.Runs.size();
+  if (n >= MaxCrashes)
+    return true;
+  return n >= MinCrashes && evidence.OnlySuspect &&
+         (n >= CrashesOfOnlySuspect ||
+          static_cast<std::size_t>(crashes.LatestStarts) >= MinCrashes);
+}
+
+void ShardState::recordCrash(WorkerState &worker, bool sameId, TimePoint now) {
+  // A worker that was leaving has ended as planned.
+  if (worker.Profile.Draining)
+    return;
+  struct LostRun {
+    JobEntry *Job;
+    TaskKey Key;
+    TaskEntry *Task;
+    Run *Entry;
+  };
+  std::vector<LostRun> lost;
+  std::set<TaskKey> suspects;
+  TimePoint latest = TimePoint::min();
+  for (const auto &[id, held] : worker.Runs) {
+    JobEntry *job = nullptr;
+    TaskEntry *task = findTask(id.Task, &job);
+    if (!task)
+      continue;
+    for (Run &it : task->Runs) {
+      if (it.Number != id.Number || it.Worker != &worker ||
+          !wasPresent(worker, it))
+        continue;
+      lost.push_back({job, id.Task, task, &it});
+      if (task->isSuspect())
+        suspects.insert(suspectKey(*job, id.Task));
+      if (!it.Adopted)
+        latest = std::max(latest, it.Started);
+    }
+  }
+  if (lost.empty())
+    return;
+  Events.emit(EventCode::WorkerCrashed,
+              {{"worker", worker.Profile.Id.str()},
+               {"runs", std::to_string(lost.size())},
+               {"suspects", std::to_string(suspects.size())}});
+  for (const LostRun &it : lost) {
+    CrashEvidence evidence{!it.Entry->Adopted && it.Entry->Started == latest,
+                           suspects.size() < 2};
+    // A start without an answer may have reached the new incarnation instead;
+    // its next list shows that.
+    if (sameId && !wasReportedRunning(worker, *it.Entry))
+      it.Entry->PossibleCrash = evidence;
+    else
+      countCrash(*it.Job, it.Key, *it.Task, *it.Entry, evidence, now);
+  }
+}
+
+void ShardState::countCrash(JobEntry &job, const TaskKey &key, TaskEntry &task,
+                            const Run &run, CrashEvidence evidence,
+                            TimePoint now) {
+  if (!job.isLive() || task.Done)
+    return;
+  CrashRecord &crashes = task.Crashes;
+  if (std::find(crashes.Runs.begin(), crashes.Runs.end(), run.Number) !=
+      crashes.Runs.end())
+    return;
+  auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(
+      run.Worker->SilentSince.value_or(now) - run.Started);
+  crashes.Runs.push_back(run.Number);
+  crashes.AnnouncedRun = 0;
+  crashes.LatestStarts += evidence.LatestStart;
+  crashes.LongestRun = std::max(crashes.LongestRun, ran);
+  Events.emit(EventCode::TaskCrashed,
+              {{"task", taskText(key)},
+               {"run", std::to_string(run.Number)},
+               {"worker", run.Worker->Profile.Id.str()},
+               {"crashes", std::to_string(crashes.Runs.size())},
+               {"latestStart", evidence.LatestStart ? "yes" : "no"},
+               {"onlySuspect", evidence.OnlySuspect ? "yes" : "no"},
+               {"ranMs", std::to_string(ran / 1ms)}});
+  if (crashesWorkers(crashes, evidence))
+    giveUp(job, key, task);
+  markDirty(job);
+}
+
+bool ShardState::announceRun(JobEntry &job, const TaskKey &key, TaskEntry &task,
+                             std::int64_t run) {
+  if (!task.isSuspect())
+    return true;
+  CrashRecord &crashes = task.Crashes;
+  // All workers have been asked by now, so the run was lost with its worker or
+  // never started. Only the first is safe to assume.
+  if (std::int64_t lost = std::exchange(task.UnresolvedRun, 0)) {
+    crashes.Runs.push_back(lost);
+    Events.emit(EventCode::TaskCrashed,
+                {{"task", taskText(key)},
+                 {"run", std::to_string(lost)},
+                 {"worker", "unknown"},
+                 {"crashes", std::to_string(crashes.Runs.size())}});
+    if (crashesWorkers(crashes, {}))
+      giveUp(job, key, task);
+  } else if (crashes.AnnouncedRun == run) {
+    return task.AnnouncedVersion <= job.StoredVersion;
+  }
+  crashes.AnnouncedRun = run;
+  markDirty(job);
+  task.AnnouncedVersion = job.Version;
+  return false;
+}
+
+void ShardState::giveUp(JobEntry &job, const TaskKey &key,
+                        const TaskEntry &task) {
+  Events.emit(EventCode::JobGivenUp,
+              {{"job", formatJobNumber(key.Job)},
+               {"task", taskText(key)},
+               {"crashes", std::to_string(task.Crashes.Runs.size())}});
+  finishJob(job, model::JobState::Failed);
+  queueCancelForwards(job);
+  if (job.HomeShard)
+    CancelForwards.push_back({key.Job, *job.HomeShard});
+}
+
+void ShardState::clearSurvivors(TimePoint now) {
+  std::int64_t suspects = 0;
+  for (auto &[id, w] : Workers)
+    for (auto it = w->SuspectRuns.begin(); it != w->SuspectRuns.end();) {
+      JobEntry *job = nullptr;
+      TaskEntry *task = findTask(it->Task, &job);
+      bool survived = false;
+      for (std::size_t i = 0; task && i < task->Runs.size(); ++i) {
+        const Run &run = task->Runs[i];
+        survived |=
+            run.Number == it->Number && run.Phase == RunPhase::Running &&
+            now - run.Started >
+                std::max<base::Duration>(
+                    SurvivalTime, SurvivalFactor * task->Crashes.LongestRun);
+      }
+      if (!survived) {
+        ++suspects;
+        ++it;
+        continue;
+      }
+      Events.emit(EventCode::SuspectCleared, {{"task", taskText(it->Task)}});
+      task->Crashes = {};
+      if (job->isLive())
+        markDirty(*job);
+      it = w->SuspectRuns.erase(it);
+    }
+  MetricsRegistry.setSuspectRuns(static_cast<std::size_t>(suspects));
+}
+
+} // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -73,14 +73,17 @@
     Delegation offer;
     offer.Job = job->Job;
     offer.Part.LastRun = job->EarlierLastRun;
+    offer.Part.HomeShard = job->IsPart ? job->HomeShard : s.Number;
     detail::Occurrence &o = job->Occurrences[0];
     for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step) {
       std::vector<TaskEntry> &tasks = o.Steps[step].Tasks;
       for (std::int32_t i = 0; i < std::ssize(tasks); ++i) {
-        const TaskEntry &task = tasks[static_cast<std::size_t>(i)];
+        TaskEntry &task = tasks[static_cast<std::size_t>(i)];
         if (!task.isPending() || !task.Runs.empty())
           continue;
-        offer.Part.Tasks.push_back({step, i});
+        // No run is in flight, so none that was announced can be lost.
+        task.Crashes.AnnouncedRun = 0;
+        offer.Part.Tasks.push_back({step, i, task.Crashes});
         offer.Part.LastRun = std::max(offer.Part.LastRun, task.LastRun);
       }
     }
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -104,6 +104,11 @@
     return;
   release(*it->Worker, {key, run});
   task->Runs.erase(it);
+  if (task->Crashes.AnnouncedRun == run) {
+    task->Crashes.AnnouncedRun = 0;
+    if (job.isLive())
+      markDirty(job);
+  }
   --job.RunCount;
   if (task->Runs.empty() && task->isPending())
     ++job.Occurrences[key.Occurrence]
@@ -149,12 +154,12 @@
     for (std::size_t s = 0; !o.Complete && s < o.Steps.size(); ++s)
       for (std::size_t i = 0; i < o.Steps[s].Tasks.size(); ++i) {
         const TaskEntry &t = o.Steps[s].Tasks[i];
-        if (t.Done || t.DelegatedTo || !t.FailedRuns.empty() ||
+        if (t.Done || t.DelegatedTo || !t.FailedRuns.empty() || t.isSuspect() ||
             !t.Checkpoint.empty())
-          record.Tasks.push_back({static_cast<std::int32_t>(s),
-                                  static_cast<std::int32_t>(i), t.Done,
-                                  t.FailedRuns, t.Done ? "" : t.Checkpoint,
-                                  t.DelegatedTo});
+          record.Tasks.push_back(
+              {static_cast<std::int32_t>(s), static_cast<std::int32_t>(i),
+               t.Done, t.FailedRuns, t.Done ? "" : t.Checkpoint, t.DelegatedTo,
+               t.Done ? CrashRecord{} : t.Crashes});
       }
     progress.Occurrences.push_back(std::move(record));
   }
@@ -190,9 +195,13 @@
 static void limitToPart(detail::ShardState &s, JobEntry &job,
                         const JobPart &part) {
   std::set<std::pair<std::int32_t, std::int32_t>> own;
-  for (const TaskRef &it : part.Tasks)
+  for (const TaskRef &it : part.Tasks) {
     own.emplace(it.Step, it.Index);
+    if (TaskEntry *task = s.findTask({job.Job.Id, 0, it.Step, it.Index}))
+      task->Crashes = it.Crashes;
+  }
   job.IsPart = true;
+  job.HomeShard = part.HomeShard;
   job.EarlierLastRun = part.LastRun;
   for (auto &[number, o] : job.Occurrences)
     for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step)
@@ -241,8 +250,13 @@
         continue;
       detail::StepEntry &step = o.Steps[static_cast<std::size_t>(it.Step)];
       task->FailedRuns = it.FailedRuns;
+      task->Crashes = it.Crashes;
+      task->UnresolvedRun = it.Crashes.AnnouncedRun;
+      task->LastRun = std::max(task->LastRun, it.Crashes.AnnouncedRun);
       for (std::int64_t run : it.FailedRuns)
         task->LastRun = std::max(task->LastRun, run);
+      for (std::int64_t run : it.Crashes.Runs)
+        task->LastRun = std::max(task->LastRun, run);
       task->Checkpoint = it.Checkpoint;
       if (it.Done && !task->Done) {
         task->Done = true;
--- a/packages/dispatch/src/Metrics.cpp
+++ b/packages/dispatch/src/Metrics.cpp
@@ -51,6 +51,12 @@
                                       "ended")
                                 .Register(Registry)
                                 .Add({});
+  prometheus::Gauge &Suspects =
+      prometheus::BuildGauge()
+          .Name("endivedoor_suspect_runs")
+          .Help("Runs of tasks that may have crashed a worker")
+          .Register(Registry)
+          .Add({});
 };
 
 Metrics::Metrics() : Self(new Impl) {}
@@ -79,6 +85,10 @@
   Self->Jobs.Set(static_cast<double>(live));
 }
 
+void Metrics::setSuspectRuns(std::size_t suspects) {
+  Self->Suspects.Set(static_cast<double>(suspects));
+}
+
 std::string Metrics::render(const base::EventLog &events) const {
   prometheus::MetricFamily family;
   family.name = "endivedoor_events_total";
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -78,6 +78,11 @@
     if (!movable || now - job->LastMoveAttempt < delay ||
         !hasWaited(*job, delay, now))
       continue;
+    // No run is in flight, so none of those announced can be lost.
+    for (auto &[number, o] : job->Occurrences)
+      for (detail::StepEntry &step : o.Steps)
+        for (TaskEntry &it : step.Tasks)
+          it.Crashes.AnnouncedRun = 0;
     JobMove move{job->Job,
                  job->Started ? JobState::Running : JobState::Queued,
                  {progressOf(*job), job->EarlierLastRun},
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -118,20 +118,46 @@
   return score - 0.05 * sameStep - 0.3 * w.FailureScore;
 }
 
+/// Penalty of a worker for a suspect per run there that a crash would end; a
+/// long-running task counts as several, since its users lose it for seconds.
+constexpr double CrashLossPenalty = 1.0;
+constexpr double LongRunningLoss = 3.0;
+/// Penalty for a task that is no suspect beside one that is: larger than any
+/// other term except affinity.
+constexpr double SuspectNeighborPenalty = 5.0;
+
+/// Returns whether a suspect may be started on the worker. The time of a crash
+/// is only known of a worker that answers.
+static bool canIsolate(const WorkerState &w) {
+  return w.SuspectRuns.empty() && !w.SilentSince;
+}
+
+static double crashPenalty(const WorkerState &w, bool isolated) {
+  if (!isolated)
+    return w.SuspectRuns.empty() ? 0 : SuspectNeighborPenalty;
+  double loss = 0;
+  for (const auto &[id, held] : w.Runs)
+    loss += held.Step->LongRunning ? LongRunningLoss : 1;
+  return loss * CrashLossPenalty;
+}
+
 WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *excluded, TimePoint now,
-                          bool starved) {
+                          bool starved, bool isolated) {
   WorkerState *best = nullptr;
   double bestScore = 0;
   for (const auto &[id, w] : shard.Workers) {
-    if (w.get() == excluded || !canPlace(shard, job, step, *w, now))
+    if (w.get() == excluded || !canPlace(shard, job, step, *w, now) ||
+        (isolated && !canIsolate(*w)))
       continue;
     auto it = counts.find(w.get());
     std::int32_t same = it == counts.end() ? 0 : it->second;
     if (step.MaxPerWorker > 0 && same >= step.MaxPerWorker)
       continue;
     std::optional<double> score = suitability(shard, step, *w, same, starved);
+    if (score)
+      *score -= crashPenalty(*w, isolated);
     if (score && (!best || *score > bestScore)) {
       best = w.get();
       bestScore = *score;
@@ -238,13 +264,15 @@
 
 /// Places a gang by filling one worker after the other; returns nothing if not
 /// all of its tasks fit.
-static std::vector<WorkerState *>
-packGang(const ShardState &shard, const JobEntry &job,
-         const model::StepSpec &step, const std::string &rack, TimePoint now) {
+static std::vector<WorkerState *> packGang(const ShardState &shard,
+                                           const JobEntry &job,
+                                           const model::StepSpec &step,
+                                           const std::string &rack,
+                                           TimePoint now, bool isolated) {
   std::vector<WorkerState *> places;
   for (const auto &[id, w] : shard.Workers) {
     if (!canPlace(shard, job, step, *w, now) ||
-        (!rack.empty() && rackOf(*w) != rack))
+        (!rack.empty() && rackOf(*w) != rack) || (isolated && !canIsolate(*w)))
       continue;
     base::Resources free = w->Profile.Capacity;
     free -= w->Used;
@@ -268,19 +296,20 @@
 std::vector<WorkerState *> chooseGang(const ShardState &shard,
                                       const JobEntry &job,
                                       const model::StepSpec &step,
-                                      TimePoint now) {
+                                      TimePoint now, bool isolated) {
   std::set<std::string> racks;
   for (const auto &[id, w] : shard.Workers)
     racks.insert(rackOf(*w));
   if (!step.Affinity.empty())
-    if (auto places = packGang(shard, job, step, step.Affinity, now);
+    if (auto places = packGang(shard, job, step, step.Affinity, now, isolated);
         !places.empty())
       return places;
   if (step.SameRack)
     for (const std::string &rack : racks)
-      if (auto places = packGang(shard, job, step, rack, now); !places.empty())
+      if (auto places = packGang(shard, job, step, rack, now, isolated);
+          !places.empty())
         return places;
-  return packGang(shard, job, step, {}, now);
+  return packGang(shard, job, step, {}, now, isolated);
 }
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -32,6 +32,8 @@
 /// least unsuitable worker. Longer than MoveDelay, so that shards where it may
 /// suit are tried first.
 constexpr auto StarvationTime = 2500ms;
+/// Longest wait of a suspect for a worker without other suspects.
+constexpr auto MaxIsolationWait = 1000ms;
 /// Factor by which the run time and idle time limits are extended for fillers.
 constexpr int FillerStuckFactor = 3;
 
@@ -74,6 +76,8 @@
   job.Started = true;
   RunId id{key, number};
   reserve(worker, id, step);
+  if (task.isSuspect())
+    worker.SuspectRuns.insert(id);
   WorkerCommand command;
   command.Type = WorkerCommand::Kind::Start;
   command.Worker = worker.ref();
@@ -171,12 +175,19 @@
       continue;
     if (StartBudget == 0)
       return;
+    // After one crash a task is most likely innocent, so it need not wait long
+    // for a worker of its own.
+    bool isolated = task.isSuspect() &&
+                    (task.Crashes.Runs.size() > 1 || !entry.WaitingSince ||
+                     now - *entry.WaitingSince < MaxIsolationWait);
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now,
-                                       starved && job.RunCount == 0);
+                                       starved && job.RunCount == 0, isolated);
     if (!worker)
       logWait(job, o, step, entry, now);
     else
       entry.WaitingSince.reset();
+    if (!worker && isolated && !spec.LongRunning)
+      continue;
     if (!worker && !spec.LongRunning) {
       // A limit per worker applies to this job only, so the failure says
       // nothing about other jobs of the same program.
@@ -188,8 +199,14 @@
       reserveForLongRunning(*this, job, spec, counts, now);
       continue;
     }
-    startTask(job, {job.Job.Id, o.Number, step, i}, task, *worker, now,
-              nextRun(job, task, Term));
+    TaskKey key{job.Job.Id, o.Number, step, i};
+    std::int64_t run = nextRun(job, task, Term);
+    if (!announceRun(job, key, task, run)) {
+      if (!job.isLive())
+        return;
+      continue;
+    }
+    startTask(job, key, task, *worker, now, run);
     --StartBudget;
     ++counts[worker];
   }
@@ -204,13 +221,16 @@
   // ended.
   if (entry.WaitingCount < spec.Count || StartBudget == 0)
     return;
-  std::vector<WorkerState *> places = chooseGang(*this, job, spec, now);
+  bool suspect = false;
+  for (const TaskEntry &it : entry.Tasks)
+    suspect = suspect || it.isSuspect();
+  std::vector<WorkerState *> places =
+      chooseGang(*this, job, spec, now, suspect);
   if (places.empty()) {
     logWait(job, o, step, entry, now);
     return;
   }
   entry.WaitingSince.reset();
-  --StartBudget;
   std::int64_t run = 0;
   std::string checkpoint;
   for (const TaskEntry &it : entry.Tasks) {
@@ -218,6 +238,14 @@
     if (!it.Checkpoint.empty())
       checkpoint = it.Checkpoint;
   }
+  bool announced = true;
+  for (std::int32_t i = 0; i < spec.Count; ++i)
+    announced = announceRun(job, {job.Job.Id, o.Number, step, i},
+                            entry.Tasks[static_cast<std::size_t>(i)], run) &&
+                announced;
+  if (!announced)
+    return;
+  --StartBudget;
   for (std::int32_t i = 0; i < spec.Count; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     task.Checkpoint = checkpoint;
@@ -270,7 +298,7 @@
   });
   for (JobEntry *job : jobs)
     for (auto &[number, o] : job->Occurrences) {
-      if (o.Complete)
+      if (o.Complete || !job->isLive())
         continue;
       for (std::size_t i = 0; i < o.Steps.size(); ++i) {
         if (o.Steps[i].WaitingCount == 0 || !isReady(*job, o, i))
@@ -420,6 +448,7 @@
   s.stopUnneededRuns(now);
   s.moveOffDrainingWorkers(now);
   s.stopStuckRuns(now);
+  s.clearSurvivors(now);
   s.StartBudget = mayStart ? maxStarts : 0;
   if (s.StartBudget > 0)
     s.startReadySteps(now);
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -181,6 +181,24 @@
   return result;
 }
 
+void crashesToJson(json::object &to, const CrashRecord &crashes) {
+  if (!crashes.Runs.empty())
+    to["x"] = json::value_from(crashes.Runs);
+  setUnlessDefault(to, "y", crashes.LatestStarts);
+  setUnlessDefault(to, "w", crashes.AnnouncedRun);
+  setUnlessDefault(to, "z", crashes.LongestRun.count());
+}
+
+/// Reads what crashesToJson() has written.
+CrashRecord crashesFromJson(const json::value &from, const JsonView &v) {
+  CrashRecord crashes;
+  readNumbers(from, "x", v, crashes.Runs);
+  crashes.LatestStarts = readInt32(v, "y");
+  crashes.AnnouncedRun = v.optionalNumber("w", 0, platform::MaxInt64);
+  crashes.LongestRun = std::chrono::milliseconds(readInt32(v, "z"));
+  return crashes;
+}
+
 TaskProgress taskFromJson(const json::value &from, std::string &fault) {
   TaskProgress t;
   JsonView v(from, fault);
@@ -189,6 +207,7 @@
   t.Done = readInt32(v, "d");
   t.Checkpoint = v.optionalText("c", limits::MaxCheckpointBytes);
   readNumbers(from, "f", v, t.FailedRuns);
+  t.Crashes = crashesFromJson(from, v);
   if (v.has("l"))
     t.DelegatedTo = readInt32(v, "l");
   return t;
@@ -261,10 +280,16 @@
   }
   if (part) {
     json::array tasks;
-    for (const TaskRef &it : part->Tasks)
-      tasks.push_back(json::object{{"s", it.Step}, {"i", it.Index}});
-    to["part"] =
-        json::object{{"tasks", std::move(tasks)}, {"lastRun", part->LastRun}};
+    for (const TaskRef &it : part->Tasks) {
+      json::object task{{"s", it.Step}, {"i", it.Index}};
+      crashesToJson(task, it.Crashes);
+      tasks.push_back(std::move(task));
+    }
+    json::object fields{{"tasks", std::move(tasks)},
+                        {"lastRun", part->LastRun}};
+    if (part->HomeShard)
+      fields["home"] = *part->HomeShard;
+    to["part"] = std::move(fields);
   }
   to["queue"] = job.Queue;
   to["service"] = job.Policy.Service.str();
@@ -347,14 +372,24 @@
     return std::optional<JobPart>();
   return decode<std::optional<JobPart>>(
       text,
-      [](const json::value &, const JsonView &v) -> std::optional<JobPart> {
+      [](const json::value &value,
+         const JsonView &v) -> std::optional<JobPart> {
         if (!v.has("part"))
           return std::nullopt;
         JsonView fields = v.object("part");
         JobPart part;
         part.LastRun = fields.number("lastRun", 0, platform::MaxInt64);
-        for (const JsonView &it : fields.list("tasks", limits::MaxTasksPerJob))
-          part.Tasks.push_back({readInt32(it, "s"), readInt32(it, "i")});
+        if (fields.has("home"))
+          part.HomeShard = readInt32(fields, "home");
+        std::vector<JsonView> tasks =
+            fields.list("tasks", limits::MaxTasksPerJob);
+        const json::value &object = value.get_object().at("part");
+        const json::array *raw = findArray(object, "tasks", fields);
+        for (std::size_t i = 0; i < tasks.size(); ++i) {
+          const JsonView &it = tasks[i];
+          part.Tasks.push_back({readInt32(it, "s"), readInt32(it, "i"),
+                                crashesFromJson((*raw)[i], it)});
+        }
         return part;
       });
 }
@@ -394,6 +429,7 @@
         setIf(task, "c", t.Checkpoint);
       if (!t.FailedRuns.empty())
         task["f"] = json::value_from(t.FailedRuns);
+      crashesToJson(task, t.Crashes);
       if (t.DelegatedTo)
         task["l"] = *t.DelegatedTo;
       tasks.push_back(std::move(task));
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -273,7 +273,7 @@
     if (Stopped)
       co_return;
     if (!report) {
-      State.onPollFailed(worker, report.error().message());
+      State.onPollFailed(worker, report.error().message(), Context.Time.now());
       co_await sleepFor(PollRetryDelay);
       continue;
     }
@@ -301,7 +301,7 @@
           asio::detached);
     if (State.isFenced())
       co_return endTerm("a worker has seen a higher fencing token");
-    if (State.roster() != StoredRoster)
+    if (State.roster() != StoredRoster || State.hasWrites())
       CommitTimer.cancel();
     Context.MetricsRegistry.setLiveJobs(State.liveJobCount());
     // requestPlan() shortens the wait.
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -31,8 +31,15 @@
                                       {"runs", std::to_string(lost.size())}});
 }
 
+bool wasReportedRunning(const WorkerState &worker, const Run &run) {
+  return run.Phase != RunPhase::Starting &&
+         run.Phase != RunPhase::Unconfirmed && worker.Clock &&
+         run.PhaseSince < worker.Clock->ReceivedAt;
+}
+
 void ShardState::handleRestart(WorkerState &worker, const char *cause,
                                TimePoint now) {
+  recordCrash(worker, true, now);
   std::vector<RunId> lost;
   for (const auto &[id, held] : worker.Runs) {
     JobEntry *job = nullptr;
@@ -42,10 +49,7 @@
     for (Run &it : task->Runs) {
       if (it.Number != id.Number || it.Worker != &worker)
         continue;
-      bool earlier = it.Phase != RunPhase::Starting &&
-                     it.Phase != RunPhase::Unconfirmed && worker.Clock &&
-                     it.PhaseSince < worker.Clock->ReceivedAt;
-      if (earlier) {
+      if (wasReportedRunning(worker, it)) {
         lost.push_back(id);
         continue;
       }
@@ -92,13 +96,18 @@
   run.Number = row.Id.Number;
   run.Phase = wanted ? RunPhase::Running : RunPhase::Stopping;
   run.PhaseSince = run.Started = run.LastBusy = now;
+  run.Adopted = true;
   run.SpeedPercent = run.OrderedPercent =
       step.LongRunning ? 100 : row.SpeedPercent;
   task->Runs.push_back(run);
   task->LastRun = std::max(task->LastRun, run.Number);
+  if (run.Number >= task->UnresolvedRun)
+    task->UnresolvedRun = 0;
   ++job->RunCount;
   job->Started = true;
   reserve(worker, row.Id, step);
+  if (task->isSuspect())
+    worker.SuspectRuns.insert(row.Id);
 }
 
 } // namespace detail
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -58,6 +58,7 @@
   const model::StepSpec &step = *it->second.Step;
   worker.Used -= it->second.Size;
   worker.Runs.erase(it);
+  worker.SuspectRuns.erase(run);
   worker.ServedCache.reset();
   if (step.Filler)
     worker.FillerCpu -= count(step.Size.Cpu);
@@ -87,6 +88,8 @@
       started = it.Started;
   removeRun(*job, end.Id.Task, end.Id.Number);
   task->LastRun = std::max(task->LastRun, end.Id.Number);
+  if (end.Id.Number >= task->UnresolvedRun)
+    task->UnresolvedRun = 0;
   job->Started = true;
   if (!end.Checkpoint.empty())
     task->Checkpoint = end.Checkpoint;
@@ -170,6 +173,7 @@
       run->Phase = RunPhase::Running;
       run->PhaseSince = now;
     }
+    run->PossibleCrash.reset();
     run->SpeedPercent = row.SpeedPercent;
     run->HasGauge = row.HasGauge;
     run->Gauge = row.Gauge;
@@ -198,9 +202,16 @@
         missing.push_back(id);
     }
   }
-  for (const RunId &it : missing)
-    if (JobEntry *job = findJob(it.Task.Job))
-      removeRun(*job, it.Task, it.Number);
+  for (const RunId &it : missing) {
+    JobEntry *job = nullptr;
+    TaskEntry *task = findTask(it.Task, &job);
+    if (!task)
+      continue;
+    for (const Run &run : task->Runs)
+      if (run.Number == it.Number && run.PossibleCrash)
+        countCrash(*job, it.Task, *task, run, *run.PossibleCrash, now);
+    removeRun(*job, it.Task, it.Number);
+  }
   std::erase_if(worker.OrphanRuns,
                 [&](const auto &it) { return !listed.contains(it.first); });
 }
@@ -323,12 +334,12 @@
   return plan;
 }
 
-void Shard::onPollFailed(const base::WorkerId &worker,
-                         const std::string &cause) {
+void Shard::onPollFailed(const base::WorkerId &worker, const std::string &cause,
+                         TimePoint now) {
   auto it = State->Workers.find(worker);
-  if (it == State->Workers.end() || !it->second->Reachable)
+  if (it == State->Workers.end() || it->second->SilentSince)
     return;
-  it->second->Reachable = false;
+  it->second->SilentSince = now;
   State->Events.emit(base::EventCode::WorkerSilent,
                      {{"worker", worker.str()}, {"cause", cause}});
 }
@@ -347,6 +358,7 @@
   if (report.WrongIncarnation) {
     // Commands carry the id of the worker they are meant for, so the worker
     // that answered has carried out none of them.
+    s.recordCrash(w, false, received);
     s.dropRuns(w, "different worker instance answered");
     s.handleRestart(w, "different worker instance answered", received);
     return;
@@ -354,8 +366,8 @@
   if (w.Profile.StartTime.count() != 0 && report.StartTime.count() != 0 &&
       report.StartTime != w.Profile.StartTime)
     s.handleRestart(w, "worker reported a new start time", received);
-  if (!w.Reachable) {
-    w.Reachable = true;
+  if (w.SilentSince) {
+    w.SilentSince.reset();
     s.Events.emit(base::EventCode::WorkerHeard, {{"worker", worker.str()}});
   }
   if (report.StartTime.count() != 0)
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -21,10 +21,12 @@
 /// \param excluded worker that must not be chosen; null for none.
 /// \param starved whether a filler may run where tasks are predicted to miss
 /// their targets.
+/// \param isolated whether the task may crash its worker: it goes where no
+/// other such task runs and a crash would end little.
 WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *excluded, TimePoint now,
-                          bool starved = false);
+                          bool starved = false, bool isolated = false);
 
 /// Reasons for which the workers of a shard reject a task; each worker is
 /// counted under one reason.
@@ -62,10 +64,12 @@
                            const StepCounts &counts, TimePoint now);
 
 /// Returns a worker for each task of a gang, or nothing if they do not all fit.
+///
+/// \param isolated as for chooseWorker().
 std::vector<WorkerState *> chooseGang(const ShardState &shard,
                                       const JobEntry &job,
                                       const model::StepSpec &step,
-                                      TimePoint now);
+                                      TimePoint now, bool isolated = false);
 
 } // namespace endivedoor::dispatch::detail
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -30,6 +30,14 @@
   Stopping
 };
 
+/// What a crash of a worker says about one of the runs on it.
+struct CrashEvidence {
+  /// No other run was started on the worker later.
+  bool LatestStart = false;
+  /// No other run on the worker belonged to a task with an earlier crash.
+  bool OnlySuspect = false;
+};
+
 /// One run of a task on a worker.
 struct Run {
   WorkerState *Worker = nullptr;
@@ -49,11 +57,22 @@
   std::int32_t OrderedPercent = 100;
   /// When the worker last reported that the run used CPU.
   TimePoint LastBusy;
+  /// An earlier owner started the run, so Started is only when it was found.
+  bool Adopted = false;
+  /// Set if the worker crashed while the start was unconfirmed: the run was
+  /// lost in the crash unless the new incarnation lists it.
+  std::optional<CrashEvidence> PossibleCrash;
 };
 
 struct TaskEntry {
   std::vector<Run> Runs;
   std::vector<std::int64_t> FailedRuns;
+  CrashRecord Crashes;
+  /// Version of the job's record that announces the next run.
+  std::uint64_t AnnouncedVersion = 0;
+  /// Run that an earlier owner announced and of which no trace has been found;
+  /// 0 for none.
+  std::int64_t UnresolvedRun = 0;
   std::int64_t LastRun = 0;
   std::string Checkpoint;
   bool Done = false;
@@ -65,6 +84,8 @@
 
   /// Returns whether this shard has to run the task.
   bool isPending() const { return !Done && !Remote; }
+  /// Returns whether the task may be what crashed a worker.
+  bool isSuspect() const { return !Crashes.Runs.empty(); }
 };
 
 struct StepEntry {
@@ -107,6 +128,8 @@
   /// The job's record names only a part of its tasks; its index entry belongs
   /// to another shard.
   bool IsPart = false;
+  /// For a part, the shard that the index entry belongs to, if known.
+  std::optional<std::int32_t> HomeShard;
   /// Shards that run a part of the job, with whether the cancellation of the
   /// job has been stored for them.
   std::map<std::int32_t, bool> DelegatedShards;
@@ -158,8 +181,8 @@
   model::WorkerProfile Profile;
   /// The worker has a directory entry.
   bool Listed = false;
-  /// The latest poll was answered.
-  bool Reachable = true;
+  /// Since when polls have not been answered.
+  std::optional<TimePoint> SilentSince;
   /// Its run lists have been received under the current token.
   bool Synced = false;
   /// The stored roster contains the worker, so commands may be sent to it.
@@ -209,6 +232,8 @@
   /// Runs of unknown tasks, which must be stopped, with the time of the last
   /// stop command.
   std::map<RunId, TimePoint> OrphanRuns;
+  /// Runs here of tasks that were running in earlier crashes.
+  std::set<RunId> SuspectRuns;
 
   WorkerRef ref() const { return {Profile.Id, Profile.Endpoint}; }
   bool isUsable() const {
@@ -287,6 +312,25 @@
   std::optional<WorkerTime> workerClock(const WorkerState &worker,
                                         TimePoint now) const;
 
+  // Crashes.cpp
+  /// Counts a crash of the worker for each task whose run it ended.
+  ///
+  /// \param sameId whether the worker has come back under its id, so that
+  /// commands without an answer may have reached its new incarnation.
+  void recordCrash(WorkerState &worker, bool sameId, TimePoint now);
+  void countCrash(JobEntry &job, const TaskKey &key, TaskEntry &task,
+                  const Run &run, CrashEvidence evidence, TimePoint now);
+  /// Announces the next run of a task before its start, if it is a suspect.
+  ///
+  /// \returns whether the run may start now.
+  bool announceRun(JobEntry &job, const TaskKey &key, TaskEntry &task,
+                   std::int64_t run);
+  /// Ends a job as failed because one of its tasks crashes workers.
+  void giveUp(JobEntry &job, const TaskKey &key, const TaskEntry &task);
+  /// Clears tasks whose run has outlived the time after which earlier runs
+  /// crashed.
+  void clearSurvivors(TimePoint now);
+
   // Plan.cpp
   void openDueOccurrences(base::WallTime wall, TimePoint now);
   void startReadySteps(TimePoint now);
@@ -327,6 +371,10 @@
 /// worker.
 bool hasWaited(const JobEntry &job, base::Duration time, TimePoint now);
 
+/// Returns whether the worker has reported the run since it was started, so
+/// that the run belongs to the incarnation that answered last.
+bool wasReportedRunning(const WorkerState &worker, const Run &run);
+
 /// Returns the step of a task.
 const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key);
 
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -120,6 +120,9 @@
   model::WorkerProfile reborn = worker("w1");
   reborn.StartTime = 2000ms;
   TestShard.updateWorker(reborn, now());
+  // The crash and the next run are stored before the run starts.
+  EXPECT_TRUE(plan().empty());
+  storeWrites();
   EXPECT_EQ(plan().size(), 1u);
 }
 
@@ -250,7 +253,7 @@
   std::string silent = orders[0].Worker.Id.str();
   std::string other = silent == "w1" ? "w2" : "w1";
   for (int i = 0; i < 5; ++i) {
-    TestShard.onPollFailed(base::WorkerId(silent), "timeout");
+    TestShard.onPollFailed(base::WorkerId(silent), "timeout", now());
     Time.advance(1s);
     poll(other);
     EXPECT_TRUE(plan().empty());
