Let the stand-in worker change its capacity

The worker publishes the new capacity at once. While the store is away nobody can learn of the change, so the grace begins with the first stored entry.

Compiled; no test or soak calls the method yet.

--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -23,6 +23,9 @@
 constexpr auto ProgressInterval = 20ms;
 /// Interval at which the worker publishes its entry in the store.
 constexpr auto HeartbeatInterval = 500ms;
+/// Time for which starts may still rely on a capacity that has been replaced by
+/// a lower one: the platform's contact_ms and one heartbeat.
+constexpr auto ShrinkGrace = 3000ms + HeartbeatInterval;
 /// Longest lease that a worker grants, and the time that stopping a run takes.
 constexpr auto MaxLeaseTime = 6000ms;
 constexpr auto StopDuration = 60ms;
@@ -86,8 +89,21 @@
   return makeResponse(409, {{"reason", reason}});
 }
 
+/// Returns the capacity that starts are checked against.
+base::Resources WorkerServer::checkedCapacity() const {
+  base::Resources most = Profile.Capacity;
+  for (const auto &[former, until] : FormerCapacities) {
+    if (until && Time.now() >= *until)
+      continue;
+    most.Cpu = std::max(most.Cpu, former.Cpu);
+    most.Memory = std::max(most.Memory, former.Memory);
+    most.Accelerators = std::max(most.Accelerators, former.Accelerators);
+  }
+  return most;
+}
+
 base::Resources WorkerServer::freeResources() const {
-  base::Resources remaining = Profile.Capacity;
+  base::Resources remaining = checkedCapacity();
   for (const auto &[id, run] : Runs)
     if (const ObservedJob *job = Checker.find(id.Task.Job)) {
       const model::StepSpec &step =
@@ -119,8 +135,12 @@
       {"labels", std::move(labels)},
       {"born", Profile.StartTime.count()},
       {"sequence", ++Sequence}};
-  if (!DownUntil && Store.faults().OutageMode == KeyValueStore::Outage::None)
-    Store.put("servers/" + id(), json::serialize(entry));
+  if (DownUntil || Store.faults().OutageMode != KeyValueStore::Outage::None)
+    return;
+  Store.put("servers/" + id(), json::serialize(entry));
+  for (auto &[former, until] : FormerCapacities)
+    if (!until)
+      until = Time.now() + ShrinkGrace;
 }
 
 void WorkerServer::setDraining(bool on) {
@@ -128,6 +148,15 @@
   publishEntry();
 }
 
+void WorkerServer::setCapacity(base::Resources capacity) {
+  std::erase_if(FormerCapacities, [now = Time.now()](const auto &it) {
+    return it.second && now >= *it.second;
+  });
+  FormerCapacities.emplace_back(Profile.Capacity, std::nullopt);
+  Profile.Capacity = capacity;
+  publishEntry();
+}
+
 void WorkerServer::crash(milliseconds downtime) {
   Checker.onCrash(id());
   Runs.clear();
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -10,6 +10,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace endivedoor::standin {
 
@@ -36,6 +39,10 @@
 
   void setFaults(Faults faults) { ActiveFaults = faults; }
   void setDraining(bool on);
+  /// Changes the capacity that the worker publishes. Starts are checked against
+  /// a lower capacity ShrinkGrace after its publication, and against a higher
+  /// one at once.
+  void setCapacity(base::Resources capacity);
   /// Discards all runs and state; the worker restarts with the same id after \p
   /// downtime.
   void crash(std::chrono::milliseconds downtime);
@@ -73,6 +80,7 @@
   void endRun(const dispatch::RunId &id, dispatch::RunOutcome outcome);
   void startIncarnation();
   void publishEntry();
+  base::Resources checkedCapacity() const;
   base::Resources freeResources() const;
   std::chrono::milliseconds uptime() const;
   bool acceptToken(std::int64_t token);
@@ -86,6 +94,10 @@
   Faults ActiveFaults;
   base::TimePoint IncarnationStart;
   std::optional<base::TimePoint> DownUntil;
+  /// Replaced capacities, each with the time at which it no longer counts; no
+  /// time while its successor has not been published.
+  std::vector<std::pair<base::Resources, std::optional<base::TimePoint>>>
+      FormerCapacities;
   std::int64_t HighestToken = 0;
   std::chrono::milliseconds LeaseDeadline{0};
   std::map<dispatch::RunId, Run> Runs;
