Start nothing on a worker over its capacity

Workers that ran more than their shrunk capacity still got fillers and tasks without CPU demand. The check of the CPU was passed over for starts that reserve none, and best fit preferred such a worker, because its free CPU was the least.

Without the change, TaskWithoutCpu_AvoidsAWorkerOverItsCapacity starts the task on the worker with -24000 free, also beside an idle one, and WorkerOverItsCapacity_GetsNoFillers starts a filler on it. Now each start requires that the runs there are within the CPU capacity; memory and accelerators were always compared.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -23,8 +23,10 @@
   if (!step.LongRunning)
     taken += w.ReservedCapacity;
   std::int64_t cpu = step.Filler ? 0 : count(step.Size.Cpu);
-  // Fillers reserve no CPU; they use what the other tasks leave idle.
-  return (cpu == 0 || count(taken.Cpu) + cpu <= count(capacity.Cpu)) &&
+  // A capacity that has shrunk may be less than what runs there.
+  return count(w.Used.Cpu) <= count(capacity.Cpu) &&
+         // Fillers reserve no CPU; they use what the other tasks leave idle.
+         (cpu == 0 || count(taken.Cpu) + cpu <= count(capacity.Cpu)) &&
          count(taken.Memory) + count(step.Size.Memory) <=
              count(capacity.Memory) &&
          taken.Accelerators + step.Size.Accelerators <= capacity.Accelerators;
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -91,6 +91,7 @@
 using CapacityHeadroom = CapacityFixture;
 using CapacityTakeover = CapacityFixture;
 using CapacityMove = CapacityFixture;
+using CapacityFiller = CapacityFixture;
 
 TEST_F(CapacityStart, AfterShrink_KeepsToTheNewCapacity) {
   addWorker("w1");
@@ -229,6 +230,42 @@
   EXPECT_EQ(startsOn(starts, "w2"), 2u);
 }
 
+TEST_F(CapacityPlacement, TaskWithoutCpu_AvoidsAWorkerOverItsCapacity) {
+  addWorker("w1");
+  addJob(1, step(8));
+  ASSERT_EQ(start().size(), 8u);
+  resize("w1", 2 * TaskMilliCores);
+  addJob(2, step(1, 0));
+  EXPECT_TRUE(start().empty());
+  addWorker("w2");
+  EXPECT_EQ(startsOn(start(), "w2"), 1u);
+}
+
+// Fillers reserve no CPU, but a worker over its capacity has none to leave
+// idle.
+TEST_F(CapacityFiller, WorkerOverItsCapacity_GetsNoFillers) {
+  model::StepSpec serving = step(6, 5000);
+  serving.LongRunning = true;
+  addWorker("w1");
+  addJob(1, serving);
+  ASSERT_EQ(start().size(), 6u);
+  model::StepSpec fillers = step(1, 1000);
+  fillers.Filler = true;
+  fillers.Image = "filler";
+  resize("w1", 20000);
+  addJob(2, fillers);
+  EXPECT_TRUE(start().empty());
+  // A job of fillers that waits for long gets a run on a worker that does not
+  // suit it; that worker must not be over its capacity either.
+  for (int i = 0; i < 6; ++i) {
+    Time.advance(600ms);
+    report("w1");
+    EXPECT_TRUE(start().empty());
+  }
+  resize("w1", WorkerMilliCores);
+  EXPECT_EQ(start().size(), 1u);
+}
+
 TEST_F(CapacityPlacement, SmallerOfTwoWorkers_TakesWhatStillFits) {
   addWorker("w1");
   addWorker("w2");
