Count the headroom of each worker from zero

A worker that ran more than its shrunk capacity reduced the headroom that its shard reported, so callers' jobs went to other shards although other workers of the shard were idle. The shortfall of such a worker was added to the sum.

Without the change, a shard with an idle worker of 32000 and another of 8000 that runs 32000 reports 8000 instead of 32000 (RunsOverTheCapacity_LeaveTheRoomOfOtherWorkers), and 10000 instead of 30000 for long-running tasks. Room on one worker cannot serve what runs on another, so each worker now counts at least zero. For fillers this also holds where the capacity has not shrunk: fillers may exceed the idle CPU of a worker.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -373,13 +373,18 @@
     if (!w->isUsable() || State->ZonesOutOfService.contains(w->Profile.Zone))
       continue;
     std::int64_t capacity = count(w->Profile.Capacity.Cpu);
-    forShort += capacity - count(w->Used.Cpu);
+    // Runs beyond a capacity that has shrunk take nothing from other workers.
+    auto atLeastZero = [](std::int64_t room) {
+      return std::max<std::int64_t>(0, room);
+    };
+    forShort += atLeastZero(capacity - count(w->Used.Cpu));
     // Capacity that is left beside the long-running tasks of a worker only
     // counts in whole multiples of their mean size: less than one does not fit
     // another.
-    forLongRunning += (capacity - w->LongRunningCpu) / meanSize * meanSize;
-    forFillers +=
-        static_cast<std::int64_t>(detail::fillerCapacity(*w)) - w->FillerCpu;
+    forLongRunning +=
+        atLeastZero(capacity - w->LongRunningCpu) / meanSize * meanSize;
+    forFillers += atLeastZero(
+        static_cast<std::int64_t>(detail::fillerCapacity(*w)) - w->FillerCpu);
   }
   load.ShortTaskHeadroom = base::MilliCores{forShort};
   load.LongRunningHeadroom = base::MilliCores{forLongRunning};
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -344,6 +344,28 @@
   EXPECT_EQ(startsOn(start(), "w2"), 2u);
 }
 
+TEST_F(CapacityHeadroom, RunsOverTheCapacity_LeaveTheRoomOfOtherWorkers) {
+  addWorker("w1");
+  addJob(1, step(8));
+  ASSERT_EQ(start().size(), 8u);
+  addWorker("w2");
+  resize("w1", 2 * TaskMilliCores);
+  dispatch::ShardLoad load = TestShard.load();
+  EXPECT_EQ(count(load.ShortTaskHeadroom), WorkerMilliCores);
+  EXPECT_EQ(count(load.FillerHeadroom), WorkerMilliCores);
+}
+
+TEST_F(CapacityHeadroom, LongRunningOverTheCapacity_LeaveTheRoomOfOthers) {
+  addWorker("w1");
+  model::StepSpec serving = step(6, 5000);
+  serving.LongRunning = true;
+  addJob(1, serving);
+  ASSERT_EQ(start().size(), 6u);
+  addWorker("w2");
+  resize("w1", 10000);
+  EXPECT_EQ(count(TestShard.load().LongRunningHeadroom), 30000);
+}
+
 TEST_F(CapacityHeadroom, Growth_IsReportedAtOnce) {
   addWorker("w1");
   resize("w1", 10000);
