Learn no interference from a worker without capacity

After a takeover, an owner could hold every filler harmless until its term ended, so that fillers were started beside serving tasks that they slow. A worker of the roster is polled before its entry is read, and its capacity is 0 until then; a capacity may also shrink to 0. The shares of its fillers were infinite, and so were the sums of the regression, which are also stored for the next owner and read by the other shards.

Gauges now count only with a known capacity, and predictions divide by at least one millicore.

--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -41,20 +41,18 @@
 static std::vector<policy::FillerShare>
 measuredFillers(const WorkerState &w, const std::vector<RunView> &runs) {
   std::vector<policy::FillerShare> shares;
-  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
   for (const RunView &it : runs) {
     if (!it.Step->Filler)
       continue;
     std::int64_t cpu =
         it.Entry->HasGauge ? it.Entry->Gauge : count(it.Step->Size.Cpu);
-    shares.push_back({it.Step->Image, static_cast<double>(cpu) / capacity});
+    shares.push_back({it.Step->Image, w.shareOfCapacity(cpu)});
   }
   return shares;
 }
 
 static std::vector<ServedProgram> servedPrograms(const ShardState &shard,
                                                  const WorkerState &w) {
-  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
   std::vector<ServedProgram> served;
   for (auto it = w.Serving.begin(); it != w.Serving.end();
        it = w.Serving.upper_bound(it->first)) {
@@ -64,7 +62,7 @@
       if (held.Step->Filler)
         program.ExpectedMs +=
             shard.Colocation.slope(it->first, held.Step->Image) *
-            static_cast<double>(count(held.Step->Size.Cpu)) / capacity;
+            w.shareOfCapacity(count(held.Step->Size.Cpu));
     served.push_back(std::move(program));
   }
   return served;
@@ -74,8 +72,7 @@
                             const model::StepSpec &filler) {
   if (!w.ServedCache)
     w.ServedCache = servedPrograms(shard, w);
-  double share = static_cast<double>(count(filler.Size.Cpu)) /
-                 static_cast<double>(count(w.Profile.Capacity.Cpu));
+  double share = w.shareOfCapacity(count(filler.Size.Cpu));
   double worst = 0;
   for (const ServedProgram &it : *w.ServedCache)
     worst = std::max(worst,
@@ -86,7 +83,10 @@
 }
 
 void ShardState::observeInterference(WorkerState &w, TimePoint now) {
-  if (w.Serving.empty() || now - w.LastObserved < ObserveInterval)
+  // Shares of an unknown capacity teach nothing; a worker of the roster may be
+  // polled before its entry is read.
+  if (w.Serving.empty() || count(w.Profile.Capacity.Cpu) <= 0 ||
+      now - w.LastObserved < ObserveInterval)
     return;
   w.LastObserved = now;
   std::vector<RunView> runs = runsOn(*this, w);
@@ -127,7 +127,6 @@
 static std::optional<RunView>
 mostHarmfulFiller(const ShardState &shard, const WorkerState &w,
                   const std::vector<RunView> &runs) {
-  double capacity = static_cast<double>(count(w.Profile.Capacity.Cpu));
   std::optional<RunView> worst;
   double worstShare = MinHarmfulShare;
   for (const RunView &filler : runs) {
@@ -139,8 +138,7 @@
       if (target > 0 && it.Entry->HasGauge &&
           static_cast<double>(it.Entry->Gauge) > ActionThreshold * target)
         share += shard.Colocation.slope(it.Step->Image, filler.Step->Image) *
-                 static_cast<double>(count(filler.Step->Size.Cpu)) / capacity /
-                 target;
+                 w.shareOfCapacity(count(filler.Step->Size.Cpu)) / target;
     }
     if (share > worstShare) {
       worst = filler;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -6,6 +6,7 @@
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -211,6 +212,13 @@
   std::map<RunId, TimePoint> OrphanRuns;
 
   WorkerRef ref() const { return {Profile.Id, Profile.Endpoint}; }
+  /// Returns an amount of CPU as a fraction of the capacity; finite also if
+  /// that is 0 or unknown.
+  double shareOfCapacity(std::int64_t cpu) const {
+    std::int64_t capacity =
+        std::max<std::int64_t>(1, count(Profile.Capacity.Cpu));
+    return static_cast<double>(cpu) / static_cast<double>(capacity);
+  }
   bool isUsable() const {
     return Listed && Synced && InRoster && !Profile.Draining;
   }
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cmath>
 #include <functional>
 
 using namespace endivedoor;
@@ -402,6 +403,40 @@
   EXPECT_EQ(start().size(), 1u);
 }
 
+// The gauges of a roster worker may arrive before its entry.
+TEST_F(CapacityTakeover, GaugesWithoutCapacity_TeachTheModelNothing) {
+  model::StepSpec serving = step(1, 8000);
+  serving.LongRunning = true;
+  serving.Target = 18ms;
+  serving.Image = "service";
+  model::StepSpec fillers = step(1, 3200);
+  fillers.Filler = true;
+  fillers.Image = "filler";
+  policy::ColocationModel &learned = TestShard.colocationModel();
+  for (int i = 0; i < 400; ++i) {
+    double share = 0.01 * (i % 10);
+    learned.observe("service", 2 + 60 * share, {{"filler", share}});
+  }
+  double before = learned.slope("service", "filler");
+  ASSERT_GT(before, 10);
+  TestShard.markUnverified({{base::WorkerId("w1"), {"10.0.0.1", 8080}}}, false,
+                           now());
+  TestShard.addJob(job(1, {serving}), 1, true, now());
+  TestShard.addJob(job(2, {fillers}), 2, true, now());
+  PollReport report;
+  report.Running = {{{{JobNumber{1}, 0, 0, 0}, 1}, "", 100, 8, true},
+                    {{{JobNumber{2}, 0, 0, 0}, 1}, "", 100, 3200, true}};
+  for (int i = 0; i < 20; ++i) {
+    Time.advance(500ms);
+    poll("w1", report);
+    plan();
+  }
+  EXPECT_DOUBLE_EQ(learned.slope("service", "filler"), before);
+  for (const policy::ColocationStatistics &it : learned.statistics())
+    for (double sum : it.RightHandSide)
+      EXPECT_TRUE(std::isfinite(sum));
+}
+
 // A step that was found unplaceable in one pass is tried again in the next.
 TEST_F(CapacityMove, JobThatFitsNowhere_StartsWhenTheCapacityGrows) {
   addWorker("w1");
