Keep scores of workers without CPU capacity finite

A filler without CPU demand went to a worker whose CPU capacity had shrunk to 0, past idle workers. The score was 0/0, and no score compares greater than that.

Without the change, RoomWithoutCpu_DoesNotOutrankOtherWorkers starts nothing on the idle worker. Scores now divide by at least one millicore.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -98,8 +98,7 @@
     double predicted = predictedTargetShare(shard, w, step);
     if (predicted > MaxPredictedShare && !starved)
       return std::nullopt;
-    score = (capacity - demand) /
-            static_cast<double>(count(w.Profile.Capacity.Cpu));
+    score = w.shareOfCapacity(static_cast<std::int64_t>(capacity - demand));
     score -= predicted;
     // Penalizes workers that other waiting programs with few suitable workers
     // need.
@@ -108,10 +107,10 @@
              (w.DemandRatioSum -
               (own == shard.DemandRatios.end() ? 0 : own->second));
   } else {
-    double free = static_cast<double>(count(w.Profile.Capacity.Cpu) -
-                                      count(w.Used.Cpu) - count(step.Size.Cpu));
+    std::int64_t free = count(w.Profile.Capacity.Cpu) - count(w.Used.Cpu) -
+                        count(step.Size.Cpu);
     // Best fit: prefers the least free CPU, which keeps space for large tasks.
-    score = -free / static_cast<double>(count(w.Profile.Capacity.Cpu));
+    score = -w.shareOfCapacity(free);
     if (step.Target.count() > 0)
       score -= ProgramMixPenalty * otherPrograms(w, step.Image);
   }
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -267,6 +267,17 @@
   EXPECT_EQ(start().size(), 1u);
 }
 
+TEST_F(CapacityFiller, RoomWithoutCpu_DoesNotOutrankOtherWorkers) {
+  addWorker("w1");
+  resize("w1", 0);
+  addWorker("w2");
+  model::StepSpec fillers = step(1, 0);
+  fillers.Filler = true;
+  fillers.Image = "filler";
+  addJob(1, fillers);
+  EXPECT_EQ(startsOn(start(), "w2"), 1u);
+}
+
 TEST_F(CapacityPlacement, SmallerOfTwoWorkers_TakesWhatStillFits) {
   addWorker("w1");
   addWorker("w2");
