Check in the soak when a cancellation takes effect

The soak checked that cancelled jobs have no runs in the end, not how long their tasks start and run after the acknowledgement, which the users' rule UNASKED bounds.

The checker now reports a start later than 3,000 ms after the acknowledgement, and a run that is there 900 ms later still. Both apply only 3,000 ms after the last fault, or after the last restart of the run's worker. The stop of a run has its whole time again after a fault. Commands that a worker carried out late are exempt from the first check and have 3,000 ms until the run is gone.

Callers submit until 4 s after the last fault has ended; before, they often stopped earlier. The soak prints how often the check applied.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -85,6 +85,34 @@
   return job;
 }
 
+/// Makes a job that is far from its end when it is cancelled: it has more tasks
+/// than the workers have room for, or several occurrences.
+ObservedJob Callers::makeJobToCancel(std::string &queue) {
+  ObservedJob job;
+  job.MaxAttempts = MaxAttempts;
+  queue = chance(0.5) ? ShortQueue : LongQueue;
+  model::StepSpec step;
+  step.Size.Cpu = base::MilliCores{randomInt(1000, 3000)};
+  step.Size.Memory = base::MebiBytes{randomInt(200, 2000)};
+  step.Image = "image-" + std::to_string(randomInt(0, 3));
+  step.Count = randomInt(8, 24);
+  if (chance(0.4)) {
+    step.Count = randomInt(1, 3);
+    job.Graph.Occurrences = 6;
+    job.Graph.Interval = 1000ms;
+    job.Graph.FirstDue = std::chrono::duration_cast<milliseconds>(
+                             Time.wallNow().time_since_epoch()) +
+                         1s;
+  }
+  milliseconds work(randomInt(400, 1500));
+  step.Estimate = work;
+  job.Graph.Payload = "payload " + std::to_string(Random());
+  job.Graph.Steps = {step, step};
+  job.Graph.Steps.back().Dependencies = {0};
+  job.WorkPerTask = {work, work};
+  return job;
+}
+
 /// Encodes a job as callers do, without fields that are 0, false or empty.
 static std::string encodeJob(const model::JobGraph &graph) {
   json::array steps;
@@ -185,12 +213,13 @@
   }
 }
 
-Awaitable<void> Callers::followJob(JobNumber id, std::string path) {
+Awaitable<void> Callers::followJob(JobNumber id, std::string path,
+                                   bool willCancel) {
   if (!co_await submit(id, path))
     co_return;
   ObservedJob &job = *Cluster.Checker.find(id);
   bool longRunning = job.Graph.Steps.front().LongRunning;
-  bool willCancel = chance(longRunning ? 0.5 : 0.1);
+  willCancel = willCancel || chance(longRunning ? 0.5 : 0.1);
   base::TimePoint cancelAt = Time.now() + milliseconds(randomInt(0, 2500));
   // Some submissions arrive a second time, later.
   if (chance(0.1)) {
@@ -210,14 +239,16 @@
   }
 }
 
-Awaitable<void> Callers::submitUntil(base::TimePoint end) {
-  while (Time.now() < end) {
+Awaitable<void> Callers::submitJobs() {
+  while (Submitting) {
     auto id = static_cast<JobNumber>(Random());
     std::string queue;
-    ObservedJob job = makeJob(queue);
+    bool willCancel = CancelMore && chance(0.2);
+    ObservedJob job = willCancel ? makeJobToCancel(queue) : makeJob(queue);
     Cluster.Checker.addJob(id, std::move(job));
-    asio::co_spawn(Io, followJob(id, queue + dispatch::formatJobNumber(id)),
-                   asio::detached);
+    asio::co_spawn(
+        Io, followJob(id, queue + dispatch::formatJobNumber(id), willCancel),
+        asio::detached);
     co_await sleepFor(milliseconds(randomInt(20, 160)));
   }
 }
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -15,21 +15,27 @@
   Callers(asio::io_context &io, const base::Clock &clock, TestCluster &cluster,
           std::uint64_t seed);
 
-  /// Submits jobs until \p end and queries each until it ends.
-  Awaitable<void> submitUntil(base::TimePoint end);
+  /// Submits jobs until stopSubmitting() and queries each until it ends.
+  Awaitable<void> submitJobs();
+  void stopSubmitting() { Submitting = false; }
+  /// Submits more jobs that are cancelled, some of which have many tasks
+  /// waiting to start or in later occurrences.
+  void setCancelMore(bool on) { CancelMore = on; }
   /// Ends the queries and cancellations of all jobs.
   void stop() { Stopped = true; }
   std::size_t accepted() const { return Accepted; }
   std::size_t refused() const { return Refused; }
 
 private:
-  Awaitable<void> followJob(model::JobNumber id, std::string path);
+  Awaitable<void> followJob(model::JobNumber id, std::string path,
+                            bool willCancel);
   Awaitable<bool> submit(model::JobNumber id, std::string path);
   Awaitable<void> cancel(model::JobNumber id, std::string path);
   Awaitable<void> queryState(model::JobNumber id, std::string path);
   Awaitable<base::Result<platform::HttpResponse>>
   send(std::string method, std::string path, std::string body = {});
   standin::ObservedJob makeJob(std::string &queue);
+  standin::ObservedJob makeJobToCancel(std::string &queue);
   int randomInt(int min, int max);
   bool chance(double share);
 
@@ -38,6 +44,8 @@
   TestCluster &Cluster;
   std::mt19937_64 Random;
   platform::HttpClient Http;
+  bool Submitting = true;
+  bool CancelMore = false;
   bool Stopped = false;
   std::size_t Accepted = 0;
   std::size_t Refused = 0;
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -14,6 +14,9 @@
 
 /// Time between SIGTERM and SIGKILL; equals stopGrace in the settings.
 constexpr auto StopGrace = 6000ms;
+/// Minimum length of a calm stretch: the checker's bounds apply 3 s after the
+/// last fault, and a cancellation then has 3.9 s until its last run is gone.
+constexpr auto CalmTime = 8000ms;
 
 /// A kind that is listed twice is chosen twice as often.
 const std::vector<FaultInjector::FaultKind> FaultInjector::FaultKinds = {
@@ -65,21 +68,37 @@
   return &slot;
 }
 
-Awaitable<void> FaultInjector::runUntil(base::TimePoint end) {
+Awaitable<void> FaultInjector::startFaultsUntil(base::TimePoint end) {
   while (Time.now() < end) {
     FaultKind kind = FaultKinds[static_cast<std::size_t>(
         randomInt(0, static_cast<int>(FaultKinds.size()) - 1))];
     asio::co_spawn(Io, inject(kind), asio::detached);
     co_await sleepFor(randomTime(100, 1200));
   }
+}
+
+Awaitable<void> FaultInjector::waitForFaults() {
   while (ActiveFaults > 0)
     co_await sleepFor(50ms);
 }
 
+Awaitable<void> FaultInjector::runFor(milliseconds duration) {
+  milliseconds before = duration * randomInt(20, 80) / 100;
+  co_await startFaultsUntil(Time.now() + before);
+  co_await waitForFaults();
+  Calm = true;
+  co_await sleepFor(CalmTime + randomTime(0, 2000));
+  Calm = false;
+  co_await startFaultsUntil(Time.now() + (duration - before));
+  co_await waitForFaults();
+}
+
 Awaitable<void> FaultInjector::inject(FaultKind kind) {
   ++ActiveFaults;
   ++InjectedCounts[kind.Name];
+  Cluster.Checker.onFaultBegin();
   co_await (this->*kind.Inject)();
+  Cluster.Checker.onFaultEnd();
   --ActiveFaults;
 }
 
@@ -195,6 +214,8 @@
   Cluster.Store.setFaults(faults);
   co_await sleepFor(randomTime(500, 4000));
   Cluster.Store.setFaults({});
+  // The last delayed transactions still have to take effect.
+  co_await sleepFor(faults.CommitDelay);
 }
 
 Awaitable<void> FaultInjector::dropHistory() {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -18,9 +18,12 @@
   FaultInjector(asio::io_context &io, const base::Clock &clock,
                 TestCluster &cluster, std::uint64_t seed);
 
-  /// Starts faults at random intervals until \p end, then waits until all have
+  /// Starts faults at random intervals for \p duration, with one calm stretch
+  /// in between that does not count towards it, then waits until all have
   /// ended.
-  Awaitable<void> runUntil(base::TimePoint end);
+  Awaitable<void> runFor(std::chrono::milliseconds duration);
+  /// No fault is active and none starts for a while.
+  bool isCalm() const { return Calm; }
   /// Number of injected faults by kind.
   const std::map<std::string, int> &injected() const { return InjectedCounts; }
 
@@ -32,6 +35,8 @@
   static const std::vector<FaultKind> FaultKinds;
 
   Awaitable<void> inject(FaultKind kind);
+  Awaitable<void> startFaultsUntil(base::TimePoint end);
+  Awaitable<void> waitForFaults();
   Awaitable<void> killDaemon();
   Awaitable<void> stopDaemon();
   Awaitable<void> freezeDaemon();
@@ -62,6 +67,7 @@
   std::mt19937_64 Random;
   std::map<std::string, int> InjectedCounts;
   int ActiveFaults = 0;
+  bool Calm = false;
 };
 
 } // namespace endivedoor::soak
--- a/tests/soak/soak-installation.cpp
+++ b/tests/soak/soak-installation.cpp
@@ -34,6 +34,9 @@
 /// session without faults.
 constexpr auto FaultFreeTime = 4s;
 
+/// Well below the 900 ms within which a run must be stopped.
+constexpr auto ObserveInterval = 50ms;
+
 static std::chrono::milliseconds toMilliseconds(absl::Duration d) {
   return absl::ToChronoMilliseconds(d);
 }
@@ -43,6 +46,17 @@
   std::vector<std::string> Crashed;
 };
 
+/// Checks the runs of cancelled jobs and has callers cancel more jobs in calm
+/// stretches, until the session ends.
+static Awaitable<void> observe(TestCluster &cluster, Callers &callers,
+                               const FaultInjector &injector) {
+  while (true) {
+    co_await sleepFor(ObserveInterval);
+    callers.setCancelMore(injector.isCalm());
+    cluster.Checker.checkCancelled();
+  }
+}
+
 static Awaitable<void> runSession(asio::io_context &io,
                                   const base::Clock &clock,
                                   TestCluster &cluster, Callers &callers,
@@ -51,17 +65,17 @@
   co_await sleepFor(2s);
   std::chrono::milliseconds faults =
       toMilliseconds(absl::GetFlag(FLAGS_faults));
-  base::TimePoint faultsEnd = clock.now() + faults;
-  asio::co_spawn(io, callers.submitUntil(faultsEnd + FaultFreeTime),
-                 asio::detached);
+  asio::co_spawn(io, callers.submitJobs(), asio::detached);
+  asio::co_spawn(io, observe(cluster, callers, injector), asio::detached);
   if (faults > 0ms)
-    co_await injector.runUntil(faultsEnd);
+    co_await injector.runFor(faults);
   for (const std::string &it : cluster.restartCrashed())
     outcome.Crashed.push_back(it);
   cluster.clearFaults();
   co_await cluster.configureLink("store-*", "{}");
   co_await cluster.configureLink("worker-*", "{}");
   co_await sleepFor(FaultFreeTime);
+  callers.stopSubmitting();
   base::TimePoint end =
       clock.now() + toMilliseconds(absl::GetFlag(FLAGS_settle));
   while (clock.now() < end && !outcome.Settled) {
@@ -100,7 +114,8 @@
             << cluster.Checker.starts() << " starts, faults";
   for (const auto &[kind, count] : injector.injected())
     std::cout << " " << kind << " " << count;
-  std::cout << "; store calls";
+  std::cout << "; " << cluster.Checker.cancellationsChecked()
+            << " cancellations checked; store calls";
   for (const auto &[kind, count] : cluster.Store.callCounts())
     std::cout << " " << kind << " " << count;
   std::cout << (violations.empty() ? ", kept" : ", BROKEN") << std::endl;
--- a/tests/standins/installation/InvariantChecker.cpp
+++ b/tests/standins/installation/InvariantChecker.cpp
@@ -10,6 +10,16 @@
 using dispatch::RunOutcome;
 using model::JobNumber;
 using model::TaskKey;
+using namespace std::chrono_literals;
+
+/// Time after the acknowledgement of a cancellation within which daemons stop
+/// starting tasks of the job: cancel_ms of the users' small sites.
+constexpr auto CancelBound = 3000ms;
+/// Time that stopping a run takes at most: stop_ms of the users' small sites.
+constexpr auto StopBound = 900ms;
+/// Time after a fault for which bounds do not apply: contact_ms of the users'
+/// small sites.
+constexpr auto ContactTime = 3000ms;
 
 static std::string formatRun(const RunId &id) {
   return dispatch::formatJobNumber(id.Task.Job) + "." +
@@ -95,7 +105,7 @@
     addViolation("TWICE", formatRun(event.Id) + " on " + event.Worker +
                               " while run " +
                               std::to_string(task.Running.begin()->first) +
-                              " is on " + task.Running.begin()->second);
+                              " is on " + task.Running.begin()->second.Worker);
   task.SupersededRuns = task.DoneRuns;
   if (task.DoneAcknowledged)
     addViolation("TWICE",
@@ -115,21 +125,22 @@
     std::int32_t onSameWorker = 1;
     TaskKey other = event.Id.Task;
     for (other.Index = 0; other.Index < step->Count; ++other.Index)
-      for (const auto &[run, worker] : Tasks[other].Running)
-        onSameWorker += worker == event.Worker;
+      for (const auto &[number, run] : Tasks[other].Running)
+        onSameWorker += run.Worker == event.Worker;
     if (onSameWorker > step->MaxPerWorker)
       addViolation("ROUTE", formatRun(event.Id) +
                                 " exceeds the limit per worker on " +
                                 event.Worker);
   }
-  task.Running[event.Id.Number] = event.Worker;
+  checkStartAfterCancel(event, *job);
+  task.Running[event.Id.Number] = {event.Worker, Time.now(), event.Late, false};
 }
 
 void InvariantChecker::onEnd(const std::string &worker, const RunId &id,
                              RunOutcome outcome) {
   TaskHistory &task = Tasks[id.Task];
   auto it = task.Running.find(id.Number);
-  if (it != task.Running.end() && it->second == worker)
+  if (it != task.Running.end() && it->second.Worker == worker)
     task.Running.erase(it);
   if (outcome == RunOutcome::Done)
     task.DoneRuns.insert(id.Number);
@@ -150,9 +161,86 @@
 }
 
 void InvariantChecker::onCrash(const std::string &worker) {
+  Restarts[worker] = std::nullopt;
   for (auto &[key, task] : Tasks)
     std::erase_if(task.Running,
-                  [&](const auto &run) { return run.second == worker; });
+                  [&](const auto &run) { return run.second.Worker == worker; });
+}
+
+void InvariantChecker::onRestart(const std::string &worker) {
+  Restarts[worker] = Time.now();
+}
+
+void InvariantChecker::onFaultEnd() {
+  --ActiveFaults;
+  LastFaultEnd = Time.now();
+}
+
+/// Returns when the last disturbance of the installation or of \p worker ended.
+/// std::nullopt while there is one.
+std::optional<base::TimePoint>
+InvariantChecker::calmSince(const std::string &worker) const {
+  if (ActiveFaults > 0)
+    return std::nullopt;
+  auto it = Restarts.find(worker);
+  if (it == Restarts.end())
+    return LastFaultEnd;
+  if (!it->second)
+    return std::nullopt;
+  return std::max(LastFaultEnd, *it->second);
+}
+
+/// Returns the time as whole milliseconds, with its unit.
+static std::string formatTime(base::Duration time) {
+  return std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(time)
+                 .count()) +
+         " ms";
+}
+
+void InvariantChecker::checkStartAfterCancel(const StartEvent &event,
+                                             const ObservedJob &job) {
+  std::optional<base::TimePoint> calm = calmSince(event.Worker);
+  if (!job.CancelledAt || event.Late || !calm ||
+      Time.now() - *calm <= ContactTime)
+    return;
+  ++CancellationsChecked;
+  base::Duration elapsed = Time.now() - *job.CancelledAt;
+  if (elapsed > CancelBound)
+    addViolation("UNASKED", formatRun(event.Id) + " starts on " + event.Worker +
+                                " " + formatTime(elapsed) +
+                                " after the cancellation");
+}
+
+void InvariantChecker::checkCancelled() {
+  base::TimePoint now = Time.now();
+  for (auto &[key, task] : Tasks) {
+    const ObservedJob *job = find(key.Job);
+    if (!job || !job->CancelledAt)
+      continue;
+    for (auto &[number, run] : task.Running) {
+      std::optional<base::TimePoint> calm = calmSince(run.Worker);
+      if (!calm || now - *calm <= ContactTime)
+        continue;
+      if (CountedJobs.insert(key.Job).second)
+        ++CancellationsChecked;
+      // The stop of a run has the whole time of a cancellation after a fault,
+      // as the first calls to stop it may have been lost with the fault.
+      base::TimePoint bound =
+          std::max(*job->CancelledAt, *calm) + CancelBound + StopBound;
+      if (run.Late)
+        bound = std::max(bound, run.Started + ContactTime);
+      if (now <= bound || run.Overdue)
+        continue;
+      run.Overdue = true;
+      addViolation("UNASKED", formatRun({key, number}) + " runs on " +
+                                  run.Worker + " " +
+                                  formatTime(now - *job->CancelledAt) +
+                                  " after the cancellation, started " +
+                                  formatTime(now - run.Started) + " ago" +
+                                  (run.Late ? " by a late command" : ""));
+    }
+  }
 }
 
 void InvariantChecker::onCheckpoint(const TaskKey &task,
--- a/tests/standins/installation/InvariantChecker.h
+++ b/tests/standins/installation/InvariantChecker.h
@@ -36,7 +36,8 @@
 /// Checks each observation against the guarantees. Not thread-safe.
 class InvariantChecker {
 public:
-  explicit InvariantChecker(const base::Clock &clock) : Time(clock) {}
+  explicit InvariantChecker(const base::Clock &clock)
+      : Time(clock), LastFaultEnd(clock.now()) {}
 
   struct StartEvent {
     std::string Worker;
@@ -47,6 +48,8 @@
     bool HasRequiredLabel = true;
     /// Resources that remain free on the worker after the start.
     base::Resources Remaining;
+    /// The worker carried the command out late, without a response.
+    bool Late = false;
   };
 
   ObservedJob &addJob(model::JobNumber id, ObservedJob job);
@@ -60,6 +63,8 @@
   void onAcknowledged(const dispatch::RunId &id, dispatch::RunOutcome outcome);
   /// A worker crashed; its runs are lost without a reported end.
   void onCrash(const std::string &worker);
+  /// A crashed worker runs again.
+  void onRestart(const std::string &worker);
   void onCheckpoint(const model::TaskKey &task, const std::string &value);
   /// A caller received a job state; "" means that the job is unknown.
   void onStateSeen(model::JobNumber id, const std::string &state);
@@ -68,6 +73,17 @@
   /// unknown.
   void onUnknownQueue(model::JobNumber id);
 
+  /// A fault that may affect any daemon, the store or any worker begins.
+  void onFaultBegin() { ++ActiveFaults; }
+  /// That fault has ended.
+  void onFaultEnd();
+  /// Checks that no task of a cancelled job still runs past its bound. Called
+  /// periodically.
+  void checkCancelled();
+  /// Number of starts and of runs of cancelled jobs that were compared with the
+  /// bounds while nothing was disturbed.
+  std::size_t cancellationsChecked() const { return CancellationsChecked; }
+
   /// Checks that all jobs have settled, once faults have ended for long enough.
   void checkAllSettled();
   /// Returns whether all jobs have settled: cancelled jobs have no runs,
@@ -90,11 +106,20 @@
     std::set<std::int64_t> FailedRuns;
     std::set<std::int64_t> AcknowledgedFailures;
     std::set<std::string> Checkpoints;
-    /// Worker of each active run, by run number.
-    std::map<std::int64_t, std::string> Running;
+    struct ActiveRun {
+      std::string Worker;
+      base::TimePoint Started;
+      bool Late = false;
+      /// The run was reported as running past the bound of a cancellation.
+      bool Overdue = false;
+    };
+    /// Active runs by number.
+    std::map<std::int64_t, ActiveRun> Running;
   };
 
   void addViolation(const std::string &invariant, const std::string &detail);
+  std::optional<base::TimePoint> calmSince(const std::string &worker) const;
+  void checkStartAfterCancel(const StartEvent &event, const ObservedJob &job);
   const model::StepSpec *stepOf(const model::TaskKey &key) const;
   bool isDone(const model::TaskKey &key) const;
   bool hasExhaustedAttempts(model::JobNumber id, const ObservedJob &job) const;
@@ -105,6 +130,15 @@
   std::map<model::TaskKey, TaskHistory> Tasks;
   std::vector<std::string> Violations;
   std::size_t Starts = 0;
+  int ActiveFaults = 0;
+  /// Start of the session, then the end of the latest fault that may affect any
+  /// process.
+  base::TimePoint LastFaultEnd;
+  /// Time of the latest restart of each worker; no value while it is down.
+  std::map<std::string, std::optional<base::TimePoint>> Restarts;
+  std::size_t CancellationsChecked = 0;
+  /// Cancelled jobs with a run that has been counted in CancellationsChecked.
+  std::set<model::JobNumber> CountedJobs;
 };
 
 } // namespace endivedoor::standin
--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -220,6 +220,7 @@
     if (DownUntil && now >= *DownUntil) {
       DownUntil.reset();
       startIncarnation();
+      Checker.onRestart(id());
     }
     if (!DownUntil) {
       advance(std::chrono::duration_cast<milliseconds>(now - last));
@@ -293,7 +294,8 @@
   co_return makeResponse(200, statusBody());
 }
 
-HttpResponse WorkerServer::start(const RunId &id, const json::value &body) {
+HttpResponse WorkerServer::start(const RunId &id, const json::value &body,
+                                 bool late) {
   Fields f(&body);
   milliseconds deadline =
       std::min(milliseconds(f.number("deadline_ms")), uptime() + MaxLeaseTime);
@@ -319,8 +321,8 @@
   run.WillFail =
       ActiveFaults.FailStarts ||
       (known && job->LastStepFails && stepIndex + 1 == job->Graph.Steps.size());
-  InvariantChecker::StartEvent entry{this->id(),     id,   f.text("spec"),
-                                     run.Checkpoint, true, {}};
+  InvariantChecker::StartEvent entry{
+      this->id(), id, f.text("spec"), run.Checkpoint, true, {}, late};
   if (known) {
     const std::string &label = job->Graph.Steps[stepIndex].Requirement;
     entry.HasRequiredLabel =
@@ -334,7 +336,7 @@
 }
 
 HttpResponse WorkerServer::handleCommand(const std::string &path,
-                                         const json::value &body) {
+                                         const json::value &body, bool late) {
   Fields f(&body);
   std::optional<model::TaskKey> task =
       installation::decodeTaskName(f.text("task"));
@@ -344,7 +346,7 @@
     return reject("fence");
   RunId id{*task, f.number("run")};
   if (path.ends_with("/run-start"))
-    return start(id, body);
+    return start(id, body, late);
   auto it = Runs.find(id);
   if (path.ends_with("/pace")) {
     if (it != Runs.end())
@@ -370,7 +372,7 @@
   co_await timer.async_wait(AsTuple);
   // A crash discards the commands that have not been executed.
   if (!DownUntil && incarnation == IncarnationStart)
-    handleCommand(path, body);
+    handleCommand(path, body, true);
 }
 
 Awaitable<HttpResponse> WorkerServer::handle(HttpRequest request) {
@@ -391,7 +393,7 @@
                    asio::detached);
     co_return closeWithoutResponse();
   }
-  co_return handleCommand(request.Path, body.value());
+  co_return handleCommand(request.Path, body.value(), false);
 }
 
 } // namespace endivedoor::standin
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -62,8 +62,10 @@
 
   Awaitable<HttpResponse> handle(HttpRequest request);
   Awaitable<HttpResponse> poll(json::value body);
-  HttpResponse handleCommand(const std::string &path, const json::value &body);
-  HttpResponse start(const dispatch::RunId &id, const json::value &body);
+  HttpResponse handleCommand(const std::string &path, const json::value &body,
+                             bool late);
+  HttpResponse start(const dispatch::RunId &id, const json::value &body,
+                     bool late);
   HttpResponse makeResponse(unsigned status, json::object body = {}) const;
   HttpResponse reject(const char *reason) const;
   json::object statusBody() const;
