Let tasks of the soak crash their workers, as a switch

The users' rule BUDGET also bounds the starts of a task under which workers crash. The soak had no such tasks and counted no crashes.

The checker counts crashes per task and reports the third start after the third crash. A job may be reported as failed once two workers have crashed under one of its tasks; for jobs without a crashing task this is counted and printed as "innocent jobs given up". All other jobs must still have a task without attempts left. The end of a drain is no longer a crash. A crash of a draining worker, and one that loses the end of a run, count for giving up but not for the limit: daemons cannot tell them apart.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -113,6 +113,17 @@
   return job;
 }
 
+/// Chooses a task of the job that crashes its workers.
+void Callers::addCrashingTask(JobNumber id, ObservedJob &job) {
+  model::TaskKey task{id, 0, 0, 0};
+  task.Occurrence = randomInt(0, std::max(1, job.Graph.Occurrences) - 1);
+  task.Step = randomInt(0, static_cast<int>(job.Graph.Steps.size()) - 1);
+  task.Index = randomInt(
+      0, job.Graph.Steps[static_cast<std::size_t>(task.Step)].Count - 1);
+  job.CrashingTask = task;
+  job.CrashAfter = milliseconds(randomInt(50, 400));
+}
+
 /// Encodes a job as callers do, without fields that are 0, false or empty.
 static std::string encodeJob(const model::JobGraph &graph) {
   json::array steps;
@@ -245,6 +256,8 @@
     std::string queue;
     bool willCancel = CancelMore && chance(0.2);
     ObservedJob job = willCancel ? makeJobToCancel(queue) : makeJob(queue);
+    if (CrashShare > 0 && chance(CrashShare))
+      addCrashingTask(id, job);
     Cluster.Checker.addJob(id, std::move(job));
     asio::co_spawn(
         Io, followJob(id, queue + dispatch::formatJobNumber(id), willCancel),
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -15,6 +15,8 @@
   Callers(asio::io_context &io, const base::Clock &clock, TestCluster &cluster,
           std::uint64_t seed);
 
+  /// Gives a few per cent of the jobs a task that crashes its workers.
+  void addCrashingTasks() { CrashShare = randomInt(2, 4) / 100.0; }
   /// Submits jobs until stopSubmitting() and queries each until it ends.
   Awaitable<void> submitJobs();
   void stopSubmitting() { Submitting = false; }
@@ -36,6 +38,7 @@
   send(std::string method, std::string path, std::string body = {});
   standin::ObservedJob makeJob(std::string &queue);
   standin::ObservedJob makeJobToCancel(std::string &queue);
+  void addCrashingTask(model::JobNumber id, standin::ObservedJob &job);
   int randomInt(int min, int max);
   bool chance(double share);
 
@@ -44,6 +47,8 @@
   TestCluster &Cluster;
   std::mt19937_64 Random;
   platform::HttpClient Http;
+  /// Fraction of the jobs that have a task that crashes its workers.
+  double CrashShare = 0;
   bool Submitting = true;
   bool CancelMore = false;
   bool Stopped = false;
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -39,6 +39,8 @@
   /// Discards all runs and state; the worker restarts with the same id after \p
   /// downtime.
   void crash(std::chrono::milliseconds downtime);
+  /// The same, as the end of a drain.
+  void leave(std::chrono::milliseconds downtime);
   const std::string id() const { return Profile.Id.str(); }
 
 private:
@@ -73,6 +75,7 @@
   Awaitable<void> handleCommandLate(std::string path, json::value body);
   void advance(std::chrono::milliseconds elapsed);
   void endRun(const dispatch::RunId &id, dispatch::RunOutcome outcome);
+  void shutDown(std::chrono::milliseconds downtime);
   void startIncarnation();
   void publishEntry();
   base::Resources freeResources() const;
