Restart daemons in series and hold connections open in the soak

Stops of several daemons came together only by chance, SIGHUP was never sent, and callers held a connection only as long as the client's pool keeps it: for 5 s, and until the daemon closes it or asks for that.

Two faults are new: all daemons restart in series, one after the other or overlapping, and SIGHUP goes to up to six daemons, also while they stop. A connection to each daemon now stays open, with requests sent on it, until the process has ended. The ports leave room for 40 daemons instead of 13.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -4,8 +4,14 @@
 
 #include "endivedoor/dispatch/Records.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
 
 namespace endivedoor::soak {
 
@@ -16,6 +22,7 @@
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 /// Time for which a caller waits for a response, the same as for the users'
 /// callers.
 constexpr auto RequestTimeout = 3000ms;
@@ -266,4 +273,37 @@
   }
 }
 
+void Callers::holdConnections() {
+  for (std::size_t i = 0; i < Cluster.Daemons.size(); ++i)
+    asio::co_spawn(Io, holdConnection(i), asio::detached);
+}
+
+Awaitable<void> Callers::holdConnection(std::size_t daemon) {
+  static const std::string request = std::string("GET ") + ShortQueue +
+                                     " HTTP/1.1\r\nHost: " + QueueHost +
+                                     "\r\n\r\n";
+  const DaemonSlot &slot = Cluster.Daemons[daemon];
+  asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(slot.CallerAddress.Ip), slot.CallerAddress.Port);
+  std::array<char, 4096> buf{};
+  while (!Stopped) {
+    pid_t pid = slot.Process->pid();
+    asio::ip::tcp::socket socket(Io);
+    auto [connectError] = co_await socket.async_connect(endpoint, AsTuple);
+    if (connectError) {
+      co_await sleepFor(100ms);
+      continue;
+    }
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    while (!Stopped && slot.Process->pid() == pid &&
+           slot.Process->isRunning()) {
+      socket.write_some(asio::buffer(request), ec);
+      co_await sleepFor(milliseconds(randomInt(100, 1500)));
+      while (socket.read_some(asio::buffer(buf), ec) > 0)
+        ;
+    }
+  }
+}
+
 } // namespace endivedoor::soak
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -19,6 +19,10 @@
   void addCrashingTasks() { CrashShare = randomInt(2, 4) / 100.0; }
   /// Submits jobs until stopSubmitting() and queries each until it ends.
   Awaitable<void> submitJobs();
+  /// Keeps a connection to each daemon open until its process has ended, also
+  /// when the daemon closes its end or asks for the connection to be closed,
+  /// and sends requests on it.
+  void holdConnections();
   void stopSubmitting() { Submitting = false; }
   /// Submits more jobs that are cancelled, some of which have many tasks
   /// waiting to start or in later occurrences.
@@ -31,6 +35,7 @@
 private:
   Awaitable<void> followJob(model::JobNumber id, std::string path,
                             bool willCancel);
+  Awaitable<void> holdConnection(std::size_t daemon);
   Awaitable<bool> submit(model::JobNumber id, std::string path);
   Awaitable<void> cancel(model::JobNumber id, std::string path);
   Awaitable<void> queryState(model::JobNumber id, std::string path);
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -14,6 +14,8 @@
 
 /// Time between SIGTERM and SIGKILL; equals stopGrace in the settings.
 constexpr auto StopGrace = 6000ms;
+/// Time after which a daemon has installed its signal handlers.
+constexpr auto StartTime = 1000ms;
 /// Minimum length of a calm stretch: the checker's bounds apply 3 s after the
 /// last fault, and a cancellation then has 3.9 s until its last run is gone.
 constexpr auto CalmTime = 8000ms;
@@ -22,6 +24,8 @@
 const std::vector<FaultInjector::FaultKind> FaultInjector::FaultKinds = {
     {"kill", &FaultInjector::killDaemon},
     {"stop", &FaultInjector::stopDaemon},
+    {"restart-series", &FaultInjector::restartInSeries},
+    {"reload", &FaultInjector::signalReload},
     {"freeze", &FaultInjector::freezeDaemon},
     {"kill-all", &FaultInjector::killAllDaemons},
     {"store-link", &FaultInjector::disruptStoreLink},
@@ -113,16 +117,50 @@
 }
 
 Awaitable<void> FaultInjector::stopDaemon() {
-  DaemonSlot *slot = reserveDaemon();
-  if (!slot)
-    co_return;
-  slot->Process->signal(SIGTERM);
+  if (DaemonSlot *slot = reserveDaemon())
+    co_await stopAndStart(*slot);
+}
+
+/// Stops and starts a reserved daemon, then releases it.
+Awaitable<void> FaultInjector::stopAndStart(DaemonSlot &slot) {
+  slot.Process->signal(SIGTERM);
   base::TimePoint end = Time.now() + StopGrace;
-  while (Time.now() < end && slot->Process->isRunning())
+  while (Time.now() < end && slot.Process->isRunning())
     co_await sleepFor(20ms);
   co_await sleepFor(randomTime(0, 800));
-  Cluster.startDaemon(*slot);
-  slot->HeldByFault = false;
+  Cluster.startDaemon(slot);
+  slot.HeldByFault = false;
+}
+
+/// Restarts all daemons, each after the previous one is back or while it still
+/// stops.
+Awaitable<void> FaultInjector::restartInSeries() {
+  bool overlapping = randomInt(0, 1) == 0;
+  for (DaemonSlot &it : Cluster.Daemons) {
+    if (it.HeldByFault)
+      continue;
+    it.HeldByFault = true;
+    ++PendingStops;
+    asio::co_spawn(Io, stopAndStart(it),
+                   [this](const std::exception_ptr &) { --PendingStops; });
+    co_await sleepFor(randomTime(300, 2000));
+    while (!overlapping && it.HeldByFault)
+      co_await sleepFor(20ms);
+  }
+  while (PendingStops > 0)
+    co_await sleepFor(20ms);
+}
+
+/// Sends SIGHUP to some daemons in series, also to daemons that are stopping.
+Awaitable<void> FaultInjector::signalReload() {
+  int signals = randomInt(1, 6);
+  for (int i = 0; i < signals; ++i) {
+    DaemonSlot &slot = Cluster.Daemons[static_cast<std::size_t>(
+        randomInt(0, static_cast<int>(Cluster.Daemons.size()) - 1))];
+    if (slot.Process->isRunning() && Time.now() - slot.StartedAt > StartTime)
+      slot.Process->signal(SIGHUP);
+    co_await sleepFor(randomTime(0, 400));
+  }
 }
 
 Awaitable<void> FaultInjector::freezeDaemon() {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -38,7 +38,10 @@
   Awaitable<void> startFaultsUntil(base::TimePoint end);
   Awaitable<void> waitForFaults();
   Awaitable<void> killDaemon();
+  Awaitable<void> stopAndStart(DaemonSlot &slot);
   Awaitable<void> stopDaemon();
+  Awaitable<void> restartInSeries();
+  Awaitable<void> signalReload();
   Awaitable<void> freezeDaemon();
   Awaitable<void> killAllDaemons();
   Awaitable<void> disruptStoreLink();
@@ -67,6 +70,8 @@
   std::mt19937_64 Random;
   std::map<std::string, int> InjectedCounts;
   int ActiveFaults = 0;
+  /// Daemons that restarts in series have yet to start again.
+  int PendingStops = 0;
   bool Calm = false;
 };
 
--- a/tests/soak/TestCluster.cpp
+++ b/tests/soak/TestCluster.cpp
@@ -12,7 +12,7 @@
 
 // Offsets from the base port. Daemon i has three ports from 110 + 3 * i.
 constexpr int ProxyOffset = 0, StoreOffset = 1, WorkerOffset = 10,
-              WorkerLinkOffset = 60, DaemonOffset = 110, StoreLinkOffset = 150;
+              WorkerLinkOffset = 60, DaemonOffset = 110, StoreLinkOffset = 240;
 constexpr int PortsPerDaemon = 3;
 const char *const QueueHost = "127.0.0.1";
 const char *const ShortQueue = "/short/";
@@ -26,7 +26,7 @@
 
 TestCluster::TestCluster(asio::io_context &io, const base::Clock &clock,
                          TestClusterOptions options)
-    : Store(io, clock, options.Seed), Checker(clock), Io(io),
+    : Store(io, clock, options.Seed), Checker(clock), Io(io), Time(clock),
       Options(std::move(options)),
       Admin(io.get_executor(), clock, platform::HttpLimits{}) {
   fs::create_directories(Options.Folder);
@@ -87,6 +87,7 @@
 void TestCluster::startDaemon(DaemonSlot &slot) {
   // The ports are free once the previous process has ended.
   slot.Process.reset();
+  slot.StartedAt = Time.now();
   slot.Process = std::make_unique<harness::Process>(
       std::vector<std::string>{std::string(ENDIVEDOOR_BIN_DIR) + "/endivedoord",
                                "--settings",
--- a/tests/soak/TestCluster.h
+++ b/tests/soak/TestCluster.h
@@ -35,6 +35,7 @@
   std::string Name;
   model::Address CallerAddress;
   std::unique_ptr<harness::Process> Process;
+  base::TimePoint StartedAt;
   /// An active fault controls the process, which may be down.
   bool HeldByFault = false;
 };
@@ -66,6 +67,7 @@
   std::string address(int offset) const;
 
   asio::io_context &Io;
+  const base::Clock &Time;
   TestClusterOptions Options;
   platform::HttpClient Admin;
   std::unique_ptr<platform::HttpServer> StoreServer;
--- a/tests/soak/soak-installation.cpp
+++ b/tests/soak/soak-installation.cpp
@@ -24,7 +24,7 @@
 ABSL_FLAG(bool, crashing_tasks, false,
           "gives a few per cent of the jobs a task that crashes each worker "
           "that starts it");
-ABSL_FLAG(int, daemons, 4, "number of daemons");
+ABSL_FLAG(int, daemons, 4, "number of daemons, at most 40");
 ABSL_FLAG(int, workers, 12, "number of workers, at most 48");
 ABSL_FLAG(int, port, 21000, "first of 300 consecutive free ports");
 ABSL_FLAG(std::string, folder, "soak", "folder for settings and logs");
@@ -69,6 +69,7 @@
   std::chrono::milliseconds faults =
       toMilliseconds(absl::GetFlag(FLAGS_faults));
   asio::co_spawn(io, callers.submitJobs(), asio::detached);
+  callers.holdConnections();
   asio::co_spawn(io, observe(cluster, callers, injector), asio::detached);
   if (faults > 0ms)
     co_await injector.runFor(faults);
