--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -4,8 +4,14 @@
 
 #include "endivedoor/dispatch/Records.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
 
 namespace endivedoor::soak {
 
@@ -16,6 +22,7 @@
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 /// Time for which a caller waits for a response, the same as for the users'
 /// callers.
 constexpr auto RequestTimeout = 3000ms;
@@ -85,6 +92,45 @@
   return job;
 }
 
+/// Makes a job that is far from its end when it is cancelled: it has more tasks
+/// than the workers have room for, or several occurrences.
+ObservedJob Callers::makeJobToCancel(std::string &queue) {
+  ObservedJob job;
+  job.MaxAttempts = MaxAttempts;
+  queue = chance(0.5) ? ShortQueue : LongQueue;
+  model::StepSpec step;
+  step.Size.Cpu = base::MilliCores{randomInt(1000, 3000)};
+  step.Size.Memory = base::MebiBytes{randomInt(200, 2000)};
+  step.Image = "image-" + std::to_string(randomInt(0, 3));
+  step.Count = randomInt(8, 24);
+  if (chance(0.4)) {
+    step.Count = randomInt(1, 3);
+    job.Graph.Occurrences = 6;
+    job.Graph.Interval = 1000ms;
+    job.Graph.FirstDue = std::chrono::duration_cast<milliseconds>(
+                             Time.wallNow().time_since_epoch()) +
+                         1s;
+  }
+  milliseconds work(randomInt(400, 1500));
+  step.Estimate = work;
+  job.Graph.Payload = "payload " + std::to_string(Random());
+  job.Graph.Steps = {step, step};
+  job.Graph.Steps.back().Dependencies = {0};
+  job.WorkPerTask = {work, work};
+  return job;
+}
+
+/// Chooses a task of the job that crashes its workers.
+void Callers::addCrashingTask(JobNumber id, ObservedJob &job) {
+  model::TaskKey task{id, 0, 0, 0};
+  task.Occurrence = randomInt(0, std::max(1, job.Graph.Occurrences) - 1);
+  task.Step = randomInt(0, static_cast<int>(job.Graph.Steps.size()) - 1);
+  task.Index = randomInt(
+      0, job.Graph.Steps[static_cast<std::size_t>(task.Step)].Count - 1);
+  job.CrashingTask = task;
+  job.CrashAfter = milliseconds(randomInt(50, 400));
+}
+
 /// Encodes a job as callers do, without fields that are 0, false or empty.
 static std::string encodeJob(const model::JobGraph &graph) {
   json::array steps;
@@ -185,12 +231,13 @@
   }
 }
 
-Awaitable<void> Callers::followJob(JobNumber id, std::string path) {
+Awaitable<void> Callers::followJob(JobNumber id, std::string path,
+                                   bool willCancel) {
   if (!co_await submit(id, path))
     co_return;
   ObservedJob &job = *Cluster.Checker.find(id);
   bool longRunning = job.Graph.Steps.front().LongRunning;
-  bool willCancel = chance(longRunning ? 0.5 : 0.1);
+  willCancel = willCancel || chance(longRunning ? 0.5 : 0.1);
   base::TimePoint cancelAt = Time.now() + milliseconds(randomInt(0, 2500));
   // Some submissions arrive a second time, later.
   if (chance(0.1)) {
@@ -210,16 +257,53 @@
   }
 }
 
-Awaitable<void> Callers::submitUntil(base::TimePoint end) {
-  while (Time.now() < end) {
+Awaitable<void> Callers::submitJobs() {
+  while (Submitting) {
     auto id = static_cast<JobNumber>(Random());
     std::string queue;
-    ObservedJob job = makeJob(queue);
+    bool willCancel = CancelMore && chance(0.2);
+    ObservedJob job = willCancel ? makeJobToCancel(queue) : makeJob(queue);
+    if (CrashShare > 0 && chance(CrashShare))
+      addCrashingTask(id, job);
     Cluster.Checker.addJob(id, std::move(job));
-    asio::co_spawn(Io, followJob(id, queue + dispatch::formatJobNumber(id)),
-                   asio::detached);
+    asio::co_spawn(
+        Io, followJob(id, queue + dispatch::formatJobNumber(id), willCancel),
+        asio::detached);
     co_await sleepFor(milliseconds(randomInt(20, 160)));
   }
 }
 
+void Callers::holdConnections() {
+  for (std::size_t i = 0; i < Cluster.Daemons.size(); ++i)
+    asio::co_spawn(Io, holdConnection(i), asio::detached);
+}
+
+Awaitable<void> Callers::holdConnection(std::size_t daemon) {
+  static const std::string request = std::string("GET ") + ShortQueue +
+                                     " HTTP/1.1\r\nHost: " + QueueHost +
+                                     "\r\n\r\n";
+  const DaemonSlot &slot = Cluster.Daemons[daemon];
+  asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(slot.CallerAddress.Ip), slot.CallerAddress.Port);
+  std::array<char, 4096> buf{};
+  while (!Stopped) {
+    pid_t pid = slot.Process->pid();
+    asio::ip::tcp::socket socket(Io);
+    auto [connectError] = co_await socket.async_connect(endpoint, AsTuple);
+    if (connectError) {
+      co_await sleepFor(100ms);
+      continue;
+    }
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    while (!Stopped && slot.Process->pid() == pid &&
+           slot.Process->isRunning()) {
+      socket.write_some(asio::buffer(request), ec);
+      co_await sleepFor(milliseconds(randomInt(100, 1500)));
+      while (socket.read_some(asio::buffer(buf), ec) > 0)
+        ;
+    }
+  }
+}
+
 } // namespace endivedoor::soak
--- a/tests/soak/soak-installation.cpp
+++ b/tests/soak/soak-installation.cpp
@@ -21,7 +21,10 @@
           "duration of fault injection; 0 runs a session without faults");
 ABSL_FLAG(absl::Duration, settle, absl::Seconds(40),
           "time after the last fault within which all jobs must settle");
-ABSL_FLAG(int, daemons, 4, "number of daemons");
+ABSL_FLAG(bool, crashing_tasks, false,
+          "gives a few per cent of the jobs a task that crashes each worker "
+          "that starts it");
+ABSL_FLAG(int, daemons, 4, "number of daemons, at most 40");
 ABSL_FLAG(int, workers, 12, "number of workers, at most 48");
 ABSL_FLAG(int, port, 21000, "first of 300 consecutive free ports");
 ABSL_FLAG(std::string, folder, "soak", "folder for settings and logs");
@@ -34,6 +37,9 @@
 /// session without faults.
 constexpr auto FaultFreeTime = 4s;
 
+/// Well below the 900 ms within which a run must be stopped.
+constexpr auto ObserveInterval = 50ms;
+
 static std::chrono::milliseconds toMilliseconds(absl::Duration d) {
   return absl::ToChronoMilliseconds(d);
 }
@@ -43,6 +49,17 @@
   std::vector<std::string> Crashed;
 };
 
+/// Checks the runs of cancelled jobs and has callers cancel more jobs in calm
+/// stretches, until the session ends.
+static Awaitable<void> observe(TestCluster &cluster, Callers &callers,
+                               const FaultInjector &injector) {
+  while (true) {
+    co_await sleepFor(ObserveInterval);
+    callers.setCancelMore(injector.isCalm());
+    cluster.Checker.checkCancelled();
+  }
+}
+
 static Awaitable<void> runSession(asio::io_context &io,
                                   const base::Clock &clock,
                                   TestCluster &cluster, Callers &callers,
@@ -51,17 +68,18 @@
   co_await sleepFor(2s);
   std::chrono::milliseconds faults =
       toMilliseconds(absl::GetFlag(FLAGS_faults));
-  base::TimePoint faultsEnd = clock.now() + faults;
-  asio::co_spawn(io, callers.submitUntil(faultsEnd + FaultFreeTime),
-                 asio::detached);
+  asio::co_spawn(io, callers.submitJobs(), asio::detached);
+  callers.holdConnections();
+  asio::co_spawn(io, observe(cluster, callers, injector), asio::detached);
   if (faults > 0ms)
-    co_await injector.runUntil(faultsEnd);
+    co_await injector.runFor(faults);
   for (const std::string &it : cluster.restartCrashed())
     outcome.Crashed.push_back(it);
   cluster.clearFaults();
   co_await cluster.configureLink("store-*", "{}");
   co_await cluster.configureLink("worker-*", "{}");
   co_await sleepFor(FaultFreeTime);
+  callers.stopSubmitting();
   base::TimePoint end =
       clock.now() + toMilliseconds(absl::GetFlag(FLAGS_settle));
   while (clock.now() < end && !outcome.Settled) {
@@ -87,6 +105,8 @@
                        absl::GetFlag(FLAGS_daemons),
                        absl::GetFlag(FLAGS_workers), folder});
   Callers callers(io, clock, cluster, seed * 7 + 1);
+  if (absl::GetFlag(FLAGS_crashing_tasks))
+    callers.addCrashingTasks();
   FaultInjector injector(io, clock, cluster, seed * 7 + 2);
   Outcome outcome;
   asio::co_spawn(io, runSession(io, clock, cluster, callers, injector, outcome),
@@ -100,7 +120,10 @@
             << cluster.Checker.starts() << " starts, faults";
   for (const auto &[kind, count] : injector.injected())
     std::cout << " " << kind << " " << count;
-  std::cout << "; store calls";
+  std::cout << "; " << cluster.Checker.cancellationsChecked()
+            << " cancellations checked, " << cluster.Checker.crashesByTasks()
+            << " crashes by tasks, innocent jobs given up "
+            << cluster.Checker.innocentJobsGivenUp() << "; store calls";
   for (const auto &[kind, count] : cluster.Store.callCounts())
     std::cout << " " << kind << " " << count;
   std::cout << (violations.empty() ? ", kept" : ", BROKEN") << std::endl;
--- a/tests/standins/installation/InvariantChecker.cpp
+++ b/tests/standins/installation/InvariantChecker.cpp
@@ -10,6 +10,24 @@
 using dispatch::RunOutcome;
 using model::JobNumber;
 using model::TaskKey;
+using namespace std::chrono_literals;
+
+/// Time after the acknowledgement of a cancellation within which daemons stop
+/// starting tasks of the job: cancel_ms of the users' small sites.
+constexpr auto CancelBound = 3000ms;
+/// Time that stopping a run takes at most: stop_ms of the users' small sites.
+constexpr auto StopBound = 900ms;
+/// Time after a fault for which bounds do not apply: contact_ms of the users'
+/// small sites.
+constexpr auto ContactTime = 3000ms;
+
+/// Number of crashes under a task after which only a few starts are allowed,
+/// and number of these starts, by the users' rule.
+constexpr int CrashesBeforeLimit = 3;
+constexpr int StartsAfterCrashLimit = 2;
+/// Number of crashes under a task after which its job may be reported as
+/// failed.
+constexpr int CrashesBeforeGivingUp = 2;
 
 static std::string formatRun(const RunId &id) {
   return dispatch::formatJobNumber(id.Task.Job) + "." +
@@ -95,7 +113,7 @@
     addViolation("TWICE", formatRun(event.Id) + " on " + event.Worker +
                               " while run " +
                               std::to_string(task.Running.begin()->first) +
-                              " is on " + task.Running.begin()->second);
+                              " is on " + task.Running.begin()->second.Worker);
   task.SupersededRuns = task.DoneRuns;
   if (task.DoneAcknowledged)
     addViolation("TWICE",
@@ -104,6 +122,17 @@
       static_cast<std::int32_t>(task.AcknowledgedFailures.size()) >=
           job->MaxAttempts)
     addViolation("BUDGET", formatRun(event.Id));
+  if (task.Crashes >= CrashesBeforeLimit &&
+      ++task.StartsAfterCrashes > StartsAfterCrashLimit)
+    addViolation(
+        "BUDGET",
+        formatRun(event.Id) + " on " + event.Worker + " is start " +
+            std::to_string(task.StartsAfterCrashes) + " after " +
+            std::to_string(CrashesBeforeLimit) +
+            " workers crashed under the task, now " +
+            std::to_string(task.Crashes) +
+            (job->CrashingTask == event.Id.Task ? ", which crashes them" : "") +
+            (event.Late ? ", by a late command" : ""));
   if (!event.HasRequiredLabel)
     addViolation("ROUTE", formatRun(event.Id) + " on " + event.Worker);
   if (count(event.Remaining.Cpu) < 0 || count(event.Remaining.Memory) < 0 ||
@@ -115,21 +144,22 @@
     std::int32_t onSameWorker = 1;
     TaskKey other = event.Id.Task;
     for (other.Index = 0; other.Index < step->Count; ++other.Index)
-      for (const auto &[run, worker] : Tasks[other].Running)
-        onSameWorker += worker == event.Worker;
+      for (const auto &[number, run] : Tasks[other].Running)
+        onSameWorker += run.Worker == event.Worker;
     if (onSameWorker > step->MaxPerWorker)
       addViolation("ROUTE", formatRun(event.Id) +
                                 " exceeds the limit per worker on " +
                                 event.Worker);
   }
-  task.Running[event.Id.Number] = event.Worker;
+  checkStartAfterCancel(event, *job);
+  task.Running[event.Id.Number] = {event.Worker, Time.now(), event.Late, false};
 }
 
 void InvariantChecker::onEnd(const std::string &worker, const RunId &id,
                              RunOutcome outcome) {
   TaskHistory &task = Tasks[id.Task];
   auto it = task.Running.find(id.Number);
-  if (it != task.Running.end() && it->second == worker)
+  if (it != task.Running.end() && it->second.Worker == worker)
     task.Running.erase(it);
   if (outcome == RunOutcome::Done)
     task.DoneRuns.insert(id.Number);
@@ -149,10 +179,108 @@
   task.DoneAcknowledged = true;
 }
 
-void InvariantChecker::onCrash(const std::string &worker) {
+void InvariantChecker::dropRuns(const std::string &worker) {
+  Restarts[worker] = std::nullopt;
   for (auto &[key, task] : Tasks)
     std::erase_if(task.Running,
-                  [&](const auto &run) { return run.second == worker; });
+                  [&](const auto &run) { return run.second.Worker == worker; });
+}
+
+void InvariantChecker::onCrash(const std::string &worker, bool draining) {
+  for (auto &[key, task] : Tasks) {
+    int runs = static_cast<int>(std::count_if(
+        task.Running.begin(), task.Running.end(),
+        [&](const auto &it) { return it.second.Worker == worker; }));
+    task.PossibleCrashes += runs;
+    if (!draining)
+      task.Crashes += runs;
+    const ObservedJob *job = runs > 0 ? find(key.Job) : nullptr;
+    if (job && job->CrashingTask == key)
+      ++CrashesByTasks;
+  }
+  dropRuns(worker);
+}
+
+void InvariantChecker::onEndLost(const RunId &id) {
+  ++Tasks[id.Task].PossibleCrashes;
+}
+
+void InvariantChecker::onLeave(const std::string &worker) { dropRuns(worker); }
+
+void InvariantChecker::onRestart(const std::string &worker) {
+  Restarts[worker] = Time.now();
+}
+
+void InvariantChecker::onFaultEnd() {
+  --ActiveFaults;
+  LastFaultEnd = Time.now();
+}
+
+/// Returns when the last disturbance of the installation or of \p worker ended.
+/// std::nullopt while there is one.
+std::optional<base::TimePoint>
+InvariantChecker::calmSince(const std::string &worker) const {
+  if (ActiveFaults > 0)
+    return std::nullopt;
+  auto it = Restarts.find(worker);
+  if (it == Restarts.end())
+    return LastFaultEnd;
+  if (!it->second)
+    return std::nullopt;
+  return std::max(LastFaultEnd, *it->second);
+}
+
+/// Returns the time as whole milliseconds, with its unit.
+static std::string formatTime(base::Duration time) {
+  return std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(time)
+                 .count()) +
+         " ms";
+}
+
+void InvariantChecker::checkStartAfterCancel(const StartEvent &event,
+                                             const ObservedJob &job) {
+  std::optional<base::TimePoint> calm = calmSince(event.Worker);
+  if (!job.CancelledAt || event.Late || !calm ||
+      Time.now() - *calm <= ContactTime)
+    return;
+  ++CancellationsChecked;
+  base::Duration elapsed = Time.now() - *job.CancelledAt;
+  if (elapsed > CancelBound)
+    addViolation("UNASKED", formatRun(event.Id) + " starts on " + event.Worker +
+                                " " + formatTime(elapsed) +
+                                " after the cancellation");
+}
+
+void InvariantChecker::checkCancelled() {
+  base::TimePoint now = Time.now();
+  for (auto &[key, task] : Tasks) {
+    const ObservedJob *job = find(key.Job);
+    if (!job || !job->CancelledAt)
+      continue;
+    for (auto &[number, run] : task.Running) {
+      std::optional<base::TimePoint> calm = calmSince(run.Worker);
+      if (!calm || now - *calm <= ContactTime)
+        continue;
+      if (CountedJobs.insert(key.Job).second)
+        ++CancellationsChecked;
+      // The stop of a run has the whole time of a cancellation after a fault,
+      // as the first calls to stop it may have been lost with the fault.
+      base::TimePoint bound =
+          std::max(*job->CancelledAt, *calm) + CancelBound + StopBound;
+      if (run.Late)
+        bound = std::max(bound, run.Started + ContactTime);
+      if (now <= bound || run.Overdue)
+        continue;
+      run.Overdue = true;
+      addViolation("UNASKED", formatRun({key, number}) + " runs on " +
+                                  run.Worker + " " +
+                                  formatTime(now - *job->CancelledAt) +
+                                  " after the cancellation, started " +
+                                  formatTime(now - run.Started) + " ago" +
+                                  (run.Late ? " by a late command" : ""));
+    }
+  }
 }
 
 void InvariantChecker::onCheckpoint(const TaskKey &task,
@@ -191,6 +319,28 @@
   return false;
 }
 
+/// Returns whether two workers may have crashed under a task of the job.
+bool InvariantChecker::hasCrashedTwice(JobNumber id) const {
+  for (auto it = Tasks.lower_bound({id, 0, 0, 0});
+       it != Tasks.end() && it->first.Job == id; ++it)
+    if (it->second.PossibleCrashes >= CrashesBeforeGivingUp)
+      return true;
+  return false;
+}
+
+/// Checks a job that is reported as failed for the first time.
+void InvariantChecker::checkFailed(JobNumber id, ObservedJob &job) {
+  if (hasExhaustedAttempts(id, job))
+    return;
+  if (!hasCrashedTwice(id))
+    return addViolation("LOST",
+                        dispatch::formatJobNumber(id) +
+                            " is reported as failed with attempts left");
+  job.GivenUp = true;
+  if (!job.CrashingTask)
+    ++InnocentJobsGivenUp;
+}
+
 void InvariantChecker::onStateSeen(JobNumber id, const std::string &state) {
   ObservedJob *job = find(id);
   if (!job) {
@@ -210,8 +360,8 @@
   if (state == "succeeded" && !isComplete(id, *job))
     addViolation("MIXED",
                  name + " is reported as succeeded with incomplete tasks");
-  if (state == "failed" && !hasExhaustedAttempts(id, *job))
-    addViolation("LOST", name + " is reported as failed with attempts left");
+  if (state == "failed" && job->LastState != state)
+    checkFailed(id, *job);
   if (state == "cancelled" && !job->CancelSent)
     addViolation("LOST",
                  name + " is reported as cancelled without a cancellation");
@@ -243,6 +393,8 @@
   // An unanswered cancellation may or may not have been stored.
   if (!job.AcceptedAt || job.CancelSent)
     return true;
+  if (job.GivenUp)
+    return running == 0;
   const model::StepSpec &first = job.Graph.Steps.front();
   if (first.LongRunning)
     return running == static_cast<std::size_t>(first.Count);
@@ -259,11 +411,12 @@
   for (const auto &[id, job] : Jobs) {
     std::size_t running = runningTasks(id);
     if (!isSettled(job, running))
-      addViolation("LOST", dispatch::formatJobNumber(id) +
-                               " does not settle: reported as '" +
-                               job.LastState + "', " + std::to_string(running) +
-                               " tasks running" +
-                               (job.CancelledAt ? ", cancelled" : ""));
+      addViolation("LOST",
+                   dispatch::formatJobNumber(id) +
+                       " does not settle: reported as '" + job.LastState +
+                       "', " + std::to_string(running) + " tasks running" +
+                       (job.CancelledAt ? ", cancelled" : "") +
+                       (job.CrashingTask ? ", has a crashing task" : ""));
   }
 }
 
--- a/tests/standins/installation/InvariantChecker.h
+++ b/tests/standins/installation/InvariantChecker.h
@@ -30,13 +30,20 @@
   /// A cancellation has been sent.
   bool CancelSent = false;
   std::optional<base::TimePoint> CancelledAt;
+  /// This task crashes each worker that starts it, the given time after its
+  /// start.
+  std::optional<model::TaskKey> CrashingTask;
+  std::chrono::milliseconds CrashAfter{0};
   std::string LastState;
+  /// Reported as failed because workers crashed under one of its tasks.
+  bool GivenUp = false;
 };
 
 /// Checks each observation against the guarantees. Not thread-safe.
 class InvariantChecker {
 public:
-  explicit InvariantChecker(const base::Clock &clock) : Time(clock) {}
+  explicit InvariantChecker(const base::Clock &clock)
+      : Time(clock), LastFaultEnd(clock.now()) {}
 
   struct StartEvent {
     std::string Worker;
@@ -47,6 +54,8 @@
     bool HasRequiredLabel = true;
     /// Resources that remain free on the worker after the start.
     base::Resources Remaining;
+    /// The worker carried the command out late, without a response.
+    bool Late = false;
   };
 
   ObservedJob &addJob(model::JobNumber id, ObservedJob job);
@@ -59,7 +68,17 @@
   /// The end of a run was acknowledged; the worker may discard it.
   void onAcknowledged(const dispatch::RunId &id, dispatch::RunOutcome outcome);
   /// A worker crashed; its runs are lost without a reported end.
-  void onCrash(const std::string &worker);
+  ///
+  /// \param draining the worker was about to leave, so daemons may take the
+  /// crash for its departure.
+  void onCrash(const std::string &worker, bool draining);
+  /// A worker crashed before the end of this run was acknowledged. Daemons
+  /// cannot tell this from a crash during the run.
+  void onEndLost(const dispatch::RunId &id);
+  /// A worker left as announced; its runs are lost without a reported end.
+  void onLeave(const std::string &worker);
+  /// A worker that crashed or left runs again.
+  void onRestart(const std::string &worker);
   void onCheckpoint(const model::TaskKey &task, const std::string &value);
   /// A caller received a job state; "" means that the job is unknown.
   void onStateSeen(model::JobNumber id, const std::string &state);
@@ -68,6 +87,23 @@
   /// unknown.
   void onUnknownQueue(model::JobNumber id);
 
+  /// Number of crashes of workers under tasks that crash them.
+  std::size_t crashesByTasks() const { return CrashesByTasks; }
+  /// Number of jobs without a crashing task that were reported as failed after
+  /// two crashes under one of their tasks.
+  std::size_t innocentJobsGivenUp() const { return InnocentJobsGivenUp; }
+
+  /// A fault that may affect any daemon, the store or any worker begins.
+  void onFaultBegin() { ++ActiveFaults; }
+  /// That fault has ended.
+  void onFaultEnd();
+  /// Checks that no task of a cancelled job still runs past its bound. Called
+  /// periodically.
+  void checkCancelled();
+  /// Number of starts and of runs of cancelled jobs that were compared with the
+  /// bounds while nothing was disturbed.
+  std::size_t cancellationsChecked() const { return CancellationsChecked; }
+
   /// Checks that all jobs have settled, once faults have ended for long enough.
   void checkAllSettled();
   /// Returns whether all jobs have settled: cancelled jobs have no runs,
@@ -90,11 +126,28 @@
     std::set<std::int64_t> FailedRuns;
     std::set<std::int64_t> AcknowledgedFailures;
     std::set<std::string> Checkpoints;
-    /// Worker of each active run, by run number.
-    std::map<std::int64_t, std::string> Running;
+    /// Number of workers that crashed under this task.
+    int Crashes = 0;
+    /// The same with those that daemons may or may not take for such a crash.
+    int PossibleCrashes = 0;
+    int StartsAfterCrashes = 0;
+    struct ActiveRun {
+      std::string Worker;
+      base::TimePoint Started;
+      bool Late = false;
+      /// The run was reported as running past the bound of a cancellation.
+      bool Overdue = false;
+    };
+    /// Active runs by number.
+    std::map<std::int64_t, ActiveRun> Running;
   };
 
   void addViolation(const std::string &invariant, const std::string &detail);
+  std::optional<base::TimePoint> calmSince(const std::string &worker) const;
+  void dropRuns(const std::string &worker);
+  bool hasCrashedTwice(model::JobNumber id) const;
+  void checkFailed(model::JobNumber id, ObservedJob &job);
+  void checkStartAfterCancel(const StartEvent &event, const ObservedJob &job);
   const model::StepSpec *stepOf(const model::TaskKey &key) const;
   bool isDone(const model::TaskKey &key) const;
   bool hasExhaustedAttempts(model::JobNumber id, const ObservedJob &job) const;
@@ -105,6 +158,17 @@
   std::map<model::TaskKey, TaskHistory> Tasks;
   std::vector<std::string> Violations;
   std::size_t Starts = 0;
+  std::size_t CrashesByTasks = 0;
+  std::size_t InnocentJobsGivenUp = 0;
+  int ActiveFaults = 0;
+  /// Start of the session, then the end of the latest fault that may affect any
+  /// process.
+  base::TimePoint LastFaultEnd;
+  /// Time of the latest restart of each worker; no value while it is down.
+  std::map<std::string, std::optional<base::TimePoint>> Restarts;
+  std::size_t CancellationsChecked = 0;
+  /// Cancelled jobs with a run that has been counted in CancellationsChecked.
+  std::set<model::JobNumber> CountedJobs;
 };
 
 } // namespace endivedoor::standin
--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -35,6 +35,8 @@
 constexpr auto GangStartTimeout = 3000ms;
 /// Maximum number of ended runs in one response.
 constexpr std::size_t MaxEndedRows = 500;
+/// Time after which a worker that a task crashed is back.
+constexpr auto MinCrashDowntime = 1000ms, MaxCrashDowntime = 3000ms;
 
 static const char *outcomeName(RunOutcome outcome) {
   switch (outcome) {
@@ -158,7 +160,18 @@
 }
 
 void WorkerServer::crash(milliseconds downtime) {
-  Checker.onCrash(id());
+  Checker.onCrash(id(), Profile.Draining);
+  for (const EndedRun &it : EndedRuns)
+    Checker.onEndLost(it.Id);
+  shutDown(downtime);
+}
+
+void WorkerServer::leave(milliseconds downtime) {
+  Checker.onLeave(id());
+  shutDown(downtime);
+}
+
+void WorkerServer::shutDown(milliseconds downtime) {
   Runs.clear();
   EndedRuns.clear();
   HighestEndedRun.clear();
@@ -195,6 +208,7 @@
     for (EndedRun &it : EndedRuns)
       it.LeaseExpired = true;
   std::vector<std::pair<RunId, RunOutcome>> ends;
+  bool crashes = false;
   for (auto &[id, run] : Runs) {
     const ObservedJob *job = Checker.find(id.Task.Job);
     auto stepIndex = static_cast<std::size_t>(id.Task.Step);
@@ -207,6 +221,10 @@
       ends.emplace_back(id, RunOutcome::Stopped);
       continue;
     }
+    if (job && job->CrashingTask == id.Task) {
+      crashes = crashes || Time.now() - run.Started >= job->CrashAfter;
+      continue;
+    }
     if (!spec || ActiveFaults.Stuck)
       continue;
     std::int32_t present = spec->Gang ? Checker.membersPresent(id) : 0;
@@ -237,6 +255,9 @@
   }
   for (const auto &[id, outcome] : ends)
     endRun(id, outcome);
+  if (crashes)
+    crash(milliseconds(std::uniform_int_distribution<std::int64_t>(
+        MinCrashDowntime.count(), MaxCrashDowntime.count())(Random)));
 }
 
 Awaitable<void> WorkerServer::runLoop() {
@@ -249,10 +270,11 @@
     if (DownUntil && now >= *DownUntil) {
       DownUntil.reset();
       startIncarnation();
+      Checker.onRestart(id());
     }
     if (!DownUntil) {
       advance(std::chrono::duration_cast<milliseconds>(now - last));
-      if (now - lastPublished >= HeartbeatInterval) {
+      if (!DownUntil && now - lastPublished >= HeartbeatInterval) {
         lastPublished = now;
         publishEntry();
       }
@@ -322,7 +344,8 @@
   co_return makeResponse(200, statusBody());
 }
 
-HttpResponse WorkerServer::start(const RunId &id, const json::value &body) {
+HttpResponse WorkerServer::start(const RunId &id, const json::value &body,
+                                 bool late) {
   Fields f(&body);
   milliseconds deadline =
       std::min(milliseconds(f.number("deadline_ms")), uptime() + MaxLeaseTime);
@@ -348,8 +371,8 @@
   run.WillFail =
       ActiveFaults.FailStarts ||
       (known && job->LastStepFails && stepIndex + 1 == job->Graph.Steps.size());
-  InvariantChecker::StartEvent entry{this->id(),     id,   f.text("spec"),
-                                     run.Checkpoint, true, {}};
+  InvariantChecker::StartEvent entry{
+      this->id(), id, f.text("spec"), run.Checkpoint, true, {}, late};
   if (known) {
     const std::string &label = job->Graph.Steps[stepIndex].Requirement;
     entry.HasRequiredLabel =
@@ -363,7 +386,7 @@
 }
 
 HttpResponse WorkerServer::handleCommand(const std::string &path,
-                                         const json::value &body) {
+                                         const json::value &body, bool late) {
   Fields f(&body);
   std::optional<model::TaskKey> task =
       installation::decodeTaskName(f.text("task"));
@@ -373,7 +396,7 @@
     return reject("fence");
   RunId id{*task, f.number("run")};
   if (path.ends_with("/run-start"))
-    return start(id, body);
+    return start(id, body, late);
   auto it = Runs.find(id);
   if (path.ends_with("/pace")) {
     if (it != Runs.end())
@@ -399,7 +422,7 @@
   co_await timer.async_wait(AsTuple);
   // A crash discards the commands that have not been executed.
   if (!DownUntil && incarnation == IncarnationStart)
-    handleCommand(path, body);
+    handleCommand(path, body, true);
 }
 
 Awaitable<HttpResponse> WorkerServer::handle(HttpRequest request) {
@@ -420,7 +443,7 @@
                    asio::detached);
     co_return closeWithoutResponse();
   }
-  co_return handleCommand(request.Path, body.value());
+  co_return handleCommand(request.Path, body.value(), false);
 }
 
 } // namespace endivedoor::standin
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -46,6 +46,8 @@
   /// Discards all runs and state; the worker restarts with the same id after \p
   /// downtime.
   void crash(std::chrono::milliseconds downtime);
+  /// The same, as the end of a drain.
+  void leave(std::chrono::milliseconds downtime);
   const std::string id() const { return Profile.Id.str(); }
 
 private:
@@ -69,8 +71,10 @@
 
   Awaitable<HttpResponse> handle(HttpRequest request);
   Awaitable<HttpResponse> poll(json::value body);
-  HttpResponse handleCommand(const std::string &path, const json::value &body);
-  HttpResponse start(const dispatch::RunId &id, const json::value &body);
+  HttpResponse handleCommand(const std::string &path, const json::value &body,
+                             bool late);
+  HttpResponse start(const dispatch::RunId &id, const json::value &body,
+                     bool late);
   HttpResponse makeResponse(unsigned status, json::object body = {}) const;
   HttpResponse reject(const char *reason) const;
   json::object statusBody() const;
@@ -78,6 +82,7 @@
   Awaitable<void> handleCommandLate(std::string path, json::value body);
   void advance(std::chrono::milliseconds elapsed);
   void endRun(const dispatch::RunId &id, dispatch::RunOutcome outcome);
+  void shutDown(std::chrono::milliseconds downtime);
   void startIncarnation();
   void publishEntry();
   base::Resources checkedCapacity() const;
