Pause between polls of a worker whose address was taken over

Cause: the entry of a crashed worker stays for some heartbeats; its address already answers for a new instance, which rejects each poll at once, and only failed polls were followed by a pause. The delay after a failed poll now applies. RunsLost is logged only if there were runs.

--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -283,7 +283,8 @@
     requestPlan();
     if (State.hasWrites())
       CommitTimer.cancel();
-    co_await sleepFor(PollBatchDelay);
+    co_await sleepFor(report.value().WrongIncarnation ? PollRetryDelay
+                                                      : PollBatchDelay);
   }
   PolledWorkers.erase(worker);
 }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -68,6 +68,8 @@
   worker.LatestDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
   worker.UnacknowledgedEnds.clear();
+  if (lost.empty() && worker.Runs.empty())
+    return;
   Events.emit(EventCode::RunsLost,
               {{"worker", worker.Profile.Id.str()},
                {"cause", cause},
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -34,6 +34,9 @@
   std::map<base::WorkerId, base::FencingToken> Tokens;
   std::map<dispatch::RunId, int> StartCounts;
   std::map<dispatch::RunId, int> StopCounts;
+  std::map<base::WorkerId, int> PollCounts;
+  /// Workers whose address another instance has taken over.
+  std::set<base::WorkerId> Replaced;
   /// Tasks keep running instead of completing.
   bool KeepRunning = false;
   std::map<base::WorkerId, std::vector<dispatch::RunStatus>> Running;
@@ -44,6 +47,8 @@
     asio::steady_timer timer(co_await asio::this_coro::executor, 2ms);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     dispatch::PollReport report;
+    ++PollCounts[worker.Id];
+    report.WrongIncarnation = Replaced.contains(worker.Id);
     report.Fenced = request.Token < Tokens[worker.Id];
     Tokens[worker.Id] = std::max(Tokens[worker.Id], request.Token);
     report.Clock = 1000ms;
@@ -192,6 +197,19 @@
   EXPECT_EQ(Workers.StartCounts.size(), 6u);
 }
 
+// The entry of a crashed worker stays for some heartbeats after its address has
+// a new instance, which rejects each poll at once.
+TEST_F(DispatchNodeCalls, ReplacedWorker_IsNotPolledWithoutPause) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  base::WorkerId replaced("w1");
+  ASSERT_TRUE(runUntil([&] { return Workers.PollCounts[replaced] > 0; }));
+  Workers.Replaced.insert(replaced);
+  int before = Workers.PollCounts[replaced];
+  runFor(1000ms);
+  EXPECT_LE(Workers.PollCounts[replaced] - before, 5);
+}
+
 // Each store call is charged for, and is slow when the store is.
 TEST_F(DispatchNodeCalls, SingleShard_NeedsNoLoadRecords) {
   DispatchNode &node = addNode("n1");
