Keep crashes that no owner has seen, and do not clear silent runs

Causes: a crash is counted when the worker is back, some seconds later. An owner that was replaced before that left no trace of first crashes, and its successors started the task as no suspect (runs 1, 2049 and 3073 of one task). And a run that had been started 5 s before was taken as a survivor although its worker had been silent since 3.4 s.

Change: when a worker refuses connections, so that no process is there, its runs are announced in the records of their jobs. This owner still counts the crash when the worker is back; the next one finds no trace of the runs. A cut path does not refuse, it times out. Only a run that its worker has listed after the survival time clears its task.

RefusedPoll_StoresTheRunsForTheNextOwner and SilenceAfterAStart_IsNoSurvival guard this. Not changed: an owner that is killed within the first poll interval after the crash, 0.3 s, leaves no trace.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -115,8 +115,9 @@
   std::optional<PlannedPoll> nextPoll(const base::WorkerId &worker,
                                       base::TimePoint now,
                                       bool mayExtendLeases);
+  /// \param refused whether no process listened at the worker's address.
   void onPollFailed(const base::WorkerId &worker, const std::string &cause,
-                    base::TimePoint now);
+                    base::TimePoint now, bool refused = false);
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
   void onStart(const WorkerCommand &command, base::Result<CommandResult> result,
--- a/packages/dispatch/src/Crashes.cpp
+++ b/packages/dispatch/src/Crashes.cpp
@@ -125,9 +125,26 @@
   markDirty(job);
 }
 
+void ShardState::announceLoss(const WorkerState &worker) {
+  if (worker.Profile.Draining)
+    return;
+  for (const auto &[id, held] : worker.Runs) {
+    JobEntry *job = nullptr;
+    TaskEntry *task = findTask(id.Task, &job);
+    if (!task || !job->isLive() || task->Done)
+      continue;
+    for (const Run &it : task->Runs)
+      if (it.Number == id.Number && it.Worker == &worker &&
+          wasPresent(worker, it) && task->Crashes.AnnouncedRun != it.Number) {
+        task->Crashes.AnnouncedRun = it.Number;
+        markDirty(*job);
+      }
+  }
+}
+
 bool ShardState::announceRun(JobEntry &job, const TaskKey &key, TaskEntry &task,
                              std::int64_t run) {
-  if (!task.isSuspect())
+  if (!task.isSuspect() && task.UnresolvedRun == 0)
     return true;
   CrashRecord &crashes = task.Crashes;
   // All workers have been asked by now, so the run was lost with its worker or
@@ -162,7 +179,7 @@
     CancelForwards.push_back({key.Job, *job.HomeShard});
 }
 
-void ShardState::clearSurvivors(TimePoint now) {
+void ShardState::clearSurvivors() {
   std::int64_t suspects = 0;
   for (auto &[id, w] : Workers)
     for (auto it = w->SuspectRuns.begin(); it != w->SuspectRuns.end();) {
@@ -171,9 +188,11 @@
       bool survived = false;
       for (std::size_t i = 0; task && i < task->Runs.size(); ++i) {
         const Run &run = task->Runs[i];
+        // Silence may be the beginning of a crash.
         survived |=
             run.Number == it->Number && run.Phase == RunPhase::Running &&
-            now - run.Started >
+            !w->SilentSince && w->Clock &&
+            w->Clock->ReceivedAt - run.Started >
                 std::max<base::Duration>(
                     SurvivalTime, SurvivalFactor * task->Crashes.LongestRun);
       }
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -155,7 +155,7 @@
       for (std::size_t i = 0; i < o.Steps[s].Tasks.size(); ++i) {
         const TaskEntry &t = o.Steps[s].Tasks[i];
         if (t.Done || t.DelegatedTo || !t.FailedRuns.empty() || t.isSuspect() ||
-            !t.Checkpoint.empty())
+            t.Crashes.AnnouncedRun > 0 || !t.Checkpoint.empty())
           record.Tasks.push_back(
               {static_cast<std::int32_t>(s), static_cast<std::int32_t>(i),
                t.Done, t.FailedRuns, t.Done ? "" : t.Checkpoint, t.DelegatedTo,
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -448,7 +448,7 @@
   s.stopUnneededRuns(now);
   s.moveOffDrainingWorkers(now);
   s.stopStuckRuns(now);
-  s.clearSurvivors(now);
+  s.clearSurvivors();
   s.StartBudget = mayStart ? maxStarts : 0;
   if (s.StartBudget > 0)
     s.startReadySteps(now);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -32,6 +32,9 @@
 /// together.
 constexpr auto PollBatchDelay = 25ms;
 constexpr auto PollRetryDelay = 300ms;
+/// A call of which nothing was sent and that fails sooner than this was refused
+/// by the worker's host; the path to a host that is cut off times out.
+constexpr auto MaxRefusalTime = 300ms;
 
 ShardRunner::ShardRunner(RunnerContext context, Term term)
     : Context(std::move(context)), CurrentTerm(std::move(term)),
@@ -273,7 +276,12 @@
     if (Stopped)
       co_return;
     if (!report) {
-      State.onPollFailed(worker, report.error().message(), Context.Time.now());
+      TimePoint failed = Context.Time.now();
+      bool refused = report.error().Code == base::Errc::WorkerUnreachable &&
+                     failed - sent < MaxRefusalTime;
+      State.onPollFailed(worker, report.error().message(), failed, refused);
+      if (State.hasWrites())
+        CommitTimer.cancel();
       co_await sleepFor(PollRetryDelay);
       continue;
     }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -174,6 +174,11 @@
       run->PhaseSince = now;
     }
     run->PossibleCrash.reset();
+    // The worker was unreachable for a while but has not crashed.
+    if (!task->isSuspect() && task->Crashes.AnnouncedRun == run->Number) {
+      task->Crashes.AnnouncedRun = 0;
+      markDirty(*job);
+    }
     run->SpeedPercent = row.SpeedPercent;
     run->HasGauge = row.HasGauge;
     run->Gauge = row.Gauge;
@@ -335,11 +340,20 @@
 }
 
 void Shard::onPollFailed(const base::WorkerId &worker, const std::string &cause,
-                         TimePoint now) {
+                         TimePoint now, bool refused) {
   auto it = State->Workers.find(worker);
-  if (it == State->Workers.end() || it->second->SilentSince)
+  if (it == State->Workers.end())
+    return;
+  WorkerState &w = *it->second;
+  bool wasSilent = w.SilentSince.has_value();
+  if (!wasSilent)
+    w.SilentSince = now;
+  if (refused && !w.Refused) {
+    w.Refused = true;
+    State->announceLoss(w);
+  }
+  if (wasSilent)
     return;
-  it->second->SilentSince = now;
   State->Events.emit(base::EventCode::WorkerSilent,
                      {{"worker", worker.str()}, {"cause", cause}});
 }
@@ -368,6 +382,7 @@
     s.handleRestart(w, "worker reported a new start time", received);
   if (w.SilentSince) {
     w.SilentSince.reset();
+    w.Refused = false;
     s.Events.emit(base::EventCode::WorkerHeard, {{"worker", worker.str()}});
   }
   if (report.StartTime.count() != 0)
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -184,6 +184,8 @@
   bool Listed = false;
   /// Since when polls have not been answered.
   std::optional<TimePoint> SilentSince;
+  /// A poll since then was refused: no process listens at the address.
+  bool Refused = false;
   /// Its run lists have been received under the current token.
   bool Synced = false;
   /// The stored roster contains the worker, so commands may be sent to it.
@@ -337,7 +339,11 @@
   void giveUp(JobEntry &job, const TaskKey &key, const TaskEntry &task);
   /// Clears tasks whose run has outlived the time after which earlier runs
   /// crashed.
-  void clearSurvivors(TimePoint now);
+  void clearSurvivors();
+  /// Announces the runs on a worker that refuses connections, which has most
+  /// likely crashed. This owner counts the crash once the worker is back; a
+  /// later owner would find no trace of the runs.
+  void announceLoss(const WorkerState &worker);
 
   // Plan.cpp
   void openDueOccurrences(base::WallTime wall, TimePoint now);
--- a/tests/unit/unit-dispatch-crashes.cpp
+++ b/tests/unit/unit-dispatch-crashes.cpp
@@ -291,6 +291,43 @@
   }
 }
 
+// Seed 3 of the soak: a run was taken as a survivor although its worker had
+// crashed and was not back yet.
+TEST_F(CrashedWorker, SilenceAfterAStart_IsNoSurvival) {
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  crash(startAll().at(0).Worker.Id.str());
+  std::string at = startAll().at(0).Worker.Id.str();
+  TestShard.onPollFailed(base::WorkerId(at), "connection reset", now());
+  storeWrites();
+  for (int i = 0; i < 5; ++i) {
+    Time.advance(1s);
+    plan();
+  }
+  crash(at);
+  EXPECT_EQ(finalStateOf(1), model::JobState::Failed);
+}
+
+// Seed 41 of the soak: owners were replaced between the crash of a worker and
+// its return, and each successor started the task again.
+TEST_F(CrashedWorker, RefusedPoll_StoresTheRunsForTheNextOwner) {
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<WorkerCommand> commands = startAll();
+  ASSERT_EQ(commands.size(), 1u);
+  base::WorkerId at = commands[0].Worker.Id;
+  TestShard.onPollFailed(at, "end of stream", now());
+  EXPECT_FALSE(TestShard.hasWrites());
+  TestShard.onPollFailed(at, "connection refused", now(), true);
+  std::vector<dispatch::JobWrite> writes = TestShard.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  TestShard.addJob(job(2, {step(1)}), 300, true, now());
+  TestShard.restore(JobNumber{2}, writes[0].Progress, 301);
+  EXPECT_TRUE(plan().empty());
+  writes = TestShard.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Progress.Occurrences.at(0).Tasks.at(0).Crashes.Runs,
+            (std::vector<std::int64_t>{commands[0].Run.Number}));
+}
+
 TEST_F(CrashedWorker, SurvivingRun_ClearsItsTask) {
   TestShard.addJob(job(1, {step(1)}), 200, false, now());
   crash(startAll().at(0).Worker.Id.str());
@@ -458,7 +495,7 @@
         Time.now().time_since_epoch());
     report.StartTime = w.Profile.StartTime;
     if (w.BackAt && Time.now() < *w.BackAt) {
-      Owner->onPollFailed(w.Profile.Id, "connection refused", Time.now());
+      Owner->onPollFailed(w.Profile.Id, "connection refused", Time.now(), true);
       return false;
     }
     if (w.BackAt) {
