Reject worker entries with an invalid capacity

An entry from another writer whose capacity has a number out of range or a gpu of another type was taken over: as no accelerators, as a negative capacity, or as one of 9e18 millicores, which admits every task. Only the types of cpu and mem_mb were checked.

A gpu that is absent still means none.

--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -55,6 +55,50 @@
     EXPECT_FALSE(decodeWorker("i-1", it).has_value()) << it;
 }
 
+/// Returns an entry that is complete but for its capacity.
+std::string entryWithCapacity(const std::string &capacity) {
+  return R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+             "state":"ready","born":77)" +
+         capacity + "}";
+}
+
+// A capacity that cannot be read must count neither as zero nor as unlimited.
+TEST(DecodeWorker, UnreadableCapacity_MakesTheEntryUnusable) {
+  for (const char *it : {
+           "",
+           R"(,"capacity":null)",
+           R"(,"capacity":16000)",
+           R"(,"capacity":[16000,32768,0])",
+           R"(,"capacity":{})",
+           R"(,"capacity":{"cpu":16000,"gpu":0})",
+           R"(,"capacity":{"mem_mb":32768,"gpu":0})",
+           R"(,"capacity":{"cpu":null,"mem_mb":32768,"gpu":0})",
+           R"(,"capacity":{"cpu":true,"mem_mb":32768,"gpu":0})",
+           R"(,"capacity":{"cpu":16000,"mem_mb":[1],"gpu":0})",
+           R"(,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":"2"})",
+           R"(,"capacity":{"cpu":-1,"mem_mb":32768,"gpu":0})",
+           R"(,"capacity":{"cpu":16000,"mem_mb":-1,"gpu":0})",
+           R"(,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":-1})",
+           R"(,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":4294967297})",
+           R"(,"capacity":{"cpu":18446744073709551615,"mem_mb":1,"gpu":0})",
+           R"(,"capacity":{"cpu":9223372036854775807,"mem_mb":1,"gpu":0})",
+           R"(,"capacity":{"cpu":1e300,"mem_mb":32768,"gpu":0})",
+       })
+    EXPECT_FALSE(decodeWorker("i-1", entryWithCapacity(it)).has_value()) << it;
+}
+
+TEST(DecodeWorker, SmallCapacity_IsDecoded) {
+  auto empty = decodeWorker(
+      "i-1", entryWithCapacity(R"(,"capacity":{"cpu":0,"mem_mb":0,"gpu":0})"));
+  ASSERT_TRUE(empty.has_value());
+  EXPECT_EQ(count(empty.value().Capacity.Cpu), 0);
+  auto withoutGpu = decodeWorker(
+      "i-1", entryWithCapacity(R"(,"capacity":{"cpu":1500,"mem_mb":2048})"));
+  ASSERT_TRUE(withoutGpu.has_value());
+  EXPECT_EQ(withoutGpu.value().Capacity.Accelerators, 0);
+  EXPECT_EQ(count(withoutGpu.value().Capacity.Memory), 2048);
+}
+
 TEST(DecodeJob, EveryField_IsDecoded) {
   auto graph = decodeJobGraph(
       R"({"spec":"p","repeat_count":2,"start_at_ms":5,"interval_ms":7,
