Wait for the entry of a restarted worker before starts

A worker that had restarted got starts by the capacity and the labels of its earlier incarnation until its next entry was read. Its list of runs already names the new start time, and the new incarnation may be of another kind. An entry of an earlier incarnation that came late had the same effect.

Without the change, NewIncarnationWithoutEntry_GetsNoStarts and LateEntryOfAnEarlierIncarnation_OffersNoCapacity start three tasks on a worker whose new capacity admits one. A worker is now usable only if its entry is as new as its list of runs. The cost: a worker that restarts while the store is away gets no starts until the store is back.

EntryOfAnEarlierIncarnation_LosesNoRuns relied on a start before the entry of the new incarnation, which is no longer allowed. It now delivers that entry first, and the worker lists the run before the late entry. Its assertions are unchanged.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -266,6 +266,7 @@
                    {"shard", std::to_string(s.Number)}});
   w.Profile = profile;
   w.Profile.StartTime = startTime;
+  w.EntryStartTime = profile.StartTime;
   w.Listed = true;
   if (restarted)
     s.handleRestart(w, "worker restarted", now);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -180,6 +180,9 @@
 
 struct WorkerState {
   model::WorkerProfile Profile;
+  /// Start time in the latest entry; 0 if it has none. Profile holds the latest
+  /// start time that is known.
+  std::chrono::milliseconds EntryStartTime{0};
   /// The worker has a directory entry.
   bool Listed = false;
   /// Since when polls have not been answered.
@@ -246,8 +249,14 @@
         std::max<std::int64_t>(1, count(Profile.Capacity.Cpu));
     return static_cast<double>(cpu) / static_cast<double>(capacity);
   }
+  /// Returns whether the entry describes an earlier incarnation, which may have
+  /// had other labels and another capacity.
+  bool isEntryOutdated() const {
+    return EntryStartTime.count() != 0 && EntryStartTime < Profile.StartTime;
+  }
   bool isUsable() const {
-    return Listed && Synced && InRoster && !Profile.Draining;
+    return Listed && Synced && InRoster && !Profile.Draining &&
+           !isEntryOutdated();
   }
 };
 
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -448,6 +448,36 @@
       EXPECT_TRUE(std::isfinite(sum));
 }
 
+// A new incarnation may offer less than the one whose entry was read last.
+TEST_F(CapacityTakeover, NewIncarnationWithoutEntry_GetsNoStarts) {
+  addWorker("w1");
+  PollReport reborn;
+  reborn.StartTime = 2000ms;
+  poll("w1", reborn);
+  poll("w1", reborn);
+  addJob(1, step(3));
+  EXPECT_TRUE(start().empty());
+  EXPECT_EQ(count(TestShard.load().ShortTaskHeadroom), -3 * TaskMilliCores);
+  model::WorkerProfile entry = sized("w1", TaskMilliCores);
+  entry.StartTime = 2000ms;
+  TestShard.updateWorker(entry, now());
+  poll("w1", reborn);
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+TEST_F(CapacityTakeover, LateEntryOfAnEarlierIncarnation_OffersNoCapacity) {
+  model::WorkerProfile entry = sized("w1", TaskMilliCores);
+  entry.StartTime = 2000ms;
+  PollReport report;
+  report.StartTime = 2000ms;
+  TestShard.updateWorker(entry, now());
+  TestShard.onRosterStored(TestShard.roster());
+  poll("w1", report);
+  resize("w1", WorkerMilliCores);
+  addJob(1, step(3));
+  EXPECT_LE(plan().size(), 1u);
+}
+
 // A step that was found unplaceable in one pass is tried again in the next.
 TEST_F(CapacityMove, JobThatFitsNowhere_StartsWhenTheCapacityGrows) {
   addWorker("w1");
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -73,11 +73,17 @@
   PollReport report;
   report.StartTime = 2000ms;
   poll("w1", report);
+  model::WorkerProfile reborn = worker("w1");
+  reborn.StartTime = 2000ms;
+  TestShard.updateWorker(reborn, now());
   poll("w1", report);
   TestShard.addJob(job(1, {step(1)}), 200, false, now());
   std::vector<WorkerCommand> orders = plan();
   ASSERT_EQ(orders.size(), 1u);
   confirmStarts(orders);
+  Time.advance(50ms);
+  report.Running.push_back(runningStatus(1, 0, orders[0].Run.Number));
+  poll("w1", report);
   TestShard.updateWorker(worker("w1"), now());
   addWorker("w2");
   EXPECT_TRUE(plan().empty());
