Leave room beside the long-running jobs of the soak

Callers now submit a long-running job only while those take less than a quarter of the workers' CPU, and another job otherwise.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -26,6 +26,9 @@
 /// Time for which a caller waits for a response, the same as for the users'
 /// callers.
 constexpr auto RequestTimeout = 3000ms;
+/// Part of the workers' CPU that long-running tasks may fill. The others need
+/// up to 2.5 of 8 cores on one worker, also on workers of reduced capacity.
+constexpr int MaxLongRunningPercent = 25;
 /// Maximum number of attempts to submit a job.
 constexpr int SubmitAttempts = 5;
 
@@ -42,6 +45,19 @@
   return std::bernoulli_distribution(share)(Random);
 }
 
+/// Returns whether the long-running jobs that nobody cancels leave room for
+/// another one and for the tasks of the other jobs.
+bool Callers::hasRoomForLongRunning() const {
+  std::int64_t used = 0;
+  for (const auto &[id, job] : Cluster.Checker.jobs())
+    if (const model::StepSpec &step = job.Graph.Steps.front();
+        step.LongRunning && !job.CancelSent)
+      used += count(step.Size.Cpu) * step.Count;
+  std::int64_t total =
+      count(WorkerSize.Cpu) * static_cast<std::int64_t>(Cluster.Workers.size());
+  return used * 100 < total * MaxLongRunningPercent;
+}
+
 ObservedJob Callers::makeJob(std::string &queue) {
   ObservedJob job;
   job.MaxAttempts = MaxAttempts;
@@ -53,7 +69,7 @@
   int steps = 1;
   int work = randomInt(80, 500);
   int kind = randomInt(0, 9);
-  if (kind == 0) {
+  if (kind == 0 && hasRoomForLongRunning()) {
     step.LongRunning = true;
     step.Count = randomInt(1, 3);
     step.Target = 50ms;
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -41,6 +41,7 @@
   Awaitable<void> queryState(model::JobNumber id, std::string path);
   Awaitable<base::Result<platform::HttpResponse>>
   send(std::string method, std::string path, std::string body = {});
+  bool hasRoomForLongRunning() const;
   standin::ObservedJob makeJob(std::string &queue);
   standin::ObservedJob makeJobToCancel(std::string &queue);
   void addCrashingTask(model::JobNumber id, standin::ObservedJob &job);
--- a/tests/soak/TestCluster.cpp
+++ b/tests/soak/TestCluster.cpp
@@ -45,8 +45,7 @@
     profile.Service = base::ServiceName("desk");
     profile.Zone = base::ZoneId(Zones[number % ZoneCount]);
     profile.Endpoint = standin::parseAddress(address(WorkerLinkOffset + i));
-    profile.Capacity.Cpu = base::MilliCores{8000};
-    profile.Capacity.Memory = base::MebiBytes{16000};
+    profile.Capacity = WorkerSize;
     profile.Labels = {i % 2 == 0 ? "plain" : "large",
                       "rack-" + std::to_string(i / 4)};
     Workers.push_back(std::make_unique<standin::WorkerServer>(
--- a/tests/soak/TestCluster.h
+++ b/tests/soak/TestCluster.h
@@ -75,6 +75,9 @@
   std::int64_t ConfigVersion = 0;
 };
 
+/// Capacity of each worker.
+constexpr base::Resources WorkerSize{.Cpu = base::MilliCores{8000},
+                                     .Memory = base::MebiBytes{16000}};
 /// Host name that callers use, and the path prefixes of the queues.
 extern const char *const QueueHost;
 extern const char *const ShortQueue;
