Shrink workers in the soak

The soak's workers kept their capacity for the whole session, so LIMIT was never checked against one that changes.

A new fault reduces the CPU and memory of up to four workers to a third or a half for 1 to 8 s, then restores them. The stand-in checks starts against the lower capacity 3.5 s after its publication.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -40,6 +40,7 @@
     {"worker-crash", &FaultInjector::crashWorkers},
     {"worker-odd", &FaultInjector::injectWorkerFaults},
     {"worker-drain", &FaultInjector::drainWorker},
+    {"worker-shrink", &FaultInjector::shrinkWorkers},
     {"zone-out", &FaultInjector::evacuateZone},
     {"config", &FaultInjector::changeConfiguration},
     {"foreign-entry", &FaultInjector::writeForeignEntry},
@@ -296,6 +297,22 @@
   worker.setDraining(false);
 }
 
+/// Reduces the capacity of some workers to a third or a half, then restores it.
+Awaitable<void> FaultInjector::shrinkWorkers() {
+  base::Resources less = WorkerSize;
+  int part = randomInt(2, 3);
+  less.Cpu = base::MilliCores{count(less.Cpu) / part};
+  less.Memory = base::MebiBytes{count(less.Memory) / part};
+  std::vector<WorkerServer *> affected;
+  for (int i = randomInt(1, 4); i > 0; --i)
+    affected.push_back(&randomWorker());
+  for (WorkerServer *it : affected)
+    it->setCapacity(less);
+  co_await sleepFor(randomTime(1000, 8000));
+  for (WorkerServer *it : affected)
+    it->setCapacity(WorkerSize);
+}
+
 Awaitable<void> FaultInjector::evacuateZone() {
   static const char *const zones[] = {"a", "b", "c"};
   std::string key = std::string("op/evacuate/") + zones[randomInt(0, 2)];
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -54,6 +54,7 @@
   Awaitable<void> crashWorkers();
   Awaitable<void> injectWorkerFaults();
   Awaitable<void> drainWorker();
+  Awaitable<void> shrinkWorkers();
   Awaitable<void> evacuateZone();
   Awaitable<void> changeConfiguration();
   Awaitable<void> writeForeignEntry();
