Log the age of the records at a start and the cause of each stop

- RunStarted has the time since the latest answered list or watch call of the shard's records was sent (recordsMs).
- StopSent (7540) names the cause of each stop command, also of a repeated one.
- StartSlow (7541) names a start call that took more than 1 s, longer than its timeout, which shows a delay in the node itself.

PrefixMirror takes a clock for this.

--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVEDOOR_DISPATCH_PREFIXMIRROR_H
 #define ENDIVEDOOR_DISPATCH_PREFIXMIRROR_H
 
+#include "endivedoor/base/Clock.h"
 #include "endivedoor/base/Event.h"
 #include "endivedoor/dispatch/MetadataStore.h"
 
@@ -33,7 +34,8 @@
   /// \param batchDelay pause between two watch calls; changes within it arrive
   /// in one call.
   PrefixMirror(boost::asio::any_io_executor executor, MetadataStore &store,
-               std::string prefix, Handlers handlers, base::EventLog &events,
+               std::string prefix, Handlers handlers, const base::Clock &clock,
+               base::EventLog &events,
                std::chrono::milliseconds batchDelay = {});
   ~PrefixMirror();
   PrefixMirror(const PrefixMirror &) = delete;
@@ -44,6 +46,9 @@
   bool isSynced() const;
   /// Returns the revision of a key, or 0 if the key does not exist.
   std::int64_t revisionOf(const std::string &key) const;
+  /// Returns when the latest answered call was sent. The copy contains all that
+  /// the store had acknowledged by then.
+  base::TimePoint lastAnsweredCall() const;
 
 private:
   struct Impl;
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -103,6 +103,8 @@
   /// count as running until the worker reports otherwise or its lease expires.
   void unlistWorker(const base::WorkerId &worker);
   void setZonesOutOfService(std::set<base::ZoneId> zones);
+  /// The jobs and cancellations are complete as of \p asOf.
+  void setRecordsAsOf(base::TimePoint asOf);
   std::vector<WorkerRef> workers() const;
   bool hasWorker(const base::WorkerId &worker) const;
   /// Returns the roster that must be stored before commands are sent to its
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -99,7 +99,7 @@
                   {[this](const StoredItem &it) { onDirectoryItem(it); },
                    [this](const std::string &key) { onDirectoryDelete(key); },
                    [this] { spawnReconcile(); }},
-                  events),
+                  clock, events),
         WorkersChanged(clock.now()), LastStoreContact(clock.now()),
         Started(clock.now()), LastHandover(clock.now()),
         JobRequests(store, clock, View, Workers) {}
--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -118,7 +118,7 @@
                                              {"image", filler.Step->Image},
                                              {"cause", cause}});
   throttleRun(w, filler.Id, *filler.Entry, 0);
-  stopRun(filler.Id.Task, *filler.Entry, now);
+  stopRun(filler.Id.Task, *filler.Entry, "filler", now);
   w.ThrottleChanged = now;
 }
 
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -88,7 +88,8 @@
                {"worker", worker.Profile.Id.str()},
                {"freeCpu", std::to_string(count(worker.Profile.Capacity.Cpu) -
                                           count(worker.Used.Cpu))},
-               {"waitedMs", std::to_string((now - job.Accepted) / 1ms)}});
+               {"waitedMs", std::to_string((now - job.Accepted) / 1ms)},
+               {"recordsMs", std::to_string((now - RecordsAsOf) / 1ms)}});
   Outbox.push_back(std::move(command));
 }
 
@@ -284,7 +285,21 @@
     }
 }
 
-void ShardState::stopRun(const TaskKey &key, Run &run, TimePoint now) {
+void ShardState::sendStop(const WorkerState &worker, const RunId &run,
+                          const char *cause) {
+  WorkerCommand command;
+  command.Type = WorkerCommand::Kind::Stop;
+  command.Worker = worker.ref();
+  command.Run = run;
+  Events.emit(EventCode::StopSent, {{"task", taskText(run.Task)},
+                                    {"run", std::to_string(run.Number)},
+                                    {"worker", worker.Profile.Id.str()},
+                                    {"cause", cause}});
+  Outbox.push_back(std::move(command));
+}
+
+void ShardState::stopRun(const TaskKey &key, Run &run, const char *cause,
+                         TimePoint now) {
   bool again = run.Phase == RunPhase::Stopping;
   if (again && now - run.StopSent < StopRetryInterval)
     return;
@@ -293,11 +308,9 @@
     run.PhaseSince = now;
   }
   run.StopSent = now;
-  WorkerCommand command;
-  command.Type = WorkerCommand::Kind::Stop;
-  command.Worker = run.Worker->ref();
-  command.Run = {key, run.Number};
-  Outbox.push_back(std::move(command));
+  if (!run.StopCause)
+    run.StopCause = cause;
+  sendStop(*run.Worker, {key, run.Number}, run.StopCause);
 }
 
 void ShardState::stopUnneededRuns(TimePoint now) {
@@ -320,8 +333,13 @@
                                now - it.PhaseSince > UnconfirmedTimeout;
             bool unneeded = !job->isLive() || !task.isPending() ||
                             unconfirmed || incomplete;
+            const char *cause = !job->isLive()      ? "job ended"
+                                : !task.isPending() ? "task done elsewhere"
+                                : unconfirmed       ? "unconfirmed start"
+                                : incomplete        ? "incomplete gang"
+                                                    : "task runs elsewhere";
             if (unneeded || it.Phase == RunPhase::Stopping)
-              stopRun(key, it, now);
+              stopRun(key, it, cause, now);
           }
         }
       }
@@ -331,13 +349,7 @@
       if (sent != TimePoint{} && now - sent < StopRetryInterval)
         continue;
       sent = now;
-      Outbox.push_back({WorkerCommand::Kind::Stop,
-                        w->ref(),
-                        run,
-                        {},
-                        {},
-                        WorkerTime{0},
-                        100});
+      sendStop(*w, run, "unknown run");
     }
 }
 
@@ -352,7 +364,7 @@
         continue;
       for (Run &it : task->Runs)
         if (it.Worker == w.get() && it.Phase == RunPhase::Running)
-          stopRun(run.Task, it, now);
+          stopRun(run.Task, it, "worker drains", now);
     }
   }
 }
@@ -390,7 +402,7 @@
                        {"run", std::to_string(run.Number)},
                        {"worker", run.Worker->Profile.Id.str()},
                        {"ms", std::to_string((now - run.Started) / 1ms)}});
-          stopRun(key, run, now);
+          stopRun(key, run, "stuck", now);
         }
       }
   }
@@ -409,6 +421,8 @@
   State->ZonesOutOfService = std::move(zones);
 }
 
+void Shard::setRecordsAsOf(base::TimePoint asOf) { State->RecordsAsOf = asOf; }
+
 bool Shard::isFenced() const { return State->Fenced; }
 base::FencingToken Shard::token() const { return State->Token; }
 
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -24,20 +24,22 @@
   MetadataStore &Store;
   std::string Prefix;
   Handlers Callbacks;
+  const base::Clock &Time;
   base::EventLog &Events;
   std::chrono::milliseconds BatchDelay;
   std::map<std::string, std::int64_t> Revisions;
   std::int64_t AsOf = 0;
+  base::TimePoint AnsweredCallSent{};
   bool Listed = false;
   bool Reachable = true;
   bool Stopped = false;
 
   Impl(asio::any_io_executor executor, MetadataStore &store, std::string prefix,
-       Handlers handlers, base::EventLog &events,
+       Handlers handlers, const base::Clock &clock, base::EventLog &events,
        std::chrono::milliseconds batchDelay)
       : Executor(std::move(executor)), Store(store), Prefix(std::move(prefix)),
-        Callbacks(std::move(handlers)), Events(events), BatchDelay(batchDelay) {
-  }
+        Callbacks(std::move(handlers)), Time(clock), Events(events),
+        BatchDelay(batchDelay) {}
 
   void applyWrite(const StoredItem &item) {
     std::int64_t &known = Revisions[item.Key];
@@ -64,6 +66,7 @@
   }
 
   asio::awaitable<bool> relist() {
+    base::TimePoint sent = Time.now();
     base::Result<Listing> list = co_await Store.list(Prefix);
     if (Stopped)
       co_return false;
@@ -89,12 +92,14 @@
         co_return false;
     }
     AsOf = list.value().AsOf;
+    AnsweredCallSent = sent;
     Listed = true;
     Callbacks.Synced();
     co_return true;
   }
 
   asio::awaitable<bool> pollWatch() {
+    base::TimePoint sent = Time.now();
     base::Result<Changes> changes =
         co_await Store.watch(Prefix, AsOf, WatchTimeout);
     if (Stopped)
@@ -119,6 +124,7 @@
         co_return false;
     }
     AsOf = std::max(AsOf, changes.value().AsOf);
+    AnsweredCallSent = sent;
     if (!changes.value().List.empty())
       Callbacks.Synced();
     co_return true;
@@ -145,10 +151,11 @@
 
 PrefixMirror::PrefixMirror(asio::any_io_executor executor, MetadataStore &store,
                            std::string prefix, Handlers handlers,
-                           base::EventLog &events,
+                           const base::Clock &clock, base::EventLog &events,
                            std::chrono::milliseconds batchDelay)
     : Self(std::make_shared<Impl>(std::move(executor), store, std::move(prefix),
-                                  std::move(handlers), events, batchDelay)) {}
+                                  std::move(handlers), clock, events,
+                                  batchDelay)) {}
 
 PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
 
@@ -164,4 +171,8 @@
   return it == Self->Revisions.end() ? 0 : it->second;
 }
 
+base::TimePoint PrefixMirror::lastAnsweredCall() const {
+  return Self->AnsweredCallSent;
+}
+
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -1,6 +1,7 @@
 #include "detail/ShardRunner.h"
 
 #include "detail/ColocationRecords.h"
+#include "detail/ShardState.h"
 #include "detail/Sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,6 +33,9 @@
 /// together.
 constexpr auto PollBatchDelay = 25ms;
 constexpr auto PollRetryDelay = 300ms;
+/// A call that takes longer is logged. Longer than CallTimeout, so that it
+/// shows a delay in the node itself.
+constexpr auto SlowCall = 1000ms;
 
 ShardRunner::ShardRunner(RunnerContext context, Term term)
     : Context(std::move(context)), CurrentTerm(std::move(term)),
@@ -130,9 +134,9 @@
     if (std::shared_ptr<ShardRunner> self = runner.lock())
       self->onSynced(std::move(progress));
   };
-  Mirror = std::make_unique<PrefixMirror>(Context.Executor, Context.Store,
-                                          keys::shardPrefix(CurrentTerm.Shard),
-                                          std::move(handlers), Context.Events);
+  Mirror = std::make_unique<PrefixMirror>(
+      Context.Executor, Context.Store, keys::shardPrefix(CurrentTerm.Shard),
+      std::move(handlers), Context.Time, Context.Events);
   Mirror->start();
 }
 
@@ -292,6 +296,7 @@
   auto self = shared_from_this();
   while (!Stopped) {
     PlanDue = false;
+    State.setRecordsAsOf(Mirror->lastAnsweredCall());
     for (WorkerCommand &it : State.plan(
              Context.Time.now(), Context.Time.wallNow(),
              maySendCommands() && !Flushing, Context.StartCalls.available()))
@@ -359,8 +364,16 @@
     Context.StartCalls.onSent();
     auto answer = co_await Context.WorkerCalls.start(
         order.Worker, std::move(request), CallTimeout);
-    Context.StartCalls.onFinished(Context.Time.now() - sent, answer.has_value(),
-                                  Context.Time.now());
+    TimePoint answered = Context.Time.now();
+    Context.StartCalls.onFinished(answered - sent, answer.has_value(),
+                                  answered);
+    if (answered - sent > SlowCall)
+      Context.Events.emit(EventCode::StartSlow,
+                          {{"task", taskText(order.Run.Task)},
+                           {"run", std::to_string(order.Run.Number)},
+                           {"worker", order.Worker.Id.str()},
+                           {"ms", std::to_string((answered - sent) / 1ms)},
+                           {"answered", answer.has_value() ? "yes" : "no"}});
     if (Stopped)
       co_return;
     State.onStart(order, std::move(answer), Context.Time.now());
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -42,6 +42,8 @@
   /// that show whether the run still exists.
   std::optional<TimePoint> StopConfirmed;
   TimePoint StopSent;
+  /// Why the run is stopped; null unless a stop command has been sent.
+  const char *StopCause = nullptr;
   std::int32_t SpeedPercent = 100;
   std::int64_t Gauge = 0;
   bool HasGauge = false;
@@ -231,6 +233,8 @@
         Events(events), MetricsRegistry(metrics) {}
 
   bool Fenced = false;
+  /// When the jobs and cancellations were complete.
+  TimePoint RecordsAsOf;
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
   /// Cancelled jobs whose job record has not been read yet.
@@ -301,7 +305,8 @@
   void startTask(JobEntry &job, const TaskKey &key, TaskEntry &task,
                  WorkerState &worker, TimePoint now, std::int64_t run);
   void stopUnneededRuns(TimePoint now);
-  void stopRun(const TaskKey &key, Run &run, TimePoint now);
+  void stopRun(const TaskKey &key, Run &run, const char *cause, TimePoint now);
+  void sendStop(const WorkerState &worker, const RunId &run, const char *cause);
   void moveOffDrainingWorkers(TimePoint now);
   void stopStuckRuns(TimePoint now);
 
--- a/tests/unit/unit-dispatch-lifetime.cpp
+++ b/tests/unit/unit-dispatch-lifetime.cpp
@@ -116,7 +116,7 @@
                                        },
                                        [](const std::string &) {},
                                        [&] { ++synced; }},
-      Events);
+      Time, Events);
   mirror->start();
   runFor(50ms);
   EXPECT_EQ(written, 1);
@@ -137,7 +137,7 @@
                                          mirror.reset();
                                        },
                                        [&] { ++synced; }},
-      Events);
+      Time, Events);
   mirror->start();
   ASSERT_TRUE(runUntil([&] { return synced == 1; }));
   Store.PendingHistoryLosses = 1;
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -578,7 +578,7 @@
       Io.get_executor(), Store, "p/",
       {[&](const dispatch::StoredItem &it) { mirrored[it.Key] = it.Value; },
        [&](const std::string &key) { mirrored.erase(key); }, [] {}},
-      Events);
+      Time, Events);
   mirror.start();
   ASSERT_TRUE(runUntil([&] { return mirrored.size() == 1; }));
   Store.PendingHistoryLosses = 1;
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -179,6 +179,47 @@
   EXPECT_EQ(writes[0].Final, model::JobState::Cancelled);
 }
 
+/// Returns a field of the latest event with a code, or "" if there is none.
+std::string lastField(const base::EventLog &events, base::EventCode code,
+                      const std::string &name) {
+  std::string value;
+  for (const base::EventRecord &it : events.snapshot())
+    if (it.Code == code)
+      for (const base::EventField &field : it.Fields)
+        if (field.first == name)
+          value = field.second;
+  return value;
+}
+
+// Without the age of the records and the cause of a stop, the log of a day does
+// not tell why a task of a cancelled job was started.
+TEST_F(ShardStart, Log_NamesTheAgeOfTheRecords) {
+  addWorker("w1");
+  TestShard.setRecordsAsOf(now());
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  Time.advance(500ms);
+  ASSERT_EQ(plan().size(), 1u);
+  EXPECT_EQ(lastField(Events, base::EventCode::RunStarted, "recordsMs"), "510");
+}
+
+TEST_F(ShardCancel, Log_NamesTheCauseOfAStop) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  confirmStarts(plan());
+  PollReport report;
+  report.Running = {runningStatus(1, 0, 1), runningStatus(9, 0, 1)};
+  poll("w1", report);
+  ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  EXPECT_EQ(lastField(Events, base::EventCode::StopSent, "cause"),
+            "unknown run");
+  TestShard.cancelJob(JobNumber{1}, now());
+  ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  EXPECT_EQ(lastField(Events, base::EventCode::StopSent, "cause"), "job ended");
+  // A repeated stop keeps its first cause.
+  Time.advance(800ms);
+  ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 2u);
+}
+
 TEST_F(ShardStart, FullWorker_GetsNoMoreStarts) {
   addWorker("w1");
   TestShard.addJob(job(1, {step(9)}), 5, false, now());
