Start tasks only from records that are at most 1.5 s old

Callers saw tasks of a job start seconds after its cancellation had been acknowledged (bound 3 s on small sites), without any injected fault.

One cause: the owner starts tasks from its copy of the shard's records. When the watch of these records is not answered while other calls are, for example lease renewals, the owner does not read the cancellation and goes on starting for as long as the watch stays silent; a process that was paused or gets little processor time starts tasks before it reads the answers that wait for it. Nothing compared the age of the copy with the time in which a cancellation must take effect.

An owner now starts tasks only while the latest answered list or watch call of the shard's records was sent at most 1.5 s ago. While the store as a whole does not answer this node, that is, the watch has failed and no other call that was sent over 1.5 s later has been answered, starts go on within OwnerGrace as before. The watch of a shard's records waits at most 0.5 s (2 s before), so that two waits are shorter than the limit; its timeout at the call site is the wait and 0.9 s, so that a silent connection ends after 1.4 s (2.9 s before). The check, and whether the job is live and the run still wanted, is repeated just before a start command leaves. Stops, polls and leases are not affected.

--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -17,6 +17,14 @@
 
 namespace endivedoor::dispatch {
 
+struct MirrorDelays {
+  /// Maximum wait of a watch call. A connection may stall without an error, so
+  /// this bounds the age of the local copy. Each wait costs one call.
+  std::chrono::milliseconds Watch{2000};
+  /// Pause between two watch calls; changes within it arrive in one call.
+  std::chrono::milliseconds Batch{0};
+};
+
 /// Lists a prefix, then watches it, and lists it again if the store has
 /// compacted the watched revisions. Reports each change once, in revision
 /// order. A handler may destroy the mirror; no handler is called after that.
@@ -31,12 +39,9 @@
     std::function<void()> Synced;
   };
 
-  /// \param batchDelay pause between two watch calls; changes within it arrive
-  /// in one call.
   PrefixMirror(boost::asio::any_io_executor executor, MetadataStore &store,
                std::string prefix, Handlers handlers, const base::Clock &clock,
-               base::EventLog &events,
-               std::chrono::milliseconds batchDelay = {});
+               base::EventLog &events, MirrorDelays delays = {});
   ~PrefixMirror();
   PrefixMirror(const PrefixMirror &) = delete;
   PrefixMirror &operator=(const PrefixMirror &) = delete;
@@ -49,6 +54,8 @@
   /// Returns when the latest answered call was sent. The copy contains all that
   /// the store had acknowledged by then.
   base::TimePoint lastAnsweredCall() const;
+  /// Returns whether the latest finished call was answered.
+  bool isReachable() const;
 
 private:
   struct Impl;
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -120,6 +120,11 @@
   void onPollFailed(const base::WorkerId &worker, const std::string &cause);
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
+  /// Returns whether the run of a start command is still to be started: its job
+  /// is live and no stop has been decided.
+  bool isStartWanted(const WorkerCommand &command) const;
+  /// The start command is not sent.
+  void withdrawStart(const WorkerCommand &command);
   void onStart(const WorkerCommand &command, base::Result<CommandResult> result,
                base::TimePoint now);
   void onStop(const WorkerCommand &command, base::Result<CommandResult> result,
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -13,9 +13,6 @@
 using base::EventCode;
 using namespace std::chrono_literals;
 
-/// Maximum wait of a watch call. A connection may stall without an error, so
-/// this bounds the age of the local copy. Each wait costs one call.
-constexpr auto WatchTimeout = 2s;
 /// Delay after a failed call; limits the call rate during an outage.
 constexpr auto RetryDelay = 150ms;
 
@@ -26,7 +23,7 @@
   Handlers Callbacks;
   const base::Clock &Time;
   base::EventLog &Events;
-  std::chrono::milliseconds BatchDelay;
+  MirrorDelays Delays;
   std::map<std::string, std::int64_t> Revisions;
   std::int64_t AsOf = 0;
   base::TimePoint AnsweredCallSent{};
@@ -36,10 +33,10 @@
 
   Impl(asio::any_io_executor executor, MetadataStore &store, std::string prefix,
        Handlers handlers, const base::Clock &clock, base::EventLog &events,
-       std::chrono::milliseconds batchDelay)
+       MirrorDelays delays)
       : Executor(std::move(executor)), Store(store), Prefix(std::move(prefix)),
         Callbacks(std::move(handlers)), Time(clock), Events(events),
-        BatchDelay(batchDelay) {}
+        Delays(delays) {}
 
   void applyWrite(const StoredItem &item) {
     std::int64_t &known = Revisions[item.Key];
@@ -101,7 +98,7 @@
   asio::awaitable<bool> pollWatch() {
     base::TimePoint sent = Time.now();
     base::Result<Changes> changes =
-        co_await Store.watch(Prefix, AsOf, WatchTimeout);
+        co_await Store.watch(Prefix, AsOf, Delays.Watch);
     if (Stopped)
       co_return false;
     if (!changes) {
@@ -139,8 +136,8 @@
         co_return;
       if (done) {
         needsList = false;
-        if (BatchDelay.count() > 0)
-          co_await detail::sleepFor(BatchDelay);
+        if (Delays.Batch.count() > 0)
+          co_await detail::sleepFor(Delays.Batch);
         continue;
       }
       needsList = !Listed;
@@ -152,10 +149,10 @@
 PrefixMirror::PrefixMirror(asio::any_io_executor executor, MetadataStore &store,
                            std::string prefix, Handlers handlers,
                            const base::Clock &clock, base::EventLog &events,
-                           std::chrono::milliseconds batchDelay)
+                           MirrorDelays delays)
     : Self(std::make_shared<Impl>(std::move(executor), store, std::move(prefix),
-                                  std::move(handlers), clock, events,
-                                  batchDelay)) {}
+                                  std::move(handlers), clock, events, delays)) {
+}
 
 PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
 
@@ -175,4 +172,6 @@
   return Self->AnsweredCallSent;
 }
 
+bool PrefixMirror::isReachable() const { return Self->Reachable; }
+
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -33,6 +33,13 @@
 /// together.
 constexpr auto PollBatchDelay = 25ms;
 constexpr auto PollRetryDelay = 300ms;
+/// Maximum wait of a watch of the shard's records. An answer arrives at least
+/// this often, so that the records count as current between two answers.
+constexpr auto RecordWatchWait = 500ms;
+/// No task is started from records that are older. Callers allow 3 s from the
+/// acknowledgement of a cancellation to the last start, and a start takes up to
+/// 1.5 s to reach its worker. Longer than two waits of a watch.
+constexpr auto MaxRecordAge = 1500ms;
 /// A call that takes longer is logged. Longer than CallTimeout, so that it
 /// shows a delay in the node itself.
 constexpr auto SlowCall = 1000ms;
@@ -75,6 +82,17 @@
          Context.Options.Shard.OwnerGrace;
 }
 
+/// Returns whether the jobs and cancellations are recent enough to start tasks.
+/// While the store as a whole does not answer this node, starts go on: no more
+/// recent records can be had.
+bool ShardRunner::recordsAreCurrent() const {
+  TimePoint asOf = Mirror->lastAnsweredCall();
+  if (Context.Time.now() - asOf <= MaxRecordAge)
+    return true;
+  bool otherCallsAnswered = Context.LastStoreContact() - asOf > MaxRecordAge;
+  return !Mirror->isReachable() && !otherCallsAnswered;
+}
+
 asio::awaitable<void> ShardRunner::load() {
   auto self = shared_from_this();
   while (!Stopped) {
@@ -136,7 +154,8 @@
   };
   Mirror = std::make_unique<PrefixMirror>(
       Context.Executor, Context.Store, keys::shardPrefix(CurrentTerm.Shard),
-      std::move(handlers), Context.Time, Context.Events);
+      std::move(handlers), Context.Time, Context.Events,
+      MirrorDelays{.Watch = RecordWatchWait});
   Mirror->start();
 }
 
@@ -297,9 +316,10 @@
   while (!Stopped) {
     PlanDue = false;
     State.setRecordsAsOf(Mirror->lastAnsweredCall());
-    for (WorkerCommand &it : State.plan(
-             Context.Time.now(), Context.Time.wallNow(),
-             maySendCommands() && !Flushing, Context.StartCalls.available()))
+    for (WorkerCommand &it :
+         State.plan(Context.Time.now(), Context.Time.wallNow(),
+                    maySendCommands() && recordsAreCurrent() && !Flushing,
+                    Context.StartCalls.available()))
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->executeCommand(order); },
@@ -353,6 +373,11 @@
   base::FencingToken token = State.token();
   switch (order.Type) {
   case WorkerCommand::Kind::Start: {
+    if (!maySendCommands() || !recordsAreCurrent() ||
+        !State.isStartWanted(order)) {
+      State.withdrawStart(order);
+      break;
+    }
     StartRequest request;
     request.Run = order.Run;
     request.Payload = order.Payload;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -383,6 +383,26 @@
                  {"token", std::to_string(base::toNumber(s.Token))}});
 }
 
+bool Shard::isStartWanted(const WorkerCommand &command) const {
+  JobEntry *job = nullptr;
+  TaskEntry *task = State->findTask(command.Run.Task, &job);
+  return task && job->isLive() && task->isPending() &&
+         std::any_of(task->Runs.begin(), task->Runs.end(), [&](const Run &it) {
+           return it.Number == command.Run.Number &&
+                  it.Phase == RunPhase::Starting;
+         });
+}
+
+void Shard::withdrawStart(const WorkerCommand &command) {
+  State->Events.emit(base::EventCode::StartFailed,
+                     {{"task", detail::taskText(command.Run.Task)},
+                      {"run", std::to_string(command.Run.Number)},
+                      {"worker", command.Worker.Id.str()},
+                      {"cause", "not sent"}});
+  if (JobEntry *job = State->findJob(command.Run.Task.Job))
+    State->removeRun(*job, command.Run.Task, command.Run.Number);
+}
+
 void Shard::onStart(const WorkerCommand &command,
                     base::Result<CommandResult> result, TimePoint now) {
   detail::ShardState &s = *State;
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -109,6 +109,7 @@
   /// be called from a callback of the runner's mirror.
   void endTerm(const char *cause);
   bool maySendCommands() const;
+  bool recordsAreCurrent() const;
 
   RunnerContext Context;
   Term CurrentTerm;
--- a/tests/support/InMemoryStore.h
+++ b/tests/support/InMemoryStore.h
@@ -32,6 +32,8 @@
   std::string LoseAnswerForKey;
   /// Number of next watches that report lost history.
   int PendingHistoryLosses = 0;
+  /// Watches of this prefix get no answer within their timeout; empty for none.
+  std::string SilentWatchPrefix;
   int ListCalls = 0;
   /// Time that a listing takes. The caller is suspended meanwhile, which it is
   /// not with 0.
@@ -121,10 +123,16 @@
   }
 
   Async<dispatch::Changes> watch(std::string prefix, std::int64_t after,
-                                 std::chrono::milliseconds) override {
+                                 std::chrono::milliseconds wait) override {
+    // Calls time out 900 ms after the requested wait.
+    constexpr std::chrono::milliseconds timeout{900};
+    bool silent = prefix == SilentWatchPrefix;
     asio::steady_timer timer(co_await asio::this_coro::executor,
-                             std::chrono::milliseconds(1));
+                             silent ? wait + timeout
+                                    : std::chrono::milliseconds(1));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (silent)
+      co_return base::fail(base::Errc::StoreAnswerLost, "no answer in time");
     if (Unavailable)
       co_return base::fail(base::Errc::StoreUnavailable,
                            "store is unavailable");
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -344,6 +344,87 @@
   EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() >= 4; }));
 }
 
+/// Starts a job of four tasks, of which the last one waits for room, and gives
+/// it room on demand.
+class DispatchNodeRecords : public NodeFixture {
+protected:
+  DispatchNode &startJobWithAWaitingTask() {
+    Workers.KeepRunning = true;
+    DispatchNode &node = addNode("n1");
+    EXPECT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+    model::AcceptedJob large = job(1, 4);
+    large.Graph.Steps.resize(1);
+    large.Graph.Steps[0].Size.Cpu = base::MilliCores{20000};
+    EXPECT_EQ(await(node.submit(large)), SubmitOutcome::Accepted);
+    EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 3; }));
+    runFor(100ms);
+    return node;
+  }
+
+  static void addRoom(DispatchNode &node) {
+    model::WorkerProfile added;
+    added.Id = base::WorkerId("w2");
+    added.Service = base::ServiceName("desk");
+    added.Endpoint = {"10.0.0.1", 8080};
+    added.Zone = base::ZoneId("a");
+    added.Capacity.Cpu = base::MilliCores{64000};
+    added.Capacity.Memory = base::MebiBytes{128000};
+    node.updateWorker(added);
+  }
+};
+
+// The store answers lease renewals, but not the watch of the shard's records,
+// so the owner does not learn of a cancellation. Callers expect that no task
+// starts 3 s after the cancellation was acknowledged.
+TEST_F(DispatchNodeRecords, SilentWatch_StartsNoTaskOfACancelledJob) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(0);
+  runFor(100ms);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  runFor(2000ms);
+  addRoom(node);
+  runFor(3000ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+  EXPECT_EQ(node.ownedShards(), 1u);
+  Store.SilentWatchPrefix.clear();
+  EXPECT_TRUE(runUntil([&] { return Workers.StopCounts.size() == 3; }));
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+}
+
+// Starts that were held back go on once the watch is answered.
+TEST_F(DispatchNodeRecords, SilentWatchAnsweredAgain_StartsTheWaitingTask) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(0);
+  runFor(2500ms);
+  addRoom(node);
+  runFor(500ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+  Store.SilentWatchPrefix.clear();
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 4; }));
+}
+
+// A process that was paused for less than the grace period finds answers that
+// it has not read yet.
+TEST_F(DispatchNodeRecords, PausedOwner_ReadsTheRecordsBeforeItStarts) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(0);
+  runFor(50ms);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  Time.Offset += 4s;
+  addRoom(node);
+  runFor(300ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+}
+
+// Tasks start through an outage of the whole store of the usual length.
+TEST_F(DispatchNodeRecords, StoreOutage_StartsTheWaitingTask) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.Unavailable = true;
+  runFor(3000ms);
+  addRoom(node);
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 4; }, 500ms));
+}
+
 // The owner's lease expires and the shard is claimed again. The fencing token
 // of the old owner is then too low.
 TEST_F(DispatchNodeOwnership, ExpiredLease_IsTakenOverWithAHigherToken) {
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -202,6 +202,21 @@
   EXPECT_EQ(lastField(Events, base::EventCode::RunStarted, "recordsMs"), "510");
 }
 
+// A start that has been decided on and waits to be sent must not leave after
+// the job's cancellation has been read.
+TEST_F(ShardCancel, StartNotSentYet_IsWithdrawn) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_TRUE(TestShard.isStartWanted(orders[0]));
+  TestShard.cancelJob(JobNumber{1}, now());
+  EXPECT_FALSE(TestShard.isStartWanted(orders[0]));
+  TestShard.withdrawStart(orders[0]);
+  EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+  EXPECT_EQ(count(TestShard.load().ShortTaskHeadroom), WorkerMilliCores);
+}
+
 TEST_F(ShardCancel, Log_NamesTheCauseOfAStop) {
   addWorker("w1");
   TestShard.addJob(job(1, {step(1)}), 200, false, now());
