Bound the time for which a start command is valid to 1.5 s

Callers saw tasks of a job start seconds after its cancellation had been acknowledged (bound 3 s on small sites).

One cause: a start command carried a deadline 6 s ahead, the length of a lease, so a worker carried out a command that had been delayed in the node, on its link or at the worker for up to 6 s, however old the decision was.

A start is now valid for 1.5 s after the decision (ShardOptions::StartDeadline); with records that are at most 1.5 s old, a task starts at most 3 s after an acknowledged cancellation. The lease of the run is held by the polls instead: also a worker without runs gets a lease, because its poll may wait for 2 s and the next one extends the lease only after that. The short deadline is used only where the lease of an answered poll reaches to the poll after the current one, even if the current one is lost (3.5 s after it was sent); else the start brings a whole lease, as before. LatestDeadline never shortens, so leases do not expire earlier here than at the worker.

ShardStartDeadline.DelayedStart_*, WaitingPoll_* and PausedOwner_* failed before: the deadline was 6.0 s ahead and a waiting poll of a worker without runs held no lease. UnansweredPolls_* passes before and after.

--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -15,6 +15,11 @@
   /// Lease that each poll requests. Tasks survive a network partition that is
   /// shorter; after a longer one they are restarted on other workers.
   milliseconds LeaseDuration{6000};
+  /// Time after the decision on a start from which the worker refuses it. A
+  /// start may be delayed in the node, on its link and at the worker; a
+  /// cancellation must take effect within 3 s, of which the age of the records
+  /// takes 1.5 s. Longer than the timeout of a call.
+  milliseconds StartDeadline{1500};
   /// Time for which a long-running task may miss its response time target.
   milliseconds MaxTargetMissTime{4000};
   /// An owner sends no commands once this much time has passed since the store
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -80,7 +80,7 @@
   command.Run = id;
   command.Payload = job.Job.Graph.Payload;
   command.Checkpoint = task.Checkpoint;
-  command.Deadline = *workerClock(worker, now) + Options.LeaseDuration;
+  command.Deadline = startDeadline(worker, now);
   worker.LatestDeadline = std::max(worker.LatestDeadline, command.Deadline);
   Events.emit(EventCode::RunStarted,
               {{"task", taskText(key)},
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -33,6 +33,7 @@
 /// together.
 constexpr auto PollBatchDelay = 25ms;
 constexpr auto PollRetryDelay = 300ms;
+static_assert(IdlePollWait + CallTimeout + PollRetryDelay < MaxPollCycle);
 /// Maximum wait of a watch of the shard's records. An answer arrives at least
 /// this often, so that the records count as current between two answers.
 constexpr auto RecordWatchWait = 500ms;
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -62,6 +62,7 @@
   worker.Synced = false;
   worker.Clock.reset();
   worker.LatestDeadline = WorkerTime{0};
+  worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
   worker.UnacknowledgedEnds.clear();
   Events.emit(EventCode::RunsLost,
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -205,6 +205,16 @@
                 [&](const auto &it) { return !listed.contains(it.first); });
 }
 
+WorkerTime ShardState::startDeadline(const WorkerState &worker,
+                                     TimePoint now) const {
+  WorkerTime clock = *workerClock(worker, now);
+  // A short deadline is safe only if the worker already holds a lease until the
+  // poll after the current one.
+  bool holdsLease = worker.ConfirmedDeadline >=
+                    *workerClock(worker, worker.PollSent) + MaxPollCycle;
+  return clock + (holdsLease ? Options.StartDeadline : Options.LeaseDuration);
+}
+
 void ShardState::expireLeases(TimePoint now) {
   for (auto &[id, w] : Workers) {
     if (w->UnverifiedUntil && now >= *w->UnverifiedUntil)
@@ -316,10 +326,14 @@
   plan.Request.Token = State->Token;
   plan.Request.AcknowledgedEnd = w.AcknowledgedEnd;
   std::optional<WorkerTime> clock = State->workerClock(w, now);
-  if (mayExtendLeases && clock && plan.HasRuns) {
+  // A worker without runs gets a lease too: it may wait with its answer for
+  // longer than a start command that arrives meanwhile is valid.
+  if (mayExtendLeases && clock) {
     plan.Request.Deadline = *clock + State->Options.LeaseDuration;
     w.LatestDeadline = std::max(w.LatestDeadline, plan.Request.Deadline);
   }
+  w.PollSent = now;
+  w.PollDeadline = plan.Request.Deadline;
   return plan;
 }
 
@@ -351,6 +365,8 @@
     s.handleRestart(w, "different worker instance answered", received);
     return;
   }
+  if (w.PollDeadline.count() != 0)
+    w.ConfirmedDeadline = w.PollDeadline;
   if (w.Profile.StartTime.count() != 0 && report.StartTime.count() != 0 &&
       report.StartTime != w.Profile.StartTime)
     s.handleRestart(w, "worker reported a new start time", received);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -172,6 +172,12 @@
   std::optional<ClockSample> Clock;
   /// Latest lease deadline that the worker may have received.
   WorkerTime LatestDeadline{0};
+  /// When the latest poll was sent, and the lease deadline that it requested; 0
+  /// for none.
+  TimePoint PollSent;
+  WorkerTime PollDeadline{0};
+  /// Lease deadline of the latest answered poll, which the worker has received.
+  WorkerTime ConfirmedDeadline{0};
   std::int64_t LastProcessedEnd = 0;
   std::int64_t AcknowledgedEnd = 0;
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
@@ -288,6 +294,8 @@
                const model::StepSpec &step);
   void release(WorkerState &worker, const RunId &run);
   void expireLeases(TimePoint now);
+  /// Returns the lease deadline of a start command that is sent now.
+  WorkerTime startDeadline(const WorkerState &worker, TimePoint now) const;
   std::optional<WorkerTime> workerClock(const WorkerState &worker,
                                         TimePoint now) const;
 
@@ -324,6 +332,11 @@
 /// expired.
 constexpr std::chrono::milliseconds LeaseExpiryMargin{100};
 
+/// Longest time from the sending of a poll to the arrival of the next one at
+/// the worker: wait and timeout of a poll that is not answered, and the delay
+/// after it.
+constexpr std::chrono::milliseconds MaxPollCycle{3500};
+
 /// Returns progress in its stored form: only the differences from a job that
 /// has not started.
 JobProgress progressOf(const JobEntry &job);
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -235,6 +235,91 @@
   ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 2u);
 }
 
+/// Starts of a worker whose polls are answered.
+class ShardStartDeadline : public ShardFixture {
+protected:
+  dispatch::WorkerTime clock() const {
+    return std::chrono::duration_cast<dispatch::WorkerTime>(
+        now().time_since_epoch());
+  }
+  /// Sends a poll that is not answered, as the next command finds it.
+  void sendPoll() {
+    Pending = *TestShard.nextPoll(base::WorkerId("w1"), now(), true);
+    PendingSent = now();
+  }
+  void answerPoll(std::vector<dispatch::RunStatus> running) {
+    PollReport report;
+    report.Clock = clock();
+    report.StartTime = 1000ms;
+    report.Running = std::move(running);
+    TestShard.onPoll(base::WorkerId("w1"), report, PendingSent, now());
+  }
+  /// Adds a worker with an idle poll that is waiting.
+  void addPolledWorker() {
+    addWorker("w1");
+    poll("w1");
+    sendPoll();
+    TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  }
+
+  dispatch::PlannedPoll Pending;
+  base::TimePoint PendingSent;
+};
+
+// A worker carries out a start command until its deadline, however long it was
+// delayed on the way: it must refuse it before the time in which a cancellation
+// must take effect.
+TEST_F(ShardStartDeadline, DelayedStart_IsRefusedAfter1500Ms) {
+  addPolledWorker();
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_LE(orders[0].Deadline, clock() + 1500ms);
+  EXPECT_GE(orders[0].Deadline, clock() + 1400ms);
+}
+
+// The poll that was waiting at the idle worker is answered 2 s after the start,
+// or not at all; the lease must last until the next one has extended it.
+TEST_F(ShardStartDeadline, WaitingPoll_LeaseOutlastsThePollAfterIt) {
+  addPolledWorker();
+  confirmStarts(plan());
+  dispatch::WorkerTime held = Pending.Request.Deadline;
+  // Timeout of the waiting poll, delay before the next one, and its way.
+  Time.advance(3500ms);
+  EXPECT_GT(held, clock());
+  EXPECT_TRUE(plan().empty());
+  sendPoll();
+  EXPECT_GT(Pending.Request.Deadline, clock() + 5900ms);
+  answerPoll({runningStatus(1, 0, 1)});
+  EXPECT_TRUE(plan().empty());
+}
+
+// It is not known whether the worker has received the lease of a poll that was
+// not answered, so the start itself must bring one that lasts.
+TEST_F(ShardStartDeadline, UnansweredPolls_StartBringsAWholeLease) {
+  addPolledWorker();
+  Time.advance(3200ms);
+  TestShard.onPollFailed(base::WorkerId("w1"), "no answer");
+  sendPoll();
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_GT(orders[0].Deadline, clock() + 5500ms);
+}
+
+// A node that was paused for 2 s finds the answer of the poll late.
+TEST_F(ShardStartDeadline, PausedOwner_KeepsTheRun) {
+  addPolledWorker();
+  std::vector<WorkerCommand> orders = plan();
+  confirmStarts(orders);
+  dispatch::WorkerTime held = Pending.Request.Deadline;
+  Time.advance(2000ms);
+  answerPoll({runningStatus(1, 0, 1)});
+  Time.advance(2000ms);
+  EXPECT_GT(held, clock());
+  sendPoll();
+  EXPECT_TRUE(plan().empty());
+  EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+}
+
 TEST_F(ShardStart, FullWorker_GetsNoMoreStarts) {
   addWorker("w1");
   TestShard.addJob(job(1, {step(9)}), 5, false, now());
