Let no submission take effect after the cancellation of its job

Callers cancelled a job whose submission had got no answer, were told that there is no such job (410), and its tasks ran later.

Cause: a commit without an answer may take effect seconds later if its condition still holds, and the condition of a submission is that there is no index entry. The cancellation of an unknown job changed nothing in the store, so the submission took effect after it, and nothing named it as cancelled.

The cancellation now creates the index entry, with a mark that the job was never stored, in one commit on the condition that there is none, and answers 410 only when that commit has been applied. The delayed submission fails its condition. If the job appears first, it is cancelled as any other. Such an entry is not shown (410), repeated cancellations write nothing more, and a submission that meets it is refused: SubmitOutcome::Cancelled, 503, the job does not run. Index entries without the mark are read as before.

CancelBeforeADelayedSubmission_NothingRuns, SubmissionAfterItsCancel_IsNotAccepted and RepeatedCancelOfAnUnknownJob_WritesOnce failed before: the delayed submission ran, and a submission after the cancellation was accepted.

--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -48,6 +48,9 @@
   /// As Refused; the job exceeds the limits of a record and never can be
   /// stored.
   Invalid,
+  /// As Refused; the job was cancelled before it was stored and never can be
+  /// stored.
+  Cancelled,
   /// It is not known whether the job is stored.
   Unknown
 };
--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -60,6 +60,9 @@
 struct JobIndexEntry {
   std::int32_t Shard = 0;
   model::JobState State = model::JobState::Queued;
+  /// The job was cancelled before it was stored: it must not be stored any
+  /// more, and is not shown.
+  bool NeverStored = false;
 };
 
 /// Progress of one task. Tasks that are neither done nor ever failed are
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -124,6 +124,19 @@
   co_return drawAndReserve(job, shards, headrooms);
 }
 
+/// Returns whether the index entry that a commit has found says that the job
+/// was cancelled before it was stored.
+static bool isNeverStored(const CommitOutcome &outcome, model::JobNumber job) {
+  return std::any_of(outcome.CurrentItems.begin(), outcome.CurrentItems.end(),
+                     [&](const StoredItem &it) {
+                       if (it.Key != keys::index(job))
+                         return false;
+                       base::Result<JobIndexEntry> index =
+                           decodeIndex(it.Value);
+                       return index && index.value().NeverStored;
+                     });
+}
+
 asio::awaitable<SubmitOutcome>
 JobRequestHandler::submit(model::AcceptedJob job) {
   if (View.Shards == 0)
@@ -148,9 +161,11 @@
   for (int i = 0; i < MaxAttempts && Time.now() < lastStart; ++i) {
     base::Result<CommitOutcome> done = co_await Store.commit(commit);
     // If the commit was not applied, this call or an earlier one has already
-    // stored a job with this id.
+    // stored a job with this id, or the job was cancelled before.
     if (done)
-      co_return SubmitOutcome::Accepted;
+      co_return !done.value().Applied && isNeverStored(done.value(), job.Id)
+          ? SubmitOutcome::Cancelled
+          : SubmitOutcome::Accepted;
     unknown = unknown || done.error().Code != Errc::StoreUnavailable;
     co_await sleepFor(AttemptDelay);
   }
@@ -167,11 +182,28 @@
       co_await sleepFor(AttemptDelay);
       continue;
     }
-    if (!item.value())
-      co_return CancelOutcome::NoSuchJob;
+    if (!item.value()) {
+      // A submission whose answer was lost may still take effect; its condition
+      // is that there is no index entry.
+      Commit commit;
+      commit.Conditions = {{keys::index(job), 0}};
+      commit.Writes = {
+          {keys::index(job), encodeIndex({0, JobState::Cancelled, true})}};
+      base::Result<CommitOutcome> done =
+          co_await Store.commit(std::move(commit));
+      if (done && done.value().Applied)
+        co_return CancelOutcome::NoSuchJob;
+      if (!done) {
+        unknown = unknown || done.error().Code != Errc::StoreUnavailable;
+        co_await sleepFor(AttemptDelay);
+      }
+      continue;
+    }
     base::Result<JobIndexEntry> index = decodeIndex(item.value()->Value);
     if (!index)
       co_return CancelOutcome::Refused;
+    if (index.value().NeverStored)
+      co_return CancelOutcome::NoSuchJob;
     if (index.value().State == JobState::Cancelled)
       co_return CancelOutcome::Cancelled;
     if (model::isFinal(index.value().State))
@@ -204,6 +236,8 @@
   base::Result<JobIndexEntry> index = decodeIndex(item.value()->Value);
   if (!index)
     co_return index.as_failure();
+  if (index.value().NeverStored)
+    co_return std::optional<JobState>();
   co_return std::optional<JobState>(index.value().State);
 }
 
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -363,6 +363,7 @@
   json::object to;
   to["shard"] = index.Shard;
   to["state"] = static_cast<int>(index.State);
+  setUnlessDefault(to, "never", index.NeverStored);
   return json::serialize(to);
 }
 
@@ -373,6 +374,7 @@
         index.Shard = readInt32(v, "shard");
         index.State = static_cast<model::JobState>(v.optionalNumber(
             "state", 0, static_cast<int>(model::JobState::Cancelled)));
+        index.NeverStored = v.optionalNumber("never", 0, 1) == 1;
         return index;
       });
 }
--- a/tests/support/InMemoryStore.h
+++ b/tests/support/InMemoryStore.h
@@ -10,10 +10,13 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace endivedoor::tests {
 
@@ -30,6 +33,10 @@
   /// The next commit that writes this key takes effect but fails with
   /// StoreAnswerLost.
   std::string LoseAnswerForKey;
+  /// Number of next commits that fail with StoreAnswerLost and take effect only
+  /// when applyDelayed() is called.
+  int PendingDelayedCommits = 0;
+  int CommitCalls = 0;
   /// Number of next watches that report lost history.
   int PendingHistoryLosses = 0;
   /// Watches of this prefix get no answer within their timeout; empty for none.
@@ -45,6 +52,12 @@
     apply({{}, {{key, value}}, {}});
   }
   void erase(const std::string &key) { apply({{}, {}, {key}}); }
+  /// Applies the delayed commits whose conditions still hold.
+  void applyDelayed() {
+    for (const dispatch::Commit &it : std::exchange(DelayedCommits, {}))
+      if (holds(it))
+        apply(it);
+  }
   bool has(const std::string &key) const { return Items.contains(key); }
   std::string valueOf(const std::string &key) const {
     auto it = Items.find(key);
@@ -65,17 +78,21 @@
     if (Unavailable)
       co_return base::fail(base::Errc::StoreUnavailable,
                            "store is unavailable");
+    ++CommitCalls;
+    if (PendingDelayedCommits > 0) {
+      --PendingDelayedCommits;
+      DelayedCommits.push_back(std::move(c));
+      co_return base::fail(base::Errc::StoreAnswerLost,
+                           "answer to the commit was lost");
+    }
     dispatch::CommitOutcome outcome;
-    bool holds = true;
     for (const dispatch::Condition &it : c.Conditions) {
       auto item = Items.find(it.Key);
-      std::int64_t revision = item == Items.end() ? 0 : item->second.Revision;
-      holds = holds && revision == it.Revision;
       outcome.CurrentItems.push_back(item == Items.end()
                                          ? dispatch::StoredItem{it.Key, "", 0}
                                          : item->second);
     }
-    if (holds) {
+    if (holds(c)) {
       outcome.Applied = true;
       outcome.Revision = apply(c);
     }
@@ -169,6 +186,15 @@
   }
 
 private:
+  bool holds(const dispatch::Commit &c) const {
+    return std::all_of(
+        c.Conditions.begin(), c.Conditions.end(), [&](const auto &it) {
+          auto item = Items.find(it.Key);
+          return it.Revision ==
+                 (item == Items.end() ? 0 : item->second.Revision);
+        });
+  }
+
   std::int64_t apply(const dispatch::Commit &c) {
     ++Revision;
     for (const dispatch::Write &it : c.Writes) {
@@ -188,6 +214,7 @@
   std::map<std::string, dispatch::LeaseId> KeyLeases;
   std::set<dispatch::LeaseId> ExpiredLeases;
   std::deque<dispatch::Change> History;
+  std::vector<dispatch::Commit> DelayedCommits;
 };
 
 } // namespace endivedoor::tests
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -300,6 +300,53 @@
   }));
 }
 
+// The commits of a submission get no answer and take effect seconds later; the
+// caller has cancelled the job in between and was told that there is none.
+TEST_F(DispatchNodeCalls, CancelBeforeADelayedSubmission_NothingRuns) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  runFor(100ms);
+  constexpr int attempts = 3;
+  Store.PendingDelayedCommits = attempts;
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Unknown);
+  Store.PendingDelayedCommits = 0;
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  Store.applyDelayed();
+  runFor(500ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  auto state = await(node.jobState(JobNumber{1}));
+  ASSERT_TRUE(state);
+  EXPECT_FALSE(state.value());
+}
+
+// A caller that repeats the submission must not be told that the job is
+// accepted.
+TEST_F(DispatchNodeCalls, SubmissionAfterItsCancel_IsNotAccepted) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Cancelled);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  runFor(300ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  EXPECT_FALSE(await(node.jobState(JobNumber{1})).value());
+}
+
+// Cancellations of unknown jobs cost one write each, however often they are
+// repeated.
+TEST_F(DispatchNodeCalls, RepeatedCancelOfAnUnknownJob_WritesOnce) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  await(node.cancel(JobNumber{1}));
+  std::string stored = Store.valueOf(dispatch::keys::index(JobNumber{1}));
+  EXPECT_FALSE(stored.empty());
+  runFor(1000ms);
+  int before = Store.CommitCalls;
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  EXPECT_EQ(Store.CommitCalls, before);
+}
+
 TEST_F(DispatchNodeOwnership, PlannedStop_HandsOverImmediately) {
   DispatchNode &first = addNode("n1");
   ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
@@ -717,6 +764,19 @@
             dispatch::encodeJob(job).value());
 }
 
+TEST(Records, Index_RoundTripsAndReadsOlderEntries) {
+  auto older = dispatch::decodeIndex(R"({"shard":3,"state":4})");
+  ASSERT_TRUE(older);
+  EXPECT_EQ(older.value().Shard, 3);
+  EXPECT_FALSE(older.value().NeverStored);
+  auto never = dispatch::decodeIndex(
+      dispatch::encodeIndex({0, JobState::Cancelled, true}));
+  ASSERT_TRUE(never);
+  EXPECT_TRUE(never.value().NeverStored);
+  std::string text = dispatch::encodeIndex({2, JobState::Queued});
+  EXPECT_EQ(text, R"({"shard":2,"state":0})");
+}
+
 TEST(Records, MalformedText_IsRejected) {
   for (const char *it : {"", "[]", "{\"steps\":3}", "{\"queue\":1}", "null"}) {
     EXPECT_FALSE(dispatch::decodeJob(JobNumber{1}, it)) << it;
