Merge the bounds of the age of records and starts

Conflicts: constants of ShardRunner.cpp side by side, events in the order of their numbers. A test of the mirror passes the clock that its constructor now takes.

--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVEDOOR_DISPATCH_PREFIXMIRROR_H
 #define ENDIVEDOOR_DISPATCH_PREFIXMIRROR_H
 
+#include "endivedoor/base/Clock.h"
 #include "endivedoor/base/Event.h"
 #include "endivedoor/dispatch/MetadataStore.h"
 
@@ -16,6 +17,14 @@
 
 namespace endivedoor::dispatch {
 
+struct MirrorDelays {
+  /// Maximum wait of a watch call. A connection may stall without an error, so
+  /// this bounds the age of the local copy. Each wait costs one call.
+  std::chrono::milliseconds Watch{2000};
+  /// Pause between two watch calls; changes within it arrive in one call.
+  std::chrono::milliseconds Batch{0};
+};
+
 /// Lists a prefix, then watches it, and lists it again if the store has
 /// compacted the watched revisions. Reports each change once, in revision
 /// order. A handler may destroy the mirror; no handler is called after that.
@@ -30,11 +39,9 @@
     std::function<void()> Synced;
   };
 
-  /// \param batchDelay pause between two watch calls; changes within it arrive
-  /// in one call.
   PrefixMirror(boost::asio::any_io_executor executor, MetadataStore &store,
-               std::string prefix, Handlers handlers, base::EventLog &events,
-               std::chrono::milliseconds batchDelay = {});
+               std::string prefix, Handlers handlers, const base::Clock &clock,
+               base::EventLog &events, MirrorDelays delays = {});
   ~PrefixMirror();
   PrefixMirror(const PrefixMirror &) = delete;
   PrefixMirror &operator=(const PrefixMirror &) = delete;
@@ -44,6 +51,11 @@
   bool isSynced() const;
   /// Returns the revision of a key, or 0 if the key does not exist.
   std::int64_t revisionOf(const std::string &key) const;
+  /// Returns when the latest answered call was sent. The copy contains all that
+  /// the store had acknowledged by then.
+  base::TimePoint lastAnsweredCall() const;
+  /// Returns whether the latest finished call was answered.
+  bool isReachable() const;
 
 private:
   struct Impl;
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -103,6 +103,8 @@
   /// count as running until the worker reports otherwise or its lease expires.
   void unlistWorker(const base::WorkerId &worker);
   void setZonesOutOfService(std::set<base::ZoneId> zones);
+  /// The jobs and cancellations are complete as of \p asOf.
+  void setRecordsAsOf(base::TimePoint asOf);
   std::vector<WorkerRef> workers() const;
   bool hasWorker(const base::WorkerId &worker) const;
   /// Returns the roster that must be stored before commands are sent to its
@@ -120,6 +122,11 @@
                     base::TimePoint now, bool refused = false);
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
+  /// Returns whether the run of a start command is still to be started: its job
+  /// is live and no stop has been decided.
+  bool isStartWanted(const WorkerCommand &command) const;
+  /// The start command is not sent.
+  void withdrawStart(const WorkerCommand &command);
   void onStart(const WorkerCommand &command, base::Result<CommandResult> result,
                base::TimePoint now);
   void onStop(const WorkerCommand &command, base::Result<CommandResult> result,
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -13,9 +13,6 @@
 using base::EventCode;
 using namespace std::chrono_literals;
 
-/// Maximum wait of a watch call. A connection may stall without an error, so
-/// this bounds the age of the local copy. Each wait costs one call.
-constexpr auto WatchTimeout = 2s;
 /// Delay after a failed call; limits the call rate during an outage.
 constexpr auto RetryDelay = 150ms;
 
@@ -24,20 +21,22 @@
   MetadataStore &Store;
   std::string Prefix;
   Handlers Callbacks;
+  const base::Clock &Time;
   base::EventLog &Events;
-  std::chrono::milliseconds BatchDelay;
+  MirrorDelays Delays;
   std::map<std::string, std::int64_t> Revisions;
   std::int64_t AsOf = 0;
+  base::TimePoint AnsweredCallSent{};
   bool Listed = false;
   bool Reachable = true;
   bool Stopped = false;
 
   Impl(asio::any_io_executor executor, MetadataStore &store, std::string prefix,
-       Handlers handlers, base::EventLog &events,
-       std::chrono::milliseconds batchDelay)
+       Handlers handlers, const base::Clock &clock, base::EventLog &events,
+       MirrorDelays delays)
       : Executor(std::move(executor)), Store(store), Prefix(std::move(prefix)),
-        Callbacks(std::move(handlers)), Events(events), BatchDelay(batchDelay) {
-  }
+        Callbacks(std::move(handlers)), Time(clock), Events(events),
+        Delays(delays) {}
 
   void applyWrite(const StoredItem &item) {
     std::int64_t &known = Revisions[item.Key];
@@ -64,6 +63,7 @@
   }
 
   asio::awaitable<bool> relist() {
+    base::TimePoint sent = Time.now();
     base::Result<Listing> list = co_await Store.list(Prefix);
     if (Stopped)
       co_return false;
@@ -89,14 +89,16 @@
         co_return false;
     }
     AsOf = list.value().AsOf;
+    AnsweredCallSent = sent;
     Listed = true;
     Callbacks.Synced();
     co_return true;
   }
 
   asio::awaitable<bool> pollWatch() {
+    base::TimePoint sent = Time.now();
     base::Result<Changes> changes =
-        co_await Store.watch(Prefix, AsOf, WatchTimeout);
+        co_await Store.watch(Prefix, AsOf, Delays.Watch);
     if (Stopped)
       co_return false;
     if (!changes) {
@@ -119,6 +121,7 @@
         co_return false;
     }
     AsOf = std::max(AsOf, changes.value().AsOf);
+    AnsweredCallSent = sent;
     if (!changes.value().List.empty())
       Callbacks.Synced();
     co_return true;
@@ -133,8 +136,8 @@
         co_return;
       if (done) {
         needsList = false;
-        if (BatchDelay.count() > 0)
-          co_await detail::sleepFor(BatchDelay);
+        if (Delays.Batch.count() > 0)
+          co_await detail::sleepFor(Delays.Batch);
         continue;
       }
       needsList = !Listed;
@@ -145,10 +148,11 @@
 
 PrefixMirror::PrefixMirror(asio::any_io_executor executor, MetadataStore &store,
                            std::string prefix, Handlers handlers,
-                           base::EventLog &events,
-                           std::chrono::milliseconds batchDelay)
+                           const base::Clock &clock, base::EventLog &events,
+                           MirrorDelays delays)
     : Self(std::make_shared<Impl>(std::move(executor), store, std::move(prefix),
-                                  std::move(handlers), events, batchDelay)) {}
+                                  std::move(handlers), clock, events, delays)) {
+}
 
 PrefixMirror::~PrefixMirror() { Self->Stopped = true; }
 
@@ -164,4 +168,10 @@
   return it == Self->Revisions.end() ? 0 : it->second;
 }
 
+base::TimePoint PrefixMirror::lastAnsweredCall() const {
+  return Self->AnsweredCallSent;
+}
+
+bool PrefixMirror::isReachable() const { return Self->Reachable; }
+
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -1,6 +1,7 @@
 #include "detail/ShardRunner.h"
 
 #include "detail/ColocationRecords.h"
+#include "detail/ShardState.h"
 #include "detail/Sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -35,6 +36,17 @@
 /// A call of which nothing was sent and that fails sooner than this was refused
 /// by the worker's host; the path to a host that is cut off times out.
 constexpr auto MaxRefusalTime = 300ms;
+static_assert(IdlePollWait + CallTimeout + PollRetryDelay < MaxPollCycle);
+/// Maximum wait of a watch of the shard's records. An answer arrives at least
+/// this often, so that the records count as current between two answers.
+constexpr auto RecordWatchWait = 500ms;
+/// No task is started from records that are older. Callers allow 3 s from the
+/// acknowledgement of a cancellation to the last start, and a start takes up to
+/// 1.5 s to reach its worker. Longer than two waits of a watch.
+constexpr auto MaxRecordAge = 1500ms;
+/// A call that takes longer is logged. Longer than CallTimeout, so that it
+/// shows a delay in the node itself.
+constexpr auto SlowCall = 1000ms;
 
 ShardRunner::ShardRunner(RunnerContext context, Term term)
     : Context(std::move(context)), CurrentTerm(std::move(term)),
@@ -74,6 +86,17 @@
          Context.Options.Shard.OwnerGrace;
 }
 
+/// Returns whether the jobs and cancellations are recent enough to start tasks.
+/// While the store as a whole does not answer this node, starts go on: no more
+/// recent records can be had.
+bool ShardRunner::recordsAreCurrent() const {
+  TimePoint asOf = Mirror->lastAnsweredCall();
+  if (Context.Time.now() - asOf <= MaxRecordAge)
+    return true;
+  bool otherCallsAnswered = Context.LastStoreContact() - asOf > MaxRecordAge;
+  return !Mirror->isReachable() && !otherCallsAnswered;
+}
+
 asio::awaitable<void> ShardRunner::load() {
   auto self = shared_from_this();
   while (!Stopped) {
@@ -133,9 +156,10 @@
     if (std::shared_ptr<ShardRunner> self = runner.lock())
       self->onSynced(std::move(progress));
   };
-  Mirror = std::make_unique<PrefixMirror>(Context.Executor, Context.Store,
-                                          keys::shardPrefix(CurrentTerm.Shard),
-                                          std::move(handlers), Context.Events);
+  Mirror = std::make_unique<PrefixMirror>(
+      Context.Executor, Context.Store, keys::shardPrefix(CurrentTerm.Shard),
+      std::move(handlers), Context.Time, Context.Events,
+      MirrorDelays{.Watch = RecordWatchWait});
   Mirror->start();
 }
 
@@ -301,9 +325,11 @@
   auto self = shared_from_this();
   while (!Stopped) {
     PlanDue = false;
-    for (WorkerCommand &it : State.plan(
-             Context.Time.now(), Context.Time.wallNow(),
-             maySendCommands() && !Flushing, Context.StartCalls.available()))
+    State.setRecordsAsOf(Mirror->lastAnsweredCall());
+    for (WorkerCommand &it :
+         State.plan(Context.Time.now(), Context.Time.wallNow(),
+                    maySendCommands() && recordsAreCurrent() && !Flushing,
+                    Context.StartCalls.available()))
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->executeCommand(order); },
@@ -357,6 +383,11 @@
   base::FencingToken token = State.token();
   switch (order.Type) {
   case WorkerCommand::Kind::Start: {
+    if (!maySendCommands() || !recordsAreCurrent() ||
+        !State.isStartWanted(order)) {
+      State.withdrawStart(order);
+      break;
+    }
     StartRequest request;
     request.Run = order.Run;
     request.Payload = order.Payload;
@@ -368,8 +399,16 @@
     Context.StartCalls.onSent();
     auto answer = co_await Context.WorkerCalls.start(
         order.Worker, std::move(request), CallTimeout);
-    Context.StartCalls.onFinished(Context.Time.now() - sent, answer.has_value(),
-                                  Context.Time.now());
+    TimePoint answered = Context.Time.now();
+    Context.StartCalls.onFinished(answered - sent, answer.has_value(),
+                                  answered);
+    if (answered - sent > SlowCall)
+      Context.Events.emit(EventCode::StartSlow,
+                          {{"task", taskText(order.Run.Task)},
+                           {"run", std::to_string(order.Run.Number)},
+                           {"worker", order.Worker.Id.str()},
+                           {"ms", std::to_string((answered - sent) / 1ms)},
+                           {"answered", answer.has_value() ? "yes" : "no"}});
     if (Stopped)
       co_return;
     State.onStart(order, std::move(answer), Context.Time.now());
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -51,6 +51,8 @@
   /// that show whether the run still exists.
   std::optional<TimePoint> StopConfirmed;
   TimePoint StopSent;
+  /// Why the run is stopped; null unless a stop command has been sent.
+  const char *StopCause = nullptr;
   std::int32_t SpeedPercent = 100;
   std::int64_t Gauge = 0;
   bool HasGauge = false;
@@ -199,6 +201,12 @@
   std::optional<ClockSample> Clock;
   /// Latest lease deadline that the worker may have received.
   WorkerTime LatestDeadline{0};
+  /// When the latest poll was sent, and the lease deadline that it requested; 0
+  /// for none.
+  TimePoint PollSent;
+  WorkerTime PollDeadline{0};
+  /// Lease deadline of the latest answered poll, which the worker has received.
+  WorkerTime ConfirmedDeadline{0};
   std::int64_t LastProcessedEnd = 0;
   std::int64_t AcknowledgedEnd = 0;
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
@@ -275,6 +283,8 @@
         Events(events), MetricsRegistry(metrics) {}
 
   bool Fenced = false;
+  /// When the jobs and cancellations were complete.
+  TimePoint RecordsAsOf;
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
   /// Cancelled jobs whose job record has not been read yet.
@@ -328,6 +338,8 @@
                const model::StepSpec &step);
   void release(WorkerState &worker, const RunId &run);
   void expireLeases(TimePoint now);
+  /// Returns the lease deadline of a start command that is sent now.
+  WorkerTime startDeadline(const WorkerState &worker, TimePoint now) const;
   std::optional<WorkerTime> workerClock(const WorkerState &worker,
                                         TimePoint now) const;
 
@@ -368,7 +380,8 @@
   void startTask(JobEntry &job, const TaskKey &key, TaskEntry &task,
                  WorkerState &worker, TimePoint now, std::int64_t run);
   void stopUnneededRuns(TimePoint now);
-  void stopRun(const TaskKey &key, Run &run, TimePoint now);
+  void stopRun(const TaskKey &key, Run &run, const char *cause, TimePoint now);
+  void sendStop(const WorkerState &worker, const RunId &run, const char *cause);
   void moveOffDrainingWorkers(TimePoint now);
   void stopStuckRuns(TimePoint now);
 
@@ -386,6 +399,11 @@
 /// expired.
 constexpr std::chrono::milliseconds LeaseExpiryMargin{100};
 
+/// Longest time from the sending of a poll to the arrival of the next one at
+/// the worker: wait and timeout of a poll that is not answered, and the delay
+/// after it.
+constexpr std::chrono::milliseconds MaxPollCycle{3500};
+
 /// Returns progress in its stored form: only the differences from a job that
 /// has not started.
 JobProgress progressOf(const JobEntry &job);
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -748,7 +748,7 @@
       io.get_executor(), store, "servers/",
       {[&](const dispatch::StoredItem &it) { seen.push_back(it.Value); },
        [](const std::string &) {}, [] {}},
-      events);
+      clock, events);
   mirror.start();
   io.run_for(50ms);
   EXPECT_EQ(seen, (std::vector<std::string>{"shrunk", "grown"}));
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -318,6 +318,53 @@
   }));
 }
 
+// The commits of a submission get no answer and take effect seconds later; the
+// caller has cancelled the job in between and was told that there is none.
+TEST_F(DispatchNodeCalls, CancelBeforeADelayedSubmission_NothingRuns) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  runFor(100ms);
+  constexpr int attempts = 3;
+  Store.PendingDelayedCommits = attempts;
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Unknown);
+  Store.PendingDelayedCommits = 0;
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  Store.applyDelayed();
+  runFor(500ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  auto state = await(node.jobState(JobNumber{1}));
+  ASSERT_TRUE(state);
+  EXPECT_FALSE(state.value());
+}
+
+// A caller that repeats the submission must not be told that the job is
+// accepted.
+TEST_F(DispatchNodeCalls, SubmissionAfterItsCancel_IsNotAccepted) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Cancelled);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  runFor(300ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  EXPECT_FALSE(await(node.jobState(JobNumber{1})).value());
+}
+
+// Cancellations of unknown jobs cost one write each, however often they are
+// repeated.
+TEST_F(DispatchNodeCalls, RepeatedCancelOfAnUnknownJob_WritesOnce) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  await(node.cancel(JobNumber{1}));
+  std::string stored = Store.valueOf(dispatch::keys::index(JobNumber{1}));
+  EXPECT_FALSE(stored.empty());
+  runFor(1000ms);
+  int before = Store.CommitCalls;
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::NoSuchJob);
+  EXPECT_EQ(Store.CommitCalls, before);
+}
+
 TEST_F(DispatchNodeOwnership, PlannedStop_HandsOverImmediately) {
   DispatchNode &first = addNode("n1");
   ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
@@ -362,6 +409,87 @@
   EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() >= 4; }));
 }
 
+/// Starts a job of four tasks, of which the last one waits for room, and gives
+/// it room on demand.
+class DispatchNodeRecords : public NodeFixture {
+protected:
+  DispatchNode &startJobWithAWaitingTask() {
+    Workers.KeepRunning = true;
+    DispatchNode &node = addNode("n1");
+    EXPECT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+    model::AcceptedJob large = job(1, 4);
+    large.Graph.Steps.resize(1);
+    large.Graph.Steps[0].Size.Cpu = base::MilliCores{20000};
+    EXPECT_EQ(await(node.submit(large)), SubmitOutcome::Accepted);
+    EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 3; }));
+    runFor(100ms);
+    return node;
+  }
+
+  static void addRoom(DispatchNode &node) {
+    model::WorkerProfile added;
+    added.Id = base::WorkerId("w2");
+    added.Service = base::ServiceName("desk");
+    added.Endpoint = {"10.0.0.1", 8080};
+    added.Zone = base::ZoneId("a");
+    added.Capacity.Cpu = base::MilliCores{64000};
+    added.Capacity.Memory = base::MebiBytes{128000};
+    node.updateWorker(added);
+  }
+};
+
+// The store answers lease renewals, but not the watch of the shard's records,
+// so the owner does not learn of a cancellation. Callers expect that no task
+// starts 3 s after the cancellation was acknowledged.
+TEST_F(DispatchNodeRecords, SilentWatch_StartsNoTaskOfACancelledJob) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(0);
+  runFor(100ms);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  runFor(2000ms);
+  addRoom(node);
+  runFor(3000ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+  EXPECT_EQ(node.ownedShards(), 1u);
+  Store.SilentWatchPrefix.clear();
+  EXPECT_TRUE(runUntil([&] { return Workers.StopCounts.size() == 3; }));
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+}
+
+// Starts that were held back go on once the watch is answered.
+TEST_F(DispatchNodeRecords, SilentWatchAnsweredAgain_StartsTheWaitingTask) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(0);
+  runFor(2500ms);
+  addRoom(node);
+  runFor(500ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+  Store.SilentWatchPrefix.clear();
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 4; }));
+}
+
+// A process that was paused for less than the grace period finds answers that
+// it has not read yet.
+TEST_F(DispatchNodeRecords, PausedOwner_ReadsTheRecordsBeforeItStarts) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(0);
+  runFor(50ms);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  Time.Offset += 4s;
+  addRoom(node);
+  runFor(300ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 3u);
+}
+
+// Tasks start through an outage of the whole store of the usual length.
+TEST_F(DispatchNodeRecords, StoreOutage_StartsTheWaitingTask) {
+  DispatchNode &node = startJobWithAWaitingTask();
+  Store.Unavailable = true;
+  runFor(3000ms);
+  addRoom(node);
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 4; }, 500ms));
+}
+
 // The owner's lease expires and the shard is claimed again. The fencing token
 // of the old owner is then too low.
 TEST_F(DispatchNodeOwnership, ExpiredLease_IsTakenOverWithAHigherToken) {
@@ -596,7 +724,7 @@
       Io.get_executor(), Store, "p/",
       {[&](const dispatch::StoredItem &it) { mirrored[it.Key] = it.Value; },
        [&](const std::string &key) { mirrored.erase(key); }, [] {}},
-      Events);
+      Time, Events);
   mirror.start();
   ASSERT_TRUE(runUntil([&] { return mirrored.size() == 1; }));
   Store.PendingHistoryLosses = 1;
@@ -654,6 +782,19 @@
             dispatch::encodeJob(job).value());
 }
 
+TEST(Records, Index_RoundTripsAndReadsOlderEntries) {
+  auto older = dispatch::decodeIndex(R"({"shard":3,"state":4})");
+  ASSERT_TRUE(older);
+  EXPECT_EQ(older.value().Shard, 3);
+  EXPECT_FALSE(older.value().NeverStored);
+  auto never = dispatch::decodeIndex(
+      dispatch::encodeIndex({0, JobState::Cancelled, true}));
+  ASSERT_TRUE(never);
+  EXPECT_TRUE(never.value().NeverStored);
+  std::string text = dispatch::encodeIndex({2, JobState::Queued});
+  EXPECT_EQ(text, R"({"shard":2,"state":0})");
+}
+
 TEST(Records, MalformedText_IsRejected) {
   for (const char *it : {"", "[]", "{\"steps\":3}", "{\"queue\":1}", "null"}) {
     EXPECT_FALSE(dispatch::decodeJob(JobNumber{1}, it)) << it;
