--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -307,7 +307,7 @@
 TEST_F(ShardStartDeadline, UnansweredPolls_StartBringsAWholeLease) {
   addPolledWorker();
   Time.advance(3200ms);
-  TestShard.onPollFailed(base::WorkerId("w1"), "no answer");
+  TestShard.onPollFailed(base::WorkerId("w1"), "no answer", now());
   sendPoll();
   std::vector<WorkerCommand> orders = plan();
   ASSERT_EQ(orders.size(), 1u);
