Store a cancellation for all shards that run parts of a job

Callers would see tasks of a cancelled long-running job go on, and start, in the shards that its tasks had been delegated to, while the owner of the job's own shard is replaced or slow: only that owner passed the cancellation on.

The cancelling node now reads from the progress records which shards run parts, also of parts that were delegated on, and stores the cancellation for all in the commit that it acknowledges. The record names the shards, so that owners do not store it again. A part that is delegated meanwhile still gets it from its owner.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -184,6 +185,9 @@
 std::string encodeIndex(const JobIndexEntry &index);
 /// Omits the checkpoints if the record would exceed MaxRecordBytes with them.
 std::string encodeProgress(const JobProgress &progress);
+/// \param shards shards of the job's parts for which the cancellation has been
+/// stored as well.
+std::string encodeCancel(const std::set<std::int32_t> &shards);
 std::string encodeRoster(const std::vector<RosterEntry> &roster);
 
 /// Errors of all decoders: ParseFailed.
@@ -195,6 +199,8 @@
 /// Returns the tasks that a job record is limited to, or std::nullopt for a
 /// whole job.
 base::Result<std::optional<JobPart>> decodePart(const std::string &text);
+/// Returns the shards that encodeCancel() was given.
+base::Result<std::set<std::int32_t>> decodeCancel(const std::string &text);
 base::Result<JobIndexEntry> decodeIndex(const std::string &text);
 base::Result<JobProgress> decodeProgress(const std::string &text);
 base::Result<std::vector<RosterEntry>> decodeRoster(const std::string &text);
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -83,7 +83,10 @@
   void restore(model::JobNumber job, const JobProgress &progress,
                std::int64_t revision);
   /// Stops all tasks of a job whose cancellation has been stored.
-  void cancelJob(model::JobNumber job, base::TimePoint now);
+  ///
+  /// \param shards shards of its parts for which it has been stored as well.
+  void cancelJob(model::JobNumber job, base::TimePoint now,
+                 std::set<std::int32_t> shards = {});
 
   /// Adds the workers that an earlier owner may have used. Tasks of inherited
   /// jobs that no worker lists are not started until each of these workers has
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -35,10 +35,12 @@
   task->Remote = true;
 }
 
-void ShardState::queueCancelForwards(const JobEntry &job) {
-  for (const auto &[shard, stored] : job.DelegatedShards)
+void ShardState::queueCancelForwards(JobEntry &job) {
+  for (auto &[shard, stored] : job.DelegatedShards) {
+    stored = stored || job.CancelledShards.contains(shard);
     if (!stored)
       CancelForwards.push_back({job.Job.Id, shard});
+  }
 }
 
 } // namespace detail
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -19,6 +19,9 @@
 /// No attempt starts later than this after the request: callers time out after
 /// 3 s, and one attempt takes up to 0.9 s.
 constexpr auto LastAttemptStart = 1000ms;
+/// Parts of a job beyond this get the cancellation from their owners; bounds
+/// the entries of a commit.
+constexpr std::size_t MaxCancelledParts = 16;
 
 Async<void> JobRequestHandler::refreshLoads() {
   if (Time.now() - LoadsReadAt < MaxLoadAge)
@@ -172,6 +175,32 @@
   co_return unknown ? SubmitOutcome::Unknown : SubmitOutcome::Refused;
 }
 
+/// Returns the shards that run parts of a job, also of parts that were
+/// delegated on. A part that is delegated meanwhile, or whose record cannot be
+/// read, gets the cancellation from the owner that delegated it.
+asio::awaitable<std::set<std::int32_t>>
+JobRequestHandler::shardsOfParts(model::JobNumber job, std::int32_t shard) {
+  std::set<std::int32_t> parts;
+  std::vector<std::int32_t> unread = {shard};
+  while (!unread.empty() && parts.size() < MaxCancelledParts) {
+    std::int32_t next = unread.back();
+    unread.pop_back();
+    base::Result<std::optional<StoredItem>> item =
+        co_await Store.read(keys::progress(next, job));
+    if (!item || !item.value())
+      continue;
+    base::Result<JobProgress> progress = decodeProgress(item.value()->Value);
+    if (!progress)
+      continue;
+    for (const OccurrenceProgress &o : progress.value().Occurrences)
+      for (const TaskProgress &it : o.Tasks)
+        if (it.DelegatedTo && *it.DelegatedTo != shard &&
+            parts.insert(*it.DelegatedTo).second)
+          unread.push_back(*it.DelegatedTo);
+  }
+  co_return parts;
+}
+
 asio::awaitable<CancelOutcome> JobRequestHandler::cancel(model::JobNumber job) {
   bool unknown = false;
   base::TimePoint lastStart = Time.now() + LastAttemptStart;
@@ -209,11 +238,14 @@
     if (model::isFinal(index.value().State))
       co_return CancelOutcome::NoSuchJob;
     std::int32_t shard = index.value().Shard;
+    std::set<std::int32_t> parts = co_await shardsOfParts(job, shard);
     Commit commit;
     commit.Conditions = {{keys::index(job), item.value()->Revision}};
     commit.Writes = {
         {keys::index(job), encodeIndex({shard, JobState::Cancelled})},
-        {keys::cancel(shard, job), "{}"}};
+        {keys::cancel(shard, job), encodeCancel(parts)}};
+    for (std::int32_t it : parts)
+      commit.Writes.push_back({keys::cancel(it, job), encodeCancel(parts)});
     base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
     if (done && done.value().Applied)
       co_return CancelOutcome::Cancelled;
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -230,8 +230,8 @@
   JobEntry &added = *s.Jobs.emplace(id, std::move(entry)).first->second;
   if (part)
     limitToPart(s, added, *part);
-  if (s.CancelledEarly.erase(id) > 0)
-    cancelJob(id, now);
+  if (auto early = s.CancelledEarly.extract(id))
+    cancelJob(id, now, std::move(early.mapped()));
 }
 
 void Shard::restore(JobNumber job, const JobProgress &progress,
@@ -280,12 +280,14 @@
     s.queueCancelForwards(*entry);
 }
 
-void Shard::cancelJob(JobNumber job, base::TimePoint) {
+void Shard::cancelJob(JobNumber job, base::TimePoint,
+                      std::set<std::int32_t> shards) {
   JobEntry *entry = State->findJob(job);
   if (!entry) {
-    State->CancelledEarly.insert(job);
+    State->CancelledEarly[job] = std::move(shards);
     return;
   }
+  entry->CancelledShards.merge(shards);
   State->finishJob(*entry, JobState::Cancelled);
   State->queueCancelForwards(*entry);
 }
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -472,6 +472,22 @@
       });
 }
 
+std::string encodeCancel(const std::set<std::int32_t> &shards) {
+  json::object to;
+  if (!shards.empty())
+    to["shards"] = json::value_from(shards);
+  return json::serialize(to);
+}
+
+base::Result<std::set<std::int32_t>> decodeCancel(const std::string &text) {
+  return decode<std::set<std::int32_t>>(
+      text, [](const json::value &value, const JsonView &v) {
+        std::vector<std::int32_t> shards;
+        readNumbers(value, "shards", v, shards);
+        return std::set<std::int32_t>(shards.begin(), shards.end());
+      });
+}
+
 std::string encodeRoster(const std::vector<RosterEntry> &roster) {
   json::array list;
   for (const RosterEntry &it : roster)
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -206,8 +206,14 @@
       parseJobNumber(item.Key.substr(prefix.size() + kindLength));
   if (!id)
     return reportUnreadable(item, id.error());
-  if (kind == "c/")
-    return State.cancelJob(id.value(), Context.Time.now());
+  if (kind == "c/") {
+    base::Result<std::set<std::int32_t>> shards = decodeCancel(item.Value);
+    if (!shards)
+      reportUnreadable(item, shards.error());
+    return State.cancelJob(id.value(), Context.Time.now(),
+                           shards ? std::move(shards.value())
+                                  : std::set<std::int32_t>{});
+  }
   base::Result<model::AcceptedJob> job = decodeJob(id.value(), item.Value);
   if (!job)
     return reportUnreadable(item, job.error());
--- a/packages/dispatch/src/detail/JobRequestHandler.h
+++ b/packages/dispatch/src/detail/JobRequestHandler.h
@@ -31,6 +31,8 @@
 
 private:
   Async<void> refreshLoads();
+  boost::asio::awaitable<std::set<std::int32_t>>
+  shardsOfParts(model::JobNumber job, std::int32_t shard);
   std::int32_t drawAndReserve(const model::AcceptedJob &job,
                               const std::vector<std::int32_t> &shards,
                               const std::vector<std::int64_t> &headrooms);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -136,6 +136,8 @@
   /// Shards that run a part of the job, with whether the cancellation of the
   /// job has been stored for them.
   std::map<std::int32_t, bool> DelegatedShards;
+  /// Shards for which the caller's node has stored the cancellation.
+  std::set<std::int32_t> CancelledShards;
   /// The records of this cancelled job must be removed.
   bool RemovalDue = false;
   std::map<std::int32_t, Occurrence> Occurrences;
@@ -288,7 +290,7 @@
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
   /// Cancelled jobs whose job record has not been read yet.
-  std::set<JobNumber> CancelledEarly;
+  std::map<JobNumber, std::set<std::int32_t>> CancelledEarly;
   std::map<base::WorkerId, std::unique_ptr<WorkerState>> Workers;
   std::set<base::ZoneId> ZonesOutOfService;
   std::deque<JobNumber> Dirty;
@@ -316,7 +318,7 @@
   // Delegation.cpp
   /// Marks a task as run by another shard.
   void markRemote(JobEntry &job, const TaskKey &key);
-  void queueCancelForwards(const JobEntry &job);
+  void queueCancelForwards(JobEntry &job);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
   /// Schedules the removal of the records of cancelled jobs and removes ended
   /// jobs from the tables.
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -661,6 +661,20 @@
   EXPECT_EQ(stateOf(node, 1), JobState::Cancelled);
 }
 
+// The owner of the job's own shard passed the cancellation on; while it did not
+// read it, tasks in the other shard went on.
+TEST_F(DispatchNodeDelegation, HomeOwnerWithoutStore_PartsAreCancelled) {
+  DispatchNode &node = startJobThatFillsTwoShards();
+  ASSERT_TRUE(runUntil([&] { return runningTasks() == TaskCount; }, 5000ms));
+  bool first =
+      Store.valueOf(dispatch::keys::index(JobNumber{1})).find("\"shard\":0") !=
+      std::string::npos;
+  Store.SilentWatchPrefix = dispatch::keys::shardPrefix(first ? 0 : 1);
+  EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+  EXPECT_TRUE(
+      runUntil([&] { return runningTasks() <= TaskCount / 2; }, 2000ms));
+}
+
 // The answer to the commit that delegates is lost: the tasks must run in one
 // shard only.
 TEST_F(DispatchNodeDelegation, LostAnswer_TasksRunOnce) {
