Transfer work only from current records; keep leases beside short starts

Two places still acted on an old copy of the records. A job could be moved or its tasks delegated after its cancellation had been acknowledged: an attempt that met the changed index entry adopted its revision, so the next one was applied and the cancelled job ran in the other shard. Transfers now need current records like starts, delegation is conditional on the index entry, and an index entry that says cancelled cancels the job.

And a node that answers late could send a start that is valid for 1.5 s when its own next poll is overdue, so that the worker's lease ends with the start's. The short deadline now also needs a lease for 2 s from now.

A test of a delegation after a cancellation passed without the change too (the delegation was not reached), so it is not included.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -203,6 +203,7 @@
   /// The model of how programs on the same worker slow each other.
   policy::ColocationModel &colocationModel();
   std::size_t liveJobCount() const;
+  bool isLive(model::JobNumber job) const;
   /// Returns whether another owner has used a higher token, which ends this
   /// term.
   bool isFenced() const;
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -355,6 +355,11 @@
 
 policy::ColocationModel &Shard::colocationModel() { return State->Colocation; }
 
+bool Shard::isLive(JobNumber job) const {
+  const JobEntry *entry = State->findJob(job);
+  return entry && entry->isLive();
+}
+
 std::size_t Shard::liveJobCount() const { return State->LiveJobs.size(); }
 
 /// Subtracts the CPU demand of a job's waiting tasks from the headroom of their
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -40,7 +40,9 @@
     co_await commitOnce();
     if (Stopped)
       co_return;
-    if (!Flushing && Context.FindShard)
+    // A job that has been cancelled must not move away from its cancellation.
+    if (!Flushing && Context.FindShard && maySendCommands() &&
+        recordsAreCurrent())
       co_await transferWork();
     if (Stopped)
       co_return;
@@ -241,6 +243,8 @@
     auto item = current.find(keys::index(it.Job));
     std::int64_t revision = item == current.end() ? 0 : item->second.Revision;
     (revision == it.Revision ? unmarked : marked).push_back({it.Job, revision});
+    if (item != current.end())
+      cancelIfIndexed(item->second, it.Job);
   }
   State.onStartedMarks(unmarked, false);
   State.onStartedMarks(marked, true);
@@ -248,6 +252,16 @@
   State.onStored(stored, Context.Time.now());
 }
 
+/// Cancels a job whose index entry says so; the watch may deliver the
+/// cancellation later than the conflict that it causes.
+void ShardRunner::cancelIfIndexed(const StoredItem &item,
+                                  model::JobNumber job) {
+  base::Result<JobIndexEntry> index = decodeIndex(item.Value);
+  if (index && index.value().State == model::JobState::Cancelled &&
+      index.value().Shard == CurrentTerm.Shard)
+    State.cancelJob(job, Context.Time.now());
+}
+
 asio::awaitable<void> ShardRunner::flush() {
   auto self = shared_from_this();
   Flushing = true;
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -75,6 +75,7 @@
       revision = it.Revision;
       base::Result<JobIndexEntry> index = decodeIndex(it.Value);
       moved = index && index.value().Shard != from;
+      cancelIfIndexed(it, id);
     }
     State.onMoveFinished(id, moved, revision, Context.Time.now());
     if (moved)
@@ -99,13 +100,22 @@
   if (Stopped)
     co_return;
   base::Result<std::string> record = encodeJob(offer.Job, nullptr, &offer.Part);
-  if (!to || !record)
+  // A part that is stored after the job's cancellation would miss it.
+  base::Result<std::optional<StoredItem>> index =
+      co_await Context.Store.read(keys::index(id));
+  if (Stopped)
+    co_return;
+  if (index && index.value())
+    cancelIfIndexed(*index.value(), id);
+  bool live = index && index.value() && State.isLive(id);
+  if (!to || !record || !live)
     co_return State.onDelegationFinished(offer, std::nullopt, 0,
                                          Context.Time.now());
   JobWrite write = State.delegate(offer, *to);
   Commit commit;
   commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
                        {keys::progress(from, id), write.Revision},
+                       {keys::index(id), index.value()->Revision},
                        {keys::job(*to, id), 0}};
   commit.Writes = {{keys::progress(from, id), encodeProgress(write.Progress)},
                    {keys::job(*to, id), std::move(record.value())}};
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -225,9 +225,10 @@
                                      TimePoint now) const {
   WorkerTime clock = *workerClock(worker, now);
   // A short deadline is safe only if the worker already holds a lease until the
-  // poll after the current one.
-  bool holdsLease = worker.ConfirmedDeadline >=
-                    *workerClock(worker, worker.PollSent) + MaxPollCycle;
+  // poll after the current one. That may be late if this process was.
+  auto nextPoll = std::max(worker.PollSent + MaxPollCycle,
+                           now + Options.StartDeadline + PollDelayMargin);
+  bool holdsLease = worker.ConfirmedDeadline >= *workerClock(worker, nextPoll);
   return clock + (holdsLease ? Options.StartDeadline : Options.LeaseDuration);
 }
 
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -103,6 +103,7 @@
                   std::vector<StartedMark> &marks,
                   const CommitOutcome &outcome);
   boost::asio::awaitable<void> pollLoop(base::WorkerId worker);
+  void cancelIfIndexed(const StoredItem &item, model::JobNumber job);
   void spawnPollLoops();
   boost::asio::awaitable<void> executeCommand(WorkerCommand order);
   /// Ends the term, after which the node no longer refers to this runner. May
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -405,6 +405,8 @@
 /// the worker: wait and timeout of a poll that is not answered, and the delay
 /// after it.
 constexpr std::chrono::milliseconds MaxPollCycle{3500};
+/// Time that a poll of a busy node may take longer.
+constexpr std::chrono::milliseconds PollDelayMargin{500};
 
 /// Returns progress in its stored form: only the differences from a job that
 /// has not started.
