Announce only starts that follow, and end all parts of a job given up

Found by a review, by reading. All waiting suspects were announced in one pass although only as many could start as there were workers without a suspect; each takeover then counted a crash for every one of them, so jobs that could be done would be given up after a few takeovers. A worker that is chosen for an announced run is now reserved in that pass, and the announcement is withdrawn if the run gets no worker or the shard is released. SuspectsWithoutAWorker_AreNotAnnounced: 6 announcements for 4 workers before, 4 now.

A job that was given up removed its records before the owners of its parts had their cancellation; if this owner ended in between, they ran for ever. The final record now waits for these cancellations, also when a delegation was in flight.

Tasks with two crashes share a worker after 2 s, gangs too, so that they do not wait without limit; the time to a crash that a survivor must outlive counts up to 10 s.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -195,6 +195,10 @@
   void onCancelForwards(const std::vector<CancelForward> &forwards,
                         bool stored);
 
+  /// Withdraws the announcements of runs that have not been started, before the
+  /// shard is released.
+  void withdrawAnnouncements();
+
   /// Records that a job that had ended here was cancelled before its end was
   /// stored.
   void cancelFinished(model::JobNumber job);
--- a/packages/dispatch/src/Crashes.cpp
+++ b/packages/dispatch/src/Crashes.cpp
@@ -26,6 +26,9 @@
 constexpr auto SurvivalTime = 5s;
 /// Factor of the longest time to a crash after which a run clears its task.
 constexpr int SurvivalFactor = 2;
+/// Longest time to a crash that counts; a task that ran for longer was most
+/// likely innocent.
+constexpr auto MaxTimeToCrash = 10s;
 
 /// Returns whether the run may have been on the worker when it crashed. A start
 /// that was sent after the worker had fallen silent did not reach it.
@@ -111,7 +114,9 @@
   crashes.Runs.push_back(run.Number);
   crashes.AnnouncedRun = 0;
   crashes.LatestStarts += evidence.LatestStart;
-  crashes.LongestRun = std::max(crashes.LongestRun, ran);
+  crashes.LongestRun =
+      std::max(crashes.LongestRun,
+               std::min<std::chrono::milliseconds>(ran, MaxTimeToCrash));
   Events.emit(EventCode::TaskCrashed,
               {{"task", taskText(key)},
                {"run", std::to_string(run.Number)},
@@ -146,6 +151,8 @@
                              std::int64_t run) {
   if (!task.isSuspect() && task.UnresolvedRun == 0)
     return true;
+  if (!job.isLive())
+    return false;
   CrashRecord &crashes = task.Crashes;
   // All workers have been asked by now, so the run was lost with its worker or
   // never started. Only the first is safe to assume.
@@ -167,6 +174,14 @@
   return false;
 }
 
+void ShardState::withdrawAnnouncement(JobEntry &job, TaskEntry &task) {
+  if (task.Crashes.AnnouncedRun == 0 || !task.Runs.empty())
+    return;
+  task.Crashes.AnnouncedRun = 0;
+  if (job.isLive())
+    markDirty(job);
+}
+
 void ShardState::giveUp(JobEntry &job, const TaskKey &key,
                         const TaskEntry &task) {
   Events.emit(EventCode::JobGivenUp,
@@ -174,9 +189,9 @@
                {"task", taskText(key)},
                {"crashes", std::to_string(task.Crashes.Runs.size())}});
   finishJob(job, model::JobState::Failed);
-  queueCancelForwards(job);
   if (job.HomeShard)
-    CancelForwards.push_back({key.Job, *job.HomeShard});
+    job.DelegatedShards.try_emplace(*job.HomeShard, false);
+  queueCancelForwards(job);
 }
 
 void ShardState::clearSurvivors() {
@@ -211,3 +226,17 @@
 }
 
 } // namespace endivedoor::dispatch::detail
+
+namespace endivedoor::dispatch {
+
+void Shard::withdrawAnnouncements() {
+  for (detail::JobEntry *job : State->LiveJobs)
+    for (auto &[number, o] : job->Occurrences)
+      for (detail::StepEntry &step : o.Steps)
+        for (detail::TaskEntry &it : step.Tasks)
+          // An unresolved run of an earlier owner stays announced.
+          if (it.UnresolvedRun == 0)
+            State->withdrawAnnouncement(*job, it);
+}
+
+} // namespace endivedoor::dispatch
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -125,7 +125,7 @@
   if (shard) {
     job->ProgressRevision = revision;
     job->DelegatedShards.try_emplace(*shard, false);
-    if (job->State == JobState::Cancelled)
+    if (!job->isLive())
       s.queueCancelForwards(*job);
     return;
   }
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -116,13 +116,17 @@
           .WaitingCount;
 }
 
+/// Returns whether the cancellation has been stored for all other shards that
+/// run tasks of the job.
+static bool isForwarded(const JobEntry &job) {
+  return std::all_of(job.DelegatedShards.begin(), job.DelegatedShards.end(),
+                     [](const auto &shard) { return shard.second; });
+}
+
 void ShardState::removeEndedJobs() {
-  auto forwarded = [](const auto &shard) { return shard.second; };
   for (JobEntry *job : LiveJobs)
     if (job->State == JobState::Cancelled && job->RunCount == 0 &&
-        !job->RemovalDue &&
-        std::all_of(job->DelegatedShards.begin(), job->DelegatedShards.end(),
-                    forwarded)) {
+        !job->RemovalDue && isForwarded(*job)) {
       job->RemovalDue = true;
       markDirty(*job);
     }
@@ -295,11 +299,18 @@
 std::vector<JobWrite> Shard::takeWrites(std::size_t limit) {
   detail::ShardState &s = *State;
   std::vector<JobWrite> writes;
+  std::vector<JobNumber> deferred;
   while (!s.Dirty.empty() && writes.size() < limit) {
     JobEntry *job = s.findJob(s.Dirty.front());
     s.Dirty.pop_front();
     if (!job || job->WriteInFlight || job->Version == job->StoredVersion)
       continue;
+    // The final record of a job that was given up replaces the records that
+    // name its parts, so these get their cancellation first.
+    if (job->State == JobState::Failed && !detail::isForwarded(*job)) {
+      deferred.push_back(job->Job.Id);
+      continue;
+    }
     JobWrite write;
     write.Job = job->Job.Id;
     write.Version = job->Version;
@@ -313,6 +324,7 @@
     job->WriteInFlight = true;
     writes.push_back(std::move(write));
   }
+  s.Dirty.insert(s.Dirty.end(), deferred.begin(), deferred.end());
   return writes;
 }
 
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -130,7 +130,7 @@
 /// Returns whether a suspect may be started on the worker. The time of a crash
 /// is only known of a worker that answers.
 static bool canIsolate(const WorkerState &w) {
-  return w.SuspectRuns.empty() && !w.SilentSince;
+  return w.SuspectRuns.empty() && !w.ReservedForSuspect && !w.SilentSince;
 }
 
 static double crashPenalty(const WorkerState &w, bool isolated) {
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -32,8 +32,11 @@
 /// least unsuitable worker. Longer than MoveDelay, so that shards where it may
 /// suit are tried first.
 constexpr auto StarvationTime = 2500ms;
-/// Longest wait of a suspect for a worker without other suspects.
-constexpr auto MaxIsolationWait = 1000ms;
+/// Longest wait of a suspect for a worker without other suspects, for each
+/// crash up to MaxIsolationCrashes; together shorter than callers wait before
+/// they count a task as lost.
+constexpr auto IsolationWaitPerCrash = 1000ms;
+constexpr std::size_t MaxIsolationCrashes = 2;
 /// Factor by which the run time and idle time limits are extended for fillers.
 constexpr int FillerStuckFactor = 3;
 
@@ -158,6 +161,16 @@
                {"other", std::to_string(rejections.Other)}});
 }
 
+/// Returns whether a task must be started where no other suspect runs.
+static bool needsIsolation(const TaskEntry &task, const StepEntry &entry,
+                           TimePoint now) {
+  if (!task.isSuspect())
+    return false;
+  auto wait = IsolationWaitPerCrash *
+              std::min(task.Crashes.Runs.size(), MaxIsolationCrashes);
+  return !entry.WaitingSince || now - *entry.WaitingSince < wait;
+}
+
 void ShardState::startStep(JobEntry &job, Occurrence &o, std::int32_t step,
                            TimePoint now) {
   const model::StepSpec &spec =
@@ -176,19 +189,18 @@
       continue;
     if (StartBudget == 0)
       return;
-    // After one crash a task is most likely innocent, so it need not wait long
-    // for a worker of its own.
-    bool isolated = task.isSuspect() &&
-                    (task.Crashes.Runs.size() > 1 || !entry.WaitingSince ||
-                     now - *entry.WaitingSince < MaxIsolationWait);
+    TaskKey key{job.Job.Id, o.Number, step, i};
+    bool isolated = needsIsolation(task, entry, now);
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now,
                                        starved && job.RunCount == 0, isolated);
     if (!worker)
       logWait(job, o, step, entry, now);
     else
       entry.WaitingSince.reset();
-    if (!worker && isolated && !spec.LongRunning)
+    if (!worker && isolated) {
+      withdrawAnnouncement(job, task);
       continue;
+    }
     if (!worker && !spec.LongRunning) {
       // A limit per worker applies to this job only, so the failure says
       // nothing about other jobs of the same program.
@@ -200,11 +212,11 @@
       reserveForLongRunning(*this, job, spec, counts, now);
       continue;
     }
-    TaskKey key{job.Job.Id, o.Number, step, i};
     std::int64_t run = nextRun(job, task, Term);
     if (!announceRun(job, key, task, run)) {
       if (!job.isLive())
         return;
+      worker->ReservedForSuspect = true;
       continue;
     }
     startTask(job, key, task, *worker, now, run);
@@ -222,16 +234,15 @@
   // ended.
   if (entry.WaitingCount < spec.Count || StartBudget == 0)
     return;
-  bool suspect = false;
-  for (const TaskEntry &it : entry.Tasks)
-    suspect = suspect || it.isSuspect();
+  bool isolated = std::any_of(
+      entry.Tasks.begin(), entry.Tasks.end(),
+      [&](const TaskEntry &it) { return needsIsolation(it, entry, now); });
   std::vector<WorkerState *> places =
-      chooseGang(*this, job, spec, now, suspect);
+      chooseGang(*this, job, spec, now, isolated);
   if (places.empty()) {
     logWait(job, o, step, entry, now);
     return;
   }
-  entry.WaitingSince.reset();
   std::int64_t run = 0;
   std::string checkpoint;
   for (const TaskEntry &it : entry.Tasks) {
@@ -244,8 +255,12 @@
     announced = announceRun(job, {job.Job.Id, o.Number, step, i},
                             entry.Tasks[static_cast<std::size_t>(i)], run) &&
                 announced;
-  if (!announced)
+  if (!announced) {
+    for (WorkerState *it : places)
+      it->ReservedForSuspect = it->ReservedForSuspect || isolated;
     return;
+  }
+  entry.WaitingSince.reset();
   --StartBudget;
   for (std::int32_t i = 0; i < spec.Count; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
@@ -284,6 +299,7 @@
   UnplaceableSteps.clear();
   for (auto &[id, w] : Workers) {
     w->ReservedCapacity = {};
+    w->ReservedForSuspect = false;
     w->ServedCache.reset();
   }
   updateDemandRatios();
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -265,6 +265,7 @@
 asio::awaitable<void> ShardRunner::flush() {
   auto self = shared_from_this();
   Flushing = true;
+  State.withdrawAnnouncements();
   // Maximum number of commits before the shard is released. The next owner
   // reads whatever is not stored by then from the workers' lists.
   constexpr int maxRounds = 8;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -250,6 +250,9 @@
   std::map<RunId, TimePoint> OrphanRuns;
   /// Runs here of tasks that were running in earlier crashes.
   std::set<RunId> SuspectRuns;
+  /// The current plan has chosen the worker for a suspect that is yet to be
+  /// announced.
+  bool ReservedForSuspect = false;
 
   WorkerRef ref() const { return {Profile.Id, Profile.Endpoint}; }
   /// Returns an amount of CPU as a fraction of the capacity; finite also if
@@ -358,6 +361,9 @@
   /// \returns whether the run may start now.
   bool announceRun(JobEntry &job, const TaskKey &key, TaskEntry &task,
                    std::int64_t run);
+  /// Withdraws the announcement of a run that is not started now: the next
+  /// owner must not take it as lost.
+  void withdrawAnnouncement(JobEntry &job, TaskEntry &task);
   /// Ends a job as failed because one of its tasks crashes workers.
   void giveUp(JobEntry &job, const TaskKey &key, const TaskEntry &task);
   /// Clears tasks whose run has outlived the time after which earlier runs
--- a/tests/unit/unit-dispatch-crashes.cpp
+++ b/tests/unit/unit-dispatch-crashes.cpp
@@ -176,11 +176,13 @@
   std::vector<WorkerCommand> commands = startAll();
   ASSERT_EQ(commands.size(), 1u);
   crash(commands[0].Worker.Id.str());
-  EXPECT_EQ(finalStateOf(1), model::JobState::Failed);
+  EXPECT_FALSE(finalStateOf(1));
   std::vector<dispatch::CancelForward> forwards =
       TestShard.takeCancelForwards(9);
   ASSERT_EQ(forwards.size(), 1u);
   EXPECT_EQ(forwards[0].Shard, 4);
+  TestShard.onCancelForwards(forwards, true);
+  EXPECT_EQ(finalStateOf(1), model::JobState::Failed);
 }
 
 TEST_F(CrashingTask, GangMember_FailsTheGangAfterTwoCrashes) {
@@ -219,6 +221,26 @@
   EXPECT_EQ(workers.size(), 3u);
 }
 
+// An announced run that was not started would count as a crash at the next
+// takeover.
+TEST_F(CrashedWorker, SuspectsWithoutAWorker_AreNotAnnounced) {
+  for (std::uint64_t i = 1; i <= 6; ++i)
+    TestShard.addJob(job(i, {step(1)}), 200, false, now());
+  std::vector<WorkerCommand> commands = startAll();
+  ASSERT_EQ(commands.size(), 6u);
+  crash(commands[0].Worker.Id.str());
+  EXPECT_TRUE(plan().empty());
+  int announced = 0;
+  std::vector<dispatch::JobWrite> writes = TestShard.takeWrites(100);
+  for (const dispatch::JobWrite &it : writes)
+    announced +=
+        it.Progress.Occurrences.at(0).Tasks.at(0).Crashes.AnnouncedRun > 0;
+  EXPECT_EQ(announced, 4);
+  TestShard.onStored(writes, now());
+  TestShard.withdrawAnnouncements();
+  EXPECT_EQ(TestShard.takeWrites(100).size(), 4u);
+}
+
 TEST_F(CrashedWorker, Suspect_AvoidsLongRunningTasks) {
   model::StepSpec longRunning = step(1);
   longRunning.LongRunning = true;
