Keep the wait of a suspect until it starts

Where every worker had a suspect, a task was announced beside another one after its wait; the wait then began anew, so the next pass looked for a worker of its own, found none and withdrew the announcement, without end. The wait now ends with the start.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -195,8 +195,6 @@
                                        starved && job.RunCount == 0, isolated);
     if (!worker)
       logWait(job, o, step, entry, now);
-    else
-      entry.WaitingSince.reset();
     if (!worker && isolated) {
       withdrawAnnouncement(job, task);
       continue;
@@ -219,6 +217,9 @@
       worker->ReservedForSuspect = true;
       continue;
     }
+    // Not before: an announced run waits for the store, and must not have to
+    // wait for a worker of its own again.
+    entry.WaitingSince.reset();
     startTask(job, key, task, *worker, now, run);
     --StartBudget;
     ++counts[worker];
--- a/tests/unit/unit-dispatch-crashes.cpp
+++ b/tests/unit/unit-dispatch-crashes.cpp
@@ -241,6 +241,33 @@
   EXPECT_EQ(TestShard.takeWrites(100).size(), 4u);
 }
 
+// kcs-orders trouble-1: a suspect that was announced beside another one after
+// its wait was withdrawn in the next pass, because the wait had begun anew.
+TEST_F(CrashedWorker, NoWorkerWithoutSuspects_SuspectStartsAfterAWait) {
+  std::vector<model::StepSpec> longRunning = {step(4, 3000)};
+  longRunning[0].LongRunning = true;
+  longRunning[0].MaxPerWorker = 1;
+  TestShard.addJob(job(1, longRunning), 200, false, now());
+  TestShard.addJob(job(2, {step(1)}), 201, false, now());
+  TestShard.addJob(job(3, {step(1)}), 202, false, now());
+  std::vector<WorkerCommand> commands = startAll();
+  ASSERT_EQ(commands.size(), 6u);
+  std::set<std::string> workers;
+  for (const WorkerCommand &it : commands)
+    workers.insert(it.Worker.Id.str());
+  for (const std::string &it : workers)
+    crash(it);
+  int started = 0;
+  for (int i = 0; i < 40; ++i) {
+    Time.advance(100ms);
+    commands = plan();
+    confirmStarts(commands);
+    started += static_cast<int>(commands.size());
+    storeWrites();
+  }
+  EXPECT_EQ(started, 6);
+}
+
 TEST_F(CrashedWorker, Suspect_AvoidsLongRunningTasks) {
   model::StepSpec longRunning = step(1);
   longRunning.LongRunning = true;
