Give up only tasks with two confirmed crashes

The rule allows giving up after two workers have crashed under a task.

Crashes of runs that the worker had confirmed are counted apart, and two of them are needed; only after five without is a task given up, since no more starts are allowed then.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -78,6 +78,9 @@
   std::int64_t AnnouncedRun = 0;
   /// Longest time from a start to the crash.
   std::chrono::milliseconds LongestRun{0};
+  /// How many of the runs the worker had confirmed; the others may not have
+  /// reached it.
+  std::int32_t Confirmed = 0;
 };
 
 /// Progress of one task. Tasks that are neither done nor ever failed are
--- a/packages/dispatch/src/Crashes.cpp
+++ b/packages/dispatch/src/Crashes.cpp
@@ -21,6 +21,8 @@
 /// twice after the third; one start is left for a first crash that no owner
 /// has seen.
 constexpr std::size_t MaxCrashes = 4;
+/// The same if fewer than MinCrashes of the runs were confirmed.
+constexpr std::size_t MaxUnconfirmedCrashes = 5;
 /// A run that is still there after this time clears its task, unless earlier
 /// runs took longer to crash.
 constexpr auto SurvivalTime = 5s;
@@ -46,9 +48,11 @@
 
 static bool crashesWorkers(const CrashRecord &crashes, CrashEvidence evidence) {
   std::size_t n = crashes.Runs.size();
+  // Starts that may not have reached a worker do not suffice.
+  bool confirmed = static_cast<std::size_t>(crashes.Confirmed) >= MinCrashes;
   if (n >= MaxCrashes)
-    return true;
-  return n >= MinCrashes && evidence.OnlySuspect &&
+    return confirmed || n >= MaxUnconfirmedCrashes;
+  return confirmed && evidence.OnlySuspect &&
          (n >= CrashesOfOnlySuspect ||
           static_cast<std::size_t>(crashes.LatestStarts) >= MinCrashes);
 }
@@ -114,6 +118,7 @@
   crashes.Runs.push_back(run.Number);
   crashes.AnnouncedRun = 0;
   crashes.LatestStarts += evidence.LatestStart;
+  crashes.Confirmed += run.Confirmed;
   crashes.LongestRun =
       std::max(crashes.LongestRun,
                std::min<std::chrono::milliseconds>(ran, MaxTimeToCrash));
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -187,6 +187,7 @@
   setUnlessDefault(to, "y", crashes.LatestStarts);
   setUnlessDefault(to, "w", crashes.AnnouncedRun);
   setUnlessDefault(to, "z", crashes.LongestRun.count());
+  setUnlessDefault(to, "v", crashes.Confirmed);
 }
 
 /// Reads what crashesToJson() has written.
@@ -196,6 +197,7 @@
   crashes.LatestStarts = readInt32(v, "y");
   crashes.AnnouncedRun = v.optionalNumber("w", 0, platform::MaxInt64);
   crashes.LongestRun = std::chrono::milliseconds(readInt32(v, "z"));
+  crashes.Confirmed = readInt32(v, "v");
   return crashes;
 }
 
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -99,7 +99,7 @@
   run.Number = row.Id.Number;
   run.Phase = wanted ? RunPhase::Running : RunPhase::Stopping;
   run.PhaseSince = run.Started = run.LastBusy = now;
-  run.Adopted = true;
+  run.Adopted = run.Confirmed = true;
   run.SpeedPercent = run.OrderedPercent =
       step.LongRunning ? 100 : row.SpeedPercent;
   task->Runs.push_back(run);
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -172,6 +172,7 @@
         run->Phase == RunPhase::Unconfirmed) {
       run->Phase = RunPhase::Running;
       run->PhaseSince = now;
+      run->Confirmed = true;
     }
     run->PossibleCrash.reset();
     // The worker was unreachable for a while but has not crashed.
@@ -468,6 +469,7 @@
         run->Phase == RunPhase::Unconfirmed) {
       run->Phase = RunPhase::Running;
       run->PhaseSince = now;
+      run->Confirmed = true;
     }
     return;
   }
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -62,6 +62,8 @@
   TimePoint LastBusy;
   /// An earlier owner started the run, so Started is only when it was found.
   bool Adopted = false;
+  /// The worker has confirmed the run.
+  bool Confirmed = false;
   /// Set if the worker crashed while the start was unconfirmed: the run was
   /// lost in the crash unless the new incarnation lists it.
   std::optional<CrashEvidence> PossibleCrash;
