--- a/packages/dispatch/src/Crashes.cpp
+++ b/packages/dispatch/src/Crashes.cpp
@@ -180,7 +180,9 @@
 }
 
 void ShardState::withdrawAnnouncement(JobEntry &job, TaskEntry &task) {
-  if (task.Crashes.AnnouncedRun == 0 || !task.Runs.empty())
+  // An unresolved run of an earlier owner stays announced.
+  if (task.Crashes.AnnouncedRun == 0 || task.UnresolvedRun != 0 ||
+      !task.Runs.empty())
     return;
   task.Crashes.AnnouncedRun = 0;
   if (job.isLive())
@@ -239,9 +241,7 @@
     for (auto &[number, o] : job->Occurrences)
       for (detail::StepEntry &step : o.Steps)
         for (detail::TaskEntry &it : step.Tasks)
-          // An unresolved run of an earlier owner stays announced.
-          if (it.UnresolvedRun == 0)
-            State->withdrawAnnouncement(*job, it);
+          State->withdrawAnnouncement(*job, it);
 }
 
 } // namespace endivedoor::dispatch
