--- a/packages/model/include/endivedoor/model/JobGraph.h
+++ b/packages/model/include/endivedoor/model/JobGraph.h
@@ -90,12 +90,27 @@
   std::chrono::milliseconds Target{0};
 };
 
+/// A client account: who may submit jobs, and how much they may have running.
+struct ClientAccount {
+  std::string Name;
+  /// Secrets; must not appear in logs, errors, metrics or records.
+  std::vector<std::string> ApiKeys;
+  /// Fair share of the capacity when that is short, relative to the other
+  /// accounts; also the number of jobs per second that the account is owed.
+  double Weight = 1;
+  /// Limit of the resources of all running tasks on all workers together; an
+  /// amount of 0 means no limit.
+  base::Resources MaxRunning;
+};
+
 /// A job as stored.
 struct AcceptedJob {
   JobNumber Id{0};
   std::string Queue;
   QueuePolicy Policy;
   JobGraph Graph;
+  /// Name of the client account that submitted the job; empty for none.
+  std::string Account = {};
 };
 
 enum class JobState { Queued, Running, Succeeded, Failed, Cancelled };
@@ -125,12 +140,16 @@
   QueuePolicy Policy;
   /// Some workers may be forbidden for a step; only an adviser knows which.
   bool RequiresAdvice = false;
+  /// Callers need no key.
+  bool Public = false;
 };
 
 /// The configuration set by operators.
 struct QueueConfiguration {
   std::int64_t Version = 0;
   std::vector<QueueRoute> Routes;
+  /// Empty if the installation has no client accounts: then no key is needed.
+  std::vector<ClientAccount> Accounts;
   std::size_t MaxBodyBytes = 256 * 1024;
 };
 
