Let the lease of a silent worker expire

Cause: each poll requested a lease and advanced the end of the lease that the worker may hold, also for a worker that had not answered for seconds. The runs of a lost worker therefore never counted as ended; they counted as stuck, and a stop command was repeated every 0.7 s.

Change: a poll of a silent worker requests no lease and does not wait; its first answer is followed at once by the poll that renews the lease. Silent workers get no starts, and a start that has not been sent yet is withdrawn. Unanswered stop commands back off from 0.7 s to 5.6 s. Runs without reports do not count as stuck. The lease of an idle worker and of runs of unknown tasks expires too, so that neither is kept for a worker that is gone.

The whole lease of the first start after a silence is tested after the first answer, since there is no start before it any more; the test also checks that there is none.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -45,6 +45,9 @@
   bool Synced = false;
   /// The worker has runs of this shard.
   bool HasRuns = false;
+  /// The worker has not answered the previous poll. This one must not wait, and
+  /// its answer must be followed at once by the poll that renews the lease.
+  bool Silent = false;
 };
 
 /// Load figures that a shard publishes to other nodes.
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -13,8 +13,11 @@
 /// Run numbers of a term start at a multiple of this. They are thus higher than
 /// those of earlier terms, which the current owner may not know.
 constexpr std::int64_t RunNumbersPerTerm = 1024;
-/// A stop command that has not taken effect is sent again after this time.
+/// A stop command that has not taken effect is sent again after this time. The
+/// time doubles with each command that was not answered, up to
+/// MaxStopRetryInterval; the commands end with the lease of the worker.
 constexpr auto StopRetryInterval = 700ms;
+constexpr auto MaxStopRetryInterval = 5600ms;
 /// A run whose start was not answered is stopped if the worker has not listed
 /// it within this time.
 constexpr auto UnconfirmedTimeout = 300ms;
@@ -343,16 +346,27 @@
   Outbox.push_back(std::move(command));
 }
 
+/// Counts a stop command that is sent now, unless it is too early for one.
+static bool isStopDue(StopAttempts &attempts, TimePoint now) {
+  base::Duration interval = StopRetryInterval;
+  for (int i = 1; i < attempts.Unanswered && interval < MaxStopRetryInterval;
+       ++i)
+    interval *= 2;
+  if (attempts.LastSent != TimePoint{} && now - attempts.LastSent < interval)
+    return false;
+  attempts.LastSent = now;
+  ++attempts.Unanswered;
+  return true;
+}
+
 void ShardState::stopRun(const TaskKey &key, Run &run, const char *cause,
                          TimePoint now) {
-  bool again = run.Phase == RunPhase::Stopping;
-  if (again && now - run.StopSent < StopRetryInterval)
+  if (!isStopDue(run.Stops, now))
     return;
-  if (!again) {
+  if (run.Phase != RunPhase::Stopping) {
     run.Phase = RunPhase::Stopping;
     run.PhaseSince = now;
   }
-  run.StopSent = now;
   if (!run.StopCause)
     run.StopCause = cause;
   sendStop(*run.Worker, {key, run.Number}, run.StopCause);
@@ -390,12 +404,9 @@
       }
   }
   for (auto &[id, w] : Workers)
-    for (auto &[run, sent] : w->OrphanRuns) {
-      if (sent != TimePoint{} && now - sent < StopRetryInterval)
-        continue;
-      sent = now;
-      sendStop(*w, run, "unknown run");
-    }
+    for (auto &[run, attempts] : w->OrphanRuns)
+      if (isStopDue(attempts, now))
+        sendStop(*w, run, "unknown run");
 }
 
 void ShardState::moveOffDrainingWorkers(TimePoint now) {
@@ -430,6 +441,10 @@
           if (task.Done || task.Runs.size() != 1)
             continue;
           Run &run = task.Runs.front();
+          // Without reports of its worker nothing is known about the run; it
+          // ends with the worker's lease.
+          if (run.Worker->SilentSince)
+            continue;
           // A filler may be idle because other tasks use the whole CPU.
           bool idle = !spec.Filler && now - run.LastBusy > MaxIdleTime;
           bool late = now - run.Started > FillerStuckFactor * limit &&
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -298,9 +298,9 @@
         State.nextPoll(worker, sent, maySendCommands());
     if (!plan)
       break;
-    plan->Request.Wait = !plan->Synced   ? 0ms
-                         : plan->HasRuns ? BusyPollWait
-                                         : IdlePollWait;
+    plan->Request.Wait = !plan->Synced || plan->Silent ? 0ms
+                         : plan->HasRuns               ? BusyPollWait
+                                                       : IdlePollWait;
     base::Result<PollReport> report = co_await Context.WorkerCalls.poll(
         plan->Worker, plan->Request, plan->Request.Wait + CallTimeout);
     if (Stopped)
@@ -321,8 +321,10 @@
     requestPlan();
     if (State.hasWrites())
       CommitTimer.cancel();
-    co_await sleepFor(report.value().WrongIncarnation ? PollRetryDelay
-                                                      : PollBatchDelay);
+    if (report.value().WrongIncarnation)
+      co_await sleepFor(PollRetryDelay);
+    else if (!plan->Silent)
+      co_await sleepFor(PollBatchDelay);
   }
   PolledWorkers.erase(worker);
 }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -57,6 +57,7 @@
       // runs shows whether it did.
       it.Phase = RunPhase::Unconfirmed;
       it.PhaseSince = now;
+      it.Stops = {};
     }
   }
   for (const RunId &it : lost)
@@ -83,7 +84,7 @@
   JobEntry *job = nullptr;
   TaskEntry *task = findTask(row.Id.Task, &job);
   if (!task) {
-    worker.OrphanRuns.emplace(row.Id, TimePoint{});
+    worker.OrphanRuns.emplace(row.Id, StopAttempts{});
     return;
   }
   const model::StepSpec &step = stepOf(*job, row.Id.Task);
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -237,7 +237,8 @@
   for (auto &[id, w] : Workers) {
     if (w->UnverifiedUntil && now >= *w->UnverifiedUntil)
       dropRuns(*w, "lease of an earlier owner expired");
-    if (w->Runs.empty() || !w->Clock)
+    bool hasRuns = !w->Runs.empty() || !w->OrphanRuns.empty();
+    if (!w->Clock || !(hasRuns || (w->SilentSince && w->Synced)))
       continue;
     auto leaseLeft = std::chrono::duration<double, std::milli>(
                          w->LatestDeadline - w->Clock->Clock) *
@@ -257,6 +258,26 @@
   }
 }
 
+void ShardState::endSilence(WorkerState &worker, TimePoint now) {
+  worker.SilentSince.reset();
+  worker.Refused = false;
+  for (const auto &[id, held] : worker.Runs) {
+    TaskEntry *task = findTask(id.Task);
+    if (!task)
+      continue;
+    for (Run &it : task->Runs) {
+      if (it.Number != id.Number || it.Worker != &worker)
+        continue;
+      // It is not known whether the run was idle during the silence.
+      it.LastBusy = now;
+      it.Stops.Unanswered = 0;
+    }
+  }
+  for (auto &[run, attempts] : worker.OrphanRuns)
+    attempts.Unanswered = 0;
+  Events.emit(EventCode::WorkerHeard, {{"worker", worker.Profile.Id.str()}});
+}
+
 } // namespace detail
 
 void Shard::updateWorker(const model::WorkerProfile &profile, TimePoint now) {
@@ -342,12 +363,15 @@
   plan.Worker = w.ref();
   plan.Synced = w.Synced;
   plan.HasRuns = !w.Runs.empty();
+  plan.Silent = w.SilentSince.has_value();
   plan.Request.Token = State->Token;
   plan.Request.AcknowledgedEnd = w.AcknowledgedEnd;
   std::optional<WorkerTime> clock = State->workerClock(w, now);
   // A worker without runs gets a lease too: it may wait with its answer for
-  // longer than a start command that arrives meanwhile is valid.
-  if (mayExtendLeases && clock) {
+  // longer than a start command that arrives meanwhile is valid. A poll of a
+  // silent worker requests none: any lease that was sent counts as received, so
+  // the runs of a lost worker would never count as ended.
+  if (mayExtendLeases && clock && !w.SilentSince) {
     plan.Request.Deadline = *clock + State->Options.LeaseDuration;
     w.LatestDeadline = std::max(w.LatestDeadline, plan.Request.Deadline);
   }
@@ -399,11 +423,8 @@
   if (w.Profile.StartTime.count() != 0 && report.StartTime.count() != 0 &&
       report.StartTime != w.Profile.StartTime)
     s.handleRestart(w, "worker reported a new start time", received);
-  if (w.SilentSince) {
-    w.SilentSince.reset();
-    w.Refused = false;
-    s.Events.emit(base::EventCode::WorkerHeard, {{"worker", worker.str()}});
-  }
+  if (w.SilentSince)
+    s.endSilence(w, received);
   if (report.StartTime.count() != 0)
     w.Profile.StartTime = report.StartTime;
   w.Clock = detail::ClockSample{report.Clock, received};
@@ -420,7 +441,7 @@
     return;
   w.Synced = true;
   // An earlier owner may have requested a lease just before this poll.
-  if (!w.Runs.empty())
+  if (!w.Runs.empty() || !w.OrphanRuns.empty())
     w.LatestDeadline =
         std::max(w.LatestDeadline, report.Clock + s.Options.LeaseDuration);
   s.Events.emit(base::EventCode::WorkerSynced,
@@ -435,7 +456,7 @@
   return task && job->isLive() && task->isPending() &&
          std::any_of(task->Runs.begin(), task->Runs.end(), [&](const Run &it) {
            return it.Number == command.Run.Number &&
-                  it.Phase == RunPhase::Starting;
+                  it.Phase == RunPhase::Starting && !it.Worker->SilentSince;
          });
 }
 
@@ -496,15 +517,24 @@
 void Shard::onStop(const WorkerCommand &command,
                    base::Result<CommandResult> result, TimePoint now) {
   detail::ShardState &s = *State;
-  if (!result || (result.value() != CommandResult::Done))
+  if (!result)
     return;
+  auto worker = s.Workers.find(command.Worker.Id);
+  if (worker != s.Workers.end())
+    if (auto orphan = worker->second->OrphanRuns.find(command.Run);
+        orphan != worker->second->OrphanRuns.end())
+      orphan->second.Unanswered = 0;
   TaskEntry *task = s.findTask(command.Run.Task);
   if (!task)
     return;
-  for (Run &it : task->Runs)
-    if (it.Number == command.Run.Number &&
-        it.Worker->Profile.Id == command.Worker.Id)
+  for (Run &it : task->Runs) {
+    if (it.Number != command.Run.Number ||
+        it.Worker->Profile.Id != command.Worker.Id)
+      continue;
+    it.Stops.Unanswered = 0;
+    if (result.value() == CommandResult::Done)
       it.StopConfirmed = now;
+  }
 }
 
 void Shard::onThrottleFailed(const WorkerCommand &command) {
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -39,6 +39,13 @@
   bool OnlySuspect = false;
 };
 
+/// Stop commands for one run.
+struct StopAttempts {
+  TimePoint LastSent;
+  /// Number of commands in a row that the worker has not answered.
+  int Unanswered = 0;
+};
+
 /// One run of a task on a worker.
 struct Run {
   WorkerState *Worker = nullptr;
@@ -50,7 +57,7 @@
   /// When the worker confirmed the latest stop command; lists requested after
   /// that show whether the run still exists.
   std::optional<TimePoint> StopConfirmed;
-  TimePoint StopSent;
+  StopAttempts Stops;
   /// Why the run is stopped; null unless a stop command has been sent.
   const char *StopCause = nullptr;
   std::int32_t SpeedPercent = 100;
@@ -247,9 +254,8 @@
   double DemandRatioSum = 0;
   /// When the gauges of the worker were last passed to the model.
   TimePoint LastObserved;
-  /// Runs of unknown tasks, which must be stopped, with the time of the last
-  /// stop command.
-  std::map<RunId, TimePoint> OrphanRuns;
+  /// Runs of unknown tasks, which must be stopped.
+  std::map<RunId, StopAttempts> OrphanRuns;
   /// Runs here of tasks that were running in earlier crashes.
   std::set<RunId> SuspectRuns;
   /// The current plan has chosen the worker for a suspect that is yet to be
@@ -270,7 +276,7 @@
     return EntryStartTime.count() != 0 && EntryStartTime < Profile.StartTime;
   }
   bool isUsable() const {
-    return Listed && Synced && InRoster && !Profile.Draining &&
+    return Listed && Synced && InRoster && !Profile.Draining && !SilentSince &&
            !isEntryOutdated();
   }
 };
@@ -345,6 +351,8 @@
                const model::StepSpec &step);
   void release(WorkerState &worker, const RunId &run);
   void expireLeases(TimePoint now);
+  /// Handles the first answer of a silent worker.
+  void endSilence(WorkerState &worker, TimePoint now);
   /// Returns the lease deadline of a start command that is sent now.
   WorkerTime startDeadline(const WorkerState &worker, TimePoint now) const;
   std::optional<WorkerTime> workerClock(const WorkerState &worker,
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -303,12 +303,15 @@
 }
 
 // It is not known whether the worker has received the lease of a poll that was
-// not answered, so the start itself must bring one that lasts.
+// not answered, and the next poll requests none, so the first start after the
+// silence must bring one that lasts.
 TEST_F(ShardStartDeadline, UnansweredPolls_StartBringsAWholeLease) {
   addPolledWorker();
   Time.advance(3200ms);
   TestShard.onPollFailed(base::WorkerId("w1"), "no answer", now());
   sendPoll();
+  EXPECT_TRUE(plan().empty());
+  answerPoll({});
   std::vector<WorkerCommand> orders = plan();
   ASSERT_EQ(orders.size(), 1u);
   EXPECT_GT(orders[0].Deadline, clock() + 5500ms);
--- /dev/null
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -0,0 +1,214 @@
+// Load pattern: workers that stop answering, for a while or for good, with
+// tasks on them. Faults of a wait whose end depends on the party that is gone.
+#include "support/ShardFixture.h"
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+
+namespace {
+
+/// A worker "lost" with one task, and an idle worker "other" that answers.
+class SilentWorker : public ShardFixture {
+protected:
+  void SetUp() override {
+    addWorker("lost");
+    poll("lost");
+    TestShard.addJob(job(1, {step(1)}), 200, false, now());
+    Started = plan();
+    ASSERT_EQ(Started.size(), 1u);
+    confirmStarts(Started);
+    report("lost");
+    addWorker("other");
+  }
+
+  /// Lists the task as running on a worker, and ends that happened there.
+  void report(const std::string &id, std::vector<dispatch::EndedRun> ended = {},
+              std::chrono::milliseconds startTime = 1000ms) {
+    PollReport report;
+    if (ended.empty())
+      report.Running.push_back({Started[0].Run, "", 100, 4000, true});
+    report.Ended = std::move(ended);
+    report.StartTime = startTime;
+    poll(id, report);
+    LastLease = now();
+  }
+
+  /// Lets the poll of the lost worker time out, as the runner does, and polls
+  /// the other one.
+  void failPoll(bool mayExtendLeases = true) {
+    Planned =
+        *TestShard.nextPoll(base::WorkerId("lost"), now(), mayExtendLeases);
+    if (Planned.Request.Deadline.count() != 0)
+      LastLease = now();
+    Time.advance(900ms);
+    TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+    Time.advance(300ms);
+    poll("other");
+  }
+
+  std::vector<WorkerCommand> Started;
+  dispatch::PlannedPoll Planned;
+  /// When the latest poll that requested a lease was sent.
+  base::TimePoint LastLease;
+};
+
+// A poll of a silent worker that requests a lease moves the end of the lease on
+// with each repetition: on hajar-endive, seed 1, the tasks of a lost worker
+// waited until the end of the day.
+TEST_F(SilentWorker, LostForGood_TaskStartsElsewhereAfterTheLease) {
+  std::optional<base::Duration> started;
+  base::TimePoint begin = now();
+  while (!started && now() - begin < 20s) {
+    failPoll();
+    for (int i = 0; i < 8 && !started; ++i) {
+      std::vector<WorkerCommand> orders = plan();
+      if (!orders.empty()) {
+        EXPECT_EQ(orders[0].Worker.Id.str(), "other");
+        started = now() - LastLease;
+      }
+    }
+  }
+  ASSERT_TRUE(started);
+  EXPECT_GE(*started, 6200ms);
+  // One cycle of the polls in this test, in which nothing is planned.
+  EXPECT_LE(*started, 6230ms + 1300ms);
+}
+
+// Restarted before the lease has expired, the task runs twice.
+TEST_F(SilentWorker, LeaseOfTheLastPoll_IsWaitedFor) {
+  failPoll();
+  while (now() - LastLease < 6190ms) {
+    ASSERT_TRUE(plan().empty());
+    poll("other");
+  }
+  while (now() - LastLease < 6250ms)
+    if (!plan().empty())
+      return;
+  FAIL() << "the task was not started after the lease";
+}
+
+// A long wait delays the renewal of the lease by up to 2 s once the worker
+// answers again.
+TEST_F(SilentWorker, Poll_RequestsNoLeaseUntilTheFirstAnswer) {
+  failPoll();
+  EXPECT_FALSE(Planned.Silent);
+  EXPECT_GT(Planned.Request.Deadline.count(), 0);
+  failPoll();
+  EXPECT_TRUE(Planned.Silent);
+  EXPECT_EQ(Planned.Request.Deadline.count(), 0);
+  report("lost");
+  EXPECT_TRUE(plan().empty());
+  dispatch::PlannedPoll next =
+      *TestShard.nextPoll(base::WorkerId("lost"), now(), true);
+  EXPECT_FALSE(next.Silent);
+  EXPECT_GT(next.Request.Deadline,
+            std::chrono::duration_cast<dispatch::WorkerTime>(
+                now().time_since_epoch()) +
+                5900ms);
+  EXPECT_TRUE(next.HasRuns);
+}
+
+// A start on a worker that is gone costs its task the whole lease.
+TEST_F(SilentWorker, NewTasks_StartElsewhere) {
+  failPoll();
+  TestShard.addJob(job(2, {step(6)}), 201, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  EXPECT_EQ(orders.size(), 6u);
+  for (const WorkerCommand &it : orders)
+    EXPECT_EQ(it.Worker.Id.str(), "other");
+}
+
+// A start that is decided on and not sent yet when its worker falls silent must
+// not extend the lease there.
+TEST_F(SilentWorker, StartNotSentYet_IsWithdrawn) {
+  TestShard.addJob(job(2, {step(12)}), 201, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  auto it = std::find_if(orders.begin(), orders.end(), [](const auto &order) {
+    return order.Worker.Id.str() == "lost";
+  });
+  ASSERT_NE(it, orders.end());
+  EXPECT_TRUE(TestShard.isStartWanted(*it));
+  TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+  EXPECT_FALSE(TestShard.isStartWanted(*it));
+}
+
+// 108 stop commands were sent to one lost worker: a run without reports counted
+// as stuck, and the command was repeated every 0.7 s.
+TEST_F(SilentWorker, RunWithoutReports_IsNotStopped) {
+  failPoll();
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+    Time.advance(100ms);
+  }
+  // The silence says nothing about whether the run was idle.
+  PollReport idle;
+  idle.Running.push_back({Started[0].Run, "", 100, 0, true});
+  poll("lost", idle);
+  EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+}
+
+// Commands to a worker that is gone take the place of others on a slow link.
+TEST_F(SilentWorker, UnansweredStops_BackOffAndEndWithTheLease) {
+  TestShard.cancelJob(JobNumber{1}, now());
+  base::TimePoint begin = now();
+  TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+  std::vector<std::chrono::milliseconds> sent;
+  while (now() - begin < 20s)
+    if (!plan(WorkerCommand::Kind::Stop).empty())
+      sent.push_back(
+          std::chrono::duration_cast<std::chrono::milliseconds>(now() - begin));
+  // After 0.7 s, 1.4 s and 2.8 s more; the next one would be due after the end
+  // of the lease.
+  ASSERT_EQ(sent.size(), 4u);
+  EXPECT_EQ(sent[1] - sent[0], 700ms);
+  EXPECT_EQ(sent[2] - sent[1], 1400ms);
+  EXPECT_EQ(sent[3] - sent[2], 2800ms);
+  std::vector<dispatch::JobWrite> writes = TestShard.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Final, model::JobState::Cancelled);
+}
+
+// The back-off of the silence must not delay the stop of a cancelled task once
+// the worker answers.
+TEST_F(SilentWorker, AnsweringAgain_GetsTheStopAtOnce) {
+  TestShard.cancelJob(JobNumber{1}, now());
+  TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+  for (int i = 0; i < 300; ++i)
+    plan(WorkerCommand::Kind::Stop);
+  report("lost");
+  Time.advance(700ms);
+  EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+}
+
+// The size of a run of an unknown task is unknown, so the commands to stop it
+// must end with the lease as well.
+TEST_F(SilentWorker, UnknownRun_IsForgottenWithTheLease) {
+  PollReport unknown;
+  unknown.Running.push_back({{{JobNumber{9}, 0, 0, 0}, 1}, "", 100, 0, false});
+  poll("other", unknown);
+  TestShard.onPollFailed(base::WorkerId("other"), "timeout", now());
+  int stops = 0;
+  for (int i = 0; i < 3000; ++i) {
+    if (i % 50 == 0)
+      report("lost");
+    stops += static_cast<int>(plan(WorkerCommand::Kind::Stop).size());
+  }
+  EXPECT_EQ(stops, 4);
+}
+
+// A withdrawn worker whose runs had ended was polled until the end of the term
+// once it was lost.
+TEST_F(SilentWorker, IdleAndWithdrawn_IsForgottenWithTheLease) {
+  TestShard.unlistWorker(base::WorkerId("lost"));
+  report("lost", {{1, Started[0].Run, RunOutcome::Done, ""}});
+  plan();
+  TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+  Time.advance(6000ms);
+  plan();
+  EXPECT_TRUE(TestShard.hasWorker(base::WorkerId("lost")));
+  Time.advance(300ms);
+  plan();
+  EXPECT_FALSE(TestShard.hasWorker(base::WorkerId("lost")));
+}
+
+} // namespace
