Acknowledge no ends in polls of a silent worker

Cause: a worker that restarted while it was silent was told the number of the last end of its earlier incarnation.

Change: polls of a silent worker acknowledge 0 until the first answer.

Test: SilentWorker.Poll_AcknowledgesNoEndsUntilTheFirstAnswer, seen to fail without the change.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -365,7 +365,9 @@
   plan.HasRuns = !w.Runs.empty();
   plan.Silent = w.SilentSince.has_value();
   plan.Request.Token = State->Token;
-  plan.Request.AcknowledgedEnd = w.AcknowledgedEnd;
+  // A silent worker may have restarted. It numbers its ends from 1 again and
+  // would discard those up to an old number unread.
+  plan.Request.AcknowledgedEnd = w.SilentSince ? 0 : w.AcknowledgedEnd;
   std::optional<WorkerTime> clock = State->workerClock(w, now);
   // A worker without runs gets a lease too: it may wait with its answer for
   // longer than a start command that arrives meanwhile is valid. A poll of a
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -211,4 +211,30 @@
   EXPECT_FALSE(TestShard.hasWorker(base::WorkerId("lost")));
 }
 
+// Soak with crashing tasks, seed 304: a restarted worker numbers its ends from
+// 1 again, and an acknowledgement of its earlier incarnation made it discard
+// them unread; their tasks were started twice.
+TEST_F(SilentWorker, Poll_AcknowledgesNoEndsUntilTheFirstAnswer) {
+  PollReport ended;
+  ended.Running.push_back({Started[0].Run, "", 100, 4000, true});
+  ended.Ended.push_back(
+      {83, {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done, ""});
+  poll("lost", ended);
+  failPoll();
+  EXPECT_EQ(Planned.Request.AcknowledgedEnd, 83);
+  failPoll();
+  EXPECT_EQ(Planned.Request.AcknowledgedEnd, 0);
+  // The same incarnation answers: what it had been told before holds again.
+  poll("lost", ended);
+  EXPECT_EQ(TestShard.nextPoll(base::WorkerId("lost"), now(), true)
+                ->Request.AcknowledgedEnd,
+            83);
+  failPoll();
+  // The new incarnation reports the task's end as its first.
+  report("lost", {{1, Started[0].Run, RunOutcome::Done, ""}}, 2000ms);
+  std::vector<dispatch::JobWrite> writes = TestShard.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Final, model::JobState::Succeeded);
+}
+
 } // namespace
