Restart tasks of expired leases only as the certain owner

Cause: an owner that is cut off from the store goes on for 8 s.

Change: a task whose run was dropped because a lease expired, or that may have run on a worker which was never heard, starts only while the latest answered renewal of the node's lease is younger than that lease. The shard gets this as an input of plan(). The renewal is used rather than any answer of the store: another call may be answered just before the lease expires.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -145,11 +145,15 @@
   /// \param wall wall-clock time, for jobs with due times.
   /// \param maxStarts maximum number of starts, for the most urgent tasks. A
   /// gang counts as one.
+  /// \param ownsShard whether this process surely owns the shard now. Without
+  /// that, a later owner may have renewed a lease that has expired here, so the
+  /// tasks that were lost with it are not started.
   ///
   /// Cost: linear in the live tasks and the workers.
   std::vector<WorkerCommand> plan(base::TimePoint now, base::WallTime wall,
                                   bool mayStart,
-                                  std::size_t maxStarts = SIZE_MAX);
+                                  std::size_t maxStarts = SIZE_MAX,
+                                  bool ownsShard = true);
 
   /// Returns records that must be stored, at most \p limit.
   std::vector<JobWrite> takeWrites(std::size_t limit);
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -76,6 +76,7 @@
   std::map<base::WorkerId, TimePoint> AbsentSince;
   TimePoint WorkersChanged;
   TimePoint LastStoreContact;
+  TimePoint LeaseRenewedAt;
   TimePoint Started;
   TimePoint LastHandover;
   LeaseId Lease{0};
@@ -101,8 +102,8 @@
                    [this] { spawnReconcile(); }},
                   clock, events),
         WorkersChanged(clock.now()), LastStoreContact(clock.now()),
-        Started(clock.now()), LastHandover(clock.now()),
-        JobRequests(store, clock, View, Workers) {}
+        LeaseRenewedAt(clock.now()), Started(clock.now()),
+        LastHandover(clock.now()), JobRequests(store, clock, View, Workers) {}
 
   /// Returns the runners of the owned shards. A call to a runner may end its
   /// term and so change Owned.
@@ -441,6 +442,7 @@
       [self](TimePoint sent) {
         self->LastStoreContact = std::max(self->LastStoreContact, sent);
       },
+      [self] { return self->LeaseRenewedAt; },
       {},
       [self] { return self->View.Shards; },
       [self](const ShardRunner &runner) { self->removeRunner(runner); }};
@@ -515,8 +517,10 @@
         continue;
       }
     }
-    if (answered)
+    if (answered) {
       LastStoreContact = std::max(LastStoreContact, sent);
+      LeaseRenewedAt = sent;
+    }
     if (answered != Reachable)
       Events.emit(answered ? EventCode::StoreReached
                            : EventCode::StoreUnreached,
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -71,6 +71,7 @@
   if (task.Runs.empty())
     --entry.WaitingCount;
   task.LastRun = number;
+  task.LostWithLease = false;
   task.Runs.push_back(run);
   ++job.RunCount;
   if (!job.Started) {
@@ -188,7 +189,8 @@
   auto counts = runsByWorker(entry);
   for (std::int32_t i = 0; i < spec.Count && entry.WaitingCount > 0; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
-    if (!task.isPending() || !task.Runs.empty())
+    if (!task.isPending() || !task.Runs.empty() ||
+        (task.LostWithLease && !MayStartLost))
       continue;
     if (StartBudget == 0)
       return;
@@ -238,6 +240,10 @@
   // ended.
   if (entry.WaitingCount < spec.Count || StartBudget == 0)
     return;
+  bool lost = std::any_of(entry.Tasks.begin(), entry.Tasks.end(),
+                          [](const TaskEntry &it) { return it.LostWithLease; });
+  if (lost && !MayStartLost)
+    return;
   bool isolated = std::any_of(
       entry.Tasks.begin(), entry.Tasks.end(),
       [&](const TaskEntry &it) { return needsIsolation(it, entry, now); });
@@ -487,7 +493,8 @@
 base::FencingToken Shard::token() const { return State->Token; }
 
 std::vector<WorkerCommand> Shard::plan(base::TimePoint now, base::WallTime wall,
-                                       bool mayStart, std::size_t maxStarts) {
+                                       bool mayStart, std::size_t maxStarts,
+                                       bool ownsShard) {
   detail::ShardState &s = *State;
   s.expireLeases(now);
   s.openDueOccurrences(wall, now);
@@ -496,6 +503,7 @@
   s.stopStuckRuns(now);
   s.clearSurvivors();
   s.StartBudget = mayStart ? maxStarts : 0;
+  s.MayStartLost = ownsShard;
   if (s.StartBudget > 0)
     s.startReadySteps(now);
   s.throttleFillers(now);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -86,6 +86,13 @@
          Context.Options.Shard.OwnerGrace;
 }
 
+/// Returns whether no other node can own the shard now: the node's lease in the
+/// store cannot have expired yet.
+bool ShardRunner::ownsShard() const {
+  return Context.Time.now() - Context.LeaseRenewedAt() <
+         Context.Options.NodeLease;
+}
+
 /// Returns whether the jobs and cancellations are recent enough to start tasks.
 /// While the store as a whole does not answer this node, starts go on: no more
 /// recent records can be had.
@@ -337,7 +344,7 @@
     for (WorkerCommand &it :
          State.plan(Context.Time.now(), Context.Time.wallNow(),
                     maySendCommands() && recordsAreCurrent() && !Flushing,
-                    Context.StartCalls.available()))
+                    Context.StartCalls.available(), ownsShard()))
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->executeCommand(order); },
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -31,6 +31,22 @@
                                       {"runs", std::to_string(lost.size())}});
 }
 
+void ShardState::markLostWithLease(const WorkerState &worker) {
+  for (const auto &[id, held] : worker.Runs)
+    if (TaskEntry *task = findTask(id.Task))
+      task->LostWithLease = true;
+  if (!worker.UnverifiedUntil)
+    return;
+  for (JobEntry *job : LiveJobs) {
+    if (!job->Inherited)
+      continue;
+    for (auto &[number, o] : job->Occurrences)
+      for (StepEntry &step : o.Steps)
+        for (TaskEntry &it : step.Tasks)
+          it.LostWithLease |= it.isPending() && it.Runs.empty();
+  }
+}
+
 bool wasReportedRunning(const WorkerState &worker, const Run &run) {
   return run.Phase != RunPhase::Starting &&
          run.Phase != RunPhase::Unconfirmed && worker.Clock &&
@@ -104,6 +120,7 @@
   run.SpeedPercent = run.OrderedPercent =
       step.LongRunning ? 100 : row.SpeedPercent;
   task->Runs.push_back(run);
+  task->LostWithLease = false;
   task->LastRun = std::max(task->LastRun, run.Number);
   if (run.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -235,8 +235,10 @@
 
 void ShardState::expireLeases(TimePoint now) {
   for (auto &[id, w] : Workers) {
-    if (w->UnverifiedUntil && now >= *w->UnverifiedUntil)
+    if (w->UnverifiedUntil && now >= *w->UnverifiedUntil) {
+      markLostWithLease(*w);
       dropRuns(*w, "lease of an earlier owner expired");
+    }
     bool hasRuns = !w->Runs.empty() || !w->OrphanRuns.empty();
     if (!w->Clock || !(hasRuns || (w->SilentSince && w->Synced)))
       continue;
@@ -248,6 +250,7 @@
                   LeaseExpiryMargin)
       continue;
     w->Synced = false;
+    markLostWithLease(*w);
     dropRuns(*w, "worker lease expired");
   }
   // Removes unlisted workers that can have no more runs.
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -52,6 +52,8 @@
   /// Returns when the latest successful call to the store was sent.
   std::function<base::TimePoint()> LastStoreContact;
   std::function<void(base::TimePoint sent)> OnStoreContact;
+  /// Returns when the latest successful renewal of the node's lease was sent.
+  std::function<base::TimePoint()> LeaseRenewedAt;
   /// Returns another shard with capacity for a job, or std::nullopt. Null if
   /// there is only one shard.
   std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
@@ -110,6 +112,7 @@
   /// be called from a callback of the runner's mirror.
   void endTerm(const char *cause);
   bool maySendCommands() const;
+  bool ownsShard() const;
   bool recordsAreCurrent() const;
 
   RunnerContext Context;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -88,6 +88,9 @@
   std::int64_t LastRun = 0;
   std::string Checkpoint;
   bool Done = false;
+  /// An earlier run counts as ended because a lease expired, not because its
+  /// worker said so.
+  bool LostWithLease = false;
   /// Another shard runs the task, or an offer to do so is in flight. The task
   /// must not be started here.
   bool Remote = false;
@@ -312,6 +315,8 @@
   std::vector<WorkerCommand> Outbox;
   /// Number of starts that the current plan may still decide on.
   std::size_t StartBudget = 0;
+  /// The current plan may start tasks that were lost with a lease.
+  bool MayStartLost = true;
   /// Steps for which the current plan found no worker; tasks of the same
   /// program that are at least as large are not tried.
   std::vector<const model::StepSpec *> UnplaceableSteps;
@@ -342,6 +347,10 @@
   void processRunning(WorkerState &worker, const PollReport &report,
                       TimePoint sent, TimePoint now);
   void adoptRun(WorkerState &worker, const RunStatus &row, TimePoint now);
+  /// Marks the tasks whose runs may end unreported with the lease of the
+  /// worker: those of its runs and, unless \p worker has listed its runs, the
+  /// inherited tasks without a run.
+  void markLostWithLease(const WorkerState &worker);
   /// Drops all runs of the worker, which ended without being reported.
   void dropRuns(WorkerState &worker, const char *cause);
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -237,4 +237,81 @@
   EXPECT_EQ(writes[0].Final, model::JobState::Succeeded);
 }
 
+/// Decides like plan(), as an owner that is cut off from the store.
+class CutOffOwner : public SilentWorker {
+protected:
+  std::vector<WorkerCommand> planWithoutStore() {
+    Time.advance(10ms);
+    std::vector<WorkerCommand> orders =
+        TestShard.plan(now(), Time.wallNow(), true, SIZE_MAX, false);
+    std::erase_if(orders, [](const WorkerCommand &it) {
+      return it.Type != WorkerCommand::Kind::Start;
+    });
+    return orders;
+  }
+};
+
+// A later owner may have renewed the lease of a worker that this owner does not
+// reach: kcs-orders-grown trouble-2, seed 369115295095, where the task of such
+// a worker ran twice.
+TEST_F(CutOffOwner, TaskLostWithItsLease_WaitsForTheStore) {
+  TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+  Time.advance(6300ms);
+  poll("other");
+  EXPECT_TRUE(planWithoutStore().empty());
+  // Other work goes on.
+  TestShard.addJob(job(2, {step(1)}), 201, false, now());
+  std::vector<WorkerCommand> orders = planWithoutStore();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task.Job, JobNumber{2});
+  Time.advance(3s);
+  EXPECT_TRUE(planWithoutStore().empty());
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+TEST_F(CutOffOwner, GangLostWithItsLease_WaitsForTheStore) {
+  model::StepSpec gang = step(2, 1000);
+  gang.Gang = true;
+  TestShard.addJob(job(2, {gang}), 201, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 2u);
+  confirmStarts(orders);
+  PollReport rest;
+  rest.Running.push_back({Started[0].Run, "", 100, 0, true});
+  std::string id = orders[0].Worker.Id.str();
+  for (const WorkerCommand &it : orders)
+    rest.Running.push_back({it.Run, "", 100, 0, true});
+  poll(id, rest);
+  TestShard.onPollFailed(base::WorkerId(id), "timeout", now());
+  Time.advance(6300ms);
+  poll(id == "lost" ? "other" : "lost");
+  for (const WorkerCommand &it : planWithoutStore())
+    EXPECT_NE(it.Run.Task.Job, JobNumber{2});
+  orders = plan();
+  EXPECT_GE(std::count_if(orders.begin(), orders.end(),
+                          [](const WorkerCommand &it) {
+                            return it.Run.Task.Job == JobNumber{2};
+                          }),
+            2);
+}
+
+// A run that its worker has reported as ended is not in doubt.
+TEST_F(CutOffOwner, TaskReportedAsStopped_StartsWithoutTheStore) {
+  report("lost", {{1, Started[0].Run, RunOutcome::Stopped, ""}});
+  EXPECT_EQ(planWithoutStore().size(), 1u);
+}
+
+// The runs of an earlier owner on a worker that has never answered this one are
+// unknown here.
+TEST_F(CutOffOwner, InheritedTaskOfASilentWorker_WaitsForTheStore) {
+  TestShard.markUnverified({{base::WorkerId("unknown"), {"10.0.0.9", 8080}}},
+                           false, now());
+  TestShard.addJob(job(2, {step(1)}), 5, true, now());
+  Time.advance(6300ms);
+  report("lost");
+  poll("other");
+  EXPECT_TRUE(planWithoutStore().empty());
+  EXPECT_EQ(plan().size(), 1u);
+}
+
 } // namespace
