Record the terms that a node has ended

Cause: a node that lost a shard and knew it told nobody.

Change: the member record, attached to the node's lease, names for each shard the latest term that this process has ended. It is written after the runner has stopped. Terms of a shard only grow, so an old or late record claims too little, never too much; a command of the runner that is still on its way grants no lease beyond the deadline set when it was sent. The owner record holds the term of each earlier owner, to compare it with.

Weighed: a key of its own per shard and node would outlive the process or need a lease as well, and one more watch entry; a field in the owner record would need a commit on a record that belongs to the next owner.

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -74,6 +74,10 @@
   /// Assigned workers whose entry is missing, with the time at which it was
   /// first found missing.
   std::map<base::WorkerId, TimePoint> AbsentSince;
+  /// Terms that runners of this process have ended; part of the member record.
+  std::map<std::int32_t, std::int64_t> EndedTerms;
+  /// EndedTerms has changed since the member record was stored.
+  bool EndedTermsChanged = false;
   TimePoint WorkersChanged;
   TimePoint LastStoreContact;
   TimePoint LeaseRenewedAt;
@@ -117,15 +121,17 @@
   asio::awaitable<void> reconcile();
   asio::awaitable<void> leaseLoop();
   asio::awaitable<bool> rejoin();
+  asio::awaitable<bool> storeMember(LeaseId lease);
   asio::awaitable<void> storeLayout();
   asio::awaitable<void> assignWorkers();
   asio::awaitable<void> claim(std::int32_t shard);
   asio::awaitable<void> release(std::shared_ptr<ShardRunner> runner);
   std::chrono::milliseconds claimDelay(std::int32_t shard) const;
-  bool hasEnded(const detail::Process &process, std::int64_t since) const;
-  std::vector<detail::Process> earlierOwners(std::int32_t shard,
-                                             const detail::OwnerEntry &last,
-                                             std::int64_t revision) const;
+  bool hasEnded(const detail::EarlierOwner &owner, std::int32_t shard,
+                std::int64_t since) const;
+  std::vector<detail::EarlierOwner>
+  earlierOwners(std::int32_t shard, const detail::OwnerEntry &last,
+                std::int64_t revision) const;
   void rebalance();
   void startTerm(detail::Term term);
   void addAssignedWorkers(ShardRunner &runner);
@@ -140,6 +146,13 @@
 }
 
 void DispatchNode::Impl::removeRunner(const ShardRunner &runner) {
+  // A stopped runner sends nothing more. A command of it that is still on its
+  // way grants no lease beyond the deadline that was set when it was sent.
+  if (runner.isStopped()) {
+    std::int64_t &ended = EndedTerms[runner.term().Shard];
+    ended = std::max(ended, runner.term().Number);
+    EndedTermsChanged = true;
+  }
   auto it = Owned.find(runner.term().Shard);
   if (it != Owned.end() && it->second.get() == &runner)
     Owned.erase(it);
@@ -277,10 +290,14 @@
   }
   for (const std::shared_ptr<ShardRunner> &owned : runners()) {
     std::int64_t since = owned->term().PreviousOwnerRevision;
-    owned->dropEndedOwners([this, since](const detail::Process &it) {
-      return hasEnded(it, since);
-    });
+    std::int32_t shard = owned->term().Shard;
+    owned->dropEndedOwners(
+        [this, shard, since](const detail::EarlierOwner &it) {
+          return hasEnded(it, shard, since);
+        });
   }
+  if (EndedTermsChanged && Reachable)
+    co_await storeMember(Lease);
   rebalance();
   Reconciling = false;
 }
@@ -353,32 +370,38 @@
                 {{"workers", std::to_string(next.size())}});
 }
 
-/// Returns whether a process is known to have ended because a later process of
-/// the same node has joined. A node runs one daemon at a time.
+/// Returns whether an earlier owner of a shard is known to send no commands any
+/// more: it has recorded the end of its term, or a later process of its node
+/// has joined. A node runs one daemon at a time.
 ///
 /// \param since revision at which the process was known to be running.
-bool DispatchNode::Impl::hasEnded(const detail::Process &process,
+bool DispatchNode::Impl::hasEnded(const detail::EarlierOwner &owner,
+                                  std::int32_t shard,
                                   std::int64_t since) const {
-  auto member = View.Members.find(process.Node);
-  return member != View.Members.end() &&
-         member->second.Instance != process.Instance &&
-         Directory.revisionOf(keys::member(process.Node)) > since;
+  auto member = View.Members.find(owner.Owner.Node);
+  if (member == View.Members.end())
+    return false;
+  if (member->second.Instance != owner.Owner.Instance)
+    return Directory.revisionOf(keys::member(owner.Owner.Node)) > since;
+  auto ended = member->second.EndedTerms.find(shard);
+  return ended != member->second.EndedTerms.end() &&
+         ended->second >= owner.Term;
 }
 
 /// Returns the previous owners of a shard that may still send commands.
 ///
 /// \param last current owner record.
 /// \param revision revision of that record.
-std::vector<detail::Process>
+std::vector<detail::EarlierOwner>
 DispatchNode::Impl::earlierOwners(std::int32_t shard,
                                   const detail::OwnerEntry &last,
                                   std::int64_t revision) const {
-  std::vector<detail::Process> earlier = last.EarlierOwners;
+  std::vector<detail::EarlierOwner> earlier = last.EarlierOwners;
   if (!last.Owner.Node.empty() && !View.Released.contains(shard))
-    earlier.push_back(last.Owner);
+    earlier.push_back({last.Owner, last.Term});
   // Earlier terms of this node ended with their process or runner.
-  std::erase_if(earlier, [&](const detail::Process &it) {
-    return it.Node == Options.Name || hasEnded(it, revision);
+  std::erase_if(earlier, [&](const detail::EarlierOwner &it) {
+    return it.Owner.Node == Options.Name || hasEnded(it, shard, revision);
   });
   return earlier;
 }
@@ -459,18 +482,28 @@
   runner->start();
 }
 
+/// Stores the member record with the terms that this process has ended.
+asio::awaitable<bool> DispatchNode::Impl::storeMember(LeaseId lease) {
+  EndedTermsChanged = false;
+  Commit member;
+  member.Writes = {
+      {keys::member(Options.Name),
+       detail::encodeMember({Options.Instance, Options.Cores, EndedTerms}),
+       lease}};
+  base::Result<CommitOutcome> done = co_await Store.commit(std::move(member));
+  bool stored = done && done.value().Applied;
+  EndedTermsChanged |= !stored;
+  co_return stored;
+}
+
 /// Acquires a new lease and attaches the node's entries to it. The node keeps
 /// each shard whose owner record is unchanged.
 asio::awaitable<bool> DispatchNode::Impl::rejoin() {
   base::Result<LeaseId> lease = co_await Store.grantLease(Options.NodeLease);
   if (!lease)
     co_return false;
-  Commit member;
-  member.Writes = {{keys::member(Options.Name),
-                    detail::encodeMember(Options.Instance, Options.Cores),
-                    lease.value()}};
-  base::Result<CommitOutcome> joined = co_await Store.commit(std::move(member));
-  if (!joined || !joined.value().Applied)
+  bool joined = co_await storeMember(lease.value());
+  if (!joined)
     co_return false;
   Lease = lease.value();
   for (const std::shared_ptr<ShardRunner> &it : runners()) {
--- a/packages/dispatch/src/NodeRecords.cpp
+++ b/packages/dispatch/src/NodeRecords.cpp
@@ -14,18 +14,23 @@
 
 std::string encodeOwner(const OwnerEntry &owner) {
   json::array earlier;
-  for (const Process &it : owner.EarlierOwners)
-    earlier.push_back(
-        json::object{{"node", it.Node}, {"instance", it.Instance}});
+  for (const EarlierOwner &it : owner.EarlierOwners)
+    earlier.push_back(json::object{{"node", it.Owner.Node},
+                                   {"instance", it.Owner.Instance},
+                                   {"term", it.Term}});
   return json::serialize(json::object{{"node", owner.Owner.Node},
                                       {"instance", owner.Owner.Instance},
                                       {"term", owner.Term},
                                       {"earlier", std::move(earlier)}});
 }
 
-std::string encodeMember(const std::string &instance, double cores) {
-  return json::serialize(
-      json::object{{"instance", instance}, {"cores", cores}});
+std::string encodeMember(const Member &member) {
+  json::object ended;
+  for (const auto &[shard, term] : member.EndedTerms)
+    ended[std::to_string(shard)] = term;
+  return json::serialize(json::object{{"instance", member.Instance},
+                                      {"cores", member.Cores},
+                                      {"ended", std::move(ended)}});
 }
 
 std::string encodeLayout(std::int32_t shards) {
@@ -56,8 +61,12 @@
   if (earlier && earlier->is_array())
     for (const json::value &it : earlier->as_array()) {
       JsonView row(it, fault);
+      // A record of an older version holds no term; any earlier one was lower
+      // than that of the record.
+      std::int64_t term = row.optionalNumber("term", 0, platform::MaxInt64);
       owner.EarlierOwners.push_back(
-          {row.optionalText("node"), row.optionalText("instance")});
+          {{row.optionalText("node"), row.optionalText("instance")},
+           term > 0 ? term : owner.Term});
       if (!fault.empty())
         return base::fail(base::Errc::ParseFailed, fault);
     }
@@ -89,8 +98,15 @@
   JsonView v(value.value(), fault);
   if (item.Key.starts_with(keys::memberPrefix())) {
     constexpr double minCores = 0.001, maxCores = 1000;
-    Member member{v.text("instance"),
-                  v.optionalReal("cores", minCores, maxCores, 1)};
+    Member member{
+        v.text("instance"), v.optionalReal("cores", minCores, maxCores, 1), {}};
+    const json::object *record = value.value().if_object();
+    const json::value *ended = record ? record->if_contains("ended") : nullptr;
+    if (ended && ended->is_object())
+      for (const auto &[shard, term] : ended->get_object())
+        if (std::optional<std::int32_t> number = parseShardNumber(shard, "");
+            number && term.is_int64())
+          member.EndedTerms[*number] = term.get_int64();
     if (fault.empty())
       Members[item.Key.substr(keys::memberPrefix().size())] = member;
     return fault;
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -249,7 +249,7 @@
 }
 
 void ShardRunner::dropEndedOwners(
-    const std::function<bool(const Process &)> &hasEnded) {
+    const std::function<bool(const EarlierOwner &)> &hasEnded) {
   if (CurrentTerm.EarlierOwners.empty())
     return;
   std::erase_if(CurrentTerm.EarlierOwners, hasEnded);
--- a/packages/dispatch/src/detail/NodeRecords.h
+++ b/packages/dispatch/src/detail/NodeRecords.h
@@ -20,6 +20,12 @@
   friend bool operator==(const Process &, const Process &) = default;
 };
 
+/// The last term of a process as the owner of a shard, which may go on.
+struct EarlierOwner {
+  Process Owner;
+  std::int64_t Term = 0;
+};
+
 /// Ownership record of a shard; an empty node name means that the shard was
 /// released.
 struct OwnerEntry {
@@ -27,7 +33,7 @@
   std::int64_t Term = 0;
   /// Previous owners that may still send commands: they have not released the
   /// shard, and no later process of their node has joined.
-  std::vector<Process> EarlierOwners;
+  std::vector<EarlierOwner> EarlierOwners;
 };
 
 /// A node that is a member of the cluster.
@@ -35,11 +41,15 @@
   std::string Instance;
   /// Number of cores that the node may use.
   double Cores = 1;
+  /// For each shard that the process has stopped owning, the latest term for
+  /// which that holds. It sends no command of this term or an earlier one any
+  /// more. Terms of a shard only grow, so an old record claims too little,
+  /// never too much.
+  std::map<std::int32_t, std::int64_t> EndedTerms;
 };
 
 std::string encodeOwner(const OwnerEntry &owner);
-/// \param cores number of cores that the node may use.
-std::string encodeMember(const std::string &instance, double cores);
+std::string encodeMember(const Member &member);
 std::string encodeLayout(std::int32_t shards);
 std::string
 encodeAssignment(const std::map<base::WorkerId, std::int32_t> &shards);
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -27,7 +27,7 @@
   /// Revision of the owner record; also the fencing token.
   std::int64_t Revision = 0;
   /// Previous owners that may still send commands.
-  std::vector<Process> EarlierOwners;
+  std::vector<EarlierOwner> EarlierOwners;
   /// Revision of the owner record before this term.
   std::int64_t PreviousOwnerRevision = 0;
 };
@@ -76,8 +76,9 @@
 
   const Term &term() const { return CurrentTerm; }
   bool isStopped() const { return Stopped; }
-  /// Removes previous owners whose processes are known to have ended.
-  void dropEndedOwners(const std::function<bool(const Process &)> &hasEnded);
+  /// Removes previous owners that are known to have ended.
+  void
+  dropEndedOwners(const std::function<bool(const EarlierOwner &)> &hasEnded);
   void setZonesOutOfService(std::set<base::ZoneId> zones);
   void updateWorker(const model::WorkerProfile &worker);
   void unlistWorker(const base::WorkerId &worker);
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -35,6 +35,10 @@
   std::map<dispatch::RunId, int> StartCounts;
   std::map<dispatch::RunId, int> StopCounts;
   std::map<base::WorkerId, int> PollCounts;
+  /// Workers of which no poll is answered.
+  std::set<base::WorkerId> Silent;
+  /// Latest poll of each worker.
+  std::map<base::WorkerId, dispatch::PollRequest> LastPolls;
   /// Workers whose address another instance has taken over.
   std::set<base::WorkerId> Replaced;
   /// Tasks keep running instead of completing.
@@ -48,6 +52,9 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     dispatch::PollReport report;
     ++PollCounts[worker.Id];
+    LastPolls[worker.Id] = request;
+    if (Silent.contains(worker.Id))
+      co_return base::fail(base::Errc::WorkerAnswerLost, "no answer in time");
     report.WrongIncarnation = Replaced.contains(worker.Id);
     report.Fenced = request.Token < Tokens[worker.Id];
     Tokens[worker.Id] = std::max(Tokens[worker.Id], request.Token);
@@ -136,6 +143,7 @@
     options.Name = name;
     options.Instance = name + "-1";
     options.NodeLease = 400ms;
+    options.Shard = ShardLimits;
     Nodes.push_back(std::make_unique<DispatchNode>(Io.get_executor(), options,
                                                    Store, Workers, Time, Events,
                                                    MetricsRegistry));
@@ -181,6 +189,7 @@
   dispatch::Metrics MetricsRegistry;
   InMemoryStore Store;
   ImmediateWorkers Workers;
+  dispatch::ShardOptions ShardLimits;
   std::vector<std::unique_ptr<DispatchNode>> Nodes;
 };
 
@@ -511,6 +520,60 @@
 
 // A claim that takes effect but whose answer is lost must not leave the shard
 // without an owner.
+// kcs-orders, seed 688545513997: the earlier owner had given the shard up
+// seconds before, but nobody else knew, and inherited tasks waited for 15.2 s.
+TEST_F(DispatchNodeOwnership, LostShard_IsRecordedAndEndsTheLongWait) {
+  ShardLimits.LeaseDuration = 500ms;
+  Workers.KeepRunning = true;
+  DispatchNode &first = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
+  DispatchNode &second = addNode("n2");
+  runFor(300ms);
+  EXPECT_EQ(await(first.submit(job(1, 1))), SubmitOutcome::Accepted);
+  ASSERT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 1; }));
+  // The task's worker is gone, and the first node's lease expires.
+  for (const auto &[worker, running] : Workers.Running)
+    if (!running.empty())
+      Workers.Silent.insert(worker);
+  ASSERT_EQ(Workers.Silent.size(), 1u);
+  EXPECT_EQ(Store.valueOf(dispatch::keys::member("n1")).find("\"0\":1"),
+            std::string::npos);
+  Store.expireLease(dispatch::LeaseId{1});
+  ASSERT_TRUE(runUntil([&] { return second.ownedShards() == 1; }));
+  EXPECT_TRUE(runUntil(
+      [&] {
+        return Store.valueOf(dispatch::keys::member("n1")).find("\"0\":1") !=
+               std::string::npos;
+      },
+      2000ms));
+  EXPECT_EQ(first.ownedShards(), 0u);
+  // The lease of 0.5 s, not also the 9 s for an owner that may go on.
+  EXPECT_TRUE(
+      runUntil([&] { return Workers.StartCounts.size() == 2; }, 3000ms));
+}
+
+// A poll of a silent worker must not hold its answer back, and a lease that was
+// sent counts as received.
+TEST_F(DispatchNodeCalls, SilentWorkerAnswers_LeaseIsRenewedAtOnce) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  base::WorkerId worker("w1");
+  ASSERT_TRUE(runUntil([&] { return Workers.PollCounts[worker] > 2; }));
+  EXPECT_GT(Workers.LastPolls[worker].Deadline.count(), 0);
+  EXPECT_GT(Workers.LastPolls[worker].Wait.count(), 0);
+  Workers.Silent.insert(worker);
+  int before = Workers.PollCounts[worker];
+  ASSERT_TRUE(
+      runUntil([&] { return Workers.PollCounts[worker] > before + 1; }));
+  EXPECT_EQ(Workers.LastPolls[worker].Deadline.count(), 0);
+  EXPECT_EQ(Workers.LastPolls[worker].Wait.count(), 0);
+  Workers.Silent.clear();
+  before = Workers.PollCounts[worker];
+  ASSERT_TRUE(runUntil([&] { return Workers.PollCounts[worker] > before; }));
+  EXPECT_TRUE(runUntil(
+      [&] { return Workers.LastPolls[worker].Deadline.count() > 0; }, 200ms));
+}
+
 TEST_F(DispatchNodeOwnership, ClaimWithLostAnswer_IsRecovered) {
   Store.LoseAnswerForKey = dispatch::keys::owner(0);
   DispatchNode &node = addNode("n1");
