--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -45,6 +45,9 @@
   bool Synced = false;
   /// The worker has runs of this shard.
   bool HasRuns = false;
+  /// The worker has not answered the previous poll. This one must not wait, and
+  /// its answer must be followed at once by the poll that renews the lease.
+  bool Silent = false;
 };
 
 /// Load figures that a shard publishes to other nodes.
@@ -142,11 +145,15 @@
   /// \param wall wall-clock time, for jobs with due times.
   /// \param maxStarts maximum number of starts, for the most urgent tasks. A
   /// gang counts as one.
+  /// \param ownsShard whether this process surely owns the shard now. Without
+  /// that, a later owner may have renewed a lease that has expired here, so the
+  /// tasks that were lost with it are not started.
   ///
   /// Cost: linear in the live tasks and the workers.
   std::vector<WorkerCommand> plan(base::TimePoint now, base::WallTime wall,
                                   bool mayStart,
-                                  std::size_t maxStarts = SIZE_MAX);
+                                  std::size_t maxStarts = SIZE_MAX,
+                                  bool ownsShard = true);
 
   /// Returns records that must be stored, at most \p limit.
   std::vector<JobWrite> takeWrites(std::size_t limit);
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -13,8 +13,11 @@
 /// Run numbers of a term start at a multiple of this. They are thus higher than
 /// those of earlier terms, which the current owner may not know.
 constexpr std::int64_t RunNumbersPerTerm = 1024;
-/// A stop command that has not taken effect is sent again after this time.
+/// A stop command that has not taken effect is sent again after this time. The
+/// time doubles with each command that was not answered, up to
+/// MaxStopRetryInterval; the commands end with the lease of the worker.
 constexpr auto StopRetryInterval = 700ms;
+constexpr auto MaxStopRetryInterval = 5600ms;
 /// A run whose start was not answered is stopped if the worker has not listed
 /// it within this time.
 constexpr auto UnconfirmedTimeout = 300ms;
@@ -68,6 +71,7 @@
   if (task.Runs.empty())
     --entry.WaitingCount;
   task.LastRun = number;
+  task.LostWithLease = false;
   task.Runs.push_back(run);
   ++job.RunCount;
   if (!job.Started) {
@@ -185,7 +189,8 @@
   auto counts = runsByWorker(entry);
   for (std::int32_t i = 0; i < spec.Count && entry.WaitingCount > 0; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
-    if (!task.isPending() || !task.Runs.empty())
+    if (!task.isPending() || !task.Runs.empty() ||
+        (task.LostWithLease && !MayStartLost))
       continue;
     if (StartBudget == 0)
       return;
@@ -235,6 +240,10 @@
   // ended.
   if (entry.WaitingCount < spec.Count || StartBudget == 0)
     return;
+  bool lost = std::any_of(entry.Tasks.begin(), entry.Tasks.end(),
+                          [](const TaskEntry &it) { return it.LostWithLease; });
+  if (lost && !MayStartLost)
+    return;
   bool isolated = std::any_of(
       entry.Tasks.begin(), entry.Tasks.end(),
       [&](const TaskEntry &it) { return needsIsolation(it, entry, now); });
@@ -343,16 +352,27 @@
   Outbox.push_back(std::move(command));
 }
 
+/// Counts a stop command that is sent now, unless it is too early for one.
+static bool isStopDue(StopAttempts &attempts, TimePoint now) {
+  base::Duration interval = StopRetryInterval;
+  for (int i = 1; i < attempts.Unanswered && interval < MaxStopRetryInterval;
+       ++i)
+    interval *= 2;
+  if (attempts.LastSent != TimePoint{} && now - attempts.LastSent < interval)
+    return false;
+  attempts.LastSent = now;
+  ++attempts.Unanswered;
+  return true;
+}
+
 void ShardState::stopRun(const TaskKey &key, Run &run, const char *cause,
                          TimePoint now) {
-  bool again = run.Phase == RunPhase::Stopping;
-  if (again && now - run.StopSent < StopRetryInterval)
+  if (!isStopDue(run.Stops, now))
     return;
-  if (!again) {
+  if (run.Phase != RunPhase::Stopping) {
     run.Phase = RunPhase::Stopping;
     run.PhaseSince = now;
   }
-  run.StopSent = now;
   if (!run.StopCause)
     run.StopCause = cause;
   sendStop(*run.Worker, {key, run.Number}, run.StopCause);
@@ -390,12 +410,9 @@
       }
   }
   for (auto &[id, w] : Workers)
-    for (auto &[run, sent] : w->OrphanRuns) {
-      if (sent != TimePoint{} && now - sent < StopRetryInterval)
-        continue;
-      sent = now;
-      sendStop(*w, run, "unknown run");
-    }
+    for (auto &[run, attempts] : w->OrphanRuns)
+      if (isStopDue(attempts, now))
+        sendStop(*w, run, "unknown run");
 }
 
 void ShardState::moveOffDrainingWorkers(TimePoint now) {
@@ -430,6 +447,10 @@
           if (task.Done || task.Runs.size() != 1)
             continue;
           Run &run = task.Runs.front();
+          // Without reports of its worker nothing is known about the run; it
+          // ends with the worker's lease.
+          if (run.Worker->SilentSince)
+            continue;
           // A filler may be idle because other tasks use the whole CPU.
           bool idle = !spec.Filler && now - run.LastBusy > MaxIdleTime;
           bool late = now - run.Started > FillerStuckFactor * limit &&
@@ -472,7 +493,8 @@
 base::FencingToken Shard::token() const { return State->Token; }
 
 std::vector<WorkerCommand> Shard::plan(base::TimePoint now, base::WallTime wall,
-                                       bool mayStart, std::size_t maxStarts) {
+                                       bool mayStart, std::size_t maxStarts,
+                                       bool ownsShard) {
   detail::ShardState &s = *State;
   s.expireLeases(now);
   s.openDueOccurrences(wall, now);
@@ -481,6 +503,7 @@
   s.stopStuckRuns(now);
   s.clearSurvivors();
   s.StartBudget = mayStart ? maxStarts : 0;
+  s.MayStartLost = ownsShard;
   if (s.StartBudget > 0)
     s.startReadySteps(now);
   s.throttleFillers(now);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -86,6 +86,13 @@
          Context.Options.Shard.OwnerGrace;
 }
 
+/// Returns whether no other node can own the shard now: the node's lease in the
+/// store cannot have expired yet.
+bool ShardRunner::ownsShard() const {
+  return Context.Time.now() - Context.LeaseRenewedAt() <
+         Context.Options.NodeLease;
+}
+
 /// Returns whether the jobs and cancellations are recent enough to start tasks.
 /// While the store as a whole does not answer this node, starts go on: no more
 /// recent records can be had.
@@ -242,7 +249,7 @@
 }
 
 void ShardRunner::dropEndedOwners(
-    const std::function<bool(const Process &)> &hasEnded) {
+    const std::function<bool(const EarlierOwner &)> &hasEnded) {
   if (CurrentTerm.EarlierOwners.empty())
     return;
   std::erase_if(CurrentTerm.EarlierOwners, hasEnded);
@@ -298,9 +305,9 @@
         State.nextPoll(worker, sent, maySendCommands());
     if (!plan)
       break;
-    plan->Request.Wait = !plan->Synced   ? 0ms
-                         : plan->HasRuns ? BusyPollWait
-                                         : IdlePollWait;
+    plan->Request.Wait = !plan->Synced || plan->Silent ? 0ms
+                         : plan->HasRuns               ? BusyPollWait
+                                                       : IdlePollWait;
     base::Result<PollReport> report = co_await Context.WorkerCalls.poll(
         plan->Worker, plan->Request, plan->Request.Wait + CallTimeout);
     if (Stopped)
@@ -321,8 +328,10 @@
     requestPlan();
     if (State.hasWrites())
       CommitTimer.cancel();
-    co_await sleepFor(report.value().WrongIncarnation ? PollRetryDelay
-                                                      : PollBatchDelay);
+    if (report.value().WrongIncarnation)
+      co_await sleepFor(PollRetryDelay);
+    else if (!plan->Silent)
+      co_await sleepFor(PollBatchDelay);
   }
   PolledWorkers.erase(worker);
 }
@@ -335,7 +344,7 @@
     for (WorkerCommand &it :
          State.plan(Context.Time.now(), Context.Time.wallNow(),
                     maySendCommands() && recordsAreCurrent() && !Flushing,
-                    Context.StartCalls.available()))
+                    Context.StartCalls.available(), ownsShard()))
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->executeCommand(order); },
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -27,7 +27,7 @@
   /// Revision of the owner record; also the fencing token.
   std::int64_t Revision = 0;
   /// Previous owners that may still send commands.
-  std::vector<Process> EarlierOwners;
+  std::vector<EarlierOwner> EarlierOwners;
   /// Revision of the owner record before this term.
   std::int64_t PreviousOwnerRevision = 0;
 };
@@ -52,6 +52,8 @@
   /// Returns when the latest successful call to the store was sent.
   std::function<base::TimePoint()> LastStoreContact;
   std::function<void(base::TimePoint sent)> OnStoreContact;
+  /// Returns when the latest successful renewal of the node's lease was sent.
+  std::function<base::TimePoint()> LeaseRenewedAt;
   /// Returns another shard with capacity for a job, or std::nullopt. Null if
   /// there is only one shard.
   std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
@@ -74,8 +76,9 @@
 
   const Term &term() const { return CurrentTerm; }
   bool isStopped() const { return Stopped; }
-  /// Removes previous owners whose processes are known to have ended.
-  void dropEndedOwners(const std::function<bool(const Process &)> &hasEnded);
+  /// Removes previous owners that are known to have ended.
+  void
+  dropEndedOwners(const std::function<bool(const EarlierOwner &)> &hasEnded);
   void setZonesOutOfService(std::set<base::ZoneId> zones);
   void updateWorker(const model::WorkerProfile &worker);
   void unlistWorker(const base::WorkerId &worker);
@@ -110,6 +113,7 @@
   /// be called from a callback of the runner's mirror.
   void endTerm(const char *cause);
   bool maySendCommands() const;
+  bool ownsShard() const;
   bool recordsAreCurrent() const;
 
   RunnerContext Context;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -39,6 +39,13 @@
   bool OnlySuspect = false;
 };
 
+/// Stop commands for one run.
+struct StopAttempts {
+  TimePoint LastSent;
+  /// Number of commands in a row that the worker has not answered.
+  int Unanswered = 0;
+};
+
 /// One run of a task on a worker.
 struct Run {
   WorkerState *Worker = nullptr;
@@ -50,7 +57,7 @@
   /// When the worker confirmed the latest stop command; lists requested after
   /// that show whether the run still exists.
   std::optional<TimePoint> StopConfirmed;
-  TimePoint StopSent;
+  StopAttempts Stops;
   /// Why the run is stopped; null unless a stop command has been sent.
   const char *StopCause = nullptr;
   std::int32_t SpeedPercent = 100;
@@ -81,6 +88,9 @@
   std::int64_t LastRun = 0;
   std::string Checkpoint;
   bool Done = false;
+  /// An earlier run counts as ended because a lease expired, not because its
+  /// worker said so.
+  bool LostWithLease = false;
   /// Another shard runs the task, or an offer to do so is in flight. The task
   /// must not be started here.
   bool Remote = false;
@@ -247,9 +257,8 @@
   double DemandRatioSum = 0;
   /// When the gauges of the worker were last passed to the model.
   TimePoint LastObserved;
-  /// Runs of unknown tasks, which must be stopped, with the time of the last
-  /// stop command.
-  std::map<RunId, TimePoint> OrphanRuns;
+  /// Runs of unknown tasks, which must be stopped.
+  std::map<RunId, StopAttempts> OrphanRuns;
   /// Runs here of tasks that were running in earlier crashes.
   std::set<RunId> SuspectRuns;
   /// The current plan has chosen the worker for a suspect that is yet to be
@@ -270,7 +279,7 @@
     return EntryStartTime.count() != 0 && EntryStartTime < Profile.StartTime;
   }
   bool isUsable() const {
-    return Listed && Synced && InRoster && !Profile.Draining &&
+    return Listed && Synced && InRoster && !Profile.Draining && !SilentSince &&
            !isEntryOutdated();
   }
 };
@@ -306,6 +315,8 @@
   std::vector<WorkerCommand> Outbox;
   /// Number of starts that the current plan may still decide on.
   std::size_t StartBudget = 0;
+  /// The current plan may start tasks that were lost with a lease.
+  bool MayStartLost = true;
   /// Steps for which the current plan found no worker; tasks of the same
   /// program that are at least as large are not tried.
   std::vector<const model::StepSpec *> UnplaceableSteps;
@@ -336,6 +347,10 @@
   void processRunning(WorkerState &worker, const PollReport &report,
                       TimePoint sent, TimePoint now);
   void adoptRun(WorkerState &worker, const RunStatus &row, TimePoint now);
+  /// Marks the tasks whose runs may end unreported with the lease of the
+  /// worker: those of its runs and, unless \p worker has listed its runs, the
+  /// inherited tasks without a run.
+  void markLostWithLease(const WorkerState &worker);
   /// Drops all runs of the worker, which ended without being reported.
   void dropRuns(WorkerState &worker, const char *cause);
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
@@ -345,6 +360,8 @@
                const model::StepSpec &step);
   void release(WorkerState &worker, const RunId &run);
   void expireLeases(TimePoint now);
+  /// Handles the first answer of a silent worker.
+  void endSilence(WorkerState &worker, TimePoint now);
   /// Returns the lease deadline of a start command that is sent now.
   WorkerTime startDeadline(const WorkerState &worker, TimePoint now) const;
   std::optional<WorkerTime> workerClock(const WorkerState &worker,
