Model fillers by the headroom that they take from serving jobs

Cause: response times of serving tasks follow 1 / (1 - load), and the load of a job swings with a period of 10 s.

Change: the headroom of each serving job is followed from the measurements of all of its tasks, the model learns what fillers take from it, and a filler starts where the headroom lasts for its run time.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -56,6 +56,9 @@
   base::MilliCores ShortTaskHeadroom{0};
   base::MilliCores LongRunningHeadroom{0};
   base::MilliCores FillerHeadroom{0};
+  /// The same in thousandths of a core for single filler programs, on the
+  /// workers whose serving tasks they do not make miss their targets.
+  std::map<std::string, std::int64_t> FillerCpu;
 };
 
 /// Scheduler of one shard for one term of ownership. Has no clock and does no
--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -1,6 +1,12 @@
+// Fillers beside serving tasks. Load pattern: serving tasks declare most of a
+// fleet, so that fillers must run beside them; the load of the serving tasks
+// swings within seconds, and what fits now does not fit at the peak.
 #include "detail/Interference.h"
 
+#include "detail/Placement.h"
+
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace endivedoor::dispatch::detail {
@@ -10,19 +16,36 @@
 /// Gauges are measured over the last half second, so a change takes this long
 /// to show.
 constexpr auto GaugeSettleTime = 600ms;
+/// Mean age of what a gauge measures.
+constexpr auto GaugeAge = 250ms;
 /// Minimum interval between two samples of a worker that are passed to the
 /// model.
 constexpr auto ObserveInterval = 250ms;
-/// Fraction of the target above which a measured response time triggers action.
-/// Up to the target a serving task does what it should, and a filler that is
-/// stopped for less loses its work for nothing.
-constexpr double ActionThreshold = 1.0;
-/// Fraction of the target that a filler must add to the response time before it
-/// is moved away.
-constexpr double MinHarmfulShare = 0.08;
+/// Runs that are younger have not reached their usual load.
+constexpr auto WarmUpTime = 1500ms;
+/// Headroom, as a ratio of target to response time, that is kept above the
+/// target: covers what a rounded gauge hides.
+constexpr double HeadroomMargin = 0.06;
+/// The same when a filler is placed; covers the error of the prediction.
+constexpr double PlacementMargin = 0.2;
 /// All fillers of a worker are paused once a target has been missed for
 /// MaxTargetMissTime divided by this.
 constexpr int PauseDivisor = 3;
+/// Weight of a measurement right after a change of the fillers.
+constexpr double UnsteadyWeight = 0.2;
+/// Headroom that a filler may take from a task whatever the task's load is.
+constexpr double NegligibleLoss = 0.03;
+/// Headroom that a filler must take from the tasks that miss their targets to
+/// be moved away.
+constexpr double MinHarm = 0.1;
+/// Headroom at the peak that is assumed while no serving job of the shard has
+/// been measured.
+constexpr double UnknownHeadroom = 1.5;
+/// How far ahead the load is predicted when a filler is placed: fillers run for
+/// about this long, so that one placed at a low load can end before the peak.
+constexpr auto FillerRunTime = 2000ms;
+/// Ratio of target to response time beyond which differences are only rounding.
+constexpr double MaxHeadroom = 8;
 
 std::vector<RunView> runsOn(ShardState &shard, const WorkerState &w) {
   std::vector<RunView> views;
@@ -51,35 +74,105 @@
   return shares;
 }
 
-static std::vector<ServedProgram> servedPrograms(const ShardState &shard,
-                                                 const WorkerState &w) {
-  std::vector<ServedProgram> served;
-  for (auto it = w.Serving.begin(); it != w.Serving.end();
-       it = w.Serving.upper_bound(it->first)) {
-    ServedProgram program{it->first, shard.Colocation.base(it->first),
-                          static_cast<double>(it->second.count())};
-    for (const auto &[id, held] : w.Runs)
-      if (held.Step->Filler)
-        program.ExpectedMs +=
-            shard.Colocation.slope(it->first, held.Step->Image) *
-            w.shareOfCapacity(count(held.Step->Size.Cpu));
-    served.push_back(std::move(program));
+/// Returns the headroom that all fillers on the worker take from a serving
+/// program at full speed.
+static double declaredLoss(const ShardState &shard, const WorkerState &w,
+                           const std::string &image) {
+  double loss = 0;
+  for (const auto &[id, held] : w.Runs)
+    if (held.Step->Filler)
+      loss += shard.Colocation.cautiousSlope(image, held.Step->Image) *
+              w.shareOfCapacity(count(held.Step->Size.Cpu));
+  return loss;
+}
+
+void ShardState::updateTypicalHeadroom(TimePoint now) {
+  double sum = 0;
+  int n = 0;
+  for (const JobEntry *it : LiveJobs)
+    if (it->Load.isKnown(now) &&
+        it->Load.observedTime(now) >= policy::ServingLoad::Window / 2) {
+      sum += it->Load.lowest(now);
+      ++n;
+    }
+  TypicalLowestHeadroom = n > 0 ? sum / n : UnknownHeadroom;
+}
+
+static std::vector<ServedTask>
+servedTasks(ShardState &shard, const WorkerState &w, TimePoint now) {
+  std::vector<ServedTask> served;
+  std::map<std::string, double> losses;
+  for (const auto &[id, held] : w.Runs) {
+    if (held.Step->Target.count() <= 0)
+      continue;
+    JobEntry *job = shard.findJob(id.Task.Job);
+    if (!job)
+      continue;
+    auto [loss, added] = losses.try_emplace(held.Step->Image, 0);
+    if (added)
+      loss->second = declaredLoss(shard, w, held.Step->Image);
+    bool known = job->Load.isKnown(now);
+    double current =
+        known ? job->Load.headroomAt(now) : shard.TypicalLowestHeadroom;
+    double later = known ? job->Load.forecast(now, FillerRunTime) : current;
+    served.push_back(
+        {held.Step->Image, current - loss->second, later - loss->second});
   }
   return served;
 }
 
-double predictedTargetShare(const ShardState &shard, WorkerState &w,
-                            const model::StepSpec &filler) {
+FillerForecast forecastFiller(ShardState &shard, WorkerState &w,
+                              const std::string &image, double share,
+                              TimePoint now) {
   if (!w.ServedCache)
-    w.ServedCache = servedPrograms(shard, w);
-  double share = w.shareOfCapacity(count(filler.Size.Cpu));
-  double worst = 0;
-  for (const ServedProgram &it : *w.ServedCache)
-    worst = std::max(worst,
-                     (it.ExpectedMs +
-                      shard.Colocation.slope(it.Image, filler.Image) * share) /
-                         it.TargetMs);
-  return worst;
+    w.ServedCache = servedTasks(shard, w, now);
+  FillerForecast forecast{MaxHeadroom, 1};
+  for (const ServedTask &it : *w.ServedCache) {
+    double loss = shard.Colocation.cautiousSlope(it.Image, image) * share;
+    // Such a filler changes nothing, whatever the task's own load does.
+    if (loss < NegligibleLoss)
+      continue;
+    double first = it.Now - 1 - PlacementMargin;
+    double last = it.Later - 1 - PlacementMargin;
+    forecast.Spare = std::min(forecast.Spare, std::min(first, last) - loss);
+    double speed = 0;
+    for (double spare : {first, (first + last) / 2, last})
+      speed += std::clamp(spare / loss, 0.0, 1.0) / 3;
+    forecast.Speed = std::min(forecast.Speed, speed);
+  }
+  return forecast;
+}
+
+bool suitsFiller(const ShardState &shard, const WorkerState &w,
+                 const std::string &image, TimePoint now) {
+  /// CPU share that a filler is assumed to use.
+  constexpr double typicalShare = 0.1;
+  for (const auto &[id, held] : w.Runs) {
+    if (held.Step->Target.count() <= 0)
+      continue;
+    const JobEntry *job = shard.findJob(id.Task.Job);
+    double lowest = job && job->Load.isKnown(now) ? job->Load.lowest(now)
+                                                  : shard.TypicalLowestHeadroom;
+    if (shard.Colocation.slope(held.Step->Image, image) * typicalShare >
+        lowest - 1 - HeadroomMargin)
+      return false;
+  }
+  return true;
+}
+
+std::map<std::string, std::int64_t> suitableFillerCpu(const ShardState &shard,
+                                                      TimePoint now) {
+  std::map<std::string, std::int64_t> cpu;
+  for (const std::string &image : shard.Colocation.fillerImages()) {
+    std::int64_t &sum = cpu[image];
+    for (const auto &[id, w] : shard.Workers)
+      if (w->isUsable() && !w->FillersPaused &&
+          !shard.ZonesOutOfService.contains(w->Profile.Zone) &&
+          suitsFiller(shard, *w, image, now))
+        sum += std::max<std::int64_t>(
+            0, static_cast<std::int64_t>(fillerCapacity(*w)) - w->FillerCpu);
+  }
+  return cpu;
 }
 
 void ShardState::observeInterference(WorkerState &w, TimePoint now) {
@@ -91,18 +184,52 @@
   w.LastObserved = now;
   std::vector<RunView> runs = runsOn(*this, w);
   std::vector<policy::FillerShare> fillers = measuredFillers(w, runs);
-  for (const RunView &it : runs)
-    if (it.Step->Target.count() > 0 && it.Entry->HasGauge &&
-        it.Entry->Gauge > 0)
-      Colocation.observe(it.Step->Image, static_cast<double>(it.Entry->Gauge),
-                         fillers);
+  TimePoint measured = now - GaugeAge;
+  // The gauges of a worker cover the same half second only approximately, so
+  // that they do not agree right after a filler was started or throttled.
+  bool steady = std::none_of(runs.begin(), runs.end(), [&](const RunView &it) {
+    return it.Step->Filler && (now - it.Entry->Started < GaugeSettleTime ||
+                               now - it.Entry->ThrottledAt < GaugeSettleTime);
+  });
+  for (const RunView &it : runs) {
+    if (it.Step->Target.count() <= 0 || !it.Entry->HasGauge ||
+        it.Entry->Gauge <= 0 || now - it.Entry->Started < WarmUpTime)
+      continue;
+    JobEntry *job = findJob(it.Id.Task.Job);
+    if (!job)
+      continue;
+    double response = static_cast<double>(it.Entry->Gauge);
+    double target = static_cast<double>(it.Step->Target.count());
+    double headroom = std::min(MaxHeadroom, target / response);
+    double explained = 0;
+    for (const policy::FillerShare &filler : fillers)
+      explained +=
+          Colocation.slope(it.Step->Image, filler.Image) * filler.Share;
+    // A gauge in whole ms is exact to a part of the response time; what the
+    // model must explain adds its own error.
+    double rounding = 0.3 * headroom / response;
+    double weight = 0.01 / (0.01 + rounding * rounding);
+    if (job->Load.isKnown(measured)) {
+      double expected = job->Load.headroomAt(measured);
+      double lost = expected - headroom;
+      if (steady)
+        Colocation.observe(it.Step->Image, lost, fillers, weight);
+    }
+    // Tasks without fillers decide: if all counted alike, slopes that are too
+    // high would raise the expected headroom and so confirm themselves.
+    if (!steady)
+      weight *= UnsteadyWeight;
+    job->Load.observe(measured, headroom + explained,
+                      weight / (1 + 50 * explained * explained));
+  }
 }
 
 void ShardState::throttleRun(WorkerState &w, const RunId &id, Run &run,
-                             std::int32_t percent) {
+                             std::int32_t percent, TimePoint now) {
   if (run.Phase != RunPhase::Running || run.OrderedPercent == percent)
     return;
   run.OrderedPercent = percent;
+  run.ThrottledAt = now;
   WorkerCommand command;
   command.Type = WorkerCommand::Kind::Throttle;
   command.Worker = w.ref();
@@ -117,32 +244,30 @@
                                              {"worker", w.Profile.Id.str()},
                                              {"image", filler.Step->Image},
                                              {"cause", cause}});
-  throttleRun(w, filler.Id, *filler.Entry, 0);
+  throttleRun(w, filler.Id, *filler.Entry, 0, now);
   stopRun(filler.Id.Task, *filler.Entry, "filler", now);
   w.ThrottleChanged = now;
 }
 
 /// Returns the filler that the model holds most responsible for missed targets,
-/// or nothing if none adds a noticeable part of one.
+/// or nothing if none takes a noticeable part of the headroom.
 static std::optional<RunView>
 mostHarmfulFiller(const ShardState &shard, const WorkerState &w,
                   const std::vector<RunView> &runs) {
   std::optional<RunView> worst;
-  double worstShare = MinHarmfulShare;
+  double worstLoss = MinHarm;
   for (const RunView &filler : runs) {
     if (!filler.Step->Filler || filler.Entry->Phase != RunPhase::Running)
       continue;
-    double share = 0;
-    for (const RunView &it : runs) {
-      double target = static_cast<double>(it.Step->Target.count());
-      if (target > 0 && it.Entry->HasGauge &&
-          static_cast<double>(it.Entry->Gauge) > ActionThreshold * target)
-        share += shard.Colocation.slope(it.Step->Image, filler.Step->Image) *
-                 w.shareOfCapacity(count(filler.Step->Size.Cpu)) / target;
-    }
-    if (share > worstShare) {
+    double loss = 0;
+    for (const RunView &it : runs)
+      if (it.Step->Target.count() > 0 && it.Entry->HasGauge &&
+          it.Entry->Gauge > it.Step->Target.count())
+        loss += shard.Colocation.slope(it.Step->Image, filler.Step->Image) *
+                w.shareOfCapacity(count(filler.Step->Size.Cpu));
+    if (loss > worstLoss) {
       worst = filler;
-      worstShare = share;
+      worstLoss = loss;
     }
   }
   return worst;
@@ -159,10 +284,11 @@
 }
 
 void ShardState::throttleFillers(TimePoint now) {
+  updateTypicalHeadroom(now);
   for (auto &[id, w] : Workers) {
     if (w->Serving.empty() || w->FillerCpu == 0) {
       w->OverTargetSince.reset();
-      w->FillerSpeedPercent = 100;
+      w->FillersPaused = false;
       continue;
     }
     std::vector<RunView> runs = runsOn(*this, *w);
@@ -172,38 +298,34 @@
         worst =
             std::max(worst, static_cast<double>(it.Entry->Gauge) /
                                 static_cast<double>(it.Step->Target.count()));
-    if (worst <= ActionThreshold)
+    if (worst <= 1)
       w->OverTargetSince.reset();
     else if (!w->OverTargetSince)
       w->OverTargetSince = now;
-    if (now - w->ThrottleChanged < GaugeSettleTime)
-      continue;
-    // One correction at a time: the gauge shows its effect only later, and
-    // stopping several fillers at once throws away the work of some for
-    // nothing.
-    if (worst > ActionThreshold)
-      if (std::optional<RunView> it = mostHarmfulFiller(*this, *w, runs))
-        moveFiller(*w, *it, "model", now);
-    std::int32_t percent = 100;
-    if (w->OverTargetSince &&
-        now - *w->OverTargetSince > Options.MaxTargetMissTime / PauseDivisor)
-      percent = 0;
-    if (percent != w->FillerSpeedPercent) {
-      w->FillerSpeedPercent = percent;
-      w->ThrottleChanged = now;
-      Events.emit(base::EventCode::FillersPaced,
-                  {{"worker", id.str()},
-                   {"percent", std::to_string(percent)},
-                   {"worst", std::to_string(worst)}});
-      // The pause has helped, so fillers are the cause although the model names
-      // none. If all went on, the target would soon be missed again.
-      if (percent == 100)
-        if (std::optional<RunView> it = largestFiller(runs))
-          moveFiller(*w, *it, "pause", now);
+    if (now - w->ThrottleChanged >= GaugeSettleTime) {
+      if (worst > 1)
+        if (std::optional<RunView> it = mostHarmfulFiller(*this, *w, runs))
+          moveFiller(*w, *it, "model", now);
+      bool pause =
+          w->OverTargetSince &&
+          now - *w->OverTargetSince > Options.MaxTargetMissTime / PauseDivisor;
+      if (pause != w->FillersPaused) {
+        w->FillersPaused = pause;
+        w->ThrottleChanged = now;
+        Events.emit(base::EventCode::FillersPaced,
+                    {{"worker", id.str()},
+                     {"percent", pause ? "0" : "100"},
+                     {"worst", std::to_string(worst)}});
+        // The pause has helped, so fillers are the cause although the model
+        // names none. If all went on, the target would soon be missed again.
+        if (!pause)
+          if (std::optional<RunView> it = largestFiller(runs))
+            moveFiller(*w, *it, "pause", now);
+      }
     }
     for (const RunView &it : runs)
       if (it.Step->Filler)
-        throttleRun(*w, it.Id, *it.Entry, percent);
+        throttleRun(*w, it.Id, *it.Entry, w->FillersPaused ? 0 : 100, now);
   }
 }
 
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -1,3 +1,4 @@
+#include "detail/Interference.h"
 #include "detail/Placement.h"
 #include "detail/Routing.h"
 #include "detail/ShardState.h"
@@ -26,6 +27,11 @@
   return it == Jobs.end() ? nullptr : it->second.get();
 }
 
+const JobEntry *ShardState::findJob(JobNumber job) const {
+  auto it = Jobs.find(job);
+  return it == Jobs.end() ? nullptr : it->second.get();
+}
+
 TaskEntry *ShardState::findTask(const TaskKey &key, JobEntry **job) {
   JobEntry *found = findJob(key.Job);
   if (job)
@@ -379,10 +385,14 @@
 static void subtractWaiting(const JobEntry &job, ShardLoad &load) {
   base::MilliCores &headroom = detail::headroomFor(load, job.Job.Graph);
   for (const auto &[number, o] : job.Occurrences)
-    for (std::size_t i = 0; i < o.Steps.size(); ++i)
-      headroom = base::MilliCores{count(headroom) -
-                                  o.Steps[i].WaitingCount *
-                                      count(job.Job.Graph.Steps[i].Size.Cpu)};
+    for (std::size_t i = 0; i < o.Steps.size(); ++i) {
+      const model::StepSpec &step = job.Job.Graph.Steps[i];
+      std::int64_t waiting = o.Steps[i].WaitingCount * count(step.Size.Cpu);
+      headroom = base::MilliCores{count(headroom) - waiting};
+      if (auto it = load.FillerCpu.find(step.Image);
+          step.Filler && it != load.FillerCpu.end())
+        it->second -= waiting;
+    }
 }
 
 /// Returns the mean CPU demand of the running long-running tasks, or 1 if there
@@ -422,6 +432,7 @@
   load.ShortTaskHeadroom = base::MilliCores{forShort};
   load.LongRunningHeadroom = base::MilliCores{forLongRunning};
   load.FillerHeadroom = base::MilliCores{forFillers};
+  load.FillerCpu = detail::suitableFillerCpu(*State, State->PlannedAt);
   for (const JobEntry *it : State->LiveJobs) {
     if (!it->isLive())
       continue;
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -13,9 +13,8 @@
 /// Fillers are started as long as their declared CPU stays below this multiple
 /// of the CPU that the other tasks are assumed to leave free.
 constexpr double FillerOvercommit = 1.15;
-/// Highest predicted response time of a serving task, as a fraction of its
-/// target, with which another filler may be placed beside it.
-constexpr double MaxPredictedShare = 0.8;
+/// Weight of the expected speed of a filler against the free CPU of a worker.
+constexpr double FillerSpeedWeight = 2.0;
 
 static bool fits(const WorkerState &w, const model::StepSpec &step) {
   const base::Resources &capacity = w.Profile.Capacity;
@@ -62,12 +61,6 @@
 constexpr double DemandRatioWeight = 1.0;
 /// Upper bound of the demand ratio of one program.
 constexpr double MaxDemandRatio = 2.0;
-/// CPU share that a filler is assumed to use when its effect on the targets of
-/// a worker is estimated.
-constexpr double TypicalFillerShare = 0.1;
-/// Fraction of a target that such a filler may add on a worker that suits it.
-constexpr double MaxAddedShare = 0.2;
-
 /// Penalty for each other serving program on a worker. Fillers find more
 /// suitable workers if fewer distinct serving programs share a worker.
 constexpr double ProgramMixPenalty = 2.0;
@@ -85,21 +78,22 @@
 
 /// Returns the score of the worker for a task of the step; higher is better.
 /// Returns nothing if the worker cannot take it now.
-static std::optional<double> suitability(const ShardState &shard,
+static std::optional<double> suitability(ShardState &shard,
                                          const model::StepSpec &step,
                                          WorkerState &w, std::int32_t sameStep,
-                                         bool starved) {
+                                         bool starved, TimePoint now) {
   double score = 0;
   if (step.Filler) {
-    double capacity = fillerCapacity(w) * w.FillerSpeedPercent / 100.0;
+    double capacity = fillerCapacity(w);
     double demand = static_cast<double>(w.FillerCpu + count(step.Size.Cpu));
-    if (w.FillerSpeedPercent < 100 || demand > FillerOvercommit * capacity)
+    if (w.FillersPaused || demand > FillerOvercommit * capacity)
       return std::nullopt;
-    double predicted = predictedTargetShare(shard, w, step);
-    if (predicted > MaxPredictedShare && !starved)
+    FillerForecast forecast = forecastFiller(
+        shard, w, step.Image, w.shareOfCapacity(count(step.Size.Cpu)), now);
+    if (forecast.Spare < 0 && !starved)
       return std::nullopt;
     score = w.shareOfCapacity(static_cast<std::int64_t>(capacity - demand));
-    score -= predicted;
+    score += FillerSpeedWeight * forecast.Speed;
     // Penalizes workers that other waiting programs with few suitable workers
     // need.
     auto own = shard.DemandRatios.find(step.Image);
@@ -142,7 +136,7 @@
   return loss * CrashLossPenalty;
 }
 
-WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
+WorkerState *chooseWorker(ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *excluded, TimePoint now,
                           bool starved, bool isolated) {
@@ -156,7 +150,8 @@
     std::int32_t same = it == counts.end() ? 0 : it->second;
     if (step.MaxPerWorker > 0 && same >= step.MaxPerWorker)
       continue;
-    std::optional<double> score = suitability(shard, step, *w, same, starved);
+    std::optional<double> score =
+        suitability(shard, step, *w, same, starved, now);
     if (score)
       *score -= crashPenalty(*w, isolated);
     if (score && (!best || *score > bestScore)) {
@@ -196,27 +191,18 @@
   return rejections;
 }
 
-static bool suitsFiller(const ShardState &shard, const WorkerState &w,
-                        const std::string &filler) {
-  for (auto it = w.Serving.begin(); it != w.Serving.end();
-       it = w.Serving.upper_bound(it->first))
-    if (shard.Colocation.slope(it->first, filler) * TypicalFillerShare >
-        MaxAddedShare * static_cast<double>(it->second.count()))
-      return false;
-  return true;
-}
-
 std::map<std::string, double>
 computeDemandRatios(ShardState &shard,
-                    const std::map<std::string, double> &waitingCpu) {
+                    const std::map<std::string, double> &demand,
+                    TimePoint now) {
   std::map<std::string, double> ratios;
   for (auto &[id, w] : shard.Workers)
     w->DemandRatioSum = 0;
-  for (const auto &[image, cpu] : waitingCpu) {
+  for (const auto &[image, cpu] : demand) {
     double capacity = 0;
     std::vector<WorkerState *> suitable;
     for (auto &[id, w] : shard.Workers)
-      if (w->isUsable() && suitsFiller(shard, *w, image)) {
+      if (w->isUsable() && suitsFiller(shard, *w, image, now)) {
         capacity += std::max(0.0, fillerCapacity(*w));
         suitable.push_back(w.get());
       }
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -2,6 +2,7 @@
 #include "detail/ShardState.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace endivedoor::dispatch {
 
@@ -282,17 +283,36 @@
   return true;
 }
 
-void ShardState::updateDemandRatios() {
-  std::map<std::string, double> waitingCpu;
+/// Time over which the CPU demand of filler programs is averaged. Jobs of one
+/// program come at intervals of seconds; a worker that few programs suit must
+/// not be given away in between.
+constexpr double DemandMemorySeconds = 10;
+/// Interval of the updates; each costs a prediction per program and worker.
+constexpr auto DemandInterval = 200ms;
+/// Demand in thousandths of a core below which a program is forgotten.
+constexpr double MinDemand = 100;
+
+void ShardState::updateDemandRatios(TimePoint now) {
+  if (now - DemandAsOf < DemandInterval)
+    return;
+  double passed = std::chrono::duration<double>(now - DemandAsOf).count();
+  double keep = std::exp(-passed / DemandMemorySeconds);
+  DemandAsOf = now;
+  for (auto &[image, cpu] : FillerDemand)
+    cpu *= keep;
   for (const JobEntry *job : LiveJobs)
     for (const auto &[number, o] : job->Occurrences)
       for (std::size_t i = 0; i < o.Steps.size(); ++i) {
         const model::StepSpec &step = job->Job.Graph.Steps[i];
-        if (step.Filler && o.Steps[i].WaitingCount > 0 && isReady(*job, o, i))
-          waitingCpu[step.Image] += static_cast<double>(
-              o.Steps[i].WaitingCount * count(step.Size.Cpu));
+        if (!step.Filler || !isReady(*job, o, i))
+          continue;
+        std::int64_t open = step.Count - o.Steps[i].DoneCount;
+        FillerDemand[step.Image] +=
+            (1 - keep) * static_cast<double>(open * count(step.Size.Cpu));
       }
-  DemandRatios = computeDemandRatios(*this, waitingCpu);
+  std::erase_if(FillerDemand,
+                [](const auto &it) { return it.second < MinDemand; });
+  DemandRatios = computeDemandRatios(*this, FillerDemand, now);
 }
 
 void ShardState::startReadySteps(TimePoint now) {
@@ -303,7 +323,7 @@
     w->ReservedForSuspect = false;
     w->ServedCache.reset();
   }
-  updateDemandRatios();
+  updateDemandRatios(now);
   std::vector<JobEntry *> jobs;
   for (JobEntry *it : LiveJobs)
     if (it->isLive() && !it->Moving && !(unverified && it->Inherited))
@@ -474,6 +494,7 @@
 std::vector<WorkerCommand> Shard::plan(base::TimePoint now, base::WallTime wall,
                                        bool mayStart, std::size_t maxStarts) {
   detail::ShardState &s = *State;
+  s.PlannedAt = now;
   s.expireLeases(now);
   s.openDueOccurrences(wall, now);
   s.stopUnneededRuns(now);
--- a/packages/dispatch/src/detail/Interference.h
+++ b/packages/dispatch/src/detail/Interference.h
@@ -16,10 +16,31 @@
 
 std::vector<RunView> runsOn(ShardState &shard, const WorkerState &w);
 
-/// Returns the predicted response time on the worker if \p filler is added, as
-/// a fraction of the target: the highest value over all tasks with a target.
-double predictedTargetShare(const ShardState &shard, WorkerState &w,
-                            const model::StepSpec &filler);
+/// What adding a filler to a worker is expected to do.
+struct FillerForecast {
+  /// Headroom above the target that is left to the serving task that has the
+  /// least, while the filler runs; negative if a target would be missed.
+  double Spare = 0;
+  /// Mean fraction of its full speed at which the filler could run without a
+  /// target being missed.
+  double Speed = 1;
+};
+
+/// \param share CPU that the filler uses, as a fraction of the worker's
+/// capacity.
+FillerForecast forecastFiller(ShardState &shard, WorkerState &w,
+                              const std::string &image, double share,
+                              TimePoint now);
+
+/// Returns whether a filler of usual size, alone on the worker, lets every
+/// serving task meet its target also at the peak of the load.
+bool suitsFiller(const ShardState &shard, const WorkerState &w,
+                 const std::string &image, TimePoint now);
+
+/// Returns the CPU in thousandths of a core that the workers that suit each
+/// known filler program have left for fillers.
+std::map<std::string, std::int64_t> suitableFillerCpu(const ShardState &shard,
+                                                      TimePoint now);
 
 } // namespace endivedoor::dispatch::detail
 
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -23,7 +23,7 @@
 /// their targets.
 /// \param isolated whether the task may crash its worker: it goes where no
 /// other such task runs and a crash would end little.
-WorkerState *chooseWorker(const ShardState &shard, const JobEntry &job,
+WorkerState *chooseWorker(ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
                           const WorkerState *excluded, TimePoint now,
                           bool starved = false, bool isolated = false);
@@ -47,14 +47,14 @@
                                     const JobEntry &job,
                                     const model::StepSpec &step, TimePoint now);
 
-/// Returns the ratio of the waiting CPU demand of each filler program to the
-/// spare CPU of its suitable workers, and updates DemandRatioSum of each
+/// Returns the ratio of the CPU demand of each filler program to the CPU that
+/// its suitable workers have for fillers, and updates DemandRatioSum of each
 /// worker.
 ///
-/// \param waitingCpu CPU demand of the waiting tasks of each program.
+/// \param demand CPU demand of each program, averaged over some time.
 std::map<std::string, double>
 computeDemandRatios(ShardState &shard,
-                    const std::map<std::string, double> &waitingCpu);
+                    const std::map<std::string, double> &demand, TimePoint now);
 
 /// Reserves capacity on a worker for a long-running task that fits nowhere now,
 /// until the short tasks there have ended. The reservation lasts until the next
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -5,6 +5,7 @@
 
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
+#include "endivedoor/policy/ServingLoad.h"
 
 #include <algorithm>
 #include <deque>
@@ -56,8 +57,9 @@
   std::int32_t SpeedPercent = 100;
   std::int64_t Gauge = 0;
   bool HasGauge = false;
-  /// Speed limit in percent that was sent last.
+  /// Speed limit in percent that was sent last, and when it was changed.
   std::int32_t OrderedPercent = 100;
+  TimePoint ThrottledAt;
   /// When the worker last reported that the run used CPU.
   TimePoint LastBusy;
   /// An earlier owner started the run, so Started is only when it was found.
@@ -148,6 +150,8 @@
   TimePoint Deadline;
   /// Number of runs of all tasks of the job.
   std::int32_t RunCount = 0;
+  /// Headroom of the job's serving tasks.
+  policy::ServingLoad Load;
 
   bool isLive() const { return !model::isFinal(State); }
   bool isLongRunning() const {
@@ -170,12 +174,12 @@
   const model::StepSpec *Step = nullptr;
 };
 
-/// Expected response time of a serving program on a worker with its current
-/// fillers.
-struct ServedProgram {
+/// Headroom that a serving task is expected to have beside the current fillers
+/// of its worker at full speed: now, and after the run time of a filler.
+struct ServedTask {
   std::string Image;
-  double ExpectedMs = 0;
-  double TargetMs = 0;
+  double Now = 0;
+  double Later = 0;
 };
 
 struct ClockSample {
@@ -232,16 +236,16 @@
   double FailureScore = 0;
   /// Job of the latest failed run here.
   JobNumber LastFailedJob{0};
-  /// Speed limit in percent of the fillers here, and when the fillers were last
-  /// throttled or moved away.
-  std::int32_t FillerSpeedPercent = 100;
+  /// All fillers here are paused because a target has been missed for long.
+  bool FillersPaused = false;
+  /// When a filler was last moved away or all were paused.
   TimePoint ThrottleChanged;
   /// Since when a long-running task here has missed its target.
   std::optional<TimePoint> OverTargetSince;
   /// Program and target of each task with a target here; one entry per task.
   std::multimap<std::string, std::chrono::milliseconds> Serving;
   /// Computed on demand; reset when a run is added or removed.
-  std::optional<std::vector<ServedProgram>> ServedCache;
+  std::optional<std::vector<ServedTask>> ServedCache;
   /// Sum of the demand ratios of the waiting filler programs that suit this
   /// worker.
   double DemandRatioSum = 0;
@@ -310,12 +314,22 @@
   /// program that are at least as large are not tried.
   std::vector<const model::StepSpec *> UnplaceableSteps;
   policy::ColocationModel Colocation;
-  /// Ratio of the waiting CPU demand of each filler program to the spare CPU of
-  /// the workers that suit it, as of the current plan.
+  /// CPU demand of each filler program, averaged over some time, and when it
+  /// was updated.
+  std::map<std::string, double> FillerDemand;
+  TimePoint DemandAsOf;
+  /// When the latest plan was made.
+  TimePoint PlannedAt;
+  /// Ratio of that demand to the CPU that the suitable workers have for
+  /// fillers, as of the current plan.
   std::map<std::string, double> DemandRatios;
+  /// Headroom at the peak of the load that is assumed for serving jobs that
+  /// have not been measured for long: the mean of the others.
+  double TypicalLowestHeadroom = 0;
 
   // Jobs.cpp
   JobEntry *findJob(JobNumber job);
+  const JobEntry *findJob(JobNumber job) const;
   TaskEntry *findTask(const TaskKey &key, JobEntry **job = nullptr);
   Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
   void markDirty(JobEntry &job);
@@ -379,7 +393,7 @@
   // Plan.cpp
   void openDueOccurrences(base::WallTime wall, TimePoint now);
   void startReadySteps(TimePoint now);
-  void updateDemandRatios();
+  void updateDemandRatios(TimePoint now);
   bool isKnownUnplaceable(const model::StepSpec &step) const;
   void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
@@ -397,9 +411,11 @@
 
   // Interference.cpp
   void observeInterference(WorkerState &worker, TimePoint now);
+  /// Updates TypicalLowestHeadroom.
+  void updateTypicalHeadroom(TimePoint now);
   void throttleFillers(TimePoint now);
   void throttleRun(WorkerState &worker, const RunId &id, Run &run,
-                   std::int32_t percent);
+                   std::int32_t percent, TimePoint now);
   /// Stops a filler, which resumes from its checkpoint on another worker.
   void moveFiller(WorkerState &worker, const RunView &filler, const char *cause,
                   TimePoint now);
--- a/packages/policy/include/endivedoor/policy/ColocationModel.h
+++ b/packages/policy/include/endivedoor/policy/ColocationModel.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,8 @@
 /// Regression sums for one service image.
 struct ColocationStatistics {
   std::string ServingImage;
-  /// Filler images in the order of the unknowns, starting at unknown 1; unknown
-  /// 0 is the base.
+  /// Filler images in the order of the unknowns, starting at unknown 1; row 0
+  /// holds the sum of the weights of the measurements.
   std::vector<std::string> Fillers;
   /// Matrix and right-hand side of the normal equations, with one row and one
   /// entry per unknown.
@@ -28,32 +29,41 @@
   std::vector<double> RightHandSide;
 };
 
-/// Estimates, for each service image, its response time without fillers and the
-/// time that each filler adds per full worker CPU.
+/// Estimates how much of the headroom of each service image each filler takes
+/// per full worker CPU. Headroom is the ratio of target to response time
+/// without fillers, as in ServingLoad. Response times grow with 1 / (1 - load)
+/// and fillers act like load, so that their effects on this ratio add up,
+/// whatever the service's own load is.
 ///
-/// Ridge regression with exponential forgetting: response time = base + sum of
-/// slope times share. Slopes are non-negative. A slope is drawn towards what
-/// the filler adds to other services, in relation to their bases, so that a
-/// pair without measurements of its own is not assumed to be harmless.
+/// Weighted ridge regression through the origin with exponential forgetting:
+/// lost headroom = sum of slope times share. Slopes are non-negative. A slope
+/// is drawn towards the pressure of the filler times the sensitivity of the
+/// service, both learned from all pairs, so that a pair without measurements of
+/// its own is not assumed to be harmless.
 class ColocationModel {
 public:
   /// Adds a measurement.
   ///
   /// \param servingImage image of the measured task.
-  /// \param responseMs measured response time, in ms.
+  /// \param lost headroom lost to fillers: expected without fillers minus
+  /// measured.
   /// \param fillers fillers that ran on the worker during the measurement.
+  /// \param weight weight of the measurement, in (0, 1].
   /// Cost: quadratic in the number of filler images seen.
-  void observe(const std::string &servingImage, double responseMs,
-               const std::vector<FillerShare> &fillers);
+  void observe(const std::string &servingImage, double lost,
+               const std::vector<FillerShare> &fillers, double weight = 1);
 
-  /// Returns the ms that \p fillerImage adds per full share; 0 if the service
-  /// or all fillers are unknown.
+  /// Returns the headroom that \p fillerImage takes per full share; 0 if all
+  /// fillers are unknown.
   double slope(const std::string &servingImage,
                const std::string &fillerImage) const;
 
-  /// Returns the response time without fillers, in ms; 0 if it was never
-  /// measured.
-  double base(const std::string &servingImage) const;
+  /// As slope(), with an allowance for what is not known of the pair yet.
+  double cautiousSlope(const std::string &servingImage,
+                       const std::string &fillerImage) const;
+
+  /// Returns the fillers that have been measured beside any service.
+  std::set<std::string> fillerImages() const;
 
   /// Returns whether the pair has enough measurements for a reliable estimate.
   bool isKnown(const std::string &servingImage,
@@ -75,7 +85,8 @@
 
 private:
   struct Fit {
-    /// Index of the unknown of each filler image; unknown 0 is the base.
+    /// Index of the unknown of each filler image. Unknown 0 is fixed at 0; its
+    /// row holds the sum of the weights.
     std::map<std::string, std::size_t> Index;
     std::vector<std::vector<double>> NormalMatrix;
     std::vector<double> RightHandSide;
@@ -86,11 +97,12 @@
     std::size_t ObservationsSinceSolve = 0;
   };
 
-  void solve(Fit &fit);
-  /// Updates Pressures and MeanPressure from all services.
-  void updatePressures();
-  /// Returns the expected slope of a filler for a service of base 1.
-  double pressureOf(const std::string &fillerImage) const;
+  void solve(Fit &fit, const std::string &servingImage);
+  /// Updates the pressures and sensitivities from all services.
+  void updateExpectations();
+  /// Returns the expected slope of a pair.
+  double expectedSlope(const std::string &servingImage,
+                       const std::string &fillerImage) const;
   static std::size_t indexOf(Fit &fit, const std::string &fillerImage);
 
   Fit &fitOf(const std::string &servingImage);
@@ -99,10 +111,12 @@
 
   std::map<std::string, Fit> Fits;
   std::map<std::int32_t, std::vector<ColocationStatistics>> Peers;
-  /// Mean ratio of slope to base over the services, by filler image.
+  /// Slope for a service of mean sensitivity, by filler image.
   std::map<std::string, double> Pressures;
   /// The same over all fillers.
   double MeanPressure = 0;
+  /// Slopes of a service relative to the pressures, by image; 1 on average.
+  std::map<std::string, double> Sensitivities;
   std::size_t SolvesSinceUpdate = 0;
 };
 
--- a/packages/policy/src/ColocationModel.cpp
+++ b/packages/policy/src/ColocationModel.cpp
@@ -11,21 +11,19 @@
 /// Weight of the expected slope against measurements: equals three of them at a
 /// share of 0.1.
 constexpr double SlopePrior = 0.03;
-/// Weight of the mean of all fillers against what one filler does to the
-/// services measured with it: equals one such service.
-constexpr double PressurePrior = 1;
+/// Weight of the mean of all pairs against what one filler or one service was
+/// measured to do: equals one well measured pair.
+constexpr double ExpectationPrior = 1;
 /// Number of solutions between two updates of the expected slopes.
-constexpr std::size_t PressureInterval = 16;
-/// Ridge penalty of the base, small enough to be almost without effect.
-constexpr double BasePrior = 1e-3;
+constexpr std::size_t ExpectationInterval = 16;
 /// Number of measurements between two solutions of the regression.
 constexpr std::size_t SolveInterval = 8;
 /// Sum of squared shares from which a pair counts as known: a few measurements
 /// at a share of 0.1.
 constexpr double MinKnownWeight = 0.03;
-/// Response times are capped at this multiple of the base, so that a single
-/// stall does not outweigh all other measurements.
-constexpr double OutlierFactor = 8;
+/// Range of a measured loss of headroom: a single stall must not outweigh all
+/// other measurements.
+constexpr double MaxLoss = 4;
 
 std::size_t ColocationModel::indexOf(Fit &fit, const std::string &fillerImage) {
   auto [it, added] = fit.Index.try_emplace(fillerImage, fit.Index.size() + 1);
@@ -52,14 +50,11 @@
   return fit;
 }
 
-void ColocationModel::observe(const std::string &servingImage,
-                              double responseMs,
-                              const std::vector<FillerShare> &fillers) {
+void ColocationModel::observe(const std::string &servingImage, double lost,
+                              const std::vector<FillerShare> &fillers,
+                              double weight) {
   Fit &fit = fitOf(servingImage);
-  if (fit.Solution[0] > 0)
-    responseMs = std::min(responseMs, OutlierFactor * fit.Solution[0]);
-  else
-    fit.Solution[0] = responseMs;
+  lost = std::clamp(lost, -MaxLoss, MaxLoss);
   std::map<std::size_t, double> row{{0, 1.0}};
   for (const FillerShare &filler : fillers)
     row[indexOf(fit, filler.Image)] += filler.Share;
@@ -69,70 +64,96 @@
   for (double &sum : fit.RightHandSide)
     sum *= ForgettingFactor;
   for (const auto &[i, x] : row) {
-    fit.RightHandSide[i] += x * responseMs;
+    fit.RightHandSide[i] += weight * x * lost;
     for (const auto &[j, y] : row)
-      fit.NormalMatrix[i][j] += x * y;
+      fit.NormalMatrix[i][j] += weight * x * y;
   }
   if (++fit.ObservationsSinceSolve >= SolveInterval)
-    solve(fit);
+    solve(fit, servingImage);
 }
 
-double ColocationModel::pressureOf(const std::string &fillerImage) const {
-  auto it = Pressures.find(fillerImage);
-  return it == Pressures.end() ? MeanPressure : it->second;
+static double valueOr(const std::map<std::string, double> &values,
+                      const std::string &key, double otherwise) {
+  auto it = values.find(key);
+  return it == values.end() ? otherwise : it->second;
 }
 
-void ColocationModel::updatePressures() {
+double ColocationModel::expectedSlope(const std::string &servingImage,
+                                      const std::string &fillerImage) const {
+  return valueOr(Pressures, fillerImage, MeanPressure) *
+         valueOr(Sensitivities, servingImage, 1);
+}
+
+void ColocationModel::updateExpectations() {
   struct Sum {
     double Weight = 0;
-    double Ratio = 0;
+    double Value = 0;
   };
-  std::map<std::string, Sum> sums;
+  std::map<std::string, Sum> pressures, sensitivities;
   Sum all;
-  for (const auto &[serving, fit] : Fits) {
-    if (fit.Solution[0] <= 0)
-      continue;
-    for (const auto &[filler, i] : fit.Index) {
-      // Between 0 without measurements and 1 with many.
-      double measured = fit.NormalMatrix[i][i] + fit.PeerMatrix[i][i];
-      double weight = measured / (measured + SlopePrior);
-      double ratio = weight * fit.Solution[i] / fit.Solution[0];
-      sums[filler].Weight += weight;
-      sums[filler].Ratio += ratio;
-      all.Weight += weight;
-      all.Ratio += ratio;
-    }
-  }
-  MeanPressure = all.Weight > 0 ? all.Ratio / all.Weight : 0;
-  for (const auto &[filler, sum] : sums)
-    Pressures[filler] = (sum.Ratio + PressurePrior * MeanPressure) /
-                        (sum.Weight + PressurePrior);
+  // Both passes weigh a pair between 0 without measurements and 1 with many.
+  auto forEachPair = [&](auto visit) {
+    for (const auto &[serving, fit] : Fits)
+      for (const auto &[filler, i] : fit.Index) {
+        double measured = fit.NormalMatrix[i][i] + fit.PeerMatrix[i][i];
+        visit(serving, filler, measured / (measured + SlopePrior),
+              fit.Solution[i]);
+      }
+  };
+  forEachPair([&](const std::string &serving, const std::string &filler,
+                  double weight, double slope) {
+    double sensitivity = valueOr(Sensitivities, serving, 1);
+    pressures[filler].Weight += weight * sensitivity;
+    pressures[filler].Value += weight * slope;
+    all.Weight += weight;
+    all.Value += weight * slope;
+  });
+  MeanPressure = all.Weight > 0 ? all.Value / all.Weight : 0;
+  for (const auto &[filler, sum] : pressures)
+    Pressures[filler] = (sum.Value + ExpectationPrior * MeanPressure) /
+                        (sum.Weight + ExpectationPrior);
+  if (MeanPressure <= 0)
+    return;
+  forEachPair([&](const std::string &serving, const std::string &filler,
+                  double weight, double slope) {
+    sensitivities[serving].Weight += weight * Pressures[filler];
+    sensitivities[serving].Value += weight * slope;
+  });
+  double prior = ExpectationPrior * MeanPressure;
+  for (const auto &[serving, sum] : sensitivities)
+    Sensitivities[serving] = (sum.Value + prior) / (sum.Weight + prior);
 }
 
 /// Projected Gauss-Seidel iteration that keeps all unknowns non-negative. The
 /// matrix is symmetric and, with the priors, positive definite.
-void ColocationModel::solve(Fit &fit) {
+void ColocationModel::solve(Fit &fit, const std::string &servingImage) {
   constexpr int rounds = 25;
   fit.ObservationsSinceSolve = 0;
   std::size_t n = fit.RightHandSide.size();
   std::vector<double> expected(n, 0);
   for (const auto &[filler, i] : fit.Index)
-    expected[i] = pressureOf(filler) * fit.Solution[0];
-  for (int round = 0; round < rounds; ++round)
-    for (std::size_t i = 0; i < n; ++i) {
+    expected[i] = expectedSlope(servingImage, filler);
+  for (int round = 0; round < rounds; ++round) {
+    double change = 0;
+    for (std::size_t i = 1; i < n; ++i) {
       double sum = fit.RightHandSide[i] + fit.PeerSide[i];
-      for (std::size_t j = 0; j < n; ++j)
+      for (std::size_t j = 1; j < n; ++j)
         if (j != i)
           sum -=
               (fit.NormalMatrix[i][j] + fit.PeerMatrix[i][j]) * fit.Solution[j];
       double weight = fit.NormalMatrix[i][i] + fit.PeerMatrix[i][i];
-      double prior = i == 0 ? BasePrior : SlopePrior;
-      fit.Solution[i] =
-          std::max(0.0, (sum + prior * expected[i]) / (weight + prior));
+      double next = std::max(0.0, (sum + SlopePrior * expected[i]) /
+                                      (weight + SlopePrior));
+      change = std::max(change, std::abs(next - fit.Solution[i]));
+      fit.Solution[i] = next;
     }
-  if (++SolvesSinceUpdate >= PressureInterval) {
+    // Far below the resolution of a gauge.
+    if (change < 1e-4)
+      break;
+  }
+  if (++SolvesSinceUpdate >= ExpectationInterval) {
     SolvesSinceUpdate = 0;
-    updatePressures();
+    updateExpectations();
   }
 }
 
@@ -180,16 +201,14 @@
       continue;
     fit.NormalMatrix = statistics.NormalMatrix;
     fit.RightHandSide = statistics.RightHandSide;
-    if (fit.NormalMatrix[0][0] > 0)
-      fit.Solution[0] = fit.RightHandSide[0] / fit.NormalMatrix[0][0];
   }
   // The iteration starts far from the solution, and the expected slopes depend
   // on the solutions of all services.
   constexpr int initialSolutions = 4;
   for (int i = 0; i < initialSolutions; ++i) {
     for (auto &[serving, fit] : Fits)
-      solve(fit);
-    updatePressures();
+      solve(fit, serving);
+    updateExpectations();
   }
 }
 
@@ -222,24 +241,40 @@
   for (const ColocationStatistics &it : kept) {
     Fit &fit = fitOf(it.ServingImage);
     sumPeers(it.ServingImage, fit);
-    solve(fit);
+    solve(fit, it.ServingImage);
   }
 }
 
 double ColocationModel::slope(const std::string &servingImage,
                               const std::string &fillerImage) const {
   auto fit = Fits.find(servingImage);
-  if (fit == Fits.end())
-    return 0;
-  auto it = fit->second.Index.find(fillerImage);
-  return it == fit->second.Index.end()
-             ? pressureOf(fillerImage) * fit->second.Solution[0]
-             : fit->second.Solution[it->second];
+  if (fit != Fits.end())
+    if (auto it = fit->second.Index.find(fillerImage);
+        it != fit->second.Index.end())
+      return fit->second.Solution[it->second];
+  return expectedSlope(servingImage, fillerImage);
 }
 
-double ColocationModel::base(const std::string &servingImage) const {
-  auto fit = Fits.find(servingImage);
-  return fit == Fits.end() ? 0 : fit->second.Solution[0];
+double ColocationModel::cautiousSlope(const std::string &servingImage,
+                                      const std::string &fillerImage) const {
+  double measured = 0;
+  if (auto fit = Fits.find(servingImage); fit != Fits.end())
+    if (auto it = fit->second.Index.find(fillerImage);
+        it != fit->second.Index.end())
+      measured = fit->second.NormalMatrix[it->second][it->second] +
+                 fit->second.PeerMatrix[it->second][it->second];
+  // The allowance of an unmeasured pair is half of the expected slope.
+  return slope(servingImage, fillerImage) +
+         0.5 * expectedSlope(servingImage, fillerImage) * SlopePrior /
+             (measured + SlopePrior);
+}
+
+std::set<std::string> ColocationModel::fillerImages() const {
+  std::set<std::string> images;
+  for (const auto &[serving, fit] : Fits)
+    for (const auto &[filler, i] : fit.Index)
+      images.insert(filler);
+  return images;
 }
 
 bool ColocationModel::isKnown(const std::string &servingImage,
