Gather serving programs in shards and route fillers to suitable ones

Cause: 52% of the workers had serving tasks of two groups of programs that are disturbed by different fillers, so that few workers suited any filler.

Change: long-running jobs with a target go to the shard that ranks first for their program among those with enough headroom; load records say how much CPU each filler program finds on suitable workers.

--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -65,7 +65,7 @@
     double share = shares[static_cast<std::size_t>(i)];
     if (anySuitable && share == 0)
       continue;
-    std::int64_t headroom = count(headroomFor(Loads[i], job.Graph));
+    std::int64_t headroom = headroomOf(Loads[i], job.Graph);
     shards.push_back(i);
     headrooms.push_back(
         headroom > 0 && anySuitable
@@ -83,10 +83,13 @@
 JobRequestHandler::drawAndReserve(const model::AcceptedJob &job,
                                   const std::vector<std::int32_t> &shards,
                                   const std::vector<std::int64_t> &headrooms) {
+  std::optional<std::size_t> chosen;
+  if (const std::string &program = servingProgram(job.Graph); !program.empty())
+    chosen = preferredShard(program, shards, headrooms, totalCpuOf(job));
   std::uniform_real_distribution<double> uniform(0, 1);
-  std::int32_t shard = shards[drawShard(headrooms, uniform(Random))];
-  base::MilliCores &headroom = headroomFor(Loads[shard], job.Graph);
-  headroom = base::MilliCores{count(headroom) - totalCpuOf(job)};
+  std::int32_t shard =
+      shards[chosen ? *chosen : drawShard(headrooms, uniform(Random))];
+  reserveHeadroom(Loads[shard], job.Graph, totalCpuOf(job));
   return shard;
 }
 
@@ -97,11 +100,11 @@
   if (base::Result<void> read = co_await refreshLoads(); !read)
     co_return std::nullopt;
   std::vector<double> shares = suitableShares(View, Workers, job);
-  std::int64_t ownHeadroom = count(headroomFor(Loads[from], job.Graph));
+  std::int64_t ownHeadroom = headroomOf(Loads[from], job.Graph);
   std::vector<std::int32_t> shards;
   std::vector<std::int64_t> headrooms;
   for (std::int32_t i = 0; i < View.Shards; ++i) {
-    std::int64_t headroom = count(headroomFor(Loads[i], job.Graph));
+    std::int64_t headroom = headroomOf(Loads[i], job.Graph);
     double share = shares[static_cast<std::size_t>(i)];
     // A shard with a smaller share of suitable workers moves the job to a shard
     // with a larger one, even if that has less free capacity.
--- a/packages/dispatch/src/Loads.cpp
+++ b/packages/dispatch/src/Loads.cpp
@@ -12,8 +12,12 @@
   json::object pending;
   for (const auto &[queue, jobs] : load.Pending)
     pending[queue] = jobs;
+  json::object fillers;
+  for (const auto &[image, cpu] : load.FillerCpu)
+    fillers[image] = cpu;
   return json::serialize(
-      json::object{{"pending", std::move(pending)},
+      json::object{{"fillers", std::move(fillers)},
+                   {"pending", std::move(pending)},
                    {"roomForShort", count(load.ShortTaskHeadroom)},
                    {"roomForLasting", count(load.LongRunningHeadroom)},
                    {"roomForFillers", count(load.FillerHeadroom)}});
@@ -40,6 +44,11 @@
     for (const auto &[queue, jobs] : pending->as_object())
       if (jobs.is_int64())
         load.Pending[std::string(queue)] = jobs.as_int64();
+  const json::value *fillers = value.value().as_object().if_contains("fillers");
+  if (fillers && fillers->is_object())
+    for (const auto &[image, cpu] : fillers->as_object())
+      if (cpu.is_int64())
+        load.FillerCpu[std::string(image)] = cpu.as_int64();
   return load;
 }
 
--- a/packages/dispatch/src/Routing.cpp
+++ b/packages/dispatch/src/Routing.cpp
@@ -1,5 +1,8 @@
 #include "detail/Routing.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace endivedoor::dispatch::detail {
@@ -13,6 +16,53 @@
   return onlyFillers ? load.FillerHeadroom : load.ShortTaskHeadroom;
 }
 
+/// Returns the program of a job that consists of fillers, or an empty name.
+static const std::string &fillerProgram(const model::JobGraph &graph) {
+  static const std::string none;
+  return !graph.Steps.empty() && graph.Steps.front().Filler
+             ? graph.Steps.front().Image
+             : none;
+}
+
+std::int64_t headroomOf(ShardLoad &load, const model::JobGraph &graph) {
+  std::int64_t headroom = count(headroomFor(load, graph));
+  auto it = load.FillerCpu.find(fillerProgram(graph));
+  return it == load.FillerCpu.end() ? headroom : std::min(headroom, it->second);
+}
+
+void reserveHeadroom(ShardLoad &load, const model::JobGraph &graph,
+                     std::int64_t cpu) {
+  base::MilliCores &headroom = headroomFor(load, graph);
+  headroom = base::MilliCores{count(headroom) - cpu};
+  if (auto it = load.FillerCpu.find(fillerProgram(graph));
+      it != load.FillerCpu.end())
+    it->second -= cpu;
+}
+
+const std::string &servingProgram(const model::JobGraph &graph) {
+  static const std::string none;
+  return !graph.Steps.empty() && graph.Steps.front().Target.count() > 0
+             ? graph.Steps.front().Image
+             : none;
+}
+
+std::optional<std::size_t>
+preferredShard(const std::string &program,
+               const std::vector<std::int32_t> &shards,
+               const std::vector<std::int64_t> &headrooms, std::int64_t need) {
+  std::optional<std::size_t> best;
+  std::uint64_t bestScore = 0;
+  for (std::size_t i = 0; i < shards.size(); ++i) {
+    std::string key = program + "/" + std::to_string(shards[i]);
+    std::uint64_t score = XXH3_64bits(key.data(), key.size());
+    if (headrooms[i] >= need && (!best || score > bestScore)) {
+      best = i;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
 bool hasLabel(const model::WorkerProfile &worker, const std::string &label) {
   const std::vector<std::string> &labels = worker.Labels;
   return std::find(labels.begin(), labels.end(), label) != labels.end();
--- a/packages/dispatch/src/detail/Routing.h
+++ b/packages/dispatch/src/detail/Routing.h
@@ -9,7 +9,9 @@
 #include "endivedoor/model/JobGraph.h"
 
 #include <map>
+#include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace endivedoor::dispatch::detail {
@@ -26,6 +28,27 @@
 /// Returns the headroom of a shard for the kind of job that \p graph describes.
 base::MilliCores &headroomFor(ShardLoad &load, const model::JobGraph &graph);
 
+/// As headroomFor(), but not more than what the workers have that suit the
+/// filler program of the job, if the shard knows it.
+std::int64_t headroomOf(ShardLoad &load, const model::JobGraph &graph);
+
+/// Subtracts the CPU of a job that has been sent to the shard.
+void reserveHeadroom(ShardLoad &load, const model::JobGraph &graph,
+                     std::int64_t cpu);
+
+/// Returns the program of a job whose tasks have a target, or an empty name.
+const std::string &servingProgram(const model::JobGraph &graph);
+
+/// Returns the index of the shard that ranks first for a serving program among
+/// those with enough headroom, or nothing if none has it.
+///
+/// Jobs of one program thus gather in few shards, where their tasks fill whole
+/// workers. Fillers that disturb this program then find workers without it.
+std::optional<std::size_t>
+preferredShard(const std::string &program,
+               const std::vector<std::int32_t> &shards,
+               const std::vector<std::int64_t> &headrooms, std::int64_t need);
+
 /// Returns, for each shard, the fraction of its workers that can run the most
 /// demanding step of the job by service, label, size and zone. A shard that
 /// cannot run all steps gets 0.
--- a/tests/unit/unit-dispatch-routing.cpp
+++ b/tests/unit/unit-dispatch-routing.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <random>
+#include <set>
 
 using namespace endivedoor;
 using namespace endivedoor::dispatch;
@@ -62,6 +63,45 @@
   }
 }
 
+// Serving tasks of different programs on one worker leave no worker for the
+// fillers that disturb one of them.
+TEST(ShardSelection, JobsOfOneServingProgram_GatherInOneShard) {
+  std::vector<std::int32_t> shards = {0, 1, 2, 3};
+  std::set<std::size_t> used;
+  for (const char *program : {"p1", "p2", "p3", "p4", "p5", "p6"}) {
+    auto first = detail::preferredShard(program, shards, {90, 90, 90, 90}, 50);
+    ASSERT_TRUE(first);
+    used.insert(*first);
+    std::vector<std::int64_t> headrooms = {90, 80, 70, 60};
+    EXPECT_EQ(detail::preferredShard(program, shards, headrooms, 50), first);
+    // The rest of a program that does not fit goes to one other shard.
+    headrooms[*first] = 40;
+    auto second = detail::preferredShard(program, shards, headrooms, 50);
+    ASSERT_TRUE(second && *second != *first);
+  }
+  EXPECT_GT(used.size(), 1u);
+  EXPECT_FALSE(detail::preferredShard("p1", shards, {40, 40, 40, 40}, 50));
+}
+
+// A shard with room for fillers in general may have none for a program that
+// disturbs all of its serving tasks.
+TEST(ShardHeadroom, FillerProgram_LimitsTheHeadroom) {
+  ShardLoad load;
+  load.FillerHeadroom = base::MilliCores{1000};
+  load.FillerCpu = {{"harmful", 50}, {"harmless", 2000}};
+  model::JobGraph graph;
+  graph.Steps.resize(1);
+  graph.Steps[0].Filler = true;
+  EXPECT_EQ(detail::headroomOf(load, graph), 1000);
+  graph.Steps[0].Image = "harmless";
+  EXPECT_EQ(detail::headroomOf(load, graph), 1000);
+  graph.Steps[0].Image = "harmful";
+  EXPECT_EQ(detail::headroomOf(load, graph), 50);
+  detail::reserveHeadroom(load, graph, 30);
+  EXPECT_EQ(detail::headroomOf(load, graph), 20);
+  EXPECT_EQ(count(load.FillerHeadroom), 970);
+}
+
 TEST(ShardHeadroom, JobKind_DeterminesWhichHeadroomCounts) {
   ShardLoad load;
   load.ShortTaskHeadroom = base::MilliCores{1};
@@ -147,11 +187,13 @@
   load.ShortTaskHeadroom = base::MilliCores{-5};
   load.FillerHeadroom = base::MilliCores{7};
   load.Pending["q"] = 3;
+  load.FillerCpu["filler"] = -8;
   auto decoded = detail::decodeLoad(detail::encodeLoad(load));
   ASSERT_TRUE(decoded.has_value());
   EXPECT_EQ(count(decoded.value().ShortTaskHeadroom), -5);
   EXPECT_EQ(count(decoded.value().FillerHeadroom), 7);
   EXPECT_EQ(decoded.value().Pending["q"], 3);
+  EXPECT_EQ(decoded.value().FillerCpu["filler"], -8);
 }
 
 TEST(ColocationRecords, Statistics_RoundTrip) {
