Skip invalid rows of poll answers and outlast an unreadable roster

Cause: one invalid row made a poll answer fail as a whole, so the worker counted as silent and its tasks were started again. A roster record that cannot be decoded ended the term, and the next owner's, in turn.

Change: an invalid row is skipped and logged (7548 WorkerRowInvalid); the other rows count. If the row may be a run of ours, that is unless its task name is none of ours, nothing is concluded from what the list lacks. An unreadable roster is logged; inherited tasks wait for the longest lease that an earlier owner may have granted (15.2 s), and only then is the record replaced, since the next owner would not know of the workers that it named. Until then no worker is in the roster, so that nothing is started.

Not covered: a run in a row that stays unreadable on an answering worker counts as running as long as it is listed; an inherited one counts as lost after the lease.

Tests, seen to fail without the change: InvalidRows (two of three; the third tests a new function), DispatchNodeOwnership.UnreadableRoster, InstallationAdapter.Poll_SkipsInvalidRows. unit-dispatch silent, shard, crashes, capacity and node, unit-installation and unit-catalogue pass.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -99,6 +99,12 @@
   /// leases.
   void markUnverified(const std::vector<RosterEntry> &roster,
                       bool earlierOwnerActive, base::TimePoint now);
+  /// The roster cannot be read: tasks of inherited jobs that no worker lists
+  /// are not started until any lease of an earlier owner has expired.
+  void markRosterUnknown(base::TimePoint now);
+  /// Returns whether leases of earlier owners may still hold on unknown
+  /// workers.
+  bool isRosterUnknown() const;
   /// No earlier owner sends commands any more: the leases that it requested
   /// before now expire in the usual time.
   void onEarlierOwnersEnded(base::TimePoint now);
--- a/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
+++ b/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
@@ -76,6 +76,10 @@
   std::vector<EndedRun> Ended;
   /// The list of ended runs is truncated; more follow.
   bool MoreEnded = false;
+  /// First row that could not be decoded and was skipped; empty if none.
+  std::string InvalidRow;
+  /// A skipped row may be one of the runs that the list of running ones lacks.
+  bool RunningIncomplete = false;
 };
 
 struct PollRequest {
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -144,9 +144,10 @@
 }
 
 bool ShardState::hasUnverifiedWorkers() const {
-  return std::any_of(Workers.begin(), Workers.end(), [](const auto &it) {
-    return it.second->UnverifiedUntil.has_value();
-  });
+  return RosterUnknownUntil ||
+         std::any_of(Workers.begin(), Workers.end(), [](const auto &it) {
+           return it.second->UnverifiedUntil.has_value();
+         });
 }
 
 JobProgress progressOf(const JobEntry &job) {
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -78,7 +78,9 @@
 
 asio::awaitable<void> ShardRunner::storeRoster() {
   std::vector<RosterEntry> roster = State.roster();
-  if (roster == StoredRoster)
+  // An unreadable roster is replaced only once it names no worker that may
+  // still have runs; the next owner would not know of them.
+  if (roster == StoredRoster || State.isRosterUnknown())
     co_return;
   Commit commit;
   commit.Conditions = {{keys::owner(CurrentTerm.Shard), CurrentTerm.Revision},
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -119,11 +119,15 @@
       RosterRevision = roster.value()->Revision;
       base::Result<std::vector<RosterEntry>> list =
           decodeRoster(roster.value()->Value);
-      if (!list)
-        co_return endTerm("cannot decode the roster record");
-      StoredRoster = list.value();
-      State.markUnverified(list.value(), !CurrentTerm.EarlierOwners.empty(),
-                           Context.Time.now());
+      if (list) {
+        StoredRoster = list.value();
+        State.markUnverified(list.value(), !CurrentTerm.EarlierOwners.empty(),
+                             Context.Time.now());
+      } else {
+        // If the term ended here, no later owner could run the shard either.
+        reportUnreadable(*roster.value(), list.error());
+        State.markRosterUnknown(Context.Time.now());
+      }
     }
     break;
   }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -35,8 +35,11 @@
   for (const auto &[id, held] : worker.Runs)
     if (TaskEntry *task = findTask(id.Task))
       task->LostWithLease = true;
-  if (!worker.UnverifiedUntil)
-    return;
+  if (worker.UnverifiedUntil)
+    markInheritedLost();
+}
+
+void ShardState::markInheritedLost() {
   for (JobEntry *job : LiveJobs) {
     if (!job->Inherited)
       continue;
@@ -159,6 +162,15 @@
   }
 }
 
+void Shard::markRosterUnknown(TimePoint now) {
+  State->RosterUnknownUntil = now + maxLeaseLifetime(State->Options) +
+                              State->Options.OwnerGrace + MaxCallDelay;
+}
+
+bool Shard::isRosterUnknown() const {
+  return State->RosterUnknownUntil.has_value();
+}
+
 void Shard::onEarlierOwnersEnded(TimePoint now) {
   detail::ShardState &s = *State;
   TimePoint until = now + maxLeaseLifetime(s.Options);
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -188,7 +188,7 @@
     if (!row.Checkpoint.empty())
       task->Checkpoint = row.Checkpoint;
   }
-  if (report.MoreEnded)
+  if (report.MoreEnded || report.RunningIncomplete)
     return;
   // Runs that the worker must know of but reports neither as running nor as
   // ended.
@@ -234,7 +234,14 @@
 }
 
 void ShardState::expireLeases(TimePoint now) {
+  if (RosterUnknownUntil && now >= *RosterUnknownUntil) {
+    RosterUnknownUntil.reset();
+    markInheritedLost();
+  }
   for (auto &[id, w] : Workers) {
+    // The worker answers, but a skipped row may be a run of an inherited task.
+    if (w->Synced && w->UnverifiedUntil && now >= *w->UnverifiedUntil)
+      w->UnverifiedUntil.reset();
     if (w->UnverifiedUntil && now >= *w->UnverifiedUntil) {
       markLostWithLease(*w);
       dropRuns(*w, "lease of an earlier owner expired");
@@ -432,6 +439,10 @@
     s.endSilence(w, received);
   if (report.StartTime.count() != 0)
     w.Profile.StartTime = report.StartTime;
+  if (report.InvalidRow != w.InvalidRow && !report.InvalidRow.empty())
+    s.Events.emit(base::EventCode::WorkerRowInvalid,
+                  {{"worker", worker.str()}, {"row", report.InvalidRow}});
+  w.InvalidRow = report.InvalidRow;
   w.Clock = detail::ClockSample{report.Clock, received};
   for (const EndedRun &end : report.Ended)
     if (end.SequenceNumber > w.LastProcessedEnd)
@@ -441,7 +452,8 @@
   s.observeInterference(w, received);
   if (report.MoreEnded)
     return;
-  w.UnverifiedUntil.reset();
+  if (!report.RunningIncomplete)
+    w.UnverifiedUntil.reset();
   if (!firstReport)
     return;
   w.Synced = true;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -201,6 +201,8 @@
   std::chrono::milliseconds EntryStartTime{0};
   /// The worker has a directory entry.
   bool Listed = false;
+  /// Invalid row of the latest answer, which has been logged.
+  std::string InvalidRow;
   /// Since when polls have not been answered.
   std::optional<TimePoint> SilentSince;
   /// A poll since then was refused: no process listens at the address.
@@ -299,6 +301,8 @@
         Events(events), MetricsRegistry(metrics) {}
 
   bool Fenced = false;
+  /// Until then, workers that are not known may have runs of an earlier owner.
+  std::optional<TimePoint> RosterUnknownUntil;
   /// When the jobs and cancellations were complete.
   TimePoint RecordsAsOf;
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
@@ -351,6 +355,7 @@
   /// worker: those of its runs and, unless \p worker has listed its runs, the
   /// inherited tasks without a run.
   void markLostWithLease(const WorkerState &worker);
+  void markInheritedLost();
   /// Drops all runs of the worker, which ended without being reported.
   void dropRuns(WorkerState &worker, const char *cause);
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -552,6 +552,21 @@
       runUntil([&] { return Workers.StartCounts.size() == 2; }, 3000ms));
 }
 
+// Each owner in turn gave a shard up whose roster it could not read.
+TEST_F(DispatchNodeOwnership, UnreadableRoster_IsReplacedAfterTheLongestLease) {
+  ShardLimits.LeaseDuration = 300ms;
+  ShardLimits.OwnerGrace = 500ms;
+  Store.put(dispatch::keys::roster(0), "no roster");
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  EXPECT_EQ(await(node.submit(job(1))), SubmitOutcome::Accepted);
+  runFor(1000ms);
+  EXPECT_EQ(Store.valueOf(dispatch::keys::roster(0)), "no roster");
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
+  EXPECT_NE(Store.valueOf(dispatch::keys::roster(0)), "no roster");
+}
+
 // A poll of a silent worker must not hold its answer back, and a lease that was
 // sent counts as received.
 TEST_F(DispatchNodeCalls, SilentWorkerAnswers_LeaseIsRenewedAtOnce) {
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -314,4 +314,64 @@
   EXPECT_EQ(plan().size(), 1u);
 }
 
+using InvalidRows = SilentWorker;
+
+// A run whose row was skipped must not count as gone: the task runs twice.
+TEST_F(InvalidRows, IncompleteList_DropsNoRun) {
+  PollReport report;
+  report.InvalidRow = "[7]";
+  report.RunningIncomplete = true;
+  for (int i = 0; i < 5; ++i) {
+    poll("lost", report);
+    EXPECT_TRUE(plan().empty());
+  }
+  report.RunningIncomplete = false;
+  poll("lost", report);
+  EXPECT_EQ(plan().size(), 1u);
+  std::vector<base::EventRecord> events = Events.snapshot();
+  EXPECT_EQ(std::count_if(events.begin(), events.end(),
+                          [](const base::EventRecord &it) {
+                            return it.Code == base::EventCode::WorkerRowInvalid;
+                          }),
+            1);
+}
+
+// A worker that is asked after a takeover counts as verified only with a whole
+// list; an answering worker keeps its other runs when that wait ends.
+TEST_F(InvalidRows, IncompleteListAfterATakeover_WaitsForTheLease) {
+  TestShard.markUnverified({{base::WorkerId("other"), {"10.0.0.1", 8080}}},
+                           false, now());
+  TestShard.addJob(job(2, {step(1)}), 5, true, now());
+  PollReport report;
+  report.InvalidRow = "[7]";
+  report.RunningIncomplete = true;
+  poll("other", report);
+  EXPECT_TRUE(plan().empty());
+  for (int i = 0; i < 61; ++i) {
+    Time.advance(100ms);
+    poll("other", report);
+    PollReport running;
+    running.Running.push_back({Started[0].Run, "", 100, 4000, true});
+    poll("lost", running);
+  }
+  EXPECT_EQ(plan().size(), 1u);
+}
+
+// Without its roster a shard was given up by each owner in turn.
+TEST_F(InvalidRows, UnknownRoster_HoldsInheritedTasksForTheLongestLease) {
+  TestShard.markRosterUnknown(now());
+  TestShard.addJob(job(2, {step(1)}), 5, true, now());
+  base::TimePoint begin = now();
+  std::vector<WorkerCommand> orders;
+  while (orders.empty() && now() - begin < 20s) {
+    Time.advance(50ms);
+    report("lost");
+    poll("other");
+    orders = plan();
+    EXPECT_EQ(TestShard.isRosterUnknown(), orders.empty());
+  }
+  EXPECT_GT(now() - begin, 15200ms);
+  EXPECT_LT(now() - begin, 15400ms);
+}
+
 } // namespace
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -342,6 +342,40 @@
   EXPECT_EQ(platform::findHeader(Headers, "Expect-Instance"), "i-1");
 }
 
+// An invalid row made the whole answer fail, so that its worker counted as
+// silent and its tasks were started again.
+TEST_F(InstallationAdapter, Poll_SkipsInvalidRows) {
+  std::string running;
+  Respond = [&](const HttpRequest &) {
+    return HttpResponse{
+        200,
+        {},
+        R"({"clock_ms":4821,"born":77,"running":[["5c0e7a21d94b36f8.0.1.17",2],)" +
+            running +
+            R"(],"ended":[7,["x"],[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
+            [59,"5c0e7a21d94b36f8.0.1.8",1,"melted",""]]})"};
+  };
+  // The second field tells whether the row may be a run of this project.
+  const std::pair<const char *, bool> rows[] = {
+      {R"(["foreign",1])", false},
+      {R"(["5c0e7a21d94b36f8.0.1.3","x"])", true},
+      {R"(["5c0e7a21d94b36f8.0.1.3"])", true},
+      {"[]", true},
+      {"null", true},
+      {"[7,7]", true}};
+  for (const auto &[row, isAmbiguous] : rows) {
+    running = row;
+    auto report = await(
+        WorkerClient->poll({base::WorkerId("i-1"), ServerAddress}, {}, 500ms));
+    ASSERT_TRUE(report.has_value()) << row;
+    EXPECT_EQ(report.value().Running.size(), 1u);
+    ASSERT_EQ(report.value().Ended.size(), 1u);
+    EXPECT_EQ(report.value().Ended[0].SequenceNumber, 58);
+    EXPECT_EQ(report.value().InvalidRow, row);
+    EXPECT_EQ(report.value().RunningIncomplete, isAmbiguous) << row;
+  }
+}
+
 TEST_F(InstallationAdapter, Start_ReportsWhyItWasRejected) {
   using dispatch::CommandResult;
   const std::pair<const char *, CommandResult> reasons[] = {
