Keep the client account in job and index records

Jobs of one account must be hidden from the callers of others, and the shards' owners need the account for quotas. The job record and the index entry hold the account's name, through submission, start, move, end and cancellation; the field is left out if empty, so records without accounts are unchanged and old ones decode as before.

State and cancellation take the requester: a job of another account counts as unknown and is not touched. The entry that a cancellation of an unknown job leaves carries the account, and another account's submission replaces it.

--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -51,12 +51,23 @@
   /// As Refused; the job was cancelled before it was stored and never can be
   /// stored.
   Cancelled,
+  /// As Refused; a job of another client account has this id.
+  IdInUse,
   /// It is not known whether the job is stored.
   Unknown
 };
 
 enum class CancelOutcome { Cancelled, NoSuchJob, Refused, Unknown };
 
+/// The caller of a request about a job.
+struct Requester {
+  /// Name of the client account; empty for none.
+  std::string Account = {};
+  /// Jobs of all accounts are visible, not only those of the caller's account
+  /// and of none.
+  bool SeesAllJobs = true;
+};
+
 /// Not thread-safe: all methods run on the control thread. Must live until the
 /// process ends, because suspended coroutines refer to it.
 class DispatchNode {
@@ -82,10 +93,13 @@
   boost::asio::awaitable<SubmitOutcome> submit(model::AcceptedJob job);
   /// Returns when a caller that was refused because of the store may come back.
   std::chrono::seconds returnDelay();
-  boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job);
-  /// Returns the state of a job, or std::nullopt if there is no such job.
-  /// Errors: those of MetadataStore.
-  Async<std::optional<model::JobState>> jobState(model::JobNumber job);
+  /// A job that \p requester must not see counts as unknown.
+  boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job,
+                                               Requester requester = {});
+  /// Returns the state of a job, or std::nullopt if there is no such job or
+  /// \p requester must not see it. Errors: those of MetadataStore.
+  Async<std::optional<model::JobState>> jobState(model::JobNumber job,
+                                                 Requester requester = {});
   /// Returns the number of jobs of a queue without a started task.
   Async<std::int64_t> pendingJobs(std::string queue);
 
--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -65,6 +65,9 @@
   /// The job was cancelled before it was stored: it must not be stored any
   /// more, and is not shown.
   bool NeverStored = false;
+  /// Client account of the job; empty for none, as in records of versions that
+  /// did not store it.
+  std::string Account = {};
 };
 
 /// Crashes of workers that ended runs of a task.
@@ -116,6 +119,8 @@
   std::int64_t Revision = 0;
   std::optional<model::JobState> Final;
   JobProgress Progress;
+  /// Client account of the job, for its index entry.
+  std::string Account = {};
 };
 
 /// State of a job that moves along to another shard.
@@ -169,6 +174,8 @@
   model::JobNumber Job{0};
   /// Expected revision of the index entry.
   std::int64_t Revision = 0;
+  /// Client account of the job, for its index entry.
+  std::string Account = {};
 };
 
 /// A worker that may hold runs of a shard.
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -614,18 +614,19 @@
                                uniform(Self->Random));
 }
 
-asio::awaitable<CancelOutcome> DispatchNode::cancel(model::JobNumber job) {
+asio::awaitable<CancelOutcome> DispatchNode::cancel(model::JobNumber job,
+                                                    Requester requester) {
   if (!Self->Reachable)
     co_return CancelOutcome::Refused;
-  co_return co_await Self->JobRequests.cancel(job);
+  co_return co_await Self->JobRequests.cancel(job, std::move(requester));
 }
 
 Async<std::optional<model::JobState>>
-DispatchNode::jobState(model::JobNumber job) {
+DispatchNode::jobState(model::JobNumber job, Requester requester) {
   if (!Self->Reachable)
     co_return base::fail(base::Errc::StoreUnavailable,
                          "the node has no connection to the store");
-  co_return co_await Self->JobRequests.jobState(job);
+  co_return co_await Self->JobRequests.jobState(job, std::move(requester));
 }
 
 Async<std::int64_t> DispatchNode::pendingJobs(std::string queue) {
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -127,17 +127,25 @@
   co_return drawAndReserve(job, shards, headrooms);
 }
 
-/// Returns whether the index entry that a commit has found says that the job
-/// was cancelled before it was stored.
-static bool isNeverStored(const CommitOutcome &outcome, model::JobNumber job) {
-  return std::any_of(outcome.CurrentItems.begin(), outcome.CurrentItems.end(),
-                     [&](const StoredItem &it) {
-                       if (it.Key != keys::index(job))
-                         return false;
-                       base::Result<JobIndexEntry> index =
-                           decodeIndex(it.Value);
-                       return index && index.value().NeverStored;
-                     });
+/// Returns whether an index entry belongs to another account. An entry or a
+/// request without an account belongs to all.
+static bool belongsToOther(const JobIndexEntry &index,
+                           const std::string &account) {
+  return !index.Account.empty() && !account.empty() && index.Account != account;
+}
+
+static bool maySee(const Requester &requester, const JobIndexEntry &index) {
+  return requester.SeesAllJobs || index.Account.empty() ||
+         index.Account == requester.Account;
+}
+
+/// Returns the item of the index entry that a commit has found, or null.
+static const StoredItem *findIndex(const CommitOutcome &outcome,
+                                   model::JobNumber job) {
+  auto it = std::find_if(
+      outcome.CurrentItems.begin(), outcome.CurrentItems.end(),
+      [&](const StoredItem &item) { return item.Key == keys::index(job); });
+  return it == outcome.CurrentItems.end() ? nullptr : &*it;
 }
 
 asio::awaitable<SubmitOutcome>
@@ -156,19 +164,32 @@
     co_return SubmitOutcome::Invalid;
   Commit commit;
   commit.Conditions = {{keys::index(job.Id), 0}};
-  commit.Writes = {
-      {keys::index(job.Id), encodeIndex({shard, JobState::Queued})},
-      {keys::job(shard, job.Id), std::move(record.value())}};
+  commit.Writes = {{keys::index(job.Id),
+                    encodeIndex({shard, JobState::Queued, false, job.Account})},
+                   {keys::job(shard, job.Id), std::move(record.value())}};
   bool unknown = false;
   base::TimePoint lastStart = Time.now() + LastAttemptStart;
   for (int i = 0; i < MaxAttempts && Time.now() < lastStart; ++i) {
     base::Result<CommitOutcome> done = co_await Store.commit(commit);
-    // If the commit was not applied, this call or an earlier one has already
-    // stored a job with this id, or the job was cancelled before.
-    if (done)
-      co_return !done.value().Applied && isNeverStored(done.value(), job.Id)
-          ? SubmitOutcome::Cancelled
-          : SubmitOutcome::Accepted;
+    if (done) {
+      const StoredItem *item = findIndex(done.value(), job.Id);
+      base::Result<JobIndexEntry> index =
+          done.value().Applied || !item
+              ? base::Result<JobIndexEntry>(JobIndexEntry{})
+              : decodeIndex(item->Value);
+      // This call or an earlier one has stored the job.
+      if (!index || (!index.value().NeverStored &&
+                     !belongsToOther(index.value(), job.Account)))
+        co_return SubmitOutcome::Accepted;
+      if (!belongsToOther(index.value(), job.Account))
+        co_return SubmitOutcome::Cancelled;
+      if (!index.value().NeverStored)
+        co_return SubmitOutcome::IdInUse;
+      // Another account's cancellation of an unknown job must not keep this
+      // account from using the id.
+      commit.Conditions.front().Revision = item->Revision;
+      continue;
+    }
     unknown = unknown || done.error().Code != Errc::StoreUnavailable;
     co_await sleepFor(AttemptDelay);
   }
@@ -201,7 +222,8 @@
   co_return parts;
 }
 
-asio::awaitable<CancelOutcome> JobRequestHandler::cancel(model::JobNumber job) {
+asio::awaitable<CancelOutcome> JobRequestHandler::cancel(model::JobNumber job,
+                                                         Requester requester) {
   bool unknown = false;
   base::TimePoint lastStart = Time.now() + LastAttemptStart;
   for (int i = 0; i < MaxAttempts && Time.now() < lastStart; ++i) {
@@ -211,13 +233,22 @@
       co_await sleepFor(AttemptDelay);
       continue;
     }
-    if (!item.value()) {
-      // A submission whose answer was lost may still take effect; its condition
-      // is that there is no index entry.
+    base::Result<JobIndexEntry> index =
+        item.value() ? decodeIndex(item.value()->Value)
+                     : base::Result<JobIndexEntry>(JobIndexEntry{});
+    if (!index)
+      co_return CancelOutcome::Refused;
+    // A submission whose answer was lost may still take effect; its condition
+    // is that there is no index entry, or that another account's cancellation
+    // is the latest.
+    if (!item.value() || (index.value().NeverStored &&
+                          belongsToOther(index.value(), requester.Account))) {
       Commit commit;
-      commit.Conditions = {{keys::index(job), 0}};
+      commit.Conditions = {
+          {keys::index(job), item.value() ? item.value()->Revision : 0}};
       commit.Writes = {
-          {keys::index(job), encodeIndex({0, JobState::Cancelled, true})}};
+          {keys::index(job),
+           encodeIndex({0, JobState::Cancelled, true, requester.Account})}};
       base::Result<CommitOutcome> done =
           co_await Store.commit(std::move(commit));
       if (done && done.value().Applied)
@@ -228,10 +259,7 @@
       }
       continue;
     }
-    base::Result<JobIndexEntry> index = decodeIndex(item.value()->Value);
-    if (!index)
-      co_return CancelOutcome::Refused;
-    if (index.value().NeverStored)
+    if (index.value().NeverStored || !maySee(requester, index.value()))
       co_return CancelOutcome::NoSuchJob;
     if (index.value().State == JobState::Cancelled)
       co_return CancelOutcome::Cancelled;
@@ -242,7 +270,8 @@
     Commit commit;
     commit.Conditions = {{keys::index(job), item.value()->Revision}};
     commit.Writes = {
-        {keys::index(job), encodeIndex({shard, JobState::Cancelled})},
+        {keys::index(job), encodeIndex({shard, JobState::Cancelled, false,
+                                        index.value().Account})},
         {keys::cancel(shard, job), encodeCancel(parts)}};
     for (std::int32_t it : parts)
       commit.Writes.push_back({keys::cancel(it, job), encodeCancel(parts)});
@@ -258,7 +287,7 @@
 }
 
 Async<std::optional<JobState>>
-JobRequestHandler::jobState(model::JobNumber job) {
+JobRequestHandler::jobState(model::JobNumber job, Requester requester) {
   base::Result<std::optional<StoredItem>> item =
       co_await Store.read(keys::index(job));
   if (!item)
@@ -268,7 +297,7 @@
   base::Result<JobIndexEntry> index = decodeIndex(item.value()->Value);
   if (!index)
     co_return index.as_failure();
-  if (index.value().NeverStored)
+  if (index.value().NeverStored || !maySee(requester, index.value()))
     co_return std::optional<JobState>();
   co_return std::optional<JobState>(index.value().State);
 }
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -320,6 +320,7 @@
     } else {
       write.Revision = job->IndexRevision;
       write.Final = job->State;
+      write.Account = job->Job.Account;
     }
     job->WriteInFlight = true;
     writes.push_back(std::move(write));
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -25,7 +25,7 @@
       continue;
     }
     job->WriteInFlight = true;
-    marks.push_back({job->Job.Id, job->IndexRevision});
+    marks.push_back({job->Job.Id, job->IndexRevision, job->Job.Account});
   }
   return marks;
 }
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -246,6 +246,8 @@
   if (job.Queue.empty() || !isName(job.Queue) ||
       job.Policy.Service.str().empty() || !isName(job.Policy.Service.str()))
     return exceeds("name of the queue or its service");
+  if (!isName(job.Account))
+    return exceeds("name of the account");
   if (!isInt32(job.Policy.Priority) || !isInt32(job.Policy.MaxAttempts) ||
       !isInt32(job.Policy.Target.count()) ||
       !(job.Policy.Stretch >= 0 && job.Policy.Stretch <= MaxStretch))
@@ -294,6 +296,7 @@
     to["part"] = std::move(fields);
   }
   to["queue"] = job.Queue;
+  setIf(to, "account", job.Account);
   to["service"] = job.Policy.Service.str();
   setUnlessDefault(to, "priority", job.Policy.Priority);
   to["maxAttempts"] = job.Policy.MaxAttempts;
@@ -321,6 +324,7 @@
         model::AcceptedJob job;
         job.Id = id;
         job.Queue = v.text("queue");
+        job.Account = v.optionalText("account", limits::MaxNameBytes);
         job.Policy.Service = base::ServiceName(v.text("service"));
         job.Policy.Priority = readInt32(v, "priority");
         job.Policy.MaxAttempts = readInt32(v, "maxAttempts");
@@ -401,6 +405,7 @@
   to["shard"] = index.Shard;
   to["state"] = static_cast<int>(index.State);
   setUnlessDefault(to, "never", index.NeverStored);
+  setIf(to, "account", index.Account);
   return json::serialize(to);
 }
 
@@ -412,6 +417,7 @@
         index.State = static_cast<model::JobState>(v.optionalNumber(
             "state", 0, static_cast<int>(model::JobState::Cancelled)));
         index.NeverStored = v.optionalNumber("never", 0, 1) == 1;
+        index.Account = v.optionalText("account", limits::MaxNameBytes);
         return index;
       });
 }
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -127,7 +127,8 @@
   } else {
     commit.Conditions.push_back({keys::index(it.Job), it.Revision});
     commit.Writes.push_back(
-        {keys::index(it.Job), encodeIndex({shard, *it.Final})});
+        {keys::index(it.Job),
+         encodeIndex({shard, *it.Final, false, it.Account})});
   }
   commit.Deletes.push_back(keys::job(shard, it.Job));
   commit.Deletes.push_back(keys::progress(shard, it.Job));
@@ -143,7 +144,8 @@
     commit.Conditions.push_back({keys::index(it.Job), it.Revision});
     commit.Writes.push_back(
         {keys::index(it.Job),
-         encodeIndex({CurrentTerm.Shard, model::JobState::Running})});
+         encodeIndex({CurrentTerm.Shard, model::JobState::Running, false,
+                      it.Account})});
   }
   return marks;
 }
@@ -242,7 +244,8 @@
   for (StartedMark &it : marks) {
     auto item = current.find(keys::index(it.Job));
     std::int64_t revision = item == current.end() ? 0 : item->second.Revision;
-    (revision == it.Revision ? unmarked : marked).push_back({it.Job, revision});
+    (revision == it.Revision ? unmarked : marked)
+        .push_back({it.Job, revision, it.Account});
     if (item != current.end())
       cancelIfIndexed(item->second, it.Job);
   }
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -52,7 +52,8 @@
     Commit commit;
     commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
                          {keys::index(id), move.Revision}};
-    commit.Writes = {{keys::index(id), encodeIndex({to, move.State})},
+    commit.Writes = {{keys::index(id),
+                      encodeIndex({to, move.State, false, move.Job.Account})},
                      {keys::job(to, id), record.value()}};
     commit.Deletes = {keys::job(from, id), keys::progress(from, id)};
     base::Result<CommitOutcome> done =
--- a/packages/dispatch/src/detail/JobRequestHandler.h
+++ b/packages/dispatch/src/detail/JobRequestHandler.h
@@ -20,8 +20,10 @@
       : Store(store), Time(clock), View(view), Workers(workers) {}
 
   boost::asio::awaitable<SubmitOutcome> submit(model::AcceptedJob job);
-  boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job);
-  Async<std::optional<model::JobState>> jobState(model::JobNumber job);
+  boost::asio::awaitable<CancelOutcome> cancel(model::JobNumber job,
+                                               Requester requester);
+  Async<std::optional<model::JobState>> jobState(model::JobNumber job,
+                                                 Requester requester);
   Async<std::int64_t> pendingJobs(std::string queue);
 
   /// Returns another shard that has room for a job and more of it than
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -245,6 +245,44 @@
   EXPECT_EQ(stateOf(node, 1), JobState::Cancelled);
 }
 
+// Each write of the index entry replaces it, so that one without the account
+// would show the job to the callers of every account.
+TEST_F(DispatchNodeCalls, IndexEntry_KeepsTheAccountThroughAllStates) {
+  Workers.KeepRunning = true;
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  auto accountOf = [&](std::uint64_t id, JobState state) {
+    auto index = dispatch::decodeIndex(
+        Store.valueOf(dispatch::keys::index(JobNumber{id})));
+    return index && index.value().State == state ? index.value().Account : "";
+  };
+  for (std::uint64_t id : {1, 2}) {
+    model::AcceptedJob owned = job(id);
+    owned.Account = "north";
+    EXPECT_EQ(await(node.submit(owned)), SubmitOutcome::Accepted);
+    EXPECT_EQ(accountOf(id, JobState::Queued), "north");
+    EXPECT_NE(Store.valueOf(dispatch::keys::job(0, JobNumber{id}))
+                  .find(R"("account":"north")"),
+              std::string::npos);
+    EXPECT_TRUE(
+        runUntil([&] { return accountOf(id, JobState::Running) == "north"; }));
+    if (id == 1) {
+      EXPECT_EQ(await(node.cancel(JobNumber{1})), CancelOutcome::Cancelled);
+    }
+  }
+  EXPECT_EQ(accountOf(1, JobState::Cancelled), "north");
+  Workers.KeepRunning = false;
+  for (auto &[worker, running] : Workers.Running) {
+    for (const dispatch::RunStatus &it : running)
+      Workers.EndedRuns[worker].push_back(
+          {static_cast<std::int64_t>(Workers.EndedRuns[worker].size()) + 1,
+           it.Id, dispatch::RunOutcome::Done, ""});
+    running.clear();
+  }
+  EXPECT_TRUE(
+      runUntil([&] { return accountOf(2, JobState::Succeeded) == "north"; }));
+}
+
 // If the write of the running state takes effect but its answer is lost, the
 // job's completion must still be recorded.
 TEST_F(DispatchNodeCalls, RunningStateWithLostAnswer_JobCompletes) {
@@ -350,6 +388,47 @@
   EXPECT_FALSE(await(node.jobState(JobNumber{1})).value());
 }
 
+// Account north's submission replaces the cancellation that south has stored
+// for the same id, but gets no answer and takes effect late; north has
+// cancelled the job in between.
+TEST_F(DispatchNodeCalls, CancelBeforeADelayedReplacement_NothingRuns) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  runFor(100ms);
+  dispatch::Requester north{"north", false}, south{"south", false};
+  EXPECT_EQ(await(node.cancel(JobNumber{1}, south)), CancelOutcome::NoSuchJob);
+  std::int64_t revision =
+      await(Store.read(dispatch::keys::index(JobNumber{1}))).value()->Revision;
+  model::AcceptedJob late = job(1);
+  late.Account = "north";
+  dispatch::Commit commit;
+  commit.Conditions = {{dispatch::keys::index(JobNumber{1}), revision}};
+  commit.Writes = {
+      {dispatch::keys::index(JobNumber{1}),
+       dispatch::encodeIndex({0, JobState::Queued, false, "north"})},
+      {dispatch::keys::job(0, JobNumber{1}),
+       dispatch::encodeJob(late).value()}};
+  EXPECT_EQ(await(node.cancel(JobNumber{1}, north)), CancelOutcome::NoSuchJob);
+  EXPECT_FALSE(await(Store.commit(commit)).value().Applied);
+  runFor(500ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  EXPECT_EQ(await(node.submit(late)), SubmitOutcome::Cancelled);
+}
+
+// A lost answer must not keep the submission from replacing another account's
+// cancellation.
+TEST_F(DispatchNodeCalls, ReplacementAfterLostAnswer_IsAccepted) {
+  DispatchNode &node = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  await(node.cancel(JobNumber{1}, {"south", false}));
+  Store.LoseAnswerForKey = dispatch::keys::job(0, JobNumber{1});
+  model::AcceptedJob owned = job(1);
+  owned.Account = "north";
+  EXPECT_EQ(await(node.submit(owned)), SubmitOutcome::Accepted);
+  EXPECT_TRUE(
+      runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
+}
+
 // Cancellations of unknown jobs cost one write each, however often they are
 // repeated.
 TEST_F(DispatchNodeCalls, RepeatedCancelOfAnUnknownJob_WritesOnce) {
@@ -569,6 +648,7 @@
   for (std::uint64_t id = 1; id <= 6; ++id) {
     model::AcceptedJob waiting = job(id, 1);
     waiting.Graph.Steps[0].Requirement = "large";
+    waiting.Account = "north";
     EXPECT_EQ(await(node.submit(waiting)), SubmitOutcome::Accepted);
   }
   model::WorkerProfile large;
@@ -588,6 +668,10 @@
         return true;
       },
       12000ms));
+  for (std::uint64_t id = 1; id <= 6; ++id)
+    EXPECT_NE(Store.valueOf(dispatch::keys::index(JobNumber{id}))
+                  .find(R"("account":"north")"),
+              std::string::npos);
   for (const auto &[run, starts] : Workers.StartCounts)
     EXPECT_EQ(starts, 1);
 }
@@ -779,6 +863,7 @@
   model::AcceptedJob job;
   job.Id = JobNumber{*rc::gen::arbitrary<std::uint64_t>()};
   job.Queue = "q";
+  job.Account = *rc::gen::element<std::string>("", "north", "\"\\\xc3\xa9");
   job.Policy.Service = base::ServiceName("s");
   job.Policy.MaxAttempts = *rc::gen::inRange(1, 9);
   job.Graph.Payload =
@@ -792,6 +877,7 @@
   job.Graph.Steps[1].Dependencies = {0};
   auto decoded = dispatch::decodeJob(job.Id, dispatch::encodeJob(job).value());
   RC_ASSERT(decoded.has_value());
+  RC_ASSERT(decoded.value().Account == job.Account);
   RC_ASSERT(dispatch::encodeJob(decoded.value()).value() ==
             dispatch::encodeJob(job).value());
 }
@@ -807,6 +893,42 @@
   EXPECT_TRUE(never.value().NeverStored);
   std::string text = dispatch::encodeIndex({2, JobState::Queued});
   EXPECT_EQ(text, R"({"shard":2,"state":0})");
+  EXPECT_EQ(older.value().Account, "");
+  auto account = dispatch::decodeIndex(
+      dispatch::encodeIndex({5, JobState::Running, false, "north"}));
+  ASSERT_TRUE(account);
+  EXPECT_EQ(account.value().Account, "north");
+  EXPECT_EQ(account.value().State, JobState::Running);
+}
+
+// Records of jobs without an account stay readable for earlier versions, and
+// their records for this one.
+TEST(Records, JobWithoutAccount_HasNoSuchField) {
+  model::AcceptedJob job;
+  job.Queue = "q";
+  job.Policy.Service = base::ServiceName("s");
+  std::string text = dispatch::encodeJob(job).value();
+  EXPECT_EQ(text.find("account"), std::string::npos);
+  EXPECT_EQ(dispatch::decodeJob(job.Id, text).value().Account, "");
+}
+
+TEST(Records, MalformedAccount_IsRejected) {
+  for (const std::string &it :
+       {std::string("7"), std::string("null"), std::string("[]"),
+        '"' + std::string(257, 'a') + '"'}) {
+    EXPECT_FALSE(
+        dispatch::decodeIndex(R"({"shard":2,"state":0,"account":)" + it + "}"))
+        << it;
+    EXPECT_FALSE(dispatch::decodeJob(
+        JobNumber{1},
+        R"({"queue":"q","service":"s","steps":[],"account":)" + it + "}"))
+        << it;
+  }
+  model::AcceptedJob job;
+  job.Queue = "q";
+  job.Policy.Service = base::ServiceName("s");
+  job.Account = std::string(257, 'a');
+  EXPECT_FALSE(dispatch::encodeJob(job));
 }
 
 TEST(Records, MalformedText_IsRejected) {
