Read client accounts and the settings for revoked keys

The configuration record may hold rows of client accounts and routes that need no key. A configuration with rows of which none is valid is rejected as a whole: it would otherwise count as one without accounts, which admits every caller.

bounds.revokeFailClosed and bounds.revokeTime say what happens while the configuration cannot be read; the deployment template leaves the lines out if the platform has no such bounds.

--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -25,6 +25,10 @@
   std::chrono::milliseconds StopGrace{6000};
   /// Shortest lease that the store supports.
   std::chrono::milliseconds MinStoreLease{1000};
+  /// Requests that need the key of a client account are refused while the
+  /// configuration has not been read for longer than RevokeTime.
+  bool RevokeFailClosed = false;
+  std::chrono::milliseconds RevokeTime{5000};
   /// Cores that the daemon may use.
   double Cores = 1;
   /// Rate of the host's network link, in Mbit/s.
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -22,8 +22,11 @@
     {"harmTime", &DispatchSettings::MaxTargetMissTime, {100ms, 10min}},
     {"stopGrace", &DispatchSettings::StopGrace, {100ms, 1h}},
     {"shortestLease", &DispatchSettings::MinStoreLease, {1ms, 1min}},
+    {"revokeTime", &DispatchSettings::RevokeTime, {100ms, 1h}},
 };
 
+constexpr const char *RevokeFailClosedKey = "revokeFailClosed";
+
 static void readRoot(YamlDiagnostics &diagnostics, const YAML::Node &node,
                      DispatchSettings &to) {
   YamlSection root(diagnostics, node, "",
@@ -46,12 +49,17 @@
     section.readAddress("store", to.Store);
   }
   if (std::optional<YAML::Node> it = root.find("bounds")) {
-    std::vector<std::string> keys;
+    std::vector<std::string> keys = {RevokeFailClosedKey};
     for (const DurationField &field : DurationFields)
       keys.emplace_back(field.Key);
     YamlSection bounds(diagnostics, *it, "bounds", keys);
     for (const DurationField &field : DurationFields)
       bounds.readDuration(field.Key, to.*field.Member, field.Range);
+    if (std::optional<YAML::Node> flag = bounds.find(RevokeFailClosedKey);
+        flag && !YAML::convert<bool>::decode(*flag, to.RevokeFailClosed))
+      diagnostics.add(flag->Mark(), Errc::SettingsWrongValue,
+                      "\"bounds.revokeFailClosed\" is not a Boolean",
+                      "use true or false");
   }
   if (auto n = root.readNumber("workersPerShard", {1, 10000}))
     to.WorkersPerShard = static_cast<std::int32_t>(*n);
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -152,7 +152,124 @@
   EXPECT_FALSE(decodeConfiguration(R"({"version":1,"routes":[{}]})"));
 }
 
-TEST(DispatchSettings, DeploymentTemplate_IsValid) {
+/// Returns a configuration with a `tenants` field of this value.
+std::string configurationWith(const std::string &accounts) {
+  return R"({"version":7,"routes":[],"tenants":)" + accounts + "}";
+}
+
+TEST(DecodeConfiguration, Accounts_AreDecoded) {
+  auto config = decodeConfiguration(
+      R"({"version":7,"routes":[
+      {"name":"r","prefix":"/p/","service":"desk","public":true},
+      {"name":"s","prefix":"/s/","service":"desk","public":"yes"}],"tenants":[
+      {"name":"north","api_keys":["k-1","k-2"],"weight":2.5,"priority":3,
+       "max_count":{"cpu":64000,"mem_mb":2048,"gpu":2}},
+      {"name":"south","api_keys":[],"max_count":{"cpu":1e300,"gpu":null}},
+      {"name":"west","api_keys":["k-3"],"weight":null,"max_count":null}]})");
+  ASSERT_TRUE(config.has_value());
+  EXPECT_TRUE(config.value().Routes[0].Public);
+  EXPECT_FALSE(config.value().Routes[1].Public);
+  const std::vector<model::ClientAccount> &accounts = config.value().Accounts;
+  ASSERT_EQ(accounts.size(), 3u);
+  EXPECT_EQ(accounts[0].Name, "north");
+  EXPECT_EQ(accounts[0].ApiKeys, (std::vector<std::string>{"k-1", "k-2"}));
+  EXPECT_EQ(accounts[0].Weight, 2.5);
+  EXPECT_EQ(count(accounts[0].MaxRunning.Cpu), 64000);
+  EXPECT_EQ(count(accounts[0].MaxRunning.Memory), 2048);
+  EXPECT_EQ(accounts[0].MaxRunning.Accelerators, 2);
+  EXPECT_EQ(accounts[1].Weight, 1);
+  EXPECT_EQ(count(accounts[1].MaxRunning.Cpu), 1'000'000'000'000);
+  EXPECT_EQ(count(accounts[1].MaxRunning.Memory), 0);
+  EXPECT_EQ(accounts[2].MaxRunning, base::Resources{});
+}
+
+TEST(DecodeConfiguration, WithoutAccounts_HasNone) {
+  for (const char *it : {"[]", "null"}) {
+    auto config = decodeConfiguration(configurationWith(it));
+    ASSERT_TRUE(config.has_value()) << it;
+    EXPECT_TRUE(config.value().Accounts.empty()) << it;
+  }
+}
+
+// One invalid row must neither keep the keys of the other rows from taking
+// effect nor admit callers itself, and its error must not show a key.
+TEST(DecodeConfiguration, InvalidAccount_IsSkippedWithNumberedError) {
+  for (const char *it : {
+           "7",
+           "null",
+           "[]",
+           "{}",
+           R"({"name":"","api_keys":["secret-2"]})",
+           R"({"name":7,"api_keys":["secret-2"]})",
+           R"({"name":"a\nb","api_keys":["secret-2"]})",
+           R"({"name":"b"})",
+           R"({"name":"b","api_keys":"secret-2"})",
+           R"({"name":"b","api_keys":[7]})",
+           R"({"name":"b","api_keys":[""]})",
+           R"({"name":"b","api_keys":["secret 2"]})",
+           R"({"name":"b","api_keys":["secret-2\u0000"]})",
+           R"({"name":"b","api_keys":["secret-2"],"weight":0})",
+           R"({"name":"b","api_keys":["secret-2"],"weight":-1})",
+           R"({"name":"b","api_keys":["secret-2"],"weight":"2"})",
+           R"({"name":"b","api_keys":["secret-2"],"weight":1e300})",
+           R"({"name":"b","api_keys":["secret-2"],"max_count":7})",
+           R"({"name":"b","api_keys":["secret-2"],"max_count":{"cpu":-1}})",
+           R"({"name":"b","api_keys":["secret-2"],"max_count":{"gpu":"1"}})",
+           R"({"name":"b","api_keys":["secret-2"],"max_count":{"mem_mb":[]}})",
+           R"({"name":"a","api_keys":["secret-2"]})",
+           R"({"name":"b","api_keys":["secret-2","secret-1"]})",
+       }) {
+    std::vector<base::Error> skipped;
+    auto config = decodeConfiguration(
+        configurationWith(R"([{"name":"a","api_keys":["secret-1"]},)" +
+                          std::string(it) +
+                          R"(,{"name":"c","api_keys":["secret-3"]}])"),
+        &skipped);
+    ASSERT_TRUE(config.has_value()) << it;
+    ASSERT_EQ(config.value().Accounts.size(), 2u) << it;
+    EXPECT_EQ(config.value().Accounts[1].Name, "c");
+    ASSERT_EQ(skipped.size(), 1u) << it;
+    EXPECT_EQ(skipped[0].Code, Errc::AccountInvalid);
+    EXPECT_NE(skipped[0].Detail.find("row 1"), std::string::npos);
+    EXPECT_EQ(skipped[0].message().find("secret"), std::string::npos);
+  }
+}
+
+// A configuration whose accounts are all unreadable must not count as one
+// without accounts, which admits every caller.
+TEST(DecodeConfiguration, NoValidAccount_IsRejected) {
+  for (const char *it : {"7", "{}", "\"x\"", "true", "[7]", R"([{"name":"a"}])",
+                         R"([{"api_keys":["secret"]}])"}) {
+    auto config = decodeConfiguration(configurationWith(it));
+    ASSERT_FALSE(config.has_value()) << it;
+    EXPECT_EQ(config.error().message().find("secret"), std::string::npos);
+  }
+  auto cut = decodeConfiguration(
+      R"({"version":7,"routes":[],"tenants":[{"api_keys":["secret")");
+  ASSERT_FALSE(cut.has_value());
+  EXPECT_EQ(cut.error().message().find("secret"), std::string::npos);
+}
+
+/// Renders the lines of a section of the deployment template, or leaves them
+/// out if it has no value.
+void renderSection(std::string &text, const std::string &name,
+                   const std::optional<std::string> &value) {
+  std::string open = "{{#" + name + "}}\n", close = "{{/" + name + "}}\n";
+  std::size_t begin = text.find(open), end = text.find(close);
+  ASSERT_TRUE(begin < end && end != std::string::npos) << text;
+  std::string inner =
+      text.substr(begin + open.size(), end - begin - open.size());
+  std::string placeholder = "{{" + name + "}}";
+  std::size_t at = inner.find(placeholder);
+  ASSERT_NE(at, std::string::npos) << inner;
+  inner.replace(at, placeholder.size(), value.value_or(""));
+  text.replace(begin, end + close.size() - begin, value ? inner : "");
+}
+
+/// Parses the deployment template with these values of the optional bounds.
+model::DispatchSettings
+parseTemplate(const std::optional<std::string> &revokeMs,
+              const std::optional<std::string> &revokeFailClosed) {
   std::ifstream in(std::string(ENDIVEDOOR_SOURCE_DIR) +
                    "/deploy/node.yaml.tmpl");
   std::string text{std::istreambuf_iterator<char>(in), {}};
@@ -173,15 +290,49 @@
   for (const auto &[from, to] : values)
     for (std::size_t at; (at = text.find(from)) != std::string::npos;)
       text.replace(at, std::string(from).size(), to);
-  ASSERT_EQ(text.find("{{"), std::string::npos) << text;
+  renderSection(text, "bounds.revoke_ms", revokeMs);
+  renderSection(text, "bounds.revoke_fail_closed", revokeFailClosed);
+  EXPECT_EQ(text.find("{{"), std::string::npos) << text;
   EXPECT_TRUE(model::isDispatchSettings(text));
   model::DispatchSettingsOutcome outcome =
       model::parseDispatchSettings("node.yaml", text);
   for (const model::Diagnostic &it : outcome.Diagnostics)
     ADD_FAILURE() << it.message();
-  EXPECT_EQ(outcome.Value.MaxLease, 10s);
-  EXPECT_EQ(outcome.Value.Cores, 0.25);
-  EXPECT_EQ(outcome.Value.Metrics.Port, 7720);
+  return outcome.Value;
+}
+
+TEST(DispatchSettings, DeploymentTemplate_IsValid) {
+  model::DispatchSettings settings = parseTemplate("3000", "true");
+  EXPECT_EQ(settings.MaxLease, 10s);
+  EXPECT_EQ(settings.Cores, 0.25);
+  EXPECT_EQ(settings.Metrics.Port, 7720);
+  EXPECT_EQ(settings.RevokeTime, 3s);
+  EXPECT_TRUE(settings.RevokeFailClosed);
+}
+
+// Installations without accounts have no such values; a line without a value
+// would keep the daemon from starting.
+TEST(DispatchSettings, DeploymentTemplateWithoutRevocation_HasDefaults) {
+  model::DispatchSettings settings = parseTemplate({}, {});
+  EXPECT_EQ(settings.RevokeTime, 5s);
+  EXPECT_FALSE(settings.RevokeFailClosed);
+  EXPECT_FALSE(parseTemplate("3000", "false").RevokeFailClosed);
+}
+
+TEST(DispatchSettings, InvalidRevocation_IsRejected) {
+  for (const char *it : {"revokeTime: 0ms", "revokeTime: 2h",
+                         "revokeTime: soon", "revokeTime: 5", "revokeTime: -5s",
+                         "revokeTime:", "revokeFailClosed: 7",
+                         "revokeFailClosed: maybe", "revokeFailClosed:",
+                         "revokeFailClosed: [true]", "revokeClosed: true"}) {
+    model::DispatchSettingsOutcome outcome = model::parseDispatchSettings(
+        "f", "name: a\nbounds:\n  " + std::string(it) + "\n");
+    bool reported = false;
+    for (const auto &diagnostic : outcome.Diagnostics)
+      reported =
+          reported || diagnostic.Text.find("revoke") != std::string::npos;
+    EXPECT_TRUE(reported) << it;
+  }
 }
 
 TEST(DispatchSettings, AllErrors_AreReportedTogether) {
