Serve jobs to the client accounts whose keys callers send

Where the configuration has client accounts, a request on a route that is not public needs the key of an account: 401 with WWW-Authenticate and a numbered error otherwise, after the lookup of the route. Submissions store the account; state and cancellation of another account's job are answered as for an unknown one. With bounds.revokeFailClosed, requests that need a key get 503 (E619) once the operator entries were last read longer ago than bounds.revokeTime. Refusals are counted by cause, and the log of a refused request leaves out the query, where some callers put keys.

--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -21,8 +21,8 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Interval at which readiness is updated, well below the load balancer's probe
-/// interval of one second.
+/// Interval at which readiness and the age of the configuration are updated,
+/// well below the load balancer's probe interval of one second.
 constexpr auto ReadinessInterval = 200ms;
 /// Maximum delay before buffered log lines are written.
 constexpr auto FlushInterval = 250ms;
@@ -62,7 +62,7 @@
       Platform(Io.get_executor(), Config, Clock, Events, MetricsRegistry),
       Node(Io.get_executor(), makeDispatchOptions(Config), Platform.store(),
            Platform.workers(), Clock, Events, MetricsRegistry),
-      Frontend(TrafficIo.get_executor(), Io.get_executor(), Config, Node,
+      Frontend(TrafficIo.get_executor(), Io.get_executor(), Config, Node, Clock,
                Events, MetricsRegistry) {
   Events.setSink(&LogSink);
   Events.setRateLimit(Config.LogLinesPerSecond);
@@ -103,6 +103,7 @@
 
 asio::awaitable<void> DispatchDaemon::watchReadiness() {
   while (!Stopping) {
+    Frontend.setConfigurationReadAt(Platform.operatorEntriesReadAt());
     Frontend.setReady(Configured && Node.isConnected());
     co_await waitUntil(Clock.now() + ReadinessInterval);
   }
--- a/packages/dispatch/include/endivedoor/dispatch/Metrics.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Metrics.h
@@ -33,6 +33,11 @@
   /// Sets the number of runs of tasks that may have crashed a worker.
   void setSuspectRuns(std::size_t suspects);
 
+  /// Counts a request that was refused because of its key.
+  ///
+  /// \param cause "missing", "malformed", "unknown" or "outdated".
+  void countRefusedKey(const std::string &cause);
+
   /// Returns all metrics, including a counter for each event type in \p events,
   /// in Prometheus text format 0.0.4. Cost: linear in the number of metrics.
   std::string render(const base::EventLog &events) const;
--- a/packages/dispatch/src/Metrics.cpp
+++ b/packages/dispatch/src/Metrics.cpp
@@ -51,6 +51,11 @@
                                       "ended")
                                 .Register(Registry)
                                 .Add({});
+  prometheus::Family<prometheus::Counter> &RefusedKeys =
+      prometheus::BuildCounter()
+          .Name("endivedoor_refused_keys_total")
+          .Help("Requests refused because of their key, by cause")
+          .Register(Registry);
   prometheus::Gauge &Suspects =
       prometheus::BuildGauge()
           .Name("endivedoor_suspect_runs")
@@ -89,6 +94,10 @@
   Self->Suspects.Set(static_cast<double>(suspects));
 }
 
+void Metrics::countRefusedKey(const std::string &cause) {
+  Self->RefusedKeys.Add({{"cause", cause}}).Increment();
+}
+
 std::string Metrics::render(const base::EventLog &events) const {
   prometheus::MetricFamily family;
   family.name = "endivedoor_events_total";
