Start tasks of a limited account only within its share

A shard counts what each account has running there: CPU, memory and accelerators of every run, fillers with their declared CPU, runs that are being stopped or unconfirmed included. A task or gang of a limited account starts only within the share that the shard holds, and TaskWaits names the account otherwise. Without accounts in the configuration nothing is counted or checked.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -8,6 +8,7 @@
 #include "endivedoor/dispatch/Records.h"
 #include "endivedoor/dispatch/ShardOptions.h"
 #include "endivedoor/dispatch/TaskWorker.h"
+#include "endivedoor/policy/AccountShares.h"
 #include "endivedoor/policy/ColocationModel.h"
 
 #include <cstdint>
@@ -58,6 +59,27 @@
   base::MilliCores FillerHeadroom{0};
 };
 
+/// What the configuration grants to a client account.
+struct AccountLimit {
+  /// Limit of all running tasks on all workers; an amount of 0 means no limit.
+  base::Resources MaxRunning;
+  /// When an amount without a limit got one in this process; empty if the
+  /// first configuration had it.
+  std::optional<base::TimePoint> LimitedSince;
+  friend bool operator==(const AccountLimit &, const AccountLimit &) = default;
+};
+
+/// By the names of the accounts.
+using AccountLimits = std::map<std::string, AccountLimit>;
+
+/// A conditional write of an account's record.
+struct AccountWrite {
+  std::string Account;
+  policy::ShareWrite Write;
+};
+
+enum class AccountWriteOutcome { Written, NotWritten, Unknown };
+
 /// Scheduler of one shard for one term of ownership. Has no clock and does no
 /// I/O: the caller passes in events with their times and carries out the
 /// returned commands and writes.
@@ -106,6 +128,33 @@
   /// count as running until the worker reports otherwise or its lease expires.
   void unlistWorker(const base::WorkerId &worker);
   void setZonesOutOfService(std::set<base::ZoneId> zones);
+  /// Sets the limits of the accounts in the newest configuration; empty if it
+  /// has no accounts.
+  void setAccountLimits(const AccountLimits &limits);
+  /// Passes in a version of an account's record.
+  ///
+  /// \param revision revision of the record; 0 if there is none.
+  void onAccountRecord(const std::string &account,
+                       const policy::ShareRecord &record,
+                       std::int64_t revision);
+  void onAccountRecordUnreadable(const std::string &account,
+                                 std::int64_t revision, base::TimePoint now);
+  /// The records of all accounts have been read since the term began. No task
+  /// of a limited account starts before that.
+  void onAccountsLoaded();
+  /// Returns whether a limited account needs onAccountsLoaded().
+  bool hasUnloadedAccounts() const;
+  /// Returns the writes of account records that are due.
+  std::vector<AccountWrite> takeAccountWrites(base::TimePoint now);
+  /// Returns whether takeAccountWrites() should be called again after
+  /// policy::AccountShare::WriteInterval.
+  bool hasDeferredAccountWrites() const;
+  /// \param revision revision of the record, if it was written.
+  void onAccountWrite(const std::string &account, AccountWriteOutcome outcome,
+                      std::int64_t revision, base::TimePoint now);
+  /// Returns whether tasks of the account wait for a larger share.
+  bool isAccountWaiting(const std::string &account) const;
+
   /// The jobs and cancellations are complete as of \p asOf.
   void setRecordsAsOf(base::TimePoint asOf);
   std::vector<WorkerRef> workers() const;
--- /dev/null
+++ b/packages/dispatch/src/Accounts.cpp
@@ -0,0 +1,198 @@
+// Limits of client accounts in a shard: what runs, what may start, and the
+// writes of the accounts' records.
+#include "detail/Placement.h"
+#include "detail/ShardState.h"
+
+#include <algorithm>
+
+namespace endivedoor::dispatch {
+
+using base::TimePoint;
+using policy::AccountAmounts;
+
+namespace detail {
+
+static AccountAmounts amountsOf(const base::Resources &size) {
+  return {count(size.Cpu), count(size.Memory), size.Accelerators};
+}
+
+AccountState *ShardState::accountOf(const JobEntry &job) {
+  if (Accounts.empty() || job.Job.Account.empty())
+    return nullptr;
+  auto it = Accounts.find(job.Job.Account);
+  return it == Accounts.end() ? nullptr : &it->second;
+}
+
+void ShardState::addUse(const RunId &run, RunReservation &held, bool adopted) {
+  JobEntry *job = Accounts.empty() ? nullptr : findJob(run.Task.Job);
+  held.Account = job ? accountOf(*job) : nullptr;
+  if (!held.Account)
+    return;
+  held.Adopted = adopted;
+  AccountAmounts size = amountsOf(held.Step->Size);
+  held.Account->Demand.Used += size;
+  if (adopted)
+    held.Account->Demand.UsedByEarlierOwner += size;
+}
+
+void ShardState::removeUse(const RunReservation &held) {
+  if (!held.Account)
+    return;
+  AccountAmounts size = amountsOf(held.Step->Size);
+  held.Account->Demand.Used -= size;
+  if (held.Adopted)
+    held.Account->Demand.UsedByEarlierOwner -= size;
+}
+
+bool ShardState::isWithinLimit(const JobEntry &job, const model::StepSpec &step,
+                               std::int32_t tasks, TimePoint now) {
+  AccountState *account = accountOf(job);
+  return !account || !account->Limited ||
+         account->Share.mayStart(amountsOf(step.Size) * tasks, account->Demand,
+                                 now);
+}
+
+bool ShardState::wantsMoreReady(const JobEntry &job) {
+  AccountState *account = accountOf(job);
+  if (!account)
+    return false;
+  AccountAmounts wanted = account->Demand.Used;
+  wanted += account->Demand.Ready;
+  return policy::isWithin(wanted, account->Share.limit());
+}
+
+void ShardState::addReady(const JobEntry &job, const model::StepSpec &step,
+                          std::int32_t tasks, std::int32_t atOnce) {
+  AccountState *account = accountOf(job);
+  if (!account)
+    return;
+  if (account->Demand.Ready.isZero())
+    account->Demand.NextTask = amountsOf(step.Size) * atOnce;
+  account->Demand.Ready += amountsOf(step.Size) * tasks;
+}
+
+void ShardState::resetReady() {
+  for (auto &[name, account] : Accounts)
+    account.Demand.Ready = account.Demand.NextTask = {};
+}
+
+void ShardState::limitReady() {
+  if (std::none_of(Accounts.begin(), Accounts.end(), [](const auto &it) {
+        return !it.second.Demand.Ready.isZero();
+      }))
+    return;
+  std::int64_t free = 0;
+  for (const auto &[id, w] : Workers) {
+    if (!w->isUsable())
+      continue;
+    free += std::max<std::int64_t>(0, count(w->Profile.Capacity.Cpu) -
+                                          count(w->Used.Cpu));
+    free += std::max<std::int64_t>(
+        0, static_cast<std::int64_t>(fillerCapacity(*w)) - w->FillerCpu);
+  }
+  for (auto &[name, account] : Accounts) {
+    policy::ShareDemand &demand = account.Demand;
+    demand.Ready.Cpu =
+        std::min(demand.Ready.Cpu, std::max(free, demand.NextTask.Cpu));
+  }
+}
+
+} // namespace detail
+
+void Shard::setAccountLimits(const AccountLimits &limits) {
+  detail::ShardState &s = *State;
+  for (auto &[name, account] : s.Accounts)
+    if (!limits.contains(name)) {
+      account.Limited = false;
+      account.Share.setLimit({}, std::nullopt);
+    }
+  bool added = false;
+  for (const auto &[name, limit] : limits) {
+    auto [it, isNew] = s.Accounts.try_emplace(name, s.Number);
+    detail::AccountState &account = it->second;
+    added = added || isNew;
+    AccountAmounts amounts = detail::amountsOf(limit.MaxRunning);
+    account.Limited = !amounts.isZero();
+    account.Share.setLimit(amounts, limit.LimitedSince);
+  }
+  if (!added)
+    return;
+  for (auto &[id, w] : s.Workers)
+    for (auto &[run, held] : w->Runs)
+      if (!held.Account) {
+        detail::TaskEntry *task = s.findTask(run.Task);
+        bool adopted =
+            task && std::any_of(task->Runs.begin(), task->Runs.end(),
+                                [&](const detail::Run &it) {
+                                  return it.Number == run.Number && it.Adopted;
+                                });
+        s.addUse(run, held, adopted);
+      }
+}
+
+void Shard::onAccountRecord(const std::string &account,
+                            const policy::ShareRecord &record,
+                            std::int64_t revision) {
+  auto it = State->Accounts.find(account);
+  if (it != State->Accounts.end())
+    it->second.Share.onRecord(record, revision);
+}
+
+void Shard::onAccountRecordUnreadable(const std::string &account,
+                                      std::int64_t revision, TimePoint now) {
+  auto it = State->Accounts.find(account);
+  if (it != State->Accounts.end())
+    it->second.Share.onUnreadable(revision, now);
+}
+
+void Shard::onAccountsLoaded() {
+  bool unverified = State->hasUnverifiedWorkers();
+  for (auto &[name, account] : State->Accounts)
+    account.Share.onLoaded(unverified);
+}
+
+bool Shard::hasUnloadedAccounts() const {
+  return std::any_of(State->Accounts.begin(), State->Accounts.end(),
+                     [](const auto &it) {
+                       return it.second.Limited && !it.second.Share.isLoaded();
+                     });
+}
+
+std::vector<AccountWrite> Shard::takeAccountWrites(TimePoint now) {
+  std::vector<AccountWrite> writes;
+  for (auto &[name, account] : State->Accounts)
+    if (account.Limited)
+      if (auto write = account.Share.takeWrite(account.Demand, now))
+        writes.push_back({name, std::move(*write)});
+  return writes;
+}
+
+bool Shard::hasDeferredAccountWrites() const {
+  return std::any_of(
+      State->Accounts.begin(), State->Accounts.end(),
+      [](const auto &it) { return it.second.Share.hasDeferredWrite(); });
+}
+
+void Shard::onAccountWrite(const std::string &account,
+                           AccountWriteOutcome outcome, std::int64_t revision,
+                           TimePoint now) {
+  auto it = State->Accounts.find(account);
+  if (it == State->Accounts.end())
+    return;
+  switch (outcome) {
+  case AccountWriteOutcome::Written:
+    return it->second.Share.onWritten(revision, now);
+  case AccountWriteOutcome::NotWritten:
+    return it->second.Share.onNotWritten();
+  case AccountWriteOutcome::Unknown:
+    return it->second.Share.onWriteLost();
+  }
+}
+
+bool Shard::isAccountWaiting(const std::string &account) const {
+  auto it = State->Accounts.find(account);
+  return it != State->Accounts.end() && it->second.Limited &&
+         !it->second.Demand.Ready.isZero();
+}
+
+} // namespace endivedoor::dispatch
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -161,6 +161,27 @@
                {"other", std::to_string(rejections.Other)}});
 }
 
+void ShardState::logLimitWait(const JobEntry &job, const Occurrence &o,
+                              std::int32_t step, StepEntry &entry,
+                              TimePoint now) {
+  if (!entry.LimitedSince)
+    entry.LimitedSince = now;
+  if (now - *entry.LimitedSince < WaitLogInterval ||
+      now - entry.WaitLoggedAt < WaitLogInterval)
+    return;
+  entry.WaitLoggedAt = now;
+  const AccountState *account = accountOf(job);
+  Events.emit(EventCode::TaskWaits,
+              {{"job", formatJobNumber(job.Job.Id)},
+               {"step", std::to_string(o.Number) + "." + std::to_string(step)},
+               {"idle", std::to_string(entry.WaitingCount)},
+               {"waitedMs", std::to_string((now - *entry.LimitedSince) / 1ms)},
+               {"limitOf", job.Job.Account},
+               {"usedCpu", std::to_string(account->Demand.Used.Cpu)},
+               {"shareCpu", std::to_string(account->Share.held().Cpu)},
+               {"limitCpu", std::to_string(account->Share.limit().Cpu)}});
+}
+
 /// Returns whether a task must be started where no other suspect runs.
 static bool needsIsolation(const TaskEntry &task, const StepEntry &entry,
                            TimePoint now) {
@@ -191,8 +212,23 @@
       return;
     TaskKey key{job.Job.Id, o.Number, step, i};
     bool isolated = needsIsolation(task, entry, now);
+    bool allowed = isWithinLimit(job, spec, 1, now);
+    if (!allowed && !wantsMoreReady(job)) {
+      withdrawAnnouncement(job, task);
+      logLimitWait(job, o, step, entry, now);
+      return;
+    }
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now,
                                        starved && job.RunCount == 0, isolated);
+    if (!allowed) {
+      // A long-running task gets a worker only after a reservation, which it
+      // must not take before its share.
+      if (worker || spec.LongRunning)
+        addReady(job, spec, entry.WaitingCount, 1);
+      withdrawAnnouncement(job, task);
+      logLimitWait(job, o, step, entry, now);
+      return;
+    }
     if (!worker)
       logWait(job, o, step, entry, now);
     if (!worker && isolated) {
@@ -220,6 +256,7 @@
     // Not before: an announced run waits for the store, and must not have to
     // wait for a worker of its own again.
     entry.WaitingSince.reset();
+    entry.LimitedSince.reset();
     startTask(job, key, task, *worker, now, run);
     --StartBudget;
     ++counts[worker];
@@ -244,6 +281,13 @@
     logWait(job, o, step, entry, now);
     return;
   }
+  if (!isWithinLimit(job, spec, spec.Count, now)) {
+    addReady(job, spec, spec.Count, spec.Count);
+    for (TaskEntry &it : entry.Tasks)
+      withdrawAnnouncement(job, it);
+    logLimitWait(job, o, step, entry, now);
+    return;
+  }
   std::int64_t run = 0;
   std::string checkpoint;
   for (const TaskEntry &it : entry.Tasks) {
@@ -262,6 +306,7 @@
     return;
   }
   entry.WaitingSince.reset();
+  entry.LimitedSince.reset();
   --StartBudget;
   for (std::int32_t i = 0; i < spec.Count; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
@@ -304,6 +349,10 @@
     w->ServedCache.reset();
   }
   updateDemandRatios();
+  resetReady();
+  if (!unverified)
+    for (auto &[name, account] : Accounts)
+      account.Share.setVerified();
   std::vector<JobEntry *> jobs;
   for (JobEntry *it : LiveJobs)
     if (it->isLive() && !it->Moving && !(unverified && it->Inherited))
@@ -328,6 +377,7 @@
           startStep(*job, o, step, now);
       }
     }
+  limitReady();
 }
 
 void ShardState::sendStop(const WorkerState &worker, const RunId &run,
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -108,7 +108,7 @@
     task->UnresolvedRun = 0;
   ++job->RunCount;
   job->Started = true;
-  reserve(worker, row.Id, step);
+  reserve(worker, row.Id, step, true);
   if (task->isSuspect())
     worker.SuspectRuns.insert(row.Id);
 }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -35,7 +35,7 @@
 }
 
 void ShardState::reserve(WorkerState &worker, const RunId &run,
-                         const model::StepSpec &step) {
+                         const model::StepSpec &step, bool adopted) {
   base::Resources size = step.Size;
   if (step.Filler) {
     worker.FillerCpu += count(size.Cpu);
@@ -47,7 +47,9 @@
       worker.Serving.emplace(step.Image, step.Target);
   }
   worker.Used += size;
-  worker.Runs.emplace(run, RunReservation{size, &step});
+  auto [held, added] = worker.Runs.emplace(run, RunReservation{size, &step});
+  if (added)
+    addUse(run, held->second, adopted);
   worker.ServedCache.reset();
 }
 
@@ -57,6 +59,7 @@
     return;
   const model::StepSpec &step = *it->second.Step;
   worker.Used -= it->second.Size;
+  removeUse(it->second);
   worker.Runs.erase(it);
   worker.SuspectRuns.erase(run);
   worker.ServedCache.reset();
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -102,6 +102,8 @@
   /// last logged.
   std::optional<TimePoint> WaitingSince;
   TimePoint WaitLoggedAt;
+  /// Since when only the account's limit has kept the next task from starting.
+  std::optional<TimePoint> LimitedSince;
 };
 
 struct Occurrence {
@@ -163,11 +165,24 @@
   std::uint64_t Version = 0;
 };
 
+/// A client account of the configuration.
+struct AccountState {
+  explicit AccountState(std::int32_t shard) : Share(shard) {}
+
+  policy::AccountShare Share;
+  bool Limited = false;
+  policy::ShareDemand Demand;
+};
+
 /// Capacity that a run occupies on its worker. Step points into the run's job,
 /// which is kept as long as it has runs.
 struct RunReservation {
   base::Resources Size;
   const model::StepSpec *Step = nullptr;
+  /// Account whose use includes the run; null if there is none.
+  AccountState *Account = nullptr;
+  /// An earlier owner started the run.
+  bool Adopted = false;
 };
 
 /// Expected response time of a serving program on a worker with its current
@@ -298,6 +313,9 @@
   std::map<JobNumber, std::set<std::int32_t>> CancelledEarly;
   std::map<base::WorkerId, std::unique_ptr<WorkerState>> Workers;
   std::set<base::ZoneId> ZonesOutOfService;
+  /// Never removed, since reservations refer to them. Empty if no configuration
+  /// had accounts.
+  std::map<std::string, AccountState> Accounts;
   std::deque<JobNumber> Dirty;
   /// Started jobs whose index record does not say so yet.
   std::deque<JobNumber> StartedUnmarked;
@@ -341,8 +359,9 @@
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
   /// commands that may have reached the new one become unconfirmed.
   void handleRestart(WorkerState &worker, const char *cause, TimePoint now);
+  /// \param adopted whether an earlier owner started the run.
   void reserve(WorkerState &worker, const RunId &run,
-               const model::StepSpec &step);
+               const model::StepSpec &step, bool adopted = false);
   void release(WorkerState &worker, const RunId &run);
   void expireLeases(TimePoint now);
   /// Returns the lease deadline of a start command that is sent now.
@@ -376,6 +395,26 @@
   /// later owner would find no trace of the runs.
   void announceLoss(const WorkerState &worker);
 
+  // Accounts.cpp
+  /// Returns null if the job belongs to no account of the configuration.
+  AccountState *accountOf(const JobEntry &job);
+  void addUse(const RunId &run, RunReservation &held, bool adopted);
+  void removeUse(const RunReservation &held);
+  /// Returns whether the account's limit allows a start of \p tasks tasks.
+  bool isWithinLimit(const JobEntry &job, const model::StepSpec &step,
+                     std::int32_t tasks, TimePoint now);
+  /// Returns whether what runs and is ready is still within the whole limit, so
+  /// that more ready tasks would add to what the shard wants.
+  bool wantsMoreReady(const JobEntry &job);
+  /// Counts tasks that only the account's limit keeps from starting.
+  ///
+  /// \param atOnce tasks that must start together.
+  void addReady(const JobEntry &job, const model::StepSpec &step,
+                std::int32_t tasks, std::int32_t atOnce);
+  void resetReady();
+  /// Lowers what is ready to what the free capacity can run.
+  void limitReady();
+
   // Plan.cpp
   void openDueOccurrences(base::WallTime wall, TimePoint now);
   void startReadySteps(TimePoint now);
@@ -385,6 +424,9 @@
                  TimePoint now);
   void logWait(const JobEntry &job, const Occurrence &occurrence,
                std::int32_t step, StepEntry &entry, TimePoint now);
+  /// Logs at an interval that a step waits for the limit of its account.
+  void logLimitWait(const JobEntry &job, const Occurrence &occurrence,
+                    std::int32_t step, StepEntry &entry, TimePoint now);
   void startGang(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
   void startTask(JobEntry &job, const TaskKey &key, TaskEntry &task,
--- a/packages/policy/include/endivedoor/policy/AccountShares.h
+++ b/packages/policy/include/endivedoor/policy/AccountShares.h
@@ -100,9 +100,10 @@
 
   /// Sets the limit of the newest configuration.
   ///
-  /// \param declare whether shards may have unrecorded runs of the account, as
-  /// after the first limit of an account that had none.
-  void setLimit(const AccountAmounts &limit, bool declare, base::TimePoint now);
+  /// \param limitedSince when an amount without a limit got one: shards may
+  /// have runs that they have not recorded then.
+  void setLimit(const AccountAmounts &limit,
+                std::optional<base::TimePoint> limitedSince);
   /// Passes in a version of the record; older ones than the latest are ignored.
   void onRecord(const ShareRecord &record, std::int64_t revision);
   /// The version of the record cannot be read. The entries that were last read
@@ -114,6 +115,7 @@
   /// \param unverified whether workers may have runs of an earlier owner that
   /// are not known yet; the share then counts as used until setVerified().
   void onLoaded(bool unverified);
+  bool isLoaded() const { return Loaded; }
   void setVerified() { Inherited = {}; }
 
   /// Returns whether a task, or a gang, may start within the share.
--- a/packages/policy/src/AccountShares.cpp
+++ b/packages/policy/src/AccountShares.cpp
@@ -89,12 +89,12 @@
   return others;
 }
 
-void AccountShare::setLimit(const AccountAmounts &limit, bool declare,
-                            TimePoint now) {
+void AccountShare::setLimit(const AccountAmounts &limit,
+                            std::optional<TimePoint> limitedSince) {
   for (Field f : AccountAmounts::fields())
     Limit.*f = std::clamp<std::int64_t>(limit.*f, 0, MaxShareAmount);
-  if (declare)
-    DeclareUntil = now + DeclarationTime;
+  if (limitedSince)
+    DeclareUntil = std::max(DeclareUntil, *limitedSince + DeclarationTime);
 }
 
 void AccountShare::onRecord(const ShareRecord &record, std::int64_t revision) {
@@ -114,9 +114,12 @@
 }
 
 void AccountShare::onLoaded(bool unverified) {
+  if (Loaded)
+    return;
   Loaded = true;
+  // The share in a record that cannot be read may be the whole limit.
   if (unverified)
-    Inherited = own().Held;
+    Inherited = Unreadable ? Limit : own().Held;
 }
 
 ShareEntry AccountShare::own() const {
--- a/tests/unit/unit-policy-accountshares.cpp
+++ b/tests/unit/unit-policy-accountshares.cpp
@@ -62,7 +62,7 @@
       : Random(seed), Limit(limit), HighestLimit(limit) {
     for (std::size_t i = 0; i < shards; ++i) {
       Owners.emplace_back(i);
-      Owners.back().Share.setLimit(limit, false, Now);
+      Owners.back().Share.setLimit(limit, std::nullopt);
       Owners.back().Share.onLoaded(false);
       Owners.back().KnownLimit = limit;
       Waiting.emplace_back();
@@ -201,7 +201,7 @@
     next.Verified = false;
     next.VerifiedAt = Now + delay(200, 4000);
     next.KnownLimit = Limit;
-    next.Share.setLimit(Limit, false, Now);
+    next.Share.setLimit(Limit, std::nullopt);
     next.Share.onRecord(Record, Revision);
     next.Share.onLoaded(true);
     Owners[shard] = next;
@@ -211,11 +211,11 @@
     Limit = limit;
     for (Owner &it : Owners) {
       it.KnownLimit = limit;
-      it.Share.setLimit(limit, false, Now);
+      it.Share.setLimit(limit, std::nullopt);
     }
     for (auto &it : Zombies)
       if (it)
-        it->Share.setLimit(limit, false, Now);
+        it->Share.setLimit(limit, std::nullopt);
     HighestLimit = limit;
   }
 
@@ -409,7 +409,7 @@
 TEST(AccountShares, InheritedShare_CountsAsUsedUntilVerified) {
   base::TimePoint now{10s};
   AccountShare share(1);
-  share.setLimit(cpu(10000), false, now);
+  share.setLimit(cpu(10000), std::nullopt);
   share.onRecord({{1, {cpu(6000), cpu(6000)}}}, 7);
   EXPECT_FALSE(share.mayStart(cpu(1000), {}, now)) << "before the load";
   share.onLoaded(true);
@@ -430,7 +430,7 @@
 TEST(AccountShares, UnreadableRecord_IsReplacedWithTheLastKnownShares) {
   base::TimePoint now{10s};
   AccountShare share(1);
-  share.setLimit(cpu(10000), false, now);
+  share.setLimit(cpu(10000), std::nullopt);
   share.onRecord({{0, {cpu(4000), cpu(4000)}}, {1, {cpu(2000), cpu(2000)}}}, 7);
   share.onLoaded(false);
   share.onUnreadable(8, now);
@@ -449,7 +449,7 @@
 TEST(AccountShares, FirstLimitOfAnAccount_NothingIsRaisedBeforeDeclarations) {
   base::TimePoint now{10s};
   AccountShare share(1);
-  share.setLimit(cpu(10000), true, now);
+  share.setLimit(cpu(10000), now);
   share.onLoaded(false);
   ShareDemand demand;
   demand.Used = cpu(4000);
@@ -467,7 +467,7 @@
 TEST(AccountShares, ResourceWithoutLimit_IsNotCounted) {
   base::TimePoint now{10s};
   AccountShare share(0);
-  share.setLimit({0, 0, 2}, false, now);
+  share.setLimit({0, 0, 2}, std::nullopt);
   share.onLoaded(false);
   EXPECT_TRUE(share.mayStart({1000, 1000, 0}, {}, now));
   EXPECT_FALSE(share.mayStart({1000, 1000, 1}, {}, now));
