Share an account's limit between the shards through the store

Each node watches the prefix while an account has a limit; a new owner lists it once after its claim, so that it inherits what its predecessor stored last. The job record stores the account's name.

A planning pass that was requested while the loop prepared its wait was delayed by up to 150 ms, so a raised share was given back unused; the loop keeps the earlier time now.

--- a/packages/daemon/src/DispatchDaemon.cpp
+++ b/packages/daemon/src/DispatchDaemon.cpp
@@ -80,6 +80,7 @@
                                          {"store", Config.Store.str()}});
   Platform.startWatches(Node, [this](model::QueueConfiguration config) {
     Configured = true;
+    Node.setAccounts(config.Accounts);
     Frontend.configure(std::move(config));
   });
   Node.start();
--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -75,6 +75,8 @@
 
   /// Sets the zones that are out of service. Replaces the previous set.
   void setZonesOutOfService(std::set<base::ZoneId> zones);
+  /// Sets the client accounts of the newest configuration.
+  void setAccounts(const std::vector<model::ClientAccount> &accounts);
   void updateWorker(const model::WorkerProfile &worker);
   void unlistWorker(const base::WorkerId &worker);
 
--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -30,6 +30,9 @@
 std::string load(std::int32_t shard);
 /// Record of measured interference between programs that share workers.
 std::string colocation(std::int32_t shard);
+std::string accountPrefix();
+/// Record of the shards' shares of an account's limit.
+std::string account(const std::string &name);
 std::string directoryPrefix();
 std::string shardEntry(std::int32_t shard);
 std::string memberPrefix();
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -78,7 +78,15 @@
   policy::ShareWrite Write;
 };
 
-enum class AccountWriteOutcome { Written, NotWritten, Unknown };
+enum class AccountWriteOutcome {
+  Written,
+  /// Another version of the record has been written.
+  Conflict,
+  /// The store is unavailable; the write had no effect.
+  Failed,
+  /// The write may still take effect.
+  Unknown
+};
 
 /// Scheduler of one shard for one term of ownership. Has no clock and does no
 /// I/O: the caller passes in events with their times and carries out the
--- a/packages/dispatch/src/Accounts.cpp
+++ b/packages/dispatch/src/Accounts.cpp
@@ -182,8 +182,10 @@
   switch (outcome) {
   case AccountWriteOutcome::Written:
     return it->second.Share.onWritten(revision, now);
-  case AccountWriteOutcome::NotWritten:
+  case AccountWriteOutcome::Conflict:
     return it->second.Share.onNotWritten();
+  case AccountWriteOutcome::Failed:
+    return it->second.Share.onWriteFailed();
   case AccountWriteOutcome::Unknown:
     return it->second.Share.onWriteLost();
   }
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -85,6 +85,11 @@
   detail::CallWindow StartCalls;
   /// Spreads the callers that are refused.
   std::mt19937_64 Random{std::random_device{}()};
+  AccountLimits Limits;
+  /// A configuration has been seen, with or without accounts.
+  bool AccountsSeen = false;
+  /// Exists while an account has a limit.
+  std::unique_ptr<PrefixMirror> Accounts;
   bool Leaving = false;
   bool Reconciling = false;
   detail::JobRequestHandler JobRequests;
@@ -129,6 +134,7 @@
   void startTerm(detail::Term term);
   void addAssignedWorkers(ShardRunner &runner);
   bool isAssignedTo(const base::WorkerId &worker, std::int32_t shard) const;
+  void watchAccounts();
 };
 
 std::vector<std::shared_ptr<ShardRunner>> DispatchNode::Impl::runners() const {
@@ -453,6 +459,8 @@
   Owned[term.Shard] = runner;
   MetricsRegistry.setOwnedShards(Owned.size());
   runner->setZonesOutOfService(Workers.ZonesOutOfService);
+  if (!Limits.empty())
+    runner->setAccountLimits(Limits);
   addAssignedWorkers(*runner);
   runner->start();
 }
@@ -587,6 +595,69 @@
     it->setZonesOutOfService(Self->Workers.ZonesOutOfService);
 }
 
+/// Pause between two watch calls for account records; changes within it arrive
+/// in one call.
+constexpr auto AccountBatchDelay = 25ms;
+
+void DispatchNode::Impl::watchAccounts() {
+  bool limited = std::any_of(Limits.begin(), Limits.end(), [](const auto &it) {
+    return it.second.MaxRunning != base::Resources{};
+  });
+  if (limited == (Accounts != nullptr))
+    return;
+  Accounts.reset();
+  if (!limited)
+    return;
+  // The mirror calls no handler after its destruction.
+  PrefixMirror::Handlers handlers;
+  handlers.Written = [this](const StoredItem &item) {
+    for (const std::shared_ptr<ShardRunner> &it : runners())
+      it->onAccountItem(item);
+  };
+  handlers.Deleted = [](const std::string &) {};
+  handlers.Synced = [] {};
+  Accounts = std::make_unique<PrefixMirror>(
+      Executor, Store, keys::accountPrefix(), std::move(handlers), Time, Events,
+      MirrorDelays{.Batch = AccountBatchDelay});
+  Accounts->start();
+}
+
+/// Returns whether an amount that had no limit has one now.
+static bool isNewlyLimited(const base::Resources &before,
+                           const base::Resources &after) {
+  auto added = [](std::int64_t was, std::int64_t is) {
+    return was == 0 && is != 0;
+  };
+  return added(count(before.Cpu), count(after.Cpu)) ||
+         added(count(before.Memory), count(after.Memory)) ||
+         added(before.Accelerators, after.Accelerators);
+}
+
+void DispatchNode::setAccounts(
+    const std::vector<model::ClientAccount> &accounts) {
+  AccountLimits limits;
+  for (const model::ClientAccount &it : accounts) {
+    AccountLimit &limit = limits[it.Name];
+    limit.MaxRunning.Cpu = it.MaxRunning.Cpu;
+    limit.MaxRunning.Memory = it.MaxRunning.Memory;
+    limit.MaxRunning.Accelerators = it.MaxRunning.Accelerators;
+    auto before = Self->Limits.find(it.Name);
+    AccountLimit earlier =
+        before == Self->Limits.end() ? AccountLimit{} : before->second;
+    limit.LimitedSince = earlier.LimitedSince;
+    if (Self->AccountsSeen &&
+        isNewlyLimited(earlier.MaxRunning, limit.MaxRunning))
+      limit.LimitedSince = Self->Time.now();
+  }
+  Self->AccountsSeen = true;
+  if (limits == Self->Limits)
+    return;
+  Self->Limits = std::move(limits);
+  Self->watchAccounts();
+  for (const std::shared_ptr<ShardRunner> &it : Self->runners())
+    it->setAccountLimits(Self->Limits);
+}
+
 void DispatchNode::updateWorker(const model::WorkerProfile &worker) {
   if (!Self->Workers.Profiles.contains(worker.Id))
     Self->WorkersChanged = Self->Time.now();
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -294,6 +294,7 @@
     to["part"] = std::move(fields);
   }
   to["queue"] = job.Queue;
+  setIf(to, "account", job.Account);
   to["service"] = job.Policy.Service.str();
   setUnlessDefault(to, "priority", job.Policy.Priority);
   to["maxAttempts"] = job.Policy.MaxAttempts;
@@ -321,6 +322,7 @@
         model::AcceptedJob job;
         job.Id = id;
         job.Queue = v.text("queue");
+        job.Account = v.optionalText("account");
         job.Policy.Service = base::ServiceName(v.text("service"));
         job.Policy.Priority = readInt32(v, "priority");
         job.Policy.MaxAttempts = readInt32(v, "maxAttempts");
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -120,6 +120,8 @@
     }
     break;
   }
+  RosterRead = true;
+  spawnAccountLoad();
   // The interference record is optional: without it the model starts empty.
   base::Result<std::optional<StoredItem>> pairs =
       co_await Context.Store.read(keys::colocation(CurrentTerm.Shard));
@@ -345,8 +347,12 @@
     if (State.roster() != StoredRoster || State.hasWrites())
       CommitTimer.cancel();
     Context.MetricsRegistry.setLiveJobs(State.liveJobCount());
+    spawnAccountWrites();
     // requestPlan() shortens the wait.
-    PlanTimer.expires_after(PlanInterval);
+    if (!PlanDue)
+      PlanTimer.expires_after(State.hasDeferredAccountWrites()
+                                  ? policy::AccountShare::WriteInterval
+                                  : PlanInterval);
     co_await PlanTimer.async_wait(AsTuple);
     if (PlanDue && !Stopped)
       co_await sleepFor(PlanDelay);
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -79,6 +79,9 @@
   void setZonesOutOfService(std::set<base::ZoneId> zones);
   void updateWorker(const model::WorkerProfile &worker);
   void unlistWorker(const base::WorkerId &worker);
+  void setAccountLimits(const AccountLimits &limits);
+  /// Passes in a version of an account's record.
+  void onAccountItem(const StoredItem &item);
 
 private:
   boost::asio::awaitable<void> load();
@@ -92,6 +95,11 @@
   /// Reads what the other shards have learned about interference.
   boost::asio::awaitable<void> readPeerModels();
   boost::asio::awaitable<void> commitOnce();
+  /// Reads the account records if the term needs them and has not done so.
+  void spawnAccountLoad();
+  boost::asio::awaitable<void> loadAccounts();
+  void spawnAccountWrites();
+  boost::asio::awaitable<void> storeAccount(AccountWrite write);
   /// Moves jobs and delegates tasks that wait here to other shards.
   boost::asio::awaitable<void> transferWork();
   boost::asio::awaitable<void> delegateTasks(Delegation offer);
@@ -124,6 +132,8 @@
   std::string StoredLoad;
   base::TimePoint LoadStoredAt;
   base::TimePoint ColocationStoredAt{};
+  bool RosterRead = false;
+  bool LoadingAccounts = false;
   bool PlanDue = false;
   bool Loaded = false;
   bool Stopped = false;
--- a/packages/policy/include/endivedoor/policy/AccountShares.h
+++ b/packages/policy/include/endivedoor/policy/AccountShares.h
@@ -123,12 +123,14 @@
                 base::TimePoint now) const;
 
   /// Returns the write that is due, if any. It is in flight until one of the
-  /// following three is called.
+  /// following four is called.
   std::optional<ShareWrite> takeWrite(const ShareDemand &demand,
                                       base::TimePoint now);
   void onWritten(std::int64_t revision, base::TimePoint now);
   /// The write was not applied. The current record must be passed in.
   void onNotWritten();
+  /// The write had no effect, because the store is unavailable.
+  void onWriteFailed();
   /// It is not known whether the write was or will be applied.
   void onWriteLost();
 
@@ -164,6 +166,9 @@
   /// can still be applied while the record has that revision.
   std::optional<AccountAmounts> Lowered;
   std::int64_t LoweredAt = 0;
+  /// Lowered and LoweredAt before the latest write.
+  std::optional<AccountAmounts> LoweredBefore;
+  std::int64_t LoweredBeforeAt = 0;
   std::optional<ShareWrite> InFlight;
   /// The latest write raises the share.
   bool Raising = false;
--- a/packages/policy/src/AccountShares.cpp
+++ b/packages/policy/src/AccountShares.cpp
@@ -336,6 +336,8 @@
     write.Record.erase(Shard);
   else
     write.Record[Shard] = next;
+  LoweredBefore = Lowered;
+  LoweredBeforeAt = LoweredAt;
   AccountAmounts lowest = held();
   for (Field f : fields)
     lowest.*f = std::min(lowest.*f, next.Held.*f);
@@ -362,6 +364,15 @@
   WritesLost = false;
 }
 
+void AccountShare::onWriteFailed() {
+  if (InFlight) {
+    Lowered = LoweredBefore;
+    LoweredAt = LoweredBeforeAt;
+  }
+  InFlight.reset();
+  WritesLost = true;
+}
+
 void AccountShare::onWriteLost() {
   InFlight.reset();
   WritesLost = true;
--- a/tests/unit/unit-dispatch-records.cpp
+++ b/tests/unit/unit-dispatch-records.cpp
@@ -1,6 +1,7 @@
 // Tests that every record that is stored can be read back, and that a malformed
 // record is an error, never an exception. A job record that its owner could not
 // read was skipped without a word, and the accepted job never ran.
+#include "detail/AccountRecords.h"
 #include "detail/NodeRecords.h"
 
 #include "endivedoor/dispatch/Records.h"
@@ -176,6 +177,48 @@
   EXPECT_EQ(view.Members["n1"].Instance, "n1-1");
 }
 
+// Amounts outside the bounds would overflow the sum of the shares.
+TEST(RecordDecoders, MalformedShares_AreErrors) {
+  for (const char *it :
+       {"7", "[]", "null", "{}", R"({"shares":7})", R"({"shares":[7]})",
+        R"({"shares":[{}]})", R"({"shares":[{"shard":-1}]})",
+        R"({"shares":[{"shard":4096}]})",
+        R"({"shares":[{"shard":1},{"shard":1}]})",
+        R"({"shares":[{"shard":1,"held":7}]})",
+        R"({"shares":[{"shard":1,"held":{"cpu":-1}}]})",
+        R"({"shares":[{"shard":1,"held":{"cpu":9223372036854775807}}]})",
+        R"({"shares":[{"shard":1,"wanted":{"memory":"x"}}]})"}) {
+    base::Result<policy::ShareRecord> record =
+        base::fail(base::Errc::ParseFailed, "");
+    EXPECT_NO_THROW(record = detail::decodeShares(it)) << it;
+    EXPECT_FALSE(record) << it;
+  }
+}
+
+TEST(RecordDecoders, Shares_RoundTrip) {
+  policy::ShareRecord record{{0, {{1000, 20, 3}, {2000, 0, 0}}},
+                             {79, {{}, {0, 5, 0}}}};
+  auto decoded = detail::decodeShares(detail::encodeShares(record));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded.value(), record);
+}
+
+// Two names must not share a key, and a name must not leave the prefix.
+TEST(RecordKeys, NameOfAnAccount_IsEscaped) {
+  for (const std::string name :
+       {"acme", "a/b", "a%2fb", "", "\xff\x80", "../q/0", "a b"}) {
+    std::string key = keys::account(name);
+    EXPECT_EQ(key.find('/', keys::accountPrefix().size()), std::string::npos);
+    auto read = detail::accountOfKey(key);
+    ASSERT_TRUE(read) << key;
+    EXPECT_EQ(read.value(), name);
+  }
+  for (const char *it :
+       {"endivedoor/a/%", "endivedoor/a/%2", "endivedoor/a/%x1",
+        "endivedoor/a/%-1", "endivedoor/q/0"})
+    EXPECT_FALSE(detail::accountOfKey(it)) << it;
+}
+
 /// Truncations and replaced bytes of valid records.
 RC_GTEST_PROP(RecordDecoders, DamagedRecords_DoNotThrow, ()) {
   model::AcceptedJob job = makeJob(2, 3);
@@ -185,7 +228,8 @@
   std::string text = *rc::gen::element(
       encodeJob(job, &handover).value(), encodeProgress(handover.Progress),
       detail::encodeOwner(owner),
-      encodeRoster({{base::WorkerId("w"), {"10.0.0.1", 80}}}));
+      encodeRoster({{base::WorkerId("w"), {"10.0.0.1", 80}}}),
+      detail::encodeShares({{3, {{1000, 20, 3}, {2000, 0, 0}}}}));
   auto at = static_cast<std::size_t>(
       *rc::gen::inRange(0, static_cast<int>(text.size())));
   if (*rc::gen::arbitrary<bool>())
@@ -198,6 +242,8 @@
   (void)decodeIndex(text);
   (void)decodeRoster(text);
   (void)detail::decodeOwner(text);
+  (void)detail::decodeShares(text);
+  (void)detail::accountOfKey(keys::accountPrefix() + text);
   detail::DirectoryView view;
   (void)view.apply({keys::assignment(), text, 1});
   (void)view.apply({keys::layout(), text, 1});
--- a/tests/unit/unit-policy-accountshares.cpp
+++ b/tests/unit/unit-policy-accountshares.cpp
@@ -138,8 +138,9 @@
       if (uniform(0, 1) < 0.5)
         Pending.push_back(
             {*write, shard, owner.Term, Now + delay(10, 3000), false});
-      owner.Share.onWriteLost();
-      return;
+      else
+        return owner.Share.onWriteFailed();
+      return owner.Share.onWriteLost();
     }
     bool answered = uniform(0, 1) >= LossRate;
     Pending.push_back({*write, shard, owner.Term,
