Test the revocation of a key through the store

The test guards against a configuration that does not reach the front end in time, and against an older version that brings a revoked key back.

--- a/tests/unit/unit-frontend.cpp
+++ b/tests/unit/unit-frontend.cpp
@@ -1,9 +1,11 @@
 // Tests over HTTP which requests the front end serves to which client account.
+#include "standins/installation/KeyValueStore.h"
 #include "support/InMemoryStore.h"
 
 #include "endivedoor/dispatch/Records.h"
 #include "endivedoor/installation/Installation.h"
 #include "endivedoor/platform/HttpClient.h"
+#include "endivedoor/platform/HttpServer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -351,6 +353,51 @@
   EXPECT_EQ(Events.counts()[base::EventCode::KeysCurrent], 1u);
 }
 
+// The operator's write of the configuration must reach the requests, and a
+// stale write must not bring a revoked key back.
+TEST_F(CallerRequests, KeyRevokedInTheStore_IsRefusedWithin3Seconds) {
+  standin::KeyValueStore operators(Io, System, 1);
+  platform::HttpServerOptions options;
+  options.Listen = freeAddress();
+  platform::HttpServer server(Io.get_executor(), options, [&](HttpRequest r) {
+    return operators.handle(std::move(r));
+  });
+  ASSERT_TRUE(server.start().has_value());
+  auto write = [&](int version, const std::string &key) {
+    operators.put("op/config",
+                  R"({"version":)" + std::to_string(version) +
+                      R"(,"routes":[{"name":"q","host":"127.0.0.1",)"
+                      R"("prefix":"/p/","service":"desk"}],"tenants":[)"
+                      R"({"name":"north","api_keys":[")" +
+                      key + R"("]},{"name":"south","api_keys":7}]})");
+  };
+  write(1, "secret-1");
+  model::DispatchSettings settings;
+  settings.Store = options.Listen;
+  start(settings);
+  // Not deleted: suspended calls refer to it until the io_context ends.
+  static installation::Installation *adapter = nullptr;
+  adapter = new installation::Installation(Io.get_executor(), settings, System,
+                                           Events, MetricsRegistry);
+  adapter->startWatches(*Node, [&](model::QueueConfiguration config) {
+    Frontend->configure(std::move(config));
+  });
+  Io.run_for(500ms);
+  EXPECT_EQ(send("GET", "/p/", "secret-1").Status, 200u);
+  EXPECT_LT(System.now() - adapter->operatorEntriesReadAt(), 2s);
+  write(2, "secret-2");
+  base::TimePoint end = System.now() + 3s;
+  while (send("GET", "/p/", "secret-1").Status != 401u && System.now() < end)
+    Io.run_for(20ms);
+  EXPECT_LT(System.now(), end);
+  EXPECT_EQ(send("GET", "/p/", "secret-2").Status, 200u);
+  write(1, "secret-1");
+  Io.run_for(500ms);
+  EXPECT_EQ(send("GET", "/p/", "secret-1").Status, 401u);
+  EXPECT_EQ(Events.counts()[base::EventCode::AccountSkipped], 2u);
+  EXPECT_EQ(logText().find("secret"), std::string::npos);
+}
+
 TEST_F(CallerRequests, OutdatedKeysFailOpen_StillCount) {
   start();
   Frontend->configure(configurationWithAccounts());
