Order waiting jobs of a kind and priority by their account's recent starts

A flood of one account's jobs was served by deadline, before the later jobs of other accounts. The sums are those of the own shard. Without accounts the order is unchanged.

The two tests of AccountOrder pass; unit-dispatch-shard, -crashes, -capacity, -quota and -accounts pass.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -66,6 +66,8 @@
   /// When an amount without a limit got one in this process; empty if the
   /// first configuration had it.
   std::optional<base::TimePoint> LimitedSince;
+  /// Fair share of scarce capacity, relative to the other accounts.
+  double Weight = 1;
   friend bool operator==(const AccountLimit &, const AccountLimit &) = default;
 };
 
--- a/packages/dispatch/src/Accounts.cpp
+++ b/packages/dispatch/src/Accounts.cpp
@@ -71,6 +71,25 @@
   account->Demand.Ready += amountsOf(step.Size) * tasks;
 }
 
+double ShardState::startedPerWeight(const JobEntry &job, TimePoint now) {
+  if (Accounts.empty())
+    return 0;
+  AccountState *account = accountOf(job);
+  const policy::StartedCpu &started = account ? account->Started : OtherStarted;
+  // A weight of 0 is owed nothing, so that its account comes last.
+  constexpr double minWeight = 1e-6;
+  double weight = account ? std::max(account->Weight, minWeight) : 1;
+  return static_cast<double>(started.sum(now)) / weight;
+}
+
+void ShardState::addStarted(const JobEntry &job, const model::StepSpec &step,
+                            TimePoint now) {
+  if (Accounts.empty())
+    return;
+  AccountState *account = accountOf(job);
+  (account ? account->Started : OtherStarted).add(count(step.Size.Cpu), now);
+}
+
 void ShardState::resetReady() {
   for (auto &[name, account] : Accounts)
     account.Demand.Ready = account.Demand.NextTask = {};
@@ -112,6 +131,7 @@
     detail::AccountState &account = it->second;
     added = added || isNew;
     AccountAmounts amounts = detail::amountsOf(limit.MaxRunning);
+    account.Weight = limit.Weight;
     account.Limited = !amounts.isZero();
     account.Share.setLimit(amounts, limit.LimitedSince);
   }
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -638,6 +638,7 @@
   AccountLimits limits;
   for (const model::ClientAccount &it : accounts) {
     AccountLimit &limit = limits[it.Name];
+    limit.Weight = it.Weight;
     limit.MaxRunning.Cpu = it.MaxRunning.Cpu;
     limit.MaxRunning.Memory = it.MaxRunning.Memory;
     limit.MaxRunning.Accelerators = it.MaxRunning.Accelerators;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -79,6 +79,7 @@
   job.Started = true;
   RunId id{key, number};
   reserve(worker, id, step);
+  addStarted(job, step, now);
   if (task.isSuspect())
     worker.SuspectRuns.insert(id);
   WorkerCommand command;
@@ -340,6 +341,14 @@
   DemandRatios = computeDemandRatios(*this, waitingCpu);
 }
 
+/// Returns the position of a job among the waiting ones: long-running tasks
+/// first, then by priority, by what the job's account has started per weight,
+/// and by deadline.
+static auto startOrder(const JobEntry &job, double startedPerWeight) {
+  return std::tuple(!job.isLongRunning(), job.Job.Policy.Priority,
+                    startedPerWeight, job.Deadline);
+}
+
 void ShardState::startReadySteps(TimePoint now) {
   bool unverified = hasUnverifiedWorkers();
   UnplaceableSteps.clear();
@@ -357,12 +366,11 @@
   for (JobEntry *it : LiveJobs)
     if (it->isLive() && !it->Moving && !(unverified && it->Inherited))
       jobs.push_back(it);
-  // Long-running tasks first, then by priority, then by deadline.
-  std::sort(jobs.begin(), jobs.end(), [](const JobEntry *a, const JobEntry *b) {
-    return std::tuple(!a->isLongRunning(), a->Job.Policy.Priority,
-                      a->Deadline) <
-           std::tuple(!b->isLongRunning(), b->Job.Policy.Priority, b->Deadline);
-  });
+  std::sort(jobs.begin(), jobs.end(),
+            [&](const JobEntry *a, const JobEntry *b) {
+              return startOrder(*a, startedPerWeight(*a, now)) <
+                     startOrder(*b, startedPerWeight(*b, now));
+            });
   for (JobEntry *job : jobs)
     for (auto &[number, o] : job->Occurrences) {
       if (o.Complete || !job->isLive())
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -5,6 +5,7 @@
 
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
+#include "endivedoor/policy/StartedCpu.h"
 
 #include <algorithm>
 #include <deque>
@@ -171,7 +172,9 @@
 
   policy::AccountShare Share;
   bool Limited = false;
+  double Weight = 1;
   policy::ShareDemand Demand;
+  policy::StartedCpu Started;
 };
 
 /// Capacity that a run occupies on its worker. Step points into the run's job,
@@ -316,6 +319,9 @@
   /// Never removed, since reservations refer to them. Empty if no configuration
   /// had accounts.
   std::map<std::string, AccountState> Accounts;
+  /// Of the jobs that belong to no account, which share the capacity like one
+  /// account of weight 1.
+  policy::StartedCpu OtherStarted;
   std::deque<JobNumber> Dirty;
   /// Started jobs whose index record does not say so yet.
   std::deque<JobNumber> StartedUnmarked;
@@ -411,6 +417,11 @@
   /// \param atOnce tasks that must start together.
   void addReady(const JobEntry &job, const model::StepSpec &step,
                 std::int32_t tasks, std::int32_t atOnce);
+  /// Returns the CPU that the job's account has started here recently, per
+  /// weight; 0 in a configuration without accounts.
+  double startedPerWeight(const JobEntry &job, TimePoint now);
+  void addStarted(const JobEntry &job, const model::StepSpec &step,
+                  TimePoint now);
   void resetReady();
   /// Lowers what is ready to what the free capacity can run.
   void limitReady();
--- a/tests/unit/unit-dispatch-accounts.cpp
+++ b/tests/unit/unit-dispatch-accounts.cpp
@@ -58,6 +58,7 @@
 };
 
 using AccountLimit = AccountFixture;
+using AccountOrder = AccountFixture;
 using AccountTakeover = AccountFixture;
 
 TEST_F(AccountLimit, TasksBeyondTheLimit_Wait) {
@@ -236,6 +237,53 @@
   EXPECT_EQ(logged, "acme");
 }
 
+// One account submits many jobs first; the other one's job must not wait behind
+// all of them.
+TEST_F(AccountOrder, FloodOfOneAccount_LeavesTheOtherItsShare) {
+  AccountLimits limits;
+  limits["flood"] = limits["acme"] = {};
+  TestShard.setAccountLimits(limits);
+  addWorker("w1");
+  for (std::uint64_t id = 1; id <= 10; ++id)
+    addJob(id, step(8, 4000), "flood");
+  ASSERT_EQ(startAll(), 8u);
+  Time.advance(100ms);
+  addJob(20, step(4, 4000));
+  PollReport report;
+  for (std::size_t i = 0; i < 8; ++i)
+    (i < 4 ? report.Ended.push_back({static_cast<std::int64_t>(i) + 1,
+                                     Started[i].Run, RunOutcome::Done, ""})
+           : report.Running.push_back({Started[i].Run, "", 100, 1, true}));
+  poll("w1", report);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 4u);
+  for (const WorkerCommand &it : orders)
+    EXPECT_EQ(it.Run.Task.Job, JobNumber{20});
+}
+
+// An account with the larger weight may start more before it comes second.
+TEST_F(AccountOrder, LargerWeight_IsServedFirstAfterEqualStarts) {
+  AccountLimits limits;
+  limits["light"].Weight = 1;
+  limits["acme"].Weight = 3;
+  TestShard.setAccountLimits(limits);
+  addWorker("w1");
+  addJob(1, step(4, 4000), "light");
+  addJob(2, step(4, 4000), "acme");
+  ASSERT_EQ(startAll(), 8u);
+  addJob(3, step(4, 4000), "light");
+  Time.advance(100ms);
+  addJob(4, step(4, 4000), "acme");
+  PollReport report;
+  report.Ended = {{1, Started[0].Run, RunOutcome::Done, ""}};
+  for (std::size_t i = 1; i < 8; ++i)
+    report.Running.push_back({Started[i].Run, "", 100, 1, true});
+  poll("w1", report);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task.Job, JobNumber{4});
+}
+
 // Runs of the earlier owner on a worker that has not answered are unknown.
 TEST_F(AccountTakeover, InheritedShare_CountsUntilTheWorkersAreVerified) {
   TestShard.markUnverified({{base::WorkerId("w1"), {"10.0.0.1", 8080}},
