--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -57,6 +57,10 @@
   base::MilliCores ShortTaskHeadroom{0};
   base::MilliCores LongRunningHeadroom{0};
   base::MilliCores FillerHeadroom{0};
+  /// CPU in thousandths of a core that each account has started in the last ten
+  /// seconds; the empty name stands for jobs without an account. Empty if the
+  /// configuration has no accounts.
+  std::map<std::string, std::int64_t> StartedCpu;
 };
 
 /// What the configuration grants to a client account.
@@ -162,6 +166,11 @@
   /// \param revision revision of the record, if it was written.
   void onAccountWrite(const std::string &account, AccountWriteOutcome outcome,
                       std::int64_t revision, base::TimePoint now);
+  /// Returns whether the configuration has, or had, accounts.
+  bool hasAccounts() const;
+  /// Passes in the latest sums in another shard's load record.
+  void setPeerStartedCpu(std::int32_t shard,
+                         std::map<std::string, std::int64_t> started);
   /// Returns whether tasks of the account wait for a larger share.
   bool isAccountWaiting(const std::string &account) const;
 
--- a/packages/dispatch/src/Accounts.cpp
+++ b/packages/dispatch/src/Accounts.cpp
@@ -79,7 +79,12 @@
   // A weight of 0 is owed nothing, so that its account comes last.
   constexpr double minWeight = 1e-6;
   double weight = account ? std::max(account->Weight, minWeight) : 1;
-  return static_cast<double>(started.sum(now)) / weight;
+  std::int64_t sum = started.sum(now);
+  const std::string name = account ? job.Job.Account : std::string();
+  for (const auto &[shard, sums] : PeerStarted)
+    if (auto it = sums.find(name); it != sums.end())
+      sum += it->second;
+  return static_cast<double>(sum) / weight;
 }
 
 void ShardState::addStarted(const JobEntry &job, const model::StepSpec &step,
@@ -90,6 +95,18 @@
   (account ? account->Started : OtherStarted).add(count(step.Size.Cpu), now);
 }
 
+void ShardState::addStartedTo(ShardLoad &load) const {
+  if (Accounts.empty())
+    return;
+  auto add = [&](const std::string &name, const policy::StartedCpu &started) {
+    if (std::int64_t sum = started.sum(PlannedAt); sum > 0)
+      load.StartedCpu[name] = sum;
+  };
+  add("", OtherStarted);
+  for (const auto &[name, account] : Accounts)
+    add(name, account.Started);
+}
+
 void ShardState::resetReady() {
   for (auto &[name, account] : Accounts)
     account.Demand.Ready = account.Demand.NextTask = {};
@@ -211,6 +228,13 @@
   }
 }
 
+bool Shard::hasAccounts() const { return !State->Accounts.empty(); }
+
+void Shard::setPeerStartedCpu(std::int32_t shard,
+                              std::map<std::string, std::int64_t> started) {
+  State->PeerStarted[shard] = std::move(started);
+}
+
 bool Shard::isAccountWaiting(const std::string &account) const {
   auto it = State->Accounts.find(account);
   return it != State->Accounts.end() && it->second.Limited &&
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -422,6 +422,7 @@
   load.ShortTaskHeadroom = base::MilliCores{forShort};
   load.LongRunningHeadroom = base::MilliCores{forLongRunning};
   load.FillerHeadroom = base::MilliCores{forFillers};
+  State->addStartedTo(load);
   for (const JobEntry *it : State->LiveJobs) {
     if (!it->isLive())
       continue;
--- a/packages/dispatch/src/Loads.cpp
+++ b/packages/dispatch/src/Loads.cpp
@@ -4,19 +4,26 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace endivedoor::dispatch::detail {
 
 namespace json = boost::json;
 
+/// Largest sum of started CPU of an account that is read.
+constexpr std::int64_t MaxStartedCpu = std::int64_t{1} << 40;
+
 std::string encodeLoad(const ShardLoad &load) {
   json::object pending;
   for (const auto &[queue, jobs] : load.Pending)
     pending[queue] = jobs;
-  return json::serialize(
-      json::object{{"pending", std::move(pending)},
-                   {"roomForShort", count(load.ShortTaskHeadroom)},
-                   {"roomForLasting", count(load.LongRunningHeadroom)},
-                   {"roomForFillers", count(load.FillerHeadroom)}});
+  json::object to{{"pending", std::move(pending)},
+                  {"roomForShort", count(load.ShortTaskHeadroom)},
+                  {"roomForLasting", count(load.LongRunningHeadroom)},
+                  {"roomForFillers", count(load.FillerHeadroom)}};
+  if (!load.StartedCpu.empty())
+    to["started"] = json::value_from(load.StartedCpu);
+  return json::serialize(to);
 }
 
 base::Result<ShardLoad> decodeLoad(const std::string &text) {
@@ -40,6 +47,12 @@
     for (const auto &[queue, jobs] : pending->as_object())
       if (jobs.is_int64())
         load.Pending[std::string(queue)] = jobs.as_int64();
+  const json::value *started = value.value().as_object().if_contains("started");
+  if (started && started->is_object())
+    for (const auto &[account, cpu] : started->as_object())
+      if (cpu.is_int64())
+        load.StartedCpu[std::string(account)] =
+            std::clamp<std::int64_t>(cpu.as_int64(), 0, MaxStartedCpu);
   return load;
 }
 
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -532,6 +532,7 @@
 std::vector<WorkerCommand> Shard::plan(base::TimePoint now, base::WallTime wall,
                                        bool mayStart, std::size_t maxStarts) {
   detail::ShardState &s = *State;
+  s.PlannedAt = now;
   s.expireLeases(now);
   s.openDueOccurrences(wall, now);
   s.stopUnneededRuns(now);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -190,6 +190,9 @@
     asio::co_spawn(
         Context.Executor, [self] { return self->readPeerModels(); },
         asio::detached);
+    asio::co_spawn(
+        Context.Executor, [self] { return self->readPeerLoads(); },
+        asio::detached);
     spawnPollLoops();
   }
   requestPlan();
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -99,6 +99,8 @@
   void spawnAccountLoad();
   boost::asio::awaitable<void> loadAccounts();
   void spawnAccountWrites();
+  /// Reads what the accounts have started in the other shards.
+  boost::asio::awaitable<void> readPeerLoads();
   boost::asio::awaitable<void> storeAccount(AccountWrite write);
   /// Moves jobs and delegates tasks that wait here to other shards.
   boost::asio::awaitable<void> transferWork();
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -322,6 +322,10 @@
   /// Of the jobs that belong to no account, which share the capacity like one
   /// account of weight 1.
   policy::StartedCpu OtherStarted;
+  /// The sums of the other shards, from their load records.
+  std::map<std::int32_t, std::map<std::string, std::int64_t>> PeerStarted;
+  /// When the latest plan was made.
+  TimePoint PlannedAt;
   std::deque<JobNumber> Dirty;
   /// Started jobs whose index record does not say so yet.
   std::deque<JobNumber> StartedUnmarked;
@@ -422,6 +426,7 @@
   double startedPerWeight(const JobEntry &job, TimePoint now);
   void addStarted(const JobEntry &job, const model::StepSpec &step,
                   TimePoint now);
+  void addStartedTo(ShardLoad &load) const;
   void resetReady();
   /// Lowers what is ready to what the free capacity can run.
   void limitReady();
--- a/tests/unit/unit-dispatch-accounts.cpp
+++ b/tests/unit/unit-dispatch-accounts.cpp
@@ -261,6 +261,24 @@
     EXPECT_EQ(it.Run.Task.Job, JobNumber{20});
 }
 
+// The shares are those of the whole cluster, not of each shard.
+TEST_F(AccountOrder, StartsInOtherShards_Count) {
+  AccountLimits limits;
+  limits["busy"] = limits["acme"] = {};
+  TestShard.setAccountLimits(limits);
+  TestShard.setPeerStartedCpu(1, {{"busy", 50000}});
+  addWorker("w1");
+  addJob(1, step(8, 4000), "busy");
+  Time.advance(100ms);
+  addJob(2, step(4, 4000));
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 8u);
+  EXPECT_EQ(orders[0].Run.Task.Job, JobNumber{2});
+  EXPECT_EQ(
+      TestShard.load().StartedCpu,
+      (std::map<std::string, std::int64_t>{{"busy", 16000}, {"acme", 16000}}));
+}
+
 // An account with the larger weight may start more before it comes second.
 TEST_F(AccountOrder, LargerWeight_IsServedFirstAfterEqualStarts) {
   AccountLimits limits;
