--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -63,6 +63,10 @@
   /// The same in thousandths of a core for single filler programs, on the
   /// workers whose serving tasks they do not make miss their targets.
   std::map<std::string, std::int64_t> FillerCpu;
+  /// CPU in thousandths of a core that each account has started in the last ten
+  /// seconds; the empty name stands for jobs without an account. Empty if the
+  /// configuration has no accounts.
+  std::map<std::string, std::int64_t> StartedCpu;
 };
 
 /// What the configuration grants to a client account.
@@ -72,6 +76,8 @@
   /// When an amount without a limit got one in this process; empty if the
   /// first configuration had it.
   std::optional<base::TimePoint> LimitedSince;
+  /// Fair share of scarce capacity, relative to the other accounts.
+  double Weight = 1;
   friend bool operator==(const AccountLimit &, const AccountLimit &) = default;
 };
 
@@ -172,6 +178,11 @@
   /// \param revision revision of the record, if it was written.
   void onAccountWrite(const std::string &account, AccountWriteOutcome outcome,
                       std::int64_t revision, base::TimePoint now);
+  /// Returns whether the configuration has, or had, accounts.
+  bool hasAccounts() const;
+  /// Passes in the latest sums in another shard's load record.
+  void setPeerStartedCpu(std::int32_t shard,
+                         std::map<std::string, std::int64_t> started);
   /// Returns whether tasks of the account wait for a larger share.
   bool isAccountWaiting(const std::string &account) const;
 
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -435,6 +435,7 @@
   load.LongRunningHeadroom = base::MilliCores{forLongRunning};
   load.FillerHeadroom = base::MilliCores{forFillers};
   load.FillerCpu = detail::suitableFillerCpu(*State, State->PlannedAt);
+  State->addStartedTo(load);
   for (const JobEntry *it : State->LiveJobs) {
     if (!it->isLive())
       continue;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -6,6 +6,7 @@
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
 #include "endivedoor/policy/ServingLoad.h"
+#include "endivedoor/policy/StartedCpu.h"
 
 #include <algorithm>
 #include <deque>
@@ -185,7 +186,9 @@
 
   policy::AccountShare Share;
   bool Limited = false;
+  double Weight = 1;
   policy::ShareDemand Demand;
+  policy::StartedCpu Started;
 };
 
 /// Capacity that a run occupies on its worker. Step points into the run's job,
@@ -333,6 +336,13 @@
   /// Never removed, since reservations refer to them. Empty if no configuration
   /// had accounts.
   std::map<std::string, AccountState> Accounts;
+  /// Of the jobs that belong to no account, which share the capacity like one
+  /// account of weight 1.
+  policy::StartedCpu OtherStarted;
+  /// The sums of the other shards, from their load records.
+  std::map<std::int32_t, std::map<std::string, std::int64_t>> PeerStarted;
+  /// When the latest plan was made.
+  TimePoint PlannedAt;
   std::deque<JobNumber> Dirty;
   /// Started jobs whose index record does not say so yet.
   std::deque<JobNumber> StartedUnmarked;
@@ -447,6 +457,12 @@
   /// \param atOnce tasks that must start together.
   void addReady(const JobEntry &job, const model::StepSpec &step,
                 std::int32_t tasks, std::int32_t atOnce);
+  /// Returns the CPU that the job's account has started here recently, per
+  /// weight; 0 in a configuration without accounts.
+  double startedPerWeight(const JobEntry &job, TimePoint now);
+  void addStarted(const JobEntry &job, const model::StepSpec &step,
+                  TimePoint now);
+  void addStartedTo(ShardLoad &load) const;
   void resetReady();
   /// Lowers what is ready to what the free capacity can run.
   void limitReady();
