Start nothing from old operator records

Cause: zones out of service come through a watch of their own, whose age was not compared before a start. While that watch stalled, tasks were started in zones that operators had taken out of service.

Change: an owner compares the age of the operators' records as it does that of the jobs: nothing starts from a copy older than 1.5 s while the store answers other calls.

Draining workers and capacities come through the worker entries, which are batched and not compared; left as it was.

Test: DispatchNodeRecords.OldOperatorRecords_StartNothing, seen to fail without the comparison; the five tests of DispatchNodeRecords pass.

--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -40,6 +41,14 @@
   std::int32_t WorkersPerShard = 72;
 };
 
+/// How recent a local copy of records is.
+struct RecordsAge {
+  /// The copy contains all that the store had acknowledged by then.
+  base::TimePoint AsOf;
+  /// The latest finished call for these records was answered.
+  bool Reachable = false;
+};
+
 enum class SubmitOutcome {
   /// The job is stored.
   Accepted,
@@ -73,6 +82,10 @@
   /// or the store has proved unreachable.
   boost::asio::awaitable<void> leave();
 
+  /// Sets the source of the age of the operators' records, which the zones out
+  /// of service come from. While the store answers other calls, nothing is
+  /// started from old ones. Without a source, their age is not checked.
+  void setOperatorRecords(std::function<RecordsAge()> age);
   /// Sets the zones that are out of service. Replaces the previous set.
   void setZonesOutOfService(std::set<base::ZoneId> zones);
   void updateWorker(const model::WorkerProfile &worker);
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -81,6 +81,8 @@
   TimePoint WorkersChanged;
   TimePoint LastStoreContact;
   TimePoint LeaseRenewedAt;
+  /// Null if the age of the operators' records is not checked.
+  std::function<RecordsAge()> OperatorRecords;
   TimePoint Started;
   TimePoint LastHandover;
   LeaseId Lease{0};
@@ -466,6 +468,11 @@
         self->LastStoreContact = std::max(self->LastStoreContact, sent);
       },
       [self] { return self->LeaseRenewedAt; },
+      [self]() -> std::optional<RecordsAge> {
+        if (!self->OperatorRecords)
+          return std::nullopt;
+        return self->OperatorRecords();
+      },
       {},
       [self] { return self->View.Shards; },
       [self](const ShardRunner &runner) { self->removeRunner(runner); }};
@@ -616,6 +623,10 @@
                         {{"cause", ended.error().message()}});
 }
 
+void DispatchNode::setOperatorRecords(std::function<RecordsAge()> age) {
+  Self->OperatorRecords = std::move(age);
+}
+
 void DispatchNode::setZonesOutOfService(std::set<base::ZoneId> zones) {
   if (zones == Self->Workers.ZonesOutOfService)
     return;
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -93,15 +93,23 @@
          Context.Options.NodeLease;
 }
 
-/// Returns whether the jobs and cancellations are recent enough to start tasks.
-/// While the store as a whole does not answer this node, starts go on: no more
-/// recent records can be had.
-bool ShardRunner::recordsAreCurrent() const {
-  TimePoint asOf = Mirror->lastAnsweredCall();
-  if (Context.Time.now() - asOf <= MaxRecordAge)
+/// Returns whether records are recent enough to start tasks from them. While
+/// the store as a whole does not answer this node, starts go on: no more recent
+/// records can be had.
+bool ShardRunner::isCurrent(const RecordsAge &records) const {
+  if (Context.Time.now() - records.AsOf <= MaxRecordAge)
     return true;
-  bool otherCallsAnswered = Context.LastStoreContact() - asOf > MaxRecordAge;
-  return !Mirror->isReachable() && !otherCallsAnswered;
+  bool otherCallsAnswered =
+      Context.LastStoreContact() - records.AsOf > MaxRecordAge;
+  return !records.Reachable && !otherCallsAnswered;
+}
+
+/// Returns whether the jobs, cancellations and zones out of service are recent
+/// enough to start tasks.
+bool ShardRunner::recordsAreCurrent() const {
+  std::optional<RecordsAge> operators = Context.OperatorRecords();
+  return isCurrent({Mirror->lastAnsweredCall(), Mirror->isReachable()}) &&
+         (!operators || isCurrent(*operators));
 }
 
 asio::awaitable<void> ShardRunner::load() {
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -54,6 +54,8 @@
   std::function<void(base::TimePoint sent)> OnStoreContact;
   /// Returns when the latest successful renewal of the node's lease was sent.
   std::function<base::TimePoint()> LeaseRenewedAt;
+  /// Returns the age of the operators' records; nothing if it is not checked.
+  std::function<std::optional<RecordsAge>()> OperatorRecords;
   /// Returns another shard with capacity for a job, or std::nullopt. Null if
   /// there is only one shard.
   std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
@@ -114,6 +116,7 @@
   void endTerm(const char *cause);
   bool maySendCommands() const;
   bool ownsShard() const;
+  bool isCurrent(const RecordsAge &records) const;
   bool recordsAreCurrent() const;
 
   RunnerContext Context;
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -491,6 +491,32 @@
 }
 
 // Tasks start through an outage of the whole store of the usual length.
+// Operators take a zone out of service and count on no start there after 3 s;
+// only the records of the jobs were compared with their age.
+TEST_F(DispatchNodeRecords, OldOperatorRecords_StartNothing) {
+  Workers.KeepRunning = true;
+  DispatchNode &node = addNode("n1");
+  dispatch::RecordsAge age{Time.now(), true};
+  bool advances = false;
+  node.setOperatorRecords([&] {
+    if (advances)
+      age.AsOf = Time.now();
+    return age;
+  });
+  ASSERT_TRUE(runUntil([&] { return node.ownedShards() == 1; }));
+  runFor(1600ms);
+  EXPECT_EQ(await(node.submit(job(1, 1))), SubmitOutcome::Accepted);
+  runFor(500ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  // The watch alone fails: other calls are answered.
+  age.Reachable = false;
+  runFor(500ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  age.Reachable = advances = true;
+  EXPECT_TRUE(
+      runUntil([&] { return Workers.StartCounts.size() == 1; }, 2000ms));
+}
+
 TEST_F(DispatchNodeRecords, StoreOutage_StartsTheWaitingTask) {
   DispatchNode &node = startJobWithAWaitingTask();
   Store.Unavailable = true;
