End the wait for a restarted worker that never answers

Cause: found by reading all waits. A start that may have reached the new incarnation of a worker waits for that incarnation's list. The clock sample of the earlier one is gone, so the lease of such a run never expired if the worker was not heard again.

Change: the run counts as lost once the longest lease that a worker grants has expired, 11.3 s after the restart was seen (transit 1 s, lease 10 s, clock error 2%, margin 0.1 s). Its deadline is on the clock of the earlier incarnation and says nothing here.

--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -85,6 +85,15 @@
   worker.OrphanRuns.clear();
   worker.Synced = false;
   worker.Clock.reset();
+  // A command that reaches the new incarnation carries a deadline on the clock
+  // of the earlier one, so only the longest lease that a worker grants bounds
+  // it.
+  worker.RestartLeaseUntil =
+      now + MaxCallDelay +
+      std::chrono::duration_cast<base::Duration>(
+          std::chrono::duration<double, std::milli>(Options.MaxLease) *
+          MaxClockDriftFactor) +
+      LeaseExpiryMargin;
   worker.LatestDeadline = WorkerTime{0};
   worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -247,6 +247,14 @@
       dropRuns(*w, "lease of an earlier owner expired");
     }
     bool hasRuns = !w->Runs.empty() || !w->OrphanRuns.empty();
+    if (w->RestartLeaseUntil && now >= *w->RestartLeaseUntil) {
+      w->RestartLeaseUntil.reset();
+      if (!w->Clock && hasRuns) {
+        markLostWithLease(*w);
+        dropRuns(*w, "no answer since the worker restarted");
+        continue;
+      }
+    }
     if (!w->Clock || !(hasRuns || (w->SilentSince && w->Synced)))
       continue;
     auto leaseLeft = std::chrono::duration<double, std::milli>(
@@ -444,6 +452,7 @@
                   {{"worker", worker.str()}, {"row", report.InvalidRow}});
   w.InvalidRow = report.InvalidRow;
   w.Clock = detail::ClockSample{report.Clock, received};
+  w.RestartLeaseUntil.reset();
   for (const EndedRun &end : report.Ended)
     if (end.SequenceNumber > w.LastProcessedEnd)
       s.processEnd(w, end, received);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -214,6 +214,9 @@
   /// Until then, the worker may have runs of an earlier owner that it has not
   /// listed yet.
   std::optional<TimePoint> UnverifiedUntil;
+  /// After a restart, until then the new incarnation may hold a lease from a
+  /// command that was sent to the earlier one.
+  std::optional<TimePoint> RestartLeaseUntil;
   std::optional<ClockSample> Clock;
   /// Latest lease deadline that the worker may have received.
   WorkerTime LatestDeadline{0};
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -314,6 +314,41 @@
   EXPECT_EQ(plan().size(), 1u);
 }
 
+// A start that may have reached the new incarnation of a worker waited for its
+// list, also if that incarnation was never heard of again.
+TEST_F(SilentWorker, RestartedAndLost_TaskStartsElsewhereAfterTheLongestLease) {
+  TestShard.addJob(job(2, {step(12)}), 201, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  confirmStarts(orders);
+  auto there =
+      std::count_if(orders.begin(), orders.end(), [](const auto &order) {
+        return order.Worker.Id.str() == "lost";
+      });
+  ASSERT_GT(there, 0);
+  model::WorkerProfile reborn = worker("lost");
+  reborn.StartTime = 2000ms;
+  TestShard.updateWorker(reborn, now());
+  TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
+  PollReport rest;
+  for (const WorkerCommand &it : orders)
+    if (it.Worker.Id.str() == "other")
+      rest.Running.push_back({it.Run, "", 100, 4000, true});
+  base::TimePoint begin = now();
+  addWorker("third");
+  std::ptrdiff_t again = 0;
+  while (again == 0 && now() - begin < 20s) {
+    Time.advance(100ms);
+    poll("other", rest);
+    poll("third");
+    storeWrites();
+    for (const WorkerCommand &it : plan())
+      again += it.Run.Task.Job == JobNumber{2};
+  }
+  EXPECT_EQ(again, there);
+  EXPECT_GT(now() - begin, 11300ms);
+  EXPECT_LT(now() - begin, 11700ms);
+}
+
 using InvalidRows = SilentWorker;
 
 // A run whose row was skipped must not count as gone: the task runs twice.
