--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -364,8 +364,6 @@
   /// was updated.
   std::map<std::string, double> FillerDemand;
   TimePoint DemandAsOf;
-  /// When the latest plan was made.
-  TimePoint PlannedAt;
   /// Ratio of that demand to the CPU that the suitable workers have for
   /// fillers, as of the current plan.
   std::map<std::string, double> DemandRatios;
