Lose workers for good in the soak

Cause: the soak brought every crashed worker back and reset every link, so it could not find a wait that ends only with the worker's return.

Change: one worker crashes for good and never answers again at a random time amid the faults, another one after the last fault, when no change of owner ends the wait. A generator of its own chooses them; the other faults of a seed are drawn as before.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -19,6 +19,8 @@
 /// Minimum length of a calm stretch: the checker's bounds apply 3 s after the
 /// last fault, and a cancellation then has 3.9 s until its last run is gone.
 constexpr auto CalmTime = 8000ms;
+/// Time for which the entry of a lost worker stays.
+constexpr auto EntryLifetime = 3000ms;
 
 /// A kind that is listed twice is chosen twice as often.
 const std::vector<FaultInjector::FaultKind> FaultInjector::FaultKinds = {
@@ -48,7 +50,8 @@
 
 FaultInjector::FaultInjector(asio::io_context &io, const base::Clock &clock,
                              TestCluster &cluster, std::uint64_t seed)
-    : Io(io), Time(clock), Cluster(cluster), Random(seed) {}
+    : Io(io), Time(clock), Cluster(cluster), Random(seed),
+      LossRandom(seed + 1) {}
 
 int FaultInjector::randomInt(int min, int max) {
   return std::uniform_int_distribution<int>(min, max)(Random);
@@ -89,6 +92,7 @@
 
 Awaitable<void> FaultInjector::runFor(milliseconds duration) {
   milliseconds before = duration * randomInt(20, 80) / 100;
+  asio::co_spawn(Io, loseWorker(before), asio::detached);
   co_await startFaultsUntil(Time.now() + before);
   co_await waitForFaults();
   Calm = true;
@@ -96,6 +100,27 @@
   Calm = false;
   co_await startFaultsUntil(Time.now() + (duration - before));
   co_await waitForFaults();
+  // After the last fault no change of owner ends the wait for the worker.
+  co_await loseWorker(milliseconds(0));
+}
+
+/// Loses a worker for good after a random time, at most \p maxDelay.
+Awaitable<void> FaultInjector::loseWorker(milliseconds maxDelay) {
+  auto random = [&](std::int64_t max) {
+    return std::uniform_int_distribution<std::int64_t>(0, max)(LossRandom);
+  };
+  ++ActiveFaults;
+  ++InjectedCounts["worker-lost"];
+  Cluster.Checker.onFaultBegin();
+  co_await sleepFor(milliseconds(random(maxDelay.count())));
+  auto worker = static_cast<std::size_t>(
+      random(static_cast<std::int64_t>(Cluster.Workers.size()) - 1));
+  co_await Cluster.loseWorker(worker);
+  // Its entry ends with its lease in the store.
+  co_await sleepFor(EntryLifetime);
+  Cluster.Store.erase("servers/" + Cluster.Workers[worker]->id());
+  Cluster.Checker.onFaultEnd();
+  --ActiveFaults;
 }
 
 Awaitable<void> FaultInjector::inject(FaultKind kind) {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -35,6 +35,7 @@
   static const std::vector<FaultKind> FaultKinds;
 
   Awaitable<void> inject(FaultKind kind);
+  Awaitable<void> loseWorker(std::chrono::milliseconds maxDelay);
   Awaitable<void> startFaultsUntil(base::TimePoint end);
   Awaitable<void> waitForFaults();
   Awaitable<void> killDaemon();
@@ -69,6 +70,9 @@
   const base::Clock &Time;
   TestCluster &Cluster;
   std::mt19937_64 Random;
+  /// Chooses the workers that are lost for good. A generator of its own keeps
+  /// the other faults of a seed as they were.
+  std::mt19937_64 LossRandom;
   std::map<std::string, int> InjectedCounts;
   int ActiveFaults = 0;
   /// Daemons that restarts in series have yet to start again.
--- a/tests/soak/TestCluster.cpp
+++ b/tests/soak/TestCluster.cpp
@@ -96,6 +96,17 @@
 
 Awaitable<void> TestCluster::configureLink(std::string name,
                                            std::string settings) {
+  co_await sendLinkSettings(name, std::move(settings));
+  // The link of a lost worker stays cut.
+  for (std::size_t i = 0; i < Workers.size(); ++i) {
+    std::string link = "worker-" + std::to_string(i);
+    if (Workers[i]->isVanished() && (name == link || name == "worker-*"))
+      co_await sendLinkSettings(link, R"({"cut":"both"})");
+  }
+}
+
+Awaitable<void> TestCluster::sendLinkSettings(std::string name,
+                                              std::string settings) {
   platform::HttpRequest request;
   request.Method = "POST";
   request.Path = "/admin/links/" + name;
@@ -109,6 +120,11 @@
   }
 }
 
+Awaitable<void> TestCluster::loseWorker(std::size_t number) {
+  Workers[number]->vanish();
+  co_await configureLink("worker-" + std::to_string(number), "{}");
+}
+
 /// Stores the next version of the configuration, with different latency
 /// targets.
 void TestCluster::publishConfiguration() {
--- a/tests/soak/TestCluster.h
+++ b/tests/soak/TestCluster.h
@@ -50,6 +50,8 @@
   /// Replaces the fault settings of a proxy link, or of all links with a prefix
   /// ("x*").
   Awaitable<void> configureLink(std::string name, std::string settings);
+  /// A worker crashes for good; its address never answers again.
+  Awaitable<void> loseWorker(std::size_t number);
   void publishConfiguration();
   /// Clears the faults of all stand-ins and returns all zones to service. The
   /// caller resets the proxy links.
@@ -64,6 +66,7 @@
   std::vector<std::unique_ptr<standin::WorkerServer>> Workers;
 
 private:
+  Awaitable<void> sendLinkSettings(std::string name, std::string settings);
   std::string address(int offset) const;
 
   asio::io_context &Io;
--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -160,13 +160,22 @@
 }
 
 void WorkerServer::crash(milliseconds downtime) {
+  if (Vanished)
+    return;
   Checker.onCrash(id(), Profile.Draining);
   for (const EndedRun &it : EndedRuns)
     Checker.onEndLost(it.Id);
   shutDown(downtime);
 }
 
+void WorkerServer::vanish() {
+  crash(0ms);
+  Vanished = true;
+}
+
 void WorkerServer::leave(milliseconds downtime) {
+  if (Vanished)
+    return;
   Checker.onLeave(id());
   shutDown(downtime);
 }
@@ -267,7 +276,7 @@
     asio::steady_timer timer(Io, ProgressInterval);
     co_await timer.async_wait(AsTuple);
     base::TimePoint now = Time.now();
-    if (DownUntil && now >= *DownUntil) {
+    if (DownUntil && now >= *DownUntil && !Vanished) {
       DownUntil.reset();
       startIncarnation();
       Checker.onRestart(id());
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -48,6 +48,9 @@
   void crash(std::chrono::milliseconds downtime);
   /// The same, as the end of a drain.
   void leave(std::chrono::milliseconds downtime);
+  /// As a crash, but nothing brings the worker back.
+  void vanish();
+  bool isVanished() const { return Vanished; }
   const std::string id() const { return Profile.Id.str(); }
 
 private:
@@ -99,6 +102,7 @@
   Faults ActiveFaults;
   base::TimePoint IncarnationStart;
   std::optional<base::TimePoint> DownUntil;
+  bool Vanished = false;
   /// Replaced capacities, each with the time at which it no longer counts; no
   /// time while its successor has not been published.
   std::vector<std::pair<base::Resources, std::optional<base::TimePoint>>>
