Order waiting work by what can still be in time

Long-running tasks went first, then priority, then deadline. After a loss of workers, hundreds of restarting long-running tasks took all free capacity, and what was already late went before what could be in time.

waitingKey() orders ready steps by urgency, laxity, priority and remaining path, with aging after three objectives. ShortDemand keeps the recent demand of short tasks free of long-running tasks that are not overdue.

--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -3,6 +3,8 @@
 #ifndef ENDIVEDOOR_DISPATCH_SHARDOPTIONS_H
 #define ENDIVEDOOR_DISPATCH_SHARDOPTIONS_H
 
+#include "endivedoor/policy/WaitingOrder.h"
+
 #include <chrono>
 
 namespace endivedoor::dispatch {
@@ -25,6 +27,8 @@
   /// An owner sends no commands once this much time has passed since the store
   /// last answered it. Long enough for a store outage of usual length.
   milliseconds OwnerGrace{8000};
+  /// How waiting work that can still be in time is ordered.
+  policy::WaitingRule WaitingOrder = policy::WaitingRule::LeastLaxity;
 };
 
 /// Largest rate error of a worker's clock; the platform guarantees at most 2%
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -158,6 +158,7 @@
                {"noLabel", std::to_string(rejections.MissingLabel)},
                {"noCpu", std::to_string(rejections.NoCpu)},
                {"noMemory", std::to_string(rejections.NoMemory)},
+               {"keptForShort", std::to_string(ShortTasks.expected())},
                {"other", std::to_string(rejections.Other)}});
 }
 
@@ -172,7 +173,7 @@
 }
 
 void ShardState::startStep(JobEntry &job, Occurrence &o, std::int32_t step,
-                           TimePoint now) {
+                           bool overdue, TimePoint now) {
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
@@ -189,6 +190,11 @@
       continue;
     if (StartBudget == 0)
       return;
+    if (spec.LongRunning && !overdue &&
+        count(spec.Size.Cpu) > LongRunningBudget) {
+      logWait(job, o, step, entry, now);
+      return;
+    }
     TaskKey key{job.Job.Id, o.Number, step, i};
     bool isolated = needsIsolation(task, entry, now);
     WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now,
@@ -221,6 +227,8 @@
     // wait for a worker of its own again.
     entry.WaitingSince.reset();
     startTask(job, key, task, *worker, now, run);
+    if (spec.LongRunning)
+      LongRunningBudget -= count(spec.Size.Cpu);
     --StartBudget;
     ++counts[worker];
   }
@@ -295,6 +303,60 @@
   DemandRatios = computeDemandRatios(*this, waitingCpu);
 }
 
+/// Returns the expected run time of the longest chain of unfinished steps that
+/// begins with \p step.
+static base::Duration remainingPath(const model::JobGraph &graph,
+                                    const Occurrence &o, std::size_t step) {
+  // Dependencies point to earlier steps, so the chain ends come last.
+  std::vector<base::Duration> paths(graph.Steps.size());
+  for (std::size_t i = graph.Steps.size(); i-- > step;) {
+    if (o.Steps[i].DoneCount < graph.Steps[i].Count)
+      paths[i] += graph.Steps[i].Estimate;
+    for (std::int32_t before : graph.Steps[i].Dependencies)
+      if (before >= 0 && static_cast<std::size_t>(before) < i)
+        paths[static_cast<std::size_t>(before)] =
+            std::max(paths[static_cast<std::size_t>(before)], paths[i]);
+  }
+  return paths[step];
+}
+
+policy::WaitingWork ShardState::waitingWork(const JobEntry &job,
+                                            const Occurrence &o,
+                                            std::size_t step,
+                                            TimePoint now) const {
+  const model::StepSpec &spec = job.Job.Graph.Steps[step];
+  const StepEntry &entry = o.Steps[step];
+  policy::WaitingWork work;
+  work.Waited = now - entry.UnservedSince.value_or(now);
+  work.Priority = job.Job.Policy.Priority;
+  work.WaitingCpu = entry.WaitingCount * count(spec.Size.Cpu);
+  if (spec.LongRunning) {
+    work.Objective = job.Job.Policy.Target;
+    work.TimeLeft = work.Objective - work.Waited;
+    return work;
+  }
+  // Occurrences of a recurring job have the objective of a job each.
+  work.Objective = job.Deadline - job.Accepted;
+  work.TimeLeft = std::max(job.Accepted, o.Created) + work.Objective - now;
+  work.RemainingPath = remainingPath(job.Job.Graph, o, step);
+  return work;
+}
+
+void ShardState::updateLongRunningBudget(std::int64_t shortCpu, TimePoint now) {
+  std::int64_t free = 0, running = 0;
+  for (const auto &[id, w] : Workers) {
+    running += count(w->Used.Cpu) - w->LongRunningCpu;
+    if (w->isUsable() && !ZonesOutOfService.contains(w->Profile.Zone))
+      free += std::max<std::int64_t>(0, count(w->Profile.Capacity.Cpu) -
+                                            count(w->Used.Cpu));
+  }
+  if (ShortTasksObserved)
+    ShortTasks.observe(running + shortCpu, now - *ShortTasksObserved);
+  ShortTasksObserved = now;
+  LongRunningBudget =
+      free - std::max<std::int64_t>(0, ShortTasks.expected() - running);
+}
+
 void ShardState::startReadySteps(TimePoint now) {
   bool unverified = hasUnverifiedWorkers();
   UnplaceableSteps.clear();
@@ -304,30 +366,51 @@
     w->ServedCache.reset();
   }
   updateDemandRatios();
-  std::vector<JobEntry *> jobs;
-  for (JobEntry *it : LiveJobs)
-    if (it->isLive() && !it->Moving && !(unverified && it->Inherited))
-      jobs.push_back(it);
-  // Long-running tasks first, then by priority, then by deadline.
-  std::sort(jobs.begin(), jobs.end(), [](const JobEntry *a, const JobEntry *b) {
-    return std::tuple(!a->isLongRunning(), a->Job.Policy.Priority,
-                      a->Deadline) <
-           std::tuple(!b->isLongRunning(), b->Job.Policy.Priority, b->Deadline);
-  });
-  for (JobEntry *job : jobs)
-    for (auto &[number, o] : job->Occurrences) {
-      if (o.Complete || !job->isLive())
-        continue;
-      for (std::size_t i = 0; i < o.Steps.size(); ++i) {
-        if (o.Steps[i].WaitingCount == 0 || !isReady(*job, o, i))
+  struct ReadyStep {
+    policy::WaitingKey Key;
+    JobEntry *Job;
+    Occurrence *At;
+    std::size_t Step;
+  };
+  std::vector<ReadyStep> ready;
+  std::int64_t shortCpu = 0;
+  for (JobEntry *job : LiveJobs) {
+    if (!job->isLive() || job->Moving || (unverified && job->Inherited))
+      continue;
+    for (auto &[number, o] : job->Occurrences)
+      for (std::size_t i = 0; !o.Complete && i < o.Steps.size(); ++i) {
+        StepEntry &entry = o.Steps[i];
+        if (entry.WaitingCount == 0 || !isReady(*job, o, i)) {
+          entry.UnservedSince.reset();
           continue;
-        auto step = static_cast<std::int32_t>(i);
-        if (job->Job.Graph.Steps[i].Gang)
-          startGang(*job, o, step, now);
-        else
-          startStep(*job, o, step, now);
+        }
+        if (!entry.UnservedSince)
+          entry.UnservedSince = now;
+        policy::WaitingWork work = waitingWork(*job, o, i, now);
+        const model::StepSpec &spec = job->Job.Graph.Steps[i];
+        if (!spec.LongRunning && !spec.Filler &&
+            policy::urgencyOf(work) == policy::Urgency::InTime)
+          shortCpu += work.WaitingCpu;
+        ready.push_back(
+            {policy::waitingKey(work, Options.WaitingOrder), job, &o, i});
       }
-    }
+  }
+  updateLongRunningBudget(shortCpu, now);
+  // Stable: equally urgent work keeps the order of acceptance.
+  std::stable_sort(
+      ready.begin(), ready.end(),
+      [](const ReadyStep &a, const ReadyStep &b) { return a.Key < b.Key; });
+  for (const ReadyStep &it : ready) {
+    // An earlier step of the job may have ended it.
+    if (!it.Job->isLive())
+      continue;
+    auto step = static_cast<std::int32_t>(it.Step);
+    if (it.Job->Job.Graph.Steps[it.Step].Gang)
+      startGang(*it.Job, *it.At, step, now);
+    else
+      startStep(*it.Job, *it.At, step,
+                std::get<0>(it.Key) == policy::Urgency::Overdue, now);
+  }
 }
 
 void ShardState::sendStop(const WorkerState &worker, const RunId &run,
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -5,6 +5,8 @@
 
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
+#include "endivedoor/policy/ShortDemand.h"
+#include "endivedoor/policy/WaitingOrder.h"
 
 #include <algorithm>
 #include <deque>
@@ -102,6 +104,8 @@
   /// last logged.
   std::optional<TimePoint> WaitingSince;
   TimePoint WaitLoggedAt;
+  /// Since when a pending task has had no run although the step is ready.
+  std::optional<TimePoint> UnservedSince;
 };
 
 struct Occurrence {
@@ -310,6 +314,12 @@
   /// program that are at least as large are not tried.
   std::vector<const model::StepSpec *> UnplaceableSteps;
   policy::ColocationModel Colocation;
+  policy::ShortDemand ShortTasks;
+  /// When ShortTasks was last updated.
+  std::optional<TimePoint> ShortTasksObserved;
+  /// CPU that the current plan may still give to long-running tasks without
+  /// taking what short tasks are expected to need.
+  std::int64_t LongRunningBudget = 0;
   /// Ratio of the waiting CPU demand of each filler program to the spare CPU of
   /// the workers that suit it, as of the current plan.
   std::map<std::string, double> DemandRatios;
@@ -380,9 +390,13 @@
   void openDueOccurrences(base::WallTime wall, TimePoint now);
   void startReadySteps(TimePoint now);
   void updateDemandRatios();
+  /// \param shortCpu CPU of the short tasks that wait and can be in time.
+  void updateLongRunningBudget(std::int64_t shortCpu, TimePoint now);
+  policy::WaitingWork waitingWork(const JobEntry &job, const Occurrence &o,
+                                  std::size_t step, TimePoint now) const;
   bool isKnownUnplaceable(const model::StepSpec &step) const;
   void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
-                 TimePoint now);
+                 bool overdue, TimePoint now);
   void logWait(const JobEntry &job, const Occurrence &occurrence,
                std::int32_t step, StepEntry &entry, TimePoint now);
   void startGang(JobEntry &job, Occurrence &occurrence, std::int32_t step,
