Reserve workers for large tasks and gangs, with backfilling

A stream of small tasks took each piece of capacity as soon as it was free, so large tasks and gangs waited for long or never started. Only long-running tasks had reservations, from one plan to the next and against every other task.

A task that waits for several runs to end gets a reservation on the worker where their expected ends give room soonest; a gang gets all that it needs. Tasks that end before it is due, or fit beside it, are backfilled.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -13,15 +13,36 @@
 /// Fillers are started as long as their declared CPU stays below this multiple
 /// of the CPU that the other tasks are assumed to leave free.
 constexpr double FillerOvercommit = 1.15;
+/// Fraction of the runs that end within the expected time of a run.
+constexpr double EndQuantile = 0.9;
 /// Highest predicted response time of a serving task, as a fraction of its
 /// target, with which another filler may be placed beside it.
 constexpr double MaxPredictedShare = 0.8;
 
+/// Returns whether capacity that is held for another step keeps a task from
+/// the worker.
+static bool isHeldForOthers(const ShardState &shard, const JobEntry &job,
+                            const model::StepSpec &step, const WorkerState &w,
+                            TimePoint now) {
+  if (!w.Held)
+    return false;
+  auto index = static_cast<std::size_t>(&step - job.Job.Graph.Steps.data());
+  bool own = w.Held->Job == job.Job.Id &&
+             static_cast<std::size_t>(w.Held->Step) == index;
+  if (own || (step.LongRunning && w.Held->LongRunning))
+    return false;
+  base::Resources size = step.Size;
+  if (step.Filler)
+    size.Cpu = base::MilliCores{0};
+  TimePoint end = step.LongRunning
+                      ? TimePoint::max()
+                      : now + shard.expectedTime(job, index, EndQuantile);
+  return !policy::mayBackfill(w.Held->Capacity, w.Profile.Capacity, size, end);
+}
+
 static bool fits(const WorkerState &w, const model::StepSpec &step) {
   const base::Resources &capacity = w.Profile.Capacity;
-  base::Resources taken = w.Used;
-  if (!step.LongRunning)
-    taken += w.ReservedCapacity;
+  const base::Resources &taken = w.Used;
   std::int64_t cpu = step.Filler ? 0 : count(step.Size.Cpu);
   // A capacity that has shrunk may be less than what runs there.
   return count(w.Used.Cpu) <= count(capacity.Cpu) &&
@@ -39,10 +60,8 @@
          LongRunningUsage * longRunning;
 }
 
-/// Returns whether the worker may run tasks of the step, capacity aside.
-static bool isEligible(const ShardState &shard, const JobEntry &job,
-                       const model::StepSpec &step, const WorkerState &w,
-                       TimePoint now) {
+bool mayHost(const ShardState &shard, const JobEntry &job,
+             const model::StepSpec &step, const WorkerState &w, TimePoint now) {
   // The size of an orphan run is unknown, so its worker gets no tasks until the
   // run has ended.
   return w.isUsable() && w.Clock && now >= w.AvoidUntil &&
@@ -54,7 +73,8 @@
 static bool canPlace(const ShardState &shard, const JobEntry &job,
                      const model::StepSpec &step, const WorkerState &w,
                      TimePoint now) {
-  return isEligible(shard, job, step, w, now) && fits(w, step);
+  return mayHost(shard, job, step, w, now) && fits(w, step) &&
+         !isHeldForOthers(shard, job, step, w, now);
 }
 
 /// Weight of the demand of other waiting programs for a worker, relative to its
@@ -184,7 +204,7 @@
     else if (!step.Requirement.empty() &&
              !hasLabel(w->Profile, step.Requirement))
       ++rejections.MissingLabel;
-    else if (!isEligible(shard, job, step, *w, now))
+    else if (!mayHost(shard, job, step, *w, now))
       ++rejections.Unusable;
     else if (noCpu)
       ++rejections.NoCpu;
@@ -228,35 +248,6 @@
   return ratios;
 }
 
-void reserveForLongRunning(ShardState &shard, const JobEntry &job,
-                           const model::StepSpec &step,
-                           const StepCounts &counts, TimePoint now) {
-  WorkerState *best = nullptr;
-  std::int64_t bestFree = 0;
-  for (const auto &[id, w] : shard.Workers) {
-    auto it = counts.find(w.get());
-    std::int32_t same = it == counts.end() ? 0 : it->second;
-    if (!isEligible(shard, job, step, *w, now) ||
-        count(w->ReservedCapacity.Cpu) > 0 ||
-        (step.MaxPerWorker > 0 && same >= step.MaxPerWorker))
-      continue;
-    // Capacity once the short tasks have ended, which is soon compared with the
-    // lifetime of a long-running task.
-    std::int64_t free = count(w->Profile.Capacity.Cpu) - w->LongRunningCpu;
-    std::int64_t memory =
-        count(w->Profile.Capacity.Memory) - w->LongRunningMemory;
-    if (free < count(step.Size.Cpu) || memory < count(step.Size.Memory))
-      continue;
-    std::int64_t freeNow = count(w->Profile.Capacity.Cpu) - count(w->Used.Cpu);
-    if (!best || freeNow > bestFree) {
-      best = w.get();
-      bestFree = freeNow;
-    }
-  }
-  if (best)
-    best->ReservedCapacity = step.Size;
-}
-
 /// Returns the rack label of a worker: its last label, after the label of its
 /// type.
 static std::string rackOf(const WorkerState &w) {
@@ -277,7 +268,11 @@
       continue;
     base::Resources free = w->Profile.Capacity;
     free -= w->Used;
-    for (std::int32_t n = 0; step.MaxPerWorker == 0 || n < step.MaxPerWorker;
+    // Capacity that is held for another step was checked for one task only.
+    bool single = w->Held && w->Held->Job != job.Job.Id;
+    for (std::int32_t n = 0;
+         (step.MaxPerWorker == 0 || n < step.MaxPerWorker) &&
+         (n == 0 || !single);
          ++n) {
       base::Resources size = step.Size;
       if (step.Filler)
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -83,6 +83,12 @@
       LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
           .has_value());
   reserve(worker, id, step);
+  useReservation(key, worker);
+  // The run may not have ended when held capacity on its worker is due.
+  if (worker.Held &&
+      now + expectedTime(job, static_cast<std::size_t>(key.Step), 0.9) >
+          worker.Held->Capacity.Due)
+    worker.Held->Capacity.UsedWhenDue += worker.Runs.at(id).Size;
   if (task.isSuspect())
     worker.SuspectRuns.insert(id);
   WorkerCommand command;
@@ -184,7 +190,8 @@
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
   bool starved = spec.Filler && job.RunCount == 0 && entry.WaitingSince &&
                  now - *entry.WaitingSince > StarvationTime;
-  if (!starved && isKnownUnplaceable(spec)) {
+  // Capacity may be held for this step that others of the program cannot use.
+  if (!starved && !hasReservation(job, o, step) && isKnownUnplaceable(spec)) {
     logWait(job, o, step, entry, now);
     return;
   }
@@ -210,6 +217,8 @@
       withdrawAnnouncement(job, task);
       continue;
     }
+    if (!worker)
+      reserveSoonest(job, o, step, entry.WaitingCount, counts, now);
     if (!worker && !spec.LongRunning) {
       // A limit per worker applies to this job only, so the failure says
       // nothing about other jobs of the same program.
@@ -217,10 +226,8 @@
         UnplaceableSteps.push_back(&spec);
       return;
     }
-    if (!worker) {
-      reserveForLongRunning(*this, job, spec, counts, now);
-      continue;
-    }
+    if (!worker)
+      return;
     std::int64_t run = nextRun(job, task, Term);
     if (!announceRun(job, key, task, run)) {
       if (!job.isLive())
@@ -254,6 +261,7 @@
   std::vector<WorkerState *> places =
       chooseGang(*this, job, spec, now, isolated);
   if (places.empty()) {
+    reserveForGang(job, o, step, now);
     logWait(job, o, step, entry, now);
     return;
   }
@@ -381,11 +389,11 @@
   bool unverified = hasUnverifiedWorkers();
   UnplaceableSteps.clear();
   for (auto &[id, w] : Workers) {
-    w->ReservedCapacity = {};
     w->ReservedForSuspect = false;
     w->ServedCache.reset();
   }
   updateDemandRatios();
+  refreshReservations(now);
   struct ReadyStep {
     policy::WaitingKey Key;
     JobEntry *Job;
--- /dev/null
+++ b/packages/dispatch/src/Reservations.cpp
@@ -0,0 +1,299 @@
+// Reservations for tasks that fit nowhere now. Load pattern: a stream of small
+// tasks takes each piece of capacity as soon as it is free, so that large
+// tasks and the tasks of wide steps never find enough at once.
+#include "detail/Placement.h"
+
+#include <algorithm>
+
+namespace endivedoor::dispatch::detail {
+
+using base::EventCode;
+using namespace std::chrono_literals;
+
+/// At most one worker in so many is reserved, so that the small tasks lose at
+/// most this part of the capacity even if no awaited run ends in time.
+constexpr std::size_t WorkersPerReservation = 8;
+/// The same for a gang, of which only one has reservations at a time.
+constexpr std::size_t MinWorkersPerGangReservation = 2;
+/// Fraction of the runs that end within the expected time of a run.
+constexpr double EndQuantile = 0.9;
+
+/// Returns the runs of the worker that end at some time.
+static std::vector<policy::ExpectedEnd> expectedEnds(ShardState &shard,
+                                                     const WorkerState &w) {
+  std::vector<policy::ExpectedEnd> ends;
+  for (const auto &[id, held] : w.Runs) {
+    JobEntry *job = nullptr;
+    TaskEntry *task = shard.findTask(id.Task, &job);
+    if (!task || held.Step->LongRunning)
+      continue;
+    base::Duration expected = shard.expectedTime(
+        *job, static_cast<std::size_t>(id.Task.Step), EndQuantile);
+    for (const Run &it : task->Runs)
+      if (it.Number == id.Number && it.Worker == &w)
+        ends.push_back({it.Started + expected, held.Size, expected});
+  }
+  return ends;
+}
+
+static policy::HeldCapacity held(ShardState &shard, const WorkerState &w,
+                                 const Reservation &reservation) {
+  policy::HeldCapacity result{reservation.Size, reservation.Due, w.Used};
+  for (const policy::ExpectedEnd &it : expectedEnds(shard, w))
+    if (it.At <= reservation.Due)
+      result.UsedWhenDue -= it.Size;
+  return result;
+}
+
+void ShardState::endReservation(const Reservation &reservation,
+                                const char *cause) {
+  auto w = Workers.find(reservation.Worker);
+  if (w != Workers.end())
+    w->second->Held.reset();
+  Events.emit(EventCode::ReservationEnded,
+              {{"job", formatJobNumber(reservation.Job)},
+               {"step", std::to_string(reservation.Occurrence) + "." +
+                            std::to_string(reservation.Step)},
+               {"worker", reservation.Worker.str()},
+               {"cause", cause}});
+}
+
+/// Returns why a reservation must end, or null.
+static const char *causeOfEnd(ShardState &shard, const Reservation &r,
+                              TimePoint now) {
+  JobEntry *job = shard.findJob(r.Job);
+  if (!job || !job->isLive() || job->Moving)
+    return "job";
+  auto o = job->Occurrences.find(r.Occurrence);
+  if (o == job->Occurrences.end() ||
+      o->second.Steps[static_cast<std::size_t>(r.Step)].WaitingCount == 0)
+    return "used";
+  auto w = shard.Workers.find(r.Worker);
+  if (w == shard.Workers.end() ||
+      !mayHost(shard, *job,
+               job->Job.Graph.Steps[static_cast<std::size_t>(r.Step)],
+               *w->second, now))
+    return "worker";
+  // The capacity may have shrunk, or other long-running tasks been found there.
+  if (!policy::soonestOpening(w->second->Profile.Capacity, w->second->Used,
+                              expectedEnds(shard, *w->second), r.Size, now))
+    return "capacity";
+  if (now > r.EndsAt)
+    return "overdue";
+  auto step = static_cast<std::size_t>(r.Step);
+  if (!job->Job.Graph.Steps[step].LongRunning &&
+      policy::urgencyOf(shard.waitingWork(*job, o->second, step, now)) ==
+          policy::Urgency::Late)
+    return "late";
+  return nullptr;
+}
+
+void ShardState::refreshReservations(TimePoint now) {
+  for (auto &[id, w] : Workers)
+    w->Held.reset();
+  std::erase_if(Reservations, [&](const Reservation &it) {
+    const char *cause = causeOfEnd(*this, it, now);
+    if (!cause)
+      return false;
+    auto w = Workers.find(it.Worker);
+    // Its runs do not end as expected, so another reservation there would not
+    // be kept either.
+    if (w != Workers.end() && now > it.EndsAt)
+      w->second->NoReservationUntil = now + (it.EndsAt - it.Due);
+    endReservation(it, cause);
+    return true;
+  });
+  for (const Reservation &it : Reservations) {
+    WorkerState &w = *Workers.find(it.Worker)->second;
+    w.Held = WorkerReservation{held(*this, w, it), it.Job, it.Occurrence,
+                               it.Step, it.LongRunning};
+  }
+}
+
+bool ShardState::hasReservation(const JobEntry &job, const Occurrence &o,
+                                std::int32_t step) const {
+  return std::any_of(Reservations.begin(), Reservations.end(),
+                     [&](const Reservation &it) {
+                       return it.Job == job.Job.Id &&
+                              it.Occurrence == o.Number && it.Step == step;
+                     });
+}
+
+bool ShardState::mayReserve(const model::StepSpec &spec) const {
+
+  // Long-running tasks that restart by the hundred after a loss of workers must
+  // not hold what short jobs need; those go first until the tasks are overdue.
+  if (spec.LongRunning)
+    return CurrentUrgency == policy::Urgency::Overdue;
+  return !spec.Filler && CurrentUrgency != policy::Urgency::Late;
+}
+
+bool ShardState::isWorthwhile(const JobEntry &job, const Occurrence &o,
+                              std::int32_t step, TimePoint due,
+                              TimePoint now) const {
+  auto index = static_cast<std::size_t>(step);
+  if (CurrentUrgency != policy::Urgency::InTime ||
+      job.Job.Graph.Steps[index].LongRunning)
+    return true;
+  policy::WaitingWork work = waitingWork(job, o, index, now);
+  return work.TimeLeft >= due - now + work.RemainingPath;
+}
+
+void ShardState::addReservation(Reservation r, std::size_t runs,
+                                TimePoint now) {
+  WorkerState &w = *Workers.find(r.Worker)->second;
+  w.Held = WorkerReservation{held(*this, w, r), r.Job, r.Occurrence, r.Step,
+                             r.LongRunning};
+  Events.emit(
+      EventCode::ReservationMade,
+      {{"job", formatJobNumber(r.Job)},
+       {"step", std::to_string(r.Occurrence) + "." + std::to_string(r.Step)},
+       {"worker", r.Worker.str()},
+       {"cpu", std::to_string(count(r.Size.Cpu))},
+       {"runs", std::to_string(runs)},
+       {"dueMs", std::to_string((r.Due - now) / 1ms)}});
+  Reservations.push_back(std::move(r));
+}
+
+void ShardState::reserveSoonest(const JobEntry &job, const Occurrence &o,
+                                std::int32_t step, std::int32_t tasks,
+                                const StepCounts &counts, TimePoint now) {
+  const model::StepSpec &spec =
+      job.Job.Graph.Steps[static_cast<std::size_t>(step)];
+  std::size_t max =
+      std::max<std::size_t>(1, Workers.size() / WorkersPerReservation);
+  auto own = std::count_if(
+      Reservations.begin(), Reservations.end(), [&](const Reservation &it) {
+        return it.Job == job.Job.Id && it.Occurrence == o.Number &&
+               it.Step == step;
+      });
+  if (!mayReserve(spec) || own >= tasks || Reservations.size() >= max)
+    return;
+  WorkerState *best = nullptr;
+  policy::Opening soonest;
+  for (const auto &[id, w] : Workers) {
+    auto same = counts.find(w.get());
+    if (w->Held || now < w->NoReservationUntil ||
+        (spec.MaxPerWorker > 0 && same != counts.end() &&
+         same->second >= spec.MaxPerWorker) ||
+        !mayHost(*this, job, spec, *w, now))
+      continue;
+    auto opening = policy::soonestOpening(
+        w->Profile.Capacity, w->Used, expectedEnds(*this, *w), spec.Size, now);
+    if (opening && (!best || opening->Due < soonest.Due)) {
+      best = w.get();
+      soonest = *opening;
+    }
+  }
+  // Where the end of one run suffices, the first in order gets its capacity
+  // without a reservation. Long-running tasks come after short ones in order.
+  if (!best || soonest.Runs < (spec.LongRunning ? 1U : 2U) ||
+      !isWorthwhile(job, o, step, soonest.Due, now))
+    return;
+  addReservation({job.Job.Id, o.Number, step, best->Profile.Id, spec.Size,
+                  soonest.Due, policy::endOfReservation(soonest),
+                  spec.LongRunning},
+                 soonest.Runs, now);
+}
+
+void ShardState::reserveForGang(const JobEntry &job, const Occurrence &o,
+                                std::int32_t step, TimePoint now) {
+  const model::StepSpec &spec =
+      job.Job.Graph.Steps[static_cast<std::size_t>(step)];
+  // One gang at a time: two that each hold a part of what they need would wait
+  // for each other.
+  if (!mayReserve(spec) || !Reservations.empty())
+    return;
+  struct Host {
+    WorkerState *Worker;
+    std::vector<policy::ExpectedEnd> Ends;
+  };
+  std::vector<Host> hosts;
+  std::vector<TimePoint> times{now};
+  for (const auto &[id, w] : Workers) {
+    if (now < w->NoReservationUntil || !mayHost(*this, job, spec, *w, now))
+      continue;
+    hosts.push_back({w.get(), expectedEnds(*this, *w)});
+    for (const policy::ExpectedEnd &it : hosts.back().Ends)
+      times.push_back(std::max(now, it.At));
+  }
+  std::sort(times.begin(), times.end());
+  auto tasksAt = [&](const Host &host, TimePoint at) {
+    base::Resources free = host.Worker->Profile.Capacity;
+    free -= host.Worker->Used;
+    for (const policy::ExpectedEnd &it : host.Ends)
+      if (it.At <= at)
+        free += it.Size;
+    std::int32_t n = 0;
+    while (n < spec.Count &&
+           (spec.MaxPerWorker == 0 || n < spec.MaxPerWorker) &&
+           spec.Size.fitsIn(free)) {
+      free -= spec.Size;
+      ++n;
+    }
+    return n;
+  };
+  auto tooEarly = [&](TimePoint at) {
+    std::int32_t tasks = 0;
+    for (const Host &it : hosts)
+      tasks += tasksAt(it, at);
+    return tasks < spec.Count;
+  };
+  auto due = std::partition_point(times.begin(), times.end(), tooEarly);
+  if (due == times.end() || !isWorthwhile(job, o, step, *due, now))
+    return;
+  // Workers with much room first, so that few are held.
+  std::stable_sort(hosts.begin(), hosts.end(),
+                   [&](const Host &a, const Host &b) {
+                     return tasksAt(a, *due) > tasksAt(b, *due);
+                   });
+  std::vector<std::pair<Reservation, std::size_t>> parts;
+  std::int32_t rest = spec.Count;
+  for (const Host &it : hosts) {
+    std::int32_t n = std::min(rest, tasksAt(it, *due));
+    if (n == 0)
+      break;
+    rest -= n;
+    policy::Opening opening{*due, 0, {}};
+    for (const policy::ExpectedEnd &end : it.Ends)
+      if (end.At <= *due) {
+        ++opening.Runs;
+        opening.Awaited = std::max(opening.Awaited, end.Expected);
+      }
+    Reservation part{job.Job.Id,
+                     o.Number,
+                     step,
+                     it.Worker->Profile.Id,
+                     {},
+                     *due,
+                     policy::endOfReservation(opening),
+                     spec.LongRunning};
+    for (std::int32_t i = 0; i < n; ++i)
+      part.Size += spec.Size;
+    parts.emplace_back(std::move(part), opening.Runs);
+  }
+  if (parts.size() >
+      std::max<std::size_t>(1, Workers.size() / MinWorkersPerGangReservation))
+    return;
+  for (auto &[part, runs] : parts)
+    addReservation(std::move(part), runs, now);
+}
+
+void ShardState::useReservation(const TaskKey &key, const WorkerState &worker) {
+  auto mine = [&](const Reservation &it) {
+    return it.Job == key.Job && it.Occurrence == key.Occurrence &&
+           it.Step == key.Step;
+  };
+  auto it = std::find_if(Reservations.begin(), Reservations.end(),
+                         [&](const Reservation &r) {
+                           return mine(r) && r.Worker == worker.Profile.Id;
+                         });
+  if (it == Reservations.end())
+    it = std::find_if(Reservations.begin(), Reservations.end(), mine);
+  if (it == Reservations.end())
+    return;
+  endReservation(*it, "used");
+  Reservations.erase(it);
+}
+
+} // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -7,9 +7,6 @@
 
 namespace endivedoor::dispatch::detail {
 
-/// Number of tasks of one step on each worker.
-using StepCounts = std::map<const WorkerState *, std::int32_t>;
-
 /// Returns the CPU that fillers on the worker can expect, in thousandths of a
 /// core.
 double fillerCapacity(const WorkerState &w);
@@ -56,12 +53,9 @@
 computeDemandRatios(ShardState &shard,
                     const std::map<std::string, double> &waitingCpu);
 
-/// Reserves capacity on a worker for a long-running task that fits nowhere now,
-/// until the short tasks there have ended. The reservation lasts until the next
-/// plan.
-void reserveForLongRunning(ShardState &shard, const JobEntry &job,
-                           const model::StepSpec &step,
-                           const StepCounts &counts, TimePoint now);
+/// Returns whether the worker may run tasks of the step, capacity aside.
+bool mayHost(const ShardState &shard, const JobEntry &job,
+             const model::StepSpec &step, const WorkerState &w, TimePoint now);
 
 /// Returns a worker for each task of a gang, or nothing if they do not all fit.
 ///
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -5,6 +5,7 @@
 
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
+#include "endivedoor/policy/Openings.h"
 #include "endivedoor/policy/RunTimes.h"
 #include "endivedoor/policy/ShortDemand.h"
 #include "endivedoor/policy/WaitingOrder.h"
@@ -189,6 +190,32 @@
   TimePoint ReceivedAt;
 };
 
+/// Capacity of a worker that is held for a task of a step until the runs that
+/// it waits for have ended.
+struct Reservation {
+  JobNumber Job{0};
+  std::int32_t Occurrence = 0;
+  std::int32_t Step = 0;
+  base::WorkerId Worker;
+  base::Resources Size;
+  TimePoint Due;
+  /// The reservation ends if it has not been used by then.
+  TimePoint EndsAt;
+  bool LongRunning = false;
+};
+
+/// A reservation as its worker sees it.
+struct WorkerReservation {
+  policy::HeldCapacity Capacity;
+  JobNumber Job{0};
+  std::int32_t Occurrence = 0;
+  std::int32_t Step = 0;
+  bool LongRunning = false;
+};
+
+/// Number of tasks of one step on each worker.
+using StepCounts = std::map<const WorkerState *, std::int32_t>;
+
 struct WorkerState {
   model::WorkerProfile Profile;
   /// Start time in the latest entry; 0 if it has none. Profile holds the latest
@@ -227,9 +254,10 @@
   std::int64_t LongRunningCpu = 0;
   /// Memory of the long-running tasks.
   std::int64_t LongRunningMemory = 0;
-  /// Capacity reserved for a long-running task that waits for short tasks to
-  /// end.
-  base::Resources ReservedCapacity;
+  /// Capacity that is held for a waiting task, as of the current plan.
+  std::optional<WorkerReservation> Held;
+  /// A reservation here was not kept; there is no other until then.
+  TimePoint NoReservationUntil;
   /// No tasks are started here before then.
   TimePoint AvoidUntil;
   /// Score of recent failures of runs here; each success lowers it by
@@ -316,6 +344,7 @@
   std::vector<const model::StepSpec *> UnplaceableSteps;
   policy::ColocationModel Colocation;
   policy::RunTimes LearnedTimes;
+  std::vector<Reservation> Reservations;
   policy::ShortDemand ShortTasks;
   /// When ShortTasks was last updated.
   std::optional<TimePoint> ShortTasksObserved;
@@ -421,6 +450,33 @@
   void moveOffDrainingWorkers(TimePoint now);
   void stopStuckRuns(TimePoint now);
 
+  // Reservations.cpp
+  /// Ends reservations that cannot or need not be kept, and brings those of the
+  /// workers up to date.
+  void refreshReservations(TimePoint now);
+  /// Reserves capacity for a waiting task where it fits soonest.
+  ///
+  /// \param tasks number of waiting tasks of the step; there are no more
+  /// reservations than that.
+  void reserveSoonest(const JobEntry &job, const Occurrence &o,
+                      std::int32_t step, std::int32_t tasks,
+                      const StepCounts &counts, TimePoint now);
+  /// Reserves capacity for all tasks of a gang at the soonest time at which
+  /// they fit together.
+  void reserveForGang(const JobEntry &job, const Occurrence &o,
+                      std::int32_t step, TimePoint now);
+  bool hasReservation(const JobEntry &job, const Occurrence &o,
+                      std::int32_t step) const;
+  bool mayReserve(const model::StepSpec &spec) const;
+  /// Returns whether the step is still in time if it starts at \p due; always
+  /// if it does not count as in time now.
+  bool isWorthwhile(const JobEntry &job, const Occurrence &o, std::int32_t step,
+                    TimePoint due, TimePoint now) const;
+  void addReservation(Reservation reservation, std::size_t runs, TimePoint now);
+  /// A task of the step was started, so it needs one reservation less.
+  void useReservation(const TaskKey &key, const WorkerState &worker);
+  void endReservation(const Reservation &reservation, const char *cause);
+
   // Interference.cpp
   void observeInterference(WorkerState &worker, TimePoint now);
   void throttleFillers(TimePoint now);
