Make the backfilling test fail without reservations

One run ended, so only one of the two waiting small tasks fitted, also without a reservation. Two runs end now: without reservations both tasks start, and the test fails (seen with reservations switched off).

--- a/tests/unit/unit-dispatch-waitingwork.cpp
+++ b/tests/unit/unit-dispatch-waitingwork.cpp
@@ -186,9 +186,9 @@
   EXPECT_TRUE(startAll().empty());
   submit(3, 1, 4000, 300ms, 60s);
   submit(4, 1, 4000, 5000ms, 60s);
-  endRuns(1);
+  endRuns(2);
   EXPECT_EQ(startAll(), std::set<std::uint64_t>{3});
-  endRuns(8);
+  endRuns(7);
   EXPECT_EQ(startAll(), std::set<std::uint64_t>{2});
 }
 
