--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -83,8 +83,18 @@
   }
   job.Started = true;
   RunId id{key, number};
+  MetricsRegistry.countStart(
+      CurrentUrgency,
+      LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
+          .has_value());
   reserve(worker, id, step);
   addStarted(job, step, now);
+  useReservation(key, worker);
+  // The run may not have ended when held capacity on its worker is due.
+  if (worker.Held &&
+      now + expectedTime(job, static_cast<std::size_t>(key.Step), 0.9) >
+          worker.Held->Capacity.Due)
+    worker.Held->Capacity.UsedWhenDue += worker.Runs.at(id).Size;
   if (task.isSuspect())
     worker.SuspectRuns.insert(id);
   WorkerCommand command;
@@ -93,6 +103,7 @@
   command.Run = id;
   command.Payload = job.Job.Graph.Payload;
   command.Checkpoint = task.Checkpoint;
+  task.Runs.back().Resumed = !task.Checkpoint.empty();
   command.Deadline = startDeadline(worker, now);
   worker.LatestDeadline = std::max(worker.LatestDeadline, command.Deadline);
   Events.emit(EventCode::RunStarted,
@@ -106,19 +117,14 @@
   Outbox.push_back(std::move(command));
 }
 
-/// Returns the number of the next run of a task, higher than that of any
-/// earlier run.
-static std::int64_t nextRun(const JobEntry &job, const TaskEntry &task,
-                            std::int64_t term) {
+std::int64_t nextRun(const JobEntry &job, const TaskEntry &task,
+                     std::int64_t term) {
   std::int64_t base = job.Inherited ? (term - 1) * RunNumbersPerTerm : 0;
   return std::max({task.LastRun, base, job.EarlierLastRun}) + 1;
 }
 
-/// Returns the number of tasks of a step on each worker, for the limit per
-/// worker and for spreading.
-static std::map<const WorkerState *, std::int32_t>
-runsByWorker(const StepEntry &entry) {
-  std::map<const WorkerState *, std::int32_t> counts;
+StepCounts runsByWorker(const StepEntry &entry) {
+  StepCounts counts;
   for (const TaskEntry &task : entry.Tasks)
     for (const Run &it : task.Runs)
       ++counts[it.Worker];
@@ -164,6 +170,7 @@
                {"noLabel", std::to_string(rejections.MissingLabel)},
                {"noCpu", std::to_string(rejections.NoCpu)},
                {"noMemory", std::to_string(rejections.NoMemory)},
+               {"keptForShort", std::to_string(ShortTasks.expected())},
                {"other", std::to_string(rejections.Other)}});
 }
 
@@ -205,7 +212,8 @@
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
   bool starved = spec.Filler && job.RunCount == 0 && entry.WaitingSince &&
                  now - *entry.WaitingSince > StarvationTime;
-  if (!starved && isKnownUnplaceable(spec)) {
+  // Capacity may be held for this step that others of the program cannot use.
+  if (!starved && !hasReservation(job, o, step) && isKnownUnplaceable(spec)) {
     logWait(job, o, step, entry, now);
     return;
   }
@@ -217,6 +225,11 @@
       continue;
     if (StartBudget == 0)
       return;
+    if (spec.LongRunning && CurrentUrgency != policy::Urgency::Overdue &&
+        count(spec.Size.Cpu) > LongRunningBudget) {
+      logWait(job, o, step, entry, now);
+      return;
+    }
     TaskKey key{job.Job.Id, o.Number, step, i};
     bool isolated = needsIsolation(task, entry, now);
     bool allowed = isWithinLimit(job, spec, 1, now);
@@ -242,6 +255,8 @@
       withdrawAnnouncement(job, task);
       continue;
     }
+    if (!worker)
+      reserveSoonest(job, o, step, entry.WaitingCount, counts, now);
     if (!worker && !spec.LongRunning) {
       // A limit per worker applies to this job only, so the failure says
       // nothing about other jobs of the same program.
@@ -249,10 +264,8 @@
         UnplaceableSteps.push_back(&spec);
       return;
     }
-    if (!worker) {
-      reserveForLongRunning(*this, job, spec, counts, now);
-      continue;
-    }
+    if (!worker)
+      return;
     std::int64_t run = nextRun(job, task, Term);
     if (!announceRun(job, key, task, run)) {
       if (!job.isLive())
@@ -265,6 +278,8 @@
     entry.WaitingSince.reset();
     entry.LimitedSince.reset();
     startTask(job, key, task, *worker, now, run);
+    if (spec.LongRunning)
+      LongRunningBudget -= count(spec.Size.Cpu);
     --StartBudget;
     ++counts[worker];
   }
@@ -289,6 +304,7 @@
   std::vector<WorkerState *> places =
       chooseGang(*this, job, spec, now, isolated);
   if (places.empty()) {
+    reserveForGang(job, o, step, now);
     logWait(job, o, step, entry, now);
     return;
   }
@@ -370,19 +386,94 @@
   DemandRatios = computeDemandRatios(*this, FillerDemand, now);
 }
 
-/// Returns the position of a job among the waiting ones: long-running tasks
-/// first, then by priority, by what the job's account has started per weight,
-/// and by deadline.
-static auto startOrder(const JobEntry &job, double startedPerWeight) {
-  return std::tuple(!job.isLongRunning(), job.Job.Policy.Priority,
-                    startedPerWeight, job.Deadline);
+/// Position of a step among the waiting ones: urgency, priority and what the
+/// job's account has started per weight if there are accounts, and the rest of
+/// the order of waiting work.
+using StartOrder =
+    std::tuple<policy::Urgency, std::int32_t, double, policy::WaitingKey>;
+
+/// \param startedPerWeight 0 if there are no accounts.
+static StartOrder startOrder(const policy::WaitingWork &work,
+                             double startedPerWeight,
+                             policy::WaitingRule rule) {
+  policy::WaitingKey key = policy::waitingKey(work, rule);
+  std::int32_t priority = startedPerWeight > 0 ? work.Priority : 0;
+  return {std::get<0>(key), priority, startedPerWeight, key};
+}
+
+base::Duration ShardState::expectedTime(const JobEntry &job, std::size_t step,
+                                        double q) const {
+  const model::StepSpec &spec = job.Job.Graph.Steps[step];
+  return LearnedTimes
+      .quantile({job.Job.Queue, static_cast<std::int32_t>(step), spec.Image}, q)
+      .value_or(spec.Estimate);
+}
+
+base::Duration ShardState::expectedPath(const JobEntry &job,
+                                        const Occurrence *o,
+                                        std::size_t step) const {
+  const model::JobGraph &graph = job.Job.Graph;
+  // Dependencies point to earlier steps, so the chain ends come last.
+  std::vector<base::Duration> paths(graph.Steps.size());
+  base::Duration longest{0};
+  for (std::size_t i = graph.Steps.size(); i-- > step;) {
+    const model::StepSpec &spec = graph.Steps[i];
+    if (!o || o->Steps[i].DoneCount < spec.Count)
+      paths[i] += expectedTime(job, i, policy::slowestOf(spec.Count));
+    longest = std::max(longest, paths[i]);
+    for (std::int32_t before : spec.Dependencies)
+      if (before >= 0 && static_cast<std::size_t>(before) < i)
+        paths[static_cast<std::size_t>(before)] =
+            std::max(paths[static_cast<std::size_t>(before)], paths[i]);
+  }
+  return o ? paths[step] : longest;
+}
+
+policy::WaitingWork ShardState::waitingWork(const JobEntry &job,
+                                            const Occurrence &o,
+                                            std::size_t step,
+                                            TimePoint now) const {
+  const model::StepSpec &spec = job.Job.Graph.Steps[step];
+  const StepEntry &entry = o.Steps[step];
+  policy::WaitingWork work;
+  work.Waited = now - entry.UnservedSince.value_or(now);
+  work.Priority = job.Job.Policy.Priority;
+  work.WaitingCpu = entry.WaitingCount * count(spec.Size.Cpu);
+  if (spec.LongRunning) {
+    work.Objective = job.Job.Policy.Target;
+    work.TimeLeft = work.Objective - work.Waited;
+    return work;
+  }
+  // Occurrences of a recurring job have the objective of a job each.
+  // The caller's critical path is that of the real run times, so wrong declared
+  // times must not shift the deadline either.
+  work.Objective = job.Job.Policy.Target +
+                   std::chrono::duration_cast<base::Duration>(
+                       expectedPath(job, nullptr, 0) * job.Job.Policy.Stretch);
+  work.TimeLeft = std::max(job.Accepted, o.Created) + work.Objective - now;
+  work.RemainingPath = expectedPath(job, &o, step);
+  return work;
+}
+
+void ShardState::updateLongRunningBudget(std::int64_t shortCpu, TimePoint now) {
+  std::int64_t free = 0, running = 0;
+  for (const auto &[id, w] : Workers) {
+    running += count(w->Used.Cpu) - w->LongRunningCpu;
+    if (w->isUsable() && !ZonesOutOfService.contains(w->Profile.Zone))
+      free += std::max<std::int64_t>(0, count(w->Profile.Capacity.Cpu) -
+                                            count(w->Used.Cpu));
+  }
+  if (ShortTasksObserved)
+    ShortTasks.observe(running + shortCpu, now - *ShortTasksObserved);
+  ShortTasksObserved = now;
+  LongRunningBudget =
+      free - std::max<std::int64_t>(0, ShortTasks.expected() - running);
 }
 
 void ShardState::startReadySteps(TimePoint now) {
   bool unverified = hasUnverifiedWorkers();
   UnplaceableSteps.clear();
   for (auto &[id, w] : Workers) {
-    w->ReservedCapacity = {};
     w->ReservedForSuspect = false;
     w->ServedCache.reset();
   }
@@ -391,29 +482,53 @@
   if (!unverified)
     for (auto &[name, account] : Accounts)
       account.Share.setVerified();
-  std::vector<JobEntry *> jobs;
-  for (JobEntry *it : LiveJobs)
-    if (it->isLive() && !it->Moving && !(unverified && it->Inherited))
-      jobs.push_back(it);
-  std::sort(jobs.begin(), jobs.end(),
-            [&](const JobEntry *a, const JobEntry *b) {
-              return startOrder(*a, startedPerWeight(*a, now)) <
-                     startOrder(*b, startedPerWeight(*b, now));
-            });
-  for (JobEntry *job : jobs)
-    for (auto &[number, o] : job->Occurrences) {
-      if (o.Complete || !job->isLive())
-        continue;
-      for (std::size_t i = 0; i < o.Steps.size(); ++i) {
-        if (o.Steps[i].WaitingCount == 0 || !isReady(*job, o, i))
+  refreshReservations(now);
+  struct ReadyStep {
+    StartOrder Order;
+    JobEntry *Job;
+    Occurrence *At;
+    std::size_t Step;
+  };
+  std::vector<ReadyStep> ready;
+  std::int64_t shortCpu = 0;
+  for (JobEntry *job : LiveJobs) {
+    if (!job->isLive() || job->Moving || (unverified && job->Inherited))
+      continue;
+    for (auto &[number, o] : job->Occurrences)
+      for (std::size_t i = 0; !o.Complete && i < o.Steps.size(); ++i) {
+        StepEntry &entry = o.Steps[i];
+        if (entry.WaitingCount == 0 || !isReady(*job, o, i)) {
+          entry.UnservedSince.reset();
           continue;
-        auto step = static_cast<std::int32_t>(i);
-        if (job->Job.Graph.Steps[i].Gang)
-          startGang(*job, o, step, now);
-        else
-          startStep(*job, o, step, now);
+        }
+        if (!entry.UnservedSince)
+          entry.UnservedSince = now;
+        policy::WaitingWork work = waitingWork(*job, o, i, now);
+        const model::StepSpec &spec = job->Job.Graph.Steps[i];
+        if (!spec.LongRunning && !spec.Filler &&
+            policy::urgencyOf(work) == policy::Urgency::InTime)
+          shortCpu += work.WaitingCpu;
+        ready.push_back({startOrder(work, startedPerWeight(*job, now),
+                                    Options.WaitingOrder),
+                         job, &o, i});
       }
-    }
+  }
+  updateLongRunningBudget(shortCpu, now);
+  // Stable: equally urgent work keeps the order of acceptance.
+  std::stable_sort(
+      ready.begin(), ready.end(),
+      [](const ReadyStep &a, const ReadyStep &b) { return a.Order < b.Order; });
+  for (const ReadyStep &it : ready) {
+    // An earlier step of the job may have ended it.
+    if (!it.Job->isLive())
+      continue;
+    CurrentUrgency = std::get<0>(it.Order);
+    auto step = static_cast<std::int32_t>(it.Step);
+    if (it.Job->Job.Graph.Steps[it.Step].Gang)
+      startGang(*it.Job, *it.At, step, now);
+    else
+      startStep(*it.Job, *it.At, step, now);
+  }
   limitReady();
 }
 
@@ -519,34 +634,35 @@
         StepEntry &entry = o.Steps[s];
         auto limit = std::max<base::Duration>(
             MinStuckTime, std::chrono::duration_cast<base::Duration>(
-                              spec.Estimate * StuckFactor));
+                              expectedTime(*job, s, 0.9) * StuckFactor));
         for (std::size_t i = 0; i < entry.Tasks.size(); ++i) {
           TaskEntry &task = entry.Tasks[i];
-          if (task.Done || task.Runs.size() != 1)
-            continue;
-          Run &run = task.Runs.front();
-          // Without reports of its worker nothing is known about the run; it
-          // ends with the worker's lease.
-          if (run.Worker->SilentSince)
-            continue;
-          // A filler may be idle because other tasks use the whole CPU.
-          bool idle = !spec.Filler && now - run.LastBusy > MaxIdleTime;
-          bool late = now - run.Started > FillerStuckFactor * limit &&
-                      now - run.LastBusy > FillerStuckFactor * MaxIdleTime;
-          if (run.Phase != RunPhase::Running || (!idle && !late) ||
-              now - run.Started < MinStuckTime)
+          if (task.Done)
             continue;
-          TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
-                      static_cast<std::int32_t>(i)};
-          if (idle)
-            run.Worker->AvoidUntil =
-                std::max(run.Worker->AvoidUntil, now + limit);
-          Events.emit(EventCode::RunStuck,
-                      {{"task", taskText(key)},
-                       {"run", std::to_string(run.Number)},
-                       {"worker", run.Worker->Profile.Id.str()},
-                       {"ms", std::to_string((now - run.Started) / 1ms)}});
-          stopRun(key, run, "stuck", now);
+          for (Run &run : task.Runs) {
+            // Without reports of its worker nothing is known about the run; it
+            // ends with the worker's lease.
+            if (run.Worker->SilentSince)
+              continue;
+            // A filler may be idle because other tasks use the whole CPU.
+            bool idle = !spec.Filler && now - run.LastBusy > MaxIdleTime;
+            bool late = now - run.Started > FillerStuckFactor * limit &&
+                        now - run.LastBusy > FillerStuckFactor * MaxIdleTime;
+            if (run.Phase != RunPhase::Running || (!idle && !late) ||
+                now - run.Started < MinStuckTime)
+              continue;
+            TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
+                        static_cast<std::int32_t>(i)};
+            if (idle)
+              run.Worker->AvoidUntil =
+                  std::max(run.Worker->AvoidUntil, now + limit);
+            Events.emit(EventCode::RunStuck,
+                        {{"task", taskText(key)},
+                         {"run", std::to_string(run.Number)},
+                         {"worker", run.Worker->Profile.Id.str()},
+                         {"ms", std::to_string((now - run.Started) / 1ms)}});
+            stopRun(key, run, "stuck", now);
+          }
         }
       }
   }
@@ -583,8 +699,10 @@
   s.clearSurvivors();
   s.StartBudget = mayStart ? maxStarts : 0;
   s.MayStartLost = ownsShard;
-  if (s.StartBudget > 0)
+  if (s.StartBudget > 0) {
     s.startReadySteps(now);
+    s.copyStragglers(now);
+  }
   s.throttleFillers(now);
   s.removeEndedJobs();
   return std::exchange(s.Outbox, {});
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -7,6 +7,10 @@
 #include "endivedoor/policy/ColocationModel.h"
 #include "endivedoor/policy/ServingLoad.h"
 #include "endivedoor/policy/StartedCpu.h"
+#include "endivedoor/policy/Openings.h"
+#include "endivedoor/policy/RunTimes.h"
+#include "endivedoor/policy/ShortDemand.h"
+#include "endivedoor/policy/WaitingOrder.h"
 
 #include <algorithm>
 #include <deque>
@@ -72,6 +76,9 @@
   TimePoint LastBusy;
   /// An earlier owner started the run, so Started is only when it was found.
   bool Adopted = false;
+  /// The run continues from a checkpoint, so its time says nothing about whole
+  /// runs.
+  bool Resumed = false;
   /// The worker has confirmed the run.
   bool Confirmed = false;
   /// Set if the worker crashed while the start was unconfirmed: the run was
@@ -94,6 +101,8 @@
   /// An earlier run counts as ended because a lease expired, not because its
   /// worker said so.
   bool LostWithLease = false;
+  /// A copy of a run was started; there is no other one.
+  bool Copied = false;
   /// Another shard runs the task, or an offer to do so is in flight. The task
   /// must not be started here.
   bool Remote = false;
@@ -117,6 +126,8 @@
   TimePoint WaitLoggedAt;
   /// Since when only the account's limit has kept the next task from starting.
   std::optional<TimePoint> LimitedSince;
+  /// Since when a pending task has had no run although the step is ready.
+  std::optional<TimePoint> UnservedSince;
 };
 
 struct Occurrence {
@@ -158,9 +169,6 @@
   /// The records of this cancelled job must be removed.
   bool RemovalDue = false;
   std::map<std::int32_t, Occurrence> Occurrences;
-  /// Time at which the job counts as late; jobs of equal priority are started
-  /// in this order.
-  TimePoint Deadline;
   /// Number of runs of all tasks of the job.
   std::int32_t RunCount = 0;
   /// Headroom of the job's serving tasks.
@@ -216,6 +224,32 @@
   TimePoint ReceivedAt;
 };
 
+/// Capacity of a worker that is held for a task of a step until the runs that
+/// it waits for have ended.
+struct Reservation {
+  JobNumber Job{0};
+  std::int32_t Occurrence = 0;
+  std::int32_t Step = 0;
+  base::WorkerId Worker;
+  base::Resources Size;
+  TimePoint Due;
+  /// The reservation ends if it has not been used by then.
+  TimePoint EndsAt;
+  bool LongRunning = false;
+};
+
+/// A reservation as its worker sees it.
+struct WorkerReservation {
+  policy::HeldCapacity Capacity;
+  JobNumber Job{0};
+  std::int32_t Occurrence = 0;
+  std::int32_t Step = 0;
+  bool LongRunning = false;
+};
+
+/// Number of tasks of one step on each worker.
+using StepCounts = std::map<const WorkerState *, std::int32_t>;
+
 struct WorkerState {
   model::WorkerProfile Profile;
   /// Start time in the latest entry; 0 if it has none. Profile holds the latest
@@ -259,9 +293,10 @@
   std::int64_t LongRunningCpu = 0;
   /// Memory of the long-running tasks.
   std::int64_t LongRunningMemory = 0;
-  /// Capacity reserved for a long-running task that waits for short tasks to
-  /// end.
-  base::Resources ReservedCapacity;
+  /// Capacity that is held for a waiting task, as of the current plan.
+  std::optional<WorkerReservation> Held;
+  /// A reservation here was not kept; there is no other until then.
+  TimePoint NoReservationUntil;
   /// No tasks are started here before then.
   TimePoint AvoidUntil;
   /// Score of recent failures of runs here; each success lowers it by
@@ -360,6 +395,16 @@
   /// program that are at least as large are not tried.
   std::vector<const model::StepSpec *> UnplaceableSteps;
   policy::ColocationModel Colocation;
+  policy::RunTimes LearnedTimes;
+  std::vector<Reservation> Reservations;
+  policy::ShortDemand ShortTasks;
+  /// When ShortTasks was last updated.
+  std::optional<TimePoint> ShortTasksObserved;
+  /// Urgency of the step that the current plan places.
+  policy::Urgency CurrentUrgency = policy::Urgency::InTime;
+  /// CPU that the current plan may still give to long-running tasks without
+  /// taking what short tasks are expected to need.
+  std::int64_t LongRunningBudget = 0;
   /// CPU demand of each filler program, averaged over some time, and when it
   /// was updated.
   std::map<std::string, double> FillerDemand;
@@ -472,6 +517,18 @@
   void openDueOccurrences(base::WallTime wall, TimePoint now);
   void startReadySteps(TimePoint now);
   void updateDemandRatios(TimePoint now);
+  /// \param shortCpu CPU of the short tasks that wait and can be in time.
+  void updateLongRunningBudget(std::int64_t shortCpu, TimePoint now);
+  /// Returns the learned time within which a fraction \p q of the runs of a
+  /// step ends, or its declared time if too few have ended.
+  base::Duration expectedTime(const JobEntry &job, std::size_t step,
+                              double q) const;
+  /// Returns the expected time of the longest chain of unfinished steps that
+  /// begins with \p step; with no occurrence, of all steps.
+  base::Duration expectedPath(const JobEntry &job, const Occurrence *o,
+                              std::size_t step) const;
+  policy::WaitingWork waitingWork(const JobEntry &job, const Occurrence &o,
+                                  std::size_t step, TimePoint now) const;
   bool isKnownUnplaceable(const model::StepSpec &step) const;
   void startStep(JobEntry &job, Occurrence &occurrence, std::int32_t step,
                  TimePoint now);
@@ -490,6 +547,38 @@
   void moveOffDrainingWorkers(TimePoint now);
   void stopStuckRuns(TimePoint now);
 
+  // Reservations.cpp
+  /// Ends reservations that cannot or need not be kept, and brings those of the
+  /// workers up to date.
+  void refreshReservations(TimePoint now);
+  /// Reserves capacity for a waiting task where it fits soonest.
+  ///
+  /// \param tasks number of waiting tasks of the step; there are no more
+  /// reservations than that.
+  void reserveSoonest(const JobEntry &job, const Occurrence &o,
+                      std::int32_t step, std::int32_t tasks,
+                      const StepCounts &counts, TimePoint now);
+  /// Reserves capacity for all tasks of a gang at the soonest time at which
+  /// they fit together.
+  void reserveForGang(const JobEntry &job, const Occurrence &o,
+                      std::int32_t step, TimePoint now);
+  bool hasReservation(const JobEntry &job, const Occurrence &o,
+                      std::int32_t step) const;
+  bool mayReserve(const model::StepSpec &spec) const;
+  /// Returns whether the step is still in time if it starts at \p due; always
+  /// if it does not count as in time now.
+  bool isWorthwhile(const JobEntry &job, const Occurrence &o, std::int32_t step,
+                    TimePoint due, TimePoint now) const;
+  void addReservation(Reservation reservation, std::size_t runs, TimePoint now);
+  /// A task of the step was started, so it needs one reservation less.
+  void useReservation(const TaskKey &key, const WorkerState &worker);
+  void endReservation(const Reservation &reservation, const char *cause);
+
+  // Copies.cpp
+  /// Starts copies of runs that take much longer than earlier ones, on capacity
+  /// that nobody waits for.
+  void copyStragglers(TimePoint now);
+
   // Interference.cpp
   void observeInterference(WorkerState &worker, TimePoint now);
   /// Updates TypicalLowestHeadroom.
@@ -528,6 +617,15 @@
 /// Returns the step of a task.
 const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key);
 
+/// Returns the number of the next run of a task, higher than that of any
+/// earlier run.
+std::int64_t nextRun(const JobEntry &job, const TaskEntry &task,
+                     std::int64_t term);
+
+/// Returns the number of tasks of a step on each worker, for the limit per
+/// worker and for spreading.
+StepCounts runsByWorker(const StepEntry &entry);
+
 /// Formats a task key for logs.
 std::string taskText(const TaskKey &key);
 
