--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -27,8 +27,9 @@
   /// An owner sends no commands once this much time has passed since the store
   /// last answered it. Long enough for a store outage of usual length.
   milliseconds OwnerGrace{8000};
-  /// How waiting work that can still be in time is ordered.
-  policy::WaitingRule WaitingOrder = policy::WaitingRule::LeastLaxity;
+  /// How waiting work is ordered. By priority in the daemon: the orders by
+  /// laxity served fillers less in plays of whole days (docs/policy.md).
+  policy::WaitingRule WaitingOrder = policy::WaitingRule::Priority;
 };
 
 /// Largest rate error of a worker's clock; the platform guarantees at most 2%
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -226,6 +226,7 @@
     if (StartBudget == 0)
       return;
     if (spec.LongRunning && CurrentUrgency != policy::Urgency::Overdue &&
+        Options.WaitingOrder != policy::WaitingRule::Priority &&
         count(spec.Size.Cpu) > LongRunningBudget) {
       logWait(job, o, step, entry, now);
       return;
@@ -386,19 +387,21 @@
   DemandRatios = computeDemandRatios(*this, FillerDemand, now);
 }
 
-/// Position of a step among the waiting ones: urgency, priority and what the
-/// job's account has started per weight if there are accounts, and the rest of
-/// the order of waiting work.
-using StartOrder =
-    std::tuple<policy::Urgency, std::int32_t, double, policy::WaitingKey>;
+/// Position of a step among the waiting ones: its urgency or kind, its
+/// priority and what its account has started per weight if there are accounts,
+/// and the rest of the order of waiting work.
+using StartOrder = std::tuple<policy::Urgency, std::int64_t, std::int32_t,
+                              double, policy::WaitingKey>;
 
 /// \param startedPerWeight 0 if there are no accounts.
 static StartOrder startOrder(const policy::WaitingWork &work,
                              double startedPerWeight,
                              policy::WaitingRule rule) {
   policy::WaitingKey key = policy::waitingKey(work, rule);
-  std::int32_t priority = startedPerWeight > 0 ? work.Priority : 0;
-  return {std::get<0>(key), priority, startedPerWeight, key};
+  bool byPriority = rule == policy::WaitingRule::Priority;
+  return {std::get<0>(key), byPriority ? std::get<1>(key) : 0,
+          byPriority || startedPerWeight > 0 ? work.Priority : 0,
+          startedPerWeight, key};
 }
 
 base::Duration ShardState::expectedTime(const JobEntry &job, std::size_t step,
@@ -467,7 +470,9 @@
     ShortTasks.observe(running + shortCpu, now - *ShortTasksObserved);
   ShortTasksObserved = now;
   LongRunningBudget =
-      free - std::max<std::int64_t>(0, ShortTasks.expected() - running);
+      Options.WaitingOrder == policy::WaitingRule::Priority
+          ? free
+          : free - std::max<std::int64_t>(0, ShortTasks.expected() - running);
 }
 
 void ShardState::startReadySteps(TimePoint now) {
@@ -485,6 +490,7 @@
   refreshReservations(now);
   struct ReadyStep {
     StartOrder Order;
+    policy::Urgency Urgency;
     JobEntry *Job;
     Occurrence *At;
     std::size_t Step;
@@ -510,7 +516,7 @@
           shortCpu += work.WaitingCpu;
         ready.push_back({startOrder(work, startedPerWeight(*job, now),
                                     Options.WaitingOrder),
-                         job, &o, i});
+                         policy::urgencyOf(work), job, &o, i});
       }
   }
   updateLongRunningBudget(shortCpu, now);
@@ -522,7 +528,7 @@
     // An earlier step of the job may have ended it.
     if (!it.Job->isLive())
       continue;
-    CurrentUrgency = std::get<0>(it.Order);
+    CurrentUrgency = it.Urgency;
     auto step = static_cast<std::int32_t>(it.Step);
     if (it.Job->Job.Graph.Steps[it.Step].Gang)
       startGang(*it.Job, *it.At, step, now);
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -124,7 +124,8 @@
   // Long-running tasks that restart by the hundred after a loss of workers must
   // not hold what short jobs need; those go first until the tasks are overdue.
   if (spec.LongRunning)
-    return CurrentUrgency == policy::Urgency::Overdue;
+    return Options.WaitingOrder == policy::WaitingRule::Priority ||
+           CurrentUrgency == policy::Urgency::Overdue;
   return !spec.Filler && CurrentUrgency != policy::Urgency::Late;
 }
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -5,11 +5,11 @@
 
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
-#include "endivedoor/policy/ServingLoad.h"
-#include "endivedoor/policy/StartedCpu.h"
 #include "endivedoor/policy/Openings.h"
 #include "endivedoor/policy/RunTimes.h"
+#include "endivedoor/policy/ServingLoad.h"
 #include "endivedoor/policy/ShortDemand.h"
+#include "endivedoor/policy/StartedCpu.h"
 #include "endivedoor/policy/WaitingOrder.h"
 
 #include <algorithm>
--- a/packages/policy/include/endivedoor/policy/WaitingOrder.h
+++ b/packages/policy/include/endivedoor/policy/WaitingOrder.h
@@ -33,6 +33,9 @@
 
 /// How work that can still be in time is ordered.
 enum class WaitingRule {
+  /// Long-running steps, then queue priority, then deadline; late work keeps
+  /// its place. Long-running steps are not held back for short tasks.
+  Priority,
   LeastLaxity,
   EarliestDeadline,
   /// Jobs in time for each unit of CPU time that they still need.
--- a/packages/policy/src/WaitingOrder.cpp
+++ b/packages/policy/src/WaitingOrder.cpp
@@ -31,6 +31,11 @@
 }
 
 WaitingKey waitingKey(const WaitingWork &work, WaitingRule rule) {
+  if (rule == WaitingRule::Priority) {
+    bool longRunning = work.RemainingPath == nanoseconds{0};
+    return {Urgency::InTime, longRunning ? 0 : 1, work.Priority, work.TimeLeft,
+            work.RemainingPath};
+  }
   Urgency urgency = urgencyOf(work);
   std::int64_t order = 0;
   if (urgency == Urgency::Overdue) {
@@ -38,6 +43,7 @@
     order = inSteps(AgingFactor * work.Objective - work.Waited);
   } else if (urgency == Urgency::InTime) {
     switch (rule) {
+    case WaitingRule::Priority:
     case WaitingRule::LeastLaxity:
       order = inSteps(work.TimeLeft - work.RemainingPath);
       break;
--- a/tests/unit/WorkReplay.h
+++ b/tests/unit/WorkReplay.h
@@ -49,7 +49,8 @@
   /// A third of the workers is lost at this time; none for 0.
   milliseconds LossAt{4000};
   milliseconds LossTime{5000};
-  dispatch::ShardOptions Shard;
+  dispatch::ShardOptions Shard{.WaitingOrder =
+                                   policy::WaitingRule::LeastLaxity};
 };
 
 /// What happened to the work of one kind. A long-running job counts once for
