Cut the processor time of planning on small nodes

Change: one prediction per serving program and worker, cached slopes, expected paths once a second, limits of stuck runs only for idle runs.

--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -87,6 +87,9 @@
 }
 
 void ShardState::updateTypicalHeadroom(TimePoint now) {
+  if (now - TypicalHeadroomAt < GaugeSettleTime)
+    return;
+  TypicalHeadroomAt = now;
   double sum = 0;
   int n = 0;
   for (const JobEntry *it : LiveJobs)
@@ -98,25 +101,39 @@
   TypicalLowestHeadroom = n > 0 ? sum / n : UnknownHeadroom;
 }
 
-static std::vector<ServedTask>
-servedTasks(ShardState &shard, const WorkerState &w, TimePoint now) {
-  std::vector<ServedTask> served;
-  std::map<std::string, double> losses;
+/// Returns the serving programs of a worker; computed once per plan.
+static const std::vector<ServedProgram> &
+servedPrograms(ShardState &shard, WorkerState &w, TimePoint now) {
+  if (w.ServedCache)
+    return *w.ServedCache;
+  std::vector<ServedProgram> &served = w.ServedCache.emplace();
   for (const auto &[id, held] : w.Runs) {
     if (held.Step->Target.count() <= 0)
       continue;
-    JobEntry *job = shard.findJob(id.Task.Job);
+    const JobEntry *job = shard.findJob(id.Task.Job);
     if (!job)
       continue;
-    auto [loss, added] = losses.try_emplace(held.Step->Image, 0);
-    if (added)
-      loss->second = declaredLoss(shard, w, held.Step->Image);
     bool known = job->Load.isKnown(now);
-    double current =
-        known ? job->Load.headroomAt(now) : shard.TypicalLowestHeadroom;
-    double later = known ? job->Load.forecast(now, FillerRunTime) : current;
-    served.push_back(
-        {held.Step->Image, current - loss->second, later - loss->second});
+    double typical = shard.TypicalLowestHeadroom;
+    double current = known ? job->Load.headroomAt(now) : typical;
+    double later = known ? job->Load.forecast(now, FillerRunTime) : typical;
+    double atPeak = known ? job->Load.lowest(now) : typical;
+    auto it =
+        std::find_if(served.begin(), served.end(), [&](const ServedProgram &p) {
+          return p.Image == held.Step->Image;
+        });
+    if (it == served.end()) {
+      served.push_back({held.Step->Image, current, later, atPeak});
+      continue;
+    }
+    it->Now = std::min(it->Now, current);
+    it->Later = std::min(it->Later, later);
+    it->AtPeak = std::min(it->AtPeak, atPeak);
+  }
+  for (ServedProgram &it : served) {
+    double loss = declaredLoss(shard, w, it.Image);
+    it.Now -= loss;
+    it.Later -= loss;
   }
   return served;
 }
@@ -124,10 +141,8 @@
 FillerForecast forecastFiller(ShardState &shard, WorkerState &w,
                               const std::string &image, double share,
                               TimePoint now) {
-  if (!w.ServedCache)
-    w.ServedCache = servedTasks(shard, w, now);
   FillerForecast forecast{MaxHeadroom, 1};
-  for (const ServedTask &it : *w.ServedCache) {
+  for (const ServedProgram &it : servedPrograms(shard, w, now)) {
     double loss = shard.Colocation.cautiousSlope(it.Image, image) * share;
     // Such a filler changes nothing, whatever the task's own load does.
     if (loss < NegligibleLoss)
@@ -143,29 +158,24 @@
   return forecast;
 }
 
-bool suitsFiller(const ShardState &shard, const WorkerState &w,
-                 const std::string &image, TimePoint now) {
+bool suitsFiller(ShardState &shard, WorkerState &w, const std::string &image,
+                 TimePoint now) {
   /// CPU share that a filler is assumed to use.
   constexpr double typicalShare = 0.1;
-  for (const auto &[id, held] : w.Runs) {
-    if (held.Step->Target.count() <= 0)
-      continue;
-    const JobEntry *job = shard.findJob(id.Task.Job);
-    double lowest = job && job->Load.isKnown(now) ? job->Load.lowest(now)
-                                                  : shard.TypicalLowestHeadroom;
-    if (shard.Colocation.slope(held.Step->Image, image) * typicalShare >
-        lowest - 1 - HeadroomMargin)
-      return false;
-  }
-  return true;
+  const std::vector<ServedProgram> &served = servedPrograms(shard, w, now);
+  return std::all_of(
+      served.begin(), served.end(), [&](const ServedProgram &it) {
+        return shard.Colocation.slope(it.Image, image) * typicalShare <=
+               it.AtPeak - 1 - HeadroomMargin;
+      });
 }
 
-std::map<std::string, std::int64_t> suitableFillerCpu(const ShardState &shard,
+std::map<std::string, std::int64_t> suitableFillerCpu(ShardState &shard,
                                                       TimePoint now) {
   std::map<std::string, std::int64_t> cpu;
   for (const std::string &image : shard.Colocation.fillerImages()) {
     std::int64_t &sum = cpu[image];
-    for (const auto &[id, w] : shard.Workers)
+    for (auto &[id, w] : shard.Workers)
       if (w->isUsable() && !w->FillersPaused &&
           !shard.ZonesOutOfService.contains(w->Profile.Zone) &&
           suitsFiller(shard, *w, image, now))
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -360,7 +360,7 @@
 /// not be given away in between.
 constexpr double DemandMemorySeconds = 10;
 /// Interval of the updates; each costs a prediction per program and worker.
-constexpr auto DemandInterval = 200ms;
+constexpr auto DemandInterval = 500ms;
 /// Demand in thousandths of a core below which a program is forgotten.
 constexpr double MinDemand = 100;
 
@@ -432,6 +432,10 @@
   return o ? paths[step] : longest;
 }
 
+/// Interval at which the expected paths of a waiting step are computed again.
+/// Computed in every plan, they delayed the starts of small nodes.
+constexpr auto PathsInterval = 1000ms;
+
 policy::WaitingWork ShardState::waitingWork(const JobEntry &job,
                                             const Occurrence &o,
                                             std::size_t step,
@@ -450,11 +454,14 @@
   // Occurrences of a recurring job have the objective of a job each.
   // The caller's critical path is that of the real run times, so wrong declared
   // times must not shift the deadline either.
-  work.Objective = job.Job.Policy.Target +
-                   std::chrono::duration_cast<base::Duration>(
-                       expectedPath(job, nullptr, 0) * job.Job.Policy.Stretch);
+  ExpectedPaths &paths = entry.Paths;
+  if (now - paths.AsOf >= PathsInterval)
+    paths = {now, expectedPath(job, nullptr, 0), expectedPath(job, &o, step)};
+  work.Objective =
+      job.Job.Policy.Target + std::chrono::duration_cast<base::Duration>(
+                                  paths.OfJob * job.Job.Policy.Stretch);
   work.TimeLeft = std::max(job.Accepted, o.Created) + work.Objective - now;
-  work.RemainingPath = expectedPath(job, &o, step);
+  work.RemainingPath = paths.Remaining;
   return work;
 }
 
@@ -638,9 +645,6 @@
       for (std::size_t s = 0; s < o.Steps.size(); ++s) {
         const model::StepSpec &spec = job->Job.Graph.Steps[s];
         StepEntry &entry = o.Steps[s];
-        auto limit = std::max<base::Duration>(
-            MinStuckTime, std::chrono::duration_cast<base::Duration>(
-                              expectedTime(*job, s, 0.9) * StuckFactor));
         for (std::size_t i = 0; i < entry.Tasks.size(); ++i) {
           TaskEntry &task = entry.Tasks[i];
           if (task.Done)
@@ -650,12 +654,18 @@
             // ends with the worker's lease.
             if (run.Worker->SilentSince)
               continue;
+            if (run.Phase != RunPhase::Running ||
+                now - run.LastBusy <= MaxIdleTime ||
+                now - run.Started < MinStuckTime)
+              continue;
+            auto limit = std::max<base::Duration>(
+                MinStuckTime, std::chrono::duration_cast<base::Duration>(
+                                  expectedTime(*job, s, 0.9) * StuckFactor));
             // A filler may be idle because other tasks use the whole CPU.
-            bool idle = !spec.Filler && now - run.LastBusy > MaxIdleTime;
+            bool idle = !spec.Filler;
             bool late = now - run.Started > FillerStuckFactor * limit &&
                         now - run.LastBusy > FillerStuckFactor * MaxIdleTime;
-            if (run.Phase != RunPhase::Running || (!idle && !late) ||
-                now - run.Started < MinStuckTime)
+            if (!idle && !late)
               continue;
             TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
                         static_cast<std::int32_t>(i)};
--- a/packages/dispatch/src/detail/Interference.h
+++ b/packages/dispatch/src/detail/Interference.h
@@ -34,12 +34,12 @@
 
 /// Returns whether a filler of usual size, alone on the worker, lets every
 /// serving task meet its target also at the peak of the load.
-bool suitsFiller(const ShardState &shard, const WorkerState &w,
-                 const std::string &image, TimePoint now);
+bool suitsFiller(ShardState &shard, WorkerState &w, const std::string &image,
+                 TimePoint now);
 
 /// Returns the CPU in thousandths of a core that the workers that suit each
 /// known filler program have left for fillers.
-std::map<std::string, std::int64_t> suitableFillerCpu(const ShardState &shard,
+std::map<std::string, std::int64_t> suitableFillerCpu(ShardState &shard,
                                                       TimePoint now);
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -115,6 +115,14 @@
   bool isSuspect() const { return !Crashes.Runs.empty(); }
 };
 
+/// Expected times of the longest chains of steps: of the whole job, and from a
+/// step to the end of the job.
+struct ExpectedPaths {
+  TimePoint AsOf;
+  base::Duration OfJob{0};
+  base::Duration Remaining{0};
+};
+
 struct StepEntry {
   std::vector<TaskEntry> Tasks;
   std::int32_t DoneCount = 0;
@@ -128,6 +136,8 @@
   std::optional<TimePoint> LimitedSince;
   /// Since when a pending task has had no run although the step is ready.
   std::optional<TimePoint> UnservedSince;
+  /// Computed on demand by waitingWork().
+  mutable ExpectedPaths Paths;
 };
 
 struct Occurrence {
@@ -210,12 +220,16 @@
   bool Adopted = false;
 };
 
-/// Headroom that a serving task is expected to have beside the current fillers
-/// of its worker at full speed: now, and after the run time of a filler.
-struct ServedTask {
+/// Headroom that the tasks of a serving program on a worker are expected to
+/// have, of the task that has the least.
+struct ServedProgram {
   std::string Image;
+  /// Beside the current fillers of the worker at full speed: now, and after the
+  /// run time of a filler.
   double Now = 0;
   double Later = 0;
+  /// Without fillers at the peak of the load.
+  double AtPeak = 0;
 };
 
 struct ClockSample {
@@ -313,7 +327,7 @@
   /// Program and target of each task with a target here; one entry per task.
   std::multimap<std::string, std::chrono::milliseconds> Serving;
   /// Computed on demand; reset when a run is added or removed.
-  std::optional<std::vector<ServedTask>> ServedCache;
+  std::optional<std::vector<ServedProgram>> ServedCache;
   /// Sum of the demand ratios of the waiting filler programs that suit this
   /// worker.
   double DemandRatioSum = 0;
@@ -415,6 +429,7 @@
   /// Headroom at the peak of the load that is assumed for serving jobs that
   /// have not been measured for long: the mean of the others.
   double TypicalLowestHeadroom = 0;
+  TimePoint TypicalHeadroomAt;
 
   // Jobs.cpp
   JobEntry *findJob(JobNumber job);
--- a/packages/policy/include/endivedoor/policy/ColocationModel.h
+++ b/packages/policy/include/endivedoor/policy/ColocationModel.h
@@ -94,6 +94,8 @@
     std::vector<std::vector<double>> PeerMatrix;
     std::vector<double> PeerSide;
     std::vector<double> Solution;
+    /// Results of cautiousSlope() as of the latest solution.
+    std::vector<double> Cautious;
     std::size_t ObservationsSinceSolve = 0;
   };
 
--- a/packages/policy/src/ColocationModel.cpp
+++ b/packages/policy/src/ColocationModel.cpp
@@ -14,6 +14,9 @@
 /// Weight of the mean of all pairs against what one filler or one service was
 /// measured to do: equals one well measured pair.
 constexpr double ExpectationPrior = 1;
+/// Allowance of cautiousSlope() for a pair without measurements, as a fraction
+/// of its expected slope.
+constexpr double UnmeasuredAllowance = 0.5;
 /// Number of solutions between two updates of the expected slopes.
 constexpr std::size_t ExpectationInterval = 16;
 /// Number of measurements between two solutions of the regression.
@@ -38,6 +41,7 @@
   fit.RightHandSide.push_back(0);
   fit.PeerSide.push_back(0);
   fit.Solution.push_back(0);
+  fit.Cautious.push_back(0);
   return it->second;
 }
 
@@ -45,7 +49,7 @@
   Fit &fit = Fits[servingImage];
   if (fit.RightHandSide.empty()) {
     fit.NormalMatrix = fit.PeerMatrix = {{0.0}};
-    fit.RightHandSide = fit.PeerSide = fit.Solution = {0.0};
+    fit.RightHandSide = fit.PeerSide = fit.Solution = fit.Cautious = {0.0};
   }
   return fit;
 }
@@ -151,6 +155,11 @@
     if (change < 1e-4)
       break;
   }
+  for (std::size_t i = 1; i < n; ++i) {
+    double weight = fit.NormalMatrix[i][i] + fit.PeerMatrix[i][i];
+    fit.Cautious[i] = fit.Solution[i] + UnmeasuredAllowance * expected[i] *
+                                            SlopePrior / (weight + SlopePrior);
+  }
   if (++SolvesSinceUpdate >= ExpectationInterval) {
     SolvesSinceUpdate = 0;
     updateExpectations();
@@ -257,16 +266,11 @@
 
 double ColocationModel::cautiousSlope(const std::string &servingImage,
                                       const std::string &fillerImage) const {
-  double measured = 0;
   if (auto fit = Fits.find(servingImage); fit != Fits.end())
     if (auto it = fit->second.Index.find(fillerImage);
         it != fit->second.Index.end())
-      measured = fit->second.NormalMatrix[it->second][it->second] +
-                 fit->second.PeerMatrix[it->second][it->second];
-  // The allowance of an unmeasured pair is half of the expected slope.
-  return slope(servingImage, fillerImage) +
-         0.5 * expectedSlope(servingImage, fillerImage) * SlopePrior /
-             (measured + SlopePrior);
+      return fit->second.Cautious[it->second];
+  return (1 + UnmeasuredAllowance) * expectedSlope(servingImage, fillerImage);
 }
 
 std::set<std::string> ColocationModel::fillerImages() const {
