--- a/packages/dispatch/src/Accounts.cpp
+++ b/packages/dispatch/src/Accounts.cpp
@@ -158,10 +158,11 @@
     for (auto &[run, held] : w->Runs)
       if (!held.Account) {
         detail::TaskEntry *task = s.findTask(run.Task);
+        std::int64_t number = run.Number;
         bool adopted =
             task && std::any_of(task->Runs.begin(), task->Runs.end(),
                                 [&](const detail::Run &it) {
-                                  return it.Number == run.Number && it.Adopted;
+                                  return it.Number == number && it.Adopted;
                                 });
         s.addUse(run, held, adopted);
       }
