Compute expected paths in each plan for orders by laxity

Cause: with paths cached for a second the replay of large tasks broke its bound (Reservation.LargeTasksUnderAStream_StartWithinTheBound, longest wait 14.0 s of 13 s). Change: the cache applies only to the order by priority, where the paths give no more than the deadline. Measured: unit-dispatch-waitingwork passes, all 24 tests.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -432,8 +432,9 @@
   return o ? paths[step] : longest;
 }
 
-/// Interval at which the expected paths of a waiting step are computed again.
-/// Computed in every plan, they delayed the starts of small nodes.
+/// Interval at which the expected paths of a waiting step are computed again if
+/// work is ordered by priority. Computed in every plan, they delayed the starts
+/// of small nodes. Orders by laxity need the current paths.
 constexpr auto PathsInterval = 1000ms;
 
 policy::WaitingWork ShardState::waitingWork(const JobEntry &job,
@@ -455,7 +456,8 @@
   // The caller's critical path is that of the real run times, so wrong declared
   // times must not shift the deadline either.
   ExpectedPaths &paths = entry.Paths;
-  if (now - paths.AsOf >= PathsInterval)
+  bool byPriority = Options.WaitingOrder == policy::WaitingRule::Priority;
+  if (!byPriority || now - paths.AsOf >= PathsInterval)
     paths = {now, expectedPath(job, nullptr, 0), expectedPath(job, &o, step)};
   work.Objective =
       job.Job.Policy.Target + std::chrono::duration_cast<base::Duration>(
--- a/tests/unit/WorkReplay.h
+++ b/tests/unit/WorkReplay.h
@@ -81,7 +81,7 @@
 class WorkReplay {
 public:
   explicit WorkReplay(ReplayOptions options)
-      : Options(std::move(options)), Random(Options.Seed) {
+      : Options(options), Random(Options.Seed) {
     FLAGS_minloglevel = google::GLOG_ERROR;
     // Workers report lost runs early, so that a replay is short.
     Options.Shard.LeaseDuration = 1000ms;
--- a/tests/unit/unit-dispatch-records.cpp
+++ b/tests/unit/unit-dispatch-records.cpp
@@ -224,7 +224,7 @@
   model::AcceptedJob job = makeJob(2, 3);
   job.Graph.Steps[1].Dependencies = {0};
   JobHandover handover = completeProgress(job, 1, "c");
-  detail::OwnerEntry owner{{"n1", "n1-1"}, 3, {{"n2", "n2-1"}}};
+  detail::OwnerEntry owner{{"n1", "n1-1"}, 3, {{{"n2", "n2-1"}, 2}}};
   std::string text = *rc::gen::element(
       encodeJob(job, &handover).value(), encodeProgress(handover.Progress),
       detail::encodeOwner(owner),
