--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -118,12 +118,12 @@
     double current = known ? job->Load.headroomAt(now) : typical;
     double later = known ? job->Load.forecast(now, FillerRunTime) : typical;
     double atPeak = known ? job->Load.lowest(now) : typical;
-    auto it =
-        std::find_if(served.begin(), served.end(), [&](const ServedProgram &p) {
-          return p.Image == held.Step->Image;
-        });
+    const std::string &image = held.Step->Image;
+    auto it = std::find_if(
+        served.begin(), served.end(),
+        [&image](const ServedProgram &p) { return p.Image == image; });
     if (it == served.end()) {
-      served.push_back({held.Step->Image, current, later, atPeak});
+      served.push_back({image, current, later, atPeak});
       continue;
     }
     it->Now = std::min(it->Now, current);
