Ignore a poll answer of an earlier incarnation that arrives after its restart

Cause: Shard::onPoll took any start time that differs for a restart, also an earlier one. An answer of the earlier incarnation that was handled after the directory entry of the new one set the start time, the lease deadline and the numbers of ends back. The next poll acknowledged the old numbers to the new incarnation, which discarded as many ends unread.

Change: such an answer is ignored and logged if its poll was sent before the restart became known. A later poll can only be answered by the current incarnation; if it names an earlier start time, the entry was wrong.

Evidence: without the change LateAnswerOfTheEarlierIncarnation_ChangesNothing fails: the next poll acknowledges 51 and asks for a deadline of 56000.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -339,8 +339,10 @@
   w.Profile.StartTime = startTime;
   w.EntryStartTime = profile.StartTime;
   w.Listed = true;
-  if (restarted)
+  if (restarted) {
     s.handleRestart(w, "worker restarted", now);
+    w.IncarnationKnownAt = now;
+  }
 }
 
 void Shard::unlistWorker(const base::WorkerId &worker) {
@@ -458,11 +460,23 @@
     s.handleRestart(w, "different worker instance answered", received);
     return;
   }
+  // A poll that was sent later can no longer be answered by an earlier
+  // incarnation; then the start time in the entry was wrong.
+  if (report.StartTime.count() != 0 && report.StartTime < w.Profile.StartTime &&
+      sent <= w.IncarnationKnownAt) {
+    s.Events.emit(base::EventCode::WorkerAnswerOutdated,
+                  {{"worker", worker.str()},
+                   {"start", std::to_string(report.StartTime.count())},
+                   {"current", std::to_string(w.Profile.StartTime.count())}});
+    return;
+  }
   if (w.PollDeadline.count() != 0)
     w.ConfirmedDeadline = w.PollDeadline;
   if (w.Profile.StartTime.count() != 0 && report.StartTime.count() != 0 &&
-      report.StartTime != w.Profile.StartTime)
+      report.StartTime != w.Profile.StartTime) {
     s.handleRestart(w, "worker reported a new start time", received);
+    w.IncarnationKnownAt = received;
+  }
   if (w.SilentSince)
     s.endSilence(w, received);
   if (report.StartTime.count() != 0)
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -349,6 +349,39 @@
   EXPECT_LT(now() - begin, 11700ms);
 }
 
+using RestartedWorker = SilentWorker;
+
+// The numbers of the earlier incarnation discarded ends of the new one that
+// nobody had read, and their tasks were started again.
+TEST_F(RestartedWorker, LateAnswerOfTheEarlierIncarnation_ChangesNothing) {
+  base::TimePoint sent = now();
+  TestShard.nextPoll(base::WorkerId("lost"), sent, true);
+  model::WorkerProfile restarted = worker("lost");
+  restarted.StartTime = 2000ms;
+  TestShard.updateWorker(restarted, now());
+  PollReport late;
+  late.Clock = 50000ms;
+  late.StartTime = 1000ms;
+  late.Ended = {{51, Started[0].Run, RunOutcome::Stopped, ""}};
+  TestShard.onPoll(base::WorkerId("lost"), late, sent, now());
+  dispatch::PlannedPoll next =
+      *TestShard.nextPoll(base::WorkerId("lost"), now(), true);
+  EXPECT_EQ(next.Request.AcknowledgedEnd, 0);
+  EXPECT_EQ(next.Request.Deadline.count(), 0);
+  EXPECT_FALSE(next.Synced);
+}
+
+// An entry with a wrong start time must not make the worker's own answers count
+// as outdated for ever.
+TEST_F(RestartedWorker, EntryWithALaterStartTime_IsCorrectedByTheNextAnswer) {
+  model::WorkerProfile wrong = worker("lost");
+  wrong.StartTime = 9000ms;
+  TestShard.updateWorker(wrong, now());
+  Time.advance(1ms);
+  report("lost");
+  EXPECT_TRUE(TestShard.nextPoll(base::WorkerId("lost"), now(), true)->Synced);
+}
+
 using InvalidRows = SilentWorker;
 
 // A run whose row was skipped must not count as gone: the task runs twice.
