Acknowledge ends only over connections that cannot lead to a restarted worker

Cause: ends are numbered from 1 in each incarnation, and a worker may restart under its id between two polls without a failed call. The next poll then went over a new connection to the new incarnation and acknowledged the numbers of the earlier one. The new one discarded as many of its ends unread, and their tasks started again.

Change: PollRequest carries when the latest poll was sent that the incarnation has answered. HttpClient::sendOnIdle uses only idle connections that were opened before that. Their server is this incarnation or an earlier one, so a later one cannot receive the acknowledgement. If there is none, the poll goes over any connection and acknowledges nothing; the ends are listed again and skipped by number. No more connections are opened than before.

Evidence: InstallationAdapter.Poll_AcknowledgesNothingToALaterIncarnation: with every connection allowed, the first poll over a new connection acknowledges 58.

--- a/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
+++ b/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVEDOOR_DISPATCH_TASKWORKER_H
 #define ENDIVEDOOR_DISPATCH_TASKWORKER_H
 
+#include "endivedoor/base/Clock.h"
 #include "endivedoor/model/JobGraph.h"
 #include "endivedoor/platform/Async.h"
 
@@ -84,8 +85,12 @@
 
 struct PollRequest {
   base::FencingToken Token{0};
-  /// The worker may discard ended runs up to this sequence number.
+  /// The worker may discard ended runs up to this sequence number. Sent only
+  /// where it cannot reach a later incarnation, which numbers its runs anew.
   std::int64_t AcknowledgedEnd = 0;
+  /// When the latest poll was sent that the incarnation of AcknowledgedEnd has
+  /// answered.
+  base::TimePoint IncarnationSeenAt{};
   /// New lease deadline for all runs on the worker; 0 leaves it unchanged.
   WorkerTime Deadline{0};
   /// How long the worker may delay its answer (long poll); it answers early
@@ -125,6 +130,8 @@
 class TaskWorker {
 public:
   virtual ~TaskWorker() = default;
+  /// Acknowledges ends only over a connection that was opened before
+  /// PollRequest::IncarnationSeenAt. Otherwise the poll acknowledges none.
   virtual Async<PollReport> poll(WorkerRef worker, PollRequest request,
                                  std::chrono::milliseconds timeout) = 0;
   virtual Async<CommandResult> start(WorkerRef worker, StartRequest request,
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -408,6 +408,7 @@
   // A silent worker may have restarted. It numbers its ends from 1 again and
   // would discard those up to an old number unread.
   plan.Request.AcknowledgedEnd = w.SilentSince ? 0 : w.AcknowledgedEnd;
+  plan.Request.IncarnationSeenAt = w.IncarnationSeenAt;
   std::optional<WorkerTime> clock = State->workerClock(w, now);
   // A worker without runs gets a lease too: it may wait with its answer for
   // longer than a start command that arrives meanwhile is valid. A poll of a
@@ -477,6 +478,7 @@
     s.handleRestart(w, "worker reported a new start time", received);
     w.IncarnationKnownAt = received;
   }
+  w.IncarnationSeenAt = sent;
   if (w.SilentSince)
     s.endSilence(w, received);
   if (report.StartTime.count() != 0)
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -296,6 +296,8 @@
   WorkerTime PollDeadline{0};
   /// Lease deadline of the latest answered poll, which the worker has received.
   WorkerTime ConfirmedDeadline{0};
+  /// When the latest poll was sent that the current incarnation has answered.
+  TimePoint IncarnationSeenAt;
   /// When the current incarnation became known.
   TimePoint IncarnationKnownAt;
   std::int64_t LastProcessedEnd = 0;
--- a/packages/platform/include/endivedoor/platform/HttpClient.h
+++ b/packages/platform/include/endivedoor/platform/HttpClient.h
@@ -71,6 +71,15 @@
                            std::chrono::milliseconds timeout,
                            ResponseValidator validate = nullptr);
 
+  /// Sends \p request on an idle connection and never opens one. The server of
+  /// a connection cannot have been replaced since the connection was opened.
+  ///
+  /// \param openedBefore connections opened later are not used.
+  /// Errors: those of send(); HttpNoConnection if there is no such connection.
+  Async<HttpResponse> sendOnIdle(model::Address to, HttpRequest request,
+                                 base::TimePoint openedBefore,
+                                 std::chrono::milliseconds timeout);
+
   /// Returns the number of idle connections to \p to.
   std::size_t idleConnections(const model::Address &to) const;
   /// Closes one idle connection to \p to, if there is one.
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -50,6 +50,8 @@
   beast::tcp_stream Stream;
   model::Address To;
   ConnectionLimiter *Limiter;
+  /// When the server had accepted the connection.
+  base::TimePoint OpenedAt{};
 };
 
 struct IdleConnection {
@@ -65,17 +67,23 @@
   HttpClientOptions Options;
   std::map<model::Address, std::vector<IdleConnection>> Pool;
 
-  std::unique_ptr<PooledConnection> takeIdle(const model::Address &to) {
+  /// Returns the idle connection that was used last, of those opened before \p
+  /// openedBefore; null if there is none.
+  std::unique_ptr<PooledConnection>
+  takeIdle(const model::Address &to,
+           base::TimePoint openedBefore = base::TimePoint::max()) {
     auto it = Pool.find(to);
     if (it == Pool.end())
       return nullptr;
     std::vector<IdleConnection> &idle = it->second;
-    while (!idle.empty()) {
-      IdleConnection last = std::move(idle.back());
-      idle.pop_back();
-      if (Clock.now() - last.IdleSince < Options.IdleTimeout &&
-          isReusable(last.Connection->Stream))
-        return std::move(last.Connection);
+    for (std::size_t i = idle.size(); i-- > 0;) {
+      if (idle[i].Connection->OpenedAt >= openedBefore)
+        continue;
+      IdleConnection taken = std::move(idle[i]);
+      idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+      if (Clock.now() - taken.IdleSince < Options.IdleTimeout &&
+          isReusable(taken.Connection->Stream))
+        return std::move(taken.Connection);
     }
     return nullptr;
   }
@@ -101,6 +109,9 @@
 
   Async<std::unique_ptr<PooledConnection>>
   connect(model::Address to, std::chrono::milliseconds timeout);
+  Async<HttpResponse> exchange(std::unique_ptr<PooledConnection> connection,
+                               HttpRequest request, base::TimePoint deadline,
+                               ResponseValidator validate);
 };
 
 HttpClient::HttpClient(asio::any_io_executor executor, const base::Clock &clock,
@@ -149,6 +160,7 @@
       co_await connection->Stream.async_connect(endpoint, AsTuple);
   if (connectError)
     co_return fail(Errc::HttpNotSent, to.str() + ": " + connectError.message());
+  connection->OpenedAt = Clock.now();
   connection->Stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
   co_return connection;
 }
@@ -181,8 +193,29 @@
       co_return opened.as_failure();
     connection = std::move(opened.value());
   }
+  co_return co_await self.exchange(std::move(connection), std::move(request),
+                                   deadline, std::move(validate));
+}
+
+Async<HttpResponse> HttpClient::sendOnIdle(model::Address to,
+                                           HttpRequest request,
+                                           base::TimePoint openedBefore,
+                                           std::chrono::milliseconds timeout) {
+  std::unique_ptr<PooledConnection> connection =
+      Self->takeIdle(to, openedBefore);
+  if (!connection)
+    co_return fail(Errc::HttpNoConnection, to.str());
+  co_return co_await Self->exchange(std::move(connection), std::move(request),
+                                    Self->Clock.now() + timeout, nullptr);
+}
+
+Async<HttpResponse>
+HttpClient::Impl::exchange(std::unique_ptr<PooledConnection> connection,
+                           HttpRequest request, base::TimePoint deadline,
+                           ResponseValidator validate) {
+  const model::Address to = connection->To;
   beast::tcp_stream &stream = connection->Stream;
-  stream.expires_after(deadline - self.Clock.now());
+  stream.expires_after(deadline - Clock.now());
 
   http::request<http::string_body> message = toBeast(to, std::move(request));
   auto [writeError, written] =
@@ -193,9 +226,8 @@
 
   beast::flat_buffer buf;
   http::response_parser<http::string_body> parser;
-  parser.header_limit(
-      static_cast<std::uint32_t>(self.Options.Limits.HeaderBytes));
-  parser.body_limit(self.Options.Limits.BodyBytes);
+  parser.header_limit(static_cast<std::uint32_t>(Options.Limits.HeaderBytes));
+  parser.body_limit(Options.Limits.BodyBytes);
   if (message.method() == http::verb::head)
     parser.skip(true);
   auto [readError, received] =
@@ -226,7 +258,7 @@
                    to.str() + ": the response does not match the request");
   if (rawResponse.keep_alive() && buf.size() == 0) {
     stream.expires_never();
-    self.putIdle(std::move(connection));
+    putIdle(std::move(connection));
   }
   co_return response;
 }
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -382,6 +382,17 @@
   EXPECT_TRUE(TestShard.nextPoll(base::WorkerId("lost"), now(), true)->Synced);
 }
 
+// A worker that restarts between two polls would discard unread ends.
+TEST_F(RestartedWorker, Acknowledgement_NamesTheLastAnsweredPoll) {
+  report("lost", {{7, Started[0].Run, RunOutcome::Done, ""}});
+  base::TimePoint sent = now() - 1ms;
+  storeWrites();
+  dispatch::PlannedPoll next =
+      *TestShard.nextPoll(base::WorkerId("lost"), now(), true);
+  EXPECT_EQ(next.Request.AcknowledgedEnd, 7);
+  EXPECT_EQ(next.Request.IncarnationSeenAt, sent);
+}
+
 using InvalidRows = SilentWorker;
 
 // A run whose row was skipped must not count as gone: the task runs twice.
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -2,6 +2,7 @@
 // responses that tell whether a call took effect, and task names.
 #include "../../platform/Decode.h"
 #include "../../platform/KvStore.h"
+#include "../../platform/Wire.h"
 #include "../../platform/WorkerHttpClient.h"
 
 #include "endivedoor/model/DispatchSettings.h"
@@ -493,6 +494,31 @@
   EXPECT_EQ(platform::findHeader(Headers, "Expect-Instance"), "i-1");
 }
 
+// A worker that restarted between two polls was told the last end of its
+// earlier incarnation and discarded as many of the new one unread.
+TEST_F(InstallationAdapter, Poll_AcknowledgesNothingToALaterIncarnation) {
+  Respond = [](const HttpRequest &) {
+    return HttpResponse{200, {}, R"({"clock_ms":1,"born":77})"};
+  };
+  auto acknowledged = [&](base::TimePoint seenAt) {
+    dispatch::PollRequest request;
+    request.AcknowledgedEnd = 58;
+    request.IncarnationSeenAt = seenAt;
+    EXPECT_TRUE(await(WorkerClient->poll({base::WorkerId("i-1"), ServerAddress},
+                                         request, 500ms)));
+    json::value body = parseBody(Bodies.back()).value();
+    return Fields(&body).number("last_seen");
+  };
+  base::TimePoint before = Time.now();
+  // A new connection may lead to a later incarnation, and so may one that was
+  // opened after the latest answer.
+  EXPECT_EQ(acknowledged(before), 0);
+  EXPECT_EQ(acknowledged(before), 0);
+  EXPECT_EQ(acknowledged(Time.now()), 58);
+  Http.closeIdle(ServerAddress);
+  EXPECT_EQ(acknowledged(Time.now()), 0);
+}
+
 // An invalid row made the whole answer fail, so that its worker counted as
 // silent and its tasks were started again.
 TEST_F(InstallationAdapter, Poll_SkipsInvalidRows) {
