--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -99,6 +99,26 @@
   EXPECT_EQ(count(withoutGpu.value().Capacity.Memory), 2048);
 }
 
+/// Returns an entry that is complete but for its start time.
+std::string entryWithBorn(const std::string &born) {
+  return R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+             "state":"ready","capacity":{"cpu":1,"mem_mb":1},"born":)" +
+         born + "}";
+}
+
+// A start time far in the future counted as a restart of the live worker, whose
+// running tasks were then started again.
+TEST(DecodeWorker, StartTimeThatIsNoTime_MakesTheEntryUnusable) {
+  for (const char *it :
+       {"1e400", "-1e400", "1e30", "9e15", "0.5", "-1", "18446744073709551615",
+        "9223372036854775807", "253402300800000", "NaN", "Infinity", "true",
+        "\"77\"", "[77]", "{}"})
+    EXPECT_FALSE(decodeWorker("i-1", entryWithBorn(it)).has_value()) << it;
+  for (const char *it : {"77", "1796461200000", "1.7964612e12"})
+    EXPECT_TRUE(decodeWorker("i-1", entryWithBorn(it)).has_value()) << it;
+  EXPECT_EQ(decodeWorker("i-1", entryWithBorn("null")).value().StartTime, 0ms);
+}
+
 TEST(DecodeJob, EveryField_IsDecoded) {
   auto graph = decodeJobGraph(
       R"({"spec":"p","repeat_count":2,"start_at_ms":5,"interval_ms":7,
