--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -4,6 +4,7 @@
 #include "../../platform/KvStore.h"
 #include "../../platform/WorkerHttpClient.h"
 
+#include "endivedoor/dispatch/Records.h"
 #include "endivedoor/model/DispatchSettings.h"
 #include "endivedoor/platform/HttpServer.h"
 
@@ -119,6 +120,25 @@
   EXPECT_EQ(decodeWorker("i-1", entryWithBorn("null")).value().StartTime, 0ms);
 }
 
+// The stored list of a shard's workers could not be read back with an empty id,
+// so that the next owner did not know where runs may be. Ids are also sent as
+// header values.
+TEST(DecodeWorker, IdThatIsNoName_MakesTheEntryUnusable) {
+  for (const std::string &it :
+       {std::string(), std::string("a b"), std::string("a\r\nHost: x"),
+        std::string("a\0", 2), std::string("\x7f"), std::string("\xc3\xa9"),
+        std::string(dispatch::limits::MaxNameBytes + 1, 'i')})
+    EXPECT_FALSE(decodeWorker(it, WorkerEntry).has_value()) << it;
+  for (const char *it : {"i-7f3a91c2", "a/b", "{\"x\":1}"}) {
+    auto worker = decodeWorker(it, WorkerEntry);
+    ASSERT_TRUE(worker.has_value()) << it;
+    auto roster = dispatch::decodeRoster(
+        dispatch::encodeRoster({{worker.value().Id, worker.value().Endpoint}}));
+    ASSERT_TRUE(roster.has_value()) << it;
+    EXPECT_EQ(roster.value()[0].Id, worker.value().Id);
+  }
+}
+
 TEST(DecodeJob, EveryField_IsDecoded) {
   auto graph = decodeJobGraph(
       R"({"spec":"p","repeat_count":2,"start_at_ms":5,"interval_ms":7,
