--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -516,6 +516,39 @@
   EXPECT_TRUE(changes.value().List[0].Deleted);
 }
 
+// One value that cannot be read failed the whole answer; the same call failed
+// again for ever, and no other entry was followed.
+TEST_F(InstallationAdapter, UnreadableValue_DoesNotHideTheOtherItems) {
+  for (const char *value : {"\"!\"", "\"a\"", "null", "7", "[\"dg==\"]"}) {
+    std::string rows = R"([{"key":"p/a","value":"dg==","revision":1},)"
+                       R"({"key":"p/b","revision":2,"value":)" +
+                       std::string(value) +
+                       R"(},{"key":"p/c","value":"dg==","revision":3}])";
+    Respond = [&](const HttpRequest &r) {
+      bool list = r.Path.find("kv-range") != std::string::npos;
+      return HttpResponse{200,
+                          {},
+                          R"({"as_of":3,")" +
+                              std::string(list ? "items" : "events") +
+                              "\":" + rows + "}"};
+    };
+    auto listing = await(Store->list("p/"));
+    auto changes = await(Store->watch("p/", 0, 10ms));
+    ASSERT_TRUE(listing.has_value()) << value;
+    ASSERT_TRUE(changes.has_value()) << value;
+    ASSERT_EQ(listing.value().Items.size(), 3u);
+    ASSERT_EQ(changes.value().List.size(), 3u);
+    for (const dispatch::StoredItem &it :
+         {listing.value().Items[1], changes.value().List[1].Item}) {
+      EXPECT_EQ(it.Key, "p/b");
+      EXPECT_EQ(it.Value, "") << value;
+      EXPECT_EQ(it.Revision, 2);
+    }
+    EXPECT_EQ(changes.value().List[2].Item.Value, "v");
+    EXPECT_EQ(changes.value().AsOf, 3);
+  }
+}
+
 TEST_F(InstallationAdapter, Poll_DecodesRunsAndSendsExpectedInstance) {
   Respond = [](const HttpRequest &) {
     return HttpResponse{
