Reject repeated jobs whose due times are beyond the clock

Cause: due times are milliseconds, the wall clock counts nanoseconds in 64 bits; the conversion, or the product of index and interval, overflowed to a time in the past.

Evidence: RecordLimits.DueTimeBeyondTheClock_IsRejected failed before for all five submissions and for the stored record ("Actual: true"), and passes now; unit-dispatch-records: 11 passed.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -3,6 +3,7 @@
 #ifndef ENDIVEDOOR_DISPATCH_RECORDS_H
 #define ENDIVEDOOR_DISPATCH_RECORDS_H
 
+#include "endivedoor/base/Clock.h"
 #include "endivedoor/base/Error.h"
 #include "endivedoor/model/JobGraph.h"
 
@@ -52,6 +53,10 @@
 constexpr std::size_t MaxCheckpointBytes = 4096;
 constexpr std::size_t MaxSteps = 64;
 constexpr std::int32_t MaxTasksPerJob = 10000;
+/// Latest due time of an occurrence, since 1970; the range of the wall clock.
+constexpr std::chrono::milliseconds MaxDueTime =
+    std::chrono::floor<std::chrono::milliseconds>(
+        base::WallTime::max().time_since_epoch());
 /// Largest record, in bytes; the largest value that the store accepts.
 constexpr std::size_t MaxRecordBytes = 1 << 20;
 } // namespace limits
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -238,6 +238,20 @@
   return nullptr;
 }
 
+/// Returns the name of the first part of the schedule of a job that cannot be
+/// carried out, or null.
+const char *impossiblePartOf(const model::JobGraph &graph) {
+  if (graph.Occurrences == 0)
+    return nullptr;
+  if (graph.FirstDue > limits::MaxDueTime)
+    return "due time";
+  if (graph.Occurrences > 1 &&
+      graph.Interval >
+          (limits::MaxDueTime - graph.FirstDue) / (graph.Occurrences - 1))
+    return "interval";
+  return nullptr;
+}
+
 /// Returns an error if the decoder would reject the record of the job.
 base::Result<void> checkReadable(const model::AcceptedJob &job) {
   auto exceeds = [](const std::string &what) {
@@ -257,6 +271,8 @@
   if (!isInt32(job.Graph.Occurrences) || job.Graph.FirstDue.count() < 0 ||
       job.Graph.Interval.count() < 0)
     return exceeds("occurrences");
+  if (const char *part = impossiblePartOf(job.Graph))
+    return exceeds(part);
   if (job.Graph.Steps.size() > limits::MaxSteps)
     return exceeds("number of steps");
   std::int64_t tasks = 0;
@@ -343,6 +359,8 @@
           readNumbers((*raw)[i], "after", steps[i],
                       job.Graph.Steps.back().Dependencies);
         }
+        if (const char *part = impossiblePartOf(job.Graph))
+          v.setError(part, "is out of range");
         return job;
       });
 }
--- a/tests/unit/unit-dispatch-records.cpp
+++ b/tests/unit/unit-dispatch-records.cpp
@@ -9,6 +9,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <tuple>
+
 using namespace endivedoor;
 using namespace endivedoor::dispatch;
 using model::JobNumber;
@@ -55,6 +57,43 @@
   return decoded.value()->Progress.Occurrences[0].Tasks.size();
 }
 
+/// A repeated job of one step.
+model::AcceptedJob makeRepeatedJob(std::int32_t occurrences, std::int32_t tasks,
+                                   std::chrono::milliseconds firstDue,
+                                   std::chrono::milliseconds interval) {
+  model::AcceptedJob job = makeJob(1, tasks);
+  job.Graph.Occurrences = occurrences;
+  job.Graph.FirstDue = firstDue;
+  job.Graph.Interval = interval;
+  return job;
+}
+
+// Due times beyond the range of the clock were taken as past ones, and the
+// tasks started at once.
+TEST(RecordLimits, DueTimeBeyondTheClock_IsRejected) {
+  using std::chrono::milliseconds;
+  constexpr milliseconds last = limits::MaxDueTime, any{0};
+  for (const auto &[occurrences, first, interval] :
+       std::vector<std::tuple<std::int32_t, milliseconds, milliseconds>>{
+           {1, last + milliseconds(1), any},
+           {1, milliseconds(10'000'000'000'000), any},
+           {1, milliseconds::max(), any},
+           {2, milliseconds(2), last - milliseconds(1)},
+           {9, any, milliseconds::max()}})
+    EXPECT_FALSE(encodeJob(makeRepeatedJob(occurrences, 1, first, interval)))
+        << occurrences << " " << first.count() << " " << interval.count();
+  for (const auto &[occurrences, first, interval] :
+       std::vector<std::tuple<std::int32_t, milliseconds, milliseconds>>{
+           {1, last, milliseconds::max()},
+           {2, milliseconds(1), last - milliseconds(1)}}) {
+    auto record = encodeJob(makeRepeatedJob(occurrences, 1, first, interval));
+    ASSERT_TRUE(record.has_value());
+    EXPECT_TRUE(decodeJob(JobNumber{1}, record.value()).has_value());
+  }
+  EXPECT_FALSE(decodeJob(JobNumber{1}, R"({"queue":"q","service":"s",
+      "repeats":1,"firstDueMs":10000000000000,"steps":[{"count":1}]})"));
+}
+
 // A job with wide steps moved to another shard, whose owner could not read the
 // embedded progress of more than 256 bytes.
 TEST(RecordLimits, HandoverOfAWideJob_RoundTrips) {
