Reject repeated jobs with too many tasks of all occurrences

The job is stored, so each next owner of the shard would do the same: processes that end one after the other.

A node has 64 MB.

Change: tasks times occurrences are bounded at 20,000, about 8 MB. A larger submission is answered 400; a stored record is reported as unreadable and does not run, so that a job that was accepted before no longer ends its owners.

Weighed: opening a few occurrences at a time. Ended ones stay in memory, too, so the total needs a bound in any case.

Evidence: RecordLimits.TooManyTasksOfAllOccurrences_AreRejected failed before for all four submissions and for the stored record ("Actual: true") and passes now.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -53,6 +53,9 @@
 constexpr std::size_t MaxCheckpointBytes = 4096;
 constexpr std::size_t MaxSteps = 64;
 constexpr std::int32_t MaxTasksPerJob = 10000;
+/// Largest number of tasks of all occurrences of a repeated job. An owner holds
+/// all due ones in memory, about 400 bytes each.
+constexpr std::int32_t MaxTasksOfOccurrences = 20000;
 /// Latest due time of an occurrence, since 1970; the range of the wall clock.
 constexpr std::chrono::milliseconds MaxDueTime =
     std::chrono::floor<std::chrono::milliseconds>(
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -249,7 +249,12 @@
       graph.Interval >
           (limits::MaxDueTime - graph.FirstDue) / (graph.Occurrences - 1))
     return "interval";
-  return nullptr;
+  std::int64_t tasks = 0;
+  for (const model::StepSpec &it : graph.Steps)
+    tasks += it.Count;
+  return tasks > limits::MaxTasksOfOccurrences / graph.Occurrences
+             ? "number of occurrences"
+             : nullptr;
 }
 
 /// Returns an error if the decoder would reject the record of the job.
--- a/tests/unit/unit-dispatch-records.cpp
+++ b/tests/unit/unit-dispatch-records.cpp
@@ -13,6 +13,7 @@
 
 using namespace endivedoor;
 using namespace endivedoor::dispatch;
+using namespace std::chrono_literals;
 using model::JobNumber;
 
 namespace {
@@ -94,6 +95,25 @@
       "repeats":1,"firstDueMs":10000000000000,"steps":[{"count":1}]})"));
 }
 
+// All due occurrences are held in memory; one call with a large count ended
+// each owner of its shard in turn.
+TEST(RecordLimits, TooManyTasksOfAllOccurrences_AreRejected) {
+  constexpr std::int32_t most = limits::MaxTasksOfOccurrences;
+  for (auto [occurrences, tasks] :
+       {std::pair(most + 1, 1), std::pair(INT32_MAX, 1),
+        std::pair(INT32_MAX, limits::MaxTasksPerJob), std::pair(most / 4, 5)})
+    EXPECT_FALSE(encodeJob(makeRepeatedJob(occurrences, tasks, 0ms, 0ms)))
+        << occurrences << " " << tasks;
+  for (auto [occurrences, tasks] :
+       {std::pair(most, 1), std::pair(2, limits::MaxTasksPerJob)}) {
+    auto record = encodeJob(makeRepeatedJob(occurrences, tasks, 0ms, 0ms));
+    ASSERT_TRUE(record.has_value());
+    EXPECT_TRUE(decodeJob(JobNumber{1}, record.value()).has_value());
+  }
+  EXPECT_FALSE(decodeJob(JobNumber{1}, R"({"queue":"q","service":"s",
+      "repeats":2147483647,"steps":[{"count":1}]})"));
+}
+
 // A job with wide steps moved to another shard, whose owner could not read the
 // embedded progress of more than 256 bytes.
 TEST(RecordLimits, HandoverOfAWideJob_RoundTrips) {
