--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <fstream>
 #include <functional>
@@ -169,6 +170,41 @@
     EXPECT_FALSE(decodeJobGraph(it).has_value()) << it;
 }
 
+// Neither callers nor workers may end a daemon by the shape of a body.
+TEST(ParseBody, DeepNesting_IsAnError) {
+  for (std::size_t levels : {10u, 31u, 33u, 1000u, 100'000u})
+    for (const char *pair : {"[]", "{}"}) {
+      bool isList = pair[0] == '[';
+      std::string deep;
+      for (std::size_t i = 0; i < levels; ++i)
+        deep += isList ? "[" : "{\"a\":";
+      deep += "1" + std::string(levels, pair[1]);
+      std::string job = R"({"steps":[{"count":1}],"x":)" + deep + "}";
+      EXPECT_EQ(decodeJobGraph(job).has_value(), levels == 10) << levels;
+      std::string config = R"({"version":1,"routes":[],"x":)" + deep + "}";
+      EXPECT_EQ(decodeConfiguration(config).has_value(), levels == 10);
+      std::string worker =
+          R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+              "state":"ready","capacity":{"cpu":1,"mem_mb":1},"x":)" +
+          deep + "}";
+      EXPECT_EQ(decodeWorker("i-1", worker).has_value(), levels == 10);
+    }
+}
+
+RC_GTEST_PROP(DecodeWorkerProperty, DamagedEntry_IsReadOrRefused,
+              (std::string inserted)) {
+  std::string text = WorkerEntry;
+  auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+  auto length = *rc::gen::inRange<std::size_t>(0, text.size() - at);
+  text.replace(at, length, inserted);
+  auto worker = decodeWorker("i-1", text);
+  if (!worker)
+    return;
+  RC_ASSERT(worker.value().Endpoint.Port > 0);
+  RC_ASSERT(count(worker.value().Capacity.Cpu) >= 0);
+  RC_ASSERT(worker.value().StartTime >= 0ms);
+}
+
 TEST(DecodeTaskName, ValidAndMalformedNames) {
   auto key = decodeTaskName("5c0e7a21d94b36f8.1.2.17");
   ASSERT_TRUE(key.has_value());
