--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -5,6 +5,7 @@
 #include "../../platform/Wire.h"
 #include "../../platform/WorkerHttpClient.h"
 
+#include "endivedoor/dispatch/Records.h"
 #include "endivedoor/model/DispatchSettings.h"
 #include "endivedoor/platform/HttpServer.h"
 
@@ -12,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <fstream>
 #include <functional>
@@ -100,6 +102,45 @@
   EXPECT_EQ(count(withoutGpu.value().Capacity.Memory), 2048);
 }
 
+/// Returns an entry that is complete but for its start time.
+std::string entryWithBorn(const std::string &born) {
+  return R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+             "state":"ready","capacity":{"cpu":1,"mem_mb":1},"born":)" +
+         born + "}";
+}
+
+// A start time far in the future counted as a restart of the live worker, whose
+// running tasks were then started again.
+TEST(DecodeWorker, StartTimeThatIsNoTime_MakesTheEntryUnusable) {
+  for (const char *it :
+       {"1e400", "-1e400", "1e30", "9e15", "0.5", "-1", "18446744073709551615",
+        "9223372036854775807", "253402300800000", "NaN", "Infinity", "true",
+        "\"77\"", "[77]", "{}"})
+    EXPECT_FALSE(decodeWorker("i-1", entryWithBorn(it)).has_value()) << it;
+  for (const char *it : {"77", "1796461200000", "1.7964612e12"})
+    EXPECT_TRUE(decodeWorker("i-1", entryWithBorn(it)).has_value()) << it;
+  EXPECT_EQ(decodeWorker("i-1", entryWithBorn("null")).value().StartTime, 0ms);
+}
+
+// The stored list of a shard's workers could not be read back with an empty id,
+// so that the next owner did not know where runs may be. Ids are also sent as
+// header values.
+TEST(DecodeWorker, IdThatIsNoName_MakesTheEntryUnusable) {
+  for (const std::string &it :
+       {std::string(), std::string("a b"), std::string("a\r\nHost: x"),
+        std::string("a\0", 2), std::string("\x7f"), std::string("\xc3\xa9"),
+        std::string(dispatch::limits::MaxNameBytes + 1, 'i')})
+    EXPECT_FALSE(decodeWorker(it, WorkerEntry).has_value()) << it;
+  for (const char *it : {"i-7f3a91c2", "a/b", "{\"x\":1}"}) {
+    auto worker = decodeWorker(it, WorkerEntry);
+    ASSERT_TRUE(worker.has_value()) << it;
+    auto roster = dispatch::decodeRoster(
+        dispatch::encodeRoster({{worker.value().Id, worker.value().Endpoint}}));
+    ASSERT_TRUE(roster.has_value()) << it;
+    EXPECT_EQ(roster.value()[0].Id, worker.value().Id);
+  }
+}
+
 TEST(DecodeJob, EveryField_IsDecoded) {
   auto graph = decodeJobGraph(
       R"({"spec":"p","repeat_count":2,"start_at_ms":5,"interval_ms":7,
@@ -130,6 +171,41 @@
     EXPECT_FALSE(decodeJobGraph(it).has_value()) << it;
 }
 
+// Neither callers nor workers may end a daemon by the shape of a body.
+TEST(ParseBody, DeepNesting_IsAnError) {
+  for (std::size_t levels : {10u, 31u, 33u, 1000u, 100'000u})
+    for (const char *pair : {"[]", "{}"}) {
+      bool isList = pair[0] == '[';
+      std::string deep;
+      for (std::size_t i = 0; i < levels; ++i)
+        deep += isList ? "[" : "{\"a\":";
+      deep += "1" + std::string(levels, pair[1]);
+      std::string job = R"({"steps":[{"count":1}],"x":)" + deep + "}";
+      EXPECT_EQ(decodeJobGraph(job).has_value(), levels == 10) << levels;
+      std::string config = R"({"version":1,"routes":[],"x":)" + deep + "}";
+      EXPECT_EQ(decodeConfiguration(config).has_value(), levels == 10);
+      std::string worker =
+          R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+              "state":"ready","capacity":{"cpu":1,"mem_mb":1},"x":)" +
+          deep + "}";
+      EXPECT_EQ(decodeWorker("i-1", worker).has_value(), levels == 10);
+    }
+}
+
+RC_GTEST_PROP(DecodeWorkerProperty, DamagedEntry_IsReadOrRefused,
+              (std::string inserted)) {
+  std::string text = WorkerEntry;
+  auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+  auto length = *rc::gen::inRange<std::size_t>(0, text.size() - at);
+  text.replace(at, length, inserted);
+  auto worker = decodeWorker("i-1", text);
+  if (!worker)
+    return;
+  RC_ASSERT(worker.value().Endpoint.Port > 0);
+  RC_ASSERT(count(worker.value().Capacity.Cpu) >= 0);
+  RC_ASSERT(worker.value().StartTime >= 0ms);
+}
+
 TEST(DecodeTaskName, ValidAndMalformedNames) {
   auto key = decodeTaskName("5c0e7a21d94b36f8.1.2.17");
   ASSERT_TRUE(key.has_value());
@@ -477,6 +553,39 @@
   EXPECT_TRUE(changes.value().List[0].Deleted);
 }
 
+// One value that cannot be read failed the whole answer; the same call failed
+// again for ever, and no other entry was followed.
+TEST_F(InstallationAdapter, UnreadableValue_DoesNotHideTheOtherItems) {
+  for (const char *value : {"\"!\"", "\"a\"", "null", "7", "[\"dg==\"]"}) {
+    std::string rows = R"([{"key":"p/a","value":"dg==","revision":1},)"
+                       R"({"key":"p/b","revision":2,"value":)" +
+                       std::string(value) +
+                       R"(},{"key":"p/c","value":"dg==","revision":3}])";
+    Respond = [&](const HttpRequest &r) {
+      bool list = r.Path.find("kv-range") != std::string::npos;
+      return HttpResponse{200,
+                          {},
+                          R"({"as_of":3,")" +
+                              std::string(list ? "items" : "events") +
+                              "\":" + rows + "}"};
+    };
+    auto listing = await(Store->list("p/"));
+    auto changes = await(Store->watch("p/", 0, 10ms));
+    ASSERT_TRUE(listing.has_value()) << value;
+    ASSERT_TRUE(changes.has_value()) << value;
+    ASSERT_EQ(listing.value().Items.size(), 3u);
+    ASSERT_EQ(changes.value().List.size(), 3u);
+    for (const dispatch::StoredItem &it :
+         {listing.value().Items[1], changes.value().List[1].Item}) {
+      EXPECT_EQ(it.Key, "p/b");
+      EXPECT_EQ(it.Value, "") << value;
+      EXPECT_EQ(it.Revision, 2);
+    }
+    EXPECT_EQ(changes.value().List[2].Item.Value, "v");
+    EXPECT_EQ(changes.value().AsOf, 3);
+  }
+}
+
 TEST_F(InstallationAdapter, Poll_DecodesRunsAndSendsExpectedInstance) {
   Respond = [](const HttpRequest &) {
     return HttpResponse{
