An end that changes nothing waits for the record of its job

Cause: processEnd let ends without progress (a second member of a gang, the copy that came second, a failed run that was known) be acknowledged at once, while the record that another end had changed was still on its way to the store. If the owner was then replaced and the worker of that other end was gone, nothing said any more that the task was done.

Change: each end of a known task waits for the version that its job has when the end is read. An end of a job without unstored changes is acknowledged at once as before, as its version is stored already.

Evidence: three tests in unit-dispatch-ends.

Why it suffices: the version covers every change that was made before the end was read, and nextPoll compares it with the stored one; a job leaves the tables only with both equal, or by a move, which is offered only then.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -166,9 +166,10 @@
   // The final record of a cancelled job has already been stored.
   if (progressed && job->State != model::JobState::Cancelled)
     markDirty(*job);
+  // Also an end that changes nothing waits for what other ends of the job have
+  // changed: the next owner may read them from this list only.
   worker.UnacknowledgedEnds.push_back(
-      {end.SequenceNumber, progressed ? end.Id.Task.Job : JobNumber{},
-       job->Version});
+      {end.SequenceNumber, end.Id.Task.Job, job->Version});
 }
 
 void ShardState::processRunning(WorkerState &worker, const PollReport &report,
--- /dev/null
+++ b/tests/unit/unit-dispatch-ends.cpp
@@ -0,0 +1,106 @@
+// Load pattern: runs end while their records wait for the store, and workers
+// and owners are lost in between. Faults of what a worker may forget: the next
+// owner starts a task again whose end is neither stored nor listed.
+#include "support/ShardFixture.h"
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+
+namespace {
+
+class AcknowledgedEnds : public ShardFixture {
+protected:
+  std::int64_t acknowledged(const std::string &id) {
+    return TestShard.nextPoll(base::WorkerId(id), now(), true)
+        ->Request.AcknowledgedEnd;
+  }
+
+  /// Answers a poll with one more end.
+  void end(const std::string &id, const RunId &run, RunOutcome outcome) {
+    PollReport report;
+    report.Ended = {{++Ends[id], run, outcome, ""}};
+    poll(id, report);
+  }
+
+  /// A step that keeps the job from being complete.
+  static model::StepSpec stepAfter(std::int32_t before) {
+    model::StepSpec s = step(1);
+    s.Dependencies = {before};
+    return s;
+  }
+
+  std::map<std::string, std::int64_t> Ends;
+};
+
+// The end of the second member changed nothing and was acknowledged at once.
+// With the first worker and the owner lost before the record was stored, no one
+// knew that the gang was done.
+TEST_F(AcknowledgedEnds, SecondMemberOfAGang_WaitsForTheRecordOfTheFirst) {
+  model::StepSpec gang = step(2, 20000);
+  gang.Gang = true;
+  addWorker("w1");
+  addWorker("w2");
+  TestShard.addJob(job(1, {gang, stepAfter(0)}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 2u);
+  confirmStarts(orders);
+  for (const WorkerCommand &it : orders)
+    end(it.Worker.Id.str(), it.Run, RunOutcome::Done);
+  EXPECT_EQ(acknowledged("w1"), 0);
+  EXPECT_EQ(acknowledged("w2"), 0);
+  storeWrites();
+  EXPECT_EQ(acknowledged("w1"), 1);
+  EXPECT_EQ(acknowledged("w2"), 1);
+}
+
+// The same while a write of the job is in flight: what it stores is older.
+TEST_F(AcknowledgedEnds, EndDuringAWrite_WaitsForTheNextWrite) {
+  model::StepSpec gang = step(2, 20000);
+  gang.Gang = true;
+  addWorker("w1");
+  addWorker("w2");
+  TestShard.addJob(job(1, {step(1), gang}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 3u);
+  confirmStarts(orders);
+  std::erase_if(orders, [&](const WorkerCommand &it) {
+    bool single = it.Run.Task.Step == 0;
+    if (single)
+      end(it.Worker.Id.str(), it.Run, RunOutcome::Done);
+    return single;
+  });
+  std::vector<dispatch::JobWrite> writes = TestShard.takeWrites(100);
+  ASSERT_EQ(writes.size(), 1u);
+  for (const WorkerCommand &it : orders)
+    end(it.Worker.Id.str(), it.Run, RunOutcome::Done);
+  TestShard.onStored(writes, now());
+  std::string second = orders[1].Worker.Id.str();
+  EXPECT_LT(acknowledged(second), Ends[second]);
+  storeWrites();
+  EXPECT_EQ(acknowledged(second), Ends[second]);
+}
+
+// The end of a copy that lost the race changes nothing either.
+TEST_F(AcknowledgedEnds, EndOfACopy_WaitsForTheRecordOfTheFirst) {
+  model::StepSpec speculative = step(1);
+  speculative.Speculative = true;
+  addWorker("w1");
+  addWorker("w2");
+  TestShard.addJob(job(1, {speculative, stepAfter(0)}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  confirmStarts(orders);
+  std::string first = orders[0].Worker.Id.str();
+  std::string second = first == "w1" ? "w2" : "w1";
+  RunId copy{orders[0].Run.Task, orders[0].Run.Number + 1};
+  PollReport running;
+  running.Running = {{copy, "", 100, 0, false}};
+  poll(second, running);
+  end(first, orders[0].Run, RunOutcome::Done);
+  end(second, copy, RunOutcome::Done);
+  EXPECT_EQ(acknowledged(second), 0);
+  storeWrites();
+  EXPECT_EQ(acknowledged(second), 1);
+}
+
+} // namespace
