A listed run of an occurrence that is not due here belongs to its job

Cause: an occurrence exists in the tables once it is due by the node's wall clock or named in the stored progress. An owner whose clock is behind that of the earlier one finds neither for runs of the newest occurrence, as opening one stores nothing. Its ends counted as those of unknown tasks, were acknowledged at once without a record, and the tasks started again when the occurrence was due here; its running tasks were stopped as unknown.

Change: a row of an inherited live job opens its occurrence, if the job has one of that number.

Evidence: unit-dispatch-ends. Before, EndBeforeTheDueTime: acknowledged("w1") was 1 instead of 0, and the task started as run 2049; RunBeforeTheDueTime: one stop with the cause "unknown run". With the change both pass, and so does OccurrenceBeyondTheLast (an unknown number opens nothing), which passed before.

Why it suffices: only an owner that took the occurrence as due can have started a run of it, and no task of it starts here earlier than that run did. Other ways to an unknown task, by reading: polls begin after the jobs are loaded; a job that has ended leaves the tables after its final record; a job moves only without runs and without unstored changes, delegated tasks are long-running and start again whatever their end.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -49,6 +49,15 @@
   return &steps[step].Tasks[index];
 }
 
+TaskEntry *ShardState::findReportedTask(const TaskKey &key, JobEntry **job,
+                                        TimePoint now) {
+  JobEntry *found = findJob(key.Job);
+  if (found && found->isLive() && found->Inherited && key.Occurrence >= 0 &&
+      key.Occurrence < found->Job.Graph.Occurrences)
+    openOccurrence(*found, key.Occurrence, now);
+  return findTask(key, job);
+}
+
 Occurrence &ShardState::openOccurrence(JobEntry &job, std::int32_t number,
                                        TimePoint now) {
   auto [it, added] = job.Occurrences.try_emplace(number);
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -110,7 +110,7 @@
 void ShardState::adoptRun(WorkerState &worker, const RunStatus &row,
                           TimePoint now) {
   JobEntry *job = nullptr;
-  TaskEntry *task = findTask(row.Id.Task, &job);
+  TaskEntry *task = findReportedTask(row.Id.Task, &job, now);
   if (!task) {
     worker.OrphanRuns.emplace(row.Id, StopAttempts{});
     return;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -79,7 +79,7 @@
   worker.LastProcessedEnd = end.SequenceNumber;
   worker.OrphanRuns.erase(end.Id);
   JobEntry *job = nullptr;
-  TaskEntry *task = findTask(end.Id.Task, &job);
+  TaskEntry *task = findReportedTask(end.Id.Task, &job, now);
   if (!task) {
     worker.UnacknowledgedEnds.push_back({end.SequenceNumber, {}, 0});
     return;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -435,6 +435,11 @@
   JobEntry *findJob(JobNumber job);
   const JobEntry *findJob(JobNumber job) const;
   TaskEntry *findTask(const TaskKey &key, JobEntry **job = nullptr);
+  /// Finds a task that a worker lists, also if its occurrence is not due by the
+  /// clock of this node: an earlier owner with another clock has opened it, and
+  /// may not have stored that.
+  TaskEntry *findReportedTask(const TaskKey &key, JobEntry **job,
+                              TimePoint now);
   Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
   void markDirty(JobEntry &job);
   void finishJob(JobEntry &job, model::JobState state);
--- a/tests/unit/unit-dispatch-ends.cpp
+++ b/tests/unit/unit-dispatch-ends.cpp
@@ -103,4 +103,60 @@
   EXPECT_EQ(acknowledged(second), 1);
 }
 
+// The owner's clock is behind that of the earlier owner: the occurrence is not
+// due here yet, its run counted as one of an unknown task, and its end was
+// acknowledged without a record.
+class EarlyOccurrence : public AcknowledgedEnds {
+protected:
+  void SetUp() override {
+    model::AcceptedJob repeated = job(1, {step(2)});
+    repeated.Graph.Occurrences = 2;
+    repeated.Graph.FirstDue =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Time.wallNow().time_since_epoch()) +
+        2000ms;
+    repeated.Graph.Interval = 60s;
+    TestShard.markUnverified({{base::WorkerId("w1"), {"10.0.0.1", 8080}}},
+                             false, now());
+    TestShard.addJob(repeated, 1, true, now());
+    plan();
+  }
+
+  static RunId run(std::int32_t occurrence, std::int32_t index) {
+    return {{JobNumber{1}, occurrence, 0, index}, 1};
+  }
+};
+
+TEST_F(EarlyOccurrence, EndBeforeTheDueTime_IsStoredAndTheTaskNotStarted) {
+  PollReport report;
+  report.Ended = {{1, run(0, 0), RunOutcome::Done, ""}};
+  addWorker("w1", report);
+  EXPECT_EQ(acknowledged("w1"), 0);
+  storeWrites();
+  EXPECT_EQ(acknowledged("w1"), 1);
+  Time.advance(2100ms);
+  poll("w1");
+  std::vector<WorkerCommand> orders = plan();
+  EXPECT_TRUE(std::none_of(
+      orders.begin(), orders.end(),
+      [](const WorkerCommand &it) { return it.Run.Task == run(0, 0).Task; }));
+}
+
+TEST_F(EarlyOccurrence, RunBeforeTheDueTime_GoesOn) {
+  PollReport report;
+  report.Running = {{run(0, 0), "", 100, 0, false}};
+  addWorker("w1", report);
+  EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+}
+
+// A row that names no occurrence of the job must not create one.
+TEST_F(EarlyOccurrence, OccurrenceBeyondTheLast_IsUnknown) {
+  PollReport report;
+  report.Ended = {{1, run(2, 0), RunOutcome::Done, ""}};
+  report.Running = {{run(-1, 0), "", 100, 0, false}};
+  addWorker("w1", report);
+  EXPECT_EQ(acknowledged("w1"), 1);
+  EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+}
+
 } // namespace
