A job that has moved leaves its shard although a worker lists a run

Cause: a job moves only without runs. If a worker listed one while the commit was in flight, one that had counted as ended with its worker's lease, onMoveFinished kept the job in the tables after it had moved. Both shards then started its tasks.

Change: the job leaves the tables; runs that were listed meanwhile are stopped like those of unknown tasks.

Evidence: AcknowledgedEnds.RunListedDuringAMove_IsStoppedAndTheJobGone. Before, the job was live, 0 stops instead of 1, 1 live job instead of 0. With the change it passes, and so do unit-dispatch-shard, -capacity and -node.

What remains: an end that is read while the move is in flight is not in the record that moves.

--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -60,6 +60,22 @@
   return false;
 }
 
+void ShardState::orphanRuns(JobEntry &job) {
+  std::vector<std::pair<RunId, WorkerState *>> runs;
+  for (const auto &[number, o] : job.Occurrences)
+    for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step) {
+      const std::vector<TaskEntry> &tasks = o.Steps[step].Tasks;
+      for (std::int32_t i = 0; i < std::ssize(tasks); ++i)
+        for (const Run &it : tasks[i].Runs)
+          runs.emplace_back(RunId{{job.Job.Id, number, step, i}, it.Number},
+                            it.Worker);
+    }
+  for (const auto &[id, worker] : runs) {
+    removeRun(job, id.Task, id.Number);
+    worker->OrphanRuns.emplace(id, StopAttempts{});
+  }
+}
+
 } // namespace detail
 
 std::vector<JobMove> Shard::takeMoves(std::size_t limit, base::TimePoint now) {
@@ -106,8 +122,9 @@
   entry->Moving = false;
   entry->LastMoveAttempt = now;
   entry->IndexRevision = revision;
-  if (!moved || entry->RunCount > 0)
+  if (!moved)
     return;
+  s.orphanRuns(*entry);
   std::erase(s.LiveJobs, entry);
   s.Jobs.erase(job);
 }
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -443,6 +443,10 @@
   Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
   void markDirty(JobEntry &job);
   void finishJob(JobEntry &job, model::JobState state);
+  // Moves.cpp
+  /// Removes the runs of a job that another shard runs now, and has their
+  /// workers stop them.
+  void orphanRuns(JobEntry &job);
   // Delegation.cpp
   /// Marks a task as run by another shard.
   void markRemote(JobEntry &job, const TaskKey &key);
--- a/tests/unit/unit-dispatch-ends.cpp
+++ b/tests/unit/unit-dispatch-ends.cpp
@@ -137,9 +137,10 @@
   Time.advance(2100ms);
   poll("w1");
   std::vector<WorkerCommand> orders = plan();
-  EXPECT_TRUE(std::none_of(
-      orders.begin(), orders.end(),
-      [](const WorkerCommand &it) { return it.Run.Task == run(0, 0).Task; }));
+  EXPECT_TRUE(
+      std::none_of(orders.begin(), orders.end(), [](const WorkerCommand &it) {
+        return it.Run.Task == run(0, 0).Task;
+      }));
 }
 
 TEST_F(EarlyOccurrence, RunBeforeTheDueTime_GoesOn) {
@@ -159,4 +160,25 @@
   EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
 }
 
+// A worker listed a run while the job's move was in flight. The job stayed in
+// the tables after it had moved, so both shards started its tasks.
+TEST_F(AcknowledgedEnds, RunListedDuringAMove_IsStoppedAndTheJobGone) {
+  addWorker("w1");
+  model::AcceptedJob moved = job(1, {step(2, WorkerMilliCores + 1)});
+  TestShard.addJob(moved, 5, false, now());
+  plan();
+  Time.advance(2100ms);
+  poll("w1");
+  plan();
+  std::vector<dispatch::JobMove> moves = TestShard.takeMoves(1, now());
+  ASSERT_EQ(moves.size(), 1u);
+  PollReport late;
+  late.Running = {{{{JobNumber{1}, 0, 0, 0}, 1}, "", 100, 0, false}};
+  poll("w1", late);
+  TestShard.onMoveFinished(JobNumber{1}, true, moves[0].Revision, now());
+  EXPECT_FALSE(TestShard.isLive(JobNumber{1}));
+  EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  EXPECT_EQ(TestShard.liveJobCount(), 0u);
+}
+
 } // namespace
