An end that cannot be read is not acknowledged with later ones

Cause: the adapter left unreadable rows out, and the number of a later row acknowledged them. The run was then neither running nor ended for the owner, so its task started again.

The shard acknowledges nothing from the first such row on, and takes no missing run as ended. A row that becomes readable is processed in its place.

Weighed: to hold it for ever keeps the rule strictly, but stalls the task and all ends of the worker behind the row. To end the run as failed needs a readable task name and takes an attempt from the caller. The hold is long enough for several polls, so that damage on the way heals.

Why it suffices: nextPoll stops at the lowest unreadable number, and a new incarnation clears it.

--- a/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
+++ b/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
@@ -80,6 +80,9 @@
   std::string InvalidRow;
   /// A skipped row may be one of the runs that the list of running ones lacks.
   bool RunningIncomplete = false;
+  /// Sequence numbers of skipped rows that may be ends of this project's runs,
+  /// ascending.
+  std::vector<std::int64_t> UnreadableEnds;
 };
 
 struct PollRequest {
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -98,6 +98,7 @@
   worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
   worker.UnacknowledgedEnds.clear();
+  worker.UnreadableEnds.clear();
   if (lost.empty() && worker.Runs.empty())
     return;
   Events.emit(EventCode::RunsLost,
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -21,6 +21,10 @@
 constexpr double FailureThreshold = 2.5;
 /// How long a failing worker is avoided, per unit of its failure score.
 constexpr auto AvoidTimePerFailure = 1500ms;
+/// How long an end whose row cannot be read stays unacknowledged. Longer than
+/// some idle polls, so that a row that was damaged on the way is read again;
+/// the list of the worker must not fill up behind it.
+constexpr auto UnreadableEndTimeout = 10s;
 /// Upper bound of the failure score that counts for the avoidance time.
 constexpr double MaxCountedFailures = 4;
 
@@ -74,14 +78,46 @@
     worker.Serving.erase(serving);
 }
 
+void ShardState::queueAcknowledgement(WorkerState &worker, std::int64_t end,
+                                      JobNumber job, std::uint64_t version) {
+  std::deque<UnacknowledgedEnd> &ends = worker.UnacknowledgedEnds;
+  auto at = std::find_if(
+      ends.rbegin(), ends.rend(),
+      [&](const UnacknowledgedEnd &it) { return it.SequenceNumber < end; });
+  ends.insert(at.base(), {end, job, version});
+}
+
+void ShardState::processEnds(WorkerState &worker, const PollReport &report,
+                             TimePoint now) {
+  for (std::int64_t it : report.UnreadableEnds)
+    if (it > worker.LastProcessedEnd)
+      worker.UnreadableEnds.emplace(it, now);
+  for (const EndedRun &it : report.Ended)
+    if (worker.UnreadableEnds.erase(it.SequenceNumber) > 0 ||
+        it.SequenceNumber > worker.LastProcessedEnd)
+      processEnd(worker, it, now);
+  std::erase_if(worker.UnreadableEnds, [&](const auto &it) {
+    if (now - it.second < UnreadableEndTimeout)
+      return false;
+    Events.emit(EventCode::WorkerRowInvalid,
+                {{"worker", worker.Profile.Id.str()},
+                 {"end", std::to_string(it.first)},
+                 {"action", "acknowledged unread"}});
+    worker.LastProcessedEnd = std::max(worker.LastProcessedEnd, it.first);
+    queueAcknowledgement(worker, it.first, {}, 0);
+    return true;
+  });
+}
+
 void ShardState::processEnd(WorkerState &worker, const EndedRun &end,
                             TimePoint now) {
-  worker.LastProcessedEnd = end.SequenceNumber;
+  worker.LastProcessedEnd =
+      std::max(worker.LastProcessedEnd, end.SequenceNumber);
   worker.OrphanRuns.erase(end.Id);
   JobEntry *job = nullptr;
   TaskEntry *task = findReportedTask(end.Id.Task, &job, now);
   if (!task) {
-    worker.UnacknowledgedEnds.push_back({end.SequenceNumber, {}, 0});
+    queueAcknowledgement(worker, end.SequenceNumber, {}, 0);
     return;
   }
   const model::StepSpec &step = stepOf(*job, end.Id.Task);
@@ -168,8 +204,8 @@
     markDirty(*job);
   // Also an end that changes nothing waits for what other ends of the job have
   // changed: the next owner may read them from this list only.
-  worker.UnacknowledgedEnds.push_back(
-      {end.SequenceNumber, end.Id.Task.Job, job->Version});
+  queueAcknowledgement(worker, end.SequenceNumber, end.Id.Task.Job,
+                       job->Version);
 }
 
 void ShardState::processRunning(WorkerState &worker, const PollReport &report,
@@ -209,7 +245,9 @@
     if (!row.Checkpoint.empty())
       task->Checkpoint = row.Checkpoint;
   }
-  if (report.MoreEnded || report.RunningIncomplete)
+  // The missing run may be one whose end cannot be read.
+  if (report.MoreEnded || report.RunningIncomplete ||
+      !worker.UnreadableEnds.empty())
     return;
   // Runs that the worker must know of but reports neither as running nor as
   // ended.
@@ -391,6 +429,9 @@
   WorkerState &w = *it->second;
   while (!w.UnacknowledgedEnds.empty()) {
     const detail::UnacknowledgedEnd &end = w.UnacknowledgedEnds.front();
+    if (!w.UnreadableEnds.empty() &&
+        w.UnreadableEnds.begin()->first < end.SequenceNumber)
+      break;
     JobEntry *job = State->findJob(end.Job);
     if (job && job->State != model::JobState::Cancelled &&
         job->StoredVersion < end.Version)
@@ -474,15 +515,13 @@
   w.InvalidRow = report.InvalidRow;
   w.Clock = detail::ClockSample{report.Clock, received};
   w.RestartLeaseUntil.reset();
-  for (const EndedRun &end : report.Ended)
-    if (end.SequenceNumber > w.LastProcessedEnd)
-      s.processEnd(w, end, received);
+  s.processEnds(w, report, received);
   bool firstReport = !w.Synced;
   s.processRunning(w, report, sent, received);
   s.observeInterference(w, received);
   if (report.MoreEnded)
     return;
-  if (!report.RunningIncomplete)
+  if (!report.RunningIncomplete && w.UnreadableEnds.empty())
     w.UnverifiedUntil.reset();
   if (!firstReport)
     return;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -298,7 +298,11 @@
   WorkerTime ConfirmedDeadline{0};
   std::int64_t LastProcessedEnd = 0;
   std::int64_t AcknowledgedEnd = 0;
+  /// Ascending.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
+  /// Ends whose rows could not be read, with when that was first seen. They and
+  /// later ends are not acknowledged.
+  std::map<std::int64_t, TimePoint> UnreadableEnds;
   std::map<RunId, RunReservation> Runs;
   base::Resources Used;
   /// Declared CPU of the fillers.
@@ -459,7 +463,14 @@
   bool hasUnverifiedWorkers() const;
 
   // Takeover.cpp and Workers.cpp
+  /// Processes the ended runs of an answer. An end whose row cannot be read is
+  /// kept at the worker for UnreadableEndTimeout.
+  void processEnds(WorkerState &worker, const PollReport &report,
+                   TimePoint now);
   void processEnd(WorkerState &worker, const EndedRun &end, TimePoint now);
+  /// Has an end acknowledged once \p version of the job is stored.
+  void queueAcknowledgement(WorkerState &worker, std::int64_t end,
+                            JobNumber job, std::uint64_t version);
   void processRunning(WorkerState &worker, const PollReport &report,
                       TimePoint sent, TimePoint now);
   void adoptRun(WorkerState &worker, const RunStatus &row, TimePoint now);
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -371,6 +371,90 @@
             1);
 }
 
+/// The end of the task of "lost" is listed, but cannot be read yet.
+class UnreadableEnd : public SilentWorker {
+protected:
+  void SetUp() override {
+    SilentWorker::SetUp();
+    Unreadable.InvalidRow = "[1]";
+    Unreadable.UnreadableEnds = {1};
+    Unreadable.Ended = {Unknown};
+    poll("lost", Unreadable);
+  }
+
+  std::int64_t acknowledged() {
+    return TestShard.nextPoll(base::WorkerId("lost"), now(), true)
+        ->Request.AcknowledgedEnd;
+  }
+
+  /// Plans, confirms the stops and returns the number of starts.
+  std::size_t start() {
+    Time.advance(10ms);
+    std::size_t starts = 0;
+    for (const WorkerCommand &it :
+         TestShard.plan(now(), Time.wallNow(), true)) {
+      starts += it.Type == WorkerCommand::Kind::Start;
+      if (it.Type == WorkerCommand::Kind::Stop)
+        TestShard.onStop(it, CommandResult::Done, now());
+    }
+    return starts;
+  }
+
+  const dispatch::EndedRun Unknown{
+      2, {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done, ""};
+  PollReport Unreadable;
+};
+
+// The number of a later row acknowledged the unreadable one, and the task ran
+// again although it was done.
+TEST_F(UnreadableEnd, ReadLater_IsStoredBeforeAnyAcknowledgement) {
+  EXPECT_EQ(acknowledged(), 0);
+  EXPECT_TRUE(plan().empty());
+  Time.advance(2s);
+  poll("other");
+  PollReport report;
+  report.Ended = {{1, Started[0].Run, RunOutcome::Done, ""}, Unknown};
+  poll("lost", report);
+  EXPECT_EQ(acknowledged(), 0);
+  storeWrites();
+  EXPECT_EQ(acknowledged(), 2);
+  EXPECT_TRUE(plan().empty());
+}
+
+TEST_F(UnreadableEnd, NeverRead_IsGivenUpAndBlocksNoOtherEnd) {
+  base::TimePoint begin = now();
+  while (acknowledged() == 0 && now() - begin < 20s) {
+    EXPECT_EQ(start(), 0u);
+    Time.advance(200ms);
+    poll("other");
+    poll("lost", Unreadable);
+  }
+  EXPECT_EQ(acknowledged(), 2);
+  EXPECT_GT(now() - begin, 9800ms);
+  EXPECT_LT(now() - begin, 10500ms);
+  std::vector<base::EventRecord> events = Events.snapshot();
+  EXPECT_EQ(std::count_if(events.begin(), events.end(),
+                          [](const base::EventRecord &it) {
+                            return it.Code == base::EventCode::WorkerRowInvalid;
+                          }),
+            2);
+  // The damaged row must not hold up ends that follow.
+  Unreadable.Ended.push_back(Unknown);
+  Unreadable.Ended.back().SequenceNumber = 3;
+  poll("lost", Unreadable);
+  EXPECT_EQ(acknowledged(), 3);
+  EXPECT_EQ(start(), 1u);
+}
+
+// A restarted worker numbers its ends from 1 again.
+TEST_F(UnreadableEnd, OfAnEarlierIncarnation_HoldsUpNothing) {
+  PollReport report;
+  report.StartTime = 2000ms;
+  report.Ended = {Unknown};
+  poll("lost", report);
+  EXPECT_EQ(acknowledged(), 2);
+}
+
 // A worker that is asked after a takeover counts as verified only with a whole
 // list; an answering worker keeps its other runs when that wait ends.
 TEST_F(InvalidRows, IncompleteListAfterATakeover_WaitsForTheLease) {
--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -504,7 +504,8 @@
         R"({"clock_ms":4821,"born":77,"running":[["5c0e7a21d94b36f8.0.1.17",2],)" +
             running +
             R"(],"ended":[7,["x"],[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
-            [59,"5c0e7a21d94b36f8.0.1.8",1,"melted",""]]})"};
+            [59,"5c0e7a21d94b36f8.0.1.8",1,"melted",""],
+            [60,"foreign",1,"done",""],null,[62]]})"};
   };
   // The second field tells whether the row may be a run of this project.
   const std::pair<const char *, bool> rows[] = {
@@ -522,11 +523,27 @@
     EXPECT_EQ(report.value().Running.size(), 1u);
     ASSERT_EQ(report.value().Ended.size(), 1u);
     EXPECT_EQ(report.value().Ended[0].SequenceNumber, 58);
+    EXPECT_EQ(report.value().UnreadableEnds,
+              (std::vector<std::int64_t>{56, 57, 59, 61, 62}));
     EXPECT_EQ(report.value().InvalidRow, row);
     EXPECT_EQ(report.value().RunningIncomplete, isAmbiguous) << row;
   }
 }
 
+// Without any readable number the rows follow what has been acknowledged.
+TEST_F(InstallationAdapter, Poll_NumbersUnreadableEndsFromTheAcknowledged) {
+  Respond = [](const HttpRequest &) {
+    return HttpResponse{
+        200, {}, R"({"clock_ms":4821,"born":77,"ended":[null,{}]})"};
+  };
+  dispatch::PollRequest request;
+  request.AcknowledgedEnd = 4;
+  auto report = await(WorkerClient->poll({base::WorkerId("i-1"), ServerAddress},
+                                         request, 500ms));
+  ASSERT_TRUE(report.has_value());
+  EXPECT_EQ(report.value().UnreadableEnds, (std::vector<std::int64_t>{5, 6}));
+}
+
 TEST_F(InstallationAdapter, Start_ReportsWhyItWasRejected) {
   using dispatch::CommandResult;
   const std::pair<const char *, CommandResult> reasons[] = {
