--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -98,6 +98,7 @@
   worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
   worker.UnacknowledgedEnds.clear();
+  worker.UnreadableEnds.clear();
   if (lost.empty() && worker.Runs.empty())
     return;
   Events.emit(EventCode::RunsLost,
@@ -110,7 +111,7 @@
 void ShardState::adoptRun(WorkerState &worker, const RunStatus &row,
                           TimePoint now) {
   JobEntry *job = nullptr;
-  TaskEntry *task = findTask(row.Id.Task, &job);
+  TaskEntry *task = findReportedTask(row.Id.Task, &job, now);
   if (!task) {
     worker.OrphanRuns.emplace(row.Id, StopAttempts{});
     return;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -302,7 +302,11 @@
   TimePoint IncarnationKnownAt;
   std::int64_t LastProcessedEnd = 0;
   std::int64_t AcknowledgedEnd = 0;
+  /// Ascending.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
+  /// Ends whose rows could not be read, with when that was first seen. They and
+  /// later ends are not acknowledged.
+  std::map<std::int64_t, TimePoint> UnreadableEnds;
   std::map<RunId, RunReservation> Runs;
   base::Resources Used;
   /// Declared CPU of the fillers.
@@ -439,9 +443,18 @@
   JobEntry *findJob(JobNumber job);
   const JobEntry *findJob(JobNumber job) const;
   TaskEntry *findTask(const TaskKey &key, JobEntry **job = nullptr);
+  /// Finds a task that a worker lists, also if its occurrence is not due by the
+  /// clock of this node: an earlier owner with another clock has opened it, and
+  /// may not have stored that.
+  TaskEntry *findReportedTask(const TaskKey &key, JobEntry **job,
+                              TimePoint now);
   Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
   void markDirty(JobEntry &job);
   void finishJob(JobEntry &job, model::JobState state);
+  // Moves.cpp
+  /// Removes the runs of a job that another shard runs now, and has their
+  /// workers stop them.
+  void orphanRuns(JobEntry &job);
   // Delegation.cpp
   /// Marks a task as run by another shard.
   void markRemote(JobEntry &job, const TaskKey &key);
@@ -454,7 +467,14 @@
   bool hasUnverifiedWorkers() const;
 
   // Takeover.cpp and Workers.cpp
+  /// Processes the ended runs of an answer. An end whose row cannot be read is
+  /// kept at the worker for UnreadableEndTimeout.
+  void processEnds(WorkerState &worker, const PollReport &report,
+                   TimePoint now);
   void processEnd(WorkerState &worker, const EndedRun &end, TimePoint now);
+  /// Has an end acknowledged once \p version of the job is stored.
+  void queueAcknowledgement(WorkerState &worker, std::int64_t end,
+                            JobNumber job, std::uint64_t version);
   void processRunning(WorkerState &worker, const PollReport &report,
                       TimePoint sent, TimePoint now);
   void adoptRun(WorkerState &worker, const RunStatus &row, TimePoint now);
