Check the worker of a start again before it is sent

A node that is short of processor time decides on a start, then reads the notice of its worker, and sends the start all the same: before sending, only the job and the silence of the worker were looked at.

isStartWanted() now also asks whether the worker still takes starts (listed, not draining, zone in service) and whether what is reserved there fits its capacity as it is now. A start that is withdrawn is planned again at once.

Tests: StartBeforeSending (draining, unlisted, zone out of service, smaller capacity) and StartFreshness.SmallerCapacity_KeepsTheStartsThatFit.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -206,7 +206,8 @@
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
   /// Returns whether the run of a start command is still to be started: its job
-  /// is live and no stop has been decided.
+  /// is live, no stop has been decided, and its worker still takes starts and
+  /// has capacity for it.
   bool isStartWanted(const WorkerCommand &command) const;
   /// The start command is not sent.
   void withdrawStart(const WorkerCommand &command);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -422,6 +422,7 @@
     if (!maySendCommands() || !recordsAreCurrent() ||
         !State.isStartWanted(order)) {
       State.withdrawStart(order);
+      requestPlan();
       break;
     }
     StartRequest request;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -502,7 +502,9 @@
   return task && job->isLive() && task->isPending() &&
          std::any_of(task->Runs.begin(), task->Runs.end(), [&](const Run &it) {
            return it.Number == command.Run.Number &&
-                  it.Phase == RunPhase::Starting && !it.Worker->SilentSince;
+                  it.Phase == RunPhase::Starting && it.Worker->isUsable() &&
+                  !State->ZonesOutOfService.contains(it.Worker->Profile.Zone) &&
+                  it.Worker->Used.fitsIn(it.Worker->Profile.Capacity);
          });
 }
 
--- /dev/null
+++ b/tests/unit/unit-dispatch-freshness.cpp
@@ -0,0 +1,87 @@
+// Tests that no task starts from an old view of the workers: entries whose
+// watch is late, and changes between the decision on a start and its sending.
+#include "support/NodeFixture.h"
+#include "support/ShardFixture.h"
+
+#include <functional>
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+using dispatch::SubmitOutcome;
+
+namespace {
+
+struct WorkerChange {
+  const char *Name;
+  std::function<void(Shard &, model::WorkerProfile, base::TimePoint)> Apply;
+};
+
+/// A start has been decided and waits to be sent.
+class StartBeforeSending : public ShardFixture,
+                           public testing::WithParamInterface<WorkerChange> {};
+
+// kcs-orders, seed 14374917553: starts were sent up to 19 s after the notice
+// that their worker leaves.
+TEST_P(StartBeforeSending, ChangeOfItsWorker_WithdrawsIt) {
+  addWorker("w1");
+  addWorker("w2");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  ASSERT_TRUE(TestShard.isStartWanted(orders[0]));
+  model::WorkerProfile other =
+      worker(orders[0].Worker.Id == base::WorkerId("w1") ? "w2" : "w1");
+  other.Zone = base::ZoneId("b");
+  TestShard.updateWorker(other, now());
+  GetParam().Apply(TestShard, worker(orders[0].Worker.Id.str()), now());
+  EXPECT_FALSE(TestShard.isStartWanted(orders[0]));
+  TestShard.withdrawStart(orders[0]);
+  std::vector<WorkerCommand> again = plan();
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].Worker.Id, other.Id);
+  EXPECT_TRUE(TestShard.isStartWanted(again[0]));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Changes, StartBeforeSending,
+    testing::Values(WorkerChange{"Draining",
+                                 [](Shard &shard, model::WorkerProfile w,
+                                    base::TimePoint now) {
+                                   w.Draining = true;
+                                   shard.updateWorker(w, now);
+                                 }},
+                    WorkerChange{
+                        "Unlisted",
+                        [](Shard &shard, const model::WorkerProfile &w,
+                           base::TimePoint) { shard.unlistWorker(w.Id); }},
+                    WorkerChange{"ZoneOutOfService",
+                                 [](Shard &shard, const model::WorkerProfile &w,
+                                    base::TimePoint) {
+                                   shard.setZonesOutOfService({w.Zone});
+                                 }},
+                    WorkerChange{"SmallerCapacity",
+                                 [](Shard &shard, model::WorkerProfile w,
+                                    base::TimePoint now) {
+                                   w.Capacity.Cpu = base::MilliCores{2000};
+                                   shard.updateWorker(w, now);
+                                 }}),
+    [](const auto &it) { return std::string(it.param.Name); });
+
+using StartFreshness = ShardFixture;
+
+// Only as many starts are withdrawn as the smaller capacity has no room for.
+TEST_F(StartFreshness, SmallerCapacity_KeepsTheStartsThatFit) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(2)}), 200, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 2u);
+  model::WorkerProfile small = worker("w1");
+  small.Capacity.Cpu = base::MilliCores{4000};
+  TestShard.updateWorker(small, now());
+  EXPECT_FALSE(TestShard.isStartWanted(orders[0]));
+  TestShard.withdrawStart(orders[0]);
+  EXPECT_TRUE(TestShard.isStartWanted(orders[1]));
+  EXPECT_TRUE(plan().empty());
+}
+
+} // namespace
