Start nothing from worker entries that are old

Cause: the ages of the shard's records and of the operators' records are compared before a start, that of the workers' entries was not. The class is a decision on a copy whose age nobody compares.

All copies that starts depend on are now in one type, StartSources, each with its age, whether it can be reached, and its bound. Bound for worker entries: a notice takes effect after 2 s, 100 ms are for a clock that is up to 2% slow, 900 ms for the call: 1 s. While the store as a whole does not answer, starts go on as before.

StartsHeld (7542) and StartsResumed (7543) say which copy held starts back. recordsMs of RunStarted is now the age of the oldest copy.

NodeFreshness.OldWorkerEntries_StartNothing failed without the source: the task was started. RecentWorkerEntries_StartTheTask and StoreOutage_StartsTheWaitingTask guard against holding back too much; they passed before too.

--- a/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
+++ b/packages/dispatch/include/endivedoor/dispatch/DispatchNode.h
@@ -97,6 +97,10 @@
   /// of service come from. While the store answers other calls, nothing is
   /// started from old ones. Without a source, their age is not checked.
   void setOperatorRecords(std::function<RecordsAge()> age);
+  /// As setOperatorRecords() for the entries that updateWorker() and
+  /// unlistWorker() pass in. In normal operation they must be less than 1 s
+  /// old.
+  void setWorkerEntries(std::function<RecordsAge()> age);
   /// Sets the zones that are out of service. Replaces the previous set.
   void setZonesOutOfService(std::set<base::ZoneId> zones);
   /// Sets the client accounts of the newest configuration.
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -186,7 +186,7 @@
   /// Returns whether tasks of the account wait for a larger share.
   bool isAccountWaiting(const std::string &account) const;
 
-  /// The jobs and cancellations are complete as of \p asOf.
+  /// All records that starts depend on are complete as of \p asOf.
   void setRecordsAsOf(base::TimePoint asOf);
   std::vector<WorkerRef> workers() const;
   bool hasWorker(const base::WorkerId &worker) const;
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -83,6 +83,8 @@
   TimePoint LeaseRenewedAt;
   /// Null if the age of the operators' records is not checked.
   std::function<RecordsAge()> OperatorRecords;
+  /// Null if the age of the workers' entries is not checked.
+  std::function<RecordsAge()> WorkerEntries;
   TimePoint Started;
   TimePoint LastHandover;
   LeaseId Lease{0};
@@ -479,6 +481,11 @@
           return std::nullopt;
         return self->OperatorRecords();
       },
+      [self]() -> std::optional<RecordsAge> {
+        if (!self->WorkerEntries)
+          return std::nullopt;
+        return self->WorkerEntries();
+      },
       {},
       [self] { return self->View.Shards; },
       [self](const ShardRunner &runner) { self->removeRunner(runner); }};
@@ -635,6 +642,10 @@
   Self->OperatorRecords = std::move(age);
 }
 
+void DispatchNode::setWorkerEntries(std::function<RecordsAge()> age) {
+  Self->WorkerEntries = std::move(age);
+}
+
 void DispatchNode::setZonesOutOfService(std::set<base::ZoneId> zones) {
   if (zones == Self->Workers.ZonesOutOfService)
     return;
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -40,10 +40,18 @@
 /// Maximum wait of a watch of the shard's records. An answer arrives at least
 /// this often, so that the records count as current between two answers.
 constexpr auto RecordWatchWait = 500ms;
-/// No task is started from records that are older. Callers allow 3 s from the
-/// acknowledgement of a cancellation to the last start, and a start takes up to
-/// 1.5 s to reach its worker. Longer than two waits of a watch.
+/// Time from the acknowledgement of a cancellation, or of a zone's going out of
+/// service, to the last start that ignores it.
+constexpr auto RecordEffectTime = 3000ms;
+/// No task is started from records that are older; a start takes up to 1.5 s
+/// to reach its worker. Longer than two waits of a watch.
 constexpr auto MaxRecordAge = 1500ms;
+/// Time from the acknowledgement of a worker's notice that it leaves to the
+/// last start on it: 2 s, less what a worker's clock may be slow by.
+constexpr auto WorkerEffectTime = 1900ms;
+/// No task is started from worker entries that are older: the call that starts
+/// it takes the rest of the time.
+constexpr auto MaxWorkerEntryAge = WorkerEffectTime - CallTimeout;
 /// A call that takes longer is logged. Longer than CallTimeout, so that it
 /// shows a delay in the node itself.
 constexpr auto SlowCall = 1000ms;
@@ -54,6 +62,18 @@
           Context.Options.Shard, CurrentTerm.Shard, CurrentTerm.Number,
           base::FencingToken{static_cast<std::uint64_t>(CurrentTerm.Revision)},
           Context.Events, Context.MetricsRegistry),
+      Sources({{"shard", RecordEffectTime, MaxRecordAge,
+                [this]() -> std::optional<RecordsAge> {
+                  if (!Mirror)
+                    return std::nullopt;
+                  return RecordsAge{Mirror->lastAnsweredCall(),
+                                    Mirror->isReachable()};
+                }},
+               {"operators", RecordEffectTime, MaxRecordAge,
+                Context.OperatorRecords},
+               {"workers", WorkerEffectTime, MaxWorkerEntryAge,
+                Context.WorkerEntries}},
+              Context.LastStoreContact, Context.Events),
       PlanTimer(Context.Executor), CommitTimer(Context.Executor) {}
 
 void ShardRunner::start() {
@@ -93,23 +113,10 @@
          Context.Options.NodeLease;
 }
 
-/// Returns whether records are recent enough to start tasks from them. While
-/// the store as a whole does not answer this node, starts go on: no more recent
-/// records can be had.
-bool ShardRunner::isCurrent(const RecordsAge &records) const {
-  if (Context.Time.now() - records.AsOf <= MaxRecordAge)
-    return true;
-  bool otherCallsAnswered =
-      Context.LastStoreContact() - records.AsOf > MaxRecordAge;
-  return !records.Reachable && !otherCallsAnswered;
-}
-
-/// Returns whether the jobs, cancellations and zones out of service are recent
-/// enough to start tasks.
-bool ShardRunner::recordsAreCurrent() const {
-  std::optional<RecordsAge> operators = Context.OperatorRecords();
-  return isCurrent({Mirror->lastAnsweredCall(), Mirror->isReachable()}) &&
-         (!operators || isCurrent(*operators));
+/// Returns whether the jobs, cancellations, zones out of service and workers
+/// are recent enough to start tasks.
+bool ShardRunner::recordsAreCurrent() {
+  return Sources.areCurrent(Context.Time.now());
 }
 
 asio::awaitable<void> ShardRunner::load() {
@@ -357,7 +364,7 @@
   auto self = shared_from_this();
   while (!Stopped) {
     PlanDue = false;
-    State.setRecordsAsOf(Mirror->lastAnsweredCall());
+    State.setRecordsAsOf(Sources.asOf(Context.Time.now()));
     for (WorkerCommand &it :
          State.plan(Context.Time.now(), Context.Time.wallNow(),
                     maySendCommands() && recordsAreCurrent() && !Flushing,
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -6,6 +6,7 @@
 
 #include "detail/CallWindow.h"
 #include "detail/NodeRecords.h"
+#include "detail/StartSources.h"
 
 #include "endivedoor/dispatch/DispatchNode.h"
 #include "endivedoor/dispatch/PrefixMirror.h"
@@ -56,6 +57,8 @@
   std::function<base::TimePoint()> LeaseRenewedAt;
   /// Returns the age of the operators' records; nothing if it is not checked.
   std::function<std::optional<RecordsAge>()> OperatorRecords;
+  /// Returns the age of the workers' entries; nothing if it is not checked.
+  std::function<std::optional<RecordsAge>()> WorkerEntries;
   /// Returns another shard with capacity for a job, or std::nullopt. Null if
   /// there is only one shard.
   std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
@@ -126,13 +129,13 @@
   void endTerm(const char *cause);
   bool maySendCommands() const;
   bool ownsShard() const;
-  bool isCurrent(const RecordsAge &records) const;
-  bool recordsAreCurrent() const;
+  bool recordsAreCurrent();
 
   RunnerContext Context;
   Term CurrentTerm;
   Shard State;
   std::unique_ptr<PrefixMirror> Mirror;
+  StartSources Sources;
   boost::asio::steady_timer PlanTimer;
   boost::asio::steady_timer CommitTimer;
   std::set<base::WorkerId> PolledWorkers;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -377,7 +377,7 @@
   bool Fenced = false;
   /// Until then, workers that are not known may have runs of an earlier owner.
   std::optional<TimePoint> RosterUnknownUntil;
-  /// When the jobs and cancellations were complete.
+  /// When the records that starts depend on were complete.
   TimePoint RecordsAsOf;
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
--- a/tests/unit/unit-dispatch-freshness.cpp
+++ b/tests/unit/unit-dispatch-freshness.cpp
@@ -84,4 +84,73 @@
   EXPECT_TRUE(plan().empty());
 }
 
+class NodeFreshness : public NodeFixture {
+protected:
+  void startNode() {
+    Workers.KeepRunning = true;
+    Node = &addNode("n1");
+    Age = {Time.now(), true};
+    Node->setWorkerEntries([this] {
+      if (Advances)
+        Age.AsOf = Time.now();
+      return Age;
+    });
+    ASSERT_TRUE(runUntil([this] { return Node->ownedShards() == 1; }));
+    runFor(200ms);
+  }
+
+  DispatchNode *Node = nullptr;
+  dispatch::RecordsAge Age;
+  bool Advances = true;
+};
+
+// The watch of the workers' entries stalls while the store answers other calls:
+// a worker may have begun to leave.
+TEST_F(NodeFreshness, OldWorkerEntries_StartNothing) {
+  startNode();
+  Advances = false;
+  runFor(1100ms);
+  EXPECT_EQ(await(Node->submit(job(1, 1))), SubmitOutcome::Accepted);
+  runFor(300ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  Age.Reachable = false;
+  runFor(300ms);
+  EXPECT_TRUE(Workers.StartCounts.empty());
+  EXPECT_EQ(Events.counts().at(base::EventCode::StartsHeld), 1u);
+  EXPECT_FALSE(Events.counts().contains(base::EventCode::StartsResumed));
+  Age.Reachable = Advances = true;
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 1; }, 500ms));
+  EXPECT_EQ(Events.counts().at(base::EventCode::StartsResumed), 1u);
+}
+
+TEST_F(NodeFreshness, RecentWorkerEntries_StartTheTask) {
+  startNode();
+  Advances = false;
+  runFor(500ms);
+  EXPECT_EQ(await(Node->submit(job(1, 1))), SubmitOutcome::Accepted);
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 1; }, 300ms));
+}
+
+// An outage of the whole store must not stop the starts.
+TEST_F(NodeFreshness, StoreOutage_StartsTheWaitingTask) {
+  startNode();
+  model::AcceptedJob large = job(1, 4);
+  large.Graph.Steps.resize(1);
+  large.Graph.Steps[0].Size.Cpu = base::MilliCores{20000};
+  EXPECT_EQ(await(Node->submit(large)), SubmitOutcome::Accepted);
+  ASSERT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 3; }));
+  Store.Unavailable = true;
+  Advances = Age.Reachable = false;
+  runFor(3000ms);
+  model::WorkerProfile grown;
+  grown.Id = base::WorkerId("w0");
+  grown.Service = base::ServiceName("desk");
+  grown.Endpoint = {"10.0.0.1", 8080};
+  grown.Zone = base::ZoneId("a");
+  grown.Capacity.Cpu = base::MilliCores{64000};
+  grown.Capacity.Memory = base::MebiBytes{128000};
+  Node->updateWorker(grown);
+  EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 4; }, 500ms));
+}
+
 } // namespace
