Let a start expire with the view that it was decided from

A start was valid for 1.5 s from its decision, however old the view was. With worker entries that are 1 s old it could begin 2.5 s after the notice of its worker, delayed in a node that is short of processor time, on the link or at the worker (rule DRAIN allows 2 s).

The deadline is now also bound by the oldest copy: when it was complete, plus the time after which its changes are in force (1.9 s for worker entries, 3 s for the other records). Only where the worker surely holds a lease until its next poll, as before; elsewhere a start is valid for the duration of a lease.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -188,6 +188,9 @@
 
   /// All records that starts depend on are complete as of \p asOf.
   void setRecordsAsOf(base::TimePoint asOf);
+  /// Starts that are decided from now on must not begin after \p end, since a
+  /// change that is not known here may be in force then.
+  void setStartsValidUntil(base::TimePoint end);
   std::vector<WorkerRef> workers() const;
   bool hasWorker(const base::WorkerId &worker) const;
   /// Returns the roster that must be stored before commands are sent to its
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -364,7 +364,9 @@
   auto self = shared_from_this();
   while (!Stopped) {
     PlanDue = false;
-    State.setRecordsAsOf(Sources.asOf(Context.Time.now()));
+    TimePoint now = Context.Time.now();
+    State.setRecordsAsOf(Sources.asOf(now));
+    State.setStartsValidUntil(Sources.startsValidUntil(now));
     for (WorkerCommand &it :
          State.plan(Context.Time.now(), Context.Time.wallNow(),
                     maySendCommands() && recordsAreCurrent() && !Flushing,
--- a/packages/dispatch/src/StartSources.cpp
+++ b/packages/dispatch/src/StartSources.cpp
@@ -52,4 +52,15 @@
   return oldest;
 }
 
+TimePoint StartSources::startsValidUntil(TimePoint now) const {
+  TimePoint end = TimePoint::max();
+  for (const StartSource &it : Sources) {
+    std::optional<RecordsAge> age = it.Age();
+    // A copy that is older than that counts as current in an outage.
+    if (age && now - age->AsOf <= it.MaxAge)
+      end = std::min(end, age->AsOf + it.EffectTime);
+  }
+  return end;
+}
+
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -250,7 +250,10 @@
   auto nextPoll = std::max(worker.PollSent + MaxPollCycle,
                            now + Options.StartDeadline + PollDelayMargin);
   bool holdsLease = worker.ConfirmedDeadline >= *workerClock(worker, nextPoll);
-  return clock + (holdsLease ? Options.StartDeadline : Options.LeaseDuration);
+  if (!holdsLease)
+    return clock + Options.LeaseDuration;
+  TimePoint end = std::min(now + Options.StartDeadline, StartsValidUntil);
+  return clock + std::chrono::duration_cast<WorkerTime>(end - now);
 }
 
 void ShardState::expireLeases(TimePoint now) {
@@ -496,6 +499,10 @@
                  {"token", std::to_string(base::toNumber(s.Token))}});
 }
 
+void Shard::setStartsValidUntil(TimePoint end) {
+  State->StartsValidUntil = end;
+}
+
 bool Shard::isStartWanted(const WorkerCommand &command) const {
   JobEntry *job = nullptr;
   TaskEntry *task = State->findTask(command.Run.Task, &job);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -379,6 +379,8 @@
   std::optional<TimePoint> RosterUnknownUntil;
   /// When the records that starts depend on were complete.
   TimePoint RecordsAsOf;
+  /// Starts that are decided now must not begin later.
+  TimePoint StartsValidUntil = TimePoint::max();
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
   /// Cancelled jobs whose job record has not been read yet.
--- a/packages/dispatch/src/detail/StartSources.h
+++ b/packages/dispatch/src/detail/StartSources.h
@@ -44,6 +44,8 @@
   bool areCurrent(base::TimePoint now);
   /// Returns when the oldest copy was complete.
   base::TimePoint asOf(base::TimePoint now) const;
+  /// Returns the time after which a start that is decided now must not begin.
+  base::TimePoint startsValidUntil(base::TimePoint now) const;
 
 private:
   bool isOld(const StartSource &source, const RecordsAge &age,
--- a/tests/unit/unit-dispatch-freshness.cpp
+++ b/tests/unit/unit-dispatch-freshness.cpp
@@ -84,6 +84,23 @@
   EXPECT_TRUE(plan().empty());
 }
 
+// A start that is delayed on its way must not begin when a notice that the
+// owner did not know of has come into force.
+TEST_F(StartFreshness, OldView_ShortensTheValidityOfAStart) {
+  addWorker("w1");
+  poll("w1");
+  poll("w1");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  TestShard.setStartsValidUntil(now() + 900ms);
+  std::vector<WorkerCommand> recent = plan();
+  TestShard.setStartsValidUntil(base::TimePoint::max());
+  TestShard.addJob(job(2, {step(1)}), 201, false, now());
+  std::vector<WorkerCommand> usual = plan();
+  ASSERT_EQ(recent.size(), 1u);
+  ASSERT_EQ(usual.size(), 1u);
+  EXPECT_GE((usual[0].Deadline - recent[0].Deadline).count(), 600);
+}
+
 class NodeFreshness : public NodeFixture {
 protected:
   void startNode() {
