--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -186,8 +186,11 @@
   /// Returns whether tasks of the account wait for a larger share.
   bool isAccountWaiting(const std::string &account) const;
 
-  /// The jobs and cancellations are complete as of \p asOf.
+  /// All records that starts depend on are complete as of \p asOf.
   void setRecordsAsOf(base::TimePoint asOf);
+  /// Starts that are decided from now on must not begin after \p end, since a
+  /// change that is not known here may be in force then.
+  void setStartsValidUntil(base::TimePoint end);
   std::vector<WorkerRef> workers() const;
   bool hasWorker(const base::WorkerId &worker) const;
   /// Returns the roster that must be stored before commands are sent to its
@@ -206,7 +209,8 @@
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
   /// Returns whether the run of a start command is still to be started: its job
-  /// is live and no stop has been decided.
+  /// is live, no stop has been decided, and its worker still takes starts and
+  /// has capacity for it.
   bool isStartWanted(const WorkerCommand &command) const;
   /// The start command is not sent.
   void withdrawStart(const WorkerCommand &command);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -385,8 +385,10 @@
   bool Fenced = false;
   /// Until then, workers that are not known may have runs of an earlier owner.
   std::optional<TimePoint> RosterUnknownUntil;
-  /// When the jobs and cancellations were complete.
+  /// When the records that starts depend on were complete.
   TimePoint RecordsAsOf;
+  /// Starts that are decided now must not begin later.
+  TimePoint StartsValidUntil = TimePoint::max();
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
   /// Cancelled jobs whose job record has not been read yet.
