Keep the expected ends of the runs of a worker

A profile of the daemons there has 37% of their processor time in Shard::plan, of that 20 points in expectedEnds(): each waiting step that fits nowhere read, for each run of each worker, the job, the task and the learned run times again.

Cause: reserveSoonest() asked for the expected ends of all runs, and each answer took a look-up of the task in three tables and of the program in a map by two strings, copied for the key, and a walk of a histogram.

Change: a worker keeps the sorted ends of its runs until a run is added or removed or a run time is recorded (RunTimes::revision). What the ends need of a run is kept with its reservation of capacity, beside the step. A job keeps the last learned time of each step for the same revision. The learned times are found by names that are not copied. soonestOpening() sorts only what is not in order.

--- a/packages/dispatch/src/Accounts.cpp
+++ b/packages/dispatch/src/Accounts.cpp
@@ -23,15 +23,13 @@
   return it == Accounts.end() ? nullptr : &it->second;
 }
 
-void ShardState::addUse(const RunId &run, RunReservation &held, bool adopted) {
-  JobEntry *job = Accounts.empty() ? nullptr : findJob(run.Task.Job);
-  held.Account = job ? accountOf(*job) : nullptr;
+void ShardState::addUse(RunReservation &held) {
+  held.Account = accountOf(*held.Job);
   if (!held.Account)
     return;
-  held.Adopted = adopted;
   AccountAmounts size = amountsOf(held.Step->Size);
   held.Account->Demand.Used += size;
-  if (adopted)
+  if (held.Adopted)
     held.Account->Demand.UsedByEarlierOwner += size;
 }
 
@@ -156,16 +154,8 @@
     return;
   for (auto &[id, w] : s.Workers)
     for (auto &[run, held] : w->Runs)
-      if (!held.Account) {
-        detail::TaskEntry *task = s.findTask(run.Task);
-        std::int64_t number = run.Number;
-        bool adopted =
-            task && std::any_of(task->Runs.begin(), task->Runs.end(),
-                                [&](const detail::Run &it) {
-                                  return it.Number == number && it.Adopted;
-                                });
-        s.addUse(run, held, adopted);
-      }
+      if (!held.Account)
+        s.addUse(held);
 }
 
 void Shard::onAccountRecord(const std::string &account,
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -87,7 +87,7 @@
       CurrentUrgency,
       LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
           .has_value());
-  reserve(worker, id, step);
+  reserve(worker, job, key, run);
   addStarted(job, step, now);
   useReservation(key, worker);
   // The run may not have ended when held capacity on its worker is due.
@@ -407,9 +407,16 @@
 base::Duration ShardState::expectedTime(const JobEntry &job, std::size_t step,
                                         double q) const {
   const model::StepSpec &spec = job.Job.Graph.Steps[step];
-  return LearnedTimes
-      .quantile({job.Job.Queue, static_cast<std::int32_t>(step), spec.Image}, q)
-      .value_or(spec.Estimate);
+  job.TimesCache.resize(job.Job.Graph.Steps.size());
+  LearnedTime &cached = job.TimesCache[step];
+  if (cached.Quantile != q || cached.Revision != LearnedTimes.revision())
+    cached = {q, LearnedTimes.revision(),
+              LearnedTimes
+                  .quantile({job.Job.Queue, static_cast<std::int32_t>(step),
+                             spec.Image},
+                            q)
+                  .value_or(spec.Estimate)};
+  return cached.Time;
 }
 
 base::Duration ShardState::expectedPath(const JobEntry &job,
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -18,25 +18,29 @@
 /// Fraction of the runs that end within the expected time of a run.
 constexpr double EndQuantile = 0.9;
 
-/// Returns the runs of the worker that end at some time.
-static std::vector<policy::ExpectedEnd> expectedEnds(ShardState &shard,
-                                                     const WorkerState &w) {
-  std::vector<policy::ExpectedEnd> ends;
+/// Returns the runs of the worker that end at some time, earliest first.
+static const std::vector<policy::ExpectedEnd> &
+expectedEnds(const ShardState &shard, WorkerState &w) {
+  std::uint64_t revision = shard.LearnedTimes.revision();
+  if (w.EndsCache && w.EndsRevision == revision)
+    return *w.EndsCache;
+  std::vector<policy::ExpectedEnd> &ends = w.EndsCache.emplace();
+  w.EndsRevision = revision;
   for (const auto &[id, held] : w.Runs) {
-    JobEntry *job = nullptr;
-    TaskEntry *task = shard.findTask(id.Task, &job);
-    if (!task || held.Step->LongRunning)
+    if (held.Step->LongRunning)
       continue;
     base::Duration expected = shard.expectedTime(
-        *job, static_cast<std::size_t>(id.Task.Step), EndQuantile);
-    for (const Run &it : task->Runs)
-      if (it.Number == id.Number && it.Worker == &w)
-        ends.push_back({it.Started + expected, held.Size, expected});
+        *held.Job, static_cast<std::size_t>(id.Task.Step), EndQuantile);
+    ends.push_back({held.Started + expected, held.Size, expected});
   }
+  std::sort(ends.begin(), ends.end(),
+            [](const policy::ExpectedEnd &a, const policy::ExpectedEnd &b) {
+              return a.At < b.At;
+            });
   return ends;
 }
 
-static policy::HeldCapacity held(ShardState &shard, const WorkerState &w,
+static policy::HeldCapacity held(ShardState &shard, WorkerState &w,
                                  const Reservation &reservation) {
   policy::HeldCapacity result{reservation.Size, reservation.Due, w.Used};
   for (const policy::ExpectedEnd &it : expectedEnds(shard, w))
@@ -207,22 +211,22 @@
     return;
   struct Host {
     WorkerState *Worker;
-    std::vector<policy::ExpectedEnd> Ends;
+    const std::vector<policy::ExpectedEnd> *Ends;
   };
   std::vector<Host> hosts;
   std::vector<TimePoint> times{now};
   for (const auto &[id, w] : Workers) {
     if (now < w->NoReservationUntil || !mayHost(*this, job, spec, *w, now))
       continue;
-    hosts.push_back({w.get(), expectedEnds(*this, *w)});
-    for (const policy::ExpectedEnd &it : hosts.back().Ends)
+    hosts.push_back({w.get(), &expectedEnds(*this, *w)});
+    for (const policy::ExpectedEnd &it : *hosts.back().Ends)
       times.push_back(std::max(now, it.At));
   }
   std::sort(times.begin(), times.end());
   auto tasksAt = [&](const Host &host, TimePoint at) {
     base::Resources free = host.Worker->Profile.Capacity;
     free -= host.Worker->Used;
-    for (const policy::ExpectedEnd &it : host.Ends)
+    for (const policy::ExpectedEnd &it : *host.Ends)
       if (it.At <= at)
         free += it.Size;
     std::int32_t n = 0;
@@ -256,7 +260,7 @@
       break;
     rest -= n;
     policy::Opening opening{*due, 0, {}};
-    for (const policy::ExpectedEnd &end : it.Ends)
+    for (const policy::ExpectedEnd &end : *it.Ends)
       if (end.At <= *due) {
         ++opening.Runs;
         opening.Awaited = std::max(opening.Awaited, end.Expected);
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -141,7 +141,7 @@
     task->UnresolvedRun = 0;
   ++job->RunCount;
   job->Started = true;
-  reserve(worker, row.Id, step, true);
+  reserve(worker, *job, row.Id.Task, run);
   if (task->isSuspect())
     worker.SuspectRuns.insert(row.Id);
 }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -34,8 +34,9 @@
          std::chrono::duration_cast<WorkerTime>(now - worker.Clock->ReceivedAt);
 }
 
-void ShardState::reserve(WorkerState &worker, const RunId &run,
-                         const model::StepSpec &step, bool adopted) {
+void ShardState::reserve(WorkerState &worker, JobEntry &job,
+                         const TaskKey &task, const Run &run) {
+  const model::StepSpec &step = stepOf(job, task);
   base::Resources size = step.Size;
   if (step.Filler) {
     worker.FillerCpu += count(size.Cpu);
@@ -47,10 +48,13 @@
       worker.Serving.emplace(step.Image, step.Target);
   }
   worker.Used += size;
-  auto [held, added] = worker.Runs.emplace(run, RunReservation{size, &step});
+  auto [held, added] = worker.Runs.emplace(
+      RunId{task, run.Number},
+      RunReservation{size, &job, &step, run.Started, run.Adopted});
   if (added)
-    addUse(run, held->second, adopted);
+    addUse(held->second);
   worker.ServedCache.reset();
+  worker.EndsCache.reset();
 }
 
 void ShardState::release(WorkerState &worker, const RunId &run) {
@@ -63,6 +67,7 @@
   worker.Runs.erase(it);
   worker.SuspectRuns.erase(run);
   worker.ServedCache.reset();
+  worker.EndsCache.reset();
   if (step.Filler)
     worker.FillerCpu -= count(step.Size.Cpu);
   if (step.Filler || !step.LongRunning)
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -140,6 +140,13 @@
   mutable ExpectedPaths Paths;
 };
 
+/// A quantile of the learned run times, as of a revision of these.
+struct LearnedTime {
+  double Quantile = -1;
+  std::uint64_t Revision = 0;
+  base::Duration Time{0};
+};
+
 struct Occurrence {
   std::int32_t Number = 0;
   std::vector<StepEntry> Steps;
@@ -183,6 +190,8 @@
   std::int32_t RunCount = 0;
   /// Headroom of the job's serving tasks.
   policy::ServingLoad Load;
+  /// One for each step; computed on demand by expectedTime().
+  mutable std::vector<LearnedTime> TimesCache;
 
   bool isLive() const { return !model::isFinal(State); }
   bool isLongRunning() const {
@@ -213,11 +222,13 @@
 /// which is kept as long as it has runs.
 struct RunReservation {
   base::Resources Size;
+  JobEntry *Job = nullptr;
   const model::StepSpec *Step = nullptr;
-  /// Account whose use includes the run; null if there is none.
-  AccountState *Account = nullptr;
+  TimePoint Started;
   /// An earlier owner started the run.
   bool Adopted = false;
+  /// Account whose use includes the run; null if there is none.
+  AccountState *Account = nullptr;
 };
 
 /// Headroom that the tasks of a serving program on a worker are expected to
@@ -328,6 +339,11 @@
   std::multimap<std::string, std::chrono::milliseconds> Serving;
   /// Computed on demand; reset when a run is added or removed.
   std::optional<std::vector<ServedProgram>> ServedCache;
+  /// Expected ends of the runs here, earliest first, and the revision of the
+  /// learned run times that they follow. Computed on demand; reset when a run is
+  /// added or removed.
+  std::optional<std::vector<policy::ExpectedEnd>> EndsCache;
+  std::uint64_t EndsRevision = 0;
   /// Sum of the demand ratios of the waiting filler programs that suit this
   /// worker.
   double DemandRatioSum = 0;
@@ -464,9 +480,8 @@
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
   /// commands that may have reached the new one become unconfirmed.
   void handleRestart(WorkerState &worker, const char *cause, TimePoint now);
-  /// \param adopted whether an earlier owner started the run.
-  void reserve(WorkerState &worker, const RunId &run,
-               const model::StepSpec &step, bool adopted = false);
+  void reserve(WorkerState &worker, JobEntry &job, const TaskKey &task,
+               const Run &run);
   void release(WorkerState &worker, const RunId &run);
   void expireLeases(TimePoint now);
   /// Handles the first answer of a silent worker.
@@ -505,7 +520,7 @@
   // Accounts.cpp
   /// Returns null if the job belongs to no account of the configuration.
   AccountState *accountOf(const JobEntry &job);
-  void addUse(const RunId &run, RunReservation &held, bool adopted);
+  void addUse(RunReservation &held);
   void removeUse(const RunReservation &held);
   /// Returns whether the account's limit allows a start of \p tasks tasks.
   bool isWithinLimit(const JobEntry &job, const model::StepSpec &step,
--- a/packages/policy/include/endivedoor/policy/Openings.h
+++ b/packages/policy/include/endivedoor/policy/Openings.h
@@ -38,10 +38,10 @@
 ///
 /// \param used what all runs occupy.
 /// \param ends runs that are expected to end; overdue ones count as ending at
-/// \p now.
+/// \p now. Costs less if the earliest come first.
 std::optional<Opening> soonestOpening(const base::Resources &capacity,
                                       base::Resources used,
-                                      std::vector<ExpectedEnd> ends,
+                                      const std::vector<ExpectedEnd> &ends,
                                       const base::Resources &size,
                                       base::TimePoint now);
 
--- a/packages/policy/include/endivedoor/policy/RunTimes.h
+++ b/packages/policy/include/endivedoor/policy/RunTimes.h
@@ -15,14 +15,24 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace endivedoor::policy {
 
+/// Tasks with similar run times, by names that the owner keeps.
+struct ProgramRef {
+  std::string_view Queue;
+  std::int32_t Step = 0;
+  std::string_view Image;
+  friend auto operator<=>(const ProgramRef &, const ProgramRef &) = default;
+};
+
 /// Tasks with similar run times.
 struct ProgramKey {
   std::string Queue;
   std::int32_t Step = 0;
   std::string Image;
+  operator ProgramRef() const { return {Queue, Step, Image}; }
   friend auto operator<=>(const ProgramKey &, const ProgramKey &) = default;
 };
 
@@ -39,8 +49,10 @@
   /// nothing as long as too few have ended.
   ///
   /// \param q from 0 to 1.
-  std::optional<std::chrono::nanoseconds> quantile(const ProgramKey &program,
+  std::optional<std::chrono::nanoseconds> quantile(ProgramRef program,
                                                    double q) const;
+  /// Changes whenever a quantile may change.
+  std::uint64_t revision() const { return Records; }
   std::size_t size() const { return Programs.size(); }
 
 private:
@@ -53,7 +65,12 @@
     std::uint64_t Latest = 0;
   };
 
-  std::map<ProgramKey, Histogram> Programs;
+  struct Less {
+    using is_transparent = void;
+    bool operator()(ProgramRef a, ProgramRef b) const { return a < b; }
+  };
+
+  std::map<ProgramKey, Histogram, Less> Programs;
   std::uint64_t Records = 0;
 };
 
--- a/packages/policy/src/Openings.cpp
+++ b/packages/policy/src/Openings.cpp
@@ -11,12 +11,17 @@
 
 std::optional<Opening> soonestOpening(const base::Resources &capacity,
                                       base::Resources used,
-                                      std::vector<ExpectedEnd> ends,
+                                      const std::vector<ExpectedEnd> &ends,
                                       const base::Resources &size,
                                       base::TimePoint now) {
-  std::sort(
-      ends.begin(), ends.end(),
-      [](const ExpectedEnd &a, const ExpectedEnd &b) { return a.At < b.At; });
+  auto isEarlier = [](const ExpectedEnd &a, const ExpectedEnd &b) {
+    return a.At < b.At;
+  };
+  if (!std::is_sorted(ends.begin(), ends.end(), isEarlier)) {
+    std::vector<ExpectedEnd> sorted = ends;
+    std::sort(sorted.begin(), sorted.end(), isEarlier);
+    return soonestOpening(capacity, used, sorted, size, now);
+  }
   auto fits = [&] {
     base::Resources needed = used;
     needed += size;
--- a/packages/policy/src/RunTimes.cpp
+++ b/packages/policy/src/RunTimes.cpp
@@ -55,7 +55,7 @@
                                   }));
 }
 
-std::optional<nanoseconds> RunTimes::quantile(const ProgramKey &program,
+std::optional<nanoseconds> RunTimes::quantile(ProgramRef program,
                                               double q) const {
   auto it = Programs.find(program);
   if (it == Programs.end() || it->second.Samples < MinSamples)
