--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -410,12 +410,12 @@
   job.TimesCache.resize(job.Job.Graph.Steps.size());
   LearnedTime &cached = job.TimesCache[step];
   if (cached.Quantile != q || cached.Revision != LearnedTimes.revision())
-    cached = {q, LearnedTimes.revision(),
-              LearnedTimes
-                  .quantile({job.Job.Queue, static_cast<std::int32_t>(step),
-                             spec.Image},
-                            q)
-                  .value_or(spec.Estimate)};
+    cached = {
+        q, LearnedTimes.revision(),
+        LearnedTimes
+            .quantile(
+                {job.Job.Queue, static_cast<std::int32_t>(step), spec.Image}, q)
+            .value_or(spec.Estimate)};
   return cached.Time;
 }
 
