Leave a small node time for calls between plans

Cause: planLoop() plans 8 ms after each event. Under a steady stream of ends a node on which a plan takes longer than that spends most of its time on plans, while the polls and commits that the plans wait for queue up.

Change: PlanPacing delays a plan that is requested soon after a long one, so that plans take at most MaxPlanShare of the time, and never beyond the interval at which leases and repeated stops are checked anyway. A node with time to spare plans after 8 ms, as before.

--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -18,11 +18,6 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Events within this time are handled by one planning pass.
-constexpr auto PlanDelay = 8ms;
-/// Maximum time between planning passes; leases, due times and throttling
-/// depend on it.
-constexpr auto PlanInterval = 150ms;
 /// Long-poll wait at a worker with runs; bounds the age of its gauges.
 constexpr auto BusyPollWait = 500ms;
 /// Long-poll wait at an idle worker.
@@ -358,10 +353,13 @@
   while (!Stopped) {
     PlanDue = false;
     State.setRecordsAsOf(Mirror->lastAnsweredCall());
-    for (WorkerCommand &it :
-         State.plan(Context.Time.now(), Context.Time.wallNow(),
-                    maySendCommands() && recordsAreCurrent() && !Flushing,
-                    Context.StartCalls.available(), ownsShard()))
+    TimePoint begin = Context.Time.now();
+    std::vector<WorkerCommand> orders =
+        State.plan(begin, Context.Time.wallNow(),
+                   maySendCommands() && recordsAreCurrent() && !Flushing,
+                   Context.StartCalls.available(), ownsShard());
+    Pacing.onPlanned(begin, Context.Time.now());
+    for (WorkerCommand &it : orders)
       asio::co_spawn(
           Context.Executor,
           [self, order = std::move(it)] { return self->executeCommand(order); },
@@ -379,7 +377,7 @@
                                   : PlanInterval);
     co_await PlanTimer.async_wait(AsTuple);
     if (PlanDue && !Stopped)
-      co_await sleepFor(PlanDelay);
+      co_await sleepFor(Pacing.delay(Context.Time.now()));
   }
 }
 
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -6,6 +6,7 @@
 
 #include "detail/CallWindow.h"
 #include "detail/NodeRecords.h"
+#include "detail/PlanPacing.h"
 
 #include "endivedoor/dispatch/DispatchNode.h"
 #include "endivedoor/dispatch/PrefixMirror.h"
@@ -134,6 +135,7 @@
   Shard State;
   std::unique_ptr<PrefixMirror> Mirror;
   boost::asio::steady_timer PlanTimer;
+  PlanPacing Pacing;
   boost::asio::steady_timer CommitTimer;
   std::set<base::WorkerId> PolledWorkers;
   std::vector<RosterEntry> StoredRoster;
