--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -6,6 +6,7 @@
 
 #include "detail/CallWindow.h"
 #include "detail/NodeRecords.h"
+#include "detail/PlanPacing.h"
 #include "detail/StartSources.h"
 
 #include "endivedoor/dispatch/DispatchNode.h"
@@ -137,6 +138,7 @@
   std::unique_ptr<PrefixMirror> Mirror;
   StartSources Sources;
   boost::asio::steady_timer PlanTimer;
+  PlanPacing Pacing;
   boost::asio::steady_timer CommitTimer;
   std::set<base::WorkerId> PolledWorkers;
   std::vector<RosterEntry> StoredRoster;
