Pass over steps without runs and look runs up in their job

Change: a step counts its runs, so that the walks for stops, stuck runs and copies leave out steps that have none. The runs of a worker are found in the job that their reservation points to. A worker's free capacity is compared before its labels and zone.

--- a/packages/dispatch/src/Copies.cpp
+++ b/packages/dispatch/src/Copies.cpp
@@ -42,7 +42,7 @@
     for (auto &[number, o] : job->Occurrences)
       for (std::size_t s = 0; s < o.Steps.size(); ++s) {
         const model::StepSpec &spec = job->Job.Graph.Steps[s];
-        if (!mayCopy(spec))
+        if (!mayCopy(spec) || o.Steps[s].RunCount == 0)
           continue;
         auto step = static_cast<std::int32_t>(s);
         policy::ProgramKey program{job->Job.Queue, step, spec.Image};
--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -47,10 +47,10 @@
 /// Ratio of target to response time beyond which differences are only rounding.
 constexpr double MaxHeadroom = 8;
 
-std::vector<RunView> runsOn(ShardState &shard, const WorkerState &w) {
+std::vector<RunView> runsOn(const WorkerState &w) {
   std::vector<RunView> views;
   for (const auto &[id, held] : w.Runs) {
-    TaskEntry *task = shard.findTask(id.Task);
+    TaskEntry *task = ShardState::findTask(*held.Job, id.Task);
     if (!task)
       continue;
     for (Run &it : task->Runs)
@@ -110,9 +110,7 @@
   for (const auto &[id, held] : w.Runs) {
     if (held.Step->Target.count() <= 0)
       continue;
-    const JobEntry *job = shard.findJob(id.Task.Job);
-    if (!job)
-      continue;
+    const JobEntry *job = held.Job;
     bool known = job->Load.isKnown(now);
     double typical = shard.TypicalLowestHeadroom;
     double current = known ? job->Load.headroomAt(now) : typical;
@@ -192,7 +190,7 @@
       now - w.LastObserved < ObserveInterval)
     return;
   w.LastObserved = now;
-  std::vector<RunView> runs = runsOn(*this, w);
+  std::vector<RunView> runs = runsOn(w);
   std::vector<policy::FillerShare> fillers = measuredFillers(w, runs);
   TimePoint measured = now - GaugeAge;
   // The gauges of a worker cover the same half second only approximately, so
@@ -301,7 +299,7 @@
       w->FillersPaused = false;
       continue;
     }
-    std::vector<RunView> runs = runsOn(*this, *w);
+    std::vector<RunView> runs = runsOn(*w);
     double worst = 0;
     for (const RunView &it : runs)
       if (it.Step->Target.count() > 0 && it.Entry->HasGauge)
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -36,10 +36,14 @@
   JobEntry *found = findJob(key.Job);
   if (job)
     *job = found;
-  if (!found || key.Step < 0 || key.Index < 0)
+  return found ? findTask(*found, key) : nullptr;
+}
+
+TaskEntry *ShardState::findTask(JobEntry &job, const TaskKey &key) {
+  if (key.Step < 0 || key.Index < 0)
     return nullptr;
-  auto it = found->Occurrences.find(key.Occurrence);
-  if (it == found->Occurrences.end())
+  auto it = job.Occurrences.find(key.Occurrence);
+  if (it == job.Occurrences.end())
     return nullptr;
   auto step = static_cast<std::size_t>(key.Step);
   auto index = static_cast<std::size_t>(key.Index);
@@ -116,10 +120,11 @@
       markDirty(job);
   }
   --job.RunCount;
+  StepEntry &entry =
+      job.Occurrences[key.Occurrence].Steps[static_cast<std::size_t>(key.Step)];
+  --entry.RunCount;
   if (task->Runs.empty() && task->isPending())
-    ++job.Occurrences[key.Occurrence]
-          .Steps[static_cast<std::size_t>(key.Step)]
-          .WaitingCount;
+    ++entry.WaitingCount;
 }
 
 /// Returns whether the cancellation has been stored for all other shards that
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -72,7 +72,7 @@
 static bool canPlace(const ShardState &shard, const JobEntry &job,
                      const model::StepSpec &step, const WorkerState &w,
                      TimePoint now) {
-  return mayHost(shard, job, step, w, now) && fits(w, step) &&
+  return fits(w, step) && mayHost(shard, job, step, w, now) &&
          !isHeldForOthers(shard, job, step, w, now);
 }
 
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -75,6 +75,7 @@
   task.LostWithLease = false;
   task.Runs.push_back(run);
   ++job.RunCount;
+  ++entry.RunCount;
   if (!job.Started) {
     MetricsRegistry.observeFirstStart(now - job.Accepted);
     // The index revision of an inherited job is unknown.
@@ -125,6 +126,8 @@
 
 StepCounts runsByWorker(const StepEntry &entry) {
   StepCounts counts;
+  if (entry.RunCount == 0)
+    return counts;
   for (const TaskEntry &task : entry.Tasks)
     for (const Run &it : task.Runs)
       ++counts[it.Worker];
@@ -600,6 +603,8 @@
     for (auto &[number, o] : job->Occurrences)
       for (std::size_t s = 0; s < o.Steps.size(); ++s) {
         StepEntry &entry = o.Steps[s];
+        if (entry.RunCount == 0)
+          continue;
         bool gang = job->Job.Graph.Steps[s].Gang;
         // A gang makes no progress unless all members run.
         bool incomplete = gang && entry.WaitingCount > 0 &&
@@ -654,6 +659,8 @@
       for (std::size_t s = 0; s < o.Steps.size(); ++s) {
         const model::StepSpec &spec = job->Job.Graph.Steps[s];
         StepEntry &entry = o.Steps[s];
+        if (entry.RunCount == 0)
+          continue;
         for (std::size_t i = 0; i < entry.Tasks.size(); ++i) {
           TaskEntry &task = entry.Tasks[i];
           if (task.Done)
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -120,10 +120,10 @@
   bool wanted =
       job->isLive() && task->isPending() &&
       (task->Runs.empty() || (step.Speculative && task->Runs.size() == 1));
+  StepEntry &entry = job->Occurrences[row.Id.Task.Occurrence]
+                         .Steps[static_cast<std::size_t>(row.Id.Task.Step)];
   if (task->Runs.empty() && task->isPending())
-    --job->Occurrences[row.Id.Task.Occurrence]
-          .Steps[static_cast<std::size_t>(row.Id.Task.Step)]
-          .WaitingCount;
+    --entry.WaitingCount;
   Run run;
   run.Worker = &worker;
   run.Number = row.Id.Number;
@@ -140,6 +140,7 @@
   if (run.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
   ++job->RunCount;
+  ++entry.RunCount;
   job->Started = true;
   reserve(worker, *job, row.Id.Task, run);
   if (task->isSuspect())
--- a/packages/dispatch/src/detail/Interference.h
+++ b/packages/dispatch/src/detail/Interference.h
@@ -14,7 +14,7 @@
   Run *Entry = nullptr;
 };
 
-std::vector<RunView> runsOn(ShardState &shard, const WorkerState &w);
+std::vector<RunView> runsOn(const WorkerState &w);
 
 /// What adding a filler to a worker is expected to do.
 struct FillerForecast {
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -128,6 +128,8 @@
   std::int32_t DoneCount = 0;
   /// Number of pending tasks without a run.
   std::int32_t WaitingCount = 0;
+  /// Number of runs of all tasks.
+  std::int32_t RunCount = 0;
   /// Since when no worker has been found for the next task, and when that was
   /// last logged.
   std::optional<TimePoint> WaitingSince;
@@ -340,8 +342,8 @@
   /// Computed on demand; reset when a run is added or removed.
   std::optional<std::vector<ServedProgram>> ServedCache;
   /// Expected ends of the runs here, earliest first, and the revision of the
-  /// learned run times that they follow. Computed on demand; reset when a run is
-  /// added or removed.
+  /// learned run times that they follow. Computed on demand; reset when a run
+  /// is added or removed.
   std::optional<std::vector<policy::ExpectedEnd>> EndsCache;
   std::uint64_t EndsRevision = 0;
   /// Sum of the demand ratios of the waiting filler programs that suit this
@@ -451,6 +453,7 @@
   JobEntry *findJob(JobNumber job);
   const JobEntry *findJob(JobNumber job) const;
   TaskEntry *findTask(const TaskKey &key, JobEntry **job = nullptr);
+  static TaskEntry *findTask(JobEntry &job, const TaskKey &key);
   Occurrence &openOccurrence(JobEntry &job, std::int32_t number, TimePoint now);
   void markDirty(JobEntry &job);
   void finishJob(JobEntry &job, model::JobState state);
