--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -170,6 +170,18 @@
     EXPECT_FALSE(decodeJobGraph(it).has_value()) << it;
 }
 
+// The unspecified address is that of the node itself.
+TEST(DecodeWorker, AddressOfNoHost_MakesTheEntryUnusable) {
+  for (const char *ip :
+       {"0.0.0.0", "224.0.0.1", "239.1.1.1", "255.255.255.255"})
+    EXPECT_FALSE(
+        decodeWorker("i-1", R"({"service":"desk","zone":"a","state":"ready",
+        "capacity":{"cpu":1,"mem_mb":1},"address":")" +
+                                std::string(ip) + ":80\"}")
+            .has_value())
+        << ip;
+}
+
 // Neither callers nor workers may end a daemon by the shape of a body.
 TEST(ParseBody, DeepNesting_IsAnError) {
   for (std::size_t levels : {10u, 31u, 33u, 1000u, 100'000u})
