--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -170,6 +170,17 @@
     EXPECT_FALSE(decodeJobGraph(it).has_value()) << it;
 }
 
+// A worker without the labels that it has was offered all tasks that need none.
+TEST(DecodeWorker, LabelsOfAnotherType_MakeTheEntryUnusable) {
+  const std::string start =
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"a",
+          "state":"ready","capacity":{"cpu":1,"mem_mb":1},"labels":)";
+  for (const char *it : {"7", "\"a\"", "{}", "[7]", "[\"a\",[]]", "[null]"})
+    EXPECT_FALSE(decodeWorker("i-1", start + it + "}").has_value()) << it;
+  for (const char *it : {"null", "[]", "[\"a\"]"})
+    EXPECT_TRUE(decodeWorker("i-1", start + it + "}").has_value()) << it;
+}
+
 // The unspecified address is that of the node itself.
 TEST(DecodeWorker, AddressOfNoHost_MakesTheEntryUnusable) {
   for (const char *ip :
