Count the batch delay of a watch from the sending of its call

The delay now counts from the sending of the call; half of it passes after the answer in any case, so that changes still arrive together.

PrefixMirrorAge.SlowAnswers_AddOnceToTheAgeOfTheCopy failed before with an age of 1598 ms, where at most 1400 are allowed; each answer takes 400 ms and the batch delay is 800 ms.

--- a/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
+++ b/packages/dispatch/include/endivedoor/dispatch/PrefixMirror.h
@@ -21,7 +21,9 @@
   /// Maximum wait of a watch call. A connection may stall without an error, so
   /// this bounds the age of the local copy. Each wait costs one call.
   std::chrono::milliseconds Watch{2000};
-  /// Pause between two watch calls; changes within it arrive in one call.
+  /// Time from the sending of a watch call to the next one; changes within it
+  /// arrive in one call. Half of it passes after the answer in any case. A slow
+  /// answer thus does not add twice to the age of the local copy.
   std::chrono::milliseconds Batch{0};
 };
 
--- a/packages/dispatch/src/PrefixMirror.cpp
+++ b/packages/dispatch/src/PrefixMirror.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace endivedoor::dispatch {
@@ -131,13 +132,15 @@
     auto self = shared_from_this();
     bool needsList = true;
     while (!Stopped) {
+      base::TimePoint sent = Time.now();
       bool done = needsList ? co_await relist() : co_await pollWatch();
       if (Stopped)
         co_return;
       if (done) {
         needsList = false;
         if (Delays.Batch.count() > 0)
-          co_await detail::sleepFor(Delays.Batch);
+          co_await detail::sleepFor(std::max<base::Duration>(
+              Delays.Batch / 2, Delays.Batch - (Time.now() - sent)));
         continue;
       }
       needsList = !Listed;
--- a/tests/support/InMemoryStore.h
+++ b/tests/support/InMemoryStore.h
@@ -41,6 +41,8 @@
   int PendingHistoryLosses = 0;
   /// Watches of this prefix get no answer within their timeout; empty for none.
   std::string SilentWatchPrefix;
+  /// Time that the answer to a watch takes.
+  std::chrono::milliseconds WatchDelay{1};
   int ListCalls = 0;
   /// Time that a listing takes. The caller is suspended meanwhile, which it is
   /// not with 0.
@@ -145,8 +147,7 @@
     constexpr std::chrono::milliseconds timeout{900};
     bool silent = prefix == SilentWatchPrefix;
     asio::steady_timer timer(co_await asio::this_coro::executor,
-                             silent ? wait + timeout
-                                    : std::chrono::milliseconds(1));
+                             silent ? wait + timeout : WatchDelay);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (silent)
       co_return base::fail(base::Errc::StoreAnswerLost, "no answer in time");
--- a/tests/unit/unit-dispatch-freshness.cpp
+++ b/tests/unit/unit-dispatch-freshness.cpp
@@ -3,6 +3,8 @@
 #include "support/NodeFixture.h"
 #include "support/ShardFixture.h"
 
+#include "endivedoor/dispatch/PrefixMirror.h"
+
 #include <functional>
 
 using namespace endivedoor;
@@ -170,4 +172,24 @@
   EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 4; }, 500ms));
 }
 
+using PrefixMirrorAge = NodeFixture;
+
+// kcs-orders, seed 14374917553: the answers of a slow node's watch counted
+// twice, so that most copies were nearly as old as starts allow.
+TEST_F(PrefixMirrorAge, SlowAnswers_AddOnceToTheAgeOfTheCopy) {
+  Store.WatchDelay = 400ms;
+  dispatch::PrefixMirror mirror(
+      Io.get_executor(), Store, "quiet/",
+      {[](const auto &) {}, [](const auto &) {}, [] {}}, Time, Events,
+      {.Batch = 800ms});
+  mirror.start();
+  ASSERT_TRUE(runUntil([&] { return mirror.isSynced(); }));
+  base::Duration oldest{};
+  for (int i = 0; i < 500; ++i) {
+    runFor(5ms);
+    oldest = std::max(oldest, Time.now() - mirror.lastAnsweredCall());
+  }
+  EXPECT_LT(oldest, 1400ms);
+}
+
 } // namespace
