Show the ages of the copies of records and the delay of the loop

Without them, an operator sees StartsHeld but not how near the other nodes are to it, nor that the node lacks processor time. Two histograms: endivedoor_source_age_seconds by source, at planning passes, and endivedoor_loop_delay_seconds, by which the timer of the lease renewal is late.

NodeFreshness.Metrics_ShowTheAgesAndTheDelayOfTheLoop; the metrics did not exist before.

--- a/packages/dispatch/include/endivedoor/dispatch/Metrics.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Metrics.h
@@ -39,6 +39,12 @@
   void observeRunTime(double ratio);
   /// Sets the number of runs of tasks that may have crashed a worker.
   void setSuspectRuns(std::size_t suspects);
+  /// Records the age of a copy of records at a planning pass.
+  ///
+  /// \param source "shard", "operators" or "workers".
+  void observeSourceAge(const std::string &source, base::Duration age);
+  /// Records by how much a timer of the control thread fired late.
+  void observeLoopDelay(base::Duration delay);
 
   /// Counts a request that was refused because of its key.
   ///
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -581,9 +581,12 @@
                            : EventCode::StoreUnreached,
                   {{"node", Options.Name}});
     Reachable = answered;
-    co_await detail::sleepFor(
+    base::Duration pause =
         answered ? base::Duration(Options.NodeLease / RenewalsPerLease)
-                 : base::Duration(RetryDelay));
+                 : base::Duration(RetryDelay);
+    TimePoint due = Time.now() + pause;
+    co_await detail::sleepFor(pause);
+    MetricsRegistry.observeLoopDelay(Time.now() - due);
   }
 }
 
--- a/packages/dispatch/src/Metrics.cpp
+++ b/packages/dispatch/src/Metrics.cpp
@@ -83,6 +83,17 @@
           .Help("Run time as a multiple of the expected median")
           .Register(Registry)
           .Add({}, RatioBuckets);
+  prometheus::Family<Histogram> &SourceAges =
+      prometheus::BuildHistogram()
+          .Name("endivedoor_source_age_seconds")
+          .Help("Age of the copies of the store's records at planning passes")
+          .Register(Registry);
+  Histogram &LoopDelay =
+      prometheus::BuildHistogram()
+          .Name("endivedoor_loop_delay_seconds")
+          .Help("Time by which timers of the control thread fire late")
+          .Register(Registry)
+          .Add({}, CallBuckets);
   prometheus::Gauge &Suspects =
       prometheus::BuildGauge()
           .Name("endivedoor_suspect_runs")
@@ -136,6 +147,14 @@
   Self->RunTimeRatio.Observe(ratio);
 }
 
+void Metrics::observeSourceAge(const std::string &source, base::Duration age) {
+  Self->SourceAges.Add({{"source", source}}, CallBuckets).Observe(seconds(age));
+}
+
+void Metrics::observeLoopDelay(base::Duration delay) {
+  Self->LoopDelay.Observe(seconds(delay));
+}
+
 std::string Metrics::render(const base::EventLog &events) const {
   prometheus::MetricFamily family;
   family.name = "endivedoor_events_total";
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -365,6 +365,7 @@
   while (!Stopped) {
     PlanDue = false;
     TimePoint now = Context.Time.now();
+    Sources.observeAges(now, Context.MetricsRegistry);
     State.setRecordsAsOf(Sources.asOf(now));
     State.setStartsValidUntil(Sources.startsValidUntil(now));
     for (WorkerCommand &it :
--- a/packages/dispatch/src/StartSources.cpp
+++ b/packages/dispatch/src/StartSources.cpp
@@ -44,6 +44,12 @@
   return true;
 }
 
+void StartSources::observeAges(TimePoint now, Metrics &metrics) const {
+  for (const StartSource &it : Sources)
+    if (std::optional<RecordsAge> age = it.Age())
+      metrics.observeSourceAge(it.Name, now - age->AsOf);
+}
+
 TimePoint StartSources::asOf(TimePoint now) const {
   TimePoint oldest = now;
   for (const StartSource &it : Sources)
--- a/packages/dispatch/src/detail/StartSources.h
+++ b/packages/dispatch/src/detail/StartSources.h
@@ -6,6 +6,7 @@
 #include "endivedoor/base/Clock.h"
 #include "endivedoor/base/Event.h"
 #include "endivedoor/dispatch/DispatchNode.h"
+#include "endivedoor/dispatch/Metrics.h"
 
 #include <functional>
 #include <optional>
@@ -42,6 +43,8 @@
   /// Returns whether all copies are recent enough to send a start now. Logs the
   /// beginning and the end of a time in which they are not.
   bool areCurrent(base::TimePoint now);
+  /// Records the ages of all copies.
+  void observeAges(base::TimePoint now, Metrics &metrics) const;
   /// Returns when the oldest copy was complete.
   base::TimePoint asOf(base::TimePoint now) const;
   /// Returns the time after which a start that is decided now must not begin.
--- a/tests/unit/unit-dispatch-freshness.cpp
+++ b/tests/unit/unit-dispatch-freshness.cpp
@@ -150,6 +150,17 @@
   EXPECT_TRUE(runUntil([&] { return Workers.StartCounts.size() == 1; }, 300ms));
 }
 
+// Without these, it cannot be told from outside why a node starts nothing.
+TEST_F(NodeFreshness, Metrics_ShowTheAgesAndTheDelayOfTheLoop) {
+  startNode();
+  std::string text = MetricsRegistry.render(Events);
+  for (const char *it : {"source_age_seconds_count{source=\"shard\"}",
+                         "source_age_seconds_count{source=\"workers\"}",
+                         "loop_delay_seconds_count"})
+    EXPECT_NE(text.find(std::string("endivedoor_") + it), std::string::npos)
+        << it;
+}
+
 // An outage of the whole store must not stop the starts.
 TEST_F(NodeFreshness, StoreOutage_StartsTheWaitingTask) {
   startNode();
