--- a/tests/unit/unit-dispatch-freshness.cpp
+++ b/tests/unit/unit-dispatch-freshness.cpp
@@ -185,8 +185,8 @@
 
 using PrefixMirrorAge = NodeFixture;
 
-// kcs-orders, seed 14374917553: the answers of a slow node's watch counted
-// twice, so that most copies were nearly as old as starts allow.
+// On a slow node, the time that an answer takes counted twice in the age of the
+// copy, once before the batch delay and once after it.
 TEST_F(PrefixMirrorAge, SlowAnswers_AddOnceToTheAgeOfTheCopy) {
   Store.WatchDelay = 400ms;
   dispatch::PrefixMirror mirror(
