--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -360,6 +360,7 @@
   while (!Stopped) {
     PlanDue = false;
     TimePoint begin = Context.Time.now();
+    Sources.observeAges(begin, Context.MetricsRegistry);
     State.setRecordsAsOf(Sources.asOf(begin));
     State.setStartsValidUntil(Sources.startsValidUntil(begin));
     std::vector<WorkerCommand> orders =
