Logs tell how each end was stored and acknowledged, and how earlier runs ended

Callers saw: the report of repeated runs could not be traced. A log held neither the incarnation of an end nor when its worker was told to discard it, and a start did not say why its task counted as not running.

Change: RunEnded has the start time of the worker's incarnation (born) and is also written for unknown tasks (known=no). EndsAcknowledged is new: one line when a poll first carries a higher number, with each end, the time since its record was stored, and the token; never more lines than ends. RunStarted lists how the earlier runs of the task are known to have ended, only if there were any. While a worker is silent its ends stay queued, as its polls acknowledge none.

Evidence: EndTrace in unit-dispatch-ends; the fields did not exist before. The cost on a node of a tenth of a core was not measured.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -108,8 +108,25 @@
     finishJob(job, JobState::Succeeded);
 }
 
-void ShardState::removeRun(JobEntry &job, const TaskKey &key,
-                           std::int64_t run) {
+/// Number of endings that a task keeps; long-running tasks may have many.
+constexpr std::size_t MaxEndings = 8;
+
+void TaskEntry::addEnding(std::int64_t run, const char *evidence) {
+  if (Endings.size() == MaxEndings)
+    Endings.erase(Endings.begin());
+  Endings.push_back({run, evidence});
+}
+
+void ShardState::noteStored(const JobEntry &job, TimePoint now) {
+  for (auto &[id, w] : Workers)
+    for (UnacknowledgedEnd &it : w->UnacknowledgedEnds)
+      if (it.Job == job.Job.Id && it.Version <= job.StoredVersion &&
+          !it.StoredAt)
+        it.StoredAt = now;
+}
+
+void ShardState::removeRun(JobEntry &job, const TaskKey &key, std::int64_t run,
+                           const char *evidence) {
   TaskEntry *task = findTask(key);
   if (!task)
     return;
@@ -119,6 +136,7 @@
     return;
   release(*it->Worker, {key, run});
   task->Runs.erase(it);
+  task->addEnding(run, evidence);
   if (task->Crashes.AnnouncedRun == run) {
     task->Crashes.AnnouncedRun = 0;
     if (job.isLive())
@@ -253,10 +271,14 @@
       task->Crashes = it.Crashes;
       task->UnresolvedRun = it.Crashes.AnnouncedRun;
       task->LastRun = std::max(task->LastRun, it.Crashes.AnnouncedRun);
-      for (std::int64_t run : it.FailedRuns)
+      for (std::int64_t run : it.FailedRuns) {
         task->LastRun = std::max(task->LastRun, run);
-      for (std::int64_t run : it.Crashes.Runs)
+        task->addEnding(run, "failure in record");
+      }
+      for (std::int64_t run : it.Crashes.Runs) {
         task->LastRun = std::max(task->LastRun, run);
+        task->addEnding(run, "crash in record");
+      }
       task->Checkpoint = it.Checkpoint;
       if (it.Done && !task->Done) {
         task->Done = true;
@@ -333,6 +355,7 @@
       continue;
     job->WriteInFlight = false;
     job->StoredVersion = it.Version;
+    s.noteStored(*job, now);
     if (it.Final == JobState::Succeeded)
       s.MetricsRegistry.observeCompletion(now - job->Accepted);
     (it.Final ? job->IndexRevision : job->ProgressRevision) = it.Revision;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -106,14 +106,21 @@
   task.Runs.back().Resumed = !task.Checkpoint.empty();
   command.Deadline = startDeadline(worker, now);
   worker.LatestDeadline = std::max(worker.LatestDeadline, command.Deadline);
-  Events.emit(EventCode::RunStarted,
-              {{"task", taskText(key)},
-               {"run", std::to_string(number)},
-               {"worker", worker.Profile.Id.str()},
-               {"freeCpu", std::to_string(count(worker.Profile.Capacity.Cpu) -
-                                          count(worker.Used.Cpu))},
-               {"waitedMs", std::to_string((now - job.Accepted) / 1ms)},
-               {"recordsMs", std::to_string((now - RecordsAsOf) / 1ms)}});
+  std::vector<base::EventField> fields{
+      {"task", taskText(key)},
+      {"run", std::to_string(number)},
+      {"worker", worker.Profile.Id.str()},
+      {"freeCpu", std::to_string(count(worker.Profile.Capacity.Cpu) -
+                                 count(worker.Used.Cpu))},
+      {"waitedMs", std::to_string((now - job.Accepted) / 1ms)},
+      {"recordsMs", std::to_string((now - RecordsAsOf) / 1ms)}};
+  std::string earlier;
+  for (const RunEnding &it : task.Endings)
+    earlier += (earlier.empty() ? "" : "; ") + std::to_string(it.Number) + " " +
+               it.Evidence;
+  if (!earlier.empty())
+    fields.push_back({"earlier", earlier});
+  Events.emit(EventCode::RunStarted, std::move(fields));
   Outbox.push_back(std::move(command));
 }
 
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -20,7 +20,7 @@
   for (const RunId &it : lost) {
     JobEntry *job = nullptr;
     if (TaskEntry *task = findTask(it.Task, &job); task && job)
-      removeRun(*job, it.Task, it.Number);
+      removeRun(*job, it.Task, it.Number, cause);
     release(worker, it);
   }
   worker.OrphanRuns.clear();
@@ -81,7 +81,7 @@
   }
   for (const RunId &it : lost)
     if (JobEntry *job = findJob(it.Task.Job))
-      removeRun(*job, it.Task, it.Number);
+      removeRun(*job, it.Task, it.Number, cause);
   worker.OrphanRuns.clear();
   worker.Synced = false;
   worker.Clock.reset();
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -78,13 +78,31 @@
     worker.Serving.erase(serving);
 }
 
+/// Names the outcome that a worker reported, for the log.
+static const char *reportedOutcome(RunOutcome outcome) {
+  switch (outcome) {
+  case RunOutcome::Done:
+    return "reported done";
+  case RunOutcome::Failed:
+    return "reported failed";
+  case RunOutcome::Stopped:
+    return "reported stopped";
+  case RunOutcome::LeaseExpired:
+    return "reported lapsed";
+  case RunOutcome::GangBroken:
+  case RunOutcome::GangIncomplete:
+    return "reported with its gang";
+  }
+  return "reported";
+}
+
 void ShardState::queueAcknowledgement(WorkerState &worker, std::int64_t end,
                                       JobNumber job, std::uint64_t version) {
   std::deque<UnacknowledgedEnd> &ends = worker.UnacknowledgedEnds;
   auto at = std::find_if(
       ends.rbegin(), ends.rend(),
       [&](const UnacknowledgedEnd &it) { return it.SequenceNumber < end; });
-  ends.insert(at.base(), {end, job, version});
+  ends.insert(at.base(), {end, job, version, std::nullopt});
 }
 
 void ShardState::processEnds(WorkerState &worker, const PollReport &report,
@@ -117,6 +135,14 @@
   JobEntry *job = nullptr;
   TaskEntry *task = findReportedTask(end.Id.Task, &job, now);
   if (!task) {
+    Events.emit(EventCode::RunEnded,
+                {{"task", taskText(end.Id.Task)},
+                 {"run", std::to_string(end.Id.Number)},
+                 {"worker", worker.Profile.Id.str()},
+                 {"how", std::to_string(static_cast<int>(end.Outcome))},
+                 {"end", std::to_string(end.SequenceNumber)},
+                 {"born", std::to_string(worker.Profile.StartTime.count())},
+                 {"known", "no"}});
     queueAcknowledgement(worker, end.SequenceNumber, {}, 0);
     return;
   }
@@ -137,7 +163,10 @@
     LearnedTimes.record({job->Job.Queue, end.Id.Task.Step, step.Image},
                         now - started);
   }
-  removeRun(*job, end.Id.Task, end.Id.Number);
+  if (std::none_of(task->Runs.begin(), task->Runs.end(),
+                   [&](const Run &it) { return it.Number == end.Id.Number; }))
+    task->addEnding(end.Id.Number, reportedOutcome(end.Outcome));
+  removeRun(*job, end.Id.Task, end.Id.Number, reportedOutcome(end.Outcome));
   task->LastRun = std::max(task->LastRun, end.Id.Number);
   if (end.Id.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
@@ -198,7 +227,8 @@
                {"worker", worker.Profile.Id.str()},
                {"how", std::to_string(static_cast<int>(end.Outcome))},
                {"end", std::to_string(end.SequenceNumber)},
-               {"ms", std::to_string((now - started) / 1ms)}});
+               {"ms", std::to_string((now - started) / 1ms)},
+               {"born", std::to_string(worker.Profile.StartTime.count())}});
   // The final record of a cancelled job has already been stored.
   if (progressed && job->State != model::JobState::Cancelled)
     markDirty(*job);
@@ -272,10 +302,16 @@
     TaskEntry *task = findTask(it.Task, &job);
     if (!task)
       continue;
-    for (const Run &run : task->Runs)
-      if (run.Number == it.Number && run.PossibleCrash)
+    bool stopped = false;
+    for (const Run &run : task->Runs) {
+      if (run.Number != it.Number)
+        continue;
+      stopped = run.StopConfirmed.has_value();
+      if (run.PossibleCrash)
         countCrash(*job, it.Task, *task, run, *run.PossibleCrash, now);
-    removeRun(*job, it.Task, it.Number);
+    }
+    removeRun(*job, it.Task, it.Number,
+              stopped ? "stop confirmed, not listed" : "not listed");
   }
   std::erase_if(worker.OrphanRuns,
                 [&](const auto &it) { return !listed.contains(it.first); });
@@ -427,7 +463,8 @@
   if (it == State->Workers.end())
     return std::nullopt;
   WorkerState &w = *it->second;
-  while (!w.UnacknowledgedEnds.empty()) {
+  std::string acknowledged;
+  while (!w.SilentSince && !w.UnacknowledgedEnds.empty()) {
     const detail::UnacknowledgedEnd &end = w.UnacknowledgedEnds.front();
     if (!w.UnreadableEnds.empty() &&
         w.UnreadableEnds.begin()->first < end.SequenceNumber)
@@ -437,8 +474,19 @@
         job->StoredVersion < end.Version)
       break;
     w.AcknowledgedEnd = end.SequenceNumber;
+    acknowledged +=
+        (acknowledged.empty() ? "" : " ") + std::to_string(end.SequenceNumber);
+    if (end.StoredAt)
+      acknowledged += ":" + std::to_string((now - *end.StoredAt) / 1ms);
     w.UnacknowledgedEnds.pop_front();
   }
+  if (!acknowledged.empty())
+    State->Events.emit(
+        base::EventCode::EndsAcknowledged,
+        {{"worker", worker.str()},
+         {"born", std::to_string(w.Profile.StartTime.count())},
+         {"ends", acknowledged},
+         {"token", std::to_string(base::toNumber(State->Token))}});
   PlannedPoll plan;
   plan.Worker = w.ref();
   plan.Synced = w.Synced;
@@ -553,7 +601,8 @@
                       {"worker", command.Worker.Id.str()},
                       {"cause", "not sent"}});
   if (JobEntry *job = State->findJob(command.Run.Task.Job))
-    State->removeRun(*job, command.Run.Task, command.Run.Number);
+    State->removeRun(*job, command.Run.Task, command.Run.Number,
+                     "start not sent");
 }
 
 void Shard::onStart(const WorkerCommand &command,
@@ -597,7 +646,8 @@
   }
   if (result && result.value() == CommandResult::Fenced)
     s.Fenced = true;
-  s.removeRun(*job, command.Run.Task, command.Run.Number);
+  s.removeRun(*job, command.Run.Task, command.Run.Number,
+              result ? "start refused" : "worker not reached");
 }
 
 void Shard::onStop(const WorkerCommand &command,
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -86,8 +86,16 @@
   std::optional<CrashEvidence> PossibleCrash;
 };
 
+/// How an earlier run of a task is known to have ended; for the log.
+struct RunEnding {
+  std::int64_t Number = 0;
+  const char *Evidence = "";
+};
+
 struct TaskEntry {
   std::vector<Run> Runs;
+  /// The latest ones, oldest first.
+  std::vector<RunEnding> Endings;
   std::vector<std::int64_t> FailedRuns;
   CrashRecord Crashes;
   /// Version of the job's record that announces the next run.
@@ -111,6 +119,7 @@
 
   /// Returns whether this shard has to run the task.
   bool isPending() const { return !Done && !Remote; }
+  void addEnding(std::int64_t run, const char *evidence);
   /// Returns whether the task may be what crashed a worker.
   bool isSuspect() const { return !Crashes.Runs.empty(); }
 };
@@ -196,6 +205,8 @@
   std::int64_t SequenceNumber = 0;
   JobNumber Job{0};
   std::uint64_t Version = 0;
+  /// When that version was stored; empty if it was before the end was read.
+  std::optional<TimePoint> StoredAt;
 };
 
 /// A client account of the configuration.
@@ -459,7 +470,11 @@
   /// Schedules the removal of the records of cancelled jobs and removes ended
   /// jobs from the tables.
   void removeEndedJobs();
-  void removeRun(JobEntry &job, const TaskKey &key, std::int64_t run);
+  /// \param evidence how the run is known to have ended.
+  void removeRun(JobEntry &job, const TaskKey &key, std::int64_t run,
+                 const char *evidence);
+  /// Notes for the log when the records of ended runs were stored.
+  void noteStored(const JobEntry &job, TimePoint now);
   bool hasUnverifiedWorkers() const;
 
   // Takeover.cpp and Workers.cpp
--- a/tests/unit/unit-dispatch-ends.cpp
+++ b/tests/unit/unit-dispatch-ends.cpp
@@ -181,4 +181,56 @@
   EXPECT_EQ(TestShard.liveJobCount(), 0u);
 }
 
+/// Reads fields of the latest event of a kind; empty if there is none.
+class EndTrace : public AcknowledgedEnds {
+protected:
+  std::string field(base::EventCode code, const std::string &name) {
+    std::string value;
+    for (const base::EventRecord &it : Events.snapshot())
+      for (const auto &[key, text] : it.Fields)
+        if (it.Code == code && key == name)
+          value = text;
+    return value;
+  }
+};
+
+// The incident of repeated runs could not be traced without these fields.
+TEST_F(EndTrace, End_TellsIncarnationRecordAndAcknowledgement) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1), stepAfter(0)}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  confirmStarts(orders);
+  end("w1", orders[0].Run, RunOutcome::Done);
+  EXPECT_EQ(field(base::EventCode::RunEnded, "end"), "1");
+  EXPECT_EQ(field(base::EventCode::RunEnded, "born"), "1000");
+  acknowledged("w1");
+  EXPECT_EQ(field(base::EventCode::EndsAcknowledged, "ends"), "");
+  storeWrites();
+  Time.advance(40ms);
+  end("w1", {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done);
+  EXPECT_EQ(field(base::EventCode::RunEnded, "known"), "no");
+  EXPECT_EQ(field(base::EventCode::EndsAcknowledged, "ends"), "1:40");
+  EXPECT_EQ(field(base::EventCode::EndsAcknowledged, "token"), "7");
+  EXPECT_EQ(field(base::EventCode::EndsAcknowledged, "born"), "1000");
+  acknowledged("w1");
+  EXPECT_EQ(field(base::EventCode::EndsAcknowledged, "ends"), "2");
+}
+
+TEST_F(EndTrace, Start_TellsHowEarlierRunsEnded) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1)}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  EXPECT_EQ(field(base::EventCode::RunStarted, "earlier"), "");
+  confirmStarts(orders);
+  end("w1", orders[0].Run, RunOutcome::Failed);
+  orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  TestShard.onStart(orders[0], CommandResult::NoCapacity, now());
+  Time.advance(600ms);
+  orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(field(base::EventCode::RunStarted, "earlier"),
+            "1 reported failed; 2 start refused");
+}
+
 } // namespace
