A start that is answered with an undefined status may have been carried out

Cause: any status but the defined ones counted as "the worker could not parse the command", so the task started elsewhere at once, without a stop.

--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -544,6 +544,27 @@
   EXPECT_EQ(report.value().UnreadableEnds, (std::vector<std::int64_t>{5, 6}));
 }
 
+// A start counted as refused after an error from between, such as 504, and the
+// task started elsewhere while the worker carried it out.
+TEST_F(InstallationAdapter, Start_UndefinedStatusIsALostAnswer) {
+  unsigned status = 0;
+  Respond = [&](const HttpRequest &) { return HttpResponse{status, {}, ""}; };
+  for (unsigned it : {204u, 404u, 500u, 502u, 504u}) {
+    status = it;
+    auto result = await(
+        WorkerClient->start({base::WorkerId("i-1"), ServerAddress}, {}, 500ms));
+    ASSERT_FALSE(result.has_value()) << it;
+    EXPECT_EQ(result.error().Code, base::Errc::WorkerAnswerLost) << it;
+  }
+  for (unsigned it : {400u, 409u, 429u, 503u}) {
+    status = it;
+    EXPECT_TRUE(await(WorkerClient->start(
+                          {base::WorkerId("i-1"), ServerAddress}, {}, 500ms))
+                    .has_value())
+        << it;
+  }
+}
+
 TEST_F(InstallationAdapter, Start_ReportsWhyItWasRejected) {
   using dispatch::CommandResult;
   const std::pair<const char *, CommandResult> reasons[] = {
