Assume the longest lease at a worker that has just restarted

Cause: a poll or start with a deadline on the clock of the earlier incarnation may reach the new one, where it lies far ahead, so that the worker grants the longest lease. The owner knows this until the first answer of the new incarnation; from then on it counted with a lease of the usual length, 6 s. If the worker was cut off within seconds, its tasks started elsewhere after 6.2 s while they ran on there for up to 10 s.

Change: the first answer carries the end of that wait over to the clock of the new incarnation. The time at which an incarnation became known is also noted where the start time was not known before.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -418,14 +418,14 @@
                    {"zone", profile.Zone.str()},
                    {"draining", profile.Draining ? "yes" : "no"},
                    {"shard", std::to_string(s.Number)}});
+  if (startTime > w.Profile.StartTime)
+    w.IncarnationKnownAt = now;
   w.Profile = profile;
   w.Profile.StartTime = startTime;
   w.EntryStartTime = profile.StartTime;
   w.Listed = true;
-  if (restarted) {
+  if (restarted)
     s.handleRestart(w, "worker restarted", now);
-    w.IncarnationKnownAt = now;
-  }
 }
 
 void Shard::unlistWorker(const base::WorkerId &worker) {
@@ -586,6 +586,14 @@
                   {{"worker", worker.str()}, {"row", report.InvalidRow}});
   w.InvalidRow = report.InvalidRow;
   w.Clock = detail::ClockSample{report.Clock, received};
+  // A deadline on the clock of the earlier incarnation lies far ahead on this
+  // one, which grants the longest lease for it.
+  if (w.RestartLeaseUntil)
+    w.LatestDeadline =
+        std::max(w.LatestDeadline,
+                 report.Clock +
+                     std::chrono::ceil<WorkerTime>(std::max(
+                         base::Duration{0}, *w.RestartLeaseUntil - received)));
   w.RestartLeaseUntil.reset();
   s.processEnds(w, report, received);
   bool firstReport = !w.Synced;
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -393,6 +393,26 @@
   EXPECT_EQ(next.Request.IncarnationSeenAt, sent);
 }
 
+// A start that was late reached the new incarnation, which granted it the
+// longest lease. Taken for a lease of the usual length, the task runs twice.
+TEST_F(RestartedWorker, SilentAgain_KeepsItsRunsForTheLongestLease) {
+  base::TimePoint restart = now();
+  report("lost", {}, 2000ms);
+  std::optional<base::TimePoint> again;
+  while (!again && now() - restart < 20s) {
+    failPoll();
+    for (int i = 0; i < 8 && !again; ++i) {
+      storeWrites();
+      if (!plan().empty())
+        again = now();
+    }
+  }
+  ASSERT_TRUE(again);
+  EXPECT_GT(*again - restart, 11200ms);
+  // One cycle of the polls in this test, in which nothing is planned.
+  EXPECT_LT(*again - restart, 11700ms + 1300ms);
+}
+
 using InvalidRows = SilentWorker;
 
 // A run whose row was skipped must not count as gone: the task runs twice.
