Logs tell why a long-running task waits and why no shard takes it

Callers saw a long-running task that did not run for 17 s. The logs did not tell whether any worker had room for it beside long-running tasks, nor what the other shards had published when its delegation was turned down.

TaskWaits names the workers with room beside their long-running tasks and the largest such room. TasksDelegated and the new TasksNotDelegated name each shard that was weighed, its headroom, and why it was left out. The decisions are unchanged.

--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -93,14 +93,18 @@
   return shard;
 }
 
-asio::awaitable<std::optional<std::int32_t>>
+asio::awaitable<ShardChoice>
 JobRequestHandler::findShard(model::AcceptedJob job, std::int32_t from) {
+  ShardChoice choice{{}, "no load records"};
   if (View.Shards < 2)
-    co_return std::nullopt;
+    co_return choice;
   if (base::Result<void> read = co_await refreshLoads(); !read)
-    co_return std::nullopt;
+    co_return choice;
   std::vector<double> shares = suitableShares(View, Workers, job);
   std::int64_t ownHeadroom = headroomOf(Loads[from], job.Graph);
+  std::int64_t need = isLongRunning(job.Graph) ? totalCpuOf(job) : 0;
+  choice.Weighed =
+      std::to_string(from) + "=" + std::to_string(ownHeadroom) + " own";
   std::vector<std::int32_t> shards;
   std::vector<std::int64_t> headrooms;
   for (std::int32_t i = 0; i < View.Shards; ++i) {
@@ -111,23 +115,24 @@
     bool better =
         headroom > 0 && (headroom > ownHeadroom ||
                          shares[static_cast<std::size_t>(from)] < share);
-    if (i == from || share == 0 || !better)
+    if (i == from)
+      continue;
+    auto suitable =
+        static_cast<std::int64_t>(static_cast<double>(headroom) * share);
+    const char *cause = share == 0        ? "unsuitable"
+                        : !better         ? "full"
+                        : suitable < need ? "too little"
+                                          : "candidate";
+    choice.Weighed +=
+        "; " + std::to_string(i) + "=" + std::to_string(headroom) + " " + cause;
+    if (share == 0 || !better || suitable < need)
       continue;
     shards.push_back(i);
-    headrooms.push_back(
-        static_cast<std::int64_t>(static_cast<double>(headroom) * share));
-  }
-  if (isLongRunning(job.Graph)) {
-    std::int64_t need = totalCpuOf(job);
-    for (std::size_t i = shards.size(); i-- > 0;)
-      if (headrooms[i] < need) {
-        shards.erase(shards.begin() + static_cast<std::ptrdiff_t>(i));
-        headrooms.erase(headrooms.begin() + static_cast<std::ptrdiff_t>(i));
-      }
+    headrooms.push_back(suitable);
   }
-  if (shards.empty())
-    co_return std::nullopt;
-  co_return drawAndReserve(job, shards, headrooms);
+  if (!shards.empty())
+    choice.Shard = drawAndReserve(job, shards, headrooms);
+  co_return choice;
 }
 
 /// Returns whether an index entry belongs to another account. An entry or a
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -182,6 +182,27 @@
   return best;
 }
 
+base::Resources roomBesideLongRunning(const WorkerState &w) {
+  base::Resources room = w.Profile.Capacity;
+  for (const auto &[id, held] : w.Runs)
+    if (held.Step->LongRunning)
+      room -= held.Size;
+  return room;
+}
+
+LongRunningRooms countRooms(const ShardState &shard, const JobEntry &job,
+                            const model::StepSpec &step, TimePoint now) {
+  LongRunningRooms rooms;
+  for (const auto &[id, w] : shard.Workers) {
+    if (!mayHost(shard, job, step, *w, now))
+      continue;
+    base::Resources room = roomBesideLongRunning(*w);
+    rooms.Workers += step.Size.fitsIn(room);
+    rooms.LargestCpu = std::max(rooms.LargestCpu, room.Cpu);
+  }
+  return rooms;
+}
+
 PlacementRejections countRejections(const ShardState &shard,
                                     const JobEntry &job,
                                     const model::StepSpec &step,
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -167,21 +167,29 @@
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
   PlacementRejections rejections = countRejections(*this, job, spec, now);
-  Events.emit(EventCode::TaskWaits,
-              {{"job", formatJobNumber(job.Job.Id)},
-               {"step", std::to_string(o.Number) + "." + std::to_string(step)},
-               {"idle", std::to_string(entry.WaitingCount)},
-               {"waitedMs", std::to_string((now - *entry.WaitingSince) / 1ms)},
-               {"cpu", std::to_string(count(spec.Size.Cpu))},
-               {"memory", std::to_string(count(spec.Size.Memory))},
-               {"workers", std::to_string(rejections.Workers)},
-               {"unusable", std::to_string(rejections.Unusable)},
-               {"zoneOut", std::to_string(rejections.ZoneOutOfService)},
-               {"noLabel", std::to_string(rejections.MissingLabel)},
-               {"noCpu", std::to_string(rejections.NoCpu)},
-               {"noMemory", std::to_string(rejections.NoMemory)},
-               {"keptForShort", std::to_string(ShortTasks.expected())},
-               {"other", std::to_string(rejections.Other)}});
+  std::vector<base::EventField> fields{
+      {"job", formatJobNumber(job.Job.Id)},
+      {"step", std::to_string(o.Number) + "." + std::to_string(step)},
+      {"idle", std::to_string(entry.WaitingCount)},
+      {"waitedMs", std::to_string((now - *entry.WaitingSince) / 1ms)},
+      {"cpu", std::to_string(count(spec.Size.Cpu))},
+      {"memory", std::to_string(count(spec.Size.Memory))},
+      {"workers", std::to_string(rejections.Workers)},
+      {"unusable", std::to_string(rejections.Unusable)},
+      {"zoneOut", std::to_string(rejections.ZoneOutOfService)},
+      {"noLabel", std::to_string(rejections.MissingLabel)},
+      {"noCpu", std::to_string(rejections.NoCpu)},
+      {"noMemory", std::to_string(rejections.NoMemory)},
+      {"keptForShort", std::to_string(ShortTasks.expected())},
+      {"other", std::to_string(rejections.Other)}};
+  if (spec.LongRunning) {
+    LongRunningRooms rooms = countRooms(*this, job, spec, now);
+    fields.push_back({"rooms", std::to_string(rooms.Workers)});
+    fields.push_back(
+        {"largestRoomCpu", std::to_string(count(rooms.LargestCpu))});
+    fields.push_back({"reservations", std::to_string(Reservations.size())});
+  }
+  Events.emit(EventCode::TaskWaits, std::move(fields));
 }
 
 void ShardState::logLimitWait(const JobEntry &job, const Occurrence &o,
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -21,12 +21,11 @@
       co_return;
   }
   for (JobMove &it : State.takeMoves(MaxMovesPerRound, Context.Time.now())) {
-    std::optional<std::int32_t> to =
-        co_await Context.FindShard(it.Job, CurrentTerm.Shard);
+    ShardChoice to = co_await Context.FindShard(it.Job, CurrentTerm.Shard);
     if (Stopped)
       co_return;
-    if (to)
-      co_await moveJob(it, *to);
+    if (to.Shard)
+      co_await moveJob(it, *to.Shard);
     else
       State.onMoveFinished(it.Job.Id, false, it.Revision, Context.Time.now());
     if (Stopped)
@@ -87,6 +86,16 @@
   }
 }
 
+void ShardRunner::emitNotDelegated(const Delegation &offer, const char *cause,
+                                   const std::string &weighed) {
+  Context.Events.emit(EventCode::TasksNotDelegated,
+                      {{"job", formatJobNumber(offer.Job.Id)},
+                       {"from", std::to_string(CurrentTerm.Shard)},
+                       {"tasks", std::to_string(offer.Part.Tasks.size())},
+                       {"cause", cause},
+                       {"shards", weighed}});
+}
+
 /// Retries until the outcome is known: tasks that another shard may have must
 /// not be started here.
 asio::awaitable<void> ShardRunner::delegateTasks(Delegation offer) {
@@ -97,9 +106,10 @@
     it.Count = 0;
   for (const TaskRef &it : offer.Part.Tasks)
     ++demand.Graph.Steps[static_cast<std::size_t>(it.Step)].Count;
-  std::optional<std::int32_t> to = co_await Context.FindShard(demand, from);
+  ShardChoice choice = co_await Context.FindShard(demand, from);
   if (Stopped)
     co_return;
+  std::optional<std::int32_t> to = choice.Shard;
   base::Result<std::string> record = encodeJob(offer.Job, nullptr, &offer.Part);
   // A part that is stored after the job's cancellation would miss it.
   base::Result<std::optional<StoredItem>> index =
@@ -109,9 +119,14 @@
   if (index && index.value())
     cancelIfIndexed(*index.value(), id);
   bool live = index && index.value() && State.isLive(id);
-  if (!to || !record || !live)
+  if (!to || !record || !live) {
+    const char *cause = !live     ? "index entry not read or job ended"
+                        : !record ? "record cannot be encoded"
+                                  : "no room";
+    emitNotDelegated(offer, cause, choice.Weighed);
     co_return State.onDelegationFinished(offer, std::nullopt, 0,
                                          Context.Time.now());
+  }
   JobWrite write = State.delegate(offer, *to);
   Commit commit;
   commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
@@ -146,7 +161,10 @@
                           {{"job", formatJobNumber(id)},
                            {"from", std::to_string(from)},
                            {"to", std::to_string(*to)},
-                           {"tasks", std::to_string(offer.Part.Tasks.size())}});
+                           {"tasks", std::to_string(offer.Part.Tasks.size())},
+                           {"shards", choice.Weighed}});
+    else
+      emitNotDelegated(offer, "commit condition failed", choice.Weighed);
     co_return State.onDelegationFinished(offer, taken ? to : std::nullopt,
                                          revision, Context.Time.now());
   }
--- a/packages/dispatch/src/detail/JobRequestHandler.h
+++ b/packages/dispatch/src/detail/JobRequestHandler.h
@@ -26,10 +26,10 @@
                                                  Requester requester);
   Async<std::int64_t> pendingJobs(std::string queue);
 
-  /// Returns another shard that has room for a job and more of it than
-  /// \p from, or nothing.
-  boost::asio::awaitable<std::optional<std::int32_t>>
-  findShard(model::AcceptedJob job, std::int32_t from);
+  /// Chooses another shard that has room for a job and more of it than
+  /// \p from.
+  boost::asio::awaitable<ShardChoice> findShard(model::AcceptedJob job,
+                                                std::int32_t from);
 
 private:
   Async<void> refreshLoads();
--- a/packages/dispatch/src/detail/Routing.h
+++ b/packages/dispatch/src/detail/Routing.h
@@ -22,6 +22,15 @@
   std::set<base::ZoneId> ZonesOutOfService;
 };
 
+/// The shard that is to take a job or tasks of it.
+struct ShardChoice {
+  /// Empty if no shard has room.
+  std::optional<std::int32_t> Shard;
+  /// Each shard that was weighed, with its headroom and why it was left out;
+  /// for the log.
+  std::string Weighed;
+};
+
 /// Returns whether a worker has a label.
 bool hasLabel(const model::WorkerProfile &worker, const std::string &label);
 
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -7,6 +7,7 @@
 #include "detail/CallWindow.h"
 #include "detail/NodeRecords.h"
 #include "detail/PlanPacing.h"
+#include "detail/Routing.h"
 #include "detail/StartSources.h"
 
 #include "endivedoor/dispatch/DispatchNode.h"
@@ -62,7 +63,7 @@
   std::function<std::optional<RecordsAge>()> WorkerEntries;
   /// Returns another shard with capacity for a job, or std::nullopt. Null if
   /// there is only one shard.
-  std::function<boost::asio::awaitable<std::optional<std::int32_t>>(
+  std::function<boost::asio::awaitable<ShardChoice>(
       const model::AcceptedJob &job, std::int32_t from)>
       FindShard;
   std::function<std::int32_t()> ShardCount;
@@ -114,6 +115,8 @@
   /// Moves jobs and delegates tasks that wait here to other shards.
   boost::asio::awaitable<void> transferWork();
   boost::asio::awaitable<void> delegateTasks(Delegation offer);
+  void emitNotDelegated(const Delegation &offer, const char *cause,
+                        const std::string &weighed);
   boost::asio::awaitable<void> moveJob(JobMove move, std::int32_t to);
   boost::asio::awaitable<void> storeRoster();
   void addLoadRecord(Commit &commit);
