--- /dev/null
+++ b/tests/unit/unit-dispatch-delegation.cpp
@@ -0,0 +1,125 @@
+// Placement of long-running tasks across the shards of an installation that is
+// almost full. Load pattern: workers leave while their long-running jobs run;
+// then every shard has tasks that fit nowhere, and capacity for small ones.
+#include "support/NodeFixture.h"
+
+#include "endivedoor/dispatch/Records.h"
+
+namespace {
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+using dispatch::SubmitOutcome;
+
+/// Shards with the same number of workers of 32 cores each, all owned by one
+/// node.
+class NearlyFullShards : public NodeFixture {
+protected:
+  static model::WorkerProfile worker(int number) {
+    model::WorkerProfile w;
+    w.Id = base::WorkerId("w" + std::to_string(number));
+    w.Service = base::ServiceName("desk");
+    w.Endpoint = {"10.0.0.1", 8080};
+    w.Zone = base::ZoneId("a");
+    w.Capacity.Cpu = base::MilliCores{32000};
+    w.Capacity.Memory = base::MebiBytes{128000};
+    return w;
+  }
+
+  DispatchNode &startShards(int shards, int workers) {
+    Store.put(dispatch::keys::layout(),
+              R"({"shards":)" + std::to_string(shards) + "}");
+    Workers.KeepRunning = true;
+    DispatchNode &node = addNode("n1");
+    for (int i = 3; i < workers; ++i)
+      node.updateWorker(worker(i));
+    EXPECT_TRUE(runUntil([&] {
+      return node.ownedShards() == static_cast<std::size_t>(shards);
+    }));
+    runFor(500ms);
+    return node;
+  }
+
+  static model::AcceptedJob lastingJob(std::uint64_t id, std::int32_t tasks,
+                                       std::int64_t cpu) {
+    model::AcceptedJob j = job(id, tasks);
+    j.Graph.Steps.resize(1);
+    j.Graph.Steps[0].LongRunning = true;
+    j.Graph.Steps[0].Size.Cpu = base::MilliCores{cpu};
+    return j;
+  }
+
+  void submit(DispatchNode &node, const model::AcceptedJob &job) {
+    ASSERT_EQ(await(node.submit(job)), SubmitOutcome::Accepted);
+  }
+
+  std::size_t runningTasks(std::uint64_t job) const {
+    std::set<model::TaskKey> tasks;
+    for (const auto &[worker, running] : Workers.Running)
+      for (const dispatch::RunStatus &it : running)
+        if (it.Id.Task.Job == JobNumber{job})
+          tasks.insert(it.Id.Task);
+    return tasks.size();
+  }
+
+  bool allRun(std::uint64_t job, std::size_t tasks) {
+    return runUntil([&] { return runningTasks(job) == tasks; }, 6000ms);
+  }
+};
+
+// Room for a task counted as none if it was less than the mean task of the
+// shard.
+TEST_F(NearlyFullShards, RoomBelowTheMeanTask_TakesASmallerTask) {
+  DispatchNode &node = startShards(2, 6);
+  submit(node, lastingJob(1, 6, 20000));
+  ASSERT_TRUE(allRun(1, 6));
+  runFor(2500ms);
+  submit(node, lastingJob(2, 6, 11000));
+  EXPECT_TRUE(allRun(2, 6)) << runningTasks(2);
+}
+
+// The demand of tasks that fit nowhere was subtracted from the room for all
+// others.
+TEST_F(NearlyFullShards, TasksThatFitNowhere_HideNoRoomFromSmallerOnes) {
+  DispatchNode &node = startShards(2, 6);
+  submit(node, lastingJob(1, 6, 12000));
+  ASSERT_TRUE(allRun(1, 6));
+  submit(node, lastingJob(2, 6, 30000));
+  submit(node, lastingJob(3, 6, 30000));
+  runFor(2500ms);
+  submit(node, lastingJob(4, 6, 12000));
+  EXPECT_TRUE(allRun(4, 6)) << runningTasks(4);
+}
+
+// All waiting tasks of a job were offered to one shard, or none.
+TEST_F(NearlyFullShards, NoShardHasRoomForAll_TasksAreSplit) {
+  DispatchNode &node = startShards(3, 6);
+  submit(node, lastingJob(1, 6, 20000));
+  EXPECT_TRUE(allRun(1, 6)) << runningTasks(1);
+}
+
+// A shard that ran a part of the job already could not take more of its tasks.
+TEST_F(NearlyFullShards, ShardWithAPart_TakesTasksOfALostWorkerToo) {
+  DispatchNode &node = startShards(2, 6);
+  submit(node, lastingJob(1, 4, 20000));
+  ASSERT_TRUE(allRun(1, 4));
+  runFor(2500ms);
+  bool first =
+      Store.valueOf(dispatch::keys::index(JobNumber{1})).find("\"shard\":0") !=
+      std::string::npos;
+  std::string own = dispatch::keys::roster(first ? 0 : 1);
+  for (int i = 0; i < 6; ++i) {
+    model::WorkerProfile w = worker(i);
+    if (Store.valueOf(own).find('"' + w.Id.str() + '"') == std::string::npos)
+      continue;
+    w.Draining = true;
+    node.updateWorker(w);
+    break;
+  }
+  ASSERT_TRUE(runUntil([&] { return runningTasks(1) == 3; }, 2000ms));
+  EXPECT_TRUE(allRun(1, 4)) << runningTasks(1);
+  runFor(1000ms);
+  EXPECT_EQ(Workers.StartCounts.size(), 5u);
+}
+
+} // namespace
