Give both shards tasks of the same job in the test of demand that fits nowhere

The first job ran in one shard only, so the 30-core tasks of the second took the other one and no room was left for the last job. The job that fills the shards now has at most two tasks on a worker, so both shards run six.

--- a/tests/unit/unit-dispatch-delegation.cpp
+++ b/tests/unit/unit-dispatch-delegation.cpp
@@ -82,13 +82,14 @@
 // others.
 TEST_F(NearlyFullShards, TasksThatFitNowhere_HideNoRoomFromSmallerOnes) {
   DispatchNode &node = startShards(2, 6);
-  submit(node, lastingJob(1, 6, 12000));
-  ASSERT_TRUE(allRun(1, 6));
+  model::AcceptedJob even = lastingJob(1, 12, 10000);
+  even.Graph.Steps[0].MaxPerWorker = 2;
+  submit(node, even);
+  ASSERT_TRUE(allRun(1, 12));
   submit(node, lastingJob(2, 6, 30000));
-  submit(node, lastingJob(3, 6, 30000));
   runFor(2500ms);
-  submit(node, lastingJob(4, 6, 12000));
-  EXPECT_TRUE(allRun(4, 6)) << runningTasks(4);
+  submit(node, lastingJob(3, 6, 12000));
+  EXPECT_TRUE(allRun(3, 6)) << runningTasks(3);
 }
 
 // All waiting tasks of a job were offered to one shard, or none.
