Delegate long-running tasks by the room on single workers, not by sums

Callers saw long-running tasks that did not run for 17 to 30 s after their worker had left, although another worker had capacity for them.

Cause: each shard published one number for long-running tasks, the room on its workers in multiples of the mean task less the demand of all that waits. In a nearly full installation every shard shows less than nothing, so 1,434 of 1,437 offers were turned down while tasks of 1,800 waited and rooms of 1,850 to 6,100 were free. All waiting tasks of a job went to one shard or none, and a shard that ran a part of the job could never take more of it, since the commit demanded that the part did not exist.

Change: the load record lists the largest rooms beside long-running tasks, after those that wait in the shard are placed. An owner offers tasks that no worker of its shard has room for after 0.5 s, others after 1.5 s as before; a shard takes as many as it has rooms for, and the rest stay for the next offer. The shard is drawn by the number of tasks that fit, so that owners that decide at the same time do not all choose the same one. Tasks are added to a part that exists, unless that shard has had them before. Jobs without runs that fit in no shard as a whole are delegated in pieces. The wait of the tasks goes with them.

It works because whether a task can run is a question of one worker; a sum over workers and tasks cannot answer it.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -166,12 +166,24 @@
   /// Shard that the job's index entry belongs to; absent in records of versions
   /// that did not store it.
   std::optional<std::int32_t> HomeShard = {};
+  /// How long the tasks had waited when they were delegated.
+  std::chrono::milliseconds Waited{0};
 };
 
+/// Step and index of a task of a job without occurrences.
+using TaskPosition = std::pair<std::int32_t, std::int32_t>;
+
 /// Waiting tasks that a shard offers to others.
 struct Delegation {
   model::AcceptedJob Job;
   JobPart Part;
+  /// Shards to which this one has delegated tasks of the job before.
+  std::set<std::int32_t> Holders = {};
+  /// The job runs in so many shards that only Holders may take more of it.
+  bool OnlyHolders = false;
+  /// Tasks that shards have had before and passed on. They do not take these
+  /// again.
+  std::map<std::int32_t, std::set<TaskPosition>> HadBefore = {};
 };
 
 /// A cancellation that must reach a shard that runs a part of the job.
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -60,7 +60,10 @@
   base::MilliCores ShortTaskHeadroom{0};
   base::MilliCores LongRunningHeadroom{0};
   base::MilliCores FillerHeadroom{0};
-  /// The same in thousandths of a core for single filler programs, on the
+  /// What single workers have beside their long-running tasks once those that
+  /// wait in the shard are placed: the largest, by service.
+  std::map<std::string, std::vector<base::Resources>> LongRunningRooms;
+  /// FillerHeadroom in thousandths of a core for single filler programs, on the
   /// workers whose serving tasks they do not make miss their targets.
   std::map<std::string, std::int64_t> FillerCpu;
   /// CPU in thousandths of a core that each account has started in the last ten
@@ -114,7 +117,8 @@
         base::FencingToken token, base::EventLog &events, Metrics &metrics);
   ~Shard();
 
-  /// Adds a job that is already stored.
+  /// Adds a job that is already stored, or the tasks that have been added to
+  /// the part of it that this shard runs.
   ///
   /// \param revision store revision of its index record.
   /// \param inherited whether an earlier owner may have started tasks of it.
@@ -266,6 +270,11 @@
   /// called.
   std::vector<Delegation> takeDelegations(std::size_t limit,
                                           base::TimePoint now);
+  /// Takes the tasks that are not in \p tasks back from an offer.
+  void limitDelegation(Delegation &offer, const std::vector<TaskRef> &tasks);
+  /// Notes that a shard had some of the offered tasks before.
+  void onPassedOnBefore(const Delegation &offer, std::int32_t shard,
+                        const std::vector<TaskRef> &tasks);
   /// Returns the job's progress record with the tasks delegated to a shard, and
   /// its expected revision.
   JobWrite delegate(const Delegation &offer, std::int32_t shard);
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -2,7 +2,7 @@
 // shards fill unevenly, or workers of one are lost, while its long-running jobs
 // run. Such a job cannot move as a whole, so its other tasks wait for as long
 // as the job lasts although other shards have capacity.
-#include "detail/ShardState.h"
+#include "detail/Rooms.h"
 
 #include <algorithm>
 
@@ -14,13 +14,17 @@
 using model::JobState;
 using namespace std::chrono_literals;
 
-/// How long tasks wait for a worker of their own shard, and the interval
-/// between two offers. Shorter than a caller waits before it counts a task as
-/// lost, longer than short tasks take to leave a reserved worker.
+/// How long tasks wait for a worker of their own shard: tasks for which no
+/// worker has room beside its long-running tasks, and others. The latter get a
+/// worker once short tasks have left one, or a reservation.
+constexpr auto UnplacedDelay = 500ms;
 constexpr auto DelegationDelay = 1500ms;
+/// Interval between two offers after one that no shard has taken. Shorter than
+/// the interval of the load records would repeat it on the same records.
+constexpr auto OfferInterval = 1500ms;
 /// Maximum number of other shards that run parts of one job; bounds the writes
 /// that a cancellation causes.
-constexpr std::size_t MaxDelegatedShards = 4;
+constexpr std::size_t MaxDelegatedShards = 8;
 
 namespace detail {
 
@@ -35,6 +39,28 @@
   task->Remote = true;
 }
 
+void ShardState::markLocal(JobEntry &job, const TaskKey &key) {
+  TaskEntry *task = findTask(job, key);
+  if (!task || !task->Remote)
+    return;
+  task->Remote = false;
+  task->DelegatedTo.reset();
+  if (task->Runs.empty() && !task->Done)
+    ++job.Occurrences[key.Occurrence]
+          .Steps[static_cast<std::size_t>(key.Step)]
+          .WaitingCount;
+}
+
+void ShardState::inheritWait(JobEntry &job, const JobPart &part,
+                             TimePoint now) {
+  TimePoint since = now - part.Waited;
+  for (const TaskRef &it : part.Tasks) {
+    StepEntry &entry =
+        job.Occurrences[0].Steps[static_cast<std::size_t>(it.Step)];
+    entry.UnservedSince = std::min(entry.UnservedSince.value_or(since), since);
+  }
+}
+
 void ShardState::queueCancelForwards(JobEntry &job) {
   for (auto &[shard, stored] : job.DelegatedShards) {
     stored = stored || job.CancelledShards.contains(shard);
@@ -53,42 +79,62 @@
                      });
 }
 
+/// Returns whether waiting tasks of the job may be offered to other shards. A
+/// job without runs moves as a whole, unless it is a part or no shard has room
+/// for all of it.
+static bool isDelegable(const JobEntry &job, bool unverified) {
+  return job.isLive() && isLongRunning(job.Job.Graph) &&
+         (job.RunCount > 0 || job.IsPart || !job.DelegatedShards.empty() ||
+          job.MoveDeclined) &&
+         !job.WriteInFlight && !job.Moving &&
+         job.Version == job.StoredVersion && !(unverified && job.Inherited);
+}
+
 std::vector<Delegation> Shard::takeDelegations(std::size_t limit,
                                                base::TimePoint now) {
   detail::ShardState &s = *State;
   std::vector<Delegation> offers;
   bool unverified = s.hasUnverifiedWorkers();
+  std::optional<detail::RoomPlan> rooms;
   for (JobEntry *job : s.LiveJobs) {
     if (offers.size() == limit)
       break;
-    // A job without runs moves as a whole, unless it is a part.
-    bool delegable =
-        job->isLive() && isLongRunning(job->Job.Graph) &&
-        (job->RunCount > 0 || job->IsPart || !job->DelegatedShards.empty()) &&
-        !job->WriteInFlight && !job->Moving &&
-        job->Version == job->StoredVersion &&
-        job->DelegatedShards.size() < MaxDelegatedShards &&
-        !(unverified && job->Inherited);
-    if (!delegable || now - job->LastMoveAttempt < DelegationDelay ||
-        !detail::hasWaited(*job, DelegationDelay, now))
+    if (!isDelegable(*job, unverified) ||
+        now - job->LastMoveAttempt < OfferInterval ||
+        !detail::hasWaited(*job, UnplacedDelay, now))
       continue;
+    if (!rooms)
+      rooms = detail::planRooms(s, now);
+    bool allTasks = detail::hasWaited(*job, DelegationDelay, now);
     Delegation offer;
     offer.Job = job->Job;
     offer.Part.LastRun = job->EarlierLastRun;
     offer.Part.HomeShard = job->IsPart ? job->HomeShard : s.Number;
     detail::Occurrence &o = job->Occurrences[0];
     for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step) {
-      std::vector<TaskEntry> &tasks = o.Steps[step].Tasks;
-      for (std::int32_t i = 0; i < std::ssize(tasks); ++i) {
-        TaskEntry &task = tasks[static_cast<std::size_t>(i)];
-        if (!task.isPending() || !task.Runs.empty())
+      detail::StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
+      for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i) {
+        TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
+        detail::TaskKey key{job->Job.Id, 0, step, i};
+        if (!task.isPending() || !task.Runs.empty() ||
+            !(allTasks || rooms->Unplaced.contains(key)))
           continue;
         // No run is in flight, so none that was announced can be lost.
         task.Crashes.AnnouncedRun = 0;
         offer.Part.Tasks.push_back({step, i, task.Crashes});
         offer.Part.LastRun = std::max(offer.Part.LastRun, task.LastRun);
+        offer.Part.Waited =
+            std::max(offer.Part.Waited,
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - entry.UnservedSince.value_or(now)));
       }
     }
+    if (offer.Part.Tasks.empty())
+      continue;
+    for (const auto &[shard, stored] : job->DelegatedShards)
+      offer.Holders.insert(shard);
+    offer.OnlyHolders = offer.Holders.size() >= MaxDelegatedShards;
+    offer.HadBefore = job->HadBefore;
     for (const TaskRef &it : offer.Part.Tasks)
       s.markRemote(*job, {job->Job.Id, 0, it.Step, it.Index});
     job->WriteInFlight = true;
@@ -97,6 +143,28 @@
   return offers;
 }
 
+void Shard::limitDelegation(Delegation &offer,
+                            const std::vector<TaskRef> &tasks) {
+  std::set<TaskPosition> kept;
+  for (const TaskRef &it : tasks)
+    kept.emplace(it.Step, it.Index);
+  JobEntry *job = State->findJob(offer.Job.Id);
+  std::erase_if(offer.Part.Tasks, [&](const TaskRef &it) {
+    if (kept.contains({it.Step, it.Index}))
+      return false;
+    if (job)
+      State->markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
+    return true;
+  });
+}
+
+void Shard::onPassedOnBefore(const Delegation &offer, std::int32_t shard,
+                             const std::vector<TaskRef> &tasks) {
+  if (JobEntry *job = State->findJob(offer.Job.Id))
+    for (const TaskRef &it : tasks)
+      job->HadBefore[shard].emplace(it.Step, it.Index);
+}
+
 JobWrite Shard::delegate(const Delegation &offer, std::int32_t shard) {
   JobWrite write;
   write.Job = offer.Job.Id;
@@ -119,7 +187,6 @@
   if (!job)
     return;
   job->WriteInFlight = false;
-  job->LastMoveAttempt = now;
   if (job->Version != job->StoredVersion)
     s.Dirty.push_back(offer.Job.Id);
   if (shard) {
@@ -129,17 +196,9 @@
       s.queueCancelForwards(*job);
     return;
   }
-  for (const TaskRef &it : offer.Part.Tasks) {
-    TaskEntry *task = s.findTask({offer.Job.Id, 0, it.Step, it.Index});
-    if (!task)
-      continue;
-    task->Remote = false;
-    task->DelegatedTo.reset();
-    if (task->Runs.empty() && !task->Done)
-      ++job->Occurrences[0]
-            .Steps[static_cast<std::size_t>(it.Step)]
-            .WaitingCount;
-  }
+  job->LastMoveAttempt = now;
+  for (const TaskRef &it : offer.Part.Tasks)
+    s.markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
 }
 
 std::vector<CancelForward> Shard::takeCancelForwards(std::size_t limit) {
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -487,13 +487,18 @@
         return self->WorkerEntries();
       },
       {},
+      {},
       [self] { return self->View.Shards; },
       [self](const ShardRunner &runner) { self->removeRunner(runner); }};
-  if (View.Shards > 1)
+  if (View.Shards > 1) {
     context.FindShard = [self](const model::AcceptedJob &job,
                                std::int32_t from) {
       return self->JobRequests.findShard(job, from);
     };
+    context.FindRooms = [self](const Delegation &offer, std::int32_t from) {
+      return self->JobRequests.findRooms(offer, from);
+    };
+  }
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
   MetricsRegistry.setOwnedShards(Owned.size());
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "detail/JobRequestHandler.h"
 
+#include "detail/Rooms.h"
 #include "detail/Sleep.h"
 
 #include <algorithm>
@@ -74,8 +75,18 @@
   }
   // Long-running tasks stay where they start, and tasks that do not fit wait
   // until another shard takes them.
-  if (isLongRunning(job.Graph))
+  if (isLongRunning(job.Graph)) {
+    std::vector<std::int32_t> roomy;
+    std::vector<std::int64_t> roomyHeadrooms;
+    for (std::size_t i = 0; i < shards.size(); ++i)
+      if (hasRoomForAll(shards[i], job)) {
+        roomy.push_back(shards[i]);
+        roomyHeadrooms.push_back(headrooms[i]);
+      }
+    if (!roomy.empty())
+      return drawAndReserve(job, roomy, roomyHeadrooms);
     filterByHeadroom(totalCpuOf(job), shards, headrooms);
+  }
   return drawAndReserve(job, shards, headrooms);
 }
 
@@ -90,9 +101,73 @@
   std::int32_t shard =
       shards[chosen ? *chosen : drawShard(headrooms, uniform(Random))];
   reserveHeadroom(Loads[shard], job.Graph, totalCpuOf(job));
+  if (isLongRunning(job.Graph))
+    placeInRooms(roomsOf(shard, job), job.Graph, allTasksOf(job.Graph));
   return shard;
 }
 
+std::vector<base::Resources> &
+JobRequestHandler::roomsOf(std::int32_t shard, const model::AcceptedJob &job) {
+  return Loads[shard].LongRunningRooms[job.Policy.Service.str()];
+}
+
+bool JobRequestHandler::hasRoomForAll(std::int32_t shard,
+                                      const model::AcceptedJob &job) {
+  std::vector<TaskRef> tasks = allTasksOf(job.Graph);
+  std::vector<base::Resources> rooms = roomsOf(shard, job);
+  return placeInRooms(rooms, job.Graph, tasks).size() == tasks.size();
+}
+
+asio::awaitable<RoomChoice> JobRequestHandler::findRooms(Delegation offer,
+                                                         std::int32_t from) {
+  RoomChoice choice{{}, {}, "no load records"};
+  if (View.Shards < 2)
+    co_return choice;
+  if (base::Result<void> read = co_await refreshLoads(); !read)
+    co_return choice;
+  choice.Weighed.clear();
+  // One worker that can run a task is enough.
+  model::AcceptedJob demand = offer.Job;
+  for (model::StepSpec &it : demand.Graph.Steps)
+    it.Count = 1;
+  std::vector<double> shares = suitableShares(View, Workers, demand);
+  std::vector<std::vector<TaskRef>> placed(
+      static_cast<std::size_t>(View.Shards));
+  std::vector<double> weights(static_cast<std::size_t>(View.Shards));
+  for (std::int32_t i = 0; i < View.Shards; ++i) {
+    auto shard = static_cast<std::size_t>(i);
+    if (i == from || i == offer.Part.HomeShard)
+      continue;
+    std::vector<base::Resources> rooms = roomsOf(i, offer.Job);
+    std::int64_t largest = rooms.empty() ? 0 : count(rooms.front().Cpu);
+    std::vector<TaskRef> tasks = offer.Part.Tasks;
+    const std::set<TaskPosition> &had = offer.HadBefore[i];
+    std::erase_if(tasks, [&](const TaskRef &it) {
+      return had.contains({it.Step, it.Index});
+    });
+    bool mayTake = !offer.OnlyHolders || offer.Holders.contains(i);
+    if (shares[shard] > 0 && mayTake)
+      placed[shard] = placeInRooms(rooms, offer.Job.Graph, tasks);
+    weights[shard] = static_cast<double>(placed[shard].size());
+    const char *cause = shares[shard] == 0 ? "unsuitable"
+                        : !mayTake         ? "too many parts"
+                        : tasks.empty()    ? "passed on before"
+                                           : "takes";
+    choice.Weighed += (choice.Weighed.empty() ? "" : "; ") + std::to_string(i) +
+                      "=" + std::to_string(largest) + " " + cause + " " +
+                      std::to_string(placed[shard].size());
+  }
+  if (std::all_of(weights.begin(), weights.end(),
+                  [](double it) { return it == 0; }))
+    co_return choice;
+  std::discrete_distribution<std::int32_t> draw(weights.begin(), weights.end());
+  std::int32_t to = draw(Random);
+  choice.Shard = to;
+  choice.Tasks = std::move(placed[static_cast<std::size_t>(to)]);
+  placeInRooms(roomsOf(to, offer.Job), offer.Job.Graph, choice.Tasks);
+  co_return choice;
+}
+
 asio::awaitable<ShardChoice>
 JobRequestHandler::findShard(model::AcceptedJob job, std::int32_t from) {
   ShardChoice choice{{}, "no load records"};
@@ -102,7 +177,7 @@
     co_return choice;
   std::vector<double> shares = suitableShares(View, Workers, job);
   std::int64_t ownHeadroom = headroomOf(Loads[from], job.Graph);
-  std::int64_t need = isLongRunning(job.Graph) ? totalCpuOf(job) : 0;
+  bool longRunning = isLongRunning(job.Graph);
   choice.Weighed =
       std::to_string(from) + "=" + std::to_string(ownHeadroom) + " own";
   std::vector<std::int32_t> shards;
@@ -117,18 +192,18 @@
                          shares[static_cast<std::size_t>(from)] < share);
     if (i == from)
       continue;
-    auto suitable =
-        static_cast<std::int64_t>(static_cast<double>(headroom) * share);
-    const char *cause = share == 0        ? "unsuitable"
-                        : !better         ? "full"
-                        : suitable < need ? "too little"
-                                          : "candidate";
+    bool roomForAll = !longRunning || hasRoomForAll(i, job);
+    const char *cause = share == 0                ? "unsuitable"
+                        : !better && !longRunning ? "full"
+                        : !roomForAll             ? "not enough rooms"
+                                                  : "candidate";
     choice.Weighed +=
         "; " + std::to_string(i) + "=" + std::to_string(headroom) + " " + cause;
-    if (share == 0 || !better || suitable < need)
+    if (share == 0 || !roomForAll || (!better && !longRunning))
       continue;
     shards.push_back(i);
-    headrooms.push_back(suitable);
+    headrooms.push_back(
+        static_cast<std::int64_t>(static_cast<double>(headroom) * share));
   }
   if (!shards.empty())
     choice.Shard = drawAndReserve(job, shards, headrooms);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -1,5 +1,6 @@
 #include "detail/Interference.h"
 #include "detail/Placement.h"
+#include "detail/Rooms.h"
 #include "detail/Routing.h"
 #include "detail/ShardState.h"
 
@@ -220,7 +221,7 @@
 /// Marks all tasks that are not in the part as run by other shards.
 static void limitToPart(detail::ShardState &s, JobEntry &job,
                         const JobPart &part) {
-  std::set<std::pair<std::int32_t, std::int32_t>> own;
+  std::set<TaskPosition> &own = job.PartTasks;
   for (const TaskRef &it : part.Tasks) {
     own.emplace(it.Step, it.Index);
     if (TaskEntry *task = s.findTask({job.Job.Id, 0, it.Step, it.Index}))
@@ -236,11 +237,35 @@
           s.markRemote(job, {job.Job.Id, number, step, i});
 }
 
+/// Adds the tasks to a part of a job that another shard has delegated since.
+/// Tasks that this shard has had before may be on their way to a third one.
+static void extendPart(detail::ShardState &s, JobEntry &job,
+                       const JobPart &part, base::TimePoint now) {
+  JobPart added = part;
+  std::erase_if(added.Tasks, [&](const TaskRef &it) {
+    return !job.PartTasks.emplace(it.Step, it.Index).second;
+  });
+  if (added.Tasks.empty())
+    return;
+  job.EarlierLastRun = std::max(job.EarlierLastRun, part.LastRun);
+  for (const TaskRef &it : added.Tasks) {
+    model::TaskKey key{job.Job.Id, 0, it.Step, it.Index};
+    if (TaskEntry *task = s.findTask(job, key)) {
+      task->Crashes = it.Crashes;
+      s.markLocal(job, key);
+    }
+  }
+  s.inheritWait(job, added, now);
+}
+
 void Shard::addJob(model::AcceptedJob job, std::int64_t revision,
                    bool inherited, base::TimePoint now, const JobPart *part) {
   detail::ShardState &s = *State;
-  if (s.findJob(job.Id))
+  if (JobEntry *known = s.findJob(job.Id)) {
+    if (part && known->IsPart)
+      extendPart(s, *known, *part, now);
     return;
+  }
   auto entry = std::make_unique<JobEntry>();
   entry->Accepted = now;
   entry->Inherited = inherited;
@@ -251,8 +276,11 @@
   s.LiveJobs.push_back(entry.get());
   JobNumber id = entry->Job.Id;
   JobEntry &added = *s.Jobs.emplace(id, std::move(entry)).first->second;
-  if (part)
+  if (part) {
     limitToPart(s, added, *part);
+    if (!inherited)
+      s.inheritWait(added, *part, now);
+  }
   if (auto early = s.CancelledEarly.extract(id))
     cancelJob(id, now, std::move(early.mapped()));
 }
@@ -427,6 +455,26 @@
   return tasks > 0 ? std::max<std::int64_t>(1, cpu / tasks) : 1;
 }
 
+/// Maximum number of rooms that a shard publishes for each service; more than
+/// the tasks of most jobs.
+constexpr std::size_t MaxPublishedRooms = 32;
+
+static std::map<std::string, std::vector<base::Resources>>
+largestRooms(const detail::ShardState &s) {
+  auto rooms = std::move(detail::planRooms(s, s.PlannedAt).Free);
+  for (auto &[service, free] : rooms) {
+    std::erase_if(free, [](const base::Resources &it) {
+      return count(it.Cpu) <= 0 || count(it.Memory) <= 0;
+    });
+    std::stable_sort(free.begin(), free.end(),
+                     [](const base::Resources &a, const base::Resources &b) {
+                       return count(a.Cpu) > count(b.Cpu);
+                     });
+    free.resize(std::min(free.size(), MaxPublishedRooms));
+  }
+  return rooms;
+}
+
 ShardLoad Shard::load() const {
   ShardLoad load;
   std::int64_t forShort = 0, forLongRunning = 0, forFillers = 0;
@@ -452,6 +500,7 @@
   load.LongRunningHeadroom = base::MilliCores{forLongRunning};
   load.FillerHeadroom = base::MilliCores{forFillers};
   load.FillerCpu = detail::suitableFillerCpu(*State, State->PlannedAt);
+  load.LongRunningRooms = largestRooms(*State);
   State->addStartedTo(load);
   for (const JobEntry *it : State->LiveJobs) {
     if (!it->isLive())
--- a/packages/dispatch/src/Loads.cpp
+++ b/packages/dispatch/src/Loads.cpp
@@ -12,6 +12,10 @@
 
 /// Largest sum of started CPU of an account that is read.
 constexpr std::int64_t MaxStartedCpu = std::int64_t{1} << 40;
+/// Largest amount of a room, and largest number of rooms of a service, that are
+/// read.
+constexpr std::int64_t MaxRoom = std::int64_t{1} << 30;
+constexpr std::size_t MaxRooms = 256;
 
 std::string encodeLoad(const ShardLoad &load) {
   json::object pending;
@@ -25,9 +29,41 @@
     to["fillers"] = json::value_from(load.FillerCpu);
   if (!load.StartedCpu.empty())
     to["started"] = json::value_from(load.StartedCpu);
+  json::object rooms;
+  for (const auto &[service, free] : load.LongRunningRooms) {
+    json::array list;
+    for (const base::Resources &it : free)
+      list.push_back(
+          json::array{count(it.Cpu), count(it.Memory), it.Accelerators});
+    rooms[service] = std::move(list);
+  }
+  if (!rooms.empty())
+    to["rooms"] = std::move(rooms);
   return json::serialize(to);
 }
 
+/// Returns an amount of a room; 0 if it cannot be read, so that the room takes
+/// no task.
+static std::int64_t amountAt(const json::array &row, std::size_t i) {
+  return i < row.size() && row[i].is_int64()
+             ? std::clamp<std::int64_t>(row[i].as_int64(), 0, MaxRoom)
+             : 0;
+}
+
+static std::vector<base::Resources> decodeRooms(const json::array &rows) {
+  std::vector<base::Resources> rooms;
+  for (const json::value &it : rows) {
+    const json::array *row = it.if_array();
+    if (!row || rooms.size() == MaxRooms)
+      continue;
+    base::Resources &room = rooms.emplace_back();
+    room.Cpu = base::MilliCores{amountAt(*row, 0)};
+    room.Memory = base::MebiBytes{amountAt(*row, 1)};
+    room.Accelerators = static_cast<std::int32_t>(amountAt(*row, 2));
+  }
+  return rooms;
+}
+
 base::Result<ShardLoad> decodeLoad(const std::string &text) {
   base::Result<json::value> value = platform::parseJson(text);
   if (!value)
@@ -60,6 +96,12 @@
       if (cpu.is_int64())
         load.StartedCpu[std::string(account)] =
             std::clamp<std::int64_t>(cpu.as_int64(), 0, MaxStartedCpu);
+  const json::value *rooms = value.value().as_object().if_contains("rooms");
+  if (rooms && rooms->is_object())
+    for (const auto &[service, rows] : rooms->as_object())
+      if (rows.is_array())
+        load.LongRunningRooms[std::string(service)] =
+            decodeRooms(rows.as_array());
   return load;
 }
 
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -122,6 +122,7 @@
   entry->Moving = false;
   entry->LastMoveAttempt = now;
   entry->IndexRevision = revision;
+  entry->MoveDeclined = !moved;
   if (!moved)
     return;
   s.orphanRuns(*entry);
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -1,6 +1,7 @@
 #include "detail/Placement.h"
 
 #include "detail/Interference.h"
+#include "detail/Rooms.h"
 #include "detail/Routing.h"
 
 #include <algorithm>
@@ -182,14 +183,6 @@
   return best;
 }
 
-base::Resources roomBesideLongRunning(const WorkerState &w) {
-  base::Resources room = w.Profile.Capacity;
-  for (const auto &[id, held] : w.Runs)
-    if (held.Step->LongRunning)
-      room -= held.Size;
-  return room;
-}
-
 LongRunningRooms countRooms(const ShardState &shard, const JobEntry &job,
                             const model::StepSpec &step, TimePoint now) {
   LongRunningRooms rooms;
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -314,6 +314,7 @@
                         {"lastRun", part->LastRun}};
     if (part->HomeShard)
       fields["home"] = *part->HomeShard;
+    setUnlessDefault(fields, "waitedMs", part->Waited.count());
     to["part"] = std::move(fields);
   }
   to["queue"] = job.Queue;
@@ -396,6 +397,9 @@
   return result;
 }
 
+/// Longest wait of delegated tasks that is read.
+constexpr std::chrono::milliseconds MaxWaitedTime = std::chrono::hours(24);
+
 base::Result<std::optional<JobPart>> decodePart(const std::string &text) {
   if (text.find("\"part\"") == std::string::npos)
     return std::optional<JobPart>();
@@ -410,6 +414,8 @@
         part.LastRun = fields.number("lastRun", 0, platform::MaxInt64);
         if (fields.has("home"))
           part.HomeShard = readInt32(fields, "home");
+        part.Waited = std::chrono::milliseconds(
+            fields.optionalNumber("waitedMs", 0, MaxWaitedTime.count()));
         std::vector<JsonView> tasks =
             fields.list("tasks", limits::MaxTasksPerJob);
         const json::value &object = value.get_object().at("part");
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -96,21 +96,50 @@
                        {"shards", weighed}});
 }
 
+std::optional<std::string> ShardRunner::mergePart(Delegation &offer,
+                                                  std::int32_t shard,
+                                                  const StoredItem &current) {
+  base::Result<std::optional<JobPart>> part = decodePart(current.Value);
+  if (!part || !part.value())
+    return std::nullopt;
+  JobPart merged = std::move(*part.value());
+  std::set<TaskPosition> had;
+  for (const TaskRef &it : merged.Tasks)
+    had.emplace(it.Step, it.Index);
+  std::vector<TaskRef> passedOn;
+  std::vector<TaskRef> added;
+  for (const TaskRef &it : offer.Part.Tasks)
+    (had.contains({it.Step, it.Index}) ? passedOn : added).push_back(it);
+  State.onPassedOnBefore(offer, shard, passedOn);
+  State.limitDelegation(offer, added);
+  if (added.empty())
+    return std::nullopt;
+  merged.Tasks.insert(merged.Tasks.end(), added.begin(), added.end());
+  merged.LastRun = std::max(merged.LastRun, offer.Part.LastRun);
+  merged.Waited = offer.Part.Waited;
+  base::Result<std::string> record = encodeJob(offer.Job, nullptr, &merged);
+  return record ? std::optional(std::move(record.value())) : std::nullopt;
+}
+
 /// Retries until the outcome is known: tasks that another shard may have must
 /// not be started here.
 asio::awaitable<void> ShardRunner::delegateTasks(Delegation offer) {
   model::JobNumber id = offer.Job.Id;
   std::int32_t from = CurrentTerm.Shard;
-  model::AcceptedJob demand = offer.Job;
-  for (model::StepSpec &it : demand.Graph.Steps)
-    it.Count = 0;
-  for (const TaskRef &it : offer.Part.Tasks)
-    ++demand.Graph.Steps[static_cast<std::size_t>(it.Step)].Count;
-  ShardChoice choice = co_await Context.FindShard(demand, from);
+  RoomChoice choice = co_await Context.FindRooms(offer, from);
   if (Stopped)
     co_return;
-  std::optional<std::int32_t> to = choice.Shard;
+  auto keepHere = [&](const char *cause) {
+    emitNotDelegated(offer, cause, choice.Weighed);
+    State.onDelegationFinished(offer, std::nullopt, 0, Context.Time.now());
+  };
+  if (!choice.Shard)
+    co_return keepHere("no room");
+  std::int32_t to = *choice.Shard;
+  State.limitDelegation(offer, choice.Tasks);
   base::Result<std::string> record = encodeJob(offer.Job, nullptr, &offer.Part);
+  if (!record)
+    co_return keepHere("record cannot be encoded");
   // A part that is stored after the job's cancellation would miss it.
   base::Result<std::optional<StoredItem>> index =
       co_await Context.Store.read(keys::index(id));
@@ -118,23 +147,16 @@
     co_return;
   if (index && index.value())
     cancelIfIndexed(*index.value(), id);
-  bool live = index && index.value() && State.isLive(id);
-  if (!to || !record || !live) {
-    const char *cause = !live     ? "index entry not read or job ended"
-                        : !record ? "record cannot be encoded"
-                                  : "no room";
-    emitNotDelegated(offer, cause, choice.Weighed);
-    co_return State.onDelegationFinished(offer, std::nullopt, 0,
-                                         Context.Time.now());
-  }
-  JobWrite write = State.delegate(offer, *to);
+  if (!index || !index.value() || !State.isLive(id))
+    co_return keepHere("index entry not read or job ended");
+  JobWrite write = State.delegate(offer, to);
   Commit commit;
   commit.Conditions = {{keys::owner(from), CurrentTerm.Revision},
                        {keys::progress(from, id), write.Revision},
                        {keys::index(id), index.value()->Revision},
-                       {keys::job(*to, id), 0}};
+                       {keys::job(to, id), 0}};
   commit.Writes = {{keys::progress(from, id), encodeProgress(write.Progress)},
-                   {keys::job(*to, id), std::move(record.value())}};
+                   {keys::job(to, id), std::move(record.value())}};
   while (!Stopped) {
     base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
     if (Stopped)
@@ -145,6 +167,7 @@
     }
     std::int64_t revision = done.value().Revision;
     bool taken = done.value().Applied;
+    const StoredItem *part = nullptr;
     for (const StoredItem &it : done.value().CurrentItems) {
       if (taken)
         break;
@@ -155,18 +178,31 @@
       taken =
           it.Key == keys::progress(from, id) && it.Revision != write.Revision;
       revision = it.Revision;
+      if (it.Key == keys::job(to, id) &&
+          it.Revision != commit.Conditions.back().Revision)
+        part = &it;
     }
-    if (taken)
-      Context.Events.emit(EventCode::TasksDelegated,
-                          {{"job", formatJobNumber(id)},
-                           {"from", std::to_string(from)},
-                           {"to", std::to_string(*to)},
-                           {"tasks", std::to_string(offer.Part.Tasks.size())},
-                           {"shards", choice.Weighed}});
-    else
-      emitNotDelegated(offer, "commit condition failed", choice.Weighed);
-    co_return State.onDelegationFinished(offer, taken ? to : std::nullopt,
-                                         revision, Context.Time.now());
+    if (part && !taken) {
+      std::optional<std::string> merged = mergePart(offer, to, *part);
+      if (!merged)
+        co_return keepHere("shard had the tasks before");
+      write = State.delegate(offer, to);
+      commit.Conditions.back().Revision = part->Revision;
+      commit.Writes = {
+          {keys::progress(from, id), encodeProgress(write.Progress)},
+          {keys::job(to, id), std::move(*merged)}};
+      continue;
+    }
+    if (!taken)
+      co_return keepHere("commit condition failed");
+    Context.Events.emit(EventCode::TasksDelegated,
+                        {{"job", formatJobNumber(id)},
+                         {"from", std::to_string(from)},
+                         {"to", std::to_string(to)},
+                         {"tasks", std::to_string(offer.Part.Tasks.size())},
+                         {"shards", choice.Weighed}});
+    co_return State.onDelegationFinished(offer, to, revision,
+                                         Context.Time.now());
   }
 }
 
--- a/packages/dispatch/src/detail/JobRequestHandler.h
+++ b/packages/dispatch/src/detail/JobRequestHandler.h
@@ -31,8 +31,18 @@
   boost::asio::awaitable<ShardChoice> findShard(model::AcceptedJob job,
                                                 std::int32_t from);
 
+  /// Chooses a shard for waiting tasks of a long-running job, at random by the
+  /// number of them for which each has room.
+  boost::asio::awaitable<RoomChoice> findRooms(Delegation offer,
+                                               std::int32_t from);
+
 private:
   Async<void> refreshLoads();
+  /// Returns the rooms that a shard published for the service of a job, less
+  /// what has been sent there since.
+  std::vector<base::Resources> &roomsOf(std::int32_t shard,
+                                        const model::AcceptedJob &job);
+  bool hasRoomForAll(std::int32_t shard, const model::AcceptedJob &job);
   boost::asio::awaitable<std::set<std::int32_t>>
   shardsOfParts(model::JobNumber job, std::int32_t shard);
   std::int32_t drawAndReserve(const model::AcceptedJob &job,
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -40,9 +40,6 @@
   std::int32_t Other = 0;
 };
 
-/// Returns what a worker has beside its long-running tasks.
-base::Resources roomBesideLongRunning(const WorkerState &w);
-
 /// How many workers have room for a task beside their long-running tasks, which
 /// the short ones there leave within bounded time, and the largest such room.
 struct LongRunningRooms {
--- /dev/null
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -0,0 +1,47 @@
+/// \file
+/// Capacity for long-running tasks, worker by worker.
+///
+/// Load pattern: workers leave an installation that is almost full. The sum of
+/// the free capacity, less the sum of the waiting demand, is then negative in
+/// every shard although single workers have room for small tasks.
+#ifndef ENDIVEDOOR_DISPATCH_SRC_DETAIL_ROOMS_H
+#define ENDIVEDOOR_DISPATCH_SRC_DETAIL_ROOMS_H
+
+#include "detail/ShardState.h"
+
+#include <set>
+
+namespace endivedoor::dispatch::detail {
+
+/// Rooms that the waiting long-running tasks of a shard take and leave.
+struct RoomPlan {
+  /// What is left on each usable worker, by service.
+  std::map<std::string, std::vector<base::Resources>> Free;
+  /// Tasks for which no worker has room, however long they wait.
+  std::set<TaskKey> Unplaced;
+};
+
+/// Returns what a worker has beside its long-running tasks: all that its other
+/// runs leave within bounded time.
+base::Resources roomBesideLongRunning(const WorkerState &w);
+
+/// Places the waiting long-running tasks, longest wait first, each where the
+/// least remains. Gangs are left out.
+///
+/// Cost: the number of these tasks times the number of workers.
+RoomPlan planRooms(const ShardState &shard, TimePoint now);
+
+/// Places tasks one after the other in the smallest room that has space, and
+/// takes it from \p rooms.
+///
+/// \returns the tasks that were placed.
+std::vector<TaskRef> placeInRooms(std::vector<base::Resources> &rooms,
+                                  const model::JobGraph &graph,
+                                  const std::vector<TaskRef> &tasks);
+
+/// Returns references to all tasks of a job's steps.
+std::vector<TaskRef> allTasksOf(const model::JobGraph &graph);
+
+} // namespace endivedoor::dispatch::detail
+
+#endif
--- a/packages/dispatch/src/detail/Routing.h
+++ b/packages/dispatch/src/detail/Routing.h
@@ -31,6 +31,15 @@
   std::string Weighed;
 };
 
+/// The shard that is to take waiting tasks of a long-running job.
+struct RoomChoice {
+  /// Empty if no shard has room for any of them.
+  std::optional<std::int32_t> Shard;
+  /// Tasks for which the shard has room.
+  std::vector<TaskRef> Tasks;
+  std::string Weighed;
+};
+
 /// Returns whether a worker has a label.
 bool hasLabel(const model::WorkerProfile &worker, const std::string &label);
 
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -66,6 +66,10 @@
   std::function<boost::asio::awaitable<ShardChoice>(
       const model::AcceptedJob &job, std::int32_t from)>
       FindShard;
+  /// Chooses another shard for tasks; set together with FindShard.
+  std::function<boost::asio::awaitable<RoomChoice>(const Delegation &offer,
+                                                   std::int32_t from)>
+      FindRooms;
   std::function<std::int32_t()> ShardCount;
   /// Called when the term has ended.
   std::function<void(const ShardRunner &runner)> OnTermEnded;
@@ -115,6 +119,12 @@
   /// Moves jobs and delegates tasks that wait here to other shards.
   boost::asio::awaitable<void> transferWork();
   boost::asio::awaitable<void> delegateTasks(Delegation offer);
+  /// Adds the offered tasks to a part that another shard runs already; those
+  /// that it has had before stay here.
+  ///
+  /// \returns the new record of the part; empty if no task is left.
+  std::optional<std::string> mergePart(Delegation &offer, std::int32_t shard,
+                                       const StoredItem &current);
   void emitNotDelegated(const Delegation &offer, const char *cause,
                         const std::string &weighed);
   boost::asio::awaitable<void> moveJob(JobMove move, std::int32_t to);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -189,6 +189,12 @@
   bool IsPart = false;
   /// For a part, the shard that the index entry belongs to, if known.
   std::optional<std::int32_t> HomeShard;
+  /// Tasks that this shard has had of the job of which it runs a part.
+  std::set<TaskPosition> PartTasks;
+  /// Tasks that other shards have had before and passed on.
+  std::map<std::int32_t, std::set<TaskPosition>> HadBefore;
+  /// No shard has room for the whole job.
+  bool MoveDeclined = false;
   /// Shards that run a part of the job, with whether the cancellation of the
   /// job has been stored for them.
   std::map<std::int32_t, bool> DelegatedShards;
@@ -490,6 +496,10 @@
   // Delegation.cpp
   /// Marks a task as run by another shard.
   void markRemote(JobEntry &job, const TaskKey &key);
+  /// Marks a task that another shard has not taken as run here.
+  void markLocal(JobEntry &job, const TaskKey &key);
+  /// Lets a step count as having waited as long as in the shard before.
+  void inheritWait(JobEntry &job, const JobPart &part, TimePoint now);
   void queueCancelForwards(JobEntry &job);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
   /// Schedules the removal of the records of cancelled jobs and removes ended
--- a/tests/unit/unit-dispatch-routing.cpp
+++ b/tests/unit/unit-dispatch-routing.cpp
@@ -3,6 +3,7 @@
 // fill a shard beyond its capacity while others have headroom.
 #include "detail/ColocationRecords.h"
 #include "detail/Loads.h"
+#include "detail/Rooms.h"
 #include "detail/Routing.h"
 
 #include <gtest/gtest.h>
@@ -188,12 +189,62 @@
   load.FillerHeadroom = base::MilliCores{7};
   load.Pending["q"] = 3;
   load.FillerCpu["filler"] = -8;
+  base::Resources room;
+  room.Cpu = base::MilliCores{1850};
+  room.Memory = base::MebiBytes{4000};
+  room.Accelerators = 2;
+  load.LongRunningRooms["desk"] = {room, {}};
   auto decoded = detail::decodeLoad(detail::encodeLoad(load));
   ASSERT_TRUE(decoded.has_value());
   EXPECT_EQ(count(decoded.value().ShortTaskHeadroom), -5);
   EXPECT_EQ(count(decoded.value().FillerHeadroom), 7);
   EXPECT_EQ(decoded.value().Pending["q"], 3);
   EXPECT_EQ(decoded.value().FillerCpu["filler"], -8);
+  EXPECT_EQ(decoded.value().LongRunningRooms, load.LongRunningRooms);
+}
+
+TEST(ShardLoads, MalformedRooms_TakeNoTask) {
+  auto decoded = detail::decodeLoad(
+      R"({"rooms":{"a":7,"b":[[1,2],["x",5,-1],9]},"roomForShort":1})");
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_FALSE(decoded.value().LongRunningRooms.contains("a"));
+  std::vector<base::Resources> rooms = decoded.value().LongRunningRooms["b"];
+  ASSERT_EQ(rooms.size(), 2u);
+  EXPECT_EQ(count(rooms[1].Cpu), 0);
+  EXPECT_EQ(rooms[1].Accelerators, 0);
+}
+
+static model::JobGraph lastingSteps(std::int32_t count, std::int64_t cpu,
+                                    std::int32_t maxPerWorker = 0) {
+  model::JobGraph graph;
+  graph.Steps.resize(1);
+  graph.Steps[0].Count = count;
+  graph.Steps[0].Size.Cpu = base::MilliCores{cpu};
+  graph.Steps[0].MaxPerWorker = maxPerWorker;
+  graph.Steps[0].LongRunning = true;
+  return graph;
+}
+
+static std::vector<base::Resources> roomsOf(std::vector<std::int64_t> cpus) {
+  std::vector<base::Resources> rooms(cpus.size());
+  for (std::size_t i = 0; i < cpus.size(); ++i)
+    rooms[i].Cpu = base::MilliCores{cpus[i]};
+  return rooms;
+}
+
+TEST(Rooms, TasksThatFit_ArePlacedWhereTheLeastRemains) {
+  std::vector<base::Resources> rooms = roomsOf({5000, 2000, 1700});
+  model::JobGraph graph = lastingSteps(4, 1800);
+  EXPECT_EQ(
+      detail::placeInRooms(rooms, graph, detail::allTasksOf(graph)).size(), 3u);
+  EXPECT_EQ(rooms, roomsOf({1400, 200, 1700}));
+}
+
+TEST(Rooms, LimitPerWorker_NeedsAsManyRooms) {
+  std::vector<base::Resources> rooms = roomsOf({9000, 9000});
+  model::JobGraph graph = lastingSteps(4, 1800, 1);
+  EXPECT_EQ(
+      detail::placeInRooms(rooms, graph, detail::allTasksOf(graph)).size(), 2u);
 }
 
 TEST(ColocationRecords, Statistics_RoundTrip) {
