A part that was extended during a takeover stays inherited

Cause: an owner takes a job as inherited if its record is older than the claim. Adding tasks to a part rewrites its record; between the claim of another node and its first listing, the whole part then looks new, its tasks do not wait for silent workers, and run numbers begin at 1 again.

Change: the record of an extended part keeps the revision of its first record, which decides.

Evidence: PartExtendedDuringATakeover_RunsItsTasksOnce fails if the revision of the record decides: a task is started twice under one number.

It works because the first record is what an earlier owner may have acted on.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -166,6 +166,9 @@
   /// Shard that the job's index entry belongs to; absent in records of versions
   /// that did not store it.
   std::optional<std::int32_t> HomeShard = {};
+  /// Revision of the part's first record, to which tasks have been added since;
+  /// 0 if this is the first one. The owner may have started tasks since then.
+  std::int64_t FirstRevision = 0;
   /// How long the tasks had waited when they were delegated.
   std::chrono::milliseconds Waited{0};
 };
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -314,6 +314,7 @@
                         {"lastRun", part->LastRun}};
     if (part->HomeShard)
       fields["home"] = *part->HomeShard;
+    setUnlessDefault(fields, "first", part->FirstRevision);
     setUnlessDefault(fields, "waitedMs", part->Waited.count());
     to["part"] = std::move(fields);
   }
@@ -414,6 +415,8 @@
         part.LastRun = fields.number("lastRun", 0, platform::MaxInt64);
         if (fields.has("home"))
           part.HomeShard = readInt32(fields, "home");
+        part.FirstRevision =
+            fields.optionalNumber("first", 0, platform::MaxInt64);
         part.Waited = std::chrono::milliseconds(
             fields.optionalNumber("waitedMs", 0, MaxWaitedTime.count()));
         std::vector<JsonView> tasks =
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -250,7 +250,12 @@
   base::Result<std::optional<JobPart>> part = decodePart(item.Value);
   if (!part)
     return reportUnreadable(item, part.error());
-  bool inherited = item.Revision <= CurrentTerm.Revision;
+  // An earlier owner may have started tasks of a part before others were added
+  // to its record.
+  std::int64_t since = part.value() && part.value()->FirstRevision > 0
+                           ? part.value()->FirstRevision
+                           : item.Revision;
+  bool inherited = since <= CurrentTerm.Revision;
   State.addJob(std::move(job.value()), item.Revision, inherited,
                Context.Time.now(), part.value() ? &*part.value() : nullptr);
   if (handover.value())
--- a/tests/unit/unit-dispatch-delegation.cpp
+++ b/tests/unit/unit-dispatch-delegation.cpp
@@ -123,4 +123,44 @@
   EXPECT_EQ(Workers.StartCounts.size(), 5u);
 }
 
+// A node adds tasks to a part after another one has claimed the part's shard
+// and before it reads the record. The tasks that an earlier owner has started
+// ran twice, because the record was newer than the claim.
+TEST_F(NearlyFullShards, PartExtendedDuringATakeover_RunsItsTasksOnce) {
+  DispatchNode &node = startShards(2, 6);
+  submit(node, lastingJob(1, 6, 20000));
+  ASSERT_TRUE(allRun(1, 6));
+  runFor(1000ms);
+  bool first =
+      Store.valueOf(dispatch::keys::index(JobNumber{1})).find("\"shard\":0") !=
+      std::string::npos;
+  std::int32_t other = first ? 1 : 0;
+  std::string key = dispatch::keys::job(other, JobNumber{1});
+  std::int64_t revision = await(Store.read(key)).value()->Revision;
+  bool extended = false;
+  Store.BeforeList = [&](const std::string &prefix) {
+    if (extended || prefix != dispatch::keys::shardPrefix(other))
+      return;
+    extended = true;
+    std::string value = Store.valueOf(key);
+    std::string field = "\"part\":{";
+    value.replace(value.find(field), field.size(),
+                  field + "\"first\":" + std::to_string(revision) + ",");
+    Store.put(key, value);
+  };
+  for (int i = 0; i < 6; ++i)
+    Workers.Silent.insert(worker(i).Id);
+  Nodes.clear();
+  DispatchNode &next = addNode("n1");
+  // Two workers are free, so that only the wait keeps the tasks from them.
+  for (int i = 3; i < 8; ++i)
+    next.updateWorker(worker(i));
+  ASSERT_TRUE(runUntil([&] { return next.ownedShards() == 2; }));
+  runFor(2000ms);
+  EXPECT_TRUE(extended);
+  EXPECT_EQ(Workers.StartCounts.size(), 6u);
+  for (const auto &[run, starts] : Workers.StartCounts)
+    EXPECT_EQ(starts, 1) << run.Task.Index;
+}
+
 } // namespace
