Offer waiting tasks in turn, and keep their wait while they are offered

Cause: each round offered two jobs, always from the front of the table, and an offer that was turned down was due again before later jobs had a turn. While an offer was in flight, a plan took its step as served: the wait and the reservation of the step ended. Offers also pushed back the attempts to move the whole job.

Change: the job whose offer was turned down longest ago goes first, and the limit of a round counts what other shards have taken; offers have a time of their own. A step with an offer in flight keeps its wait and reservation; a step without waiting tasks starts a new wait. A job of which another shard runs tasks counts as started.

Evidence: SeveralWaitingJobs_AreOfferedInTurn and DeclinedTask_KeepsItsWait, written with the change.

--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -16,7 +16,8 @@
 
 /// How long tasks wait for a worker of their own shard: tasks for which no
 /// worker has room beside its long-running tasks, and others. The latter get a
-/// worker once short tasks have left one, or a reservation.
+/// worker once short tasks have left one, or a reservation. A part that another
+/// shard has passed on waits longer, since it does not return there.
 constexpr auto UnplacedDelay = 500ms;
 constexpr auto DelegationDelay = 1500ms;
 /// Interval between two offers after one that no shard has taken. Shorter than
@@ -55,6 +56,8 @@
                              TimePoint now) {
   TimePoint since = now - part.Waited;
   for (const TaskRef &it : part.Tasks) {
+    if (!findTask(job, {job.Job.Id, 0, it.Step, it.Index}))
+      continue;
     StepEntry &entry =
         job.Occurrences[0].Steps[static_cast<std::size_t>(it.Step)];
     entry.UnservedSince = std::min(entry.UnservedSince.value_or(since), since);
@@ -96,12 +99,19 @@
   std::vector<Delegation> offers;
   bool unverified = s.hasUnverifiedWorkers();
   std::optional<detail::RoomPlan> rooms;
-  for (JobEntry *job : s.LiveJobs) {
+  std::vector<JobEntry *> jobs = s.LiveJobs;
+  // Otherwise the first jobs would be offered again and again.
+  std::stable_sort(jobs.begin(), jobs.end(),
+                   [](const JobEntry *a, const JobEntry *b) {
+                     return a->OfferDeclinedAt < b->OfferDeclinedAt;
+                   });
+  for (JobEntry *job : jobs) {
     if (offers.size() == limit)
       break;
     if (!isDelegable(*job, unverified) ||
-        now - job->LastMoveAttempt < OfferInterval ||
-        !detail::hasWaited(*job, UnplacedDelay, now))
+        now - job->OfferDeclinedAt < OfferInterval ||
+        !detail::hasWaited(*job, job->IsPart ? DelegationDelay : UnplacedDelay,
+                           now))
       continue;
     if (!rooms)
       rooms = detail::planRooms(s, now);
@@ -129,8 +139,10 @@
                          now - entry.UnservedSince.value_or(now)));
       }
     }
-    if (offer.Part.Tasks.empty())
+    if (offer.Part.Tasks.empty()) {
+      job->OfferDeclinedAt = now;
       continue;
+    }
     for (const auto &[shard, stored] : job->DelegatedShards)
       offer.Holders.insert(shard);
     offer.OnlyHolders = offer.Holders.size() >= MaxDelegatedShards;
@@ -138,6 +150,7 @@
     for (const TaskRef &it : offer.Part.Tasks)
       s.markRemote(*job, {job->Job.Id, 0, it.Step, it.Index});
     job->WriteInFlight = true;
+    job->OfferInFlight = true;
     offers.push_back(std::move(offer));
   }
   return offers;
@@ -187,16 +200,22 @@
   if (!job)
     return;
   job->WriteInFlight = false;
+  job->OfferInFlight = false;
   if (job->Version != job->StoredVersion)
     s.Dirty.push_back(offer.Job.Id);
   if (shard) {
     job->ProgressRevision = revision;
     job->DelegatedShards.try_emplace(*shard, false);
+    if (!job->Started && !job->IsPart) {
+      job->Started = true;
+      if (!job->Inherited)
+        s.StartedUnmarked.push_back(offer.Job.Id);
+    }
     if (!job->isLive())
       s.queueCancelForwards(*job);
     return;
   }
-  job->LastMoveAttempt = now;
+  job->OfferDeclinedAt = now;
   for (const TaskRef &it : offer.Part.Tasks)
     s.markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
 }
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -538,7 +538,10 @@
       for (std::size_t i = 0; !o.Complete && i < o.Steps.size(); ++i) {
         StepEntry &entry = o.Steps[i];
         if (entry.WaitingCount == 0 || !isReady(*job, o, i)) {
-          entry.UnservedSince.reset();
+          if (!job->OfferInFlight) {
+            entry.UnservedSince.reset();
+            entry.WaitingSince.reset();
+          }
           continue;
         }
         if (!entry.UnservedSince)
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -70,7 +70,8 @@
     return "job";
   auto o = job->Occurrences.find(r.Occurrence);
   if (o == job->Occurrences.end() ||
-      o->second.Steps[static_cast<std::size_t>(r.Step)].WaitingCount == 0)
+      (o->second.Steps[static_cast<std::size_t>(r.Step)].WaitingCount == 0 &&
+       !job->OfferInFlight))
     return "used";
   auto w = shard.Workers.find(r.Worker);
   if (w == shard.Workers.end() ||
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -8,17 +8,25 @@
 namespace asio = boost::asio;
 using base::EventCode;
 
-/// Maximum number of jobs of which tasks are delegated between two commits.
+/// Maximum number of jobs of which tasks are delegated between two commits, and
+/// of jobs that are offered; an offer that no shard takes costs no call.
 constexpr std::size_t MaxDelegationsPerRound = 2;
+constexpr std::size_t MaxOffersPerRound = 16;
 /// Maximum number of jobs moved between two commits; each move costs one call.
 constexpr std::size_t MaxMovesPerRound = 2;
 
 asio::awaitable<void> ShardRunner::transferWork() {
-  for (const Delegation &it :
-       State.takeDelegations(MaxDelegationsPerRound, Context.Time.now())) {
-    co_await delegateTasks(it);
+  std::size_t delegated = 0;
+  for (std::size_t i = 0;
+       i < MaxOffersPerRound && delegated < MaxDelegationsPerRound; ++i) {
+    std::vector<Delegation> offers =
+        State.takeDelegations(1, Context.Time.now());
+    if (offers.empty())
+      break;
+    bool done = co_await delegateTasks(std::move(offers.front()));
     if (Stopped)
       co_return;
+    delegated += done;
   }
   for (JobMove &it : State.takeMoves(MaxMovesPerRound, Context.Time.now())) {
     ShardChoice to = co_await Context.FindShard(it.Job, CurrentTerm.Shard);
@@ -117,21 +125,26 @@
   merged.Tasks.insert(merged.Tasks.end(), added.begin(), added.end());
   merged.LastRun = std::max(merged.LastRun, offer.Part.LastRun);
   merged.Waited = offer.Part.Waited;
+  if (merged.FirstRevision == 0)
+    merged.FirstRevision = current.Revision;
   base::Result<std::string> record = encodeJob(offer.Job, nullptr, &merged);
   return record ? std::optional(std::move(record.value())) : std::nullopt;
 }
 
 /// Retries until the outcome is known: tasks that another shard may have must
 /// not be started here.
-asio::awaitable<void> ShardRunner::delegateTasks(Delegation offer) {
+///
+/// \returns whether another shard has taken tasks.
+asio::awaitable<bool> ShardRunner::delegateTasks(Delegation offer) {
   model::JobNumber id = offer.Job.Id;
   std::int32_t from = CurrentTerm.Shard;
   RoomChoice choice = co_await Context.FindRooms(offer, from);
   if (Stopped)
-    co_return;
+    co_return false;
   auto keepHere = [&](const char *cause) {
     emitNotDelegated(offer, cause, choice.Weighed);
     State.onDelegationFinished(offer, std::nullopt, 0, Context.Time.now());
+    return false;
   };
   if (!choice.Shard)
     co_return keepHere("no room");
@@ -144,7 +157,7 @@
   base::Result<std::optional<StoredItem>> index =
       co_await Context.Store.read(keys::index(id));
   if (Stopped)
-    co_return;
+    co_return false;
   if (index && index.value())
     cancelIfIndexed(*index.value(), id);
   if (!index || !index.value() || !State.isLive(id))
@@ -160,7 +173,7 @@
   while (!Stopped) {
     base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
     if (Stopped)
-      co_return;
+      co_return false;
     if (!done) {
       co_await sleepFor(CommitRetryDelay);
       continue;
@@ -171,8 +184,10 @@
     for (const StoredItem &it : done.value().CurrentItems) {
       if (taken)
         break;
-      if (it.Key == keys::owner(from) && it.Revision != CurrentTerm.Revision)
-        co_return endTerm("another node has acquired the shard");
+      if (it.Key == keys::owner(from) && it.Revision != CurrentTerm.Revision) {
+        endTerm("another node has acquired the shard");
+        co_return false;
+      }
       // Only this owner writes the progress record, so a change is an earlier
       // attempt whose response was lost.
       taken =
@@ -201,9 +216,10 @@
                          {"to", std::to_string(to)},
                          {"tasks", std::to_string(offer.Part.Tasks.size())},
                          {"shards", choice.Weighed}});
-    co_return State.onDelegationFinished(offer, to, revision,
-                                         Context.Time.now());
+    State.onDelegationFinished(offer, to, revision, Context.Time.now());
+    co_return true;
   }
+  co_return false;
 }
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -118,9 +118,9 @@
   boost::asio::awaitable<void> storeAccount(AccountWrite write);
   /// Moves jobs and delegates tasks that wait here to other shards.
   boost::asio::awaitable<void> transferWork();
-  boost::asio::awaitable<void> delegateTasks(Delegation offer);
-  /// Adds the offered tasks to a part that another shard runs already; those
-  /// that it has had before stay here.
+  boost::asio::awaitable<bool> delegateTasks(Delegation offer);
+  /// Adds the offered tasks to a part that another shard runs already. Takes
+  /// those that it has had before back from the offer.
   ///
   /// \returns the new record of the part; empty if no task is left.
   std::optional<std::string> mergePart(Delegation &offer, std::int32_t shard,
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -193,8 +193,12 @@
   std::set<TaskPosition> PartTasks;
   /// Tasks that other shards have had before and passed on.
   std::map<std::int32_t, std::set<TaskPosition>> HadBefore;
-  /// No shard has room for the whole job.
+  /// The latest attempt to move the whole job has failed.
   bool MoveDeclined = false;
+  /// Waiting tasks are offered to other shards; they may come back.
+  bool OfferInFlight = false;
+  /// When the latest offer was turned down.
+  TimePoint OfferDeclinedAt;
   /// Shards that run a part of the job, with whether the cancellation of the
   /// job has been stored for them.
   std::map<std::int32_t, bool> DelegatedShards;
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -553,6 +553,44 @@
   std::vector<WorkerCommand> Started;
 };
 
+// The first jobs of the table were offered again and again, and later ones
+// never.
+TEST_F(ShardDelegation, SeveralWaitingJobs_AreOfferedInTurn) {
+  for (std::uint64_t id = 2; id <= 5; ++id) {
+    model::StepSpec lasting = step(2, 400);
+    lasting.LongRunning = true;
+    lasting.MaxPerWorker = 1;
+    TestShard.addJob(job(id, {lasting}), 1, false, now());
+  }
+  confirmStarts(plan());
+  Time.advance(2s);
+  plan();
+  std::set<std::uint64_t> offered;
+  for (int i = 0; i < 5; ++i) {
+    auto offers = TestShard.takeDelegations(1, now());
+    ASSERT_EQ(offers.size(), 1u) << i;
+    offered.insert(static_cast<std::uint64_t>(offers[0].Job.Id));
+    TestShard.onDelegationFinished(offers[0], std::nullopt, 0, now());
+    Time.advance(400ms);
+  }
+  EXPECT_EQ(offered.size(), 5u);
+}
+
+// A plan during an offer took the step as served, so its wait began anew.
+TEST_F(ShardDelegation, DeclinedTask_KeepsItsWait) {
+  auto offers = TestShard.takeDelegations(1, now());
+  ASSERT_EQ(offers.size(), 1u);
+  auto waited = offers[0].Part.Waited;
+  EXPECT_GE(waited, 2s);
+  plan();
+  TestShard.onDelegationFinished(offers[0], std::nullopt, 0, now());
+  Time.advance(2s);
+  plan();
+  offers = TestShard.takeDelegations(1, now());
+  ASSERT_EQ(offers.size(), 1u);
+  EXPECT_GE(offers[0].Part.Waited, waited + 2s);
+}
+
 // While the offer is in flight another shard may have taken the task already.
 TEST_F(ShardDelegation, OfferedTask_IsNotStartedHere) {
   auto offers = TestShard.takeDelegations(4, now());
