Publish only rooms that can take a task now

Cause: rooms were those of all listed workers, also of workers that are avoided, have unknown runs, or have not told their clock, and of shards that wait for the lists of inherited workers. Long-running gangs were measured by rooms, which say nothing about places that must be free at the same time, and no longer moved. One load record that could not be read stopped all moves and delegations.

Change: rooms are those of workers that take starts; none while a worker is unverified. A shard whose load record cannot be read counts as full.

Evidence: by reading; the tests of the dispatch package pass.

--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -32,10 +32,9 @@
     co_return list.as_failure();
   for (const StoredItem &it : list.value().Items) {
     base::Result<ShardLoad> load = decodeLoad(it.Value);
-    if (!load)
-      co_return load.as_failure();
+    // A shard whose record cannot be read counts as full, like one without.
     Loads[std::atoi(it.Key.substr(keys::loadPrefix().size()).c_str())] =
-        load.value();
+        load ? load.value() : ShardLoad{};
   }
   LoadsReadAt = Time.now();
   co_return base::success();
@@ -178,6 +177,13 @@
   std::vector<double> shares = suitableShares(View, Workers, job);
   std::int64_t ownHeadroom = headroomOf(Loads[from], job.Graph);
   bool longRunning = isLongRunning(job.Graph);
+  // Rooms do not tell whether all tasks of a gang fit at the same time once
+  // short ones have ended.
+  bool byRooms =
+      longRunning &&
+      std::none_of(job.Graph.Steps.begin(), job.Graph.Steps.end(),
+                   [](const model::StepSpec &it) { return it.Gang; });
+  std::int64_t need = longRunning ? totalCpuOf(job) : 0;
   choice.Weighed =
       std::to_string(from) + "=" + std::to_string(ownHeadroom) + " own";
   std::vector<std::int32_t> shards;
@@ -192,18 +198,19 @@
                          shares[static_cast<std::size_t>(from)] < share);
     if (i == from)
       continue;
-    bool roomForAll = !longRunning || hasRoomForAll(i, job);
-    const char *cause = share == 0                ? "unsuitable"
-                        : !better && !longRunning ? "full"
-                        : !roomForAll             ? "not enough rooms"
-                                                  : "candidate";
+    auto suitable =
+        static_cast<std::int64_t>(static_cast<double>(headroom) * share);
+    bool roomForAll = byRooms ? hasRoomForAll(i, job) : suitable >= need;
+    const char *cause = share == 0            ? "unsuitable"
+                        : !better && !byRooms ? "full"
+                        : !roomForAll         ? "not enough rooms"
+                                              : "candidate";
     choice.Weighed +=
         "; " + std::to_string(i) + "=" + std::to_string(headroom) + " " + cause;
-    if (share == 0 || !roomForAll || (!better && !longRunning))
+    if (share == 0 || !roomForAll || (!better && !byRooms))
       continue;
     shards.push_back(i);
-    headrooms.push_back(
-        static_cast<std::int64_t>(static_cast<double>(headroom) * share));
+    headrooms.push_back(suitable);
   }
   if (!shards.empty())
     choice.Shard = drawAndReserve(job, shards, headrooms);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -461,6 +461,10 @@
 
 static std::map<std::string, std::vector<base::Resources>>
 largestRooms(const detail::ShardState &s) {
+  // Tasks that are added to an inherited part must wait until all workers have
+  // listed their runs.
+  if (s.hasUnverifiedWorkers())
+    return {};
   auto rooms = std::move(detail::planRooms(s, s.PlannedAt).Free);
   for (auto &[service, free] : rooms) {
     std::erase_if(free, [](const base::Resources &it) {
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -60,13 +60,18 @@
          LongRunningUsage * longRunning;
 }
 
-bool mayHost(const ShardState &shard, const JobEntry &job,
-             const model::StepSpec &step, const WorkerState &w, TimePoint now) {
+bool takesStarts(const ShardState &shard, const WorkerState &w, TimePoint now) {
   // The size of an orphan run is unknown, so its worker gets no tasks until the
   // run has ended.
   return w.isUsable() && w.Clock && now >= w.AvoidUntil &&
-         w.OrphanRuns.empty() && w.Profile.Service == job.Job.Policy.Service &&
-         !shard.ZonesOutOfService.contains(w.Profile.Zone) &&
+         w.OrphanRuns.empty() &&
+         !shard.ZonesOutOfService.contains(w.Profile.Zone);
+}
+
+bool mayHost(const ShardState &shard, const JobEntry &job,
+             const model::StepSpec &step, const WorkerState &w, TimePoint now) {
+  return takesStarts(shard, w, now) &&
+         w.Profile.Service == job.Job.Policy.Service &&
          (step.Requirement.empty() || hasLabel(w.Profile, step.Requirement));
 }
 
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -74,7 +74,7 @@
 RoomPlan planRooms(const ShardState &shard, TimePoint now) {
   std::vector<WorkerRoom> rooms;
   for (const auto &[id, w] : shard.Workers)
-    if (w->isUsable() && !shard.ZonesOutOfService.contains(w->Profile.Zone))
+    if (takesStarts(shard, *w, now))
       rooms.push_back({w.get(), roomBesideLongRunning(*w)});
   RoomPlan plan;
   for (const WaitingStep &it : waitingSteps(shard, now)) {
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -63,6 +63,9 @@
 computeDemandRatios(ShardState &shard,
                     const std::map<std::string, double> &demand, TimePoint now);
 
+/// Returns whether the worker takes starts now.
+bool takesStarts(const ShardState &shard, const WorkerState &w, TimePoint now);
+
 /// Returns whether the worker may run tasks of the step, capacity aside.
 bool mayHost(const ShardState &shard, const JobEntry &job,
              const model::StepSpec &step, const WorkerState &w, TimePoint now);
