Give long-running tasks reservations of their own that grow with the wait

Callers saw long-running tasks that did not run for up to 16 s although a worker of their shard had room beside its long-running tasks.

Cause: one limit, one worker in eight, held for the reservations of all steps. A short step that uses its reservation frees it for the short steps after it in the same plan, so long-running steps, which come first in each plan, found all of them taken. And many waiting tasks shared few.

Change: short and long-running tasks have a limit each. That of long-running tasks grows from one worker in eight to half of the workers while their step waits for 2 s.

It works because short work can no longer take what long-running tasks wait for, and the longer a step waits, the more workers drain for it.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -10,9 +10,14 @@
 using base::EventCode;
 using namespace std::chrono_literals;
 
-/// At most one worker in so many is reserved, so that the small tasks lose at
-/// most this part of the capacity even if no awaited run ends in time.
+/// At most one worker in so many is reserved for short tasks, so that the small
+/// ones lose at most this part of the capacity even if no awaited run ends in
+/// time. The same for long-running tasks that have just begun to wait.
 constexpr std::size_t WorkersPerReservation = 8;
+/// The same for long-running tasks that have waited for LongRunningWait.
+/// Callers count them as lost after 6 s, of which the awaited runs need a part.
+constexpr std::size_t MinWorkersPerReservation = 2;
+constexpr base::Duration LongRunningWait = 2000ms;
 /// The same for a gang, of which only one has reservations at a time.
 constexpr std::size_t MinWorkersPerGangReservation = 2;
 /// Fraction of the runs that end within the expected time of a run.
@@ -160,19 +165,42 @@
   Reservations.push_back(std::move(r));
 }
 
+/// Returns how many workers may be reserved for tasks of the kind of a step.
+static std::size_t maxReservations(const ShardState &shard,
+                                   const model::StepSpec &spec,
+                                   const StepEntry &entry, TimePoint now) {
+  double min = 1.0 / WorkersPerReservation,
+         max = 1.0 / MinWorkersPerReservation;
+  double share = min;
+  if (spec.LongRunning) {
+    base::Duration waited = now - entry.UnservedSince.value_or(now);
+    double part = std::chrono::duration<double>(waited) / LongRunningWait;
+    share += (max - min) * std::clamp(part, 0.0, 1.0);
+  }
+  auto workers = static_cast<double>(shard.Workers.size());
+  return std::max<std::size_t>(1, static_cast<std::size_t>(workers * share));
+}
+
 void ShardState::reserveSoonest(const JobEntry &job, const Occurrence &o,
                                 std::int32_t step, std::int32_t tasks,
                                 const StepCounts &counts, TimePoint now) {
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
-  std::size_t max =
-      std::max<std::size_t>(1, Workers.size() / WorkersPerReservation);
   auto own = std::count_if(
       Reservations.begin(), Reservations.end(), [&](const Reservation &it) {
         return it.Job == job.Job.Id && it.Occurrence == o.Number &&
                it.Step == step;
       });
-  if (!mayReserve(spec) || own >= tasks || Reservations.size() >= max)
+  // Each kind has its own, since a short step passes on its reservation to
+  // others within the plan that uses it, before long-running steps can have it.
+  auto sameKind = std::count_if(Reservations.begin(), Reservations.end(),
+                                [&](const Reservation &it) {
+                                  return it.LongRunning == spec.LongRunning;
+                                });
+  std::size_t max = maxReservations(
+      *this, spec, o.Steps[static_cast<std::size_t>(step)], now);
+  if (!mayReserve(spec) || own >= tasks ||
+      static_cast<std::size_t>(sameKind) >= max)
     return;
   WorkerState *best = nullptr;
   policy::Opening soonest;
