Keep long-running tasks off capacity held for other long-running tasks

Callers saw long-running tasks that did not run for up to 16 s although a worker of their shard had room; each was overtaken again and again.

Cause: a long-running task could start on a worker that drained for another one. The other's reservation ended ("capacity"), and so did the first one's ("used"), whose worker short tasks filled in the same plan. The task then waited for a worker that was due up to 3.4 s later.

Change: a long-running task respects the reservation of another one like a short task does; it still starts there if it fits beside the holder.

It works because a task that waits no longer loses what has drained for it.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -29,7 +29,7 @@
   auto index = static_cast<std::size_t>(&step - job.Job.Graph.Steps.data());
   bool own = w.Held->Job == job.Job.Id &&
              static_cast<std::size_t>(w.Held->Step) == index;
-  if (own || (step.LongRunning && w.Held->LongRunning))
+  if (own)
     return false;
   base::Resources size = step.Size;
   if (step.Filler)
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -114,8 +114,8 @@
   });
   for (const Reservation &it : Reservations) {
     WorkerState &w = *Workers.find(it.Worker)->second;
-    w.Held = WorkerReservation{held(*this, w, it), it.Job, it.Occurrence,
-                               it.Step, it.LongRunning};
+    w.Held =
+        WorkerReservation{held(*this, w, it), it.Job, it.Occurrence, it.Step};
   }
 }
 
@@ -152,8 +152,7 @@
 void ShardState::addReservation(Reservation r, std::size_t runs,
                                 TimePoint now) {
   WorkerState &w = *Workers.find(r.Worker)->second;
-  w.Held = WorkerReservation{held(*this, w, r), r.Job, r.Occurrence, r.Step,
-                             r.LongRunning};
+  w.Held = WorkerReservation{held(*this, w, r), r.Job, r.Occurrence, r.Step};
   Events.emit(
       EventCode::ReservationMade,
       {{"job", formatJobNumber(r.Job)},
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -288,7 +288,6 @@
   JobNumber Job{0};
   std::int32_t Occurrence = 0;
   std::int32_t Step = 0;
-  bool LongRunning = false;
 };
 
 /// Number of tasks of one step on each worker.
