Move reservations of long-running tasks to workers that are due sooner

Callers saw long-running tasks that did not run for more than 6 s although a worker of their shard had room.

Cause: while many workers were held for others, a step got a reservation on one that was due 3 s later, and kept it when better ones became free; those went to steps that had waited for less.

Change: a long-running step that has all its reservations looks for a worker that is due more than 0.5 s sooner, and moves the latest one there.

It works because steps that have waited longest choose first in each plan.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -20,6 +20,8 @@
 constexpr base::Duration LongRunningWait = 2000ms;
 /// The same for a gang, of which only one has reservations at a time.
 constexpr std::size_t MinWorkersPerGangReservation = 2;
+/// A reservation is replaced by one that is due sooner by more than this.
+constexpr auto MinGain = 500ms;
 /// Fraction of the runs that end within the expected time of a run.
 constexpr double EndQuantile = 0.9;
 
@@ -185,11 +187,15 @@
                                 const StepCounts &counts, TimePoint now) {
   const model::StepSpec &spec =
       job.Job.Graph.Steps[static_cast<std::size_t>(step)];
-  auto own = std::count_if(
-      Reservations.begin(), Reservations.end(), [&](const Reservation &it) {
-        return it.Job == job.Job.Id && it.Occurrence == o.Number &&
-               it.Step == step;
-      });
+  std::int32_t own = 0;
+  auto latest = Reservations.end();
+  for (auto it = Reservations.begin(); it != Reservations.end(); ++it)
+    if (it->Job == job.Job.Id && it->Occurrence == o.Number &&
+        it->Step == step) {
+      ++own;
+      if (latest == Reservations.end() || it->Due > latest->Due)
+        latest = it;
+    }
   // Each kind has its own, since a short step passes on its reservation to
   // others within the plan that uses it, before long-running steps can have it.
   auto sameKind = std::count_if(Reservations.begin(), Reservations.end(),
@@ -198,8 +204,11 @@
                                 });
   std::size_t max = maxReservations(
       *this, spec, o.Steps[static_cast<std::size_t>(step)], now);
-  if (!mayReserve(spec) || own >= tasks ||
-      static_cast<std::size_t>(sameKind) >= max)
+  bool full = own >= tasks || static_cast<std::size_t>(sameKind) >= max;
+  // A worker that was held for another task may have become free since.
+  bool mayReplace = spec.LongRunning && latest != Reservations.end() &&
+                    latest->Due > now + MinGain;
+  if (!mayReserve(spec) || (full && !mayReplace))
     return;
   WorkerState *best = nullptr;
   policy::Opening soonest;
@@ -222,6 +231,12 @@
   if (!best || soonest.Runs < (spec.LongRunning ? 1U : 2U) ||
       !isWorthwhile(job, o, step, soonest.Due, now))
     return;
+  if (full) {
+    if (soonest.Due + MinGain >= latest->Due)
+      return;
+    endReservation(*latest, "sooner");
+    Reservations.erase(latest);
+  }
   addReservation({job.Job.Id, o.Number, step, best->Profile.Id, spec.Size,
                   soonest.Due, policy::endOfReservation(soonest),
                   spec.LongRunning},
