--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -273,7 +273,7 @@
   /// Takes the tasks that are not in \p tasks back from an offer.
   void limitDelegation(Delegation &offer, const std::vector<TaskRef> &tasks);
   /// Notes that a shard had some of the offered tasks before.
-  void onPassedOnBefore(const Delegation &offer, std::int32_t shard,
+  void notePassedOn(const Delegation &offer, std::int32_t shard,
                         const std::vector<TaskRef> &tasks);
   /// Returns the job's progress record with the tasks delegated to a shard, and
   /// its expected revision.
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -74,7 +74,7 @@
 
 } // namespace detail
 
-static bool isLongRunning(const model::JobGraph &graph) {
+static bool hasOnlyLongRunningSteps(const model::JobGraph &graph) {
   return graph.Occurrences == 0 &&
          std::all_of(graph.Steps.begin(), graph.Steps.end(),
                      [](const model::StepSpec &it) {
@@ -86,7 +86,7 @@
 /// job without runs moves as a whole, unless it is a part or no shard has room
 /// for all of it.
 static bool isDelegable(const JobEntry &job, bool unverified) {
-  return job.isLive() && isLongRunning(job.Job.Graph) &&
+  return job.isLive() && hasOnlyLongRunningSteps(job.Job.Graph) &&
          (job.RunCount > 0 || job.IsPart || !job.DelegatedShards.empty() ||
           job.MoveDeclined) &&
          !job.WriteInFlight && !job.Moving &&
@@ -171,8 +171,8 @@
   });
 }
 
-void Shard::onPassedOnBefore(const Delegation &offer, std::int32_t shard,
-                             const std::vector<TaskRef> &tasks) {
+void Shard::notePassedOn(const Delegation &offer, std::int32_t shard,
+                         const std::vector<TaskRef> &tasks) {
   if (JobEntry *job = State->findJob(offer.Job.Id))
     for (const TaskRef &it : tasks)
       job->HadBefore[shard].emplace(it.Step, it.Index);
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -118,7 +118,7 @@
   std::vector<TaskRef> added;
   for (const TaskRef &it : offer.Part.Tasks)
     (had.contains({it.Step, it.Index}) ? passedOn : added).push_back(it);
-  State.onPassedOnBefore(offer, shard, passedOn);
+  State.notePassedOn(offer, shard, passedOn);
   State.limitDelegation(offer, added);
   if (added.empty())
     return std::nullopt;
