Stop fillers whose memory keeps a long-running task waiting

A long-running task that needs memory which fillers hold does not run for as long as these run. Found by a test; callers have not reported it yet.

Cause: fillers reserve no CPU, but memory. A long-running task waited for their expected ends, however late, though they can resume elsewhere.

Change: once a long-running step has waited for 2 s, fillers with checkpoints count as leaving at once when a worker is reserved for it. As soon as the worker lacks nothing but their memory, as many as needed are stopped and go on elsewhere from their checkpoints.

All 40 tests of unit-dispatch-longrunning pass, and unit-dispatch-capacity, -waitingwork, -shard and -accounts; waitingwork prints the same as without the change.

It works because the wait no longer depends on the fillers' run times.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -1,6 +1,7 @@
 // Reservations for tasks that fit nowhere now. Load pattern: a stream of small
 // tasks takes each piece of capacity as soon as it is free, so that large
 // tasks and the tasks of wide steps never find enough at once.
+#include "detail/Interference.h"
 #include "detail/Placement.h"
 
 #include <algorithm>
@@ -47,6 +48,45 @@
   return ends;
 }
 
+/// Returns whether a run can be stopped for a long-running task without losing
+/// its work.
+static bool isMovableFiller(const model::StepSpec &step) {
+  return step.Filler && step.SupportsCheckpoints;
+}
+
+/// Returns when the worker has room for a task of the step.
+///
+/// \param moveFillers whether fillers give way at once.
+static std::optional<policy::Opening>
+soonestOpening(const ShardState &shard, WorkerState &w,
+               const model::StepSpec &spec, bool moveFillers, TimePoint now) {
+  if (!moveFillers || w.FillerCpu == 0)
+    return policy::soonestOpening(w.Profile.Capacity, w.Used,
+                                  expectedEnds(shard, w), spec.Size, now);
+  base::Resources used = w.Used;
+  std::vector<policy::ExpectedEnd> ends;
+  for (const auto &[id, held] : w.Runs) {
+    if (isMovableFiller(*held.Step)) {
+      used -= held.Size;
+    } else if (!held.Step->LongRunning) {
+      base::Duration expected = shard.expectedTime(
+          *held.Job, static_cast<std::size_t>(id.Task.Step), EndQuantile);
+      ends.push_back({held.Started + expected, held.Size, expected});
+    }
+  }
+  return policy::soonestOpening(w.Profile.Capacity, used, ends, spec.Size, now);
+}
+
+static bool fitsNow(const WorkerState &w, const base::Resources &size) {
+  base::Resources needed = w.Used;
+  needed += size;
+  return needed.fitsIn(w.Profile.Capacity);
+}
+
+static bool hasWaitedLong(const StepEntry &entry, TimePoint now) {
+  return now - entry.UnservedSince.value_or(now) >= LongRunningWait;
+}
+
 static policy::HeldCapacity held(ShardState &shard, WorkerState &w,
                                  const Reservation &reservation) {
   policy::HeldCapacity result{reservation.Size, reservation.Due, w.Used};
@@ -121,6 +161,42 @@
   }
 }
 
+void ShardState::moveFillersForReservations(TimePoint now) {
+  for (const Reservation &r : Reservations) {
+    JobEntry *job = findJob(r.Job);
+    if (!r.LongRunning || !job || !job->Occurrences.contains(r.Occurrence))
+      continue;
+    const Occurrence &o = job->Occurrences.at(r.Occurrence);
+    WorkerState &w = *Workers.find(r.Worker)->second;
+    base::Resources used = w.Used;
+    used += r.Size;
+    // While CPU is lacking, the memory would stay idle.
+    if (!hasWaitedLong(o.Steps[static_cast<std::size_t>(r.Step)], now) ||
+        w.FillerCpu == 0 || count(used.Cpu) > count(w.Profile.Capacity.Cpu))
+      continue;
+    std::vector<RunView> fillers = runsOn(w);
+    std::erase_if(fillers, [](const RunView &it) {
+      return !isMovableFiller(*it.Step) ||
+             it.Entry->Phase == RunPhase::Starting;
+    });
+    for (const RunView &it : fillers)
+      if (it.Entry->Phase == RunPhase::Stopping)
+        used -= w.Runs.at(it.Id).Size;
+    std::vector<RunView> moved;
+    for (const RunView &it : fillers) {
+      if (used.fitsIn(w.Profile.Capacity))
+        break;
+      if (it.Entry->Phase != RunPhase::Running)
+        continue;
+      used -= w.Runs.at(it.Id).Size;
+      moved.push_back(it);
+    }
+    if (used.fitsIn(w.Profile.Capacity))
+      for (const RunView &it : moved)
+        moveFiller(w, it, "memory for a long-running task", now);
+  }
+}
+
 bool ShardState::hasReservation(const JobEntry &job, const Occurrence &o,
                                 std::int32_t step) const {
   return std::any_of(Reservations.begin(), Reservations.end(),
@@ -210,6 +286,9 @@
                     latest->Due > now + MinGain;
   if (!mayReserve(spec) || (full && !mayReplace))
     return;
+  bool moveFillers =
+      spec.LongRunning &&
+      hasWaitedLong(o.Steps[static_cast<std::size_t>(step)], now);
   WorkerState *best = nullptr;
   policy::Opening soonest;
   for (const auto &[id, w] : Workers) {
@@ -219,8 +298,7 @@
          same->second >= spec.MaxPerWorker) ||
         !mayHost(*this, job, spec, *w, now))
       continue;
-    auto opening = policy::soonestOpening(
-        w->Profile.Capacity, w->Used, expectedEnds(*this, *w), spec.Size, now);
+    auto opening = soonestOpening(*this, *w, spec, moveFillers, now);
     if (opening && (!best || opening->Due < soonest.Due)) {
       best = w.get();
       soonest = *opening;
@@ -228,7 +306,10 @@
   }
   // Where the end of one run suffices, the first in order gets its capacity
   // without a reservation. Long-running tasks come after short ones in order.
-  if (!best || soonest.Runs < (spec.LongRunning ? 1U : 2U) ||
+  if (!best)
+    return;
+  bool waitsForFillers = moveFillers && !fitsNow(*best, spec.Size);
+  if ((!waitsForFillers && soonest.Runs < (spec.LongRunning ? 1U : 2U)) ||
       !isWorthwhile(job, o, step, soonest.Due, now))
     return;
   if (full) {
