--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -274,7 +274,7 @@
   void limitDelegation(Delegation &offer, const std::vector<TaskRef> &tasks);
   /// Notes that a shard had some of the offered tasks before.
   void notePassedOn(const Delegation &offer, std::int32_t shard,
-                        const std::vector<TaskRef> &tasks);
+                    const std::vector<TaskRef> &tasks);
   /// Returns the job's progress record with the tasks delegated to a shard, and
   /// its expected revision.
   JobWrite delegate(const Delegation &offer, std::int32_t shard);
