Earlier owners of a shard end with their permission

Cause: an earlier owner left the owner record only if a later process of its node joined or its own record named the term as ended. A removed node does neither, so each claim copied it, and each later owner waited for it.

Change: each node notes by its own clock when it saw that the owner of a term had been replaced. OwnerGrace and the longest delay of a call later, that owner counts as ended, whether its node comes back or not.

Why it works: the permission to send commands now rests on two proofs that no other node could own the shard at that moment: a renewed lease to which the shard's entry is attached, and an answered watch of the shard's own records, which hold the owner record. Before, any answered call renewed it, also one that came after the replacement. So the permission of an owner was last renewed before it was replaced, and ends OwnerGrace later. For the same reason a node that joins again uses its new lease only once its entries are attached to it.

Evidence: DispatchNodeOwnership.RemovedOwner_IsForgottenWhenItsPermissionEnds fails without the change (the record still names the removed node) and passes with it. It also checks that the removed node is named while it might act.

--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -25,13 +25,17 @@
   /// Time for which a long-running task may miss its response time target.
   milliseconds MaxTargetMissTime{4000};
   /// An owner sends no commands once this much time has passed since the store
-  /// last answered it. Long enough for a store outage of usual length.
+  /// last showed that no other node had acquired the shard. Long enough for a
+  /// store outage of usual length.
   milliseconds OwnerGrace{8000};
   /// How waiting work is ordered. By priority in the daemon: the orders by
   /// laxity served fillers less in plays of whole days (docs/policy.md).
   policy::WaitingRule WaitingOrder = policy::WaitingRule::Priority;
 };
 
+/// Longest time for which a call can be in transit, from the call timeout.
+constexpr milliseconds MaxCallDelay{1000};
+
 /// Largest rate error of a worker's clock; the platform guarantees at most 2%
 /// slow.
 constexpr double MaxClockDriftFactor = 1.0 / 0.98;
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -71,6 +71,9 @@
   std::map<std::int32_t, TimePoint> VacantSince;
   std::set<std::int32_t> Claiming;
   detail::WorkerView Workers;
+  /// For each shard, when this node first knew that the owner of a term had
+  /// been replaced. A process that never comes back is forgotten by this time.
+  std::map<std::int32_t, std::map<std::int64_t, TimePoint>> ReplacedAt;
   /// Assigned workers whose entry is missing, with the time at which it was
   /// first found missing.
   std::map<base::WorkerId, TimePoint> AbsentSince;
@@ -136,6 +139,9 @@
   asio::awaitable<void> claim(std::int32_t shard);
   asio::awaitable<void> release(std::shared_ptr<ShardRunner> runner);
   std::chrono::milliseconds claimDelay(std::int32_t shard) const;
+  void noteReplacedOwners(std::int32_t shard, std::int64_t term);
+  std::optional<TimePoint> replacedAt(std::int32_t shard,
+                                      std::int64_t term) const;
   bool hasEnded(const detail::EarlierOwner &owner, std::int32_t shard,
                 std::int64_t since) const;
   std::vector<detail::EarlierOwner>
@@ -174,6 +180,8 @@
   if (!fault.empty())
     Events.emit(EventCode::RecordUnreadable,
                 {{"key", item.Key}, {"cause", fault}});
+  for (const auto &[shard, owner] : View.Owners)
+    noteReplacedOwners(shard, owner.Term);
   if (item.Key == keys::assignment())
     for (const std::shared_ptr<ShardRunner> &it : runners())
       addAssignedWorkers(*it);
@@ -380,14 +388,47 @@
                 {{"workers", std::to_string(next.size())}});
 }
 
+/// Number of replaced owners of a shard whose times are kept. Terms are replaced
+/// in order, so an older one ended no later than the oldest that is kept.
+constexpr std::size_t MaxReplacedOwners = 16;
+
+/// Notes that the terms of a shard before \p term have ended.
+void DispatchNode::Impl::noteReplacedOwners(std::int32_t shard,
+                                            std::int64_t term) {
+  std::map<std::int64_t, TimePoint> &times = ReplacedAt[shard];
+  if (term <= 1 || (!times.empty() && times.rbegin()->first >= term - 1))
+    return;
+  times[term - 1] = Time.now();
+  if (times.size() > MaxReplacedOwners)
+    times.erase(times.begin());
+}
+
+/// Returns a time by which a later owner had replaced that of \p term, or
+/// nothing if none has.
+std::optional<TimePoint>
+DispatchNode::Impl::replacedAt(std::int32_t shard, std::int64_t term) const {
+  auto times = ReplacedAt.find(shard);
+  if (times == ReplacedAt.end())
+    return std::nullopt;
+  auto it = times->second.lower_bound(term);
+  if (it == times->second.end())
+    return std::nullopt;
+  return it->second;
+}
+
 /// Returns whether an earlier owner of a shard is known to send no commands any
-/// more: it has recorded the end of its term, or a later process of its node
-/// has joined. A node runs one daemon at a time.
+/// more: its permission has expired since it was replaced, it has recorded the
+/// end of its term, or a later process of its node has joined. A node runs one
+/// daemon at a time.
 ///
 /// \param since revision at which the process was known to be running.
 bool DispatchNode::Impl::hasEnded(const detail::EarlierOwner &owner,
                                   std::int32_t shard,
                                   std::int64_t since) const {
+  std::optional<TimePoint> replaced = replacedAt(shard, owner.Term);
+  if (replaced &&
+      Time.now() - *replaced >= Options.Shard.OwnerGrace + MaxCallDelay)
+    return true;
   auto member = View.Members.find(owner.Owner.Node);
   if (member == View.Members.end())
     return false;
@@ -456,6 +497,7 @@
 }
 
 void DispatchNode::Impl::startTerm(detail::Term term) {
+  noteReplacedOwners(term.Shard, term.Number);
   Events.emit(EventCode::ShardOwned,
               {{"shard", std::to_string(term.Shard)},
                {"term", std::to_string(term.Number)},
@@ -532,7 +574,6 @@
   bool joined = co_await storeMember(lease.value());
   if (!joined)
     co_return false;
-  Lease = lease.value();
   for (const std::shared_ptr<ShardRunner> &it : runners()) {
     const detail::Term &term = it->term();
     Commit commit;
@@ -559,6 +600,9 @@
       removeRunner(*it);
     }
   }
+  // Not before: a renewal proves that the node holds its shards only if their
+  // entries are attached to the lease.
+  Lease = lease.value();
   co_return true;
 }
 
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -96,11 +96,18 @@
   Context.OnTermEnded(*this);
 }
 
-bool ShardRunner::maySendCommands() const {
-  return Context.Time.now() - Context.LastStoreContact() <
+TimePoint ShardRunner::permissionEnd() const {
+  // An answered call proves nothing about the shard: the store also answers an
+  // owner that has been replaced and has not heard of it yet.
+  TimePoint proved = Mirror ? Mirror->lastAnsweredCall() : TimePoint{};
+  return std::min(Context.LeaseRenewedAt(), proved) +
          Context.Options.Shard.OwnerGrace;
 }
 
+bool ShardRunner::maySendCommands() const {
+  return Context.Time.now() < permissionEnd();
+}
+
 /// Returns whether no other node can own the shard now: the node's lease in the
 /// store cannot have expired yet.
 bool ShardRunner::ownsShard() const {
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -8,9 +8,6 @@
 using base::TimePoint;
 using namespace std::chrono_literals;
 
-/// Longest time for which a call can be in transit, from the call timeout.
-constexpr auto MaxCallDelay = 1000ms;
-
 namespace detail {
 
 void ShardState::dropRuns(WorkerState &worker, const char *cause) {
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -141,6 +141,11 @@
   /// Ends the term, after which the node no longer refers to this runner. May
   /// be called from a callback of the runner's mirror.
   void endTerm(const char *cause);
+  /// Returns when the permission to send commands ends, unless it is renewed:
+  /// some time after the latest moment at which the node's lease held and the
+  /// owner record named this term. No later owner can have claimed the shard
+  /// before that moment.
+  base::TimePoint permissionEnd() const;
   bool maySendCommands() const;
   bool ownsShard() const;
   bool recordsAreCurrent();
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -487,6 +487,31 @@
       runUntil([&] { return Workers.StartCounts.size() == 2; }, 3000ms));
 }
 
+// review/1: a machine that was removed for good stayed an earlier owner in the
+// record of every later term, which made each later owner wait for it.
+TEST_F(DispatchNodeOwnership, RemovedOwner_IsForgottenWhenItsPermissionEnds) {
+  ShardLimits.OwnerGrace = 600ms;
+  DispatchNode &first = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
+  DispatchNode &second = addNode("n2");
+  DispatchNode &third = addNode("n3");
+  runFor(300ms);
+  Nodes[0].reset();
+  Store.expireLease(dispatch::LeaseId{1});
+  auto ownsShard = [](DispatchNode &node) { return node.ownedShards() == 1; };
+  ASSERT_TRUE(runUntil([&] { return ownsShard(second) || ownsShard(third); }));
+  // Until then it may act: it may be alive and only cut off.
+  EXPECT_NE(Store.valueOf(dispatch::keys::owner(0)).find("n1-1"),
+            std::string::npos);
+  runFor(1700ms);
+  DispatchNode &leaving = ownsShard(second) ? second : third;
+  DispatchNode &next = ownsShard(second) ? third : second;
+  asio::co_spawn(Io, leaving.leave(), asio::detached);
+  ASSERT_TRUE(runUntil([&] { return ownsShard(next); }));
+  EXPECT_EQ(Store.valueOf(dispatch::keys::owner(0)).find("n1-1"),
+            std::string::npos);
+}
+
 // Each owner in turn gave a shard up whose roster it could not read.
 TEST_F(DispatchNodeOwnership, UnreadableRoster_IsReplacedAfterTheLongestLease) {
   ShardLimits.LeaseDuration = 300ms;
