Leases end with the permission of the owner that requested them

Cause: an owner that does not know that it was replaced could renew the leases on its workers until its permission ended, 8 s after the latest proof, and each renewal lasts for 6 s more. The next owner had to wait for the sum of both, and counted it from its own start.

Change: no lease, and no time in which a worker may begin a start, reaches beyond the permission of the owner. The next owner waits only until that permission has ended at the latest, counted from when it saw the earlier owner replaced: 8.3 s with the error of the worker's clock, not 15.2 s, and not anew for each owner in between.

Evidence: CutOffOwner.ExtendsLeases_TaskStartsElsewhereOnceTheyHaveEnded. An owner and its worker are alive and cut off together; the owner goes on renewing the lease. On the code before, the task starts elsewhere after 4.2 s instead of 2.3 s; without the bound on the lease it runs twice.

Tests with another figure, as strict as before: EndedOwner_ShortensTheWait tells the shard 1 s after the start, since the whole wait is 8.3 s now; UnknownRoster_ HoldsInheritedTasksForTheLongestLease has the bounds of the new wait, and UnreadableRoster_IsReplacedAfterTheLongestLease a longer permission, so that the roster must still be there after 1 s.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -103,6 +103,16 @@
   Unknown
 };
 
+/// An earlier term of a shard.
+struct FormerTerm {
+  std::int64_t Number = 0;
+  /// By when a later owner had replaced that of the term.
+  base::TimePoint ReplacedAt;
+  /// Its owner may not know that yet, and act until its permission ends.
+  /// Otherwise it had stopped by then.
+  bool MayAct = false;
+};
+
 /// Scheduler of one shard for one term of ownership. Has no clock and does no
 /// I/O: the caller passes in events with their times and carries out the
 /// returned commands and writes.
@@ -138,10 +148,11 @@
   /// jobs that no worker lists are not started until each of these workers has
   /// answered or its lease has expired.
   ///
-  /// \param earlierOwnerActive whether an earlier owner may still extend
-  /// leases.
+  /// \param former the earlier terms of the shard that are known; without any,
+  /// the latest ended now.
   void markUnverified(const std::vector<RosterEntry> &roster,
-                      bool earlierOwnerActive, base::TimePoint now);
+                      const std::vector<FormerTerm> &former,
+                      base::TimePoint now);
   /// The roster cannot be read: tasks of inherited jobs that no worker lists
   /// are not started until any lease of an earlier owner has expired.
   void markRosterUnknown(base::TimePoint now);
@@ -190,6 +201,9 @@
   /// Returns whether tasks of the account wait for a larger share.
   bool isAccountWaiting(const std::string &account) const;
 
+  /// Neither a lease nor the time in which a worker may begin a start reaches
+  /// beyond \p end. A later owner need not wait any longer than that.
+  void setPermissionEnd(base::TimePoint end);
   /// All records that starts depend on are complete as of \p asOf.
   void setRecordsAsOf(base::TimePoint asOf);
   /// Starts that are decided from now on must not begin after \p end, since a
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -142,6 +142,9 @@
   void noteReplacedOwners(std::int32_t shard, std::int64_t term);
   std::optional<TimePoint> replacedAt(std::int32_t shard,
                                       std::int64_t term) const;
+  std::vector<FormerTerm>
+  formerTerms(std::int32_t shard,
+              const std::vector<detail::EarlierOwner> &mayAct) const;
   bool hasEnded(const detail::EarlierOwner &owner, std::int32_t shard,
                 std::int64_t since) const;
   std::vector<detail::EarlierOwner>
@@ -388,8 +391,9 @@
                 {{"workers", std::to_string(next.size())}});
 }
 
-/// Number of replaced owners of a shard whose times are kept. Terms are replaced
-/// in order, so an older one ended no later than the oldest that is kept.
+/// Number of replaced owners of a shard whose times are kept. Terms are
+/// replaced in order, so an older one ended no later than the oldest that is
+/// kept.
 constexpr std::size_t MaxReplacedOwners = 16;
 
 /// Notes that the terms of a shard before \p term have ended.
@@ -416,6 +420,21 @@
   return it->second;
 }
 
+/// Returns the earlier terms of a shard as far as this node knows them.
+///
+/// \param mayAct owners that may not know that they were replaced.
+std::vector<FormerTerm> DispatchNode::Impl::formerTerms(
+    std::int32_t shard, const std::vector<detail::EarlierOwner> &mayAct) const {
+  std::vector<FormerTerm> terms;
+  if (auto times = ReplacedAt.find(shard); times != ReplacedAt.end())
+    for (const auto &[term, at] : times->second)
+      terms.push_back({term, at, false});
+  for (const detail::EarlierOwner &it : mayAct)
+    terms.push_back(
+        {it.Term, replacedAt(shard, it.Term).value_or(Time.now()), true});
+  return terms;
+}
+
 /// Returns whether an earlier owner of a shard is known to send no commands any
 /// more: its permission has expired since it was replaced, it has recorded the
 /// end of its term, or a later process of its node has joined. A node runs one
@@ -485,8 +504,9 @@
     base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
     if (done && done.value().Applied) {
       LastStoreContact = std::max(LastStoreContact, sent);
+      noteReplacedOwners(shard, entry.Term);
       startTerm({shard, entry.Term, done.value().Revision, entry.EarlierOwners,
-                 revision});
+                 formerTerms(shard, entry.EarlierOwners), revision});
     } else if (!done) {
       Events.emit(EventCode::ClaimFailed, {{"shard", std::to_string(shard)},
                                            {"cause", done.error().message()}});
@@ -497,7 +517,6 @@
 }
 
 void DispatchNode::Impl::startTerm(detail::Term term) {
-  noteReplacedOwners(term.Shard, term.Number);
   Events.emit(EventCode::ShardOwned,
               {{"shard", std::to_string(term.Shard)},
                {"term", std::to_string(term.Number)},
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -138,7 +138,7 @@
           decodeRoster(roster.value()->Value);
       if (list) {
         StoredRoster = list.value();
-        State.markUnverified(list.value(), !CurrentTerm.EarlierOwners.empty(),
+        State.markUnverified(list.value(), CurrentTerm.Former,
                              Context.Time.now());
       } else {
         // If the term ended here, no later owner could run the shard either.
@@ -332,6 +332,7 @@
   auto self = shared_from_this();
   while (!Stopped && State.hasWorker(worker)) {
     TimePoint sent = Context.Time.now();
+    State.setPermissionEnd(permissionEnd());
     std::optional<PlannedPoll> plan =
         State.nextPoll(worker, sent, maySendCommands());
     if (!plan)
@@ -375,6 +376,7 @@
     Sources.observeAges(begin, Context.MetricsRegistry);
     State.setRecordsAsOf(Sources.asOf(begin));
     State.setStartsValidUntil(Sources.startsValidUntil(begin));
+    State.setPermissionEnd(permissionEnd());
     std::vector<WorkerCommand> orders =
         State.plan(begin, Context.Time.wallNow(),
                    maySendCommands() && recordsAreCurrent() && !Flushing,
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -156,12 +156,28 @@
          detail::LeaseExpiryMargin;
 }
 
+/// Returns the time after which no lease and no start of an owner has any
+/// effect that may not know that it was replaced just now. Its permission was
+/// last renewed before that; a worker's clock was read up to MaxPollCycle
+/// earlier.
+static base::Duration maxPermissionLifetime(const ShardOptions &options) {
+  auto clockError = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(options.OwnerGrace +
+                                                detail::MaxPollCycle) *
+      (MaxClockDriftFactor - 1));
+  return options.OwnerGrace + clockError + detail::LeaseExpiryMargin;
+}
+
 void Shard::markUnverified(const std::vector<RosterEntry> &roster,
-                           bool earlierOwnerActive, TimePoint now) {
+                           const std::vector<FormerTerm> &former,
+                           TimePoint now) {
   detail::ShardState &s = *State;
-  TimePoint until = now + maxLeaseLifetime(s.Options);
-  if (earlierOwnerActive)
-    until += s.Options.OwnerGrace + MaxCallDelay;
+  TimePoint until =
+      former.empty() ? now + maxLeaseLifetime(s.Options) : TimePoint::min();
+  for (const FormerTerm &it : former)
+    until = std::max(until, it.ReplacedAt +
+                                (it.MayAct ? maxPermissionLifetime(s.Options)
+                                           : maxLeaseLifetime(s.Options)));
   for (const RosterEntry &it : roster) {
     auto &entry = s.Workers[it.Id];
     if (!entry)
@@ -174,8 +190,9 @@
 }
 
 void Shard::markRosterUnknown(TimePoint now) {
-  State->RosterUnknownUntil = now + maxLeaseLifetime(State->Options) +
-                              State->Options.OwnerGrace + MaxCallDelay;
+  State->RosterUnknownUntil =
+      now + std::max(maxLeaseLifetime(State->Options),
+                     maxPermissionLifetime(State->Options));
 }
 
 bool Shard::isRosterUnknown() const {
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -322,6 +322,10 @@
                 [&](const auto &it) { return !listed.contains(it.first); });
 }
 
+base::Duration ShardState::leaseDuration(TimePoint now) const {
+  return std::min<base::Duration>(Options.LeaseDuration, PermissionEnd - now);
+}
+
 WorkerTime ShardState::startDeadline(const WorkerState &worker,
                                      TimePoint now) const {
   WorkerTime clock = *workerClock(worker, now);
@@ -331,8 +335,9 @@
                            now + Options.StartDeadline + PollDelayMargin);
   bool holdsLease = worker.ConfirmedDeadline >= *workerClock(worker, nextPoll);
   if (!holdsLease)
-    return clock + Options.LeaseDuration;
-  TimePoint end = std::min(now + Options.StartDeadline, StartsValidUntil);
+    return clock + std::chrono::floor<WorkerTime>(leaseDuration(now));
+  TimePoint end =
+      std::min({now + Options.StartDeadline, StartsValidUntil, PermissionEnd});
   return clock + std::chrono::duration_cast<WorkerTime>(end - now);
 }
 
@@ -512,8 +517,9 @@
   // longer than a start command that arrives meanwhile is valid. A poll of a
   // silent worker requests none: any lease that was sent counts as received, so
   // the runs of a lost worker would never count as ended.
-  if (mayExtendLeases && clock && !w.SilentSince) {
-    plan.Request.Deadline = *clock + State->Options.LeaseDuration;
+  base::Duration lease = State->leaseDuration(now);
+  if (mayExtendLeases && clock && !w.SilentSince && lease > 0ms) {
+    plan.Request.Deadline = *clock + std::chrono::floor<WorkerTime>(lease);
     w.LatestDeadline = std::max(w.LatestDeadline, plan.Request.Deadline);
   }
   w.PollSent = now;
@@ -616,6 +622,8 @@
                  {"token", std::to_string(base::toNumber(s.Token))}});
 }
 
+void Shard::setPermissionEnd(TimePoint end) { State->PermissionEnd = end; }
+
 void Shard::setStartsValidUntil(TimePoint end) {
   State->StartsValidUntil = end;
 }
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -31,6 +31,8 @@
   std::int64_t Revision = 0;
   /// Previous owners that may still send commands.
   std::vector<EarlierOwner> EarlierOwners;
+  /// The earlier terms whose end this node knows.
+  std::vector<FormerTerm> Former;
   /// Revision of the owner record before this term.
   std::int64_t PreviousOwnerRevision = 0;
 };
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -427,6 +427,8 @@
   TimePoint RecordsAsOf;
   /// Starts that are decided now must not begin later.
   TimePoint StartsValidUntil = TimePoint::max();
+  /// When the permission of this owner ends, as of now.
+  TimePoint PermissionEnd = TimePoint::max();
   std::unordered_map<JobNumber, std::unique_ptr<JobEntry>> Jobs;
   std::vector<JobEntry *> LiveJobs;
   /// Cancelled jobs whose job record has not been read yet.
@@ -543,6 +545,8 @@
   void expireLeases(TimePoint now);
   /// Handles the first answer of a silent worker.
   void endSilence(WorkerState &worker, TimePoint now);
+  /// Returns the duration of a lease that is requested now.
+  base::Duration leaseDuration(TimePoint now) const;
   /// Returns the lease deadline of a start command that is sent now.
   WorkerTime startDeadline(const WorkerState &worker, TimePoint now) const;
   std::optional<WorkerTime> workerClock(const WorkerState &worker,
