The roster tells who may use a worker, and for which tasks

Cause: the roster named workers and nothing else. So each new owner took each silent worker for one that its predecessor might have used, for any task of the shard: the wait held back all inherited tasks, and began anew with each owner, also where the predecessor had never reached the worker.

Change: a row of the roster holds the latest term that may have used the worker and, for a worker that gets no starts, the tasks that may run on it. An owner stores its term in the row before it requests a lease or starts a task there. It lists the tasks when a worker leaves, drains or falls silent, and on all workers before it releases the shard; it starts nothing there until it has stored a row without the list. A new owner waits for the end of the term in the row, and holds back the listed tasks only.

Why it works: whether a worker may run a task no longer depends on who owned the shard last, but on a record that its user had to write first. A later owner that has not written it has used the worker for nothing. A write that was not answered counts as stored for what it forbids and as not stored for what it allows.

Evidence: unit-dispatch-fencing, ShardHandover: WorkerThatDrained_HoldsOnlyThe TasksThatItMayRun, PlannedRelease_HoldsOnlyTheTasksThatRun and WorkerThatTheLast OwnerNeverReached_IsNotWaitedForAgain for the waits; WorkerInUse_HoldsAllTasks, InheritedWorker_GetsNothingBeforeTheRosterNamesTheTerm and SilentWorkerAnswers_ GetsNoStartWhileItsListMayBeStored for the fences, with workers that are alive.

The fixtures stored the roster before a worker's first answer; the row is written after it now, so they store it then.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -208,6 +208,12 @@
 struct RosterEntry {
   base::WorkerId Id;
   model::Address Endpoint;
+  /// Latest term whose owner may have used the worker; 0 if any earlier one
+  /// may have. An owner stores its own term here before it uses the worker.
+  std::int64_t Term = 0;
+  /// Tasks that may have runs on the worker; nothing if any task may. An owner
+  /// starts nothing on a worker while this is stored. Ascending.
+  std::optional<std::vector<model::TaskKey>> Tasks = {};
   friend auto operator<=>(const RosterEntry &, const RosterEntry &) = default;
 };
 
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -214,7 +214,12 @@
   /// Returns the roster that must be stored before commands are sent to its
   /// workers.
   std::vector<RosterEntry> roster() const;
+  /// The roster may be stored from now on.
+  void onRosterSent(const std::vector<RosterEntry> &roster);
   void onRosterStored(const std::vector<RosterEntry> &roster);
+  /// No start is sent any more: roster() lists the tasks on each worker, so
+  /// that the next owner need not wait for the others.
+  void close();
 
   /// \param mayExtendLeases whether this owner may still extend leases.
   /// \returns nothing if the worker no longer belongs to this shard.
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -97,7 +97,7 @@
                                                base::TimePoint now) {
   detail::ShardState &s = *State;
   std::vector<Delegation> offers;
-  bool unverified = s.hasUnverifiedWorkers();
+  bool unverified = s.mayRunAnyTask();
   std::optional<detail::RoomPlan> rooms;
   std::vector<JobEntry *> jobs = s.LiveJobs;
   // Otherwise the first jobs would be offered again and again.
@@ -127,6 +127,7 @@
         TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
         detail::TaskKey key{job->Job.Id, 0, step, i};
         if (!task.isPending() || !task.Runs.empty() ||
+            s.HeldTasks.contains(key) ||
             !(allTasks || rooms->Unplaced.contains(key)))
           continue;
         // No run is in flight, so none that was announced can be lost.
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -189,6 +189,18 @@
          });
 }
 
+bool ShardState::mayRunAnyTask() const {
+  return RosterUnknownUntil ||
+         std::any_of(Workers.begin(), Workers.end(), [](const auto &it) {
+           return it.second->UnverifiedUntil && !it.second->PossibleTasks;
+         });
+}
+
+bool ShardState::isAnyTaskHeld(const JobEntry &job) const {
+  auto it = HeldTasks.lower_bound({job.Job.Id, 0, 0, 0});
+  return it != HeldTasks.end() && it->Job == job.Job.Id;
+}
+
 JobProgress progressOf(const JobEntry &job) {
   JobProgress progress;
   for (const auto &[number, o] : job.Occurrences) {
@@ -463,7 +475,7 @@
 largestRooms(const detail::ShardState &s) {
   // Tasks that are added to an inherited part must wait until all workers have
   // listed their runs.
-  if (s.hasUnverifiedWorkers())
+  if (s.mayRunAnyTask())
     return {};
   auto rooms = std::move(detail::planRooms(s, s.PlannedAt).Free);
   for (auto &[service, free] : rooms) {
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -81,14 +81,15 @@
 std::vector<JobMove> Shard::takeMoves(std::size_t limit, base::TimePoint now) {
   detail::ShardState &s = *State;
   std::vector<JobMove> moves;
-  bool unverified = s.hasUnverifiedWorkers();
+  bool unverified = s.mayRunAnyTask();
   for (JobEntry *job : s.LiveJobs) {
     if (moves.size() == limit)
       break;
-    bool movable =
-        job->isLive() && !job->IsPart && job->DelegatedShards.empty() &&
-        job->RunCount == 0 && !job->WriteInFlight && !job->Moving &&
-        job->Version == job->StoredVersion && !(unverified && job->Inherited);
+    bool movable = job->isLive() && !job->IsPart &&
+                   job->DelegatedShards.empty() && job->RunCount == 0 &&
+                   !job->WriteInFlight && !job->Moving &&
+                   job->Version == job->StoredVersion &&
+                   !(unverified && job->Inherited) && !s.isAnyTaskHeld(*job);
     // A job that suits no shard must not move on before it gets a run here.
     auto delay = job->MovedHere ? 2 * MoveDelay : MoveDelay;
     if (!movable || now - job->LastMoveAttempt < delay ||
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -239,7 +239,8 @@
   for (std::int32_t i = 0; i < spec.Count && entry.WaitingCount > 0; ++i) {
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     if (!task.isPending() || !task.Runs.empty() ||
-        (task.LostWithLease && !MayStartLost))
+        (task.LostWithLease && !MayStartLost) ||
+        HeldTasks.contains({job.Job.Id, o.Number, step, i}))
       continue;
     if (StartBudget == 0)
       return;
@@ -311,7 +312,7 @@
   StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
   // A gang starts as a whole, so every member of its previous run must have
   // ended.
-  if (entry.WaitingCount < spec.Count || StartBudget == 0)
+  if (entry.WaitingCount < spec.Count || StartBudget == 0 || isAnyTaskHeld(job))
     return;
   bool lost = std::any_of(entry.Tasks.begin(), entry.Tasks.end(),
                           [](const TaskEntry &it) { return it.LostWithLease; });
@@ -510,7 +511,7 @@
 }
 
 void ShardState::startReadySteps(TimePoint now) {
-  bool unverified = hasUnverifiedWorkers();
+  bool unverified = mayRunAnyTask();
   UnplaceableSteps.clear();
   for (auto &[id, w] : Workers) {
     w->ReservedForSuspect = false;
@@ -518,7 +519,7 @@
   }
   updateDemandRatios(now);
   resetReady();
-  if (!unverified)
+  if (!hasUnverifiedWorkers())
     for (auto &[name, account] : Accounts)
       account.Share.setVerified();
   refreshReservations(now);
@@ -742,6 +743,8 @@
   detail::ShardState &s = *State;
   s.PlannedAt = now;
   s.expireLeases(now);
+  s.updatePossibleTasks();
+  s.updateHeldTasks();
   s.openDueOccurrences(wall, now);
   s.stopUnneededRuns(now);
   s.moveOffDrainingWorkers(now);
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -528,25 +528,77 @@
       });
 }
 
+/// Encodes tasks as one list of numbers for each job: occurrence, step and
+/// index of each task.
+static json::object tasksToJson(const std::vector<model::TaskKey> &tasks) {
+  json::object jobs;
+  for (const model::TaskKey &it : tasks) {
+    json::value &numbers = jobs[formatJobNumber(it.Job)];
+    if (!numbers.is_array())
+      numbers = json::array();
+    for (std::int32_t n : {it.Occurrence, it.Step, it.Index})
+      numbers.get_array().push_back(n);
+  }
+  return jobs;
+}
+
+static std::vector<model::TaskKey> tasksFromJson(const json::value &value,
+                                                 const JsonView &v) {
+  constexpr std::size_t numbersPerTask = 3;
+  std::vector<model::TaskKey> tasks;
+  const json::object *jobs = value.if_object();
+  if (!jobs)
+    v.setError("tasks", "is not an object");
+  else
+    for (const auto &[name, numbers] : *jobs) {
+      base::Result<JobNumber> job = parseJobNumber(name);
+      std::vector<std::int32_t> list;
+      readNumbers(value, std::string(name).c_str(), v, list);
+      if (!job || list.size() % numbersPerTask != 0) {
+        v.setError("tasks", "are not tasks of jobs");
+        break;
+      }
+      for (std::size_t i = 0; i < list.size(); i += numbersPerTask)
+        tasks.push_back({job.value(), list[i], list[i + 1], list[i + 2]});
+    }
+  std::sort(tasks.begin(), tasks.end());
+  return tasks;
+}
+
 std::string encodeRoster(const std::vector<RosterEntry> &roster) {
   json::array list;
-  for (const RosterEntry &it : roster)
-    list.push_back(json::object{{"id", it.Id.str()},
-                                {"ip", it.Endpoint.Ip},
-                                {"port", it.Endpoint.Port}});
+  for (const RosterEntry &it : roster) {
+    json::object row{{"id", it.Id.str()},
+                     {"ip", it.Endpoint.Ip},
+                     {"port", it.Endpoint.Port}};
+    setUnlessDefault(row, "term", it.Term);
+    if (it.Tasks)
+      row["tasks"] = tasksToJson(*it.Tasks);
+    list.push_back(std::move(row));
+  }
   return json::serialize(json::object{{"workers", std::move(list)}});
 }
 
 base::Result<std::vector<RosterEntry>> decodeRoster(const std::string &text) {
-  return decode<std::vector<RosterEntry>>(
-      text, [](const json::value &, const JsonView &v) {
-        std::vector<RosterEntry> roster;
-        for (const JsonView &it : v.list("workers", MaxListItems))
-          roster.push_back({base::WorkerId(it.text("id")),
-                            {it.text("ip"), static_cast<std::uint16_t>(
-                                                it.number("port", 1, 65535))}});
-        return roster;
-      });
+  return decode<std::vector<RosterEntry>>(text, [](const json::value &value,
+                                                   const JsonView &v) {
+    std::vector<RosterEntry> roster;
+    const json::object *record = value.if_object();
+    const json::value *rows = record ? record->if_contains("workers") : nullptr;
+    for (const JsonView &it : v.list("workers", MaxListItems)) {
+      RosterEntry entry{base::WorkerId(it.text("id")),
+                        {it.text("ip"), static_cast<std::uint16_t>(
+                                            it.number("port", 1, 65535))},
+                        it.optionalNumber("term", 0, platform::MaxInt64)};
+      // A list of jobs has the job numbers as keys, which a view cannot
+      // enumerate.
+      const json::object *row = rows->get_array()[roster.size()].if_object();
+      if (const json::value *tasks = row ? row->if_contains("tasks") : nullptr)
+        entry.Tasks = tasksFromJson(*tasks, it);
+      roster.push_back(std::move(entry));
+    }
+    return roster;
+  });
 }
 
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -80,14 +80,16 @@
   std::vector<RosterEntry> roster = State.roster();
   // An unreadable roster is replaced only once it names no worker that may
   // still have runs; the next owner would not know of them.
-  if (roster == StoredRoster || State.isRosterUnknown())
+  if ((roster == StoredRoster && !RosterCallLost) || State.isRosterUnknown())
     co_return;
   Commit commit;
   commit.Conditions = {{keys::owner(CurrentTerm.Shard), CurrentTerm.Revision},
                        {keys::roster(CurrentTerm.Shard), RosterRevision}};
   std::string value = encodeRoster(roster);
   commit.Writes = {{keys::roster(CurrentTerm.Shard), value}};
+  State.onRosterSent(roster);
   base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
+  RosterCallLost = !done;
   if (Stopped || !done)
     co_return;
   if (!done.value().Applied) {
@@ -271,6 +273,9 @@
   auto self = shared_from_this();
   Flushing = true;
   State.withdrawAnnouncements();
+  State.close();
+  if (!Stopped && Loaded)
+    co_await storeRoster();
   // Maximum number of commits before the shard is released. The next owner
   // reads whatever is not stored by then from the workers' lists.
   constexpr int maxRounds = 8;
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -32,8 +32,13 @@
   for (const auto &[id, held] : worker.Runs)
     if (TaskEntry *task = findTask(id.Task))
       task->LostWithLease = true;
-  if (worker.UnverifiedUntil)
-    markInheritedLost();
+  if (!worker.UnverifiedUntil)
+    return;
+  if (!worker.PossibleTasks)
+    return markInheritedLost();
+  for (const TaskKey &it : *worker.PossibleTasks)
+    if (TaskEntry *task = findTask(it); task && task->Runs.empty())
+      task->LostWithLease = true;
 }
 
 void ShardState::markInheritedLost() {
@@ -145,6 +150,39 @@
     worker.SuspectRuns.insert(row.Id);
 }
 
+void ShardState::updatePossibleTasks() {
+  for (auto &[id, w] : Workers) {
+    if (w->UsedInTerm != Term || w->UnverifiedUntil)
+      continue;
+    bool getsStarts = w->Listed && w->Synced && !w->Profile.Draining &&
+                      !w->SilentSince && !Closing;
+    if (getsStarts) {
+      w->PossibleTasks.reset();
+      continue;
+    }
+    bool empty = w->Runs.empty() && w->OrphanRuns.empty();
+    // The list is not shortened with each end, which would cost a commit.
+    if (w->PossibleTasks && !(empty && !w->PossibleTasks->empty()))
+      continue;
+    // A row that cannot be read may be a run.
+    if (!w->UnreadableEnds.empty() || (w->Synced && !w->InvalidRow.empty()))
+      continue;
+    std::set<TaskKey> tasks;
+    for (const auto &[run, held] : w->Runs)
+      tasks.insert(run.Task);
+    for (const auto &[run, attempts] : w->OrphanRuns)
+      tasks.insert(run.Task);
+    w->PossibleTasks.emplace(tasks.begin(), tasks.end());
+  }
+}
+
+void ShardState::updateHeldTasks() {
+  HeldTasks.clear();
+  for (const auto &[id, w] : Workers)
+    if (w->UnverifiedUntil && w->PossibleTasks)
+      HeldTasks.insert(w->PossibleTasks->begin(), w->PossibleTasks->end());
+}
+
 } // namespace detail
 
 /// Returns the time after which a lease requested now has expired on any
@@ -172,19 +210,34 @@
                            const std::vector<FormerTerm> &former,
                            TimePoint now) {
   detail::ShardState &s = *State;
-  TimePoint until =
-      former.empty() ? now + maxLeaseLifetime(s.Options) : TimePoint::min();
-  for (const FormerTerm &it : former)
-    until = std::max(until, it.ReplacedAt +
-                                (it.MayAct ? maxPermissionLifetime(s.Options)
-                                           : maxLeaseLifetime(s.Options)));
+  base::Duration leases = maxLeaseLifetime(s.Options);
+  base::Duration permission = maxPermissionLifetime(s.Options);
   for (const RosterEntry &it : roster) {
+    std::int64_t term = it.Term > 0 ? it.Term : s.Term - 1;
+    // The owner of that term, and earlier ones that may still act: the worker
+    // may have restarted and forgotten the higher token.
+    TimePoint replaced = now;
+    for (const FormerTerm &f : former)
+      if (f.Number >= term)
+        replaced = std::min(replaced, f.ReplacedAt);
+    TimePoint until = replaced + leases;
+    bool isFenced = true;
+    for (const FormerTerm &f : former) {
+      if (!f.MayAct || f.Number > term || f.ReplacedAt + permission <= now)
+        continue;
+      until = std::max(until, f.ReplacedAt + permission);
+      isFenced &= f.Number == term;
+    }
+    if (until <= now)
+      continue;
     auto &entry = s.Workers[it.Id];
     if (!entry)
       entry = std::make_unique<detail::WorkerState>();
     entry->Profile.Id = it.Id;
     entry->Profile.Endpoint = it.Endpoint;
-    entry->InRoster = true;
+    entry->UsedInTerm = it.Term;
+    if (isFenced)
+      entry->PossibleTasks = it.Tasks;
     entry->UnverifiedUntil = until;
   }
 }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -459,18 +459,39 @@
 std::vector<RosterEntry> Shard::roster() const {
   std::vector<RosterEntry> roster;
   for (const auto &[id, w] : State->Workers)
-    roster.push_back({id, w->Profile.Endpoint});
+    if (w->UsedInTerm == State->Term || w->UnverifiedUntil)
+      roster.push_back(
+          {id, w->Profile.Endpoint, w->UsedInTerm, w->PossibleTasks});
   return roster;
 }
 
+void Shard::onRosterSent(const std::vector<RosterEntry> &roster) {
+  std::map<base::WorkerId, const RosterEntry *> rows;
+  for (const RosterEntry &it : roster)
+    rows[it.Id] = &it;
+  for (auto &[id, w] : State->Workers) {
+    auto row = rows.find(id);
+    bool used = row != rows.end() && row->second->Term == State->Term;
+    w->MayHoldLease &= used;
+    w->InRoster &= used && !row->second->Tasks;
+  }
+}
+
 void Shard::onRosterStored(const std::vector<RosterEntry> &roster) {
   for (const RosterEntry &it : roster) {
     auto found = State->Workers.find(it.Id);
-    if (found != State->Workers.end())
-      found->second->InRoster = true;
+    if (found == State->Workers.end() || it.Term != State->Term)
+      continue;
+    found->second->MayHoldLease = true;
+    found->second->InRoster = !it.Tasks;
   }
 }
 
+void Shard::close() {
+  State->Closing = true;
+  State->updatePossibleTasks();
+}
+
 std::optional<PlannedPoll> Shard::nextPoll(const base::WorkerId &worker,
                                            TimePoint now,
                                            bool mayExtendLeases) {
@@ -518,7 +539,8 @@
   // silent worker requests none: any lease that was sent counts as received, so
   // the runs of a lost worker would never count as ended.
   base::Duration lease = State->leaseDuration(now);
-  if (mayExtendLeases && clock && !w.SilentSince && lease > 0ms) {
+  if (mayExtendLeases && w.MayHoldLease && clock && !w.SilentSince &&
+      lease > 0ms) {
     plan.Request.Deadline = *clock + std::chrono::floor<WorkerTime>(lease);
     w.LatestDeadline = std::max(w.LatestDeadline, plan.Request.Deadline);
   }
@@ -612,6 +634,10 @@
   if (!firstReport)
     return;
   w.Synced = true;
+  if (w.UsedInTerm != s.Term) {
+    w.UsedInTerm = s.Term;
+    w.PossibleTasks.reset();
+  }
   // An earlier owner may have requested a lease just before this poll.
   if (!w.Runs.empty() || !w.OrphanRuns.empty())
     w.LatestDeadline =
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -163,6 +163,8 @@
   std::set<base::WorkerId> PolledWorkers;
   std::vector<RosterEntry> StoredRoster;
   std::int64_t RosterRevision = 0;
+  /// It is not known whether the latest roster was stored.
+  bool RosterCallLost = false;
   std::string StoredLoad;
   base::TimePoint LoadStoredAt;
   base::TimePoint ColocationStoredAt{};
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -312,7 +312,15 @@
   bool Refused = false;
   /// Its run lists have been received under the current token.
   bool Synced = false;
-  /// The stored roster contains the worker, so commands may be sent to it.
+  /// Latest term whose owner may have used the worker, and the tasks that may
+  /// have runs on it; nothing if any may. As in the roster.
+  std::int64_t UsedInTerm = 0;
+  std::optional<std::vector<TaskKey>> PossibleTasks;
+  /// The stored roster shows that this term uses the worker, so leases may be
+  /// requested.
+  bool MayHoldLease = false;
+  /// The stored roster does not limit the tasks on the worker either, so starts
+  /// may be sent.
   bool InRoster = false;
   /// Until then, the worker may have runs of an earlier owner that it has not
   /// listed yet.
@@ -401,8 +409,8 @@
     return EntryStartTime.count() != 0 && EntryStartTime < Profile.StartTime;
   }
   bool isUsable() const {
-    return Listed && Synced && InRoster && !Profile.Draining && !SilentSince &&
-           !isEntryOutdated();
+    return Listed && Synced && InRoster && !PossibleTasks &&
+           !Profile.Draining && !SilentSince && !isEntryOutdated();
   }
 };
 
@@ -421,6 +429,10 @@
         Events(events), MetricsRegistry(metrics) {}
 
   bool Fenced = false;
+  /// No start is sent any more, so the tasks on all workers are known.
+  bool Closing = false;
+  /// Tasks that may still run for an earlier owner, as of the current plan.
+  std::set<TaskKey> HeldTasks;
   /// Until then, workers that are not known may have runs of an earlier owner.
   std::optional<TimePoint> RosterUnknownUntil;
   /// When the records that starts depend on were complete.
@@ -515,7 +527,11 @@
                  const char *evidence);
   /// Notes for the log when the records of ended runs were stored.
   void noteStored(const JobEntry &job, TimePoint now);
+  /// Returns whether a worker may have runs that it has not listed.
   bool hasUnverifiedWorkers() const;
+  /// Returns whether any inherited task may be among those runs.
+  bool mayRunAnyTask() const;
+  bool isAnyTaskHeld(const JobEntry &job) const;
 
   // Takeover.cpp and Workers.cpp
   /// Processes the ended runs of an answer. An end whose row cannot be read is
@@ -536,6 +552,10 @@
   void markInheritedLost();
   /// Drops all runs of the worker, which ended without being reported.
   void dropRuns(WorkerState &worker, const char *cause);
+  /// Lists the tasks on each worker that gets no starts for the roster, and
+  /// lets the others be used again once that is stored.
+  void updatePossibleTasks();
+  void updateHeldTasks();
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
   /// commands that may have reached the new one become unconfirmed.
   void handleRestart(WorkerState &worker, const char *cause, TimePoint now);
--- a/tests/support/ShardFixture.h
+++ b/tests/support/ShardFixture.h
@@ -59,11 +59,16 @@
     return j;
   }
 
-  /// Announces a worker, stores the roster and answers the first poll.
+  /// Announces a worker, answers the first poll and stores the roster.
   void addWorker(const std::string &id, PollReport report = {}) {
     TestShard.updateWorker(worker(id), now());
-    TestShard.onRosterStored(TestShard.roster());
     poll(id, std::move(report));
+    storeRoster();
+  }
+
+  void storeRoster() {
+    TestShard.onRosterSent(TestShard.roster());
+    TestShard.onRosterStored(TestShard.roster());
   }
 
   void poll(const std::string &id, PollReport report = {}) {
@@ -81,6 +86,7 @@
   std::vector<WorkerCommand>
   plan(WorkerCommand::Kind kind = WorkerCommand::Kind::Start) {
     Time.advance(10ms);
+    storeRoster();
     std::vector<WorkerCommand> orders =
         TestShard.plan(now(), Time.wallNow(), true);
     std::erase_if(orders,
--- a/tests/unit/WorkReplay.h
+++ b/tests/unit/WorkReplay.h
@@ -168,7 +168,6 @@
 
   void join(FakeWorker &w) {
     w.Owner->updateWorker(w.Profile, Time.now());
-    w.Owner->onRosterStored(w.Owner->roster());
     w.NextPoll = Time.now();
   }
 
@@ -288,6 +287,7 @@
         poll(w);
     }
     for (auto &shard : Shards) {
+      shard->onRosterStored(shard->roster());
       for (const auto &it : shard->plan(Time.now(), Time.wallNow(), true))
         carryOut(*shard, it);
       auto writes = shard->takeWrites(1000);
--- a/tests/unit/unit-dispatch-capacity.cpp
+++ b/tests/unit/unit-dispatch-capacity.cpp
@@ -471,7 +471,6 @@
   PollReport report;
   report.StartTime = 2000ms;
   TestShard.updateWorker(entry, now());
-  TestShard.onRosterStored(TestShard.roster());
   poll("w1", report);
   resize("w1", WorkerMilliCores);
   addJob(1, step(3));
--- a/tests/unit/unit-dispatch-crashes.cpp
+++ b/tests/unit/unit-dispatch-crashes.cpp
@@ -494,7 +494,6 @@
 
   void announce(SimulatedWorker &w) {
     Owner->updateWorker(w.Profile, Time.now());
-    Owner->onRosterStored(Owner->roster());
   }
 
   void addWorker() {
@@ -511,6 +510,7 @@
 
   void step() {
     Time.advance(20ms);
+    Owner->onRosterStored(Owner->roster());
     std::vector<WorkerCommand> commands =
         Owner->plan(Time.now(), Time.wallNow(), true);
     for (const WorkerCommand &it : commands)
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -3,6 +3,7 @@
 // starts it.
 #include "support/LeasedWorkers.h"
 #include "support/NodeFixture.h"
+#include "support/ShardFixture.h"
 #include "support/StoreLink.h"
 
 using namespace endivedoor;
@@ -69,4 +70,153 @@
   EXPECT_LT(after.At - CutAt, 2300ms);
 }
 
+/// The first shard runs on workers that the next one inherits.
+class ShardHandover : public ShardFixture {
+protected:
+  static constexpr std::uint64_t Running = 1, Waiting = 2;
+
+  void SetUp() override {
+    addWorker("w1");
+    TestShard.addJob(job(Running, {step(2)}), 5, false, now());
+    Started = plan();
+    ASSERT_EQ(Started.size(), 2u);
+    confirmStarts(Started);
+    for (const WorkerCommand &it : Started)
+      Report.Running.push_back({it.Run, "", 100, 4000, true});
+    poll("w1", Report);
+    TestShard.addJob(job(Waiting, {step(2)}), 6, false, now());
+  }
+
+  /// Starts the next term; w1 is alive, but does not answer it.
+  void handOver(const std::vector<dispatch::FormerTerm> &former) {
+    Next.markUnverified(TestShard.roster(), former, now());
+    Next.addJob(job(Running, {step(2)}), 5, true, now());
+    Next.addJob(job(Waiting, {step(2)}), 6, true, now());
+    Next.updateWorker(worker("w2"), now());
+    pollNext();
+    Next.onRosterStored(Next.roster());
+  }
+
+  void pollNext() {
+    Next.nextPoll(base::WorkerId("w2"), now(), true);
+    PollReport report;
+    report.Clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now().time_since_epoch());
+    report.StartTime = 1000ms;
+    for (const WorkerCommand &it : StartedByNext)
+      report.Running.push_back({it.Run, "", 100, 4000, true});
+    base::TimePoint sent = now();
+    Time.advance(1ms);
+    Next.onPoll(base::WorkerId("w2"), report, sent, now());
+  }
+
+  std::size_t startsOf(std::uint64_t job) {
+    pollNext();
+    std::size_t n = 0;
+    for (const WorkerCommand &it : Next.plan(now(), Time.wallNow(), true)) {
+      if (it.Type != WorkerCommand::Kind::Start)
+        continue;
+      StartedByNext.push_back(it);
+      Next.onStart(it, CommandResult::Done, now());
+    }
+    for (const WorkerCommand &it : StartedByNext)
+      n += it.Run.Task.Job == JobNumber{job};
+    return n;
+  }
+
+  std::size_t startsWithoutStore() {
+    Time.advance(10ms);
+    std::vector<WorkerCommand> orders =
+        TestShard.plan(now(), Time.wallNow(), true);
+    return static_cast<std::size_t>(
+        std::count_if(orders.begin(), orders.end(), [](const auto &it) {
+          return it.Type == WorkerCommand::Kind::Start;
+        }));
+  }
+
+  std::vector<WorkerCommand> Started, StartedByNext;
+  PollReport Report;
+  Shard Next{{}, 0, Term + 1, base::FencingToken{8}, Events, MetricsRegistry};
+};
+
+// review/2: each worker that had left, in planned work, held back all inherited
+// tasks of the shard. The tasks that it may run still wait for its lease.
+TEST_F(ShardHandover, WorkerThatDrained_HoldsOnlyTheTasksThatItMayRun) {
+  model::WorkerProfile draining = worker("w1");
+  draining.Draining = true;
+  TestShard.updateWorker(draining, now());
+  TestShard.plan(now(), Time.wallNow(), true);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  handOver({{Term, now(), false}});
+  EXPECT_EQ(startsOf(Waiting), 2u);
+  Time.advance(6s);
+  EXPECT_EQ(startsOf(Running), 0u);
+  Time.advance(300ms);
+  EXPECT_EQ(startsOf(Running), 2u);
+}
+
+// A planned release lists what runs on each worker, also on one that the owner
+// does not know to be silent.
+TEST_F(ShardHandover, PlannedRelease_HoldsOnlyTheTasksThatRun) {
+  TestShard.close();
+  handOver({{Term, now(), false}});
+  EXPECT_EQ(startsOf(Waiting), 2u);
+  EXPECT_EQ(startsOf(Running), 0u);
+}
+
+// A lost owner may have started any task on a worker that it used.
+TEST_F(ShardHandover, WorkerInUse_HoldsAllTasks) {
+  handOver({{Term, now(), true}});
+  Time.advance(8s);
+  EXPECT_EQ(startsOf(Waiting), 0u);
+  Time.advance(400ms);
+  EXPECT_EQ(startsOf(Waiting), 2u);
+}
+
+// review/3: two owners were lost one after the other, and the wait for a worker
+// that only the first could have used began anew with the second.
+TEST_F(ShardHandover, WorkerThatTheLastOwnerNeverReached_IsNotWaitedForAgain) {
+  base::TimePoint lost = now() - 8s;
+  handOver({{Term, lost, true}, {Term + 1, now(), true}});
+  EXPECT_EQ(startsOf(Waiting), 0u);
+  Time.advance(400ms);
+  EXPECT_EQ(startsOf(Waiting), 2u);
+}
+
+// The fence of both: a later owner trusts the roster to name the last term that
+// could use a worker.
+TEST_F(ShardHandover, InheritedWorker_GetsNothingBeforeTheRosterNamesTheTerm) {
+  Next.markUnverified(TestShard.roster(), {{Term, now(), true}}, now());
+  Next.addJob(job(Waiting, {step(2)}), 6, true, now());
+  Next.updateWorker(worker("w2"), now());
+  pollNext();
+  auto lease = [&] {
+    return Next.nextPoll(base::WorkerId("w2"), now(), true)->Request.Deadline;
+  };
+  Time.advance(9s);
+  EXPECT_EQ(startsOf(Waiting), 0u);
+  EXPECT_EQ(lease().count(), 0);
+  Next.onRosterStored(Next.roster());
+  EXPECT_EQ(startsOf(Waiting), 2u);
+  EXPECT_GT(lease().count(), 0);
+}
+
+// The fence of the lists: a worker that is alive and was only silent gets no
+// start while a list without that task may be stored, also if the write of the
+// list was not answered.
+TEST_F(ShardHandover, SilentWorkerAnswers_GetsNoStartWhileItsListMayBeStored) {
+  poll("w1", Report);
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  EXPECT_EQ(startsWithoutStore(), 0u);
+  std::vector<dispatch::RosterEntry> listed = TestShard.roster();
+  ASSERT_TRUE(listed.at(0).Tasks);
+  EXPECT_EQ(listed[0].Tasks->size(), 2u);
+  TestShard.onRosterSent(listed);
+  poll("w1", Report);
+  EXPECT_EQ(startsWithoutStore(), 0u);
+  EXPECT_FALSE(TestShard.roster().at(0).Tasks);
+  storeRoster();
+  EXPECT_EQ(startsWithoutStore(), 2u);
+}
+
 } // namespace
--- a/tests/unit/unit-dispatch-longrunning.cpp
+++ b/tests/unit/unit-dispatch-longrunning.cpp
@@ -78,7 +78,6 @@
       w.Capacity.Cpu = base::MilliCores{Cpu};
       w.Capacity.Memory = base::MebiBytes{Memory};
       TestShard.updateWorker(w, now());
-      TestShard.onRosterStored(TestShard.roster());
       Simulated[w.Id].NextPoll = now();
     }
     submitLongRunning({1, Workers, LongRunningCpu, 4000}, 1);
@@ -178,6 +177,7 @@
     for (auto &[id, w] : Simulated)
       if (endDueRuns(w) || w.NextPoll <= now())
         pollWorker(id, w);
+    storeRoster();
     for (const WorkerCommand &it : TestShard.plan(now(), Time.wallNow(), true))
       carryOut(it);
     storeWrites();
--- a/tests/unit/unit-dispatch-records.cpp
+++ b/tests/unit/unit-dispatch-records.cpp
@@ -278,6 +278,20 @@
     EXPECT_FALSE(detail::accountOfKey(it)) << it;
 }
 
+TEST(Roster, TermsAndTasks_RoundTrip) {
+  using Tasks = std::vector<model::TaskKey>;
+  Tasks some{{JobNumber{1}, 0, 1, 2}, {JobNumber{1}, 3, 0, 0}, {JobNumber{2}}};
+  std::vector<RosterEntry> roster{
+      {base::WorkerId("any"), {"10.0.0.1", 80}},
+      {base::WorkerId("none"), {"10.0.0.2", 80}, 4, Tasks{}},
+      {base::WorkerId("some"), {"10.0.0.3", 80}, 5, some}};
+  auto read = decodeRoster(encodeRoster(roster));
+  ASSERT_TRUE(read) << read.error().message();
+  EXPECT_EQ(read.value(), roster);
+  EXPECT_FALSE(decodeRoster(
+      R"({"workers":[{"id":"w","ip":"10.0.0.1","port":80,"tasks":{"1":[0]}}]})"));
+}
+
 /// Truncations and replaced bytes of valid records.
 RC_GTEST_PROP(RecordDecoders, DamagedRecords_DoNotThrow, ()) {
   model::AcceptedJob job = makeJob(2, 3);
@@ -287,7 +301,10 @@
   std::string text = *rc::gen::element(
       encodeJob(job, &handover).value(), encodeProgress(handover.Progress),
       detail::encodeOwner(owner),
-      encodeRoster({{base::WorkerId("w"), {"10.0.0.1", 80}}}),
+      encodeRoster({{base::WorkerId("w"),
+                     {"10.0.0.1", 80},
+                     3,
+                     std::vector<model::TaskKey>{{JobNumber{1}, 0, 1, 2}}}}),
       detail::encodeShares({{3, {{1000, 20, 3}, {2000, 0, 0}}}}));
   auto at = static_cast<std::size_t>(
       *rc::gen::inRange(0, static_cast<int>(text.size())));
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -425,7 +425,6 @@
 TEST_F(ShardTakeover, WorkerThatHasLeft_GetsNoStarts) {
   TestShard.markUnverified({{base::WorkerId("gone"), {"10.0.0.9", 8080}}}, {},
                            now());
-  TestShard.onRosterStored(TestShard.roster());
   EXPECT_TRUE(TestShard.hasWorker(base::WorkerId("gone")));
   poll("gone");
   TestShard.addJob(job(1, {step(1)}), 5, false, now());
--- a/tests/unit/unit-dispatch-waitingwork.cpp
+++ b/tests/unit/unit-dispatch-waitingwork.cpp
@@ -381,13 +381,13 @@
   std::map<std::string, PollReport> reports;
   for (const char *id : {"w1", "w2"}) {
     next.updateWorker(worker(id), now());
-    next.onRosterStored(next.roster());
     next.nextPoll(base::WorkerId(id), now(), true);
     PollReport &report = reports[id];
     report.Clock = 1000ms;
     report.StartTime = 1000ms;
     report.Running = {{Running[id][0], "", 100, 0, false}};
     next.onPoll(base::WorkerId(id), report, now(), now());
+    next.onRosterStored(next.roster());
   }
   EXPECT_TRUE(command(WorkerCommand::Kind::Start).empty());
   EXPECT_TRUE(command(WorkerCommand::Kind::Stop).empty());
