Roster lists tasks whose end is not stored yet

An end that the owner has read and not yet stored is known from the worker's list only. While that worker had not answered the next owner, the task counted as one that runs nowhere.

Change: the list also holds the tasks of such ends, and grows if the worker lists a run that it lacks.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -125,7 +125,7 @@
 void ShardState::noteStored(const JobEntry &job, TimePoint now) {
   for (auto &[id, w] : Workers)
     for (UnacknowledgedEnd &it : w->UnacknowledgedEnds)
-      if (it.Job == job.Job.Id && it.Version <= job.StoredVersion &&
+      if (it.Task.Job == job.Job.Id && it.Version <= job.StoredVersion &&
           !it.StoredAt)
         it.StoredAt = now;
 }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -150,6 +150,18 @@
     worker.SuspectRuns.insert(row.Id);
 }
 
+std::set<TaskKey> ShardState::tasksOn(const WorkerState &worker) const {
+  std::set<TaskKey> tasks;
+  for (const auto &[run, held] : worker.Runs)
+    tasks.insert(run.Task);
+  for (const auto &[run, attempts] : worker.OrphanRuns)
+    tasks.insert(run.Task);
+  for (const UnacknowledgedEnd &it : worker.UnacknowledgedEnds)
+    if (isUnstored(it))
+      tasks.insert(it.Task);
+  return tasks;
+}
+
 void ShardState::updatePossibleTasks() {
   for (auto &[id, w] : Workers) {
     if (w->UsedInTerm != Term || w->UnverifiedUntil)
@@ -160,18 +172,15 @@
       w->PossibleTasks.reset();
       continue;
     }
-    bool empty = w->Runs.empty() && w->OrphanRuns.empty();
+    std::set<TaskKey> tasks = tasksOn(*w);
     // The list is not shortened with each end, which would cost a commit.
-    if (w->PossibleTasks && !(empty && !w->PossibleTasks->empty()))
+    if (w->PossibleTasks && tasks.empty() == w->PossibleTasks->empty() &&
+        std::includes(w->PossibleTasks->begin(), w->PossibleTasks->end(),
+                      tasks.begin(), tasks.end()))
       continue;
     // A row that cannot be read may be a run.
     if (!w->UnreadableEnds.empty() || (w->Synced && !w->InvalidRow.empty()))
       continue;
-    std::set<TaskKey> tasks;
-    for (const auto &[run, held] : w->Runs)
-      tasks.insert(run.Task);
-    for (const auto &[run, attempts] : w->OrphanRuns)
-      tasks.insert(run.Task);
     w->PossibleTasks.emplace(tasks.begin(), tasks.end());
   }
 }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -102,12 +102,19 @@
 }
 
 void ShardState::queueAcknowledgement(WorkerState &worker, std::int64_t end,
-                                      JobNumber job, std::uint64_t version) {
+                                      const TaskKey &task,
+                                      std::uint64_t version) {
   std::deque<UnacknowledgedEnd> &ends = worker.UnacknowledgedEnds;
   auto at = std::find_if(
       ends.rbegin(), ends.rend(),
       [&](const UnacknowledgedEnd &it) { return it.SequenceNumber < end; });
-  ends.insert(at.base(), {end, job, version, std::nullopt});
+  ends.insert(at.base(), {end, task, version, std::nullopt});
+}
+
+bool ShardState::isUnstored(const UnacknowledgedEnd &end) const {
+  const JobEntry *job = findJob(end.Task.Job);
+  return job && job->State != model::JobState::Cancelled &&
+         job->StoredVersion < end.Version;
 }
 
 void ShardState::processEnds(WorkerState &worker, const PollReport &report,
@@ -239,8 +246,7 @@
     markDirty(*job);
   // Also an end that changes nothing waits for what other ends of the job have
   // changed: the next owner may read them from this list only.
-  queueAcknowledgement(worker, end.SequenceNumber, end.Id.Task.Job,
-                       job->Version);
+  queueAcknowledgement(worker, end.SequenceNumber, end.Id.Task, job->Version);
 }
 
 void ShardState::processRunning(WorkerState &worker, const PollReport &report,
@@ -505,9 +511,7 @@
     if (!w.UnreadableEnds.empty() &&
         w.UnreadableEnds.begin()->first < end.SequenceNumber)
       break;
-    JobEntry *job = State->findJob(end.Job);
-    if (job && job->State != model::JobState::Cancelled &&
-        job->StoredVersion < end.Version)
+    if (State->isUnstored(end))
       break;
     w.AcknowledgedEnd = end.SequenceNumber;
     acknowledged +=
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -224,7 +224,7 @@
 /// stored.
 struct UnacknowledgedEnd {
   std::int64_t SequenceNumber = 0;
-  JobNumber Job{0};
+  TaskKey Task;
   std::uint64_t Version = 0;
   /// When that version was stored; empty if it was before the end was read.
   std::optional<TimePoint> StoredAt;
@@ -539,9 +539,11 @@
   void processEnds(WorkerState &worker, const PollReport &report,
                    TimePoint now);
   void processEnd(WorkerState &worker, const EndedRun &end, TimePoint now);
-  /// Has an end acknowledged once \p version of the job is stored.
+  /// Has an end acknowledged once \p version of the task's job is stored.
   void queueAcknowledgement(WorkerState &worker, std::int64_t end,
-                            JobNumber job, std::uint64_t version);
+                            const TaskKey &task, std::uint64_t version);
+  /// Returns whether only the worker's list shows the end so far.
+  bool isUnstored(const UnacknowledgedEnd &end) const;
   void processRunning(WorkerState &worker, const PollReport &report,
                       TimePoint sent, TimePoint now);
   void adoptRun(WorkerState &worker, const RunStatus &row, TimePoint now);
@@ -552,6 +554,10 @@
   void markInheritedLost();
   /// Drops all runs of the worker, which ended without being reported.
   void dropRuns(WorkerState &worker, const char *cause);
+  /// Returns the tasks that the worker runs or that ended there without a
+  /// record: the next owner must not start them before it has read the list of
+  /// the worker.
+  std::set<TaskKey> tasksOn(const WorkerState &worker) const;
   /// Lists the tasks on each worker that gets no starts for the roster, and
   /// lets the others be used again once that is stored.
   void updatePossibleTasks();
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -164,6 +164,20 @@
   EXPECT_EQ(startsOf(Running), 0u);
 }
 
+// review/2 on seed 3, TWICE 6 with the first version of the list: a task that
+// had ended was started again, since only the list of its worker showed the
+// end.
+TEST_F(ShardHandover, EndThatWasNotStored_HoldsItsTask) {
+  PollReport report;
+  report.Ended = {{1, Started[0].Run, RunOutcome::Done, ""},
+                  {2, Started[1].Run, RunOutcome::Done, ""}};
+  poll("w1", report);
+  TestShard.close();
+  handOver({{Term, now(), false}});
+  EXPECT_EQ(startsOf(Waiting), 2u);
+  EXPECT_EQ(startsOf(Running), 0u);
+}
+
 // A lost owner may have started any task on a worker that it used.
 TEST_F(ShardHandover, WorkerInUse_HoldsAllTasks) {
   handOver({{Term, now(), true}});
