A leaving owner keeps its lease, and hands on how long is left to wait

Cause, from the logs (ShardLoaded now names the workers that are waited for): 1. A node that leaves stopped renewing its lease at once. On a busy node the release took longer than the 1.5 s of the lease, so the shard was claimed as that of a lost owner, whose permission the next owner waits for. 2. While any owner before the one in a row could still act, the list of tasks in the row was dropped, and dropped for all later owners as well. 3. A node that has just started knows no earlier replacement. Owners in a rolling restart have all just started, so the wait for a worker began anew with each.

Change: the lease is renewed until the shards are released. The list is kept, and applied from when earlier owners can no longer act. The last roster of a term tells how long leases that the term has not touched may still hold.

Evidence: CutOffOwner.SlowRelease_KeepsTheLease and ShardHandover.InheritedWait_ GoesOnWhereItWas.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -214,6 +214,9 @@
   /// Tasks that may have runs on the worker; nothing if any task may. An owner
   /// starts nothing on a worker while this is stored. Ascending.
   std::optional<std::vector<model::TaskKey>> Tasks = {};
+  /// How long the worker may hold leases of that term, from when the row was
+  /// written; nothing if that depends on when the term ended.
+  std::optional<std::chrono::milliseconds> LeaseLeft = {};
   friend auto operator<=>(const RosterEntry &, const RosterEntry &) = default;
 };
 
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -153,6 +153,10 @@
   void markUnverified(const std::vector<RosterEntry> &roster,
                       const std::vector<FormerTerm> &former,
                       base::TimePoint now);
+  /// Returns the workers that inherited tasks wait for, for the log: the term
+  /// that may have used each, how long it is waited for at most, and how many
+  /// tasks it may run.
+  std::string describeUnverified(base::TimePoint now) const;
   /// The roster cannot be read: tasks of inherited jobs that no worker lists
   /// are not started until any lease of an earlier owner has expired.
   void markRosterUnknown(base::TimePoint now);
@@ -219,7 +223,7 @@
   void onRosterStored(const std::vector<RosterEntry> &roster);
   /// No start is sent any more: roster() lists the tasks on each worker, so
   /// that the next owner need not wait for the others.
-  void close();
+  void close(base::TimePoint now);
 
   /// \param mayExtendLeases whether this owner may still extend leases.
   /// \returns nothing if the worker no longer belongs to this shard.
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -102,7 +102,10 @@
   bool AccountsSeen = false;
   /// Exists while an account has a limit.
   std::unique_ptr<PrefixMirror> Accounts;
+  /// No shard is claimed any more.
   bool Leaving = false;
+  /// All shards have been released, so the lease is no longer needed.
+  bool ShardsReleased = false;
   bool Reconciling = false;
   detail::JobRequestHandler JobRequests;
 
@@ -626,10 +629,14 @@
 }
 
 asio::awaitable<void> DispatchNode::Impl::leaseLoop() {
-  while (!Leaving) {
+  // Also while the shards are released: a lease that expires meanwhile makes
+  // the next owner wait for this one.
+  while (!ShardsReleased) {
     TimePoint sent = Time.now();
     bool answered = false;
     if (Lease == LeaseId{0}) {
+      if (Leaving)
+        co_return;
       answered = co_await rejoin();
     } else {
       base::Result<void> renewed = co_await Store.renewLease(Lease);
@@ -681,7 +688,7 @@
                                   store, workers, clock, events, metrics)) {}
 
 DispatchNode::~DispatchNode() {
-  Self->Leaving = true;
+  Self->Leaving = Self->ShardsReleased = true;
   for (const std::shared_ptr<ShardRunner> &it : Self->runners())
     it->stop();
   Self->Owned.clear();
@@ -701,6 +708,7 @@
   Self->Leaving = true;
   for (const std::shared_ptr<ShardRunner> &it : Self->runners())
     co_await Self->release(it);
+  Self->ShardsReleased = true;
   if (Self->Lease != LeaseId{0})
     if (base::Result<void> ended =
             co_await Self->Store.revokeLease(Self->Lease);
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -191,8 +191,10 @@
 
 bool ShardState::mayRunAnyTask() const {
   return RosterUnknownUntil ||
-         std::any_of(Workers.begin(), Workers.end(), [](const auto &it) {
-           return it.second->UnverifiedUntil && !it.second->PossibleTasks;
+         std::any_of(Workers.begin(), Workers.end(), [&](const auto &it) {
+           const WorkerState &w = *it.second;
+           return w.UnverifiedUntil &&
+                  (!w.PossibleTasks || PlannedAt < w.TasksKnownAt);
          });
 }
 
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -574,6 +574,8 @@
     setUnlessDefault(row, "term", it.Term);
     if (it.Tasks)
       row["tasks"] = tasksToJson(*it.Tasks);
+    if (it.LeaseLeft)
+      row["leaseMs"] = it.LeaseLeft->count();
     list.push_back(std::move(row));
   }
   return json::serialize(json::object{{"workers", std::move(list)}});
@@ -595,6 +597,9 @@
       const json::object *row = rows->get_array()[roster.size()].if_object();
       if (const json::value *tasks = row ? row->if_contains("tasks") : nullptr)
         entry.Tasks = tasksFromJson(*tasks, it);
+      if (it.has("leaseMs"))
+        entry.LeaseLeft = std::chrono::milliseconds(
+            it.number("leaseMs", 0, platform::MaxInt64));
       roster.push_back(std::move(entry));
     }
     return roster;
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -273,7 +273,7 @@
   auto self = shared_from_this();
   Flushing = true;
   State.withdrawAnnouncements();
-  State.close();
+  State.close(Context.Time.now());
   if (!Stopped && Loaded)
     co_await storeRoster();
   // Maximum number of commits before the shard is released. The next owner
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -206,9 +206,11 @@
       else
         reportUnreadable(it, id ? record.error() : id.error());
     }
-    Context.Events.emit(EventCode::ShardLoaded,
-                        {{"shard", std::to_string(CurrentTerm.Shard)},
-                         {"term", std::to_string(CurrentTerm.Number)}});
+    Context.Events.emit(
+        EventCode::ShardLoaded,
+        {{"shard", std::to_string(CurrentTerm.Shard)},
+         {"term", std::to_string(CurrentTerm.Number)},
+         {"waitsFor", State.describeUnverified(Context.Time.now())}});
     auto self = shared_from_this();
     asio::co_spawn(
         Context.Executor, [self] { return self->planLoop(); }, asio::detached);
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -34,7 +34,7 @@
       task->LostWithLease = true;
   if (!worker.UnverifiedUntil)
     return;
-  if (!worker.PossibleTasks)
+  if (!worker.PossibleTasks || PlannedAt < worker.TasksKnownAt)
     return markInheritedLost();
   for (const TaskKey &it : *worker.PossibleTasks)
     if (TaskEntry *task = findTask(it); task && task->Runs.empty())
@@ -230,13 +230,16 @@
       if (f.Number >= term)
         replaced = std::min(replaced, f.ReplacedAt);
     TimePoint until = replaced + leases;
-    bool isFenced = true;
+    TimePoint tasksKnownAt{};
     for (const FormerTerm &f : former) {
       if (!f.MayAct || f.Number > term || f.ReplacedAt + permission <= now)
         continue;
       until = std::max(until, f.ReplacedAt + permission);
-      isFenced &= f.Number == term;
+      if (f.Number < term)
+        tasksKnownAt = std::max(tasksKnownAt, f.ReplacedAt + permission);
     }
+    if (it.LeaseLeft)
+      until = std::min<TimePoint>(until, now + *it.LeaseLeft);
     if (until <= now)
       continue;
     auto &entry = s.Workers[it.Id];
@@ -245,12 +248,30 @@
     entry->Profile.Id = it.Id;
     entry->Profile.Endpoint = it.Endpoint;
     entry->UsedInTerm = it.Term;
-    if (isFenced)
-      entry->PossibleTasks = it.Tasks;
+    entry->PossibleTasks = it.Tasks;
+    entry->TasksKnownAt = tasksKnownAt;
     entry->UnverifiedUntil = until;
   }
 }
 
+std::string Shard::describeUnverified(TimePoint now) const {
+  constexpr std::size_t maxWorkers = 20;
+  std::string text;
+  std::size_t n = 0;
+  for (const auto &[id, w] : State->Workers) {
+    if (!w->UnverifiedUntil)
+      continue;
+    if (++n > maxWorkers)
+      return text + " and others";
+    text +=
+        (n > 1 ? " " : "") + id.str() + ":" + std::to_string(w->UsedInTerm) +
+        ":" + std::to_string((*w->UnverifiedUntil - now) / 1ms) + "ms:" +
+        (w->PossibleTasks ? std::to_string(w->PossibleTasks->size()) : "any") +
+        (now < w->TasksKnownAt ? "?" : "");
+  }
+  return text;
+}
+
 void Shard::markRosterUnknown(TimePoint now) {
   State->RosterUnknownUntil =
       now + std::max(maxLeaseLifetime(State->Options),
@@ -264,9 +285,11 @@
 void Shard::onEarlierOwnersEnded(TimePoint now) {
   detail::ShardState &s = *State;
   TimePoint until = now + maxLeaseLifetime(s.Options);
-  for (auto &[id, w] : s.Workers)
+  for (auto &[id, w] : s.Workers) {
     if (w->UnverifiedUntil)
       w->UnverifiedUntil = std::min(*w->UnverifiedUntil, until);
+    w->TasksKnownAt = std::min(w->TasksKnownAt, until);
+  }
 }
 
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -466,8 +466,9 @@
   std::vector<RosterEntry> roster;
   for (const auto &[id, w] : State->Workers)
     if (w->UsedInTerm == State->Term || w->UnverifiedUntil)
-      roster.push_back(
-          {id, w->Profile.Endpoint, w->UsedInTerm, w->PossibleTasks});
+      roster.push_back({id, w->Profile.Endpoint, w->UsedInTerm,
+                        w->PossibleTasks,
+                        w->UnverifiedUntil ? w->LeaseLeft : std::nullopt});
   return roster;
 }
 
@@ -493,9 +494,15 @@
   }
 }
 
-void Shard::close() {
+void Shard::close(TimePoint now) {
   State->Closing = true;
   State->updatePossibleTasks();
+  // This term has requested no lease there: the next owner, whose node may have
+  // started meanwhile, need not begin the wait anew.
+  for (auto &[id, w] : State->Workers)
+    if (w->UnverifiedUntil && w->UsedInTerm != State->Term)
+      w->LeaseLeft = std::chrono::ceil<std::chrono::milliseconds>(
+          std::max(base::Duration{0}, *w->UnverifiedUntil - now));
 }
 
 std::optional<PlannedPoll> Shard::nextPoll(const base::WorkerId &worker,
@@ -641,6 +648,7 @@
   if (w.UsedInTerm != s.Term) {
     w.UsedInTerm = s.Term;
     w.PossibleTasks.reset();
+    w.LeaseLeft.reset();
   }
   // An earlier owner may have requested a lease just before this poll.
   if (!w.Runs.empty() || !w.OrphanRuns.empty())
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -316,6 +316,12 @@
   /// have runs on it; nothing if any may. As in the roster.
   std::int64_t UsedInTerm = 0;
   std::optional<std::vector<TaskKey>> PossibleTasks;
+  /// PossibleTasks holds from then on: until then, an owner of an earlier term
+  /// may use the worker, if that has restarted and forgotten the higher token.
+  TimePoint TasksKnownAt{};
+  /// How long the worker may hold leases of that term, as of the last roster of
+  /// this term; as in the roster.
+  std::optional<std::chrono::milliseconds> LeaseLeft;
   /// The stored roster shows that this term uses the worker, so leases may be
   /// requested.
   bool MayHoldLease = false;
--- a/tests/support/StoreLink.h
+++ b/tests/support/StoreLink.h
@@ -15,11 +15,14 @@
 
 public:
   bool Cut = false;
+  /// Time that a commit takes before it reaches the store.
+  std::chrono::milliseconds CommitDelay{1};
+  int Renewals = 0;
 
   explicit StoreLink(dispatch::MetadataStore &store) : Store(store) {}
 
   Async<dispatch::CommitOutcome> commit(dispatch::Commit request) override {
-    co_await delay();
+    co_await delay(CommitDelay);
     if (Cut)
       co_return unavailable();
     co_return co_await Store.commit(std::move(request));
@@ -55,6 +58,7 @@
     co_return co_await Store.grantLease(ttl);
   }
   Async<void> renewLease(dispatch::LeaseId lease) override {
+    ++Renewals;
     co_await delay();
     if (Cut)
       co_return unavailable();
@@ -68,9 +72,9 @@
   }
 
 private:
-  static asio::awaitable<void> delay() {
-    asio::steady_timer timer(co_await asio::this_coro::executor,
-                             std::chrono::milliseconds(1));
+  static asio::awaitable<void>
+  delay(std::chrono::milliseconds time = std::chrono::milliseconds(1)) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -70,6 +70,18 @@
   EXPECT_LT(after.At - CutAt, 2300ms);
 }
 
+// review/2 on seeds 5 and 6: the lease of a node that took longer than that to
+// release its shards expired, and the next owner had to wait for it.
+TEST_F(CutOffOwner, SlowRelease_KeepsTheLease) {
+  Links[0]->CommitDelay = 800ms;
+  int before = Links[0]->Renewals;
+  asio::co_spawn(Io, First->leave(), asio::detached);
+  runFor(750ms);
+  // The lease takes 0.4 s.
+  EXPECT_GT(Links[0]->Renewals, before + 3);
+  EXPECT_TRUE(runUntil([&] { return Second->ownedShards() == 1; }, 8000ms));
+}
+
 /// The first shard runs on workers that the next one inherits.
 class ShardHandover : public ShardFixture {
 protected:
@@ -158,7 +170,7 @@
 // A planned release lists what runs on each worker, also on one that the owner
 // does not know to be silent.
 TEST_F(ShardHandover, PlannedRelease_HoldsOnlyTheTasksThatRun) {
-  TestShard.close();
+  TestShard.close(now());
   handOver({{Term, now(), false}});
   EXPECT_EQ(startsOf(Waiting), 2u);
   EXPECT_EQ(startsOf(Running), 0u);
@@ -172,7 +184,7 @@
   report.Ended = {{1, Started[0].Run, RunOutcome::Done, ""},
                   {2, Started[1].Run, RunOutcome::Done, ""}};
   poll("w1", report);
-  TestShard.close();
+  TestShard.close(now());
   handOver({{Term, now(), false}});
   EXPECT_EQ(startsOf(Waiting), 2u);
   EXPECT_EQ(startsOf(Running), 0u);
@@ -197,6 +209,19 @@
   EXPECT_EQ(startsOf(Waiting), 2u);
 }
 
+// The next owner's node may have started after the replacement of an owner, and
+// would wait for it from then on.
+TEST_F(ShardHandover, InheritedWait_GoesOnWhereItWas) {
+  TestShard.markUnverified({{base::WorkerId("w3"), {"10.0.0.3", 8080}, 1}},
+                           {{1, now(), false}, {2, now(), false}}, now());
+  Time.advance(4s);
+  TestShard.close(now());
+  handOver({{Term, now(), false}});
+  EXPECT_EQ(startsOf(Waiting), 0u);
+  Time.advance(2300ms);
+  EXPECT_EQ(startsOf(Waiting), 2u);
+}
+
 // The fence of both: a later owner trusts the roster to name the last term that
 // could use a worker.
 TEST_F(ShardHandover, InheritedWorker_GetsNothingBeforeTheRosterNamesTheTerm) {
--- a/tests/unit/unit-dispatch-records.cpp
+++ b/tests/unit/unit-dispatch-records.cpp
@@ -284,7 +284,7 @@
   std::vector<RosterEntry> roster{
       {base::WorkerId("any"), {"10.0.0.1", 80}},
       {base::WorkerId("none"), {"10.0.0.2", 80}, 4, Tasks{}},
-      {base::WorkerId("some"), {"10.0.0.3", 80}, 5, some}};
+      {base::WorkerId("some"), {"10.0.0.3", 80}, 5, some, 2500ms}};
   auto read = decodeRoster(encodeRoster(roster));
   ASSERT_TRUE(read) << read.error().message();
   EXPECT_EQ(read.value(), roster);
