A worker that answers again is usable after one write of the roster

A worker that is heard or listed again got its next start a plan late.

Cause: the list of its tasks was dropped in the next plan only, and the roster without the list could be stored only after that.

Change: the list follows each answer and each entry of the worker at once.

--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -162,27 +162,31 @@
   return tasks;
 }
 
-void ShardState::updatePossibleTasks() {
-  for (auto &[id, w] : Workers) {
-    if (w->UsedInTerm != Term || w->UnverifiedUntil)
-      continue;
-    bool getsStarts = w->Listed && w->Synced && !w->Profile.Draining &&
-                      !w->SilentSince && !Closing;
-    if (getsStarts) {
-      w->PossibleTasks.reset();
-      continue;
-    }
-    std::set<TaskKey> tasks = tasksOn(*w);
-    // The list is not shortened with each end, which would cost a commit.
-    if (w->PossibleTasks && tasks.empty() == w->PossibleTasks->empty() &&
-        std::includes(w->PossibleTasks->begin(), w->PossibleTasks->end(),
-                      tasks.begin(), tasks.end()))
-      continue;
-    // A row that cannot be read may be a run.
-    if (!w->UnreadableEnds.empty() || (w->Synced && !w->InvalidRow.empty()))
-      continue;
-    w->PossibleTasks.emplace(tasks.begin(), tasks.end());
+void ShardState::updatePossibleTasks(WorkerState &worker) {
+  if (worker.UsedInTerm != Term || worker.UnverifiedUntil)
+    return;
+  bool getsStarts = worker.Listed && worker.Synced &&
+                    !worker.Profile.Draining && !worker.SilentSince && !Closing;
+  if (getsStarts) {
+    worker.PossibleTasks.reset();
+    return;
   }
+  // A row that cannot be read may be a run.
+  if (!worker.UnreadableEnds.empty() ||
+      (worker.Synced && !worker.InvalidRow.empty()))
+    return;
+  std::set<TaskKey> tasks = tasksOn(worker);
+  std::optional<std::vector<TaskKey>> &listed = worker.PossibleTasks;
+  // The list is not shortened with each end, which would cost a commit.
+  if (listed && tasks.empty() == listed->empty() &&
+      std::includes(listed->begin(), listed->end(), tasks.begin(), tasks.end()))
+    return;
+  listed.emplace(tasks.begin(), tasks.end());
+}
+
+void ShardState::updatePossibleTasks() {
+  for (auto &[id, w] : Workers)
+    updatePossibleTasks(*w);
 }
 
 void ShardState::updateHeldTasks() {
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -437,6 +437,7 @@
   w.Listed = true;
   if (restarted)
     s.handleRestart(w, "worker restarted", now);
+  s.updatePossibleTasks(w);
 }
 
 void Shard::unlistWorker(const base::WorkerId &worker) {
@@ -643,13 +644,14 @@
   if (!report.RunningIncomplete && w.UnreadableEnds.empty())
     w.UnverifiedUntil.reset();
   if (!firstReport)
-    return;
+    return s.updatePossibleTasks(w);
   w.Synced = true;
   if (w.UsedInTerm != s.Term) {
     w.UsedInTerm = s.Term;
     w.PossibleTasks.reset();
     w.LeaseLeft.reset();
   }
+  s.updatePossibleTasks(w);
   // An earlier owner may have requested a lease just before this poll.
   if (!w.Runs.empty() || !w.OrphanRuns.empty())
     w.LatestDeadline =
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -564,8 +564,9 @@
   /// record: the next owner must not start them before it has read the list of
   /// the worker.
   std::set<TaskKey> tasksOn(const WorkerState &worker) const;
-  /// Lists the tasks on each worker that gets no starts for the roster, and
-  /// lets the others be used again once that is stored.
+  /// Lists the tasks on a worker that gets no starts for the roster, and lets
+  /// any other be used again once that is stored.
+  void updatePossibleTasks(WorkerState &worker);
   void updatePossibleTasks();
   void updateHeldTasks();
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
