Compare the roster with the stored one without a copy

Each plan built the whole roster to compare it with the stored one, which costs processor time on small nodes; it is compared row by row now.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -35,6 +35,7 @@
 /// Record of the shards' shares of an account's limit.
 std::string account(const std::string &name);
 std::string directoryPrefix();
+std::string shardEntryPrefix();
 std::string shardEntry(std::int32_t shard);
 std::string memberPrefix();
 std::string member(const std::string &name);
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -218,6 +218,8 @@
   /// Returns the roster that must be stored before commands are sent to its
   /// workers.
   std::vector<RosterEntry> roster() const;
+  /// Returns whether \p roster equals roster(), without a copy.
+  bool isRoster(const std::vector<RosterEntry> &roster) const;
   /// The roster may be stored from now on.
   void onRosterSent(const std::vector<RosterEntry> &roster);
   void onRosterStored(const std::vector<RosterEntry> &roster);
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -186,8 +186,9 @@
   if (!fault.empty())
     Events.emit(EventCode::RecordUnreadable,
                 {{"key", item.Key}, {"cause", fault}});
-  for (const auto &[shard, owner] : View.Owners)
-    noteReplacedOwners(shard, owner.Term);
+  if (item.Key.starts_with(keys::shardEntryPrefix()))
+    for (const auto &[shard, owner] : View.Owners)
+      noteReplacedOwners(shard, owner.Term);
   if (item.Key == keys::assignment())
     for (const std::shared_ptr<ShardRunner> &it : runners())
       addAssignedWorkers(*it);
--- a/packages/dispatch/src/NodeRecords.cpp
+++ b/packages/dispatch/src/NodeRecords.cpp
@@ -86,10 +86,6 @@
   return shard;
 }
 
-static std::string shardEntryPrefix() {
-  return keys::directoryPrefix() + "shard/";
-}
-
 std::string DirectoryView::apply(const StoredItem &item) {
   base::Result<json::value> value = platform::parseJson(item.Value);
   if (!value)
@@ -112,7 +108,7 @@
     return fault;
   }
   if (std::optional<std::int32_t> shard =
-          parseShardNumber(item.Key, shardEntryPrefix())) {
+          parseShardNumber(item.Key, keys::shardEntryPrefix())) {
     base::Result<OwnerEntry> owner = decodeOwner(item.Value);
     if (!owner)
       return owner.error().message();
@@ -149,7 +145,7 @@
   if (key.starts_with(keys::memberPrefix()))
     Members.erase(key.substr(keys::memberPrefix().size()));
   if (std::optional<std::int32_t> shard =
-          parseShardNumber(key, shardEntryPrefix()))
+          parseShardNumber(key, keys::shardEntryPrefix()))
     Owners.erase(*shard);
 }
 
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -45,6 +45,7 @@
 std::string load(std::int32_t shard) { return shardKey("q", shard); }
 std::string colocation(std::int32_t shard) { return shardKey("m", shard); }
 std::string directoryPrefix() { return "endivedoor/d/"; }
+std::string shardEntryPrefix() { return directoryPrefix() + "shard/"; }
 std::string shardEntry(std::int32_t shard) {
   return shardKey("d/shard", shard);
 }
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -391,7 +391,7 @@
           asio::detached);
     if (State.isFenced())
       co_return endTerm("a worker has seen a higher fencing token");
-    if (State.roster() != StoredRoster || State.hasWrites())
+    if (!State.isRoster(StoredRoster) || State.hasWrites())
       CommitTimer.cancel();
     Context.MetricsRegistry.setLiveJobs(State.liveJobCount());
     spawnAccountWrites();
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -463,16 +463,40 @@
   return State->Workers.contains(worker);
 }
 
+/// Returns whether the roster has a row for the worker: this term or an earlier
+/// one may have used it.
+static bool hasRow(const WorkerState &worker, std::int64_t term) {
+  return worker.UsedInTerm == term || worker.UnverifiedUntil;
+}
+
+static std::optional<std::chrono::milliseconds>
+leaseLeft(const WorkerState &worker) {
+  return worker.UnverifiedUntil ? worker.LeaseLeft : std::nullopt;
+}
+
 std::vector<RosterEntry> Shard::roster() const {
   std::vector<RosterEntry> roster;
   for (const auto &[id, w] : State->Workers)
-    if (w->UsedInTerm == State->Term || w->UnverifiedUntil)
+    if (hasRow(*w, State->Term))
       roster.push_back({id, w->Profile.Endpoint, w->UsedInTerm,
-                        w->PossibleTasks,
-                        w->UnverifiedUntil ? w->LeaseLeft : std::nullopt});
+                        w->PossibleTasks, leaseLeft(*w)});
   return roster;
 }
 
+bool Shard::isRoster(const std::vector<RosterEntry> &roster) const {
+  auto row = roster.begin();
+  for (const auto &[id, w] : State->Workers) {
+    if (!hasRow(*w, State->Term))
+      continue;
+    if (row == roster.end() || row->Id != id ||
+        row->Endpoint != w->Profile.Endpoint || row->Term != w->UsedInTerm ||
+        row->Tasks != w->PossibleTasks || row->LeaseLeft != leaseLeft(*w))
+      return false;
+    ++row;
+  }
+  return row == roster.end();
+}
+
 void Shard::onRosterSent(const std::vector<RosterEntry> &roster) {
   std::map<base::WorkerId, const RosterEntry *> rows;
   for (const RosterEntry &it : roster)
--- a/tests/support/ShardFixture.h
+++ b/tests/support/ShardFixture.h
@@ -67,6 +67,7 @@
   }
 
   void storeRoster() {
+    EXPECT_TRUE(TestShard.isRoster(TestShard.roster()));
     TestShard.onRosterSent(TestShard.roster());
     TestShard.onRosterStored(TestShard.roster());
   }
