Renew leases while the roster cannot be read

Found by reading the diff. Leases were requested only once the roster named the term, and an unreadable roster is replaced after 8.3 s only: all runs of the shard would have lapsed after 6 s. The next owner of such a shard waits for the longest lease in any case, so they may be renewed.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -575,8 +575,10 @@
   // silent worker requests none: any lease that was sent counts as received, so
   // the runs of a lost worker would never count as ended.
   base::Duration lease = State->leaseDuration(now);
-  if (mayExtendLeases && w.MayHoldLease && clock && !w.SilentSince &&
-      lease > 0ms) {
+  // A roster that cannot be read allows any lease: the next owner waits for the
+  // longest.
+  bool allowed = w.MayHoldLease || State->RosterUnknownUntil;
+  if (mayExtendLeases && allowed && clock && !w.SilentSince && lease > 0ms) {
     plan.Request.Deadline = *clock + std::chrono::floor<WorkerTime>(lease);
     w.LatestDeadline = std::max(w.LatestDeadline, plan.Request.Deadline);
   }
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -240,6 +240,17 @@
   EXPECT_GT(lease().count(), 0);
 }
 
+// Found by reading: the runs of all workers would have lapsed, since no roster
+// is stored before an unreadable one is known to matter no more.
+TEST_F(ShardHandover, UnreadableRoster_LeasesAreRenewed) {
+  Next.markRosterUnknown(now());
+  Next.updateWorker(worker("w2"), now());
+  pollNext();
+  EXPECT_GT(Next.nextPoll(base::WorkerId("w2"), now(), true)
+                ->Request.Deadline.count(),
+            0);
+}
+
 // The fence of the lists: a worker that is alive and was only silent gets no
 // start while a list without that task may be stored, also if the write of the
 // list was not answered.
