A reload during the start of the daemon does not end it

Cause: the handler of SIGHUP is installed once the settings have been read and the daemon is built; before, the signal has its default action.

Change: main() ignores SIGHUP first; the daemon without an installation, which does not handle it, restores the default action.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -10,6 +10,7 @@
 #include <absl/flags/usage_config.h>
 #include <glog/logging.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
@@ -64,6 +65,7 @@
     return InvalidSettingsStatus;
   if (checksOnly())
     return 0;
+  std::signal(SIGHUP, SIG_DFL);
   auto *daemon = new Daemon(std::move(outcome.Value));
   return daemon->run();
 }
@@ -113,6 +115,8 @@
 } // namespace endivedoor::daemon
 
 int main(int argc, char **argv) {
+  // A reload may be requested before DispatchDaemon handles the signal.
+  std::signal(SIGHUP, SIG_IGN);
   int status = endivedoor::daemon::run(argc, argv);
   google::FlushLogFiles(google::INFO);
   std::cout.flush();
