Tests of the two proofs that a permission rests on

An owner whose lease is renewed without its shard, and a node that joined again but could not attach its shard's entry: both alive, in both the permission ends. With the later of the two proofs in place of the earlier one, and with the lease used before the entries are attached, the tests fail.

--- a/tests/support/StoreLink.h
+++ b/tests/support/StoreLink.h
@@ -15,15 +15,22 @@
 
 public:
   bool Cut = false;
+  /// Renewals of leases are answered also while the link is cut.
+  bool RenewalsPass = false;
   /// Time that a commit takes before it reaches the store.
   std::chrono::milliseconds CommitDelay{1};
   int Renewals = 0;
+  /// Commits that write this key fail and have no effect; empty for none.
+  std::string FailingKey;
 
   explicit StoreLink(dispatch::MetadataStore &store) : Store(store) {}
 
   Async<dispatch::CommitOutcome> commit(dispatch::Commit request) override {
     co_await delay(CommitDelay);
-    if (Cut)
+    bool fails = std::any_of(
+        request.Writes.begin(), request.Writes.end(),
+        [&](const dispatch::Write &it) { return it.Key == FailingKey; });
+    if (Cut || fails)
       co_return unavailable();
     co_return co_await Store.commit(std::move(request));
   }
@@ -60,7 +67,7 @@
   Async<void> renewLease(dispatch::LeaseId lease) override {
     ++Renewals;
     co_await delay();
-    if (Cut)
+    if (Cut && !RenewalsPass)
       co_return unavailable();
     co_return co_await Store.renewLease(lease);
   }
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -70,6 +70,31 @@
   EXPECT_LT(after.At - CutAt, 2300ms);
 }
 
+// The store may take a key away without a word to its owner, whose lease is
+// still renewed. The permission ends all the same.
+TEST_F(IsolatedOwner, RenewedLeaseWithoutTheShard_RenewsNoPermission) {
+  Links[0]->Cut = Links[0]->RenewalsPass = true;
+  Leased.isolate(Leased.Starts[0].Worker);
+  Store.erase(dispatch::keys::shardEntry(0));
+  ASSERT_TRUE(runUntil([&] { return Leased.Starts.size() == 2; }, 6000ms));
+  EXPECT_LT(Leased.leaseEnd(Leased.Starts[0].Worker), Leased.Starts[1].At);
+}
+
+// A node that joins again with a new lease owns its shard only once the entry
+// of the shard is attached to it: until then, another node may claim the shard.
+TEST_F(IsolatedOwner, EntryNotAttachedToTheNewLease_RenewsNoPermission) {
+  Nodes.pop_back();
+  base::WorkerId worker = Leased.Starts[0].Worker;
+  Links[0]->FailingKey = dispatch::keys::shardEntry(0);
+  base::TimePoint expired = Time.now();
+  Store.expireLease(dispatch::LeaseId{1});
+  runFor(2500ms);
+  EXPECT_LT(Leased.leaseEnd(worker), expired + Grace + 300ms);
+  Links[0]->FailingKey.clear();
+  EXPECT_TRUE(
+      runUntil([&] { return Leased.leaseEnd(worker) > Time.now() + 1s; }));
+}
+
 // review/2 on seeds 5 and 6: the lease of a node that took longer than that to
 // release its shards expired, and the next owner had to wait for it.
 TEST_F(IsolatedOwner, SlowRelease_KeepsTheLease) {
