Attach the entries of a node that joins again to its new lease

What callers would have seen: a node loses its lease, joins again, keeps its shard and is then lost for good; nobody takes the shard over.

Evidence: DispatchNodeOwnership.RejoinedOwner_IsReplacedWhenItIsLost fails without the change.

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -562,7 +562,7 @@
     commit.Writes = {{keys::shardEntry(term.Shard),
                       detail::encodeOwner(
                           {{Options.Name, Options.Instance}, term.Number, {}}),
-                      Lease}};
+                      lease.value()}};
     base::Result<CommitOutcome> done = co_await Store.commit(std::move(commit));
     if (!done)
       co_return false;
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -487,6 +487,23 @@
       runUntil([&] { return Workers.StartCounts.size() == 2; }, 3000ms));
 }
 
+// Found by reading: the entry of a shard that its owner had kept through a new
+// lease was attached to none, and outlived the owner.
+TEST_F(DispatchNodeOwnership, RejoinedOwner_IsReplacedWhenItIsLost) {
+  DispatchNode &first = addNode("n1");
+  ASSERT_TRUE(runUntil([&] { return first.ownedShards() == 1; }));
+  Store.expireLease(dispatch::LeaseId{1});
+  ASSERT_TRUE(
+      runUntil([&] { return Store.has(dispatch::keys::shardEntry(0)); }));
+  EXPECT_EQ(first.ownedShards(), 1u);
+  DispatchNode &second = addNode("n2");
+  runFor(300ms);
+  Nodes[0].reset();
+  for (std::int64_t lease = 1; lease <= 2; ++lease)
+    Store.expireLease(dispatch::LeaseId{lease});
+  EXPECT_TRUE(runUntil([&] { return second.ownedShards() == 1; }, 3000ms));
+}
+
 // review/1: a machine that was removed for good stayed an earlier owner in the
 // record of every later term, which made each later owner wait for it.
 TEST_F(DispatchNodeOwnership, RemovedOwner_IsForgottenWhenItsPermissionEnds) {
