--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -188,6 +188,9 @@
     fields.push_back(
         {"largestRoomCpu", std::to_string(count(rooms.LargestCpu))});
     fields.push_back({"reservations", std::to_string(Reservations.size())});
+    fields.push_back(
+        {"unservedMs", std::to_string(
+                           (now - entry.UnservedSince.value_or(now)) / 1ms)});
   }
   Events.emit(EventCode::TaskWaits, std::move(fields));
 }
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -7,6 +7,7 @@
 
 namespace asio = boost::asio;
 using base::EventCode;
+using namespace std::chrono_literals;
 
 /// Maximum number of jobs of which tasks are delegated between two commits, and
 /// of jobs that are offered; an offer that no shard takes costs no call.
@@ -215,6 +216,7 @@
                          {"from", std::to_string(from)},
                          {"to", std::to_string(to)},
                          {"tasks", std::to_string(offer.Part.Tasks.size())},
+                         {"waitedMs", std::to_string(offer.Part.Waited / 1ms)},
                          {"shards", choice.Weighed}});
     State.onDelegationFinished(offer, to, revision, Context.Time.now());
     co_return true;
