Short work gives way to a long-running task that waits for its room

What callers saw: a long-running task did not run for as long as the short work in its room took (LOST). Change: after 2 s runs with checkpoints are stopped in the room that is reserved, after 3.5 s any short run that can be repeated, those that lose least first and no more than needed. The worker is chosen by that, and what becomes free is not handed out before the rest is free. It works because the end of a stop is bounded, whatever the expected times say.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -757,7 +757,7 @@
   s.MayStartLost = ownsShard;
   if (s.StartBudget > 0) {
     s.startReadySteps(now);
-    s.moveFillersForReservations(now);
+    s.makeRoomForReservations(now);
     s.copyStragglers(now);
   }
   s.throttleFillers(now);
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -19,6 +19,12 @@
 /// Callers count them as lost after 6 s, of which the awaited runs need a part.
 constexpr std::size_t MinWorkersPerReservation = 2;
 constexpr base::Duration LongRunningWait = 2000ms;
+/// After this wait, a long-running task ends any short run that can be
+/// repeated, also if its work is lost: a stop and a start fit into the rest of
+/// the callers' 6 s.
+constexpr base::Duration RepeatableWait = 3500ms;
+/// How long a stop may take until its end is listed.
+constexpr auto StopTime = 2000ms;
 /// The same for a gang, of which only one has reservations at a time.
 constexpr std::size_t MinWorkersPerGangReservation = 2;
 /// A reservation is replaced by one that is due sooner by more than this.
@@ -48,25 +54,35 @@
   return ends;
 }
 
-/// Returns whether a run can be stopped for a long-running task without losing
-/// its work.
-static bool isMovableFiller(const model::StepSpec &step) {
-  return step.Filler && step.SupportsCheckpoints;
+/// Which runs are stopped for a long-running task.
+enum class GivesWay { None, Checkpointed, Repeatable };
+
+static GivesWay givesWayAfter(base::Duration waited) {
+  return waited >= RepeatableWait    ? GivesWay::Repeatable
+         : waited >= LongRunningWait ? GivesWay::Checkpointed
+                                     : GivesWay::None;
+}
+
+/// A member of a gang does not give way: its stop would end the whole gang.
+static bool mayStop(const model::StepSpec &step, GivesWay which) {
+  return !step.LongRunning && !step.Gang &&
+         (which == GivesWay::Repeatable ||
+          (which == GivesWay::Checkpointed && step.SupportsCheckpoints));
 }
 
-/// Returns when the worker has room for a task of the step.
+/// Returns when the worker has room for a long-running task.
 ///
-/// \param moveFillers whether fillers give way at once.
+/// \param stopped the runs that give way at once.
 static std::optional<policy::Opening>
 soonestOpening(const ShardState &shard, WorkerState &w,
-               const model::StepSpec &spec, bool moveFillers, TimePoint now) {
-  if (!moveFillers || w.FillerCpu == 0)
+               const base::Resources &size, GivesWay stopped, TimePoint now) {
+  if (stopped == GivesWay::None)
     return policy::soonestOpening(w.Profile.Capacity, w.Used,
-                                  expectedEnds(shard, w), spec.Size, now);
+                                  expectedEnds(shard, w), size, now);
   base::Resources used = w.Used;
   std::vector<policy::ExpectedEnd> ends;
   for (const auto &[id, held] : w.Runs) {
-    if (isMovableFiller(*held.Step)) {
+    if (mayStop(*held.Step, stopped)) {
       used -= held.Size;
     } else if (!held.Step->LongRunning) {
       base::Duration expected = shard.expectedTime(
@@ -74,7 +90,17 @@
       ends.push_back({held.Started + expected, held.Size, expected});
     }
   }
-  return policy::soonestOpening(w.Profile.Capacity, used, ends, spec.Size, now);
+  return policy::soonestOpening(w.Profile.Capacity, used, ends, size, now);
+}
+
+/// Returns whether an opening comes sooner than another one, or as soon with
+/// less to stop.
+static bool isSooner(const policy::Opening &a, const WorkerState &onA,
+                     const policy::Opening &b, const WorkerState &onB) {
+  auto free = [](const WorkerState &w) {
+    return count(w.Profile.Capacity.Cpu) - count(w.Used.Cpu);
+  };
+  return std::pair(a.Due, -free(onA)) < std::pair(b.Due, -free(onB));
 }
 
 static bool fitsNow(const WorkerState &w, const base::Resources &size) {
@@ -83,8 +109,8 @@
   return needed.fitsIn(w.Profile.Capacity);
 }
 
-static bool hasWaitedLong(const StepEntry &entry, TimePoint now) {
-  return now - entry.UnservedSince.value_or(now) >= LongRunningWait;
+static base::Duration waitOf(const StepEntry &entry, TimePoint now) {
+  return now - entry.UnservedSince.value_or(now);
 }
 
 static policy::HeldCapacity held(ShardState &shard, WorkerState &w,
@@ -162,39 +188,73 @@
   }
 }
 
-void ShardState::moveFillersForReservations(TimePoint now) {
-  for (const Reservation &r : Reservations) {
+/// Returns the runs to stop so that a task fits on the worker: those that lose
+/// least, no more than needed. Empty if they do not suffice.
+static std::vector<RunView>
+runsToStop(const WorkerState &w, const base::Resources &size, GivesWay which) {
+  base::Resources used = w.Used;
+  used += size;
+  std::vector<RunView> runs = runsOn(w);
+  std::erase_if(runs, [&](const RunView &it) {
+    if (it.Entry->Phase == RunPhase::Stopping)
+      used -= w.Runs.at(it.Id).Size;
+    return it.Entry->Phase != RunPhase::Running || !mayStop(*it.Step, which);
+  });
+  std::stable_sort(
+      runs.begin(), runs.end(), [](const RunView &a, const RunView &b) {
+        return std::pair(!a.Step->SupportsCheckpoints, b.Entry->Started) <
+               std::pair(!b.Step->SupportsCheckpoints, a.Entry->Started);
+      });
+  std::vector<RunView> stopped;
+  for (const RunView &it : runs) {
+    if (used.fitsIn(w.Profile.Capacity))
+      break;
+    used -= w.Runs.at(it.Id).Size;
+    stopped.push_back(it);
+  }
+  if (!used.fitsIn(w.Profile.Capacity))
+    return {};
+  // What was taken first may only have freed memory while CPU was lacking.
+  std::erase_if(stopped, [&](const RunView &it) {
+    base::Resources with = used;
+    with += w.Runs.at(it.Id).Size;
+    bool needless = with.fitsIn(w.Profile.Capacity);
+    if (needless)
+      used = with;
+    return needless;
+  });
+  return stopped;
+}
+
+void ShardState::makeRoomForReservations(TimePoint now) {
+  for (Reservation &r : Reservations) {
     JobEntry *job = findJob(r.Job);
     if (!r.LongRunning || !job || !job->Occurrences.contains(r.Occurrence))
       continue;
-    const Occurrence &o = job->Occurrences.at(r.Occurrence);
+    const StepEntry &entry = job->Occurrences.at(r.Occurrence)
+                                 .Steps[static_cast<std::size_t>(r.Step)];
     WorkerState &w = *Workers.find(r.Worker)->second;
-    base::Resources used = w.Used;
-    used += r.Size;
-    // While CPU is lacking, the memory would stay idle.
-    if (!hasWaitedLong(o.Steps[static_cast<std::size_t>(r.Step)], now) ||
-        w.FillerCpu == 0 || count(used.Cpu) > count(w.Profile.Capacity.Cpu))
+    base::Duration waited = waitOf(entry, now);
+    GivesWay which = givesWayAfter(waited);
+    if (entry.WaitingCount == 0 || which == GivesWay::None)
       continue;
-    std::vector<RunView> fillers = runsOn(w);
-    std::erase_if(fillers, [](const RunView &it) {
-      return !isMovableFiller(*it.Step) ||
-             it.Entry->Phase == RunPhase::Starting;
-    });
-    for (const RunView &it : fillers)
-      if (it.Entry->Phase == RunPhase::Stopping)
-        used -= w.Runs.at(it.Id).Size;
-    std::vector<RunView> moved;
-    for (const RunView &it : fillers) {
-      if (used.fitsIn(w.Profile.Capacity))
-        break;
-      if (it.Entry->Phase != RunPhase::Running)
-        continue;
-      used -= w.Runs.at(it.Id).Size;
-      moved.push_back(it);
-    }
-    if (used.fitsIn(w.Profile.Capacity))
-      for (const RunView &it : moved)
-        moveFiller(w, it, "memory for a long-running task", now);
+    // Runs that are about to end are not worth a stop, as long as they keep to
+    // what is expected of them.
+    auto opening = soonestOpening(*this, w, r.Size, GivesWay::None, now);
+    if (waited < RepeatableWait && opening && opening->Due < now + MinGain &&
+        now < r.Due + MinGain)
+      continue;
+    std::vector<RunView> stopped = runsToStop(w, r.Size, which);
+    for (const RunView &it : stopped)
+      if (it.Step->Filler)
+        moveFiller(w, it, "room for a long-running task", now);
+      else
+        stopRun(it.Id.Task, *it.Entry, "room for a long-running task", now);
+    if (stopped.empty())
+      continue;
+    // What is freed now must not go to others until the rest is free as well.
+    r.Due = now;
+    r.EndsAt = std::max(r.EndsAt, now + StopTime);
   }
 }
 
@@ -243,15 +303,14 @@
   Reservations.push_back(std::move(r));
 }
 
-/// Returns how many workers may be reserved for tasks of the kind of a step.
-static std::size_t maxReservations(const ShardState &shard,
-                                   const model::StepSpec &spec,
-                                   const StepEntry &entry, TimePoint now) {
+/// Returns how many workers may be reserved for tasks that have waited for some
+/// time.
+static std::size_t maxReservations(const ShardState &shard, bool longRunning,
+                                   base::Duration waited) {
   double min = 1.0 / WorkersPerReservation,
          max = 1.0 / MinWorkersPerReservation;
   double share = min;
-  if (spec.LongRunning) {
-    base::Duration waited = now - entry.UnservedSince.value_or(now);
+  if (longRunning) {
     double part = std::chrono::duration<double>(waited) / LongRunningWait;
     share += (max - min) * std::clamp(part, 0.0, 1.0);
   }
@@ -259,6 +318,17 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(workers * share));
 }
 
+/// Each kind has its own limit, since a short step passes on its reservation to
+/// others within the plan that uses it, before long-running steps can have it.
+static bool mayReserveMore(const ShardState &shard, bool longRunning,
+                           base::Duration waited) {
+  auto sameKind = std::count_if(
+      shard.Reservations.begin(), shard.Reservations.end(),
+      [&](const Reservation &it) { return it.LongRunning == longRunning; });
+  return static_cast<std::size_t>(sameKind) <
+         maxReservations(shard, longRunning, waited);
+}
+
 void ShardState::reserveSoonest(const JobEntry &job, const Occurrence &o,
                                 std::int32_t step, std::int32_t tasks,
                                 const StepCounts &counts, TimePoint now) {
@@ -273,23 +343,14 @@
       if (latest == Reservations.end() || it->Due > latest->Due)
         latest = it;
     }
-  // Each kind has its own, since a short step passes on its reservation to
-  // others within the plan that uses it, before long-running steps can have it.
-  auto sameKind = std::count_if(Reservations.begin(), Reservations.end(),
-                                [&](const Reservation &it) {
-                                  return it.LongRunning == spec.LongRunning;
-                                });
-  std::size_t max = maxReservations(
-      *this, spec, o.Steps[static_cast<std::size_t>(step)], now);
-  bool full = own >= tasks || static_cast<std::size_t>(sameKind) >= max;
+  base::Duration waited = waitOf(o.Steps[static_cast<std::size_t>(step)], now);
+  bool full = own >= tasks || !mayReserveMore(*this, spec.LongRunning, waited);
   // A worker that was held for another task may have become free since.
   bool mayReplace = spec.LongRunning && latest != Reservations.end() &&
                     latest->Due > now + MinGain;
   if (!mayReserve(spec) || (full && !mayReplace))
     return;
-  bool moveFillers =
-      spec.LongRunning &&
-      hasWaitedLong(o.Steps[static_cast<std::size_t>(step)], now);
+  GivesWay stopped = spec.LongRunning ? givesWayAfter(waited) : GivesWay::None;
   WorkerState *best = nullptr;
   policy::Opening soonest;
   for (const auto &[id, w] : Workers) {
@@ -299,8 +360,10 @@
          same->second >= spec.MaxPerWorker) ||
         !mayHost(*this, job, spec, *w, now))
       continue;
-    auto opening = soonestOpening(*this, *w, spec, moveFillers, now);
-    if (opening && (!best || opening->Due < soonest.Due)) {
+    auto opening = soonestOpening(*this, *w, spec.Size, stopped, now);
+    if (opening && (!best || (stopped == GivesWay::None
+                                  ? opening->Due < soonest.Due
+                                  : isSooner(*opening, *w, soonest, *best)))) {
       best = w.get();
       soonest = *opening;
     }
@@ -309,8 +372,8 @@
   // without a reservation. Long-running tasks come after short ones in order.
   if (!best)
     return;
-  bool waitsForFillers = moveFillers && !fitsNow(*best, spec.Size);
-  if ((!waitsForFillers && soonest.Runs < (spec.LongRunning ? 1U : 2U)) ||
+  bool waitsForStops = stopped != GivesWay::None && !fitsNow(*best, spec.Size);
+  if ((!waitsForStops && soonest.Runs < (spec.LongRunning ? 1U : 2U)) ||
       !isWorthwhile(job, o, step, soonest.Due, now))
     return;
   if (full) {
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -688,9 +688,9 @@
   /// they fit together.
   void reserveForGang(const JobEntry &job, const Occurrence &o,
                       std::int32_t step, TimePoint now);
-  /// Stops fillers whose memory alone keeps a long-running task, which has
-  /// waited for long, from the worker that is reserved for it.
-  void moveFillersForReservations(TimePoint now);
+  /// Stops runs that keep a long-running task, which has waited for long, from
+  /// the worker that is reserved for it.
+  void makeRoomForReservations(TimePoint now);
   bool hasReservation(const JobEntry &job, const Occurrence &o,
                       std::int32_t step) const;
   bool mayReserve(const model::StepSpec &spec) const;
--- a/tests/unit/unit-dispatch-longrunning.cpp
+++ b/tests/unit/unit-dispatch-longrunning.cpp
@@ -319,6 +319,15 @@
   expectBound(streams, {.TasksPerStep = 32, .Cpu = 4500});
 }
 
+// Reservations wait for ends that come too late: short work gave way to nobody.
+TEST_P(FullShardWithShortWork,
+       ShortWorkThatOutlastsTheWait_TaskStartsWithinTheCallersBound) {
+  std::vector<Stream> streams = smallSizes();
+  for (Stream &it : streams)
+    it.MeanTime = 20s;
+  expectBound(streams, {.Cpu = Room});
+}
+
 // Fillers reserve no CPU, but take each free piece of memory.
 TEST_P(FullShardWithShortWork,
        MemoryHeldByFillers_TaskStartsWithinTheCallersBound) {
