--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -23,6 +23,8 @@
 std::string owner(std::int32_t shard);
 std::string job(std::int32_t shard, model::JobNumber job);
 std::string cancel(std::int32_t shard, model::JobNumber job);
+/// Room that another shard holds for tasks of a job of \p shard.
+std::string roomGrant(std::int32_t shard, model::JobNumber job);
 std::string progressPrefix(std::int32_t shard);
 std::string progress(std::int32_t shard, model::JobNumber job);
 std::string index(model::JobNumber job);
@@ -177,6 +179,33 @@
 /// Step and index of a task of a job without occurrences.
 using TaskPosition = std::pair<std::int32_t, std::int32_t>;
 
+/// Waiting tasks of one step of a long-running job for which a shard asks the
+/// others for room.
+struct RoomRequest {
+  model::JobNumber Job{0};
+  std::int32_t Step = 0;
+  /// Indexes within the step.
+  std::vector<std::int32_t> Tasks;
+  base::Resources Size;
+  base::ServiceName Service;
+  /// Label that a worker must have; empty for none.
+  std::string Requirement = {};
+  /// How long the tasks have waited, in whole seconds.
+  std::chrono::seconds Waited{0};
+  friend bool operator==(const RoomRequest &, const RoomRequest &) = default;
+};
+
+/// Room that a shard holds for some time for tasks that wait in another one.
+/// Only a hint: the shard of the tasks decides and commits.
+struct RoomGrant {
+  /// Shard that holds the room.
+  std::int32_t Shard = 0;
+  std::int32_t Step = 0;
+  /// Number of tasks of the step that have room.
+  std::int32_t Tasks = 0;
+  friend bool operator==(const RoomGrant &, const RoomGrant &) = default;
+};
+
 /// Waiting tasks that a shard offers to others.
 struct Delegation {
   model::AcceptedJob Job;
@@ -188,6 +217,8 @@
   /// Tasks that shards have had before and passed on. They do not take these
   /// again.
   std::map<std::int32_t, std::set<TaskPosition>> HadBefore = {};
+  /// Shard that holds room for the tasks; nothing if one must be found.
+  std::optional<std::int32_t> GrantedBy = {};
 };
 
 /// A cancellation that must reach a shard that runs a part of the job.
@@ -234,6 +265,7 @@
 /// \param shards shards of the job's parts for which the cancellation has been
 /// stored as well.
 std::string encodeCancel(const std::set<std::int32_t> &shards);
+std::string encodeRoomGrant(const RoomGrant &grant);
 std::string encodeRoster(const std::vector<RosterEntry> &roster);
 
 /// Errors of all decoders: ParseFailed.
@@ -247,6 +279,7 @@
 base::Result<std::optional<JobPart>> decodePart(const std::string &text);
 /// Returns the shards that encodeCancel() was given.
 base::Result<std::set<std::int32_t>> decodeCancel(const std::string &text);
+base::Result<RoomGrant> decodeRoomGrant(const std::string &text);
 base::Result<JobIndexEntry> decodeIndex(const std::string &text);
 base::Result<JobProgress> decodeProgress(const std::string &text);
 base::Result<std::vector<RosterEntry>> decodeRoster(const std::string &text);
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -70,6 +70,16 @@
   /// seconds; the empty name stands for jobs without an account. Empty if the
   /// configuration has no accounts.
   std::map<std::string, std::int64_t> StartedCpu;
+  /// Waiting tasks for which the shard asks the others, longest wait first.
+  std::vector<RoomRequest> Requests;
+};
+
+/// Room that is to be announced to another shard.
+struct RoomOffer {
+  model::JobNumber Job{0};
+  /// Shard in which the tasks wait.
+  std::int32_t To = 0;
+  RoomGrant Grant;
 };
 
 /// What the configuration grants to a client account.
@@ -310,6 +320,24 @@
   void onDelegationFinished(const Delegation &offer,
                             std::optional<std::int32_t> shard,
                             std::int64_t revision, base::TimePoint now);
+  /// Passes in what another shard asks for, from its load record.
+  void setRoomRequests(std::int32_t shard, std::vector<RoomRequest> requests);
+  /// The load records cannot be read, so no room is held for other shards.
+  void clearRoomRequests();
+  /// Returns grants to be stored for other shards, at most \p limit. One that
+  /// is not stored is not repeated: the room is free again after a short time.
+  std::vector<RoomOffer> takeRoomOffers(std::size_t limit);
+  /// Another shard holds room for tasks of a job. The next takeDelegations()
+  /// returns them if they still wait.
+  void onRoomGrant(model::JobNumber job, const RoomGrant &grant,
+                   base::TimePoint now);
+  /// Returns whether takeDelegations() may use a grant.
+  bool hasGrants(base::TimePoint now) const;
+  /// Returns jobs whose grants have been read, so that their records can be
+  /// deleted, at most \p limit.
+  std::vector<model::JobNumber> takeReadGrants(std::size_t limit);
+  /// The records were not deleted.
+  void onGrantsKept(const std::vector<model::JobNumber> &jobs);
   /// Returns cancellations to be stored for other shards, at most \p limit.
   std::vector<CancelForward> takeCancelForwards(std::size_t limit);
   /// \param stored whether the cancellations were stored; if not, they are
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -29,6 +29,21 @@
 
 namespace detail {
 
+static bool hasOnlyLongRunningSteps(const model::JobGraph &graph) {
+  return graph.Occurrences == 0 &&
+         std::all_of(graph.Steps.begin(), graph.Steps.end(),
+                     [](const model::StepSpec &it) {
+                       return it.LongRunning && !it.Gang;
+                     });
+}
+
+bool mayBeSplit(const JobEntry &job, bool unverified) {
+  return job.isLive() && hasOnlyLongRunningSteps(job.Job.Graph) &&
+         (job.RunCount > 0 || job.IsPart || !job.DelegatedShards.empty() ||
+          job.MoveDeclined) &&
+         !job.Moving && !(unverified && job.Inherited);
+}
+
 void ShardState::markRemote(JobEntry &job, const TaskKey &key) {
   TaskEntry *task = findTask(key);
   if (!task || task->Remote)
@@ -74,23 +89,18 @@
 
 } // namespace detail
 
-static bool hasOnlyLongRunningSteps(const model::JobGraph &graph) {
-  return graph.Occurrences == 0 &&
-         std::all_of(graph.Steps.begin(), graph.Steps.end(),
-                     [](const model::StepSpec &it) {
-                       return it.LongRunning && !it.Gang;
-                     });
+/// Returns whether waiting tasks of the job may be offered to other shards now.
+static bool isDelegable(const JobEntry &job, bool unverified) {
+  return detail::mayBeSplit(job, unverified) && !job.WriteInFlight &&
+         job.Version == job.StoredVersion;
 }
 
-/// Returns whether waiting tasks of the job may be offered to other shards. A
-/// job without runs moves as a whole, unless it is a part or no shard has room
-/// for all of it.
-static bool isDelegable(const JobEntry &job, bool unverified) {
-  return job.isLive() && hasOnlyLongRunningSteps(job.Job.Graph) &&
-         (job.RunCount > 0 || job.IsPart || !job.DelegatedShards.empty() ||
-          job.MoveDeclined) &&
-         !job.WriteInFlight && !job.Moving &&
-         job.Version == job.StoredVersion && !(unverified && job.Inherited);
+/// Returns the number of tasks that an offer may still have.
+static std::size_t tasksLeft(const Delegation &offer,
+                             const std::optional<RoomGrant> &grant) {
+  return grant
+             ? static_cast<std::size_t>(grant->Tasks) - offer.Part.Tasks.size()
+             : SIZE_MAX;
 }
 
 std::vector<Delegation> Shard::takeDelegations(std::size_t limit,
@@ -103,32 +113,41 @@
   // Otherwise the first jobs would be offered again and again.
   std::stable_sort(jobs.begin(), jobs.end(),
                    [](const JobEntry *a, const JobEntry *b) {
-                     return a->OfferDeclinedAt < b->OfferDeclinedAt;
+                     return std::pair(a->Grants.empty(), a->OfferDeclinedAt) <
+                            std::pair(b->Grants.empty(), b->OfferDeclinedAt);
                    });
   for (JobEntry *job : jobs) {
     if (offers.size() == limit)
       break;
-    if (!isDelegable(*job, unverified) ||
-        now - job->OfferDeclinedAt < OfferInterval ||
-        !detail::hasWaited(*job, job->IsPart ? DelegationDelay : UnplacedDelay,
-                           now))
+    if (!isDelegable(*job, unverified))
+      continue;
+    std::optional<RoomGrant> grant = s.takeGrant(*job, now);
+    if (!grant &&
+        (now - job->OfferDeclinedAt < OfferInterval ||
+         !detail::hasWaited(*job, job->IsPart ? DelegationDelay : UnplacedDelay,
+                            now)))
       continue;
-    if (!rooms)
+    if (!grant && !rooms)
       rooms = detail::planRooms(s, now);
-    bool allTasks = detail::hasWaited(*job, DelegationDelay, now);
+    bool allTasks = grant || detail::hasWaited(*job, DelegationDelay, now);
     Delegation offer;
     offer.Job = job->Job;
     offer.Part.LastRun = job->EarlierLastRun;
     offer.Part.HomeShard = job->IsPart ? job->HomeShard : s.Number;
     detail::Occurrence &o = job->Occurrences[0];
+    if (grant)
+      offer.GrantedBy = grant->Shard;
     for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step) {
+      if (grant && grant->Step != step)
+        continue;
       detail::StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
       for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i) {
         TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
         detail::TaskKey key{job->Job.Id, 0, step, i};
         if (!task.isPending() || !task.Runs.empty() ||
-            s.HeldTasks.contains(key) ||
-            !(allTasks || rooms->Unplaced.contains(key)))
+            s.HeldTasks.contains(key) || tasksLeft(offer, grant) == 0 ||
+            !(allTasks || rooms->Unplaced.contains(key)) ||
+            (grant && job->hadBefore(grant->Shard, {step, i})))
           continue;
         // No run is in flight, so none that was announced can be lost.
         task.Crashes.AnnouncedRun = 0;
@@ -141,7 +160,8 @@
       }
     }
     if (offer.Part.Tasks.empty()) {
-      job->OfferDeclinedAt = now;
+      if (!grant)
+        job->OfferDeclinedAt = now;
       continue;
     }
     for (const auto &[shard, stored] : job->DelegatedShards)
--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -504,6 +504,7 @@
       },
       {},
       {},
+      {},
       [self] { return self->View.Shards; },
       [self](const ShardRunner &runner) { self->removeRunner(runner); }};
   if (View.Shards > 1) {
@@ -514,6 +515,7 @@
     context.FindRooms = [self](const Delegation &offer, std::int32_t from) {
       return self->JobRequests.findRooms(offer, from);
     };
+    context.PeerLoads = [self] { return self->JobRequests.readLoads(); };
   }
   auto runner = std::make_shared<ShardRunner>(std::move(context), term);
   Owned[term.Shard] = runner;
--- a/packages/dispatch/src/JobRequestHandler.cpp
+++ b/packages/dispatch/src/JobRequestHandler.cpp
@@ -40,6 +40,12 @@
   co_return base::success();
 }
 
+asio::awaitable<const std::map<std::int32_t, ShardLoad> *>
+JobRequestHandler::readLoads() {
+  base::Result<void> read = co_await refreshLoads();
+  co_return read ? &Loads : nullptr;
+}
+
 /// Returns the CPU demand of all tasks of a job.
 static std::int64_t totalCpuOf(const model::AcceptedJob &job) {
   std::int64_t cpu = 0;
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -429,7 +429,8 @@
 }
 
 bool Shard::hasWrites() const {
-  return !State->Dirty.empty() || !State->CancelForwards.empty();
+  return !State->Dirty.empty() || !State->CancelForwards.empty() ||
+         !State->RoomOffers.empty() || !State->ReadGrants.empty();
 }
 
 policy::ColocationModel &Shard::colocationModel() { return State->Colocation; }
@@ -473,13 +474,9 @@
 /// the tasks of most jobs.
 constexpr std::size_t MaxPublishedRooms = 32;
 
-static std::map<std::string, std::vector<base::Resources>>
-largestRooms(const detail::ShardState &s) {
-  // Tasks that are added to an inherited part must wait until all workers have
-  // listed their runs.
-  if (s.mayRunAnyTask())
-    return {};
-  auto rooms = std::move(detail::planRooms(s, s.PlannedAt).Free);
+/// Leaves the largest rooms of each service.
+static void
+limitRooms(std::map<std::string, std::vector<base::Resources>> &rooms) {
   for (auto &[service, free] : rooms) {
     std::erase_if(free, [](const base::Resources &it) {
       return count(it.Cpu) <= 0 || count(it.Memory) <= 0;
@@ -490,7 +487,6 @@
                      });
     free.resize(std::min(free.size(), MaxPublishedRooms));
   }
-  return rooms;
 }
 
 ShardLoad Shard::load() const {
@@ -518,7 +514,13 @@
   load.LongRunningHeadroom = base::MilliCores{forLongRunning};
   load.FillerHeadroom = base::MilliCores{forFillers};
   load.FillerCpu = detail::suitableFillerCpu(*State, State->PlannedAt);
-  load.LongRunningRooms = largestRooms(*State);
+  detail::RoomPlan plan = detail::planRooms(*State, State->PlannedAt);
+  load.Requests = State->roomRequests(plan.Unplaced, State->PlannedAt);
+  // Tasks that are added to an inherited part must wait until all workers have
+  // listed their runs.
+  if (!State->mayRunAnyTask())
+    load.LongRunningRooms = std::move(plan.Free);
+  limitRooms(load.LongRunningRooms);
   State->addStartedTo(load);
   for (const JobEntry *it : State->LiveJobs) {
     if (!it->isLive())
--- a/packages/dispatch/src/Loads.cpp
+++ b/packages/dispatch/src/Loads.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace endivedoor::dispatch::detail {
 
@@ -16,6 +17,25 @@
 /// read.
 constexpr std::int64_t MaxRoom = std::int64_t{1} << 30;
 constexpr std::size_t MaxRooms = 256;
+/// Largest number of requests of a shard, and of tasks in one, that are read.
+constexpr std::size_t MaxRequests = 64;
+constexpr std::size_t MaxTasksPerRequest = 64;
+/// Longest wait that is read.
+constexpr std::chrono::seconds MaxWaited = std::chrono::hours(24);
+
+static json::object toJson(const RoomRequest &request) {
+  json::object to{
+      {"job", formatJobNumber(request.Job)},
+      {"step", request.Step},
+      {"tasks", json::value_from(request.Tasks)},
+      {"size", json::array{count(request.Size.Cpu), count(request.Size.Memory),
+                           request.Size.Accelerators}},
+      {"service", request.Service.str()},
+      {"waitedS", request.Waited.count()}};
+  if (!request.Requirement.empty())
+    to["requirement"] = request.Requirement;
+  return to;
+}
 
 std::string encodeLoad(const ShardLoad &load) {
   json::object pending;
@@ -39,6 +59,11 @@
   }
   if (!rooms.empty())
     to["rooms"] = std::move(rooms);
+  json::array requests;
+  for (const RoomRequest &it : load.Requests)
+    requests.push_back(toJson(it));
+  if (!requests.empty())
+    to["requests"] = std::move(requests);
   return json::serialize(to);
 }
 
@@ -50,20 +75,60 @@
              : 0;
 }
 
+static base::Resources decodeSize(const json::array &row) {
+  base::Resources size;
+  size.Cpu = base::MilliCores{amountAt(row, 0)};
+  size.Memory = base::MebiBytes{amountAt(row, 1)};
+  size.Accelerators = static_cast<std::int32_t>(amountAt(row, 2));
+  return size;
+}
+
 static std::vector<base::Resources> decodeRooms(const json::array &rows) {
   std::vector<base::Resources> rooms;
-  for (const json::value &it : rows) {
-    const json::array *row = it.if_array();
-    if (!row || rooms.size() == MaxRooms)
-      continue;
-    base::Resources &room = rooms.emplace_back();
-    room.Cpu = base::MilliCores{amountAt(*row, 0)};
-    room.Memory = base::MebiBytes{amountAt(*row, 1)};
-    room.Accelerators = static_cast<std::int32_t>(amountAt(*row, 2));
-  }
+  for (const json::value &it : rows)
+    if (const json::array *row = it.if_array(); row && rooms.size() < MaxRooms)
+      rooms.push_back(decodeSize(*row));
   return rooms;
 }
 
+/// Returns nothing if the request cannot be read: its tasks then only find the
+/// rooms that other shards publish.
+static std::optional<RoomRequest> decodeRequest(const json::value &value) {
+  std::string fault;
+  platform::JsonView v(value, fault);
+  RoomRequest request;
+  base::Result<model::JobNumber> job = parseJobNumber(v.text("job"));
+  request.Step =
+      static_cast<std::int32_t>(v.number("step", 0, limits::MaxSteps - 1));
+  request.Service = base::ServiceName(v.text("service"));
+  request.Requirement = v.optionalText("requirement");
+  request.Waited =
+      std::chrono::seconds(v.optionalNumber("waitedS", 0, MaxWaited.count()));
+  const json::object *object = value.if_object();
+  const json::value *tasks = object ? object->if_contains("tasks") : nullptr;
+  const json::value *size = object ? object->if_contains("size") : nullptr;
+  if (!job || !fault.empty() || !tasks || !tasks->is_array() || !size ||
+      !size->is_array() || size->get_array().size() != 3)
+    return std::nullopt;
+  request.Job = job.value();
+  request.Size = decodeSize(size->get_array());
+  for (const json::value &it : tasks->get_array())
+    if (it.is_int64() && it.get_int64() >= 0 &&
+        it.get_int64() < limits::MaxTasksPerJob &&
+        request.Tasks.size() < MaxTasksPerRequest)
+      request.Tasks.push_back(static_cast<std::int32_t>(it.get_int64()));
+  return request;
+}
+
+static std::vector<RoomRequest> decodeRequests(const json::array &rows) {
+  std::vector<RoomRequest> requests;
+  for (const json::value &it : rows)
+    if (std::optional<RoomRequest> request = decodeRequest(it);
+        request && requests.size() < MaxRequests)
+      requests.push_back(std::move(*request));
+  return requests;
+}
+
 base::Result<ShardLoad> decodeLoad(const std::string &text) {
   base::Result<json::value> value = platform::parseJson(text);
   if (!value)
@@ -102,6 +167,10 @@
       if (rows.is_array())
         load.LongRunningRooms[std::string(service)] =
             decodeRooms(rows.as_array());
+  const json::value *requests =
+      value.value().as_object().if_contains("requests");
+  if (requests && requests->is_array())
+    load.Requests = decodeRequests(requests->as_array());
   return load;
 }
 
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -189,8 +189,8 @@
         {"largestRoomCpu", std::to_string(count(rooms.LargestCpu))});
     fields.push_back({"reservations", std::to_string(Reservations.size())});
     fields.push_back(
-        {"unservedMs", std::to_string(
-                           (now - entry.UnservedSince.value_or(now)) / 1ms)});
+        {"unservedMs",
+         std::to_string((now - entry.UnservedSince.value_or(now)) / 1ms)});
   }
   Events.emit(EventCode::TaskWaits, std::move(fields));
 }
@@ -756,6 +756,8 @@
   s.StartBudget = mayStart ? maxStarts : 0;
   s.MayStartLost = ownsShard;
   if (s.StartBudget > 0) {
+    // Before the starts, so that short tasks do not take the rooms first.
+    s.grantRooms(now);
     s.startReadySteps(now);
     s.makeRoomForReservations(now);
     s.copyStragglers(now);
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -31,6 +31,9 @@
 std::string cancel(std::int32_t s, JobNumber job) {
   return shardPrefix(s) + "c/" + formatJobNumber(job);
 }
+std::string roomGrant(std::int32_t s, JobNumber job) {
+  return shardPrefix(s) + "g/" + formatJobNumber(job);
+}
 std::string progressPrefix(std::int32_t shard) {
   return shardKey("p", shard) + "/";
 }
@@ -433,6 +436,23 @@
       });
 }
 
+std::string encodeRoomGrant(const RoomGrant &grant) {
+  return json::serialize(json::object{
+      {"shard", grant.Shard}, {"step", grant.Step}, {"tasks", grant.Tasks}});
+}
+
+base::Result<RoomGrant> decodeRoomGrant(const std::string &text) {
+  return decode<RoomGrant>(text, [](const json::value &, const JsonView &v) {
+    RoomGrant grant;
+    grant.Shard = static_cast<std::int32_t>(v.number("shard", 0, INT32_MAX));
+    grant.Step =
+        static_cast<std::int32_t>(v.number("step", 0, limits::MaxSteps - 1));
+    grant.Tasks =
+        static_cast<std::int32_t>(v.number("tasks", 1, limits::MaxTasksPerJob));
+    return grant;
+  });
+}
+
 std::string encodeIndex(const JobIndexEntry &index) {
   json::object to;
   to["shard"] = index.Shard;
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -3,6 +3,8 @@
 // tasks and the tasks of wide steps never find enough at once.
 #include "detail/Interference.h"
 #include "detail/Placement.h"
+#include "detail/Rooms.h"
+#include "detail/Routing.h"
 
 #include <algorithm>
 
@@ -135,10 +137,25 @@
                {"cause", cause}});
 }
 
+/// Returns why a reservation for a task that is still to be delegated here must
+/// end, or null.
+static const char *causeOfEndOfAwaited(ShardState &shard, const Reservation &r,
+                                       TimePoint now) {
+  auto w = shard.Workers.find(r.Worker);
+  if (w == shard.Workers.end() || !takesStarts(shard, *w->second, now))
+    return "worker";
+  return r.Size.fitsIn(roomBesideLongRunning(*w->second)) ? nullptr
+                                                          : "capacity";
+}
+
 /// Returns why a reservation must end, or null.
 static const char *causeOfEnd(ShardState &shard, const Reservation &r,
                               TimePoint now) {
+  if (r.isAwaited(now))
+    return causeOfEndOfAwaited(shard, r, now);
   JobEntry *job = shard.findJob(r.Job);
+  if (r.Granted && !job)
+    return "not delegated";
   if (!job || !job->isLive() || job->Moving)
     return "job";
   auto o = job->Occurrences.find(r.Occurrence);
@@ -178,6 +195,8 @@
     // be kept either.
     if (w != Workers.end() && now > it.EndsAt)
       w->second->NoReservationUntil = now + (it.EndsAt - it.Due);
+    if (it.Granted)
+      noteUnusedOffer(it, now);
     endReservation(it, cause);
     return true;
   });
@@ -293,7 +312,7 @@
   WorkerState &w = *Workers.find(r.Worker)->second;
   w.Held = WorkerReservation{held(*this, w, r), r.Job, r.Occurrence, r.Step};
   Events.emit(
-      EventCode::ReservationMade,
+      r.Granted ? EventCode::RoomGranted : EventCode::ReservationMade,
       {{"job", formatJobNumber(r.Job)},
        {"step", std::to_string(r.Occurrence) + "." + std::to_string(r.Step)},
        {"worker", r.Worker.str()},
@@ -388,6 +407,51 @@
                  soonest.Runs, now);
 }
 
+bool ShardState::reserveForRequest(const RoomRequest &request,
+                                   std::int32_t index,
+                                   std::vector<WorkerRoom> &rooms,
+                                   TimePoint now) {
+  if (!mayReserveMore(*this, true, request.Waited))
+    return false;
+  const JobEntry *job = findJob(request.Job);
+  auto step = static_cast<std::size_t>(request.Step);
+  std::int32_t maxPerWorker = 0;
+  StepCounts counts;
+  if (job) {
+    maxPerWorker = job->Job.Graph.Steps[step].MaxPerWorker;
+    counts = runsByWorker(job->Occurrences.at(0).Steps[step]);
+  }
+  WorkerRoom *best = nullptr;
+  policy::Opening soonest;
+  for (WorkerRoom &it : rooms) {
+    WorkerState &w = *it.Worker;
+    auto same = counts.find(&w);
+    if (w.Held || now < w.NoReservationUntil ||
+        w.Profile.Service != request.Service || !request.Size.fitsIn(it.Free) ||
+        (!request.Requirement.empty() &&
+         !hasLabel(w.Profile, request.Requirement)) ||
+        (maxPerWorker > 0 && same != counts.end() &&
+         same->second >= maxPerWorker))
+      continue;
+    auto opening = soonestOpening(*this, w, request.Size,
+                                  givesWayAfter(request.Waited), now);
+    if (opening && (!best || isSooner(*opening, w, soonest, *best->Worker))) {
+      best = &it;
+      soonest = *opening;
+    }
+  }
+  if (!best)
+    return false;
+  best->Free -= request.Size;
+  TimePoint until = now + GrantTime;
+  addReservation({request.Job, 0, request.Step, best->Worker->Profile.Id,
+                  request.Size, soonest.Due,
+                  std::max(policy::endOfReservation(soonest), until + StopTime),
+                  true, Reservation::Grant{index, until}},
+                 soonest.Runs, now);
+  return true;
+}
+
 void ShardState::reserveForGang(const JobEntry &job, const Occurrence &o,
                                 std::int32_t step, TimePoint now) {
   const model::StepSpec &spec =
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -17,11 +17,6 @@
 
 namespace {
 
-struct WorkerRoom {
-  WorkerState *Worker = nullptr;
-  base::Resources Free;
-};
-
 /// Waiting tasks of one long-running step.
 struct WaitingStep {
   TimePoint Since;
@@ -51,6 +46,16 @@
   return waiting;
 }
 
+/// Returns what the worker holds for tasks that are to be delegated here.
+base::Resources awaitedOn(const ShardState &shard, const WorkerState &w,
+                          TimePoint now) {
+  base::Resources awaited;
+  for (const Reservation &it : shard.Reservations)
+    if (it.isAwaited(now) && it.Worker == w.Profile.Id)
+      awaited += it.Size;
+  return awaited;
+}
+
 WorkerRoom *smallestRoom(std::vector<WorkerRoom> &rooms,
                          const ShardState &shard, const JobEntry &job,
                          const model::StepSpec &spec, const StepCounts &counts,
@@ -74,8 +79,10 @@
 RoomPlan planRooms(const ShardState &shard, TimePoint now) {
   std::vector<WorkerRoom> rooms;
   for (const auto &[id, w] : shard.Workers)
-    if (takesStarts(shard, *w, now))
+    if (takesStarts(shard, *w, now)) {
       rooms.push_back({w.get(), roomBesideLongRunning(*w)});
+      rooms.back().Free -= awaitedOn(shard, *w, now);
+    }
   RoomPlan plan;
   for (const WaitingStep &it : waitingSteps(shard, now)) {
     auto step = static_cast<std::size_t>(it.Step);
@@ -101,6 +108,7 @@
   }
   for (const WorkerRoom &it : rooms)
     plan.Free[it.Worker->Profile.Service.str()].push_back(it.Free);
+  plan.Rooms = std::move(rooms);
   return plan;
 }
 
--- a/packages/dispatch/src/ShardAccounts.cpp
+++ b/packages/dispatch/src/ShardAccounts.cpp
@@ -69,29 +69,6 @@
   LoadingAccounts = false;
 }
 
-/// Interval at which the load records are read, as that of their writes.
-constexpr std::chrono::milliseconds PeerLoadInterval{800};
-
-asio::awaitable<void> ShardRunner::readPeerLoads() {
-  auto self = shared_from_this();
-  while (!Stopped) {
-    co_await sleepFor(PeerLoadInterval);
-    if (Stopped || Context.ShardCount() < 2 || !State.hasAccounts())
-      continue;
-    base::Result<Listing> list =
-        co_await Context.Store.list(keys::loadPrefix());
-    if (Stopped || !list)
-      continue;
-    for (const StoredItem &it : list.value().Items) {
-      std::int32_t shard =
-          std::atoi(it.Key.substr(keys::loadPrefix().size()).c_str());
-      base::Result<ShardLoad> load = decodeLoad(it.Value);
-      if (shard != CurrentTerm.Shard && load)
-        State.setPeerStartedCpu(shard, std::move(load.value().StartedCpu));
-    }
-  }
-}
-
 void ShardRunner::spawnAccountWrites() {
   for (AccountWrite &it : State.takeAccountWrites(Context.Time.now()))
     asio::co_spawn(
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t FixedEntries = 3 + MaxCancelForwards;
 constexpr std::size_t JobsPerCommit =
     (MaxCommitEntries - FixedEntries) / EntriesPerJob;
+/// Grants of room per commit: those that are written, and read ones that are
+/// deleted. Together they take the entries of a job.
+constexpr std::size_t MaxGrants = EntriesPerJob / 2;
 
 asio::awaitable<void> ShardRunner::commitLoop() {
   auto self = shared_from_this();
@@ -46,7 +49,7 @@
       co_await transferWork();
     if (Stopped)
       co_return;
-    if (State.hasWrites()) {
+    if (State.hasWrites() || State.hasGrants(Context.Time.now())) {
       co_await sleepFor(CommitDelay);
       continue;
     }
@@ -158,12 +161,20 @@
   co_await storeRoster();
   if (Stopped)
     co_return;
-  std::vector<JobWrite> writes = State.takeWrites(JobsPerCommit);
+  std::vector<RoomOffer> rooms = State.takeRoomOffers(MaxGrants);
+  std::vector<model::JobNumber> readGrants = State.takeReadGrants(MaxGrants);
+  bool hasGrants = !rooms.empty() || !readGrants.empty();
+  std::vector<JobWrite> writes = State.takeWrites(JobsPerCommit - hasGrants);
   Commit commit;
   commit.Conditions.push_back(
       {keys::owner(CurrentTerm.Shard), CurrentTerm.Revision});
   for (const JobWrite &it : writes)
     addJobWrite(commit, CurrentTerm.Shard, it);
+  for (const RoomOffer &it : rooms)
+    commit.Writes.push_back(
+        {keys::roomGrant(it.To, it.Job), encodeRoomGrant(it.Grant)});
+  for (model::JobNumber it : readGrants)
+    commit.Deletes.push_back(keys::roomGrant(CurrentTerm.Shard, it));
   addLoadRecord(commit);
   std::vector<CancelForward> forwards =
       State.takeCancelForwards(MaxCancelForwards);
@@ -177,6 +188,8 @@
   if (Stopped)
     co_return;
   State.onCancelForwards(forwards, done && done.value().Applied);
+  if (!done || !done.value().Applied)
+    State.onGrantsKept(readGrants);
   if (!done) {
     State.onNotStored(writes);
     State.onStartedMarks(marks, false);
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -249,6 +249,14 @@
                            shards ? std::move(shards.value())
                                   : std::set<std::int32_t>{});
   }
+  if (kind == "g/") {
+    base::Result<RoomGrant> grant = decodeRoomGrant(item.Value);
+    if (!grant)
+      return reportUnreadable(item, grant.error());
+    State.onRoomGrant(id.value(), grant.value(), Context.Time.now());
+    CommitTimer.cancel();
+    return;
+  }
   base::Result<model::AcceptedJob> job = decodeJob(id.value(), item.Value);
   if (!job)
     return reportUnreadable(item, job.error());
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -16,6 +16,34 @@
 /// Maximum number of jobs moved between two commits; each move costs one call.
 constexpr std::size_t MaxMovesPerRound = 2;
 
+/// Interval at which the load records are read, as that of their writes.
+constexpr std::chrono::milliseconds PeerLoadInterval{800};
+
+asio::awaitable<void> ShardRunner::readPeerLoads() {
+  auto self = shared_from_this();
+  while (!Stopped && Context.PeerLoads) {
+    co_await sleepFor(PeerLoadInterval);
+    if (Stopped)
+      co_return;
+    const std::map<std::int32_t, ShardLoad> *loads =
+        co_await Context.PeerLoads();
+    if (Stopped)
+      co_return;
+    if (!loads) {
+      State.clearRoomRequests();
+      continue;
+    }
+    for (const auto &[shard, load] : *loads) {
+      if (shard == CurrentTerm.Shard)
+        continue;
+      State.setRoomRequests(shard, load.Requests);
+      if (State.hasAccounts())
+        State.setPeerStartedCpu(shard, load.StartedCpu);
+    }
+    requestPlan();
+  }
+}
+
 asio::awaitable<void> ShardRunner::transferWork() {
   std::size_t delegated = 0;
   for (std::size_t i = 0;
@@ -139,7 +167,9 @@
 asio::awaitable<bool> ShardRunner::delegateTasks(Delegation offer) {
   model::JobNumber id = offer.Job.Id;
   std::int32_t from = CurrentTerm.Shard;
-  RoomChoice choice = co_await Context.FindRooms(offer, from);
+  RoomChoice choice{offer.GrantedBy, offer.Part.Tasks, "granted"};
+  if (!offer.GrantedBy)
+    choice = co_await Context.FindRooms(offer, from);
   if (Stopped)
     co_return false;
   auto keepHere = [&](const char *cause) {
--- a/packages/dispatch/src/detail/JobRequestHandler.h
+++ b/packages/dispatch/src/detail/JobRequestHandler.h
@@ -36,6 +36,10 @@
   boost::asio::awaitable<RoomChoice> findRooms(Delegation offer,
                                                std::int32_t from);
 
+  /// Returns the load records of all shards, or null if they cannot be read.
+  /// Valid until the caller waits.
+  boost::asio::awaitable<const std::map<std::int32_t, ShardLoad> *> readLoads();
+
 private:
   Async<void> refreshLoads();
   /// Returns the rooms that a shard published for the service of a job, less
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -13,9 +13,20 @@
 
 namespace endivedoor::dispatch::detail {
 
+/// How long a room is held for a task that is to be delegated: two commits, two
+/// watches and their delays on a busy node.
+constexpr std::chrono::milliseconds GrantTime{1500};
+
+struct WorkerRoom {
+  WorkerState *Worker = nullptr;
+  base::Resources Free;
+};
+
 /// Rooms that the waiting long-running tasks of a shard take and leave.
 struct RoomPlan {
-  /// What is left on each usable worker, by service.
+  /// What is left on each usable worker.
+  std::vector<WorkerRoom> Rooms;
+  /// The same by service.
   std::map<std::string, std::vector<base::Resources>> Free;
   /// Tasks for which no worker has room, however long they wait.
   std::set<TaskKey> Unplaced;
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -72,6 +72,11 @@
   std::function<boost::asio::awaitable<RoomChoice>(const Delegation &offer,
                                                    std::int32_t from)>
       FindRooms;
+  /// Returns the load records of all shards, or null if they cannot be read.
+  /// Valid until the caller waits. Set together with FindShard.
+  std::function<
+      boost::asio::awaitable<const std::map<std::int32_t, ShardLoad> *>()>
+      PeerLoads;
   std::function<std::int32_t()> ShardCount;
   /// Called when the term has ended.
   std::function<void(const ShardRunner &runner)> OnTermEnded;
@@ -115,7 +120,8 @@
   void spawnAccountLoad();
   boost::asio::awaitable<void> loadAccounts();
   void spawnAccountWrites();
-  /// Reads what the accounts have started in the other shards.
+  /// Reads what the other shards ask for, and what the accounts have started
+  /// there.
   boost::asio::awaitable<void> readPeerLoads();
   boost::asio::awaitable<void> storeAccount(AccountWrite write);
   /// Moves jobs and delegates tasks that wait here to other shards.
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -201,6 +201,8 @@
   bool OfferInFlight = false;
   /// When the latest offer was turned down.
   TimePoint OfferDeclinedAt;
+  /// Rooms that other shards hold for waiting tasks, with until when.
+  std::vector<std::pair<RoomGrant, TimePoint>> Grants;
   /// Shards that run a part of the job, with whether the cancellation of the
   /// job has been stored for them.
   std::map<std::int32_t, bool> DelegatedShards;
@@ -217,6 +219,10 @@
   mutable std::vector<LearnedTime> TimesCache;
 
   bool isLive() const { return !model::isFinal(State); }
+  bool hadBefore(std::int32_t shard, const TaskPosition &task) const {
+    auto it = HadBefore.find(shard);
+    return it != HadBefore.end() && it->second.contains(task);
+  }
   bool isLongRunning() const {
     return !Job.Graph.Steps.empty() && Job.Graph.Steps.front().LongRunning;
   }
@@ -286,6 +292,18 @@
   /// The reservation ends if it has not been used by then.
   TimePoint EndsAt;
   bool LongRunning = false;
+  /// For a task of another shard: its index in the step, and by when it must
+  /// have been delegated here.
+  struct Grant {
+    std::int32_t Index = 0;
+    TimePoint Until;
+  };
+  std::optional<Grant> Granted = {};
+
+  /// Returns whether the task is still to be delegated here.
+  bool isAwaited(TimePoint now) const {
+    return Granted && now < Granted->Until;
+  }
 };
 
 /// A reservation as its worker sees it.
@@ -423,6 +441,7 @@
 };
 
 struct RunView;
+struct WorkerRoom;
 
 struct ShardState {
   ShardOptions Options;
@@ -481,6 +500,16 @@
   policy::ColocationModel Colocation;
   policy::RunTimes LearnedTimes;
   std::vector<Reservation> Reservations;
+  /// What the other shards ask for, from their load records.
+  std::map<std::int32_t, std::vector<RoomRequest>> PeerRequests;
+  /// When the rooms were last compared with that.
+  TimePoint RoomsComparedAt;
+  std::deque<RoomOffer> RoomOffers;
+  /// Tasks of other shards that did not come although there was room for them,
+  /// with until when there is no other offer.
+  std::map<TaskKey, TimePoint> UnusedOffers;
+  /// Jobs whose grants have been read.
+  std::deque<JobNumber> ReadGrants;
   policy::ShortDemand ShortTasks;
   /// When ShortTasks was last updated.
   std::optional<TimePoint> ShortTasksObserved;
@@ -526,6 +555,18 @@
   /// Lets a step count as having waited as long as in the shard before.
   void inheritWait(JobEntry &job, const JobPart &part, TimePoint now);
   void queueCancelForwards(JobEntry &job);
+  // RoomGrants.cpp
+  /// Returns what to ask the other shards for.
+  ///
+  /// \param unplaced tasks for which no worker here has room.
+  std::vector<RoomRequest> roomRequests(const std::set<TaskKey> &unplaced,
+                                        TimePoint now) const;
+  /// Reserves rooms for tasks that wait in other shards, longest wait first.
+  void grantRooms(TimePoint now);
+  /// Remembers a task of another shard that did not come.
+  void noteUnusedOffer(const Reservation &reservation, TimePoint now);
+  /// Returns the next grant that tasks of the job may use, and removes it.
+  std::optional<RoomGrant> takeGrant(JobEntry &job, TimePoint now);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
   /// Schedules the removal of the records of cancelled jobs and removes ended
   /// jobs from the tables.
@@ -691,6 +732,14 @@
   /// Stops runs that keep a long-running task, which has waited for long, from
   /// the worker that is reserved for it.
   void makeRoomForReservations(TimePoint now);
+  /// Reserves capacity for a waiting task of another shard.
+  ///
+  /// \param rooms what the workers have beside the long-running tasks that run
+  /// and wait here; the room is taken from it.
+  ///
+  /// \returns whether a worker has room.
+  bool reserveForRequest(const RoomRequest &request, std::int32_t index,
+                         std::vector<WorkerRoom> &rooms, TimePoint now);
   bool hasReservation(const JobEntry &job, const Occurrence &o,
                       std::int32_t step) const;
   bool mayReserve(const model::StepSpec &spec) const;
@@ -731,6 +780,13 @@
 /// worker.
 bool hasWaited(const JobEntry &job, base::Duration time, TimePoint now);
 
+/// Returns whether waiting tasks of the job may run in other shards. A job
+/// without runs moves as a whole, unless it is a part or no shard has room for
+/// all of it.
+///
+/// \param unverified whether an inherited task may run unknown to this shard.
+bool mayBeSplit(const JobEntry &job, bool unverified);
+
 /// Returns whether the worker has reported the run since it was started, so
 /// that the run belongs to the incarnation that answered last.
 bool wasReportedRunning(const WorkerState &worker, const Run &run);
--- a/tests/unit/unit-dispatch-delegation.cpp
+++ b/tests/unit/unit-dispatch-delegation.cpp
@@ -123,6 +123,37 @@
   EXPECT_EQ(Workers.StartCounts.size(), 5u);
 }
 
+// The callers count a long-running task as lost 3 s after a worker has room for
+// it, whatever short work there is in that room (srsl-main-grown,
+// grown-revoke-then-leave, seed 12: 37 s after the loss of its run).
+TEST_F(NearlyFullShards,
+       RoomUnderShortWorkInAnotherShard_IsTakenWithinTheCallersBound) {
+  DispatchNode &node = startShards(2, 6);
+  for (std::uint64_t i = 1; i <= 6; ++i) {
+    submit(node, lastingJob(i, 1, 20000));
+    ASSERT_TRUE(allRun(i, 1));
+  }
+  submit(node, lastingJob(10, 1, 16000));
+  runFor(4500ms);
+  model::AcceptedJob shortWork = job(11, 18);
+  shortWork.Graph.Steps.resize(1);
+  shortWork.Graph.Steps[0].Size.Cpu = base::MilliCores{4000};
+  submit(node, shortWork);
+  runFor(2500ms);
+  ASSERT_EQ(runningTasks(10), 0u);
+  auto shardOf = [&](std::uint64_t id) {
+    std::string index = Store.valueOf(dispatch::keys::index(JobNumber{id}));
+    return index.find("\"shard\":0") != std::string::npos ? 0 : 1;
+  };
+  for (std::uint64_t i = 1; i <= 6; ++i)
+    if (shardOf(i) != shardOf(10)) {
+      EXPECT_EQ(await(node.cancel(JobNumber{i})),
+                dispatch::CancelOutcome::Cancelled);
+      break;
+    }
+  EXPECT_TRUE(runUntil([&] { return runningTasks(10) == 1; }, 3000ms));
+}
+
 // A node adds tasks to a part after another one has claimed the part's shard
 // and before it reads the record. The tasks that an earlier owner has started
 // ran twice, because the record was newer than the claim.
--- /dev/null
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -0,0 +1,345 @@
+// Rooms that a shard holds for tasks that wait in another one. Load pattern: an
+// almost full installation, in which long-running tasks wait in every shard for
+// the next room.
+#include "support/ShardFixture.h"
+
+#include "endivedoor/dispatch/Records.h"
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+using dispatch::RoomGrant;
+using dispatch::RoomOffer;
+using dispatch::RoomRequest;
+
+namespace {
+
+/// A shard that can have rooms for the tasks of others, with a worker of 32
+/// cores on which a long-running task of 20 cores runs.
+class ShardWithARoom : public ShardFixture {
+protected:
+  static constexpr std::uint64_t Serving = 1, Asking = 9;
+  static constexpr std::int32_t AskingShard = 4;
+
+  static model::StepSpec longRunning(std::int32_t count, std::int64_t cpu) {
+    model::StepSpec s = step(count, cpu);
+    s.LongRunning = true;
+    return s;
+  }
+
+  /// A short step that runs for longer than any task may wait.
+  static model::StepSpec slow(std::int32_t count, std::int64_t cpu,
+                              bool checkpoints = false) {
+    model::StepSpec s = step(count, cpu);
+    s.Estimate = 60s;
+    s.SupportsCheckpoints = checkpoints;
+    return s;
+  }
+
+  void SetUp() override {
+    addWorker("w");
+    start(job(Serving, {longRunning(1, 20000)}));
+  }
+
+  void start(const model::AcceptedJob &added) {
+    TestShard.addJob(added, ++Revision, false, now());
+    std::vector<WorkerCommand> orders = plan();
+    confirmStarts(orders);
+    for (const WorkerCommand &it : orders)
+      Running.push_back(it.Run);
+    report();
+  }
+
+  /// Answers a poll with the runs, without those of a job that have ended.
+  void report(std::uint64_t ended = 0, RunOutcome how = RunOutcome::Stopped) {
+    PollReport report;
+    std::erase_if(Running, [&](const RunId &it) {
+      if (it.Task.Job != JobNumber{ended})
+        return false;
+      report.Ended.push_back({++Ends, it, how, ""});
+      return true;
+    });
+    for (const RunId &it : Running)
+      report.Running.push_back({it, "", 100, 4000, true});
+    poll("w", report);
+  }
+
+  static RoomRequest request(std::uint64_t job, std::int64_t cpu,
+                             std::chrono::seconds waited) {
+    RoomRequest r;
+    r.Job = JobNumber{job};
+    r.Tasks = {3};
+    r.Size = step(1, cpu).Size;
+    r.Service = base::ServiceName("desk");
+    r.Waited = waited;
+    return r;
+  }
+
+  void delegate(std::uint64_t id, std::int64_t cpu) {
+    dispatch::JobPart part;
+    part.Tasks = {{0, 3}};
+    part.HomeShard = AskingShard;
+    part.Waited = 5s;
+    TestShard.addJob(job(id, {longRunning(5, cpu)}), ++Revision, false, now(),
+                     &part);
+  }
+
+  std::vector<RoomOffer> offers() {
+    Time.advance(200ms);
+    plan();
+    return TestShard.takeRoomOffers(10);
+  }
+
+  std::vector<RunId> Running;
+  std::int64_t Ends = 0;
+};
+
+// srsl-main-grown, grown-revoke-then-leave, seed 12: a task of another shard
+// started seconds after a worker had room, since each step between the two
+// waited for the next period.
+TEST_F(ShardWithARoom, RequestThatFits_RoomIsHeldUntilTheTaskStarts) {
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 12000, 5s)});
+  std::vector<RoomOffer> offered = offers();
+  ASSERT_EQ(offered.size(), 1u);
+  EXPECT_EQ(offered[0].To, AskingShard);
+  EXPECT_EQ(offered[0].Job, JobNumber{Asking});
+  EXPECT_EQ(offered[0].Grant, (RoomGrant{0, 0, 1}));
+  TestShard.addJob(job(2, {slow(3, 4000)}), ++Revision, false, now());
+  EXPECT_TRUE(plan().empty());
+  delegate(Asking, 12000);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, (TaskKey{JobNumber{Asking}, 0, 0, 3}));
+  EXPECT_TRUE(offers().empty());
+}
+
+// A shard that is asked must not keep the room from its own tasks for good.
+TEST_F(ShardWithARoom, TaskThatDoesNotCome_RoomIsFreeAgain) {
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 12000, 5s)});
+  ASSERT_EQ(offers().size(), 1u);
+  TestShard.setRoomRequests(AskingShard, {});
+  TestShard.addJob(job(2, {slow(3, 4000)}), ++Revision, false, now());
+  EXPECT_TRUE(plan().empty());
+  Time.advance(1500ms);
+  EXPECT_EQ(plan().size(), 3u);
+}
+
+// Tasks of several shards were sent to the room that one of them got.
+TEST_F(ShardWithARoom, SeveralRequests_OnlyTheLongestWaitGetsTheRoom) {
+  TestShard.setRoomRequests(3, {request(7, 8000, 3s)});
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 10000, 5s)});
+  std::vector<RoomOffer> offered = offers();
+  ASSERT_EQ(offered.size(), 1u);
+  EXPECT_EQ(offered[0].Job, JobNumber{Asking});
+  EXPECT_TRUE(offers().empty());
+  auto rooms = TestShard.load().LongRunningRooms["desk"];
+  ASSERT_EQ(rooms.size(), 1u);
+  EXPECT_EQ(count(rooms[0].Cpu), 2000);
+}
+
+// The shard's own tasks need no other shard and go first.
+TEST_F(ShardWithARoom, OwnTaskWaits_RoomIsNotOffered) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.addJob(job(3, {longRunning(1, 12000)}), ++Revision, false, now());
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 12000, 5s)});
+  EXPECT_TRUE(offers().empty());
+}
+
+// Neither the job's own shard nor one that had the task can take it.
+TEST_F(ShardWithARoom, TaskThatCannotBeDelegatedHere_GetsNoOffer) {
+  TestShard.setRoomRequests(AskingShard, {request(Serving, 4000, 5s)});
+  EXPECT_TRUE(offers().empty());
+  delegate(Asking, 30000);
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 4000, 5s)});
+  EXPECT_TRUE(offers().empty());
+}
+
+// Short work that outlasts the wait kept the room for as long as it ran. It is
+// stopped only once the task has come, and no more of it than needed.
+TEST_F(ShardWithARoom, ShortWorkInTheRoom_GivesWayToTheDelegatedTask) {
+  start(job(2, {slow(3, 4000)}));
+  ASSERT_EQ(Running.size(), 4u);
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 8000, 5s)});
+  ASSERT_EQ(offers().size(), 1u);
+  EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+  delegate(Asking, 8000);
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  ASSERT_EQ(stops.size(), 2u);
+  for (const WorkerCommand &it : stops)
+    EXPECT_EQ(it.Run.Task.Job, JobNumber{2});
+  PollReport report;
+  report.Running.push_back({Running[0], "", 100, 4000, true});
+  for (std::size_t i = 1; i < Running.size(); ++i) {
+    bool stopped = std::any_of(stops.begin(), stops.end(), [&](const auto &it) {
+      return it.Run == Running[i];
+    });
+    if (stopped)
+      report.Ended.push_back({++Ends, Running[i], RunOutcome::Stopped, ""});
+    else
+      report.Running.push_back({Running[i], "", 100, 4000, true});
+  }
+  poll("w", report);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task.Job, JobNumber{Asking});
+}
+
+// Work that is saved gives way before work that would be lost.
+TEST_F(ShardWithARoom, RunsWithCheckpoints_AreStoppedFirst) {
+  start(job(2, {slow(1, 4000, true)}));
+  start(job(3, {slow(2, 4000)}));
+  TestShard.addJob(job(4, {longRunning(1, 4000)}), ++Revision, false, now());
+  plan();
+  Time.advance(2500ms);
+  report();
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_EQ(stops[0].Run.Task.Job, JobNumber{2});
+}
+
+// The fence of the stops: a run on a worker that is alive and cut off goes on
+// until its lease has ended, whatever it was told before.
+TEST_F(ShardWithARoom,
+       WorkerCutOffAfterTheStop_ShortTaskStartsOnceTheLeaseEnds) {
+  start(job(2, {slow(1, 12000)}));
+  TestShard.addJob(job(3, {longRunning(1, 12000)}), ++Revision, false, now());
+  plan();
+  Time.advance(4s);
+  report();
+  base::TimePoint lease = now();
+  ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  TestShard.onPollFailed(base::WorkerId("w"), "timeout", now());
+  addWorker("other");
+  addWorker("third");
+  std::optional<base::TimePoint> started;
+  while (!started && now() - lease < 8s) {
+    for (const WorkerCommand &it : plan()) {
+      if (it.Run.Task.Job == JobNumber{2})
+        started = now();
+      EXPECT_NE(it.Worker.Id.str(), "w");
+    }
+    Time.advance(100ms);
+    poll("other");
+    poll("third");
+  }
+  ASSERT_TRUE(started);
+  EXPECT_GE(*started - lease, 6190ms);
+}
+
+/// A shard in which a task waits that has no room: one of two of 20 cores.
+class ShardThatAsks : public ShardWithARoom {
+protected:
+  static constexpr std::uint64_t Wide = 5;
+
+  void SetUp() override {
+    addWorker("w");
+    start(job(Wide, {longRunning(2, 20000)}));
+    ASSERT_EQ(Running.size(), 1u);
+    plan();
+  }
+
+  RoomGrant Grant{AskingShard, 0, 1};
+};
+
+// The wait in all shards decides who gets a room.
+TEST_F(ShardThatAsks, TaskWithoutRoom_IsAskedForWithItsWait) {
+  EXPECT_TRUE(TestShard.load().Requests.empty());
+  Time.advance(2500ms);
+  report();
+  plan();
+  std::vector<RoomRequest> requests = TestShard.load().Requests;
+  ASSERT_EQ(requests.size(), 1u);
+  EXPECT_EQ(requests[0].Job, JobNumber{Wide});
+  EXPECT_EQ(requests[0].Tasks.size(), 1u);
+  EXPECT_EQ(count(requests[0].Size.Cpu), 20000);
+  EXPECT_EQ(requests[0].Waited, 2s);
+}
+
+// A task that waits for its turn to be offered may miss the room.
+TEST_F(ShardThatAsks, Grant_TaskIsOfferedAtOnceToTheShardWithTheRoom) {
+  TestShard.onRoomGrant(JobNumber{Wide}, Grant, now());
+  EXPECT_TRUE(TestShard.hasGrants(now()));
+  std::vector<dispatch::Delegation> offered =
+      TestShard.takeDelegations(5, now());
+  ASSERT_EQ(offered.size(), 1u);
+  EXPECT_EQ(offered[0].GrantedBy, AskingShard);
+  EXPECT_EQ(offered[0].Part.Tasks.size(), 1u);
+  EXPECT_FALSE(TestShard.hasGrants(now()));
+  EXPECT_EQ(TestShard.takeReadGrants(5),
+            std::vector<JobNumber>{JobNumber{Wide}});
+}
+
+// A record that is read by the next owner, or after the task has a run, must
+// not send it to a room that is no longer held.
+TEST_F(ShardThatAsks, GrantThatIsTooLate_IsNotUsed) {
+  TestShard.onRoomGrant(JobNumber{Wide}, Grant, now());
+  Time.advance(1500ms);
+  EXPECT_FALSE(TestShard.hasGrants(now()));
+  for (const dispatch::Delegation &it : TestShard.takeDelegations(5, now()))
+    EXPECT_FALSE(it.GrantedBy);
+}
+
+TEST_F(ShardThatAsks, GrantsOfUnknownJobs_AreDeleted) {
+  TestShard.onRoomGrant(JobNumber{77}, Grant, now());
+  EXPECT_FALSE(TestShard.hasGrants(now()));
+  EXPECT_TRUE(TestShard.hasWrites());
+  std::vector<JobNumber> jobs = TestShard.takeReadGrants(5);
+  EXPECT_EQ(jobs.size(), 1u);
+  TestShard.onGrantsKept(jobs);
+  EXPECT_EQ(TestShard.takeReadGrants(5), jobs);
+}
+
+// The fence of the grant: an owner that is cut off from the store once it has
+// used a grant does not know whether the other shard, or the next owner, has
+// the task. It starts it nowhere, also if a worker of its own has room now.
+TEST_F(ShardThatAsks, OwnerCutOffAfterTheGrant_StartsTheTaskNowhere) {
+  TestShard.onRoomGrant(JobNumber{Wide}, Grant, now());
+  ASSERT_EQ(TestShard.takeDelegations(5, now()).size(), 1u);
+  addWorker("other");
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_TRUE(plan().empty());
+    Time.advance(90ms);
+    report();
+    poll("other");
+  }
+}
+
+// An owner that has the room and is replaced: the task is stored for the next
+// owner, and the earlier one, alive and cut off, knows nothing to start.
+TEST_F(ShardWithARoom, OwnerCutOffAfterTheOffer_OnlyTheNextOwnerStartsTheTask) {
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 12000, 5s)});
+  ASSERT_EQ(offers().size(), 1u);
+  Shard next{{}, 0, Term + 1, base::FencingToken{8}, Events, MetricsRegistry};
+  next.markUnverified(TestShard.roster(), {{Term, now(), true}}, now());
+  dispatch::JobPart part;
+  part.Tasks = {{0, 3}};
+  next.addJob(job(Asking, {longRunning(5, 12000)}), 500, false, now(), &part);
+  next.updateWorker(worker("w2"), now());
+  next.nextPoll(base::WorkerId("w2"), now(), true);
+  PollReport report;
+  report.Clock = 5s;
+  report.StartTime = 1000ms;
+  next.onPoll(base::WorkerId("w2"), report, now(), now());
+  next.onRosterStored(next.roster());
+  std::size_t starts = 0;
+  for (const WorkerCommand &it : next.plan(now(), Time.wallNow(), true))
+    starts += it.Run.Task.Job == JobNumber{Asking};
+  EXPECT_EQ(starts, 1u);
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(plan().empty());
+    Time.advance(90ms);
+  }
+}
+
+TEST(RoomRecords, GrantsAndRequests_RoundTrip) {
+  RoomGrant grant{3, 2, 5};
+  base::Result<RoomGrant> read =
+      dispatch::decodeRoomGrant(dispatch::encodeRoomGrant(grant));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read.value(), grant);
+  for (const char *it : {"", "[]", "{}", R"({"shard":-1,"step":0,"tasks":1})",
+                         R"({"shard":1,"step":0,"tasks":0})",
+                         R"({"shard":"1","step":0,"tasks":1})"})
+    EXPECT_FALSE(dispatch::decodeRoomGrant(it)) << it;
+}
+
+} // namespace
