A shard returns a room for which it has no use

Change: the asking shard answers a grant that it cannot use, and tasks for which it has asked for 3 s go only where room is held for them.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -201,7 +201,8 @@
   /// Shard that holds the room.
   std::int32_t Shard = 0;
   std::int32_t Step = 0;
-  /// Number of tasks of the step that have room.
+  /// Number of tasks of the step that have room. 0 in the answer of the shard
+  /// that asked, if it has no use for the room.
   std::int32_t Tasks = 0;
   friend bool operator==(const RoomGrant &, const RoomGrant &) = default;
 };
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -74,7 +74,7 @@
   std::vector<RoomRequest> Requests;
 };
 
-/// Room that is to be announced to another shard.
+/// Room that is to be announced, or returned, to another shard.
 struct RoomOffer {
   model::JobNumber Job{0};
   /// Shard in which the tasks wait.
@@ -327,8 +327,9 @@
   /// Returns grants to be stored for other shards, at most \p limit. One that
   /// is not stored is not repeated: the room is free again after a short time.
   std::vector<RoomOffer> takeRoomOffers(std::size_t limit);
-  /// Another shard holds room for tasks of a job. The next takeDelegations()
-  /// returns them if they still wait.
+  /// Another shard holds room for tasks of a job, or has no use for the room
+  /// that is held for it. The next takeDelegations() returns the tasks if they
+  /// still wait; otherwise, the room is returned.
   void onRoomGrant(model::JobNumber job, const RoomGrant &grant,
                    base::TimePoint now);
   /// Returns whether takeDelegations() may use a grant.
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -23,6 +23,10 @@
 /// Interval between two offers after one that no shard has taken. Shorter than
 /// the interval of the load records would repeat it on the same records.
 constexpr auto OfferInterval = 1500ms;
+/// After this wait, tasks for which the shard asks the others go only where
+/// room is held for them: an offer may meet others on its way to the same room,
+/// and a shard that has had a task does not take it again.
+constexpr auto OfferPeriod = 3000ms;
 /// Maximum number of other shards that run parts of one job; bounds the writes
 /// that a cancellation causes.
 constexpr std::size_t MaxDelegatedShards = 8;
@@ -141,6 +145,9 @@
       if (grant && grant->Step != step)
         continue;
       detail::StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
+      if (!grant && s.AskedSteps.contains({job->Job.Id, step}) &&
+          now - entry.UnservedSince.value_or(now) > OfferPeriod)
+        continue;
       for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i) {
         TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
         detail::TaskKey key{job->Job.Id, 0, step, i};
@@ -160,7 +167,9 @@
       }
     }
     if (offer.Part.Tasks.empty()) {
-      if (!grant)
+      if (grant)
+        s.returnRoom(job->Job.Id, *grant);
+      else
         job->OfferDeclinedAt = now;
       continue;
     }
@@ -237,6 +246,10 @@
     return;
   }
   job->OfferDeclinedAt = now;
+  if (offer.GrantedBy)
+    s.returnRoom(offer.Job.Id,
+                 {*offer.GrantedBy,
+                  offer.Part.Tasks.empty() ? 0 : offer.Part.Tasks[0].Step});
   for (const TaskRef &it : offer.Part.Tasks)
     s.markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
 }
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -516,6 +516,9 @@
   load.FillerCpu = detail::suitableFillerCpu(*State, State->PlannedAt);
   detail::RoomPlan plan = detail::planRooms(*State, State->PlannedAt);
   load.Requests = State->roomRequests(plan.Unplaced, State->PlannedAt);
+  State->AskedSteps.clear();
+  for (const RoomRequest &it : load.Requests)
+    State->AskedSteps.emplace(it.Job, it.Step);
   // Tasks that are added to an inherited part must wait until all workers have
   // listed their runs.
   if (!State->mayRunAnyTask())
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -448,7 +448,7 @@
     grant.Step =
         static_cast<std::int32_t>(v.number("step", 0, limits::MaxSteps - 1));
     grant.Tasks =
-        static_cast<std::int32_t>(v.number("tasks", 1, limits::MaxTasksPerJob));
+        static_cast<std::int32_t>(v.number("tasks", 0, limits::MaxTasksPerJob));
     return grant;
   });
 }
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -146,6 +146,17 @@
   UnusedOffers[key] = now + RegrantDelay;
 }
 
+void ShardState::returnRoom(JobNumber job, const RoomGrant &grant) {
+  RoomOffers.push_back({job, grant.Shard, {Number, grant.Step, 0}});
+}
+
+void ShardState::onRoomReturned(JobNumber job, std::int32_t step,
+                                TimePoint now) {
+  for (Reservation &it : Reservations)
+    if (it.Job == job && it.Step == step && it.isAwaited(now))
+      it.Granted->Until = now;
+}
+
 std::optional<RoomGrant> ShardState::takeGrant(JobEntry &job, TimePoint now) {
   std::erase_if(job.Grants, [&](const auto &it) { return it.second <= now; });
   if (job.Grants.empty())
@@ -181,9 +192,13 @@
 void Shard::onRoomGrant(model::JobNumber id, const RoomGrant &grant,
                         base::TimePoint now) {
   State->ReadGrants.push_back(id);
+  if (grant.Tasks == 0)
+    return State->onRoomReturned(id, grant.Step, now);
   JobEntry *job = State->findJob(id);
-  if (job && grant.Shard != State->Number && grant.Shard != job->HomeShard)
+  if (job && job->isLive() && grant.Shard != job->HomeShard)
     job->Grants.emplace_back(grant, now + detail::GrantTime);
+  else
+    State->returnRoom(id, grant);
 }
 
 bool Shard::hasGrants(base::TimePoint now) const {
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -508,6 +508,8 @@
   /// Tasks of other shards that did not come although there was room for them,
   /// with until when there is no other offer.
   std::map<TaskKey, TimePoint> UnusedOffers;
+  /// Steps for which the latest load record asks.
+  std::set<std::pair<JobNumber, std::int32_t>> AskedSteps;
   /// Jobs whose grants have been read.
   std::deque<JobNumber> ReadGrants;
   policy::ShortDemand ShortTasks;
@@ -565,6 +567,10 @@
   void grantRooms(TimePoint now);
   /// Remembers a task of another shard that did not come.
   void noteUnusedOffer(const Reservation &reservation, TimePoint now);
+  /// Returns room that another shard holds for tasks that do not wait here.
+  void returnRoom(JobNumber job, const RoomGrant &grant);
+  /// Ends what is held for tasks that do not come.
+  void onRoomReturned(JobNumber job, std::int32_t step, TimePoint now);
   /// Returns the next grant that tasks of the job may use, and removes it.
   std::optional<RoomGrant> takeGrant(JobEntry &job, TimePoint now);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
