A room that fits several long-running tasks is held for all of them

Cause: a worker had one reservation at most. Change: long-running tasks are reserved for together as far as they fit beside what runs; the limit counts workers. Test: RoomForSeveralTasks_IsHeldForAllOfThem, which failed before.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -24,12 +24,13 @@
 static bool isHeldForOthers(const ShardState &shard, const JobEntry &job,
                             const model::StepSpec &step, const WorkerState &w,
                             TimePoint now) {
-  if (!w.Held)
-    return false;
   auto index = static_cast<std::size_t>(&step - job.Job.Graph.Steps.data());
-  bool own = w.Held->Job == job.Job.Id &&
-             static_cast<std::size_t>(w.Held->Step) == index;
-  if (own)
+  bool own = std::any_of(w.Held.begin(), w.Held.end(),
+                         [&](const WorkerReservation &it) {
+                           return it.Job == job.Job.Id &&
+                                  static_cast<std::size_t>(it.Step) == index;
+                         });
+  if (w.Held.empty() || own)
     return false;
   base::Resources size = step.Size;
   if (step.Filler)
@@ -37,7 +38,10 @@
   TimePoint end = step.LongRunning
                       ? TimePoint::max()
                       : now + shard.expectedTime(job, index, EndQuantile);
-  return !policy::mayBackfill(w.Held->Capacity, w.Profile.Capacity, size, end);
+  return std::any_of(
+      w.Held.begin(), w.Held.end(), [&](const WorkerReservation &it) {
+        return !policy::mayBackfill(it.Capacity, w.Profile.Capacity, size, end);
+      });
 }
 
 static bool fits(const WorkerState &w, const model::StepSpec &step) {
@@ -274,7 +278,9 @@
     base::Resources free = w->Profile.Capacity;
     free -= w->Used;
     // Capacity that is held for another step was checked for one task only.
-    bool single = w->Held && w->Held->Job != job.Job.Id;
+    bool single = std::any_of(
+        w->Held.begin(), w->Held.end(),
+        [&](const WorkerReservation &it) { return it.Job != job.Job.Id; });
     for (std::int32_t n = 0;
          (step.MaxPerWorker == 0 || n < step.MaxPerWorker) &&
          (n == 0 || !single);
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -92,10 +92,10 @@
   addStarted(job, step, now);
   useReservation(key, worker);
   // The run may not have ended when held capacity on its worker is due.
-  if (worker.Held &&
-      now + expectedTime(job, static_cast<std::size_t>(key.Step), 0.9) >
-          worker.Held->Capacity.Due)
-    worker.Held->Capacity.UsedWhenDue += worker.Runs.at(id).Size;
+  for (WorkerReservation &it : worker.Held)
+    if (now + expectedTime(job, static_cast<std::size_t>(key.Step), 0.9) >
+        it.Capacity.Due)
+      it.Capacity.UsedWhenDue += worker.Runs.at(id).Size;
   if (task.isSuspect())
     worker.SuspectRuns.insert(id);
   WorkerCommand command;
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -127,8 +127,17 @@
 void ShardState::endReservation(const Reservation &reservation,
                                 const char *cause) {
   auto w = Workers.find(reservation.Worker);
-  if (w != Workers.end())
-    w->second->Held.reset();
+  if (w != Workers.end()) {
+    std::vector<WorkerReservation> &all = w->second->Held;
+    auto it =
+        std::find_if(all.begin(), all.end(), [&](const WorkerReservation &h) {
+          return h.Job == reservation.Job &&
+                 h.Occurrence == reservation.Occurrence &&
+                 h.Step == reservation.Step;
+        });
+    if (it != all.end())
+      all.erase(it);
+  }
   Events.emit(EventCode::ReservationEnded,
               {{"job", formatJobNumber(reservation.Job)},
                {"step", std::to_string(reservation.Occurrence) + "." +
@@ -185,7 +194,7 @@
 
 void ShardState::refreshReservations(TimePoint now) {
   for (auto &[id, w] : Workers)
-    w->Held.reset();
+    w->Held.clear();
   std::erase_if(Reservations, [&](const Reservation &it) {
     const char *cause = causeOfEnd(*this, it, now);
     if (!cause)
@@ -200,11 +209,19 @@
     endReservation(it, cause);
     return true;
   });
-  for (const Reservation &it : Reservations) {
-    WorkerState &w = *Workers.find(it.Worker)->second;
-    w.Held =
-        WorkerReservation{held(*this, w, it), it.Job, it.Occurrence, it.Step};
+  for (const Reservation &it : Reservations)
+    holdOnWorker(it);
+}
+
+void ShardState::holdOnWorker(const Reservation &reservation) {
+  WorkerState &w = *Workers.find(reservation.Worker)->second;
+  WorkerReservation added{held(*this, w, reservation), reservation.Job,
+                          reservation.Occurrence, reservation.Step};
+  for (WorkerReservation &it : w.Held) {
+    added.Capacity.UsedWhenDue += it.Capacity.Size;
+    it.Capacity.UsedWhenDue += reservation.Size;
   }
+  w.Held.push_back(added);
 }
 
 /// Returns the runs to stop so that a task fits on the worker: those that lose
@@ -246,6 +263,7 @@
 }
 
 void ShardState::makeRoomForReservations(TimePoint now) {
+  std::map<const WorkerState *, base::Resources> needed;
   for (Reservation &r : Reservations) {
     JobEntry *job = findJob(r.Job);
     if (!r.LongRunning || !job || !job->Occurrences.contains(r.Occurrence))
@@ -257,13 +275,16 @@
     GivesWay which = givesWayAfter(waited);
     if (entry.WaitingCount == 0 || which == GivesWay::None)
       continue;
+    // What has become free, or is about to, is for the earlier ones first.
+    base::Resources &size = needed[&w];
+    size += r.Size;
     // Runs that are about to end are not worth a stop, as long as they keep to
     // what is expected of them.
-    auto opening = soonestOpening(*this, w, r.Size, GivesWay::None, now);
+    auto opening = soonestOpening(*this, w, size, GivesWay::None, now);
     if (waited < RepeatableWait && opening && opening->Due < now + MinGain &&
         now < r.Due + MinGain)
       continue;
-    std::vector<RunView> stopped = runsToStop(w, r.Size, which);
+    std::vector<RunView> stopped = runsToStop(w, size, which);
     for (const RunView &it : stopped)
       if (it.Step->Filler)
         moveFiller(w, it, "room for a long-running task", now);
@@ -309,8 +330,7 @@
 
 void ShardState::addReservation(Reservation r, std::size_t runs,
                                 TimePoint now) {
-  WorkerState &w = *Workers.find(r.Worker)->second;
-  w.Held = WorkerReservation{held(*this, w, r), r.Job, r.Occurrence, r.Step};
+  holdOnWorker(r);
   Events.emit(
       r.Granted ? EventCode::RoomGranted : EventCode::ReservationMade,
       {{"job", formatJobNumber(r.Job)},
@@ -337,15 +357,37 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(workers * share));
 }
 
-/// Each kind has its own limit, since a short step passes on its reservation to
+/// Returns what is held on a worker for all tasks.
+static base::Resources heldOn(const WorkerState &w) {
+  base::Resources size;
+  for (const WorkerReservation &it : w.Held)
+    size += it.Capacity.Size;
+  return size;
+}
+
+/// Returns whether capacity of the worker may be held for one more task. A room
+/// that fits several long-running tasks is held for all of them at once.
+static bool takesReservation(const WorkerState &w, const base::Resources &size,
+                             bool longRunning, TimePoint now) {
+  if (now < w.NoReservationUntil)
+    return false;
+  if (w.Held.empty())
+    return true;
+  base::Resources all = heldOn(w);
+  all += size;
+  return longRunning && all.fitsIn(roomBesideLongRunning(w));
+}
+
+/// Returns whether one more worker may be reserved for tasks of a kind. Each
+/// kind has its own limit, since a short step passes on its reservation to
 /// others within the plan that uses it, before long-running steps can have it.
 static bool mayReserveMore(const ShardState &shard, bool longRunning,
                            base::Duration waited) {
-  auto sameKind = std::count_if(
-      shard.Reservations.begin(), shard.Reservations.end(),
-      [&](const Reservation &it) { return it.LongRunning == longRunning; });
-  return static_cast<std::size_t>(sameKind) <
-         maxReservations(shard, longRunning, waited);
+  std::set<base::WorkerId> reserved;
+  for (const Reservation &it : shard.Reservations)
+    if (it.LongRunning == longRunning)
+      reserved.insert(it.Worker);
+  return reserved.size() < maxReservations(shard, longRunning, waited);
 }
 
 void ShardState::reserveSoonest(const JobEntry &job, const Occurrence &o,
@@ -374,12 +416,14 @@
   policy::Opening soonest;
   for (const auto &[id, w] : Workers) {
     auto same = counts.find(w.get());
-    if (w->Held || now < w->NoReservationUntil ||
+    if (!takesReservation(*w, spec.Size, spec.LongRunning, now) ||
         (spec.MaxPerWorker > 0 && same != counts.end() &&
          same->second >= spec.MaxPerWorker) ||
         !mayHost(*this, job, spec, *w, now))
       continue;
-    auto opening = soonestOpening(*this, *w, spec.Size, stopped, now);
+    base::Resources size = heldOn(*w);
+    size += spec.Size;
+    auto opening = soonestOpening(*this, *w, size, stopped, now);
     if (opening && (!best || (stopped == GivesWay::None
                                   ? opening->Due < soonest.Due
                                   : isSooner(*opening, *w, soonest, *best)))) {
@@ -411,8 +455,7 @@
                                    std::int32_t index,
                                    std::vector<WorkerRoom> &rooms,
                                    TimePoint now) {
-  if (!mayReserveMore(*this, true, request.Waited))
-    return false;
+  bool onlyReserved = !mayReserveMore(*this, true, request.Waited);
   const JobEntry *job = findJob(request.Job);
   auto step = static_cast<std::size_t>(request.Step);
   std::int32_t maxPerWorker = 0;
@@ -426,15 +469,18 @@
   for (WorkerRoom &it : rooms) {
     WorkerState &w = *it.Worker;
     auto same = counts.find(&w);
-    if (w.Held || now < w.NoReservationUntil ||
+    if (!takesReservation(w, request.Size, true, now) ||
+        (onlyReserved && w.Held.empty()) ||
         w.Profile.Service != request.Service || !request.Size.fitsIn(it.Free) ||
         (!request.Requirement.empty() &&
          !hasLabel(w.Profile, request.Requirement)) ||
         (maxPerWorker > 0 && same != counts.end() &&
          same->second >= maxPerWorker))
       continue;
-    auto opening = soonestOpening(*this, w, request.Size,
-                                  givesWayAfter(request.Waited), now);
+    base::Resources size = heldOn(w);
+    size += request.Size;
+    auto opening =
+        soonestOpening(*this, w, size, givesWayAfter(request.Waited), now);
     if (opening && (!best || isSooner(*opening, w, soonest, *best->Worker))) {
       best = &it;
       soonest = *opening;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -382,8 +382,8 @@
   std::int64_t LongRunningCpu = 0;
   /// Memory of the long-running tasks.
   std::int64_t LongRunningMemory = 0;
-  /// Capacity that is held for a waiting task, as of the current plan.
-  std::optional<WorkerReservation> Held;
+  /// Capacity that is held for waiting tasks, as of the current plan.
+  std::vector<WorkerReservation> Held;
   /// A reservation here was not kept; there is no other until then.
   TimePoint NoReservationUntil;
   /// No tasks are started here before then.
@@ -753,6 +753,8 @@
   /// if it does not count as in time now.
   bool isWorthwhile(const JobEntry &job, const Occurrence &o, std::int32_t step,
                     TimePoint due, TimePoint now) const;
+  /// Adds a reservation to those of its worker.
+  void holdOnWorker(const Reservation &reservation);
   void addReservation(Reservation reservation, std::size_t runs, TimePoint now);
   /// A task of the step was started, so it needs one reservation less.
   void useReservation(const TaskKey &key, const WorkerState &worker);
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -150,6 +150,18 @@
   EXPECT_EQ(count(rooms[0].Cpu), 2000);
 }
 
+// grown-revoke-then-leave, seed 12: the tasks for a room of 14,450 got it one
+// after the other, each after a wait of its own.
+TEST_F(ShardWithARoom, RoomForSeveralTasks_IsHeldForAllOfThem) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.setRoomRequests(3, {request(7, 6000, 4s)});
+  TestShard.setRoomRequests(AskingShard, {request(Asking, 6000, 5s)});
+  EXPECT_EQ(offers().size(), 2u);
+  delegate(Asking, 6000);
+  delegate(7, 6000);
+  EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 3u);
+}
+
 // The shard's own tasks need no other shard and go first.
 TEST_F(ShardWithARoom, OwnTaskWaits_RoomIsNotOffered) {
   start(job(2, {slow(3, 4000)}));
