Overdue requests for room: large tasks first

Change: 32 steps are named; from 6 s on all waits count as equal and large tasks go first; otherwise shards choose by a hash, so that fewer grants meet.

--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -5,7 +5,11 @@
 // has waited longest, and holds the room while the task is handed over.
 #include "detail/Rooms.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <tuple>
 
 namespace endivedoor::dispatch {
 
@@ -22,7 +26,13 @@
 constexpr auto RequestDelay = 1000ms;
 /// A task that has room here, but no start for so long, is asked for as well.
 constexpr auto PlacedRequestDelay = 3000ms;
-constexpr std::size_t MaxRequests = 16;
+constexpr std::size_t MaxRequests = 32;
+/// Tasks that have waited for so long are equally urgent: callers count each as
+/// lost once there is room for it.
+constexpr std::chrono::seconds UrgentWait{6};
+/// Sizes in the same class are equal in the choice of a request, in thousandths
+/// of a core.
+constexpr std::int64_t SizeClass = 2000;
 constexpr std::size_t MaxTasksPerRequest = 8;
 
 static std::vector<std::int32_t>
@@ -108,6 +118,17 @@
                       });
 }
 
+/// Returns the place of a request among those that wait for a room: long waits
+/// first, then large tasks, which fit few rooms. Otherwise shards with rooms
+/// take different ones, so that few tasks get two.
+static std::tuple<std::chrono::seconds, std::int64_t, std::uint64_t>
+placeInLine(const RoomRequest &request, std::int32_t shard) {
+  std::string key = formatJobNumber(request.Job) + "/" + std::to_string(shard);
+  return {-std::min(request.Waited, UrgentWait),
+          -(count(request.Size.Cpu) / SizeClass),
+          XXH3_64bits(key.data(), key.size())};
+}
+
 void ShardState::grantRooms(TimePoint now) {
   if (now - RoomsComparedAt < GrantInterval || mayRunAnyTask() || Closing)
     return;
@@ -118,10 +139,10 @@
       asked.emplace_back(shard, &it);
   if (asked.empty())
     return;
-  std::stable_sort(asked.begin(), asked.end(),
-                   [](const auto &a, const auto &b) {
-                     return a.second->Waited > b.second->Waited;
-                   });
+  std::stable_sort(
+      asked.begin(), asked.end(), [&](const auto &a, const auto &b) {
+        return placeInLine(*a.second, Number) < placeInLine(*b.second, Number);
+      });
   RoomsComparedAt = now;
   std::vector<WorkerRoom> rooms = std::move(planRooms(*this, now).Rooms);
   for (const auto &[shard, request] : asked) {
