--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -9,7 +9,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <tuple>
 
 namespace endivedoor::dispatch {
 
@@ -27,12 +26,6 @@
 /// A task that has room here, but no start for so long, is asked for as well.
 constexpr auto PlacedRequestDelay = 3000ms;
 constexpr std::size_t MaxRequests = 32;
-/// Tasks that have waited for so long are equally urgent: callers count each as
-/// lost once there is room for it.
-constexpr std::chrono::seconds UrgentWait{6};
-/// Sizes in the same class are equal in the choice of a request, in thousandths
-/// of a core.
-constexpr std::int64_t SizeClass = 2000;
 constexpr std::size_t MaxTasksPerRequest = 8;
 
 static std::vector<std::int32_t>
@@ -118,45 +111,50 @@
                       });
 }
 
-/// Returns the place of a request among those that wait for a room: long waits
-/// first, then large tasks, which fit few rooms. Otherwise shards with rooms
-/// take different ones, so that few tasks get two.
-static std::tuple<std::chrono::seconds, std::int64_t, std::uint64_t>
-placeInLine(const RoomRequest &request, std::int32_t shard) {
-  std::string key = formatJobNumber(request.Job) + "/" + std::to_string(shard);
-  return {-std::min(request.Waited, UrgentWait),
-          -(count(request.Size.Cpu) / SizeClass),
-          XXH3_64bits(key.data(), key.size())};
-}
+/// What a shard is asked for, in the order in which it gives room: the longest
+/// wait first. Of equal waits, shards choose different ones, so that few tasks
+/// get two rooms.
+struct AskedRoom {
+  std::chrono::seconds Waited;
+  std::uint64_t Draw = 0;
+  std::int32_t Shard = 0;
+  const RoomRequest *Request = nullptr;
+
+  AskedRoom(const RoomRequest &request, std::int32_t from, std::int32_t to)
+      : Waited(request.Waited), Shard(from), Request(&request) {
+    std::string key = formatJobNumber(request.Job) + "/" + std::to_string(to);
+    Draw = XXH3_64bits(key.data(), key.size());
+  }
+  friend bool operator<(const AskedRoom &a, const AskedRoom &b) {
+    return std::pair(-a.Waited, a.Draw) < std::pair(-b.Waited, b.Draw);
+  }
+};
 
 void ShardState::grantRooms(TimePoint now) {
   if (now - RoomsComparedAt < GrantInterval || mayRunAnyTask() || Closing)
     return;
   std::erase_if(UnusedOffers, [&](const auto &it) { return it.second <= now; });
-  std::vector<std::pair<std::int32_t, const RoomRequest *>> asked;
+  std::vector<AskedRoom> asked;
   for (const auto &[shard, requests] : PeerRequests)
     for (const RoomRequest &it : requests)
-      asked.emplace_back(shard, &it);
+      asked.emplace_back(it, shard, Number);
   if (asked.empty())
     return;
-  std::stable_sort(
-      asked.begin(), asked.end(), [&](const auto &a, const auto &b) {
-        return placeInLine(*a.second, Number) < placeInLine(*b.second, Number);
-      });
+  std::stable_sort(asked.begin(), asked.end());
   RoomsComparedAt = now;
   std::vector<WorkerRoom> rooms = std::move(planRooms(*this, now).Rooms);
-  for (const auto &[shard, request] : asked) {
+  for (const AskedRoom &it : asked) {
     std::int32_t granted = 0;
-    for (std::int32_t it : request->Tasks) {
-      if (!needsRoom(*this, *request, it))
+    for (std::int32_t index : it.Request->Tasks) {
+      if (!needsRoom(*this, *it.Request, index))
         continue;
-      if (!reserveForRequest(*request, it, rooms, now))
+      if (!reserveForRequest(*it.Request, index, rooms, now))
         break;
       ++granted;
     }
     if (granted > 0)
       RoomOffers.push_back(
-          {request->Job, shard, {Number, request->Step, granted}});
+          {it.Request->Job, it.Shard, {Number, it.Request->Step, granted}});
   }
 }
 
