A request for room that does not fit its job is passed over

Found by reading the change: the step of a request was used as an index into the steps of a known part without a check, and short work was stopped for a task that only its account's limit holds. Both are guarded; the first is in TaskThatCannotBeDelegatedHere_GetsNoOffer.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -273,7 +273,8 @@
     WorkerState &w = *Workers.find(r.Worker)->second;
     base::Duration waited = waitOf(entry, now);
     GivesWay which = givesWayAfter(waited);
-    if (entry.WaitingCount == 0 || which == GivesWay::None)
+    if (entry.WaitingCount == 0 || entry.LimitedSince ||
+        which == GivesWay::None)
       continue;
     // What has become free, or is about to, is for the earlier ones first.
     base::Resources &size = needed[&w];
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -100,6 +100,7 @@
   // Neither the job's own shard nor one that has had the task takes it again.
   if (shard.CancelledEarly.contains(request.Job) ||
       (job && (!job->isLive() || !job->IsPart ||
+               request.Step >= std::ssize(job->Job.Graph.Steps) ||
                job->PartTasks.contains({request.Step, index}))) ||
       shard.UnusedOffers.contains({request.Job, 0, request.Step, index}))
     return false;
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -177,6 +177,11 @@
   delegate(Asking, 30000);
   TestShard.setRoomRequests(AskingShard, {request(Asking, 4000, 5s)});
   EXPECT_TRUE(offers().empty());
+  // A record that does not fit the job.
+  RoomRequest odd = request(Asking, 4000, 5s);
+  odd.Step = 60;
+  TestShard.setRoomRequests(AskingShard, {odd});
+  EXPECT_TRUE(offers().empty());
 }
 
 // Short work that outlasts the wait kept the room for as long as it ran. It is
