Test: tasks of a lost worker wait for one lease, whatever owners follow

The test loads the roster of each owner into the next, as there: the tasks start 8.0 to 8.4 s after the first owner was replaced.

--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -247,6 +247,47 @@
   EXPECT_EQ(startsOf(Waiting), 2u);
 }
 
+// srsl-main-grown, mix, seed 43: a worker is lost, then its owner, then the
+// next one. Its tasks wait for the lease that the first owner could request,
+// not for one of each owner.
+TEST_F(ShardHandover, WorkerThenTwoOwnersLost_TasksStartOnceTheLeaseHasEnded) {
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  TestShard.plan(now(), Time.wallNow(), true);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  TestShard.plan(now(), Time.wallNow(), true);
+  Time.advance(5s);
+  base::TimePoint replaced = now();
+  handOver({{Term, replaced, true}});
+  EXPECT_EQ(startsOf(Running), 0u);
+  Time.advance(2s);
+  Shard last{{}, 0, Term + 2, base::FencingToken{9}, Events, MetricsRegistry};
+  last.markUnverified(Next.roster(),
+                      {{Term, replaced, true}, {Term + 1, now(), true}}, now());
+  last.addJob(job(Running, {step(2)}), 5, true, now());
+  last.addJob(job(Waiting, {step(2)}), 6, true, now());
+  last.updateWorker(worker("w2"), now());
+  std::optional<base::TimePoint> started;
+  while (!started && now() - replaced < 20s) {
+    PollReport report;
+    report.Clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now().time_since_epoch());
+    report.StartTime = 1000ms;
+    for (const WorkerCommand &it : StartedByNext)
+      report.Running.push_back({it.Run, "", 100, 4000, true});
+    last.nextPoll(base::WorkerId("w2"), now(), true);
+    last.onPoll(base::WorkerId("w2"), report, now(), now());
+    last.onRosterStored(last.roster());
+    for (const WorkerCommand &it : last.plan(now(), Time.wallNow(), true))
+      if (it.Type == WorkerCommand::Kind::Start &&
+          it.Run.Task.Job == JobNumber{Running})
+        started = now();
+    Time.advance(50ms);
+  }
+  ASSERT_TRUE(started);
+  EXPECT_GE(*started - replaced, 8s);
+  EXPECT_LE(*started - replaced, 8400ms);
+}
+
 // The fence of both: a later owner trusts the roster to name the last term that
 // could use a worker.
 TEST_F(ShardHandover, InheritedWorker_GetsNothingBeforeTheRosterNamesTheTerm) {
