--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace endivedoor::dispatch {
 
@@ -81,15 +82,16 @@
                    });
   // Any room that fits one of the tasks must find a request: those that need
   // less than all that have waited longer come first.
+  std::vector<RoomRequest> first, rest;
   std::int64_t least = INT64_MAX;
-  std::stable_partition(requests.begin(), requests.end(),
-                        [&](const RoomRequest &it) {
-                          bool smaller = count(it.Size.Cpu) < least;
-                          least = std::min(least, count(it.Size.Cpu));
-                          return smaller;
-                        });
-  requests.resize(std::min(requests.size(), MaxRequests));
-  return requests;
+  for (RoomRequest &it : requests) {
+    std::int64_t cpu = count(it.Size.Cpu);
+    (cpu < least ? first : rest).push_back(std::move(it));
+    least = std::min(least, cpu);
+  }
+  std::move(rest.begin(), rest.end(), std::back_inserter(first));
+  first.resize(std::min(first.size(), MaxRequests));
+  return first;
 }
 
 /// Returns whether a task of another shard can be delegated to this one, and
