Log the rooms that long-running tasks leave

Callers report long-running tasks that wait although there is capacity for them (LOST). The logs named each start, but not which end had left room on a worker before it, so it could not be computed for how long room of a size was open anywhere, and whose task took it.

RoomOpened names the worker, the task that ended there, how, and what the worker then has beside its long-running tasks. No decision changes.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -139,9 +139,19 @@
                          [&](const Run &r) { return r.Number == run; });
   if (it == task->Runs.end())
     return;
-  release(*it->Worker, {key, run});
+  WorkerState &worker = *it->Worker;
+  release(worker, {key, run});
   task->Runs.erase(it);
   task->addEnding(run, evidence);
+  if (stepOf(job, key).LongRunning)
+    Events.emit(
+        EventCode::RoomOpened,
+        {{"worker", worker.Profile.Id.str()},
+         {"task", taskText(key)},
+         {"run", std::to_string(run)},
+         {"cpu", std::to_string(count(roomBesideLongRunning(worker).Cpu))},
+         {"draining", worker.Profile.Draining ? "yes" : "no"},
+         {"how", evidence}});
   if (task->Crashes.AnnouncedRun == run) {
     task->Crashes.AnnouncedRun = 0;
     if (job.isLive())
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -115,6 +115,10 @@
                                  count(worker.Used.Cpu))},
       {"waitedMs", std::to_string((now - job.Accepted) / 1ms)},
       {"recordsMs", std::to_string((now - RecordsAsOf) / 1ms)}};
+  if (step.LongRunning)
+    fields.push_back(
+        {"unservedMs",
+         std::to_string((now - entry.UnservedSince.value_or(now)) / 1ms)});
   std::string earlier;
   for (const RunEnding &it : task.Endings)
     earlier += (earlier.empty() ? "" : "; ") + std::to_string(it.Number) + " " +
