A run that is being stopped is room before its end

What callers saw: LOST.

Cause: room was granted only once the end of the run was listed.

Change: what a run occupies counts as room once the worker has confirmed its stop. The task is chosen and handed over while the stop takes its time, and starts in the plan that reads the end.

Evidence: RunThatIsBeingStopped_IsRoomBeforeItsEnd fails without it. The fence: WorkerCutOffAfterAConfirmedStop_NothingStartsThere (a worker that is alive and cut off after it has confirmed the stop). A start still waits for the listed end, or for the lease.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -25,8 +25,9 @@
 /// repeated, also if its work is lost: a stop and a start fit into the rest of
 /// the callers' 6 s.
 constexpr base::Duration RepeatableWait = 3500ms;
-/// How long a stop may take until its end is listed.
+/// How long a stop may take until its end is listed, and usually takes.
 constexpr auto StopTime = 2000ms;
+constexpr base::Duration UsualStopTime = 700ms;
 /// The same for a gang, of which only one has reservations at a time.
 constexpr std::size_t MinWorkersPerGangReservation = 2;
 /// A reservation is replaced by one that is due sooner by more than this.
@@ -38,6 +39,9 @@
 static std::optional<policy::ExpectedEnd>
 expectedEnd(const ShardState &shard, const RunId &id,
             const RunReservation &held) {
+  if (held.Step->LongRunning && held.StopConfirmed)
+    return policy::ExpectedEnd{*held.StopConfirmed + UsualStopTime, held.Size,
+                               UsualStopTime};
   if (held.Step->LongRunning)
     return std::nullopt;
   base::Duration expected = shard.expectedTime(
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -15,7 +15,7 @@
 base::Resources roomBesideLongRunning(const WorkerState &w) {
   base::Resources room = w.Profile.Capacity;
   for (const auto &[id, held] : w.Runs)
-    if (held.Step->LongRunning)
+    if (held.Step->LongRunning && !held.StopConfirmed)
       room -= held.Size;
   return room;
 }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -348,6 +348,16 @@
   return clock + std::chrono::duration_cast<WorkerTime>(end - now);
 }
 
+void ShardState::onStopConfirmed(WorkerState &worker, const RunId &run,
+                                 TimePoint now) {
+  auto it = worker.Runs.find(run);
+  if (it == worker.Runs.end() || it->second.StopConfirmed)
+    return;
+  it->second.StopConfirmed = now;
+  worker.EndsCache.reset();
+  RoomsChanged = true;
+}
+
 void ShardState::expireLeases(TimePoint now) {
   if (RosterUnknownUntil && now >= *RosterUnknownUntil) {
     RosterUnknownUntil.reset();
@@ -714,8 +724,10 @@
         it.Worker->Profile.Id != command.Worker.Id)
       continue;
     it.Stops.Unanswered = 0;
-    if (result.value() == CommandResult::Done)
-      it.StopConfirmed = now;
+    if (result.value() != CommandResult::Done)
+      continue;
+    it.StopConfirmed = now;
+    s.onStopConfirmed(*it.Worker, command.Run, now);
   }
 }
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -259,6 +259,8 @@
   TimePoint Started;
   /// An earlier owner started the run.
   bool Adopted = false;
+  /// When the worker confirmed a stop command: the run ends soon.
+  std::optional<TimePoint> StopConfirmed = {};
   /// Account whose use includes the run; null if there is none.
   AccountState *Account = nullptr;
 };
@@ -677,6 +679,9 @@
   void reserve(WorkerState &worker, JobEntry &job, const TaskKey &task,
                const Run &run);
   void release(WorkerState &worker, const RunId &run);
+  /// What the run occupies is room for others from now on, and free once its
+  /// end is listed.
+  void onStopConfirmed(WorkerState &worker, const RunId &run, TimePoint now);
   void expireLeases(TimePoint now);
   /// Handles the first answer of a silent worker.
   void endSilence(WorkerState &worker, TimePoint now);
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -228,6 +228,49 @@
   EXPECT_EQ(offered[0].Task, task(Asking));
 }
 
+// kcs-orders-grown, seed 13: each room was idle while a task was handed over to
+// it. A stop takes longer than that.
+TEST_F(ShardWithARoom, RunThatIsBeingStopped_IsRoomBeforeItsEnd) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.cancelJob(JobNumber{Serving}, now());
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  ask(AskingShard, {request(Asking, 20000, 5s)});
+  EXPECT_TRUE(offers().empty());
+  TestShard.onStop(stops[0], CommandResult::Done, now());
+  ASSERT_EQ(offers().size(), 1u);
+  delegate(Asking, 20000);
+  EXPECT_TRUE(plan().empty());
+  report(Serving);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, task(Asking));
+}
+
+// The fence of rooms before their end: a worker that is alive and cut off after
+// it has confirmed a stop may run the task on, so nothing takes its place
+// before the lease has ended.
+TEST_F(ShardWithARoom, WorkerCutOffAfterAConfirmedStop_NothingStartsThere) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.cancelJob(JobNumber{Serving}, now());
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  TestShard.onStop(stops.at(0), CommandResult::Done, now());
+  ask(AskingShard, {request(Asking, 20000, 5s)});
+  ASSERT_EQ(offers().size(), 1u);
+  delegate(Asking, 20000);
+  report();
+  TestShard.onPollFailed(base::WorkerId("w"), "timeout", now());
+  for (int i = 0; i < 60; ++i) {
+    EXPECT_TRUE(plan().empty());
+    Time.advance(90ms);
+  }
+  addWorker("other");
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, task(Asking));
+  EXPECT_EQ(orders[0].Worker.Id.str(), "other");
+}
+
 // 79 of 106 unused grants (kcs-orders-grown, seed 13) were second rooms for the
 // task that had waited longest. The next in order got none in that round.
 TEST_F(ShardWithARoom, TaskHasAGrantOfAnotherShard_RoomGoesToTheNextTask) {
