A shard that has been taken over grants room to tasks that it never had

ShardAfterATakeover: TaskThatWasNeverHere_GetsARoom fails before the change. The fence, TaskOfAnInheritedPart_GetsNoRoom: the earlier owner, alive and cut off, may have started any task of a part that it had.

--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -106,11 +106,14 @@
 bool ShardState::needsRoom(const RoomRequest &request,
                            std::int32_t index) const {
   const JobEntry *job = findJob(request.Job);
-  // Neither the job's own shard nor one that has had the task takes it again.
+  // Neither the job's own shard nor one that has had the task takes it again;
+  // what is added to an inherited part waits until all workers have listed
+  // their runs.
   if (CancelledEarly.contains(request.Job) ||
       (job && (!job->isLive() || !job->IsPart ||
                request.Step >= std::ssize(job->Job.Graph.Steps) ||
-               job->PartTasks.contains({request.Step, index}))) ||
+               job->PartTasks.contains({request.Step, index}) ||
+               (job->Inherited && mayRunAnyTask()))) ||
       UnusedOffers.contains({request.Job, 0, request.Step, index}))
     return false;
   return std::none_of(
@@ -121,8 +124,7 @@
 }
 
 void ShardState::grantRooms(TimePoint now) {
-  if (Closing || mayRunAnyTask() ||
-      (!RoomsChanged && now - RoomsComparedAt < GrantInterval))
+  if (Closing || (!RoomsChanged && now - RoomsComparedAt < GrantInterval))
     return;
   std::erase_if(UnusedOffers, [&](const auto &it) { return it.second <= now; });
   RoomsChanged = false;
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -298,6 +298,48 @@
   EXPECT_EQ(offered[0].Task, task(7));
 }
 
+/// A shard that has just been taken over: a worker of its earlier owner has not
+/// answered yet.
+class ShardAfterATakeover : public ShardWithARoom {
+protected:
+  void SetUp() override {
+    dispatch::RosterEntry silent;
+    silent.Id = base::WorkerId("silent");
+    silent.Endpoint = {"10.0.0.2", 8080};
+    silent.Term = Term - 1;
+    TestShard.markUnverified({silent}, {{Term - 1, now(), true}}, now());
+    addWorker("w");
+    plan();
+  }
+};
+
+// Shards granted no room until the leases of all earlier owners had ended, up
+// to 8.3 s, though only inherited tasks wait for that.
+TEST_F(ShardAfterATakeover, TaskThatWasNeverHere_GetsARoom) {
+  ask(AskingShard, {request(Asking, 12000, 5s)});
+  EXPECT_EQ(offers().size(), 1u);
+  delegate(Asking, 12000);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, task(Asking));
+}
+
+// The fence: the earlier owner, alive and cut off, may have started any task of
+// a part that it had.
+TEST_F(ShardAfterATakeover, TaskOfAnInheritedPart_GetsNoRoom) {
+  dispatch::JobPart part;
+  part.Tasks = {{0, 1}};
+  part.HomeShard = AskingShard;
+  TestShard.addJob(job(Asking, {longRunning(5, 12000)}), ++Revision, true,
+                   now(), &part);
+  ask(AskingShard, {request(Asking, 12000, 5s)});
+  EXPECT_TRUE(offers().empty());
+  Time.advance(8400ms);
+  poll("w");
+  ask(AskingShard, {request(Asking, 12000, 14s)});
+  EXPECT_EQ(offers().size(), 1u);
+}
+
 // Neither the job's own shard nor one that had the task can take it.
 TEST_F(ShardWithARoom, TaskThatCannotBeDelegatedHere_GetsNoOffer) {
   ask(AskingShard, {request(Serving, 4000, 5s)});
