--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -43,8 +43,6 @@
 
 bool mayBeSplit(const JobEntry &job, bool unverified) {
   return job.isLive() && hasOnlyLongRunningSteps(job.Job.Graph) &&
-         (job.RunCount > 0 || job.IsPart || !job.DelegatedShards.empty() ||
-          job.MoveDeclined) &&
          !job.Moving && !(unverified && job.Inherited);
 }
 
@@ -94,6 +92,13 @@
          job.Version == job.StoredVersion;
 }
 
+/// Returns whether some of the job's tasks may be offered to shards that have
+/// published room. A job that runs nowhere yet moves as a whole.
+static bool mayBeOffered(const JobEntry &job) {
+  return job.RunCount > 0 || job.IsPart || !job.DelegatedShards.empty() ||
+         job.MoveDeclined;
+}
+
 static Delegation makeOffer(const detail::ShardState &s, const JobEntry &job) {
   Delegation offer;
   offer.Job = job.Job;
@@ -140,7 +145,7 @@
   for (JobEntry *job : jobs) {
     if (offers.size() == limit)
       break;
-    if (!isDelegable(*job, unverified) ||
+    if (!isDelegable(*job, unverified) || !mayBeOffered(*job) ||
         now - job->OfferDeclinedAt < OfferInterval ||
         !detail::hasWaited(*job, job->IsPart ? DelegationDelay : UnplacedDelay,
                            now))
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -458,6 +458,22 @@
   EXPECT_LE(requests[0].Waited, 2600ms);
 }
 
+// A job without a run whose last run was stopped asked for no room until
+// another shard had turned down the whole job.
+TEST_F(ShardThatAsks, JobWithoutRuns_IsAskedFor) {
+  report(Wide);
+  TestShard.addJob(job(6, {longRunning(1, 30000)}), ++Revision, false, now());
+  plan();
+  Time.advance(2500ms);
+  report();
+  plan();
+  std::vector<RoomRequest> requests = TestShard.load().Requests;
+  EXPECT_TRUE(
+      std::any_of(requests.begin(), requests.end(), [](const RoomRequest &it) {
+        return it.Job == JobNumber{6};
+      }));
+}
+
 // A task that waits for its turn to be offered may miss the room.
 TEST_F(ShardThatAsks, Grant_TaskIsOfferedAtOnceToTheShardWithTheRoom) {
   TestShard.onRoomGrant(Waiting, Grant, now());
