The waits of long-running tasks go on under the next owner

It now reads the waits in the last load record of its shard. NextOwner_GoesOnWithTheWaits fails before. The record only changes the order, not what may start.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -341,6 +341,9 @@
                        base::TimePoint now);
   /// The load records cannot be read, so no room is held for other shards.
   void clearRoomRequests();
+  /// The tasks have waited for that long already, under an earlier owner.
+  void inheritWaits(const std::vector<RoomRequest> &requests,
+                    base::TimePoint now);
   /// Returns rooms for which grants are to be stored, at most \p limit, each on
   /// the condition that there is no grant for the task.
   std::vector<RoomOffer> takeRoomOffers(std::size_t limit);
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -559,8 +559,9 @@
         StepEntry &entry = o.Steps[i];
         const model::StepSpec &spec = job->Job.Graph.Steps[i];
         bool isWaiting = entry.WaitingCount > 0 && isReady(*job, o, i);
-        if (spec.LongRunning && (isWaiting || entry.UnservedSince))
-          updateWaits(entry, now);
+        if (spec.LongRunning &&
+            (isWaiting || entry.UnservedSince || !InheritedWaits.empty()))
+          updateWaits(*job, o, static_cast<std::int32_t>(i), now);
         if (!isWaiting) {
           if (!job->OfferInFlight) {
             entry.UnservedSince.reset();
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -199,16 +199,26 @@
   }
 }
 
-void ShardState::updateWaits(StepEntry &entry, TimePoint now) {
+void ShardState::updateWaits(const JobEntry &job, Occurrence &o,
+                             std::int32_t step, TimePoint now) {
+  StepEntry &entry = o.Steps[static_cast<std::size_t>(step)];
   entry.UnservedSince.reset();
-  for (TaskEntry &task : entry.Tasks) {
-    // An offer may come back.
-    if (!task.isWaiting() && !task.Remote)
-      task.WaitingSince.reset();
-    if (!task.isWaiting())
+  for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i) {
+    TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
+    TaskKey key{job.Job.Id, o.Number, step, i};
+    if (!task.isWaiting()) {
+      // An offer may come back.
+      if (!task.Remote) {
+        task.WaitingSince.reset();
+        InheritedWaits.erase(key);
+      }
       continue;
-    if (!task.WaitingSince)
-      task.WaitingSince = now;
+    }
+    if (!task.WaitingSince) {
+      auto earlier = InheritedWaits.find(key);
+      task.WaitingSince =
+          earlier == InheritedWaits.end() ? now : earlier->second;
+    }
     entry.UnservedSince =
         std::min(entry.UnservedSince.value_or(now), *task.WaitingSince);
   }
@@ -263,6 +273,13 @@
 
 void Shard::clearRoomRequests() { State->RequestsOfPeers.clear(); }
 
+void Shard::inheritWaits(const std::vector<RoomRequest> &requests,
+                         base::TimePoint now) {
+  for (const RoomRequest &it : requests)
+    for (std::int32_t index : it.Tasks)
+      State->InheritedWaits[{it.Job, 0, it.Step, index}] = now - it.Waited;
+}
+
 std::vector<RoomOffer> Shard::takeRoomOffers(std::size_t limit) {
   std::vector<RoomOffer> offers;
   while (!State->RoomOffers.empty() && offers.size() < limit) {
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -1,6 +1,7 @@
 #include "detail/ShardRunner.h"
 
 #include "detail/ColocationRecords.h"
+#include "detail/Loads.h"
 #include "detail/ShardState.h"
 #include "detail/Sleep.h"
 
@@ -150,6 +151,14 @@
   }
   RosterRead = true;
   spawnAccountLoad();
+  // Optional as well: without it the waits of the tasks begin again.
+  base::Result<std::optional<StoredItem>> load =
+      co_await Context.Store.read(keys::load(CurrentTerm.Shard));
+  if (Stopped)
+    co_return;
+  if (load && load.value())
+    if (base::Result<ShardLoad> last = decodeLoad(load.value()->Value))
+      State.inheritWaits(last.value().Requests, Context.Time.now());
   // The interference record is optional: without it the model starts empty.
   base::Result<std::optional<StoredItem>> pairs =
       co_await Context.Store.read(keys::colocation(CurrentTerm.Shard));
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -549,6 +549,8 @@
   std::deque<TaskKey> ReadReturns;
   /// Rooms that other shards hold for tasks of this one.
   std::map<TaskKey, GrantedRoom> Grants;
+  /// Since when tasks have waited under an earlier owner.
+  std::map<TaskKey, TimePoint> InheritedWaits;
   /// Tasks of other shards that did not come although there was room for them,
   /// with until when there is no other offer.
   std::map<TaskKey, TimePoint> UnusedOffers;
@@ -627,7 +629,8 @@
   void returnGrants(JobNumber job, const std::vector<TaskRef> &tasks,
                     TimePoint now);
   /// Notes since when the tasks of a long-running step have waited.
-  void updateWaits(StepEntry &entry, TimePoint now);
+  void updateWaits(const JobEntry &job, Occurrence &o, std::int32_t step,
+                   TimePoint now);
   void checkComplete(JobEntry &job, Occurrence &occurrence);
   /// Schedules the removal of the records of cancelled jobs and removes ended
   /// jobs from the tables.
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -474,6 +474,25 @@
       }));
 }
 
+// A wait that began anew with each owner let younger tasks go first.
+TEST_F(ShardThatAsks, NextOwner_GoesOnWithTheWaits) {
+  Time.advance(2500ms);
+  report();
+  plan();
+  std::vector<RoomRequest> last = TestShard.load().Requests;
+  ASSERT_EQ(last.size(), 1u);
+  Shard next{{}, 0, Term + 1, base::FencingToken{8}, Events, MetricsRegistry};
+  next.inheritWaits(last, now());
+  next.addJob(job(Wide, {longRunning(2, 40000)}), 500, true, now());
+  next.plan(now(), Time.wallNow(), true);
+  Time.advance(1s);
+  next.plan(now(), Time.wallNow(), true);
+  std::vector<RoomRequest> requests = next.load().Requests;
+  ASSERT_FALSE(requests.empty());
+  EXPECT_EQ(requests[0].Tasks, std::vector<std::int32_t>{Waiting.Index});
+  EXPECT_GE(requests[0].Waited, 3400ms);
+}
+
 // A task that waits for its turn to be offered may miss the room.
 TEST_F(ShardThatAsks, Grant_TaskIsOfferedAtOnceToTheShardWithTheRoom) {
   TestShard.onRoomGrant(Waiting, Grant, now());
