Reservations for short tasks give way to tasks of other shards

The short runs give way already; now the reservations do. ReservationOfAShortTask_GivesWayToOneOfAnotherShard fails before.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -224,9 +224,10 @@
 
 void ShardState::holdOnWorker(const Reservation &reservation) {
   WorkerState &w = *Workers.find(reservation.Worker)->second;
-  WorkerReservation added{held(*this, w, reservation), reservation.Job,
-                          reservation.Occurrence, reservation.Step,
-                          reservation.Granted.has_value()};
+  WorkerReservation added{
+      held(*this, w, reservation),     reservation.Job,
+      reservation.Occurrence,          reservation.Step,
+      reservation.Granted.has_value(), reservation.LongRunning};
   for (WorkerReservation &it : w.Held) {
     added.Capacity.UsedWhenDue += it.Capacity.Size;
     it.Capacity.UsedWhenDue += reservation.Size;
@@ -367,11 +368,12 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(workers * share));
 }
 
-/// Returns what is held on a worker for all tasks.
-static base::Resources heldOn(const WorkerState &w) {
+/// Returns what is held on a worker, for long-running tasks only or for all.
+static base::Resources heldOn(const WorkerState &w, bool onlyLongRunning) {
   base::Resources size;
   for (const WorkerReservation &it : w.Held)
-    size += it.Capacity.Size;
+    if (it.LongRunning || !onlyLongRunning)
+      size += it.Capacity.Size;
   return size;
 }
 
@@ -393,7 +395,8 @@
     return false;
   if (w.Held.empty())
     return true;
-  base::Resources all = heldOn(w);
+  // Reservations for short tasks give way, as their runs do.
+  base::Resources all = heldOn(w, true);
   all += size;
   return longRunning && all.fitsIn(roomBesideLongRunning(w));
 }
@@ -441,7 +444,7 @@
         (spec.MaxPerWorker > 0 && places >= spec.MaxPerWorker) ||
         !mayHost(*this, job, spec, *w, now))
       continue;
-    base::Resources size = heldOn(*w);
+    base::Resources size = heldOn(*w, spec.LongRunning);
     size += spec.Size;
     auto opening = soonestOpening(*this, *w, size, stopped, now);
     if (opening && (!best || (stopped == GivesWay::None
@@ -504,7 +507,7 @@
         (request.MaxPerWorker > 0 && same != counts.end() &&
          same->second >= request.MaxPerWorker))
       continue;
-    base::Resources size = heldOn(w);
+    base::Resources size = heldOn(w, true);
     size += request.Size;
     auto opening =
         soonestOpening(*this, w, size, givesWayAfter(request.Waited), now);
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -350,6 +350,7 @@
   /// For a task that is still to be delegated here, not for the others of its
   /// step.
   bool Awaited = false;
+  bool LongRunning = false;
 };
 
 /// Number of tasks of one step on each worker.
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -301,6 +301,16 @@
   EXPECT_TRUE(offers().empty());
 }
 
+// kcs-orders-grown, seed 12: short tasks that held parts of a room one after
+// the other kept it from tasks of other shards for 2.8 s.
+TEST_F(ShardWithARoom, ReservationOfAShortTask_GivesWayToOneOfAnotherShard) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.addJob(job(3, {step(1, 6000)}), ++Revision, false, now());
+  plan();
+  ask(AskingShard, {request(Asking, 12000, 5s)});
+  EXPECT_EQ(offers().size(), 1u);
+}
+
 // A room that was returned was idle until the next comparison.
 TEST_F(ShardWithARoom, RoomThatIsReturned_GoesToTheNextTaskInTheSamePlan) {
   start(job(2, {slow(3, 4000)}));
