Requests of a shard without an owner expire

By reading: the load record of a shard that has lost its owner stays in the store, and rooms were held for its tasks again and again, 1.5 s each. An owner whose tasks wait changes the record at least every 0.8 s, so requests that have not changed for 3 s are passed over. RequestsThatDoNotChange_HaveNoOwner fails before.

--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -24,6 +24,9 @@
 constexpr auto RequestDelay = 1000ms;
 /// A task that has room here, but no start for so long, is asked for as well.
 constexpr auto PlacedRequestDelay = 3000ms;
+/// An owner whose tasks wait changes its load record more often than that;
+/// older requests have no owner that could use a grant.
+constexpr auto RequestLifetime = 3000ms;
 constexpr std::size_t MaxRequests = 32;
 constexpr std::size_t MaxTasksPerRequest = 8;
 /// Tasks of a step whose waits differ by less share a request.
@@ -128,6 +131,9 @@
   if (Closing || (!RoomsChanged && now - RoomsComparedAt < GrantInterval))
     return;
   std::erase_if(UnusedOffers, [&](const auto &it) { return it.second <= now; });
+  std::erase_if(RequestsOfPeers, [&](const auto &it) {
+    return now - it.second.ChangedAt > RequestLifetime;
+  });
   RoomsChanged = false;
   if (RequestsOfPeers.empty())
     return;
@@ -268,7 +274,7 @@
   std::vector<detail::PeerRequest> list;
   for (const RoomRequest &it : requests)
     list.push_back({it, sinceOf(it, current.List, now)});
-  current = {std::move(list)};
+  current = {std::move(list), now};
   s.RoomsChanged = true;
 }
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -309,6 +309,8 @@
 /// The requests in another shard's load record.
 struct PeerRequests {
   std::vector<PeerRequest> List;
+  /// When they last differed from those that were read before.
+  TimePoint ChangedAt;
 };
 
 /// Capacity of a worker that is held for a task of a step until the runs that
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -323,6 +323,24 @@
   EXPECT_EQ(offered[0].Task, task(7));
 }
 
+// The requests of a shard that has lost its owner stay in the store. Rooms were
+// held for them again and again.
+TEST_F(ShardWithARoom, RequestsThatDoNotChange_HaveNoOwner) {
+  std::vector<RoomRequest> requests{request(Asking, 12000, 5s)};
+  ask(AskingShard, requests);
+  ASSERT_EQ(offers().size(), 1u);
+  Time.advance(1600ms);
+  report();
+  EXPECT_TRUE(offers().empty());
+  Time.advance(2s);
+  report();
+  ask(AskingShard, requests);
+  EXPECT_TRUE(offers().empty());
+  requests[0].Waited += 6s;
+  ask(AskingShard, requests);
+  EXPECT_EQ(offers().size(), 1u);
+}
+
 /// A shard that has just been taken over: a worker of its earlier owner has not
 /// answered yet.
 class ShardAfterATakeover : public ShardWithARoom {
