A delegated task goes on with the run numbers of all terms

A worker refuses a run that is not higher than one that it has stopped, so such a start may fail.

Cause: a new owner does not know the runs of earlier terms, and delegated the task with the highest number that it knew. Now with the highest that any term may have used, as for its own starts. InheritedTask_IsDelegatedWithTheRunNumbersOfAllTerms fails before.

--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -107,12 +107,14 @@
   return offer;
 }
 
-static void addTask(Delegation &offer, const TaskRef &position, TaskEntry &task,
+static void addTask(Delegation &offer, const TaskRef &position,
+                    const JobEntry &job, TaskEntry &task, std::int64_t term,
                     base::TimePoint now) {
   // No run is in flight, so none that was announced can be lost.
   task.Crashes.AnnouncedRun = 0;
   offer.Part.Tasks.push_back({position.Step, position.Index, task.Crashes});
-  offer.Part.LastRun = std::max(offer.Part.LastRun, task.LastRun);
+  offer.Part.LastRun =
+      std::max(offer.Part.LastRun, detail::nextRun(job, task, term) - 1);
   offer.Part.Waited = std::max(
       offer.Part.Waited, std::chrono::duration_cast<std::chrono::milliseconds>(
                              now - task.WaitingSince.value_or(now)));
@@ -166,7 +168,7 @@
             asked && now - task.WaitingSince.value_or(now) > OfferPeriod;
         if (task.isWaiting() && !s.HeldTasks.contains(key) && !hasGrant &&
             !late && (allTasks || rooms->Unplaced.contains(key)))
-          addTask(offer, {step, i, {}}, task, now);
+          addTask(offer, {step, i, {}}, *job, task, s.Term, now);
       }
     }
     if (offer.Part.Tasks.empty()) {
@@ -200,7 +202,7 @@
       }
       if (offer.Part.Tasks.empty())
         offer = makeOffer(s, *job);
-      addTask(offer, {key.Step, key.Index, {}}, *task, now);
+      addTask(offer, {key.Step, key.Index, {}}, *job, *task, s.Term, now);
       it->second.Ended = true;
       it->second.DeletableAt = now + detail::UsedGrantTime;
     }
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -553,6 +553,17 @@
   EXPECT_TRUE(changes.Returned.empty());
 }
 
+// kcs-orders-grown, grown-leader-race-drain, seed 12: a task that was delegated
+// after a change of owner had run 1 twice.
+TEST_F(ShardThatAsks, InheritedTask_IsDelegatedWithTheRunNumbersOfAllTerms) {
+  TestShard.addJob(job(6, {longRunning(1, 30000)}), ++Revision, true, now());
+  plan();
+  TestShard.onRoomGrant(task(6, 0), Grant, now());
+  std::optional<dispatch::Delegation> offered = TestShard.takeGranted(now());
+  ASSERT_TRUE(offered);
+  EXPECT_GE(offered->Part.LastRun, (Term - 1) * 1024);
+}
+
 // A record that is read by the next owner, or after the task has a run, must
 // not send it to a room that is no longer held.
 TEST_F(ShardThatAsks, GrantThatIsTooLate_IsNotUsed) {
