A worker whose runs have failed takes one long-running task on trial

Cause: a worker got no starts for 4.5 s after three failures of runs, up to 6 s in general. Tasks there fail by their own fault as well, so in a fleet of hundreds of workers some are nearly always avoided.

Change: one long-running task is tried a second after the latest failure, and others follow if it runs on for a second. Reservations outlast the time in between. Short tasks have a limited number of attempts and stay away as before. RunStarted names the CPU of a long-running task, and the wait of the task instead of that of its step.

WorkerWithFailures_TakesALongRunningTaskOnTrial fails before. A worker that fails all it starts gets one task a second: WorkerThatGoesOnFailing_GetsOneTaskAtATime.

--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -64,19 +64,22 @@
          LongRunningUsage * longRunning;
 }
 
-bool takesStarts(const ShardState &shard, const WorkerState &w, TimePoint now) {
+bool isInUse(const ShardState &shard, const WorkerState &w) {
   // The size of an orphan run is unknown, so its worker gets no tasks until the
   // run has ended.
-  return w.isUsable() && w.Clock && now >= w.AvoidUntil &&
-         w.OrphanRuns.empty() &&
+  return w.isUsable() && w.Clock && w.OrphanRuns.empty() &&
          !shard.ZonesOutOfService.contains(w.Profile.Zone);
 }
 
+bool isSuitable(const ShardState &shard, const JobEntry &job,
+                const model::StepSpec &step, const WorkerState &w) {
+  return isInUse(shard, w) && w.Profile.Service == job.Job.Policy.Service &&
+         (step.Requirement.empty() || hasLabel(w.Profile, step.Requirement));
+}
+
 bool mayHost(const ShardState &shard, const JobEntry &job,
              const model::StepSpec &step, const WorkerState &w, TimePoint now) {
-  return takesStarts(shard, w, now) &&
-         w.Profile.Service == job.Job.Policy.Service &&
-         (step.Requirement.empty() || hasLabel(w.Profile, step.Requirement));
+  return isSuitable(shard, job, step, w) && !w.isAvoided(step.LongRunning, now);
 }
 
 static bool canPlace(const ShardState &shard, const JobEntry &job,
@@ -95,6 +98,10 @@
 /// suitable workers if fewer distinct serving programs share a worker.
 constexpr double ProgramMixPenalty = 2.0;
 
+/// Penalty of a worker whose runs have failed: larger than the score of any
+/// sound worker, except for affinity.
+constexpr double AvoidedWorkerPenalty = 5.0;
+
 /// Returns the number of programs with a target on the worker, not counting \p
 /// image.
 static std::int32_t otherPrograms(const WorkerState &w,
@@ -140,6 +147,8 @@
   }
   if (!step.Affinity.empty() && hasLabel(w.Profile, step.Affinity))
     score += 10;
+  if (now < w.AvoidUntil)
+    score -= AvoidedWorkerPenalty;
   return score - 0.05 * sameStep - 0.3 * w.FailureScore;
 }
 
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -89,6 +89,8 @@
       LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
           .has_value());
   reserve(worker, job, key, run);
+  if (step.LongRunning && worker.isTrialDue(now))
+    worker.TrialAt = now;
   addStarted(job, step, now);
   useReservation(key, worker);
   // The run may not have ended when held capacity on its worker is due.
@@ -115,10 +117,12 @@
                                  count(worker.Used.Cpu))},
       {"waitedMs", std::to_string((now - job.Accepted) / 1ms)},
       {"recordsMs", std::to_string((now - RecordsAsOf) / 1ms)}};
-  if (step.LongRunning)
+  if (step.LongRunning) {
+    fields.push_back({"cpu", std::to_string(count(step.Size.Cpu))});
     fields.push_back(
         {"unservedMs",
-         std::to_string((now - entry.UnservedSince.value_or(now)) / 1ms)});
+         std::to_string((now - task.WaitingSince.value_or(now)) / 1ms)});
+  }
   std::string earlier;
   for (const RunEnding &it : task.Endings)
     earlier += (earlier.empty() ? "" : "; ") + std::to_string(it.Number) + " " +
@@ -741,8 +745,7 @@
             TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
                         static_cast<std::int32_t>(i)};
             if (idle)
-              run.Worker->AvoidUntil =
-                  std::max(run.Worker->AvoidUntil, now + limit);
+              run.Worker->avoid(limit, now);
             Events.emit(EventCode::RunStuck,
                         {{"task", taskText(key)},
                          {"run", std::to_string(run.Number)},
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -157,10 +157,10 @@
 
 /// Returns why a reservation for a task that is still to be delegated here must
 /// end, or null.
-static const char *causeOfEndOfAwaited(ShardState &shard, const Reservation &r,
-                                       TimePoint now) {
+static const char *causeOfEndOfAwaited(ShardState &shard,
+                                       const Reservation &r) {
   auto w = shard.Workers.find(r.Worker);
-  if (w == shard.Workers.end() || !takesStarts(shard, *w->second, now))
+  if (w == shard.Workers.end() || !isInUse(shard, *w->second))
     return "worker";
   return r.Size.fitsIn(roomBesideLongRunning(*w->second)) ? nullptr
                                                           : "capacity";
@@ -170,7 +170,7 @@
 static const char *causeOfEnd(ShardState &shard, const Reservation &r,
                               TimePoint now) {
   if (r.isAwaited(now))
-    return causeOfEndOfAwaited(shard, r, now);
+    return causeOfEndOfAwaited(shard, r);
   JobEntry *job = shard.findJob(r.Job);
   if (r.Granted)
     return "not delegated";
@@ -182,10 +182,10 @@
        !job->OfferInFlight))
     return "used";
   auto w = shard.Workers.find(r.Worker);
-  if (w == shard.Workers.end() ||
-      !mayHost(shard, *job,
-               job->Job.Graph.Steps[static_cast<std::size_t>(r.Step)],
-               *w->second, now))
+  const model::StepSpec &spec =
+      job->Job.Graph.Steps[static_cast<std::size_t>(r.Step)];
+  if (w == shard.Workers.end() || !isSuitable(shard, *job, spec, *w->second) ||
+      (!spec.LongRunning && w->second->isAvoided(false, now)))
     return "worker";
   // The capacity may have shrunk, or other long-running tasks been found there.
   if (!policy::soonestOpening(w->second->Profile.Capacity, w->second->Used,
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -109,7 +109,7 @@
 std::vector<WorkerRoom> usableRooms(const ShardState &shard, TimePoint now) {
   std::vector<WorkerRoom> rooms;
   for (const auto &[id, w] : shard.Workers)
-    if (takesStarts(shard, *w, now)) {
+    if (isInUse(shard, *w) && !w->isAvoided(true, now)) {
       rooms.push_back({w.get(), roomBesideLongRunning(*w)});
       rooms.back().Free -= awaitedOn(shard, *w, now);
     }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -219,11 +219,10 @@
       worker.FailureScore += 1;
     worker.LastFailedJob = end.Id.Task.Job;
     if (worker.FailureScore >= FailureThreshold)
-      worker.AvoidUntil = std::max(
-          worker.AvoidUntil,
-          now + std::chrono::duration_cast<base::Duration>(
-                    AvoidTimePerFailure *
-                    std::min(worker.FailureScore, MaxCountedFailures)));
+      worker.avoid(std::chrono::duration_cast<base::Duration>(
+                       AvoidTimePerFailure *
+                       std::min(worker.FailureScore, MaxCountedFailures)),
+                   now);
     bool known = std::find(task->FailedRuns.begin(), task->FailedRuns.end(),
                            end.Id.Number) != task->FailedRuns.end();
     if (!step.LongRunning && !known) {
@@ -692,7 +691,7 @@
                  {"run", std::to_string(command.Run.Number)},
                  {"worker", command.Worker.Id.str()},
                  {"cause", cause}});
-  w.AvoidUntil = std::max(w.AvoidUntil, now + CommandFailureBackoff);
+  w.avoid(CommandFailureBackoff, now);
   if (!result && result.error().Code == base::Errc::WorkerAnswerLost) {
     if (run->Phase == RunPhase::Starting) {
       run->Phase = RunPhase::Unconfirmed;
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -63,10 +63,15 @@
 computeDemandRatios(ShardState &shard,
                     const std::map<std::string, double> &demand, TimePoint now);
 
-/// Returns whether the worker takes starts now.
-bool takesStarts(const ShardState &shard, const WorkerState &w, TimePoint now);
+/// Returns whether the worker takes starts, unless it is avoided.
+bool isInUse(const ShardState &shard, const WorkerState &w);
 
-/// Returns whether the worker may run tasks of the step, capacity aside.
+/// Returns whether the worker may run tasks of the step, capacity aside, now or
+/// once it is no longer avoided.
+bool isSuitable(const ShardState &shard, const JobEntry &job,
+                const model::StepSpec &step, const WorkerState &w);
+
+/// The same, now.
 bool mayHost(const ShardState &shard, const JobEntry &job,
              const model::StepSpec &step, const WorkerState &w, TimePoint now);
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -358,6 +358,11 @@
 /// Number of tasks of one step on each worker.
 using StepCounts = std::map<const WorkerState *, std::int32_t>;
 
+/// How long a worker whose runs failed takes no long-running task, and how long
+/// one on trial must run until others follow. Callers count a task as lost once
+/// a worker has had room for it for 3 s.
+constexpr std::chrono::milliseconds TrialTime{1000};
+
 struct WorkerState {
   model::WorkerProfile Profile;
   /// Start time in the latest entry; 0 if it has none. Profile holds the latest
@@ -427,8 +432,12 @@
   std::vector<WorkerReservation> Held;
   /// A reservation here was not kept; there is no other until then.
   TimePoint NoReservationUntil;
-  /// No tasks are started here before then.
+  /// No tasks are started here before then, but for trials.
   TimePoint AvoidUntil;
+  /// When runs last failed so that the worker is avoided.
+  TimePoint AvoidedSince;
+  /// When a long-running task was last started on trial.
+  TimePoint TrialAt;
   /// Score of recent failures of runs here; each success lowers it by
   /// FailureDecay.
   double FailureScore = 0;
@@ -463,6 +472,19 @@
   bool ReservedForSuspect = false;
 
   WorkerRef ref() const { return {Profile.Id, Profile.Endpoint}; }
+  void avoid(base::Duration time, TimePoint now) {
+    AvoidUntil = std::max(AvoidUntil, now + time);
+    AvoidedSince = now;
+  }
+  /// Returns whether no run must be started here now. One long-running task is
+  /// tried some time after the latest failure; more follow if it runs on.
+  bool isAvoided(bool longRunning, TimePoint now) const {
+    return now < AvoidUntil &&
+           (!longRunning || now - std::max(AvoidedSince, TrialAt) < TrialTime);
+  }
+  bool isTrialDue(TimePoint now) const {
+    return now < AvoidUntil && TrialAt <= AvoidedSince;
+  }
   /// Returns an amount of CPU as a fraction of the capacity; finite also if
   /// that is 0 or unknown.
   double shareOfCapacity(std::int64_t cpu) const {
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -311,6 +311,65 @@
   EXPECT_EQ(offers().size(), 1u);
 }
 
+// srsl-main-grown, grown-leader-race-drain, seed 12: room of 10,500 was open
+// for 4.5 s on a worker that was avoided after three failures, and 56 tasks
+// were lost.
+TEST_F(ShardWithARoom, WorkerWithFailures_TakesALongRunningTaskOnTrial) {
+  auto fail = [&](std::uint64_t id) {
+    start(job(id, {step(1, 1000)}));
+    report(id, RunOutcome::Failed);
+    TestShard.cancelJob(JobNumber{id}, now());
+  };
+  for (std::uint64_t id : {21, 22, 23})
+    fail(id);
+  auto tasksFor = [&](std::uint64_t id, const model::StepSpec &spec) {
+    TestShard.addJob(job(id, {spec}), ++Revision, false, now());
+  };
+  tasksFor(2, longRunning(2, 4000));
+  EXPECT_TRUE(plan().empty());
+  Time.advance(800ms);
+  report();
+  EXPECT_TRUE(plan().empty());
+  Time.advance(200ms);
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  confirmStarts(orders);
+  Running.push_back(orders[0].Run);
+  Time.advance(900ms);
+  report();
+  EXPECT_TRUE(plan().empty());
+  Time.advance(100ms);
+  EXPECT_EQ(plan().size(), 1u);
+  // A short task has a limited number of attempts.
+  tasksFor(3, step(1, 1000));
+  EXPECT_TRUE(plan().empty());
+}
+
+// As above, but the worker fails all that it starts.
+TEST_F(ShardWithARoom, WorkerThatGoesOnFailing_GetsOneTaskAtATime) {
+  for (std::uint64_t id : {21, 22, 23}) {
+    start(job(id, {step(1, 1000)}));
+    report(id, RunOutcome::Failed);
+    TestShard.cancelJob(JobNumber{id}, now());
+  }
+  TestShard.addJob(job(2, {longRunning(1, 4000)}), ++Revision, false, now());
+  TestShard.addJob(job(3, {longRunning(1, 4000)}), ++Revision, false, now());
+  std::size_t starts = 0;
+  for (int i = 0; i < 50; ++i) {
+    Time.advance(90ms);
+    std::vector<WorkerCommand> orders = plan();
+    EXPECT_LE(orders.size(), 1u);
+    confirmStarts(orders);
+    starts += orders.size();
+    for (const WorkerCommand &it : orders) {
+      Running.push_back(it.Run);
+      report(static_cast<std::uint64_t>(it.Run.Task.Job), RunOutcome::Failed);
+    }
+  }
+  EXPECT_LE(starts, 5u);
+  EXPECT_GE(starts, 3u);
+}
+
 // A room that was returned was idle until the next comparison.
 TEST_F(ShardWithARoom, RoomThatIsReturned_GoesToTheNextTaskInTheSamePlan) {
   start(job(2, {slow(3, 4000)}));
