Reservations end with the tasks that they were made for

A step has no more reservations than waiting tasks now. TaskThatWaitsHasLeft_ItsReservationEnds fails before.

--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -218,10 +218,29 @@
     endReservation(it, cause);
     return true;
   });
+  endSurplusReservations();
   for (const Reservation &it : Reservations)
     holdOnWorker(it);
 }
 
+void ShardState::endSurplusReservations() {
+  std::map<std::tuple<JobNumber, std::int32_t, std::int32_t>, std::int32_t>
+      waiting;
+  std::erase_if(Reservations, [&](const Reservation &it) {
+    const JobEntry *job = findJob(it.Job);
+    if (it.Granted || !job || job->OfferInFlight)
+      return false;
+    const StepEntry &entry = job->Occurrences.at(it.Occurrence)
+                                 .Steps[static_cast<std::size_t>(it.Step)];
+    auto [left, added] = waiting.try_emplace({it.Job, it.Occurrence, it.Step},
+                                             entry.WaitingCount);
+    if (left->second-- > 0)
+      return false;
+    endReservation(it, "used");
+    return true;
+  });
+}
+
 void ShardState::holdOnWorker(const Reservation &reservation) {
   WorkerState &w = *Workers.find(reservation.Worker)->second;
   WorkerReservation added{
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -811,6 +811,8 @@
   /// Ends reservations that cannot or need not be kept, and brings those of the
   /// workers up to date.
   void refreshReservations(TimePoint now);
+  /// Ends reservations of steps that have fewer waiting tasks.
+  void endSurplusReservations();
   /// Reserves capacity for a waiting task where it fits soonest.
   ///
   /// \param tasks number of waiting tasks of the step; there are no more
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -370,6 +370,21 @@
   EXPECT_GE(starts, 3u);
 }
 
+// Reservations outlived the tasks that had gone to another shard, and kept
+// their rooms idle.
+TEST_F(ShardWithARoom, TaskThatWaitsHasLeft_ItsReservationEnds) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.addJob(job(3, {longRunning(2, 6000)}), ++Revision, false, now());
+  plan();
+  TestShard.onRoomGrant(task(3, 0), {AskingShard}, now());
+  std::optional<dispatch::Delegation> offered = TestShard.takeGranted(now());
+  ASSERT_TRUE(offered);
+  TestShard.onDelegationFinished(*offered, AskingShard, ++Revision, now());
+  plan();
+  ask(AskingShard, {request(Asking, 6000, 9s)});
+  EXPECT_EQ(offers().size(), 1u);
+}
+
 // A room that was returned was idle until the next comparison.
 TEST_F(ShardWithARoom, RoomThatIsReturned_GoesToTheNextTaskInTheSamePlan) {
   start(job(2, {slow(3, 4000)}));
