Review of the grants of room: requests, limits and records that stay

Found by a reviewer who had not seen the work, by reading: - the requests of a shard without an owner were read anew 0.8 s after they had expired (the test now asks again after that); - a step stayed out of the order of waits once it had waited for the limit of its account, and tasks that only the limit holds asked for rooms elsewhere; - a grant that came while its task was offered elsewhere kept the task from other rooms for 2 s (GrantDuringAnOffer_IsDeletedAtOnce); - a second grant replaced the first without returning its room (SecondGrantForOneTask_OneRoomIsReturned, which takes the place of SecondGrantForOneTask_IsReturned), and a returned room could be queued twice; - a run that confirms its stop and does not end was room for ever (StopThatTakesTooLong_IsNoRoom); - the other tasks of a job were not asked for while one of them was delegated; - waits of an earlier owner were kept after all workers had listed their runs.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -144,14 +144,14 @@
   task->Runs.erase(it);
   task->addEnding(run, evidence);
   if (stepOf(job, key).LongRunning)
-    Events.emit(
-        EventCode::RoomOpened,
-        {{"worker", worker.Profile.Id.str()},
-         {"task", taskText(key)},
-         {"run", std::to_string(run)},
-         {"cpu", std::to_string(count(roomBesideLongRunning(worker).Cpu))},
-         {"draining", worker.Profile.Draining ? "yes" : "no"},
-         {"how", evidence}});
+    Events.emit(EventCode::RoomOpened,
+                {{"worker", worker.Profile.Id.str()},
+                 {"task", taskText(key)},
+                 {"run", std::to_string(run)},
+                 {"cpu", std::to_string(count(
+                             roomBesideLongRunning(worker, PlannedAt).Cpu))},
+                 {"draining", worker.Profile.Draining ? "yes" : "no"},
+                 {"how", evidence}});
   if (task->Crashes.AnnouncedRun == run) {
     task->Crashes.AnnouncedRun = 0;
     if (job.isLive())
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -207,7 +207,7 @@
   for (const auto &[id, w] : shard.Workers) {
     if (!mayHost(shard, job, step, *w, now))
       continue;
-    base::Resources room = roomBesideLongRunning(*w);
+    base::Resources room = roomBesideLongRunning(*w, now);
     rooms.Workers += step.Size.fitsIn(room);
     rooms.LargestCpu = std::max(rooms.LargestCpu, room.Cpu);
   }
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -266,6 +266,8 @@
     TaskKey key{job.Job.Id, o.Number, step, i};
     bool isolated = needsIsolation(task, entry, now);
     bool allowed = isWithinLimit(job, spec, 1, now);
+    if (allowed)
+      entry.LimitedSince.reset();
     if (!allowed && !wantsMoreReady(job)) {
       withdrawAnnouncement(job, task);
       logLimitWait(job, o, step, entry, now);
@@ -597,6 +599,9 @@
         }
       }
   }
+  // From now on, every wait begins under this owner.
+  if (!unverified && !hasUnverifiedWorkers())
+    InheritedWaits.clear();
   updateLongRunningBudget(shortCpu, now);
   // Stable: equally urgent work keeps the order of acceptance.
   std::stable_sort(
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -25,8 +25,7 @@
 /// repeated, also if its work is lost: a stop and a start fit into the rest of
 /// the callers' 6 s.
 constexpr base::Duration RepeatableWait = 3500ms;
-/// How long a stop may take until its end is listed, and usually takes.
-constexpr auto StopTime = 2000ms;
+/// How long a stop usually takes until its end is listed.
 constexpr base::Duration UsualStopTime = 700ms;
 /// The same for a gang, of which only one has reservations at a time.
 constexpr std::size_t MinWorkersPerGangReservation = 2;
@@ -157,20 +156,20 @@
 
 /// Returns why a reservation for a task that is still to be delegated here must
 /// end, or null.
-static const char *causeOfEndOfAwaited(ShardState &shard,
-                                       const Reservation &r) {
+static const char *causeOfEndOfAwaited(ShardState &shard, const Reservation &r,
+                                       TimePoint now) {
   auto w = shard.Workers.find(r.Worker);
   if (w == shard.Workers.end() || !isInUse(shard, *w->second))
     return "worker";
-  return r.Size.fitsIn(roomBesideLongRunning(*w->second)) ? nullptr
-                                                          : "capacity";
+  return r.Size.fitsIn(roomBesideLongRunning(*w->second, now)) ? nullptr
+                                                               : "capacity";
 }
 
 /// Returns why a reservation must end, or null.
 static const char *causeOfEnd(ShardState &shard, const Reservation &r,
                               TimePoint now) {
   if (r.isAwaited(now))
-    return causeOfEndOfAwaited(shard, r);
+    return causeOfEndOfAwaited(shard, r, now);
   JobEntry *job = shard.findJob(r.Job);
   if (r.Granted)
     return "not delegated";
@@ -417,7 +416,7 @@
   // Reservations for short tasks give way, as their runs do.
   base::Resources all = heldOn(w, true);
   all += size;
-  return longRunning && all.fitsIn(roomBesideLongRunning(w));
+  return longRunning && all.fitsIn(roomBesideLongRunning(w, now));
 }
 
 /// Returns whether one more worker may be reserved for tasks of a kind. Each
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -24,9 +24,6 @@
 constexpr auto RequestDelay = 1000ms;
 /// A task that has room here, but no start for so long, is asked for as well.
 constexpr auto PlacedRequestDelay = 3000ms;
-/// An owner whose tasks wait changes its load record more often than that;
-/// older requests have no owner that could use a grant.
-constexpr auto RequestLifetime = 3000ms;
 constexpr std::size_t MaxRequests = 32;
 constexpr std::size_t MaxTasksPerRequest = 8;
 /// Tasks of a step whose waits differ by less share a request.
@@ -82,11 +79,12 @@
   std::vector<RoomRequest> requests;
   bool unverified = mayRunAnyTask();
   for (const JobEntry *job : LiveJobs) {
-    if (!mayBeSplit(*job, unverified) || job->OfferInFlight)
+    if (!mayBeSplit(*job, unverified))
       continue;
     const std::vector<StepEntry> &steps = job->Occurrences.at(0).Steps;
     for (std::int32_t i = 0; i < std::ssize(steps); ++i)
-      if (steps[static_cast<std::size_t>(i)].WaitingCount > 0)
+      if (const StepEntry &it = steps[static_cast<std::size_t>(i)];
+          it.WaitingCount > 0 && !it.LimitedSince)
         addRequests(*job, i, unplaced, now, requests);
   }
   std::stable_sort(requests.begin(), requests.end(),
@@ -131,9 +129,6 @@
   if (Closing || (!RoomsChanged && now - RoomsComparedAt < GrantInterval))
     return;
   std::erase_if(UnusedOffers, [&](const auto &it) { return it.second <= now; });
-  std::erase_if(RequestsOfPeers, [&](const auto &it) {
-    return now - it.second.ChangedAt > RequestLifetime;
-  });
   RoomsChanged = false;
   if (RequestsOfPeers.empty())
     return;
@@ -185,13 +180,17 @@
                           TimePoint now) {
   if (grant.Ended)
     return;
-  if (now < grant.Until)
-    ReturnedRooms.push_back({task, grant.Shard});
+  RoomOffer returned{task, grant.Shard};
+  if (now < grant.Until && std::find(ReturnedRooms.begin(), ReturnedRooms.end(),
+                                     returned) == ReturnedRooms.end())
+    ReturnedRooms.push_back(returned);
   grant.Ended = true;
   const TaskEntry *entry = findTask(task);
-  // A task that still waits may be granted another room at once. Requests for
-  // any other may be read for some time.
-  grant.DeletableAt = !entry || entry->isWaiting() ? now : now + UsedGrantTime;
+  // A task that waits, also one whose offer may be turned down, may be granted
+  // another room at once. Requests for any other may be read for some time.
+  bool waits =
+      entry && entry->Runs.empty() && !entry->Done && !entry->DelegatedTo;
+  grant.DeletableAt = !entry || waits ? now : now + UsedGrantTime;
 }
 
 void ShardState::returnGrants(JobNumber job, const std::vector<TaskRef> &tasks,
@@ -324,6 +323,8 @@
   // The record may be read again.
   if (!added && it->second.Shard == grant.Shard)
     return;
+  if (!added)
+    State->endGrant(task, it->second, now);
   it->second = {grant.Shard, now + detail::GrantTime};
   JobEntry *job = nullptr;
   TaskEntry *entry = State->findTask(task, &job);
@@ -375,6 +376,7 @@
                        changes.ReadReturns.end());
   for (const model::TaskKey &it : changes.EndedGrants) {
     GrantedRoom ended;
+    ended.Shard = -1;
     ended.Ended = true;
     ended.DeletableAt = base::TimePoint{};
     s.Grants.try_emplace(it, ended);
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -12,10 +12,11 @@
 
 namespace endivedoor::dispatch::detail {
 
-base::Resources roomBesideLongRunning(const WorkerState &w) {
+base::Resources roomBesideLongRunning(const WorkerState &w, TimePoint now) {
   base::Resources room = w.Profile.Capacity;
   for (const auto &[id, held] : w.Runs)
-    if (held.Step->LongRunning && !held.StopConfirmed)
+    if (held.Step->LongRunning &&
+        !(held.StopConfirmed && now - *held.StopConfirmed < StopTime))
       room -= held.Size;
   return room;
 }
@@ -110,7 +111,7 @@
   std::vector<WorkerRoom> rooms;
   for (const auto &[id, w] : shard.Workers)
     if (isInUse(shard, *w) && !w->isAvoided(true, now)) {
-      rooms.push_back({w.get(), roomBesideLongRunning(*w)});
+      rooms.push_back({w.get(), roomBesideLongRunning(*w, now)});
       rooms.back().Free -= awaitedOn(shard, *w, now);
     }
   return rooms;
@@ -151,9 +152,15 @@
   }
 }
 
+/// An owner whose tasks wait changes its load record more often than that;
+/// older requests have no owner that could use a grant.
+constexpr std::chrono::milliseconds RequestLifetime{3000};
+
 void addRequestedTasks(const ShardState &shard, const base::Resources &largest,
-                       std::vector<WaitingTask> &waiting) {
-  for (const auto &[from, requests] : shard.RequestsOfPeers)
+                       TimePoint now, std::vector<WaitingTask> &waiting) {
+  for (const auto &[from, requests] : shard.RequestsOfPeers) {
+    if (now - requests.ChangedAt > RequestLifetime)
+      continue;
     for (const PeerRequest &it : requests.List) {
       const RoomRequest &request = it.Request;
       if (!request.Size.fitsIn(largest))
@@ -164,6 +171,7 @@
                            key, nullptr, nullptr, &request, from});
       }
     }
+  }
 }
 
 /// Leaves room for a task of another shard out of the plan.
@@ -185,7 +193,7 @@
   base::Resources largest = largestOf(plan.Rooms);
   std::vector<WaitingTask> waiting;
   addOwnTasks(shard, largest, now, waiting, plan.Unplaced);
-  addRequestedTasks(shard, largest, waiting);
+  addRequestedTasks(shard, largest, now, waiting);
   std::sort(waiting.begin(), waiting.end());
   std::map<const StepEntry *, StepCounts> sameStep;
   for (const WaitingTask &it : waiting) {
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -448,6 +448,7 @@
   if (restarted)
     s.handleRestart(w, "worker restarted", now);
   s.updatePossibleTasks(w);
+  s.RoomsChanged = true;
 }
 
 void Shard::unlistWorker(const base::WorkerId &worker) {
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -39,7 +39,7 @@
 
 /// Returns what a worker has beside its long-running tasks: all that its other
 /// runs leave within bounded time.
-base::Resources roomBesideLongRunning(const WorkerState &w);
+base::Resources roomBesideLongRunning(const WorkerState &w, TimePoint now);
 
 /// Takes room for a task of another shard from \p rooms, if there is any.
 using RequestPlacer =
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -358,6 +358,8 @@
 /// Number of tasks of one step on each worker.
 using StepCounts = std::map<const WorkerState *, std::int32_t>;
 
+/// How long a stop may take until its end is listed.
+constexpr std::chrono::milliseconds StopTime{2000};
 /// How long a worker whose runs failed takes no long-running task, and how long
 /// one on trial must run until others follow. Callers count a task as lost once
 /// a worker has had room for it for 3 s.
@@ -647,8 +649,7 @@
   void releaseRoom(const TaskKey &task, const char *cause, TimePoint now);
   /// What was held for a task of another shard is held for one of this one.
   void onDelegated(const JobEntry &job, const std::vector<TaskRef> &tasks);
-  /// The task does not use its grant. The room is returned unless \p until has
-  /// passed.
+  /// The task does not use its grant: the room is returned while it is held.
   void endGrant(const TaskKey &task, GrantedRoom &grant, TimePoint now);
   /// Ends the grants of tasks that were not delegated.
   void returnGrants(JobNumber job, const std::vector<TaskRef> &tasks,
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -271,6 +271,18 @@
   EXPECT_EQ(orders[0].Worker.Id.str(), "other");
 }
 
+// A worker that confirms a stop and does not end the run must not draw tasks.
+TEST_F(ShardWithARoom, StopThatTakesTooLong_IsNoRoom) {
+  start(job(2, {slow(3, 4000)}));
+  TestShard.cancelJob(JobNumber{Serving}, now());
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  TestShard.onStop(stops.at(0), CommandResult::Done, now());
+  Time.advance(2s);
+  report();
+  ask(AskingShard, {request(Asking, 20000, 5s)});
+  EXPECT_TRUE(offers().empty());
+}
+
 // 79 of 106 unused grants (kcs-orders-grown, seed 13) were second rooms for the
 // task that had waited longest. The next in order got none in that round.
 TEST_F(ShardWithARoom, TaskHasAGrantOfAnotherShard_RoomGoesToTheNextTask) {
@@ -423,7 +435,13 @@
   report();
   ask(AskingShard, requests);
   EXPECT_TRUE(offers().empty());
-  requests[0].Waited += 6s;
+  Time.advance(2s);
+  report();
+  for (int i = 0; i < 2; ++i) {
+    ask(AskingShard, requests);
+    EXPECT_TRUE(offers().empty());
+  }
+  requests[0].Waited += 8s;
   ask(AskingShard, requests);
   EXPECT_EQ(offers().size(), 1u);
 }
@@ -673,6 +691,35 @@
   EXPECT_EQ(changes.EndedGrants, std::vector<TaskKey>{Waiting});
 }
 
+TEST_F(ShardThatAsks, SecondGrantForOneTask_OneRoomIsReturned) {
+  TestShard.onRoomGrant(Waiting, Grant, now());
+  RoomGrant second{AskingShard + 1};
+  TestShard.onRoomGrant(Waiting, second, now());
+  std::optional<dispatch::Delegation> offered = TestShard.takeGranted(now());
+  ASSERT_TRUE(offered);
+  EXPECT_EQ(offered->GrantedBy, second.Shard);
+  EXPECT_FALSE(TestShard.takeGranted(now()));
+  TestShard.onDelegationFinished(*offered, second.Shard, ++Revision, now());
+  EXPECT_EQ(TestShard.takeRoomChanges(5, now()).Returned,
+            (std::vector<RoomOffer>{{Waiting, AskingShard}}));
+}
+
+// A grant that came while the task was offered elsewhere kept it from other
+// rooms for 2 s.
+TEST_F(ShardThatAsks, GrantDuringAnOffer_IsDeletedAtOnce) {
+  storeWrites();
+  Time.advance(2s);
+  report();
+  plan();
+  std::vector<dispatch::Delegation> offers =
+      TestShard.takeDelegations(1, now());
+  ASSERT_EQ(offers.size(), 1u);
+  TestShard.onRoomGrant(Waiting, Grant, now());
+  dispatch::RoomRecordChanges changes = TestShard.takeRoomChanges(5, now());
+  EXPECT_EQ(changes.Returned.size(), 1u);
+  EXPECT_EQ(changes.EndedGrants, std::vector<TaskKey>{Waiting});
+}
+
 TEST_F(ShardThatAsks, GrantForATaskThatRuns_IsReturned) {
   TestShard.onRoomGrant(Running[0].Task, Grant, now());
   EXPECT_FALSE(TestShard.takeGranted(now()));
