A lambda does not refer to a structured binding

clang 14, which the linter uses, rejects a reference to a structured binding in a lambda that captures by reference. The linter failed on Plan.cpp.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -581,10 +581,10 @@
         if (!spec.LongRunning && !spec.Filler &&
             policy::urgencyOf(work) == policy::Urgency::InTime)
           shortCpu += work.WaitingCpu;
-        auto add = [&](std::optional<TimePoint> since) {
+        auto add = [&, at = &o](std::optional<TimePoint> since) {
           ready.push_back({startOrder(work, startedPerWeight(*job, now),
                                       Options.WaitingOrder),
-                           policy::urgencyOf(work), job, &o, i, since});
+                           policy::urgencyOf(work), job, at, i, since});
         };
         if (!spec.LongRunning || spec.Gang) {
           add(std::nullopt);
