A moved job goes on with the run numbers of all terms

Callers could see TWICE: a job that a shard inherits and moves had run numbers from 1 again in the other shard, below those of an owner that is cut off and of which nothing is recorded.

Cause: the handover held the highest number known to the shard, without the part of the term that inherited tasks start from. The handover now holds the number before the next run; whether the job counts as started is a field of its own, since the number no longer tells. Records of earlier versions are read as before.

The new test unit-dispatch-fencing, JobOfACutOffOwner, has an owner that is alive and cut off; it was not run on the code before.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -148,8 +148,10 @@
 /// State of a job that moves along to another shard.
 struct JobHandover {
   JobProgress Progress;
-  /// Highest run number of any task of the job.
+  /// Highest run number that any task of the job may have, in any term.
   std::int64_t LastRun = 0;
+  /// A task of the job has had a run.
+  bool Started = false;
 };
 
 /// A job without active runs that may move to another shard.
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -102,12 +102,13 @@
           it.Crashes.AnnouncedRun = 0;
     JobMove move{job->Job,
                  job->Started ? JobState::Running : JobState::Queued,
-                 {progressOf(*job), job->EarlierLastRun},
+                 {progressOf(*job), job->EarlierLastRun, job->Started},
                  job->IndexRevision};
     for (const auto &[number, o] : job->Occurrences)
       for (const detail::StepEntry &step : o.Steps)
         for (const TaskEntry &it : step.Tasks)
-          move.Handover.LastRun = std::max(move.Handover.LastRun, it.LastRun);
+          move.Handover.LastRun = std::max(
+              move.Handover.LastRun, detail::nextRun(*job, it, s.Term) - 1);
     job->Moving = true;
     moves.push_back(std::move(move));
   }
@@ -137,7 +138,7 @@
     return;
   entry->EarlierLastRun = handover.LastRun;
   entry->MovedHere = true;
-  entry->Started = handover.LastRun > 0;
+  entry->Started = handover.Started;
   restore(job, handover.Progress, 0);
 }
 
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -340,6 +340,7 @@
   if (handover) {
     to["progress"] = encodeProgress(handover->Progress);
     to["lastRun"] = handover->LastRun;
+    to["started"] = handover->Started;
   }
   if (part) {
     json::array tasks;
@@ -425,6 +426,9 @@
         progress = v.text("progress", limits::MaxRecordBytes);
         JobHandover handover;
         handover.LastRun = v.number("lastRun", 0, platform::MaxInt64);
+        // Earlier versions stored no field for it.
+        handover.Started =
+            v.has("started") ? v.flag("started") : handover.LastRun > 0;
         return handover;
       });
   if (!result || !result.value())
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -335,4 +335,55 @@
   EXPECT_EQ(startsWithoutStore(), 2u);
 }
 
+/// A job that no worker of the shard suits, inherited from an owner that is
+/// cut off with a worker that runs one of its tasks.
+class JobOfACutOffOwner : public ShardFixture {
+protected:
+  /// A run that the cut-off owner has started.
+  static constexpr std::int64_t EarlierRun = (Term - 2) * 1024 + 5;
+
+  std::optional<dispatch::JobMove> moveJob() {
+    model::AcceptedJob moved = job(1, {step(1, WorkerMilliCores + 1)});
+    TestShard.addJob(moved, 5, true, now());
+    addWorker("w1");
+    for (int i = 0; i < 5; ++i) {
+      plan();
+      Time.advance(1s);
+      poll("w1");
+    }
+    std::vector<dispatch::JobMove> moves = TestShard.takeMoves(1, now());
+    return moves.empty() ? std::nullopt : std::optional(moves[0]);
+  }
+};
+
+// Run numbers began anew in the other shard, so that an end of the cut-off
+// owner's run was newer than the run that had taken its place.
+TEST_F(JobOfACutOffOwner, JobMoves_RunNumbersGoOnAfterThoseOfAllTerms) {
+  std::optional<dispatch::JobMove> move = moveJob();
+  ASSERT_TRUE(move);
+  EXPECT_GT(move->Handover.LastRun, EarlierRun);
+  dispatch::JobHandover handover =
+      dispatch::decodeHandover(
+          dispatch::encodeJob(move->Job, &move->Handover).value())
+          .value()
+          .value();
+  Shard next{{}, 1, 1, base::FencingToken{9}, Events, MetricsRegistry};
+  model::AcceptedJob moved = move->Job;
+  moved.Graph.Steps[0].Size.Cpu = base::MilliCores{4000};
+  next.addJob(moved, 500, false, now());
+  next.restore(JobNumber{1}, handover);
+  // The job still counts as pending.
+  EXPECT_EQ(next.load().Pending["q"], 1);
+  next.updateWorker(worker("w2"), now());
+  next.nextPoll(base::WorkerId("w2"), now(), true);
+  PollReport report;
+  report.Clock = 5s;
+  report.StartTime = 1000ms;
+  next.onPoll(base::WorkerId("w2"), report, now(), now());
+  next.onRosterStored(next.roster());
+  std::vector<WorkerCommand> orders = next.plan(now(), Time.wallNow(), true);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_GT(orders[0].Run.Number, EarlierRun);
+}
+
 } // namespace
