A run that an earlier owner announced counts before its task leaves

A run that a cut-off owner announced, and of which no worker knows, was forgotten when its task was delegated or its job moved: the next shard started the task as if it had never been started (BUDGET, and TWICE if its number had been used).

Cause: the announcement was cleared since no run is in flight here; that says nothing of a run that an earlier term left unresolved. Such a run now counts as a crash before the task leaves, as it does before a start, and the task leaves once the count is stored. A task that a silent worker may still list is held as before.

The new tests unit-dispatch-crashes, AnnouncedByACutOffOwner and AnnouncedOnACutOffWorker, have an owner and a worker that are cut off; they were not run on the code before.

--- a/packages/dispatch/src/Crashes.cpp
+++ b/packages/dispatch/src/Crashes.cpp
@@ -152,6 +152,43 @@
   }
 }
 
+void ShardState::countUnresolvedRun(JobEntry &job, const TaskKey &key,
+                                    TaskEntry &task) {
+  std::int64_t lost = std::exchange(task.UnresolvedRun, 0);
+  if (lost == 0)
+    return;
+  CrashRecord &crashes = task.Crashes;
+  crashes.Runs.push_back(lost);
+  crashes.AnnouncedRun = 0;
+  Events.emit(EventCode::TaskCrashed,
+              {{"task", taskText(key)},
+               {"run", std::to_string(lost)},
+               {"worker", "unknown"},
+               {"crashes", std::to_string(crashes.Runs.size())}});
+  if (crashesWorkers(crashes, {}))
+    giveUp(job, key, task);
+  markDirty(job);
+}
+
+bool ShardState::countUnresolvedRuns(JobEntry &job) {
+  bool any = false;
+  for (auto &[number, o] : job.Occurrences)
+    for (std::int32_t step = 0; step < std::ssize(o.Steps); ++step) {
+      std::vector<TaskEntry> &tasks =
+          o.Steps[static_cast<std::size_t>(step)].Tasks;
+      for (std::int32_t i = 0; i < std::ssize(tasks); ++i) {
+        TaskEntry &task = tasks[static_cast<std::size_t>(i)];
+        TaskKey key{job.Job.Id, number, step, i};
+        if (task.UnresolvedRun == 0 || !task.isWaiting() ||
+            HeldTasks.contains(key))
+          continue;
+        countUnresolvedRun(job, key, task);
+        any = true;
+      }
+    }
+  return any;
+}
+
 bool ShardState::announceRun(JobEntry &job, const TaskKey &key, TaskEntry &task,
                              std::int64_t run) {
   if (!task.isSuspect() && task.UnresolvedRun == 0)
@@ -159,20 +196,10 @@
   if (!job.isLive())
     return false;
   CrashRecord &crashes = task.Crashes;
-  // All workers have been asked by now, so the run was lost with its worker or
-  // never started. Only the first is safe to assume.
-  if (std::int64_t lost = std::exchange(task.UnresolvedRun, 0)) {
-    crashes.Runs.push_back(lost);
-    Events.emit(EventCode::TaskCrashed,
-                {{"task", taskText(key)},
-                 {"run", std::to_string(lost)},
-                 {"worker", "unknown"},
-                 {"crashes", std::to_string(crashes.Runs.size())}});
-    if (crashesWorkers(crashes, {}))
-      giveUp(job, key, task);
-  } else if (crashes.AnnouncedRun == run) {
+  if (task.UnresolvedRun != 0)
+    countUnresolvedRun(job, key, task);
+  else if (crashes.AnnouncedRun == run)
     return task.AnnouncedVersion <= job.StoredVersion;
-  }
   crashes.AnnouncedRun = run;
   markDirty(job);
   task.AnnouncedVersion = job.Version;
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -150,7 +150,8 @@
     if (!isDelegable(*job, unverified) || !mayBeOffered(*job) ||
         now - job->OfferDeclinedAt < OfferInterval ||
         !detail::hasWaited(*job, job->IsPart ? DelegationDelay : UnplacedDelay,
-                           now))
+                           now) ||
+        s.countUnresolvedRuns(*job))
       continue;
     if (!rooms)
       rooms = detail::planRooms(s, now);
@@ -186,7 +187,9 @@
   bool unverified = s.mayRunAnyTask();
   for (auto first = s.Grants.begin(); first != s.Grants.end(); ++first) {
     JobEntry *job = s.findJob(first->first.Job);
-    if (!first->second.isUsable(now) || (job && !isDelegable(*job, unverified)))
+    if (!first->second.isUsable(now) ||
+        (job &&
+         (!isDelegable(*job, unverified) || s.countUnresolvedRuns(*job))))
       continue;
     std::int32_t shard = first->second.Shard;
     Delegation offer;
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -93,7 +93,7 @@
     // A job that suits no shard must not move on before it gets a run here.
     auto delay = job->MovedHere ? 2 * MoveDelay : MoveDelay;
     if (!movable || now - job->LastMoveAttempt < delay ||
-        !hasWaited(*job, delay, now))
+        !hasWaited(*job, delay, now) || s.countUnresolvedRuns(*job))
       continue;
     // No run is in flight, so none of those announced can be lost.
     for (auto &[number, o] : job->Occurrences)
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -729,6 +729,14 @@
   void recordCrash(WorkerState &worker, bool sameId, TimePoint now);
   void countCrash(JobEntry &job, const TaskKey &key, TaskEntry &task,
                   const Run &run, CrashEvidence evidence, TimePoint now);
+  /// Counts a run that an earlier owner announced as a crash. All workers have
+  /// been asked by now, so the run was lost with its worker or never started;
+  /// only the first is safe to assume.
+  void countUnresolvedRun(JobEntry &job, const TaskKey &key, TaskEntry &task);
+  /// Does so for all waiting tasks of a job that is to leave the shard.
+  ///
+  /// \returns whether there was such a run; the count must be stored first.
+  bool countUnresolvedRuns(JobEntry &job);
   /// Announces the next run of a task before its start, if it is a suspect.
   ///
   /// \returns whether the run may start now.
--- a/tests/unit/unit-dispatch-crashes.cpp
+++ b/tests/unit/unit-dispatch-crashes.cpp
@@ -180,6 +180,50 @@
   EXPECT_EQ(decoded.value()->HomeShard, 4);
 }
 
+// A run that a cut-off owner announced, and of which no worker knows, was
+// forgotten when its task was delegated or its job moved.
+TEST_F(CrashingTask, AnnouncedByACutOffOwner_CountsBeforeTheTaskLeaves) {
+  model::StepSpec longRunning = step(1, WorkerMilliCores + 1);
+  longRunning.LongRunning = true;
+  dispatch::JobProgress progress;
+  progress.Occurrences.push_back({0, false, {{}}});
+  progress.Occurrences[0].Tasks[0].Crashes = {{1}, 1, 2, 10ms, 1};
+  TestShard.addJob(job(1, {longRunning}), 5, true, now());
+  TestShard.restore(JobNumber{1}, progress, 6);
+  plan();
+  TestShard.onRoomGrant({JobNumber{1}, 0, 0, 0}, {4}, now());
+  EXPECT_FALSE(TestShard.takeGranted(now()));
+  Time.advance(100ms);
+  storeWrites();
+  std::optional<dispatch::Delegation> offered = TestShard.takeGranted(now());
+  ASSERT_TRUE(offered);
+  const dispatch::CrashRecord &crashes = offered->Part.Tasks.at(0).Crashes;
+  EXPECT_EQ(crashes.Runs, (std::vector<std::int64_t>{1, 2}));
+  EXPECT_EQ(crashes.AnnouncedRun, 0);
+}
+
+// The same while a worker of the cut-off owner may still list the run.
+TEST_F(CrashingTask, AnnouncedOnACutOffWorker_TaskStaysUntilItIsKnown) {
+  model::StepSpec longRunning = step(1, WorkerMilliCores + 1);
+  longRunning.LongRunning = true;
+  TaskKey task{JobNumber{1}, 0, 0, 0};
+  dispatch::RosterEntry entry;
+  entry.Id = base::WorkerId("silent");
+  entry.Term = Term - 1;
+  entry.Tasks = std::vector<TaskKey>{task};
+  TestShard.markUnverified({entry}, {{Term - 1, now(), true}}, now());
+  dispatch::JobProgress progress;
+  progress.Occurrences.push_back({0, false, {{}}});
+  progress.Occurrences[0].Tasks[0].Crashes = {{1}, 1, 2, 10ms, 1};
+  TestShard.addJob(job(1, {longRunning}), 5, true, now());
+  TestShard.restore(JobNumber{1}, progress, 6);
+  plan();
+  TestShard.onRoomGrant(task, {4}, now());
+  EXPECT_FALSE(TestShard.takeGranted(now()));
+  for (const dispatch::JobWrite &it : TestShard.takeWrites(9))
+    EXPECT_NE(it.Job, JobNumber{1});
+}
+
 // The home shard runs the other tasks of the job and must stop them.
 TEST_F(CrashingTask, DelegatedTaskGivenUp_EndsTheJobInItsHomeShard) {
   model::StepSpec longRunning = step(2);
