A task of the shard in which a room opens takes it, within bounds

Cause: a room went to the longest wait of all shards, to the second. Most rooms thus had to be handed over, which takes 0.2 to 1 s, and shards with room at the same time offered it to the same tasks: 1,548 grants of that play ended as granted by another shard.

A task of the shard itself now goes first unless another one has waited longer by more than its own wait, at most 6 s; it then leaves no room idle. Tasks of other shards are ranked by a draw for each pair of task and shard, so that shards grant room to different ones. The wait of a task ends with its start; a run that was lost before the next plan went on with it.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -130,6 +130,8 @@
   if (!earlier.empty())
     fields.push_back({"earlier", earlier});
   Events.emit(EventCode::RunStarted, std::move(fields));
+  // A wait that begins before the next plan is another one.
+  task.WaitingSince.reset();
   Outbox.push_back(std::move(command));
 }
 
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -23,12 +23,20 @@
 
 namespace {
 
-/// Waits that differ by less count as equal, as the load records are older.
-constexpr std::chrono::milliseconds WaitGranularity{1000};
+/// A task of this shard goes before one of another shard that has waited longer
+/// by up to its own wait, at most this: the room of the other one is idle until
+/// it has been handed over. Callers count a task as lost that has waited for so
+/// long while room for it is open anywhere.
+constexpr std::chrono::milliseconds MaxOwnTaskLead{6000};
+/// A task of another shard goes after the others for each shard that has a
+/// stronger claim to it, as if it had waited less by this. Shards in which
+/// rooms open at the same time thus grant them to different tasks.
+constexpr std::chrono::milliseconds ClaimStep{1000};
 
 /// A task that waits in any shard.
 struct WaitingTask {
-  std::int64_t Since = 0;
+  /// Since when it has waited, as far as the order is concerned.
+  TimePoint Since;
   /// Order of equal waits; 0 for tasks of this shard.
   std::uint64_t Draw = 0;
   TaskKey Key;
@@ -44,12 +52,6 @@
   }
 };
 
-std::int64_t inGranules(TimePoint since) {
-  return std::chrono::floor<std::chrono::milliseconds>(
-             since.time_since_epoch()) /
-         WaitGranularity;
-}
-
 std::uint64_t drawFor(const TaskKey &task, std::int32_t shard) {
   std::string key = formatTask(task) + "/" + std::to_string(shard);
   return XXH3_64bits(key.data(), key.size()) | 1;
@@ -142,11 +144,13 @@
           if (!task.isWaiting() || shard.HeldTasks.contains(key) ||
               (granted != shard.Grants.end() && granted->second.isUsable(now)))
             continue;
+          TimePoint since = task.WaitingSince.value_or(now);
           if (!spec.Size.fitsIn(largest))
             unplaced.insert(key);
           else
-            waiting.push_back({inGranules(task.WaitingSince.value_or(now)), 0,
-                               key, job, &entry});
+            waiting.push_back(
+                {since - std::min<base::Duration>(now - since, MaxOwnTaskLead),
+                 0, key, job, &entry});
         }
       }
   }
@@ -156,6 +160,18 @@
 /// older requests have no owner that could use a grant.
 constexpr std::chrono::milliseconds RequestLifetime{3000};
 
+/// Returns how many shards have a stronger claim to a task of another shard
+/// than this one, by a draw that is the same in all of them.
+std::int32_t claimRank(const ShardState &shard, const TaskKey &task,
+                       std::int32_t from) {
+  std::uint64_t own = drawFor(task, shard.Number);
+  return static_cast<std::int32_t>(
+      std::count_if(shard.RequestsOfPeers.begin(), shard.RequestsOfPeers.end(),
+                    [&](const auto &it) {
+                      return it.first != from && drawFor(task, it.first) > own;
+                    }));
+}
+
 void addRequestedTasks(const ShardState &shard, const base::Resources &largest,
                        TimePoint now, std::vector<WaitingTask> &waiting) {
   for (const auto &[from, requests] : shard.RequestsOfPeers) {
@@ -167,8 +183,9 @@
         continue;
       for (std::int32_t index : request.Tasks) {
         TaskKey key{request.Job, 0, request.Step, index};
-        waiting.push_back({inGranules(it.Since), drawFor(key, shard.Number),
-                           key, nullptr, nullptr, &request, from});
+        waiting.push_back({it.Since + claimRank(shard, key, from) * ClaimStep,
+                           drawFor(key, shard.Number), key, nullptr, nullptr,
+                           &request, from});
       }
     }
   }
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -46,9 +46,10 @@
     std::function<void(const RoomRequest &request, std::int32_t from,
                        std::int32_t index, std::vector<WorkerRoom> &rooms)>;
 
-/// Places the waiting long-running tasks of all shards, longest wait first,
-/// each where the least remains. Gangs are left out. Of equal waits, own tasks
-/// go first, and shards choose different ones of the others.
+/// Places the waiting long-running tasks of all shards, each where the least
+/// remains. Gangs are left out. Longest waits go first, but own tasks before
+/// those of other shards that have waited for little longer; of these, shards
+/// choose different ones.
 ///
 /// \param place takes the room of a task of another shard; by default, it is
 /// only left out of the plan.
