Plan at once when a long-running task can start

Cause: a room that a task of its own shard takes was open until the next plan, which waits for 8 ms and for three times the duration of the last one.

An end of a long-running run, and a task that comes to the room held for it, now bring the next plan forward. Plans may then take half of the time instead of a quarter.

--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -1,13 +1,14 @@
 // Rooms for tasks that wait in other shards. Load pattern: an installation is
 // almost full, and long-running tasks wait in each shard for the next room.
-// Whoever reads of a room first must not get it, nor whoever waits in the shard
-// in which it appears: its owner compares the waits in all shards, and holds
-// the room for the longest. A grant is stored only if there is none for the
-// task yet, so the room of a second shard goes to the next task.
+// Until such a task has come, the room is idle, so a task of its own shard goes
+// first unless others have waited for much longer. A grant is stored only if
+// there is none for the task yet, so the room of a second shard goes to the
+// next task.
 #include "detail/Rooms.h"
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace endivedoor::dispatch {
 
@@ -172,8 +173,10 @@
                              const std::vector<TaskRef> &tasks) {
   for (const TaskRef &task : tasks)
     for (Reservation &it : Reservations)
-      if (isGrantedTo(it, {job.Job.Id, 0, task.Step, task.Index}))
+      if (isGrantedTo(it, {job.Job.Id, 0, task.Step, task.Index})) {
         it.Granted.reset();
+        RoomOpened = true;
+      }
 }
 
 void ShardState::endGrant(const TaskKey &task, GrantedRoom &grant,
@@ -277,6 +280,8 @@
   s.RoomsChanged = true;
 }
 
+bool Shard::takeRoomOpened() { return std::exchange(State->RoomOpened, false); }
+
 void Shard::clearRoomRequests() { State->RequestsOfPeers.clear(); }
 
 void Shard::inheritWaits(const std::vector<RoomRequest> &requests,
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -234,7 +234,7 @@
         asio::detached);
     spawnPollLoops();
   }
-  requestPlan();
+  requestPlan(State.takeRoomOpened());
 }
 
 void ShardRunner::onItem(const StoredItem &item) {
@@ -335,13 +335,29 @@
   requestPlan();
 }
 
-void ShardRunner::requestPlan() {
-  if (PlanDue || Stopped)
+void ShardRunner::requestPlan(bool urgent) {
+  if (Stopped || (PlanDue && (!urgent || PlanUrgent)))
     return;
   PlanDue = true;
+  PlanUrgent |= urgent;
   PlanTimer.expires_after(PlanDelay);
 }
 
+asio::awaitable<void> ShardRunner::waitForPlan() {
+  bool urgent = false;
+  // requestPlan() shortens the waits.
+  do {
+    co_await PlanTimer.async_wait(AsTuple);
+    if (Stopped || !PlanDue)
+      co_return;
+    urgent = PlanUrgent;
+    TimePoint now = Context.Time.now();
+    PlanTimer.expires_after(urgent ? Pacing.urgentDelay(now)
+                                   : Pacing.delay(now));
+    co_await PlanTimer.async_wait(AsTuple);
+  } while (!Stopped && urgent != PlanUrgent);
+}
+
 /// Starts polling each worker that is not polled yet. Waits until the jobs are
 /// loaded; before that, their runs would be treated as orphans.
 void ShardRunner::spawnPollLoops() {
@@ -386,7 +402,7 @@
     State.onPoll(worker, report.value(), sent, Context.Time.now());
     if (State.isFenced())
       co_return endTerm("a worker has seen a higher fencing token");
-    requestPlan();
+    requestPlan(State.takeRoomOpened());
     if (State.hasWrites())
       CommitTimer.cancel();
     if (report.value().WrongIncarnation)
@@ -400,7 +416,7 @@
 asio::awaitable<void> ShardRunner::planLoop() {
   auto self = shared_from_this();
   while (!Stopped) {
-    PlanDue = false;
+    PlanDue = PlanUrgent = false;
     TimePoint begin = Context.Time.now();
     Sources.observeAges(begin, Context.MetricsRegistry);
     State.setRecordsAsOf(Sources.asOf(begin));
@@ -423,14 +439,11 @@
     spawnRoomCommits();
     Context.MetricsRegistry.setLiveJobs(State.liveJobCount());
     spawnAccountWrites();
-    // requestPlan() shortens the wait.
     if (!PlanDue)
       PlanTimer.expires_after(State.hasDeferredAccountWrites()
                                   ? policy::AccountShare::WriteInterval
                                   : PlanInterval);
-    co_await PlanTimer.async_wait(AsTuple);
-    if (PlanDue && !Stopped)
-      co_await sleepFor(Pacing.delay(Context.Time.now()));
+    co_await waitForPlan();
   }
 }
 
--- a/packages/dispatch/src/detail/PlanPacing.h
+++ b/packages/dispatch/src/detail/PlanPacing.h
@@ -21,6 +21,8 @@
 /// The rest is left to the calls and commits that the plans cause and wait for,
 /// which cost several times as much as the plans.
 constexpr double MaxPlanShare = 0.25;
+/// The same while rooms open for which tasks wait.
+constexpr double MaxUrgentPlanShare = 0.5;
 
 /// Delays a plan that is requested soon after a long one. A plan is never
 /// delayed beyond PlanInterval, on which leases and repeated stops depend.
@@ -31,14 +33,23 @@
     base::Duration pause = std::chrono::duration_cast<base::Duration>(
         (end - begin) * (1 / MaxPlanShare - 1));
     NotBefore = end + std::min<base::Duration>(pause, PlanInterval - PlanDelay);
+    UrgentNotBefore = end + std::chrono::duration_cast<base::Duration>(
+                                (end - begin) * (1 / MaxUrgentPlanShare - 1));
   }
   /// Returns the time from an event to the plan that handles it.
   base::Duration delay(base::TimePoint now) const {
     return std::max<base::Duration>(PlanDelay, NotBefore - now);
   }
+  /// Returns the same for an event after which a long-running task can start.
+  base::Duration urgentDelay(base::TimePoint now) const {
+    return std::min(delay(now),
+                    std::max<base::Duration>(base::Duration::zero(),
+                                             UrgentNotBefore - now));
+  }
 
 private:
   base::TimePoint NotBefore;
+  base::TimePoint UrgentNotBefore;
 };
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -114,7 +114,10 @@
   /// \param progress the progress records; used by the first call only.
   void onSynced(std::vector<StoredItem> progress);
   void reportUnreadable(const StoredItem &item, const base::Error &error);
-  void requestPlan();
+  /// \param urgent whether a long-running task may start now.
+  void requestPlan(bool urgent = false);
+  /// Waits until the next plan is due.
+  boost::asio::awaitable<void> waitForPlan();
   boost::asio::awaitable<void> planLoop();
   boost::asio::awaitable<void> commitLoop();
   /// Reads what the other shards have learned about interference.
@@ -195,6 +198,7 @@
   bool RosterRead = false;
   bool LoadingAccounts = false;
   bool PlanDue = false;
+  bool PlanUrgent = false;
   bool Loaded = false;
   bool Stopped = false;
   bool Flushing = false;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -571,6 +571,8 @@
   /// got room, or another shard asked for more, since.
   TimePoint RoomsComparedAt;
   bool RoomsChanged = false;
+  /// A long-running task may have become able to start.
+  bool RoomOpened = false;
   std::deque<RoomOffer> RoomOffers;
   std::deque<RoomOffer> ReturnedRooms;
   std::deque<TaskKey> ReadReturns;
