Each owner of a shard that a job has moved to has run numbers of its own

Callers could see TWICE: two owners of the shard to which a job has moved, or part of it was delegated, used the same run number. The end of the first one's run, listed by a worker that had been cut off, then ended the run of the second, and the task was started once more.

Cause: the next number was the maximum of what came with the job and of the term's part, so in a shard with lower terms the part of the term did not count. The part of the term is now added.

Evidence: found by the review of this change, by reading. Test OwnersAfterTheMove_UseDifferentRunNumbers.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -130,15 +130,15 @@
   if (!earlier.empty())
     fields.push_back({"earlier", earlier});
   Events.emit(EventCode::RunStarted, std::move(fields));
-  // A wait that begins before the next plan is another one.
-  task.WaitingSince.reset();
   Outbox.push_back(std::move(command));
 }
 
 std::int64_t nextRun(const JobEntry &job, const TaskEntry &task,
                      std::int64_t term) {
   std::int64_t base = job.Inherited ? (term - 1) * RunNumbersPerTerm : 0;
-  return std::max({task.LastRun, base, job.EarlierLastRun}) + 1;
+  // Terms of other shards have used numbers up to EarlierLastRun. Each owner of
+  // this shard needs higher ones than those before it, also if it has none.
+  return std::max(task.LastRun, job.EarlierLastRun + base) + 1;
 }
 
 StepCounts runsByWorker(const StepEntry &entry) {
--- a/tests/unit/unit-dispatch-fencing.cpp
+++ b/tests/unit/unit-dispatch-fencing.cpp
@@ -386,4 +386,31 @@
   EXPECT_GT(orders[0].Run.Number, EarlierRun);
 }
 
+// Both owners of the other shard began after the numbers that came with the
+// job, so the end of the first one's run ended that of the second.
+TEST_F(JobOfACutOffOwner, OwnersAfterTheMove_UseDifferentRunNumbers) {
+  std::optional<dispatch::JobMove> move = moveJob();
+  ASSERT_TRUE(move);
+  model::AcceptedJob moved = move->Job;
+  moved.Graph.Steps[0].Size.Cpu = base::MilliCores{4000};
+  std::vector<std::int64_t> numbers;
+  for (std::int64_t term : {1, 2, 3}) {
+    Shard owner{{}, 1, term, base::FencingToken{9}, Events, MetricsRegistry};
+    owner.addJob(moved, 500, term > 1, now());
+    owner.restore(JobNumber{1}, move->Handover);
+    owner.updateWorker(worker("w2"), now());
+    owner.nextPoll(base::WorkerId("w2"), now(), true);
+    PollReport report;
+    report.Clock = 5s;
+    report.StartTime = 1000ms;
+    owner.onPoll(base::WorkerId("w2"), report, now(), now());
+    owner.onRosterStored(owner.roster());
+    for (const WorkerCommand &it : owner.plan(now(), Time.wallNow(), true))
+      numbers.push_back(it.Run.Number);
+  }
+  ASSERT_EQ(numbers.size(), 3u);
+  EXPECT_GE(numbers[1], numbers[0] + 1024);
+  EXPECT_GE(numbers[2], numbers[1] + 1024);
+}
+
 } // namespace
