Rooms first: own tasks lead by 20 s once callers count their waits

Rooms went to other shards whenever the own queue was younger, and nearly all of the open time was theirs.

The lead is now 20 s for tasks that have waited for 6 s, and its own wait for others; a task may thus wait longer than one that starts before it by 20 s and the claims, not without bound. The claims weigh 4 s each, at most three of them, and count only shards that ask now.

--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -23,15 +23,18 @@
 
 namespace {
 
-/// A task of this shard goes before one of another shard that has waited longer
-/// by up to its own wait, at most this: the room of the other one is idle until
-/// it has been handed over. Callers count a task as lost that has waited for so
-/// long while room for it is open anywhere.
-constexpr std::chrono::milliseconds MaxOwnTaskLead{6000};
+/// Callers count a task as lost that has waited for so long while room for it
+/// is open in any shard.
+constexpr std::chrono::milliseconds LostAfter{6000};
+/// From then on, a task goes before those of other shards unless they have
+/// waited longer by this: their room is idle until it has been handed over.
+constexpr std::chrono::milliseconds MaxOwnTaskLead{20000};
 /// A task of another shard goes after the others for each shard that has a
 /// stronger claim to it, as if it had waited less by this. Shards in which
 /// rooms open at the same time thus grant them to different tasks.
-constexpr std::chrono::milliseconds ClaimStep{1000};
+constexpr std::chrono::milliseconds ClaimStep{4000};
+/// Bounds what that adds to the difference of two waits.
+constexpr std::int32_t MaxClaimRank = 3;
 
 /// A task that waits in any shard.
 struct WaitingTask {
@@ -52,6 +55,12 @@
   }
 };
 
+/// Returns by how much longer than a task of this shard another one must have
+/// waited to go before it.
+base::Duration ownTaskLead(base::Duration waited) {
+  return waited < LostAfter ? waited : MaxOwnTaskLead;
+}
+
 std::uint64_t drawFor(const TaskKey &task, std::int32_t shard) {
   std::string key = formatTask(task) + "/" + std::to_string(shard);
   return XXH3_64bits(key.data(), key.size()) | 1;
@@ -149,8 +158,7 @@
             unplaced.insert(key);
           else
             waiting.push_back(
-                {since - std::min<base::Duration>(now - since, MaxOwnTaskLead),
-                 0, key, job, &entry});
+                {since - ownTaskLead(now - since), 0, key, job, &entry});
         }
       }
   }
@@ -160,16 +168,19 @@
 /// older requests have no owner that could use a grant.
 constexpr std::chrono::milliseconds RequestLifetime{3000};
 
-/// Returns how many shards have a stronger claim to a task of another shard
-/// than this one, by a draw that is the same in all of them.
+/// Returns how many shards that ask for room have a stronger claim to a task of
+/// another shard than this one, by a draw for each pair of task and shard.
 std::int32_t claimRank(const ShardState &shard, const TaskKey &task,
-                       std::int32_t from) {
+                       std::int32_t from, TimePoint now) {
   std::uint64_t own = drawFor(task, shard.Number);
-  return static_cast<std::int32_t>(
+  auto rank =
       std::count_if(shard.RequestsOfPeers.begin(), shard.RequestsOfPeers.end(),
                     [&](const auto &it) {
-                      return it.first != from && drawFor(task, it.first) > own;
-                    }));
+                      return it.first != from && !it.second.List.empty() &&
+                             now - it.second.ChangedAt <= RequestLifetime &&
+                             drawFor(task, it.first) > own;
+                    });
+  return std::min(static_cast<std::int32_t>(rank), MaxClaimRank);
 }
 
 void addRequestedTasks(const ShardState &shard, const base::Resources &largest,
@@ -183,9 +194,10 @@
         continue;
       for (std::int32_t index : request.Tasks) {
         TaskKey key{request.Job, 0, request.Step, index};
-        waiting.push_back({it.Since + claimRank(shard, key, from) * ClaimStep,
-                           drawFor(key, shard.Number), key, nullptr, nullptr,
-                           &request, from});
+        waiting.push_back(
+            {it.Since + claimRank(shard, key, from, now) * ClaimStep,
+             drawFor(key, shard.Number), key, nullptr, nullptr, &request,
+             from});
       }
     }
   }
