A start that fails does not end the wait of its task

A task whose start was refused, or never reached its worker, began its wait anew in the next plan: it was not asked for during 1 s and came after tasks that had waited far less, although callers had seen no run of it. The wait now ends when the worker confirms the run.

Test: StartThatIsRefused_GoesOnWithTheWait.

--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -216,8 +216,11 @@
     TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     TaskKey key{job.Job.Id, o.Number, step, i};
     if (!task.isWaiting()) {
-      // An offer may come back.
-      if (!task.Remote) {
+      // An offer may come back, and a start may fail.
+      bool confirmed =
+          task.Done || std::any_of(task.Runs.begin(), task.Runs.end(),
+                                   [](const Run &it) { return it.Confirmed; });
+      if (!task.Remote && confirmed) {
         task.WaitingSince.reset();
         InheritedWaits.erase(key);
       }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -271,6 +271,8 @@
       run->Phase = RunPhase::Running;
       run->PhaseSince = now;
       run->Confirmed = true;
+      // A later wait is another one. A start that fails goes on with this one.
+      task->WaitingSince.reset();
     }
     run->PossibleCrash.reset();
     // The worker was unreachable for a while but has not crashed.
@@ -682,6 +684,8 @@
       run->Phase = RunPhase::Running;
       run->PhaseSince = now;
       run->Confirmed = true;
+      // A later wait is another one. A start that fails goes on with this one.
+      task->WaitingSince.reset();
     }
     return;
   }
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -606,6 +606,24 @@
   EXPECT_LE(requests[0].Waited, 2600ms);
 }
 
+// A task whose start fails has never run, as far as its callers can tell.
+TEST_F(ShardThatAsks, StartThatIsRefused_GoesOnWithTheWait) {
+  Time.advance(2500ms);
+  report();
+  addWorker("w2");
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, Waiting);
+  Time.advance(300ms);
+  plan();
+  TestShard.onStart(orders[0], CommandResult::NoCapacity, now());
+  report();
+  plan();
+  std::vector<RoomRequest> requests = TestShard.load().Requests;
+  ASSERT_EQ(requests.size(), 1u);
+  EXPECT_GE(requests[0].Waited, 2800ms);
+}
+
 // A job without a run whose last run was stopped asked for no room until
 // another shard had turned down the whole job.
 TEST_F(ShardThatAsks, JobWithoutRuns_IsAskedFor) {
