Urgent plans only while tasks ask for room, and without a delay

An urgent request during the wait for a plan began the 8 ms anew, and every end of a long-running run was urgent, also where nothing waits.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -340,8 +340,8 @@
                        const std::vector<RoomRequest> &requests,
                        base::TimePoint now);
   /// Returns whether a long-running task of this shard may start since the
-  /// previous call: a run has ended, or a task has come to the room that is held
-  /// for it.
+  /// previous call: a run has ended, or a task has come to the room that is
+  /// held for it.
   bool takeRoomOpened();
   /// The load records cannot be read, so no room is held for other shards.
   void clearRoomRequests();
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -143,7 +143,8 @@
   release(worker, {key, run});
   task->Runs.erase(it);
   task->addEnding(run, evidence);
-  RoomOpened |= stepOf(job, key).LongRunning && !worker.Profile.Draining;
+  RoomOpened |= stepOf(job, key).LongRunning && !worker.Profile.Draining &&
+                !AskedSteps.empty();
   if (stepOf(job, key).LongRunning)
     Events.emit(EventCode::RoomOpened,
                 {{"worker", worker.Profile.Id.str()},
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -340,7 +340,7 @@
     return;
   PlanDue = true;
   PlanUrgent |= urgent;
-  PlanTimer.expires_after(PlanDelay);
+  PlanTimer.expires_after(urgent ? base::Duration::zero() : PlanDelay);
 }
 
 asio::awaitable<void> ShardRunner::waitForPlan() {
