--- a/tests/unit/unit-dispatch-planpacing.cpp
+++ b/tests/unit/unit-dispatch-planpacing.cpp
@@ -56,4 +56,18 @@
   EXPECT_EQ(Pacing.delay(Time.now()), PlanDelay);
 }
 
+// Rooms that open one after the other must not take the time that the calls of
+// the starts need.
+TEST_F(PlanPacingReplay, UrgentPlans_LeaveHalfOfTheTime) {
+  for (int i = 0; i < 100; ++i) {
+    base::TimePoint begin = Time.now();
+    Time.advance(20ms);
+    Pacing.onPlanned(begin, Time.now());
+    EXPECT_EQ(Pacing.urgentDelay(Time.now()), 20ms);
+    EXPECT_LT(Pacing.urgentDelay(Time.now()), Pacing.delay(Time.now()));
+    Time.advance(20ms);
+    EXPECT_EQ(Pacing.urgentDelay(Time.now()), 0ms);
+  }
+}
+
 } // namespace
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -606,6 +606,21 @@
   EXPECT_LE(requests[0].Waited, 2600ms);
 }
 
+// A room was open until the next plan; one that nobody waits for needs none.
+TEST_F(ShardThatAsks, RunEndsWhileATaskAsks_PlanIsUrgent) {
+  TestShard.addJob(job(6, {longRunning(1, 4000)}), ++Revision, false, now());
+  start(job(7, {longRunning(1, 4000)}));
+  report(6);
+  EXPECT_FALSE(TestShard.takeRoomOpened());
+  Time.advance(2500ms);
+  report();
+  plan();
+  ASSERT_FALSE(TestShard.load().Requests.empty());
+  report(7);
+  EXPECT_TRUE(TestShard.takeRoomOpened());
+  EXPECT_FALSE(TestShard.takeRoomOpened());
+}
+
 // A task whose start fails has never run, as far as its callers can tell.
 TEST_F(ShardThatAsks, StartThatIsRefused_GoesOnWithTheWait) {
   Time.advance(2500ms);
