Own tasks lead by 6 s once callers count their waits

Claims before waits hand rooms to tasks whose owners cannot use them in time, whatever their waits.

The lead is 6 s for own tasks that have waited for 6 s, and the 1 s by which waits counted as equal before for the others. Claims weigh 1 s each again, at most 5 of them, and count only shards that ask now.

--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -25,34 +25,22 @@
 
 /// Waits that differ by less count as equal, as the load records are older.
 constexpr std::chrono::milliseconds WaitGranularity{1000};
-
 /// Callers count a task as lost that has waited for so long while room for it
-/// is open in any shard. Which of these tasks gets a room matters less than
-/// that one does at once.
+/// is open anywhere. From then on, it goes before tasks of other shards that
+/// have waited longer by up to this: their room is idle until it has been
+/// handed over.
 constexpr std::chrono::milliseconds LostAfter{6000};
-/// Tasks that have waited for so long go strictly by their waits, so that no
-/// shard leaves its tasks behind.
-constexpr std::chrono::milliseconds LongWait{30000};
-
-/// Which tasks go first, whatever their waits are otherwise.
-enum class WaitClass {
-  Long,
-  /// Of this shard, for LostAfter: its room is not idle until it has been
-  /// handed over.
-  Own,
-  /// The same of other shards. Each shard prefers those to which it has the
-  /// strongest claim, so that shards with room at the same time choose
-  /// different ones.
-  Claimed,
-  Short
-};
+/// A task of another shard goes after the others for each shard that has a
+/// stronger claim to it, as if it had waited less by this. Shards in which
+/// rooms open at the same time thus grant them to different tasks.
+constexpr std::chrono::milliseconds ClaimStep{1000};
+/// Bounds what that adds to the difference of two waits.
+constexpr std::int32_t MaxClaimRank = 5;
 
 /// A task that waits in any shard.
 struct WaitingTask {
-  WaitClass Class = WaitClass::Short;
-  /// Number of shards with a stronger claim; 0 unless Class is Claimed.
-  std::int32_t Rank = 0;
-  std::int64_t Since = 0;
+  /// Since when it has waited, as far as the order is concerned.
+  TimePoint Since;
   /// Order of equal waits; 0 for tasks of this shard.
   std::uint64_t Draw = 0;
   TaskKey Key;
@@ -64,22 +52,14 @@
   std::int32_t From = 0;
 
   friend bool operator<(const WaitingTask &a, const WaitingTask &b) {
-    return std::tie(a.Class, a.Rank, a.Since, a.Draw, a.Key) <
-           std::tie(b.Class, b.Rank, b.Since, b.Draw, b.Key);
+    return std::tie(a.Since, a.Draw, a.Key) < std::tie(b.Since, b.Draw, b.Key);
   }
 };
 
-std::int64_t inGranules(TimePoint since) {
-  return std::chrono::floor<std::chrono::milliseconds>(
-             since.time_since_epoch()) /
-         WaitGranularity;
-}
-
-WaitClass classOf(base::Duration waited, bool own) {
-  return waited >= LongWait   ? WaitClass::Long
-         : waited < LostAfter ? WaitClass::Short
-         : own                ? WaitClass::Own
-                              : WaitClass::Claimed;
+/// Returns by how much longer than a task of this shard another one must have
+/// waited to go before it.
+base::Duration ownTaskLead(base::Duration waited) {
+  return waited < LostAfter ? WaitGranularity : LostAfter;
 }
 
 std::uint64_t drawFor(const TaskKey &task, std::int32_t shard) {
@@ -178,8 +158,8 @@
           if (!spec.Size.fitsIn(largest))
             unplaced.insert(key);
           else
-            waiting.push_back({classOf(now - since, true), 0, inGranules(since),
-                               0, key, job, &entry});
+            waiting.push_back(
+                {since - ownTaskLead(now - since), 0, key, job, &entry});
         }
       }
   }
@@ -194,13 +174,14 @@
 std::int32_t claimRank(const ShardState &shard, const TaskKey &task,
                        std::int32_t from, TimePoint now) {
   std::uint64_t own = drawFor(task, shard.Number);
-  return static_cast<std::int32_t>(
+  auto rank =
       std::count_if(shard.RequestsOfPeers.begin(), shard.RequestsOfPeers.end(),
                     [&](const auto &it) {
                       return it.first != from && !it.second.List.empty() &&
                              now - it.second.ChangedAt <= RequestLifetime &&
                              drawFor(task, it.first) > own;
-                    }));
+                    });
+  return std::min(static_cast<std::int32_t>(rank), MaxClaimRank);
 }
 
 void addRequestedTasks(const ShardState &shard, const base::Resources &largest,
@@ -214,12 +195,10 @@
         continue;
       for (std::int32_t index : request.Tasks) {
         TaskKey key{request.Job, 0, request.Step, index};
-        WaitClass waits = classOf(now - it.Since, false);
-        std::int32_t rank =
-            waits == WaitClass::Claimed ? claimRank(shard, key, from, now) : 0;
-        waiting.push_back({waits, rank, inGranules(it.Since),
-                           drawFor(key, shard.Number), key, nullptr, nullptr,
-                           &request, from});
+        waiting.push_back(
+            {it.Since + claimRank(shard, key, from, now) * ClaimStep,
+             drawFor(key, shard.Number), key, nullptr, nullptr, &request,
+             from});
       }
     }
   }
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -47,8 +47,9 @@
                        std::int32_t index, std::vector<WorkerRoom> &rooms)>;
 
 /// Places the waiting long-running tasks of all shards, each where the least
-/// remains. Gangs are left out. Long waits go first; of those that callers
-/// count alike, own tasks, then others, of which shards choose different ones.
+/// remains. Gangs are left out. Longest waits go first, but own tasks before
+/// those of other shards that have waited for little longer; of these, shards
+/// choose different ones.
 ///
 /// \param place takes the room of a task of another shard; by default, it is
 /// only left out of the plan.
