The shard of the tasks decides which one comes to a granted room

The shard of the room decided which task gets it, by requests that were up to 1.6 s old, and there was one grant for each task. So shards with room at the same time granted it to the same tasks, and all but one were declined; and rooms were granted to tasks that had started meanwhile.

A grant now offers a room: its size, service and label. The shard of the named task, which alone knows what still waits, sends that task or else the longest waiting one that fits, and says so in the commit of the delegation, so that the room is held for it. There is one record for each task and shard, so no grant is declined, and grants and other changes of these records share a commit. Reading the grants of other shards is gone.

The record of a used grant ends at once, since nobody else has to see it.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -23,10 +23,9 @@
 std::string owner(std::int32_t shard);
 std::string job(std::int32_t shard, model::JobNumber job);
 std::string cancel(std::int32_t shard, model::JobNumber job);
-/// Of all grants for tasks that wait in \p shard.
-std::string roomGrantPrefix(std::int32_t shard);
-/// Room that another shard holds for a task that waits in \p shard.
-std::string roomGrant(std::int32_t shard, const model::TaskKey &task);
+/// Room that the shard \p from holds for a task that waits in \p shard.
+std::string roomGrant(std::int32_t shard, const model::TaskKey &task,
+                      std::int32_t from);
 /// Room of \p shard for which the shard of the task has no use.
 std::string roomReturn(std::int32_t shard, const model::TaskKey &task);
 std::string progressPrefix(std::int32_t shard);
@@ -79,6 +78,9 @@
 std::string formatTask(const model::TaskKey &task);
 /// Errors: ParseFailed.
 base::Result<model::TaskKey> parseTask(std::string_view text);
+/// Returns the task that the key of a grant or of a returned room names, from
+/// the part of the key after its kind. Errors: ParseFailed.
+base::Result<model::TaskKey> parseRoomTask(std::string_view name);
 
 /// Index entry of a job: the shard that holds it and its state.
 struct JobIndexEntry {
@@ -208,15 +210,44 @@
 };
 
 /// Room that a shard holds for some time for a task that waits in another one.
-/// Only a hint: the shard of the task decides and commits. There is at most one
-/// record for each task, so that no two shards hold room for it.
+/// Only a hint: the shard of the task decides and commits. It may send another
+/// task instead, as it alone knows which of its tasks still wait.
 struct RoomGrant {
-  /// Shard that holds the room. In the record of a returned room, the shard of
-  /// the task.
+  /// Shard that holds the room.
   std::int32_t Shard = 0;
+  /// What the room offers. Without a size, as in records of earlier versions,
+  /// only the task that the grant names may use it.
+  base::Resources Size = {};
+  base::ServiceName Service = {};
+  /// Label of the worker that the named task requires; empty for none.
+  std::string Requirement = {};
   friend bool operator==(const RoomGrant &, const RoomGrant &) = default;
 };
 
+/// Names a grant: the task that the room was held for, and the other shard, as
+/// seen from either of the two.
+struct RoomGrantId {
+  model::TaskKey Task;
+  std::int32_t Shard = 0;
+  friend auto operator<=>(const RoomGrantId &, const RoomGrantId &) = default;
+};
+
+/// Answer to a grant that the named task does not use.
+struct RoomReturn {
+  /// Shard of the task.
+  std::int32_t Shard = 0;
+  /// Task that has been delegated to the room instead; nothing if the room is
+  /// free again.
+  std::optional<model::TaskKey> Instead = {};
+  friend bool operator==(const RoomReturn &, const RoomReturn &) = default;
+};
+
+/// A grant and the task that is delegated to its room.
+struct RoomUse {
+  model::TaskKey Granted;
+  model::TaskKey Used;
+};
+
 /// Waiting tasks that a shard offers to others.
 struct Delegation {
   model::AcceptedJob Job;
@@ -230,6 +261,8 @@
   std::map<std::int32_t, std::set<TaskPosition>> HadBefore = {};
   /// Shard that holds room for each of the tasks; nothing if one must be found.
   std::optional<std::int32_t> GrantedBy = {};
+  /// One for each of the tasks if the rooms are held.
+  std::vector<RoomUse> Uses = {};
 };
 
 /// A cancellation that must reach a shard that runs a part of the job.
@@ -277,6 +310,7 @@
 /// stored as well.
 std::string encodeCancel(const std::set<std::int32_t> &shards);
 std::string encodeRoomGrant(const RoomGrant &grant);
+std::string encodeRoomReturn(const RoomReturn &returned);
 std::string encodeRoster(const std::vector<RosterEntry> &roster);
 
 /// Errors of all decoders: ParseFailed.
@@ -291,6 +325,7 @@
 /// Returns the shards that encodeCancel() was given.
 base::Result<std::set<std::int32_t>> decodeCancel(const std::string &text);
 base::Result<RoomGrant> decodeRoomGrant(const std::string &text);
+base::Result<RoomReturn> decodeRoomReturn(const std::string &text);
 base::Result<JobIndexEntry> decodeIndex(const std::string &text);
 base::Result<JobProgress> decodeProgress(const std::string &text);
 base::Result<std::vector<RosterEntry>> decodeRoster(const std::string &text);
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -74,20 +74,19 @@
   std::vector<RoomRequest> Requests;
 };
 
-/// Room that is to be announced, or returned, to another shard.
+/// Room that is to be announced to the shard in which a task waits.
 struct RoomOffer {
   model::TaskKey Task;
-  /// The other shard: that in which the task waits, or that with the room.
   std::int32_t To = 0;
-  friend bool operator==(const RoomOffer &, const RoomOffer &) = default;
+  RoomGrant Grant = {};
 };
 
 /// Changes of the records of rooms that need no condition.
 struct RoomRecordChanges {
   /// Rooms of other shards for which this one has no use.
-  std::vector<RoomOffer> Returned;
+  std::vector<RoomGrantId> Returned;
   /// Tasks of this shard whose grants have ended.
-  std::vector<model::TaskKey> EndedGrants;
+  std::vector<RoomGrantId> EndedGrants;
   /// Tasks of other shards whose returned rooms have been read.
   std::vector<model::TaskKey> ReadReturns;
 
@@ -348,22 +347,17 @@
   /// The tasks have waited for that long already, under an earlier owner.
   void inheritWaits(const std::vector<RoomRequest> &requests,
                     base::TimePoint now);
-  /// Returns rooms for which grants are to be stored, at most \p limit, each on
-  /// the condition that there is no grant for the task.
+  /// Returns rooms for which grants are to be stored, at most \p limit.
   std::vector<RoomOffer> takeRoomOffers(std::size_t limit);
-  /// Another shard has granted room for the task first, so this one's is free.
-  void onRoomOfferDeclined(const RoomOffer &offer, base::TimePoint now);
-  /// The tasks have grants of any shards: they get no others for some time.
-  void noteGranted(const std::vector<model::TaskKey> &tasks,
-                   base::TimePoint now);
-  /// The grants were not stored and are due again.
-  void onRoomOffersKept(const std::vector<RoomOffer> &offers);
   /// Another shard holds room for a task. The next takeGranted() returns it if
-  /// it still waits; otherwise, the room is returned.
+  /// it still waits, or another task that fits; otherwise, the room is
+  /// returned.
   void onRoomGrant(const model::TaskKey &task, const RoomGrant &grant,
                    base::TimePoint now);
-  /// The shard of the task has no use for the room that is held for it.
-  void onRoomReturned(const model::TaskKey &task, base::TimePoint now);
+  /// The shard of the task uses the room that is held for it for another task,
+  /// or for none.
+  void onRoomReturned(const model::TaskKey &task, const RoomReturn &returned,
+                      base::TimePoint now);
   /// Returns waiting tasks of one job for which another shard holds room, or
   /// nothing. They are not started until onDelegationFinished() has been
   /// called.
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -5,6 +5,7 @@
 #include "detail/Rooms.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace endivedoor::dispatch {
 
@@ -69,6 +70,61 @@
           .WaitingCount;
 }
 
+bool ShardState::mayUseGrant(const JobEntry &job, const TaskKey &task,
+                             const TaskKey &named, const RoomGrant &room,
+                             TimePoint now) const {
+  auto step = static_cast<std::size_t>(task.Step);
+  const StepEntry &entry = job.Occurrences.at(0).Steps[step];
+  const TaskEntry &it = entry.Tasks[static_cast<std::size_t>(task.Index)];
+  if (!it.isWaiting() || HeldTasks.contains(task) ||
+      room.Shard == job.HomeShard ||
+      job.hadBefore(room.Shard, {task.Step, task.Index}))
+    return false;
+  if (task == named)
+    return true;
+  const model::StepSpec &spec = job.Job.Graph.Steps[step];
+  // A worker with room may have reached the limit of a job that runs there.
+  bool spread = job.DelegatedShards.contains(room.Shard)
+                    ? spec.MaxPerWorker == 0
+                    : job.DelegatedShards.size() < MaxDelegatedShards;
+  return spread && AskedSteps.contains({task.Job, task.Step}) &&
+         !entry.LimitedSince &&
+         now - it.WaitingSince.value_or(now) >= RequestDelay &&
+         spec.Size.fitsIn(room.Size) &&
+         room.Service == job.Job.Policy.Service &&
+         (spec.Requirement.empty() || spec.Requirement == room.Requirement);
+}
+
+std::vector<TaskKey> ShardState::candidatesFor(const RoomGrantId &id,
+                                               const RoomGrant &room,
+                                               TimePoint now) const {
+  bool unverified = mayRunAnyTask();
+  std::vector<std::tuple<bool, TimePoint, TaskKey>> found;
+  for (const JobEntry *job : LiveJobs) {
+    if (!mayBeSplit(*job, unverified))
+      continue;
+    const std::vector<StepEntry> &steps = job->Occurrences.at(0).Steps;
+    for (std::int32_t step = 0; step < std::ssize(steps); ++step) {
+      const StepEntry &entry = steps[static_cast<std::size_t>(step)];
+      if (entry.WaitingCount == 0)
+        continue;
+      for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i)
+        if (TaskKey key{job->Job.Id, 0, step, i};
+            mayUseGrant(*job, key, id.Task, room, now))
+          found.emplace_back(
+              key != id.Task,
+              entry.Tasks[static_cast<std::size_t>(i)].WaitingSince.value_or(
+                  now),
+              key);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  std::vector<TaskKey> tasks;
+  for (const auto &[other, since, key] : found)
+    tasks.push_back(key);
+  return tasks;
+}
+
 void ShardState::inheritWait(JobEntry &job, const JobPart &part,
                              TimePoint now) {
   for (const TaskRef &it : part.Tasks)
@@ -164,11 +220,10 @@
       for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i) {
         TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
         detail::TaskKey key{job->Job.Id, 0, step, i};
-        bool hasGrant = s.Grants.contains(key);
         bool late =
             asked && now - task.WaitingSince.value_or(now) > OfferPeriod;
-        if (task.isWaiting() && !s.HeldTasks.contains(key) && !hasGrant &&
-            !late && (allTasks || rooms->Unplaced.contains(key)))
+        if (task.isWaiting() && !s.HeldTasks.contains(key) && !late &&
+            (allTasks || rooms->Unplaced.contains(key)))
           addTask(offer, {step, i, {}}, *job, task, s.Term, now);
       }
     }
@@ -185,37 +240,41 @@
 std::optional<Delegation> Shard::takeGranted(base::TimePoint now) {
   detail::ShardState &s = *State;
   bool unverified = s.mayRunAnyTask();
-  for (auto first = s.Grants.begin(); first != s.Grants.end(); ++first) {
-    JobEntry *job = s.findJob(first->first.Job);
-    if (!first->second.isUsable(now) ||
-        (job &&
-         (!isDelegable(*job, unverified) || s.countUnresolvedRuns(*job))))
+  // Returns the first task for the room whose job has no commit in flight.
+  auto choose = [&](const RoomGrantId &id, const RoomGrant &room) {
+    std::vector<detail::TaskKey> tasks = s.candidatesFor(id, room, now);
+    if (tasks.empty())
+      s.endGrant(id, now);
+    auto it = std::find_if(
+        tasks.begin(), tasks.end(), [&](const detail::TaskKey &task) {
+          JobEntry *job = s.findJob(task.Job);
+          return isDelegable(*job, unverified) && !s.countUnresolvedRuns(*job);
+        });
+    return it == tasks.end() ? std::nullopt : std::optional(*it);
+  };
+  Delegation offer;
+  JobEntry *job = nullptr;
+  for (auto &[id, grant] : s.Grants) {
+    if (!grant.isUsable(now) || (job && id.Shard != offer.GrantedBy))
       continue;
-    std::int32_t shard = first->second.Shard;
-    Delegation offer;
-    for (auto it = first;
-         it != s.Grants.end() && it->first.Job == first->first.Job; ++it) {
-      const auto &[key, grant] = *it;
-      if (!grant.isUsable(now) || grant.Shard != shard)
-        continue;
-      TaskEntry *task = s.findTask(key);
-      if (!task || !task->isWaiting() || s.HeldTasks.contains(key)) {
-        s.endGrant(key, it->second, now);
-        continue;
-      }
-      if (offer.Part.Tasks.empty())
-        offer = makeOffer(s, *job);
-      addTask(offer, {key.Step, key.Index, {}}, *job, *task, s.Term, now);
-      it->second.Ended = true;
-      it->second.DeletableAt = now + detail::UsedGrantTime;
-    }
-    if (offer.Part.Tasks.empty())
+    std::optional<detail::TaskKey> key = choose(id, grant.Room);
+    if (!key || (job && key->Job != job->Job.Id))
       continue;
-    offer.GrantedBy = shard;
-    holdOffer(s, *job, offer);
-    return offer;
+    if (!job) {
+      job = s.findJob(key->Job);
+      offer = makeOffer(s, *job);
+      offer.GrantedBy = id.Shard;
+    }
+    addTask(offer, {key->Step, key->Index, {}}, *job, *s.findTask(*key), s.Term,
+            now);
+    offer.Uses.push_back({id.Task, *key});
+    grant.InUse = true;
+    s.markRemote(*job, *key);
   }
-  return std::nullopt;
+  if (!job)
+    return std::nullopt;
+  holdOffer(s, *job, offer);
+  return offer;
 }
 
 void Shard::limitDelegation(Delegation &offer,
@@ -230,8 +289,12 @@
       return false;
     if (job)
       State->markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
-    if (offer.GrantedBy)
-      State->returnGrants(offer.Job.Id, {it}, now);
+    return true;
+  });
+  std::erase_if(offer.Uses, [&](const RoomUse &it) {
+    if (kept.contains({it.Used.Step, it.Used.Index}))
+      return false;
+    State->endGrant({it.Granted, *offer.GrantedBy}, now);
     return true;
   });
 }
@@ -261,6 +324,14 @@
                                  std::optional<std::int32_t> shard,
                                  std::int64_t revision, base::TimePoint now) {
   detail::ShardState &s = *State;
+  for (const RoomUse &it : offer.Uses) {
+    RoomGrantId id{it.Granted, *offer.GrantedBy};
+    auto grant = s.Grants.find(id);
+    if (shard && grant != s.Grants.end())
+      grant->second.Ended = true;
+    else
+      s.endGrant(id, now);
+  }
   JobEntry *job = s.findJob(offer.Job.Id);
   if (!job)
     return;
@@ -283,8 +354,6 @@
   job->OfferDeclinedAt = now;
   for (const TaskRef &it : offer.Part.Tasks)
     s.markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
-  if (offer.GrantedBy)
-    s.returnGrants(offer.Job.Id, offer.Part.Tasks, now);
 }
 
 std::vector<CancelForward> Shard::takeCancelForwards(std::size_t limit) {
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -31,9 +31,9 @@
 std::string cancel(std::int32_t s, JobNumber job) {
   return shardPrefix(s) + "c/" + formatJobNumber(job);
 }
-std::string roomGrantPrefix(std::int32_t s) { return shardPrefix(s) + "g/"; }
-std::string roomGrant(std::int32_t s, const model::TaskKey &task) {
-  return roomGrantPrefix(s) + formatTask(task);
+std::string roomGrant(std::int32_t s, const model::TaskKey &task,
+                      std::int32_t from) {
+  return shardPrefix(s) + "g/" + formatTask(task) + "/" + std::to_string(from);
 }
 std::string roomReturn(std::int32_t s, const model::TaskKey &task) {
   return shardPrefix(s) + "r/" + formatTask(task);
@@ -111,6 +111,10 @@
   return task;
 }
 
+base::Result<model::TaskKey> parseRoomTask(std::string_view name) {
+  return parseTask(name.substr(0, name.find('/')));
+}
+
 namespace {
 
 /// Largest number of occurrences in a progress record, and of workers in a
@@ -474,18 +478,59 @@
       });
 }
 
+/// Largest amount of a resource of a room that is read.
+constexpr std::int64_t MaxRoom = std::int64_t{1} << 30;
+
 std::string encodeRoomGrant(const RoomGrant &grant) {
-  return json::serialize(json::object{{"shard", grant.Shard}});
+  json::object to{{"shard", grant.Shard}};
+  if (grant.Size != base::Resources{}) {
+    to["cpu"] = count(grant.Size.Cpu);
+    to["memory"] = count(grant.Size.Memory);
+    to["accelerators"] = grant.Size.Accelerators;
+    to["service"] = grant.Service.str();
+  }
+  setIf(to, "requirement", grant.Requirement);
+  return json::serialize(to);
 }
 
 base::Result<RoomGrant> decodeRoomGrant(const std::string &text) {
   return decode<RoomGrant>(text, [](const json::value &, const JsonView &v) {
     RoomGrant grant;
     grant.Shard = static_cast<std::int32_t>(v.number("shard", 0, INT32_MAX));
+    if (v.has("service")) {
+      grant.Size.Cpu = base::MilliCores{v.number("cpu", 0, MaxRoom)};
+      grant.Size.Memory = base::MebiBytes{v.number("memory", 0, MaxRoom)};
+      grant.Size.Accelerators =
+          static_cast<std::int32_t>(v.number("accelerators", 0, MaxRoom));
+      grant.Service = base::ServiceName(v.text("service"));
+      grant.Requirement = v.optionalText("requirement");
+    }
     return grant;
   });
 }
 
+std::string encodeRoomReturn(const RoomReturn &returned) {
+  json::object to{{"shard", returned.Shard}};
+  if (returned.Instead)
+    to["instead"] = formatTask(*returned.Instead);
+  return json::serialize(to);
+}
+
+base::Result<RoomReturn> decodeRoomReturn(const std::string &text) {
+  return decode<RoomReturn>(text, [](const json::value &, const JsonView &v) {
+    RoomReturn returned;
+    returned.Shard = static_cast<std::int32_t>(v.number("shard", 0, INT32_MAX));
+    if (!v.has("instead"))
+      return returned;
+    base::Result<model::TaskKey> task = parseTask(v.text("instead"));
+    if (task)
+      returned.Instead = task.value();
+    else
+      v.setError("instead", "is not a task");
+    return returned;
+  });
+}
+
 std::string encodeIndex(const JobIndexEntry &index) {
   json::object to;
   to["shard"] = index.Shard;
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -541,7 +541,7 @@
   addReservation({request.Job, 0, request.Step, best->Worker->Profile.Id,
                   request.Size, soonest.Due,
                   std::max(policy::endOfReservation(soonest), until + StopTime),
-                  true, Reservation::Grant{index, until}},
+                  true, Reservation::Grant{index, until, request.Requirement}},
                  soonest.Runs, now);
   return true;
 }
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -1,9 +1,8 @@
 // Rooms for tasks that wait in other shards. Load pattern: an installation is
 // almost full, and long-running tasks wait in each shard for the next room.
 // Until such a task has come, the room is idle, so a task of its own shard goes
-// first unless others have waited for much longer. A grant is stored only if
-// there is none for the task yet, so the room of a second shard goes to the
-// next task.
+// first unless others have waited for much longer. What waits in other shards
+// is known late, so their owners choose the task that comes to a granted room.
 #include "detail/Rooms.h"
 
 #include <algorithm>
@@ -21,8 +20,6 @@
 constexpr auto RegrantDelay = 1600ms;
 /// Minimum interval between two comparisons of the same rooms and requests.
 constexpr auto GrantInterval = 100ms;
-/// Tasks that have waited less find a room by the published ones.
-constexpr auto RequestDelay = 1000ms;
 /// A task that has room here, but no start for so long, is asked for as well.
 constexpr auto PlacedRequestDelay = 3000ms;
 constexpr std::size_t MaxRequests = 32;
@@ -43,10 +40,8 @@
     const TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     TaskKey key{job.Job.Id, 0, step, i};
     TimePoint since = task.WaitingSince.value_or(now);
-    auto granted = Grants.find(key);
     if (task.isWaiting() && now - since >= RequestDelay &&
         !HeldTasks.contains(key) &&
-        (granted == Grants.end() || !granted->second.isUsable(now)) &&
         (now - since >= PlacedRequestDelay || unplaced.contains(key)))
       waiting.emplace_back(since, i);
   }
@@ -169,6 +164,23 @@
   });
 }
 
+void ShardState::passRoomOn(const TaskKey &from, const TaskKey &to,
+                            TimePoint now) {
+  auto it =
+      std::find_if(Reservations.begin(), Reservations.end(),
+                   [&](const Reservation &r) { return isGrantedTo(r, from); });
+  if (it == Reservations.end())
+    return;
+  noteUnusedOffer(*it, now);
+  it->Job = to.Job;
+  it->Step = to.Step;
+  it->Granted->Index = to.Index;
+  // The task may have come before the answer.
+  JobEntry *job = findJob(to.Job);
+  if (job && job->PartTasks.contains({to.Step, to.Index}))
+    onDelegated(*job, {{to.Step, to.Index, {}}});
+}
+
 void ShardState::onDelegated(const JobEntry &job,
                              const std::vector<TaskRef> &tasks) {
   for (const TaskRef &task : tasks)
@@ -179,33 +191,16 @@
       }
 }
 
-void ShardState::endGrant(const TaskKey &task, GrantedRoom &grant,
-                          TimePoint now) {
-  if (grant.Ended)
+void ShardState::endGrant(const RoomGrantId &id, TimePoint now) {
+  auto it = Grants.find(id);
+  if (it == Grants.end() || it->second.Ended)
     return;
-  RoomOffer returned{task, grant.Shard};
-  if (now < grant.Until && std::find(ReturnedRooms.begin(), ReturnedRooms.end(),
-                                     returned) == ReturnedRooms.end())
-    ReturnedRooms.push_back(returned);
-  grant.Ended = true;
-  const TaskEntry *entry = findTask(task);
-  // A task that waits, also one whose offer may be turned down, may be granted
-  // another room at once. Requests for any other may be read for some time.
-  bool waits =
-      entry && entry->Runs.empty() && !entry->Done && !entry->DelegatedTo;
-  grant.DeletableAt = !entry || waits ? now : now + UsedGrantTime;
-}
-
-void ShardState::returnGrants(JobNumber job, const std::vector<TaskRef> &tasks,
-                              TimePoint now) {
-  for (const TaskRef &it : tasks) {
-    TaskKey key{job, 0, it.Step, it.Index};
-    auto grant = Grants.find(key);
-    if (grant == Grants.end())
-      continue;
-    grant->second.Ended = false;
-    endGrant(key, grant->second, now);
-  }
+  if (now < it->second.Until &&
+      std::find(ReturnedRooms.begin(), ReturnedRooms.end(), id) ==
+          ReturnedRooms.end())
+    ReturnedRooms.push_back(id);
+  it->second.InUse = false;
+  it->second.Ended = true;
 }
 
 void ShardState::updateWaits(const JobEntry &job, Occurrence &o,
@@ -299,51 +294,40 @@
   while (!State->RoomOffers.empty() && offers.size() < limit) {
     RoomOffer offer = State->RoomOffers.front();
     State->RoomOffers.pop_front();
+    auto held =
+        std::find_if(State->Reservations.begin(), State->Reservations.end(),
+                     [&](const detail::Reservation &it) {
+                       return detail::isGrantedTo(it, offer.Task);
+                     });
     // The room may have been lost meanwhile.
-    if (std::any_of(State->Reservations.begin(), State->Reservations.end(),
-                    [&](const detail::Reservation &it) {
-                      return detail::isGrantedTo(it, offer.Task);
-                    }))
-      offers.push_back(offer);
+    if (held == State->Reservations.end())
+      continue;
+    auto w = State->Workers.find(held->Worker);
+    if (w == State->Workers.end())
+      continue;
+    offer.Grant = {State->Number, held->Size, w->second->Profile.Service,
+                   held->Granted->Requirement};
+    offers.push_back(std::move(offer));
   }
   return offers;
 }
 
-void Shard::onRoomOfferDeclined(const RoomOffer &offer, base::TimePoint now) {
-  State->releaseRoom(offer.Task, "granted by another shard", now);
-}
-
-void Shard::noteGranted(const std::vector<model::TaskKey> &tasks,
-                        base::TimePoint now) {
-  for (const model::TaskKey &it : tasks)
-    State->UnusedOffers[it] = now + detail::RegrantDelay;
-  State->RoomsChanged = true;
-}
-
-void Shard::onRoomOffersKept(const std::vector<RoomOffer> &offers) {
-  State->RoomOffers.insert(State->RoomOffers.begin(), offers.begin(),
-                           offers.end());
-}
-
 void Shard::onRoomGrant(const model::TaskKey &task, const RoomGrant &grant,
                         base::TimePoint now) {
-  auto [it, added] = State->Grants.try_emplace(task);
+  RoomGrantId id{task, grant.Shard};
+  auto [it, added] = State->Grants.try_emplace(
+      id, GrantedRoom{grant, now + detail::GrantTime});
   // The record may be read again.
-  if (!added && it->second.Shard == grant.Shard)
-    return;
-  if (!added)
-    State->endGrant(task, it->second, now);
-  it->second = {grant.Shard, now + detail::GrantTime};
-  JobEntry *job = nullptr;
-  TaskEntry *entry = State->findTask(task, &job);
-  if (!entry || !entry->isWaiting() || !job->isLive() ||
-      grant.Shard == job->HomeShard ||
-      job->hadBefore(grant.Shard, {task.Step, task.Index}))
-    State->endGrant(task, it->second, now);
+  if (added && State->candidatesFor(id, grant, now).empty())
+    State->endGrant(id, now);
 }
 
-void Shard::onRoomReturned(const model::TaskKey &task, base::TimePoint now) {
-  State->releaseRoom(task, "returned", now);
+void Shard::onRoomReturned(const model::TaskKey &task,
+                           const RoomReturn &returned, base::TimePoint now) {
+  if (returned.Instead)
+    State->passRoomOn(task, *returned.Instead, now);
+  else
+    State->releaseRoom(task, "returned", now);
   State->ReadReturns.push_back(task);
 }
 
@@ -382,11 +366,9 @@
                          changes.Returned.end());
   s.ReadReturns.insert(s.ReadReturns.end(), changes.ReadReturns.begin(),
                        changes.ReadReturns.end());
-  for (const model::TaskKey &it : changes.EndedGrants) {
+  for (const RoomGrantId &it : changes.EndedGrants) {
     GrantedRoom ended;
-    ended.Shard = -1;
     ended.Ended = true;
-    ended.DeletableAt = base::TimePoint{};
     s.Grants.try_emplace(it, ended);
   }
 }
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -150,9 +150,7 @@
         for (std::int32_t i = 0; i < spec.Count; ++i) {
           const TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
           TaskKey key{job->Job.Id, number, step, i};
-          auto granted = shard.Grants.find(key);
-          if (!task.isWaiting() || shard.HeldTasks.contains(key) ||
-              (granted != shard.Grants.end() && granted->second.isUsable(now)))
+          if (!task.isWaiting() || shard.HeldTasks.contains(key))
             continue;
           TimePoint since = task.WaitingSince.value_or(now);
           if (!spec.Size.fitsIn(largest))
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -284,15 +284,20 @@
 
 void ShardRunner::onRoomItem(const StoredItem &item, bool granted,
                              const std::string &name) {
-  base::Result<model::TaskKey> task = parseTask(name);
-  base::Result<RoomGrant> grant = decodeRoomGrant(item.Value);
-  if (!task || !grant)
-    return reportUnreadable(item, task ? grant.error() : task.error());
+  base::Result<model::TaskKey> task = parseRoomTask(name);
+  if (!task)
+    return reportUnreadable(item, task.error());
   if (granted) {
+    base::Result<RoomGrant> grant = decodeRoomGrant(item.Value);
+    if (!grant)
+      return reportUnreadable(item, grant.error());
     State.onRoomGrant(task.value(), grant.value(), Context.Time.now());
     spawnGrantUse();
   } else {
-    State.onRoomReturned(task.value(), Context.Time.now());
+    base::Result<RoomReturn> returned = decodeRoomReturn(item.Value);
+    if (!returned)
+      return reportUnreadable(item, returned.error());
+    State.onRoomReturned(task.value(), returned.value(), Context.Time.now());
     requestPlan();
   }
   spawnRoomCommits();
--- a/packages/dispatch/src/ShardTransfers.cpp
+++ b/packages/dispatch/src/ShardTransfers.cpp
@@ -160,6 +160,16 @@
   return record ? std::optional(std::move(record.value())) : std::nullopt;
 }
 
+/// Tells the shard that holds the rooms which tasks come instead of those that
+/// it has granted them to.
+static void addSubstitutes(const Delegation &offer, std::int32_t from,
+                           Commit &commit) {
+  for (const RoomUse &it : offer.Uses)
+    if (it.Used != it.Granted)
+      commit.Writes.push_back({keys::roomReturn(*offer.GrantedBy, it.Granted),
+                               encodeRoomReturn({from, it.Used})});
+}
+
 /// Retries until the outcome is known: tasks that another shard may have must
 /// not be started here.
 ///
@@ -201,6 +211,7 @@
                        {keys::job(to, id), 0}};
   commit.Writes = {{keys::progress(from, id), encodeProgress(write.Progress)},
                    {keys::job(to, id), std::move(record.value())}};
+  addSubstitutes(offer, from, commit);
   while (!Stopped) {
     base::Result<CommitOutcome> done = co_await Context.Store.commit(commit);
     if (Stopped)
@@ -237,6 +248,7 @@
       commit.Writes = {
           {keys::progress(from, id), encodeProgress(write.Progress)},
           {keys::job(to, id), std::move(*merged)}};
+      addSubstitutes(offer, from, commit);
       continue;
     }
     if (!taken)
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -18,9 +18,8 @@
 /// watches and their delays on a busy node.
 constexpr std::chrono::milliseconds GrantTime{1500};
 
-/// How long the record of a used grant is kept: other shards may still read the
-/// request.
-constexpr std::chrono::milliseconds UsedGrantTime{2000};
+/// Tasks that have waited less find a room by the published ones.
+constexpr std::chrono::milliseconds RequestDelay{1000};
 
 struct WorkerRoom {
   WorkerState *Worker = nullptr;
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -145,9 +145,6 @@
   void spawnRoomCommits();
   boost::asio::awaitable<void> storeRooms();
   boost::asio::awaitable<bool> storeRoomsOnce();
-  boost::asio::awaitable<bool> storeGrants(std::vector<RoomOffer> offers);
-  /// Reads which tasks that wait in another shard have grants.
-  boost::asio::awaitable<void> readGrantsFor(std::int32_t shard);
   /// Delegates tasks for which other shards hold room.
   void spawnGrantUse();
   boost::asio::awaitable<void> useGrants();
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -285,17 +285,17 @@
 
 /// Room that another shard holds for a task of this one.
 struct GrantedRoom {
-  std::int32_t Shard = 0;
+  RoomGrant Room;
   /// The room is free again from then on.
   TimePoint Until;
-  /// The task is delegated to the room, or the room is returned.
+  /// A task is being delegated to the room.
+  bool InUse = false;
+  /// A task has been delegated to the room, or the room is returned.
   bool Ended = false;
-  /// From when the record of the grant may be deleted.
-  TimePoint DeletableAt = TimePoint::max();
 
-  bool isUsable(TimePoint now) const { return !Ended && now < Until; }
+  bool isUsable(TimePoint now) const { return !InUse && !Ended && now < Until; }
   bool isDeletable(TimePoint now) const {
-    return now >= (Ended ? DeletableAt : Until);
+    return Ended || (!InUse && now >= Until);
   }
 };
 
@@ -330,6 +330,8 @@
   struct Grant {
     std::int32_t Index = 0;
     TimePoint Until;
+    /// Label that the task requires; empty for none.
+    std::string Requirement = {};
   };
   std::optional<Grant> Granted = {};
 
@@ -574,10 +576,10 @@
   /// A long-running task may have become able to start.
   bool RoomOpened = false;
   std::deque<RoomOffer> RoomOffers;
-  std::deque<RoomOffer> ReturnedRooms;
+  std::deque<RoomGrantId> ReturnedRooms;
   std::deque<TaskKey> ReadReturns;
   /// Rooms that other shards hold for tasks of this one.
-  std::map<TaskKey, GrantedRoom> Grants;
+  std::map<RoomGrantId, GrantedRoom> Grants;
   /// Since when tasks have waited under an earlier owner.
   std::map<TaskKey, TimePoint> InheritedWaits;
   /// Tasks of other shards that did not come although there was room for them,
@@ -649,13 +651,22 @@
   void noteUnusedOffer(const Reservation &reservation, TimePoint now);
   /// Ends what is held for a task that does not come.
   void releaseRoom(const TaskKey &task, const char *cause, TimePoint now);
+  /// Holds what was held for one task of another shard for another one.
+  void passRoomOn(const TaskKey &from, const TaskKey &to, TimePoint now);
   /// What was held for a task of another shard is held for one of this one.
   void onDelegated(const JobEntry &job, const std::vector<TaskRef> &tasks);
-  /// The task does not use its grant: the room is returned while it is held.
-  void endGrant(const TaskKey &task, GrantedRoom &grant, TimePoint now);
-  /// Ends the grants of tasks that were not delegated.
-  void returnGrants(JobNumber job, const std::vector<TaskRef> &tasks,
-                    TimePoint now);
+  /// No task uses the grant: the room is returned while it is held.
+  void endGrant(const RoomGrantId &id, TimePoint now);
+  /// Returns whether a waiting task may be delegated to a room that another
+  /// shard has granted for \p named.
+  bool mayUseGrant(const JobEntry &job, const TaskKey &task,
+                   const TaskKey &named, const RoomGrant &room,
+                   TimePoint now) const;
+  /// Returns the waiting tasks that may use a grant: the one that it names,
+  /// then the others, longest wait first.
+  std::vector<TaskKey> candidatesFor(const RoomGrantId &id,
+                                     const RoomGrant &room,
+                                     TimePoint now) const;
   /// Notes since when the tasks of a long-running step have waited.
   void updateWaits(const JobEntry &job, Occurrence &o, std::int32_t step,
                    TimePoint now);
