A returned room passes over all tasks of its shard that fit it

A shard sends any of its tasks that fits a granted room, so the answer that it has none holds for all of them. The room's shard now passes over the others for as long as over the named one. A delegation that fails no longer returns the room while another task fits, so that the answer is true.

--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -96,7 +96,7 @@
 }
 
 std::vector<TaskKey> ShardState::candidatesFor(const RoomGrantId &id,
-                                               const RoomGrant &room,
+                                               const GrantedRoom &grant,
                                                TimePoint now) const {
   bool unverified = mayRunAnyTask();
   std::vector<std::tuple<bool, TimePoint, TaskKey>> found;
@@ -110,7 +110,8 @@
         continue;
       for (std::int32_t i = 0; i < std::ssize(entry.Tasks); ++i)
         if (TaskKey key{job->Job.Id, 0, step, i};
-            mayUseGrant(*job, key, id.Task, room, now))
+            !grant.Failed.contains(key) &&
+            mayUseGrant(*job, key, id.Task, grant.Room, now))
           found.emplace_back(
               key != id.Task,
               entry.Tasks[static_cast<std::size_t>(i)].WaitingSince.value_or(
@@ -125,6 +126,28 @@
   return tasks;
 }
 
+void ShardState::onGrantFailed(const RoomGrantId &id, const TaskKey &task,
+                               TimePoint now) {
+  auto it = Grants.find(id);
+  if (it == Grants.end())
+    return;
+  it->second.InUse = false;
+  it->second.Failed.insert(task);
+  if (candidatesFor(id, it->second, now).empty())
+    endGrant(id, now);
+}
+
+void ShardState::endUses(const Delegation &offer, bool delegated,
+                         TimePoint now) {
+  for (const RoomUse &it : offer.Uses) {
+    RoomGrantId id{it.Granted, *offer.GrantedBy};
+    if (!delegated)
+      onGrantFailed(id, it.Used, now);
+    else if (auto grant = Grants.find(id); grant != Grants.end())
+      grant->second.Ended = true;
+  }
+}
+
 void ShardState::inheritWait(JobEntry &job, const JobPart &part,
                              TimePoint now) {
   for (const TaskRef &it : part.Tasks)
@@ -241,8 +264,8 @@
   detail::ShardState &s = *State;
   bool unverified = s.mayRunAnyTask();
   // Returns the first task for the room whose job has no commit in flight.
-  auto choose = [&](const RoomGrantId &id, const RoomGrant &room) {
-    std::vector<detail::TaskKey> tasks = s.candidatesFor(id, room, now);
+  auto choose = [&](const RoomGrantId &id, const detail::GrantedRoom &grant) {
+    std::vector<detail::TaskKey> tasks = s.candidatesFor(id, grant, now);
     if (tasks.empty())
       s.endGrant(id, now);
     auto it = std::find_if(
@@ -257,7 +280,7 @@
   for (auto &[id, grant] : s.Grants) {
     if (!grant.isUsable(now) || (job && id.Shard != offer.GrantedBy))
       continue;
-    std::optional<detail::TaskKey> key = choose(id, grant.Room);
+    std::optional<detail::TaskKey> key = choose(id, grant);
     if (!key || (job && key->Job != job->Job.Id))
       continue;
     if (!job) {
@@ -294,7 +317,7 @@
   std::erase_if(offer.Uses, [&](const RoomUse &it) {
     if (kept.contains({it.Used.Step, it.Used.Index}))
       return false;
-    State->endGrant({it.Granted, *offer.GrantedBy}, now);
+    State->onGrantFailed({it.Granted, *offer.GrantedBy}, it.Used, now);
     return true;
   });
 }
@@ -324,22 +347,15 @@
                                  std::optional<std::int32_t> shard,
                                  std::int64_t revision, base::TimePoint now) {
   detail::ShardState &s = *State;
-  for (const RoomUse &it : offer.Uses) {
-    RoomGrantId id{it.Granted, *offer.GrantedBy};
-    auto grant = s.Grants.find(id);
-    if (shard && grant != s.Grants.end())
-      grant->second.Ended = true;
-    else
-      s.endGrant(id, now);
-  }
   JobEntry *job = s.findJob(offer.Job.Id);
   if (!job)
-    return;
+    return s.endUses(offer, shard.has_value(), now);
   job->WriteInFlight = false;
   job->OfferInFlight = false;
   if (job->Version != job->StoredVersion)
     s.Dirty.push_back(offer.Job.Id);
   if (shard) {
+    s.endUses(offer, true, now);
     job->ProgressRevision = revision;
     job->DelegatedShards.try_emplace(*shard, false);
     if (!job->Started && !job->IsPart) {
@@ -354,6 +370,7 @@
   job->OfferDeclinedAt = now;
   for (const TaskRef &it : offer.Part.Tasks)
     s.markLocal(*job, {offer.Job.Id, 0, it.Step, it.Index});
+  s.endUses(offer, false, now);
 }
 
 std::vector<CancelForward> Shard::takeCancelForwards(std::size_t limit) {
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -159,17 +159,36 @@
          reservation.Granted->Index == task.Index;
 }
 
-void ShardState::releaseRoom(const TaskKey &task, const char *cause,
+void ShardState::releaseRoom(const TaskKey &task, std::int32_t from,
                              TimePoint now) {
   std::erase_if(Reservations, [&](const Reservation &it) {
     if (!isGrantedTo(it, task))
       return false;
     noteUnusedOffer(it, now);
-    endReservation(it, cause);
+    notePlaced(from, it, now);
+    endReservation(it, "returned");
     return true;
   });
 }
 
+void ShardState::notePlaced(std::int32_t from, const Reservation &returned,
+                            TimePoint now) {
+  auto peer = RequestsOfPeers.find(from);
+  auto w = Workers.find(returned.Worker);
+  if (peer == RequestsOfPeers.end() || w == Workers.end())
+    return;
+  for (const PeerRequest &it : peer->second.List) {
+    const RoomRequest &request = it.Request;
+    if (!request.Size.fitsIn(returned.Size) ||
+        request.Service != w->second->Profile.Service ||
+        (!request.Requirement.empty() &&
+         request.Requirement != returned.Granted->Requirement))
+      continue;
+    for (std::int32_t index : request.Tasks)
+      UnusedOffers[{request.Job, 0, request.Step, index}] = now + RegrantDelay;
+  }
+}
+
 void ShardState::passRoomOn(const TaskKey &from, const TaskKey &to,
                             TimePoint now) {
   auto it =
@@ -324,7 +343,7 @@
   auto [it, added] = State->Grants.try_emplace(
       id, GrantedRoom{grant, now + detail::GrantTime});
   // The record may be read again.
-  if (added && State->candidatesFor(id, grant, now).empty())
+  if (added && State->candidatesFor(id, it->second, now).empty())
     State->endGrant(id, now);
 }
 
@@ -333,7 +352,7 @@
   if (returned.Instead)
     State->passRoomOn(task, *returned.Instead, now);
   else
-    State->releaseRoom(task, "returned", now);
+    State->releaseRoom(task, returned.Shard, now);
   State->ReadReturns.push_back(task);
 }
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -292,6 +292,8 @@
   bool InUse = false;
   /// A task has been delegated to the room, or the room is returned.
   bool Ended = false;
+  /// Tasks that could not be delegated to the room.
+  std::set<TaskKey> Failed = {};
 
   bool isUsable(TimePoint now) const { return !InUse && !Ended && now < Until; }
   bool isDeletable(TimePoint now) const {
@@ -652,8 +654,12 @@
   void grantRooms(TimePoint now);
   /// Remembers a task of another shard that did not come.
   void noteUnusedOffer(const Reservation &reservation, TimePoint now);
-  /// Ends what is held for a task that does not come.
-  void releaseRoom(const TaskKey &task, const char *cause, TimePoint now);
+  /// Ends what is held for a task of the shard \p from that does not come.
+  void releaseRoom(const TaskKey &task, std::int32_t from, TimePoint now);
+  /// Passes over the tasks of a shard that has returned room for them: it would
+  /// have sent any that still waits.
+  void notePlaced(std::int32_t from, const Reservation &returned,
+                  TimePoint now);
   /// Holds what was held for one task of another shard for another one.
   void passRoomOn(const TaskKey &from, const TaskKey &to, TimePoint now);
   /// What was held for a task of another shard is held for one of this one.
@@ -668,8 +674,13 @@
   /// Returns the waiting tasks that may use a grant: the one that it names,
   /// then the others, longest wait first.
   std::vector<TaskKey> candidatesFor(const RoomGrantId &id,
-                                     const RoomGrant &room,
+                                     const GrantedRoom &grant,
                                      TimePoint now) const;
+  /// The task could not be delegated to the room, which is returned unless
+  /// another one fits.
+  void onGrantFailed(const RoomGrantId &id, const TaskKey &task, TimePoint now);
+  /// Ends the use of the rooms of a delegation.
+  void endUses(const Delegation &offer, bool delegated, TimePoint now);
   /// Notes since when the tasks of a long-running step have waited.
   void updateWaits(const JobEntry &job, Occurrence &o, std::int32_t step,
                    TimePoint now);
