A room that opens is planned at once, without all other work

Long-running tasks now have a plan of their own when a room opens: reservations, grants, and the starts of these tasks. It costs the waiting long-running tasks times the workers, and is paced by its own time.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -287,6 +287,15 @@
                                   bool mayStart,
                                   std::size_t maxStarts = SIZE_MAX,
                                   bool ownsShard = true);
+  /// Decides which waiting long-running tasks to start now, and for which tasks
+  /// of other shards room is held. Other decisions wait for the next plan().
+  ///
+  /// \param maxStarts as for plan().
+  /// \param ownsShard as for plan().
+  ///
+  /// Cost: the number of these tasks times the number of workers.
+  std::vector<WorkerCommand>
+  planLongRunning(base::TimePoint now, std::size_t maxStarts, bool ownsShard);
 
   /// Returns records that must be stored, at most \p limit.
   std::vector<JobWrite> takeWrites(std::size_t limit);
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -623,6 +623,53 @@
   limitReady();
 }
 
+void ShardState::startLongRunningSteps(TimePoint now) {
+  struct WaitingTasks {
+    StartOrder Order;
+    policy::Urgency Urgency;
+    JobEntry *Job;
+    Occurrence *At;
+    std::size_t Step;
+    TimePoint Since;
+  };
+  bool unverified = mayRunAnyTask();
+  std::vector<WaitingTasks> waiting;
+  for (JobEntry *job : LiveJobs) {
+    if (!job->isLive() || !job->isLongRunning() || job->Moving ||
+        (unverified && job->Inherited))
+      continue;
+    for (auto &[number, o] : job->Occurrences)
+      for (std::size_t i = 0; i < o.Steps.size(); ++i) {
+        StepEntry &entry = o.Steps[i];
+        const model::StepSpec &spec = job->Job.Graph.Steps[i];
+        // Shares of accounts are settled by the plans of all work.
+        if (entry.WaitingCount == 0 || !spec.LongRunning || spec.Gang ||
+            entry.LimitedSince || !isReady(*job, o, i))
+          continue;
+        updateWaits(*job, o, static_cast<std::int32_t>(i), now);
+        policy::WaitingWork work = waitingWork(*job, o, i, now);
+        for (TimePoint since : waitsOf(entry)) {
+          work.TimeLeft += work.Waited - (now - since);
+          work.Waited = now - since;
+          waiting.push_back({startOrder(work, startedPerWeight(*job, now),
+                                        Options.WaitingOrder),
+                             policy::urgencyOf(work), job, &o, i, since});
+        }
+      }
+  }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const WaitingTasks &a, const WaitingTasks &b) {
+                     return a.Order < b.Order;
+                   });
+  for (const WaitingTasks &it : waiting) {
+    if (!it.Job->isLive())
+      continue;
+    CurrentUrgency = it.Urgency;
+    startStep(*it.Job, *it.At, static_cast<std::int32_t>(it.Step), it.Since,
+              now);
+  }
+}
+
 void ShardState::sendStop(const WorkerState &worker, const RunId &run,
                           const char *cause) {
   WorkerCommand command;
@@ -811,4 +858,22 @@
   return std::exchange(s.Outbox, {});
 }
 
+std::vector<WorkerCommand> Shard::planLongRunning(base::TimePoint now,
+                                                  std::size_t maxStarts,
+                                                  bool ownsShard) {
+  detail::ShardState &s = *State;
+  s.PlannedAt = now;
+  s.updatePossibleTasks();
+  s.updateHeldTasks();
+  s.StartBudget = maxStarts;
+  s.MayStartLost = ownsShard;
+  if (maxStarts > 0) {
+    s.refreshReservations(now);
+    s.grantRooms(now);
+    s.startLongRunningSteps(now);
+    s.makeRoomForReservations(now);
+  }
+  return std::exchange(s.Outbox, {});
+}
+
 } // namespace endivedoor::dispatch
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -70,7 +70,8 @@
                {"workers", WorkerEffectTime, MaxWorkerEntryAge,
                 Context.WorkerEntries}},
               Context.LastStoreContact, Context.Events),
-      PlanTimer(Context.Executor), CommitTimer(Context.Executor) {}
+      PlanTimer(Context.Executor), RoomTimer(Context.Executor),
+      CommitTimer(Context.Executor) {}
 
 void ShardRunner::start() {
   asio::co_spawn(
@@ -82,6 +83,7 @@
   Stopped = true;
   Mirror.reset();
   PlanTimer.cancel();
+  RoomTimer.cancel();
   CommitTimer.cancel();
 }
 
@@ -223,6 +225,8 @@
     auto self = shared_from_this();
     asio::co_spawn(
         Context.Executor, [self] { return self->planLoop(); }, asio::detached);
+    asio::co_spawn(
+        Context.Executor, [self] { return self->roomLoop(); }, asio::detached);
     asio::co_spawn(
         Context.Executor, [self] { return self->commitLoop(); },
         asio::detached);
@@ -340,27 +344,26 @@
   requestPlan();
 }
 
-void ShardRunner::requestPlan(bool urgent) {
-  if (Stopped || (PlanDue && (!urgent || PlanUrgent)))
+void ShardRunner::requestPlan(bool roomOpened) {
+  if (Stopped)
+    return;
+  if (roomOpened && !RoomPlanDue) {
+    RoomPlanDue = true;
+    RoomTimer.cancel();
+  }
+  if (PlanDue)
     return;
   PlanDue = true;
-  PlanUrgent |= urgent;
-  PlanTimer.expires_after(urgent ? base::Duration::zero() : PlanDelay);
+  PlanTimer.expires_after(PlanDelay);
 }
 
 asio::awaitable<void> ShardRunner::waitForPlan() {
-  bool urgent = false;
-  // requestPlan() shortens the waits.
-  do {
-    co_await PlanTimer.async_wait(AsTuple);
-    if (Stopped || !PlanDue)
-      co_return;
-    urgent = PlanUrgent;
-    TimePoint now = Context.Time.now();
-    PlanTimer.expires_after(urgent ? Pacing.urgentDelay(now)
-                                   : Pacing.delay(now));
-    co_await PlanTimer.async_wait(AsTuple);
-  } while (!Stopped && urgent != PlanUrgent);
+  // requestPlan() shortens the wait.
+  co_await PlanTimer.async_wait(AsTuple);
+  if (Stopped || !PlanDue)
+    co_return;
+  PlanTimer.expires_after(Pacing.delay(Context.Time.now()));
+  co_await PlanTimer.async_wait(AsTuple);
 }
 
 /// Starts polling each worker that is not polled yet. Waits until the jobs are
@@ -418,30 +421,40 @@
   PolledWorkers.erase(worker);
 }
 
+bool ShardRunner::prepareStarts(TimePoint now) {
+  State.setRecordsAsOf(Sources.asOf(now));
+  State.setStartsValidUntil(Sources.startsValidUntil(now));
+  State.setPermissionEnd(permissionEnd());
+  return maySendCommands() && recordsAreCurrent() && !Flushing;
+}
+
+void ShardRunner::execute(std::vector<WorkerCommand> orders) {
+  for (WorkerCommand &it : orders)
+    asio::co_spawn(
+        Context.Executor,
+        [self = shared_from_this(), order = std::move(it)] {
+          return self->executeCommand(order);
+        },
+        asio::detached);
+  if (!State.isRoster(StoredRoster) || State.hasWrites())
+    CommitTimer.cancel();
+  spawnRoomCommits();
+}
+
 asio::awaitable<void> ShardRunner::planLoop() {
   auto self = shared_from_this();
   while (!Stopped) {
-    PlanDue = PlanUrgent = false;
+    PlanDue = false;
     TimePoint begin = Context.Time.now();
     Sources.observeAges(begin, Context.MetricsRegistry);
-    State.setRecordsAsOf(Sources.asOf(begin));
-    State.setStartsValidUntil(Sources.startsValidUntil(begin));
-    State.setPermissionEnd(permissionEnd());
+    bool mayStart = prepareStarts(begin);
     std::vector<WorkerCommand> orders =
-        State.plan(begin, Context.Time.wallNow(),
-                   maySendCommands() && recordsAreCurrent() && !Flushing,
+        State.plan(begin, Context.Time.wallNow(), mayStart,
                    Context.StartCalls.available(), ownsShard());
     Pacing.onPlanned(begin, Context.Time.now());
-    for (WorkerCommand &it : orders)
-      asio::co_spawn(
-          Context.Executor,
-          [self, order = std::move(it)] { return self->executeCommand(order); },
-          asio::detached);
+    execute(std::move(orders));
     if (State.isFenced())
       co_return endTerm("a worker has seen a higher fencing token");
-    if (!State.isRoster(StoredRoster) || State.hasWrites())
-      CommitTimer.cancel();
-    spawnRoomCommits();
     Context.MetricsRegistry.setLiveJobs(State.liveJobCount());
     spawnAccountWrites();
     if (!PlanDue)
@@ -452,6 +465,25 @@
   }
 }
 
+asio::awaitable<void> ShardRunner::roomLoop() {
+  auto self = shared_from_this();
+  while (!Stopped) {
+    if (!RoomPlanDue) {
+      RoomTimer.expires_after(PlanInterval);
+      co_await RoomTimer.async_wait(AsTuple);
+      continue;
+    }
+    RoomPlanDue = false;
+    TimePoint begin = Context.Time.now();
+    if (prepareStarts(begin))
+      execute(State.planLongRunning(begin, Context.StartCalls.available(),
+                                    ownsShard()));
+    TimePoint end = Context.Time.now();
+    RoomPacing.onPlanned(begin, end);
+    co_await sleepFor(RoomPacing.urgentDelay(end));
+  }
+}
+
 /// Interval at which the record of one other shard is read. The cost does not
 /// depend on the number of shards: one read of at most some 80 kB each.
 constexpr auto PeerModelInterval = 500ms;
--- a/packages/dispatch/src/detail/ShardRunner.h
+++ b/packages/dispatch/src/detail/ShardRunner.h
@@ -121,11 +121,21 @@
   /// \param progress the progress records; used by the first call only.
   void onSynced(std::vector<StoredItem> progress);
   void reportUnreadable(const StoredItem &item, const base::Error &error);
-  /// \param urgent whether a long-running task may start now.
-  void requestPlan(bool urgent = false);
+  /// \param roomOpened whether a long-running task may start now, for which
+  /// there is a plan of its own at once.
+  void requestPlan(bool roomOpened = false);
   /// Waits until the next plan is due.
   boost::asio::awaitable<void> waitForPlan();
   boost::asio::awaitable<void> planLoop();
+  /// Plans long-running tasks when a room opens, as plans of all work come too
+  /// late on a busy node.
+  boost::asio::awaitable<void> roomLoop();
+  /// Passes in what bounds the starts of a plan.
+  ///
+  /// \returns whether the plan may start anything.
+  bool prepareStarts(base::TimePoint now);
+  /// Sends the commands of a plan and has stored what it has changed.
+  void execute(std::vector<WorkerCommand> orders);
   boost::asio::awaitable<void> commitLoop();
   /// Reads what the other shards have learned about interference.
   boost::asio::awaitable<void> readPeerModels();
@@ -190,6 +200,8 @@
   StartSources Sources;
   boost::asio::steady_timer PlanTimer;
   PlanPacing Pacing;
+  boost::asio::steady_timer RoomTimer;
+  PlanPacing RoomPacing;
   boost::asio::steady_timer CommitTimer;
   std::set<base::WorkerId> PolledWorkers;
   std::vector<RosterEntry> StoredRoster;
@@ -207,7 +219,7 @@
   bool RosterRead = false;
   bool LoadingAccounts = false;
   bool PlanDue = false;
-  bool PlanUrgent = false;
+  bool RoomPlanDue = false;
   bool Loaded = false;
   bool Stopped = false;
   bool Flushing = false;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -811,6 +811,9 @@
   // Plan.cpp
   void openDueOccurrences(base::WallTime wall, TimePoint now);
   void startReadySteps(TimePoint now);
+  /// Starts the waiting tasks of long-running steps that have room, most urgent
+  /// and longest wait first.
+  void startLongRunningSteps(TimePoint now);
   void updateDemandRatios(TimePoint now);
   /// \param shortCpu CPU of the short tasks that wait and can be in time.
   void updateLongRunningBudget(std::int64_t shortCpu, TimePoint now);
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -92,6 +92,12 @@
     TestShard.setRoomRequests(from, requests, now());
   }
 
+  std::vector<WorkerCommand> planLongRunning() {
+    Time.advance(10ms);
+    storeRoster();
+    return TestShard.planLongRunning(now(), SIZE_MAX, true);
+  }
+
   std::vector<RoomOffer> offers() {
     Time.advance(200ms);
     plan();
@@ -497,6 +503,18 @@
   EXPECT_EQ(offers().size(), 1u);
 }
 
+// The fence of the plans of long-running tasks: the earlier owner, alive and
+// cut off, may run any task that this one has inherited.
+TEST_F(ShardAfterATakeover, InheritedTask_IsNotStartedByARoomPlan) {
+  TestShard.addJob(job(5, {longRunning(1, 12000)}), ++Revision, true, now());
+  for (int i = 0; i < 80; ++i) {
+    EXPECT_TRUE(planLongRunning().empty());
+    EXPECT_TRUE(plan().empty());
+    Time.advance(80ms);
+    poll("w");
+  }
+}
+
 // Neither the job's own shard nor one that had the task can take it.
 TEST_F(ShardWithARoom, TaskThatCannotBeDelegatedHere_GetsNoOffer) {
   ask(AskingShard, {request(Serving, 4000, 5s)});
@@ -631,6 +649,40 @@
   EXPECT_FALSE(TestShard.takeRoomOpened());
 }
 
+// srsl-main-grown, grown-leader-race-drain, seed 12: rooms stayed open for as
+// long as the plan of all work was delayed on a busy node.
+TEST_F(ShardThatAsks, RoomOpens_PlanOfLongRunningTasksStartsTheNext) {
+  Time.advance(2500ms);
+  report();
+  plan();
+  TestShard.addJob(job(6, {step(1, 4000)}), ++Revision, false, now());
+  TestShard.cancelJob(JobNumber{Wide}, now());
+  TestShard.addJob(job(7, {longRunning(1, 20000)}), ++Revision, false, now());
+  EXPECT_TRUE(planLongRunning().empty());
+  report(Wide);
+  std::vector<WorkerCommand> orders = planLongRunning();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, task(7, 0));
+  orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, task(6, 0));
+}
+
+// The fence of that plan: a worker that is alive and cut off may run the task
+// on.
+TEST_F(ShardThatAsks, WorkerCutOffAfterAStop_RoomPlanStartsNothingThere) {
+  TestShard.cancelJob(JobNumber{Wide}, now());
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  TestShard.onStop(stops.at(0), CommandResult::Done, now());
+  TestShard.addJob(job(7, {longRunning(1, 20000)}), ++Revision, false, now());
+  TestShard.onPollFailed(base::WorkerId("w"), "timeout", now());
+  for (int i = 0; i < 60; ++i) {
+    EXPECT_TRUE(planLongRunning().empty());
+    EXPECT_TRUE(plan().empty());
+    Time.advance(90ms);
+  }
+}
+
 // A task whose start fails has never run, as far as its callers can tell.
 TEST_F(ShardThatAsks, StartThatIsRefused_GoesOnWithTheWait) {
   Time.advance(2500ms);
