--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -302,7 +302,7 @@
     if (!returned)
       return reportUnreadable(item, returned.error());
     State.onRoomReturned(task.value(), returned.value(), Context.Time.now());
-    requestPlan();
+    requestPlan(true);
   }
   spawnRoomCommits();
 }
