An end ends the run on its own worker only

If an owner that is cut off had a run of the same number on another worker, its end removed the run that goes on, and the task started again beside it. The run is now matched by its worker as well.

Test: SameRunNumberOnTwoWorkers_OnlyTheEndedRunEnds fails without the comparison of the workers.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -131,12 +131,15 @@
 }
 
 void ShardState::removeRun(JobEntry &job, const TaskKey &key, std::int64_t run,
+                           const base::WorkerId &endedOn,
                            const char *evidence) {
   TaskEntry *task = findTask(key);
   if (!task)
     return;
-  auto it = std::find_if(task->Runs.begin(), task->Runs.end(),
-                         [&](const Run &r) { return r.Number == run; });
+  auto it =
+      std::find_if(task->Runs.begin(), task->Runs.end(), [&](const Run &r) {
+        return r.Number == run && r.Worker->Profile.Id == endedOn;
+      });
   if (it == task->Runs.end())
     return;
   WorkerState &worker = *it->Worker;
--- a/packages/dispatch/src/Moves.cpp
+++ b/packages/dispatch/src/Moves.cpp
@@ -71,7 +71,7 @@
                             it.Worker);
     }
   for (const auto &[id, worker] : runs) {
-    removeRun(job, id.Task, id.Number, "job moved");
+    removeRun(job, id.Task, id.Number, worker->Profile.Id, "job moved");
     worker->OrphanRuns.emplace(id, StopAttempts{});
   }
 }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -17,7 +17,7 @@
   for (const RunId &it : lost) {
     JobEntry *job = nullptr;
     if (TaskEntry *task = findTask(it.Task, &job); task && job)
-      removeRun(*job, it.Task, it.Number, cause);
+      removeRun(*job, it.Task, it.Number, worker.Profile.Id, cause);
     release(worker, it);
   }
   worker.OrphanRuns.clear();
@@ -83,7 +83,7 @@
   }
   for (const RunId &it : lost)
     if (JobEntry *job = findJob(it.Task.Job))
-      removeRun(*job, it.Task, it.Number, cause);
+      removeRun(*job, it.Task, it.Number, worker.Profile.Id, cause);
   worker.OrphanRuns.clear();
   worker.Synced = false;
   worker.Clock.reset();
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -162,8 +162,11 @@
   const model::StepSpec &step = stepOf(*job, end.Id.Task);
   TimePoint started = now;
   bool wholeRun = false;
+  auto isEnded = [&](const Run &it) {
+    return it.Number == end.Id.Number && it.Worker == &worker;
+  };
   for (const Run &it : task->Runs)
-    if (it.Number == end.Id.Number) {
+    if (isEnded(it)) {
       started = it.Started;
       wholeRun = !it.Adopted && !it.Resumed;
     }
@@ -176,10 +179,10 @@
     LearnedTimes.record({job->Job.Queue, end.Id.Task.Step, step.Image},
                         now - started);
   }
-  if (std::none_of(task->Runs.begin(), task->Runs.end(),
-                   [&](const Run &it) { return it.Number == end.Id.Number; }))
+  if (std::none_of(task->Runs.begin(), task->Runs.end(), isEnded))
     task->addEnding(end.Id.Number, reportedOutcome(end.Outcome));
-  removeRun(*job, end.Id.Task, end.Id.Number, reportedOutcome(end.Outcome));
+  removeRun(*job, end.Id.Task, end.Id.Number, worker.Profile.Id,
+            reportedOutcome(end.Outcome));
   task->LastRun = std::max(task->LastRun, end.Id.Number);
   if (end.Id.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
@@ -317,13 +320,13 @@
       continue;
     bool stopped = false;
     for (const Run &run : task->Runs) {
-      if (run.Number != it.Number)
+      if (run.Number != it.Number || run.Worker != &worker)
         continue;
       stopped = run.StopConfirmed.has_value();
       if (run.PossibleCrash)
         countCrash(*job, it.Task, *task, run, *run.PossibleCrash, now);
     }
-    removeRun(*job, it.Task, it.Number,
+    removeRun(*job, it.Task, it.Number, worker.Profile.Id,
               stopped ? "stop confirmed, not listed" : "not listed");
   }
   std::erase_if(worker.OrphanRuns,
@@ -661,7 +664,7 @@
                       {"cause", "not sent"}});
   if (JobEntry *job = State->findJob(command.Run.Task.Job))
     State->removeRun(*job, command.Run.Task, command.Run.Number,
-                     "start not sent");
+                     command.Worker.Id, "start not sent");
 }
 
 void Shard::onStart(const WorkerCommand &command,
@@ -707,7 +710,7 @@
   }
   if (result && result.value() == CommandResult::Fenced)
     s.Fenced = true;
-  s.removeRun(*job, command.Run.Task, command.Run.Number,
+  s.removeRun(*job, command.Run.Task, command.Run.Number, command.Worker.Id,
               result ? "start refused" : "worker not reached");
 }
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -688,9 +688,11 @@
   /// Schedules the removal of the records of cancelled jobs and removes ended
   /// jobs from the tables.
   void removeEndedJobs();
+  /// \param worker where the run has ended; a run elsewhere goes on, whatever
+  /// its number.
   /// \param evidence how the run is known to have ended.
   void removeRun(JobEntry &job, const TaskKey &key, std::int64_t run,
-                 const char *evidence);
+                 const base::WorkerId &worker, const char *evidence);
   /// Notes for the log when the records of ended runs were stored.
   void noteStored(const JobEntry &job, TimePoint now);
   /// Returns whether a worker may have runs that it has not listed.
--- a/tests/unit/unit-dispatch-ends.cpp
+++ b/tests/unit/unit-dispatch-ends.cpp
@@ -233,4 +233,25 @@
             "1 reported failed; 2 start refused");
 }
 
+// The fence of run numbers: an earlier owner, alive and cut off, has stopped
+// its own run of the same number on a worker that only it reaches. The end of
+// that run must not end the one that goes on.
+TEST_F(AcknowledgedEnds, SameRunNumberOnTwoWorkers_OnlyTheEndedRunEnds) {
+  addWorker("w1");
+  model::StepSpec serving = step(1);
+  serving.LongRunning = true;
+  TestShard.addJob(job(1, {serving}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 1u);
+  confirmStarts(orders);
+  PollReport running;
+  running.Running = {{orders[0].Run, "", 100, 4000, true}};
+  poll("w1", running);
+  addWorker("w2");
+  end("w2", orders[0].Run, RunOutcome::Stopped);
+  EXPECT_TRUE(plan().empty());
+  end("w1", orders[0].Run, RunOutcome::Stopped);
+  EXPECT_EQ(plan().size(), 1u);
+}
+
 } // namespace
