Test of rooms that open in shards in which no task waits

Three full shards, of which one has four waiting tasks and gets three rooms; two others get one each.

--- a/tests/unit/unit-dispatch-roomorder.cpp
+++ b/tests/unit/unit-dispatch-roomorder.cpp
@@ -207,6 +207,21 @@
   EXPECT_LE(LongestOpen, OpenBound);
 }
 
+// srsl-main-grown, grown-leader-race-drain, seed 12: few tasks waited, none in
+// the shards in which jobs were cancelled. These offered their rooms to tasks
+// that had started since they were published, for 0.4 to 0.7 s.
+TEST_F(ShardsFullOfLongRunningTasks, RoomsOpenWhereNoneWaits_AreTakenAtOnce) {
+  drainWorker(1);
+  observe(8000ms);
+  EXPECT_EQ(WaitingSince.size(), 4u);
+  Link.CommitDelay = 60ms;
+  for (int shard : {1, 1, 1, 0, 2})
+    endTask(shard);
+  observe(1500ms);
+  EXPECT_EQ(Starts.size(), 4u);
+  EXPECT_LE(LongestOpen, OpenBound);
+}
+
 TEST_F(ShardsFullOfLongRunningTasks, RoomsInEachShard_GoToTheLongestWaits) {
   for (int shard : {1, 2, 0}) {
     drainWorker(shard);
