--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -469,6 +469,7 @@
   auto self = shared_from_this();
   while (!Stopped) {
     if (!RoomPlanDue) {
+      // requestPlan() ends the wait.
       RoomTimer.expires_after(PlanInterval);
       co_await RoomTimer.async_wait(AsTuple);
       continue;
--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -613,6 +613,17 @@
     plan();
   }
 
+  /// Expects that nothing starts within 9 s although another worker has room.
+  void expectNoStart() {
+    addWorker("other");
+    for (int i = 0; i < 100; ++i) {
+      EXPECT_TRUE(plan().empty());
+      Time.advance(90ms);
+      report();
+      poll("other");
+    }
+  }
+
   /// The task that waits.
   TaskKey Waiting{JobNumber{Wide}, 0, 0, 1};
   RoomGrant Grant{AskingShard};
@@ -921,13 +932,7 @@
 // nowhere.
 TEST_F(ShardWithAGrantOfAStartedTask, OwnerCutOff_StartsTheSubstituteNowhere) {
   ASSERT_TRUE(takeGranted());
-  addWorker("other");
-  for (int i = 0; i < 100; ++i) {
-    EXPECT_TRUE(plan().empty());
-    Time.advance(90ms);
-    report();
-    poll("other");
-  }
+  expectNoStart();
 }
 
 TEST_F(ShardThatAsks, GrantsOfUnknownJobs_AreReturnedAndDeleted) {
@@ -949,13 +954,7 @@
 TEST_F(ShardThatAsks, OwnerCutOffAfterTheGrant_StartsTheTaskNowhere) {
   TestShard.onRoomGrant(Waiting, Grant, now());
   ASSERT_TRUE(TestShard.takeGranted(now()));
-  addWorker("other");
-  for (int i = 0; i < 100; ++i) {
-    EXPECT_TRUE(plan().empty());
-    Time.advance(90ms);
-    report();
-    poll("other");
-  }
+  expectNoStart();
 }
 
 // An owner that has the room and is replaced: the task is stored for the next
