--- a/tests/unit/unit-dispatch-rooms.cpp
+++ b/tests/unit/unit-dispatch-rooms.cpp
@@ -715,6 +715,25 @@
   }
 }
 
+// A room was granted and polled for only after the next plan and poll.
+TEST_F(ShardThatAsks, StopIsConfirmed_RoomIsPlannedAndAwaited) {
+  Time.advance(2500ms);
+  report();
+  plan();
+  ASSERT_FALSE(TestShard.load().Requests.empty());
+  base::WorkerId w("w");
+  TestShard.cancelJob(JobNumber{Wide}, now());
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_FALSE(TestShard.takeRoomOpened());
+  EXPECT_FALSE(TestShard.isRoomAwaited(w, now()));
+  TestShard.onStop(stops[0], CommandResult::Done, now());
+  EXPECT_TRUE(TestShard.takeRoomOpened());
+  EXPECT_TRUE(TestShard.isRoomAwaited(w, now()));
+  report(Wide);
+  EXPECT_FALSE(TestShard.isRoomAwaited(w, now()));
+}
+
 // A task whose start fails has never run, as far as its callers can tell.
 TEST_F(ShardThatAsks, StartThatIsRefused_GoesOnWithTheWait) {
   Time.advance(2500ms);
