Log which rooms are idle although long-running tasks wait, and why

No log line or metric told what kept the room: a reservation, a grant, the avoidance of a worker or a late plan.

RoomIdle names the time by cause when such a room is taken; endivedoor_idle_room_seconds_total counts it. WorkerAvoided, WorkerOnTrial and WorkerCleared tell when failures keep tasks from a worker.

--- a/packages/dispatch/include/endivedoor/dispatch/Metrics.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Metrics.h
@@ -46,6 +46,12 @@
   /// Records by how much a timer of the control thread fired late.
   void observeLoopDelay(base::Duration delay);
 
+  /// Counts time for which a worker had room for a long-running task that had
+  /// waited for long.
+  ///
+  /// \param cause as in the event RoomIdle.
+  void countIdleRoom(const std::string &cause, base::Duration time);
+
   /// Counts a request that was refused because of its key.
   ///
   /// \param cause "missing", "malformed", "unknown" or "outdated".
--- a/packages/dispatch/src/Metrics.cpp
+++ b/packages/dispatch/src/Metrics.cpp
@@ -94,6 +94,12 @@
           .Help("Time by which timers of the control thread fire late")
           .Register(Registry)
           .Add({}, CallBuckets);
+  prometheus::Family<prometheus::Counter> &IdleRooms =
+      prometheus::BuildCounter()
+          .Name("endivedoor_idle_room_seconds_total")
+          .Help("Time for which workers had room for a long-running task that "
+                "had waited for long, by cause")
+          .Register(Registry);
   prometheus::Gauge &Suspects =
       prometheus::BuildGauge()
           .Name("endivedoor_suspect_runs")
@@ -155,6 +161,10 @@
   Self->LoopDelay.Observe(seconds(delay));
 }
 
+void Metrics::countIdleRoom(const std::string &cause, base::Duration time) {
+  Self->IdleRooms.Add({{"cause", cause}}).Increment(seconds(time));
+}
+
 std::string Metrics::render(const base::EventLog &events) const {
   prometheus::MetricFamily family;
   family.name = "endivedoor_events_total";
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -89,9 +89,13 @@
       LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
           .has_value());
   reserve(worker, job, key, run);
-  if (step.LongRunning && worker.isTrialDue(now))
+  if (step.LongRunning && worker.isTrialDue(now)) {
     worker.TrialAt = now;
+    Events.emit(EventCode::WorkerOnTrial,
+                {{"worker", worker.Profile.Id.str()}, {"task", taskText(key)}});
+  }
   addStarted(job, step, now);
+  endIdleRoom(worker, now);
   useReservation(key, worker);
   // The run may not have ended when held capacity on its worker is due.
   for (WorkerReservation &it : worker.Held)
@@ -852,6 +856,7 @@
     s.startReadySteps(now);
     s.makeRoomForReservations(now);
     s.copyStragglers(now);
+    s.noteIdleRooms(now);
   }
   s.throttleFillers(now);
   s.removeEndedJobs();
@@ -872,6 +877,7 @@
     s.grantRooms(now);
     s.startLongRunningSteps(now);
     s.makeRoomForReservations(now);
+    s.noteIdleRooms(now);
   }
   return std::exchange(s.Outbox, {});
 }
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -25,11 +25,6 @@
 
 /// Waits that differ by less count as equal, as the load records are older.
 constexpr std::chrono::milliseconds WaitGranularity{1000};
-/// Callers count a task as lost that has waited for so long while room for it
-/// is open anywhere. From then on, it goes before tasks of other shards that
-/// have waited longer by up to this: their room is idle until it has been
-/// handed over.
-constexpr std::chrono::milliseconds LostAfter{6000};
 /// A task of another shard goes after the others for each shard that has a
 /// stronger claim to it, as if it had waited less by this. Shards in which
 /// rooms open at the same time thus grant them to different tasks.
@@ -163,10 +158,6 @@
   }
 }
 
-/// An owner whose tasks wait changes its load record more often than that;
-/// older requests have no owner that could use a grant.
-constexpr std::chrono::milliseconds RequestLifetime{3000};
-
 /// Returns how many shards that ask for room have a stronger claim to a task of
 /// another shard than this one, by a draw for each pair of task and shard.
 std::int32_t claimRank(const ShardState &shard, const TaskKey &task,
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -18,6 +18,16 @@
 /// watches and their delays on a busy node.
 constexpr std::chrono::milliseconds GrantTime{1500};
 
+/// An owner whose tasks wait changes its load record more often than that;
+/// older requests have no owner that could use a grant.
+constexpr std::chrono::milliseconds RequestLifetime{3000};
+
+/// Callers count a task as lost that has waited for so long while room for it
+/// is open anywhere. From then on, it goes before tasks of other shards that
+/// have waited longer by up to this: their room is idle until it has been
+/// handed over.
+constexpr std::chrono::milliseconds LostAfter{6000};
+
 /// Tasks that have waited less find a room by the published ones.
 constexpr std::chrono::milliseconds RequestDelay{1000};
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -369,6 +369,16 @@
 /// a worker has had room for it for 3 s.
 constexpr std::chrono::milliseconds TrialTime{1000};
 
+/// Room that a worker has although a long-running task that fits has waited for
+/// LostAfter, in any shard.
+struct IdleRoom {
+  TimePoint Since;
+  /// As of the latest plan.
+  TimePoint NotedAt;
+  const char *Cause = "";
+  std::map<std::string, base::Duration> Times;
+};
+
 struct WorkerState {
   model::WorkerProfile Profile;
   /// Start time in the latest entry; 0 if it has none. Profile holds the latest
@@ -449,6 +459,10 @@
   double FailureScore = 0;
   /// Job of the latest failed run here.
   JobNumber LastFailedJob{0};
+  /// The latest plans have avoided the worker.
+  bool KnownAvoided = false;
+  /// Room that the latest plan has left idle.
+  std::optional<IdleRoom> Idle;
   /// All fillers here are paused because a target has been missed for long.
   bool FillersPaused = false;
   /// When a filler was last moved away or all were paused.
@@ -893,6 +907,13 @@
   void useReservation(const TaskKey &key, const WorkerState &worker);
   void endReservation(const Reservation &reservation, const char *cause);
 
+  // IdleRooms.cpp
+  /// Logs which rooms have been idle although long-running tasks waited for
+  /// them, and why.
+  void noteIdleRooms(TimePoint now);
+  void endIdleRoom(WorkerState &worker, TimePoint now);
+  void noteAvoidedWorkers(TimePoint now);
+
   // Copies.cpp
   /// Starts copies of runs that take much longer than earlier ones, on capacity
   /// that nobody waits for.
