Workers that keep failing get more than one long-running task on trial

Three failing tasks of three jobs sufficed; each later failure, of whatever run, closed the worker for another second, and one task was tried a second.

Now one is tried at once, and more as soon as the worker lists those before, until half of the worker is on trial; a worker that is avoided is polled every 100 ms. After a trial that failed, one task is tried at a time, after 1, 2 and 4 s, so a worker that fails everything gets no more than before (WorkerThatGoesOnFailing_GetsOneTaskAtATime is unchanged). A failure of any other run closes nothing, and a long-running task that has run for a second lowers the failure score as a finished run does: a worker full of them had no other way to show that it is sound.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -49,6 +49,8 @@
   /// The worker has not answered the previous poll. This one must not wait, and
   /// its answer must be followed at once by the poll that renews the lease.
   bool Silent = false;
+  /// The worker is avoided, and its list shows whether tasks on trial run.
+  bool OnTrial = false;
 };
 
 /// Load figures that a shard publishes to other nodes.
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -89,8 +89,8 @@
       LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
           .has_value());
   reserve(worker, job, key, run);
-  if (step.LongRunning && worker.isTrialDue(now)) {
-    worker.TrialAt = now;
+  if (step.LongRunning && now < worker.AvoidUntil) {
+    worker.Trials.onStarted(id, count(step.Size.Cpu), now);
     Events.emit(EventCode::WorkerOnTrial,
                 {{"worker", worker.Profile.Id.str()}, {"task", taskText(key)}});
   }
@@ -802,8 +802,10 @@
               continue;
             TaskKey key{job->Job.Id, number, static_cast<std::int32_t>(s),
                         static_cast<std::int32_t>(i)};
-            if (idle)
+            if (idle) {
               run.Worker->avoid(limit, now);
+              run.Worker->Trials.pauseUntil(now + TrialTime);
+            }
             Events.emit(EventCode::RunStuck,
                         {{"task", taskText(key)},
                          {"run", std::to_string(run.Number)},
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -21,6 +21,8 @@
 
 /// Long-poll wait at a worker with runs; bounds the age of its gauges.
 constexpr auto BusyPollWait = 500ms;
+/// The same while long-running tasks are tried there.
+constexpr auto TrialPollWait = 100ms;
 /// Long-poll wait at an idle worker.
 constexpr auto IdlePollWait = 2000ms;
 /// Timeout of a call, in addition to the requested wait.
@@ -391,6 +393,7 @@
     if (!plan)
       break;
     plan->Request.Wait = !plan->Synced || plan->Silent ? 0ms
+                         : plan->OnTrial               ? TrialPollWait
                          : plan->HasRuns               ? BusyPollWait
                                                        : IdlePollWait;
     base::Result<PollReport> report = co_await Context.WorkerCalls.poll(
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -183,6 +183,8 @@
     task->addEnding(end.Id.Number, reportedOutcome(end.Outcome));
   removeRun(*job, end.Id.Task, end.Id.Number, worker.Profile.Id,
             reportedOutcome(end.Outcome));
+  if (end.Outcome != RunOutcome::Failed)
+    worker.Trials.onEnded(end.Id);
   task->LastRun = std::max(task->LastRun, end.Id.Number);
   if (end.Id.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
@@ -221,6 +223,7 @@
     if (worker.LastFailedJob != end.Id.Task.Job)
       worker.FailureScore += 1;
     worker.LastFailedJob = end.Id.Task.Job;
+    worker.Trials.onFailed(end.Id, now);
     if (worker.FailureScore >= FailureThreshold)
       worker.avoid(std::chrono::duration_cast<base::Duration>(
                        AvoidTimePerFailure *
@@ -277,6 +280,12 @@
       // A later wait is another one. A start that fails goes on with this one.
       task->WaitingSince.reset();
     }
+    worker.Trials.onListed(row.Id);
+    if (stepOf(*job, row.Id.Task).LongRunning && !run->Passed &&
+        now - run->Started >= TrialTime) {
+      run->Passed = true;
+      worker.FailureScore *= FailureDecay;
+    }
     run->PossibleCrash.reset();
     // The worker was unreachable for a while but has not crashed.
     if (!task->isSuspect() && task->Crashes.AnnouncedRun == run->Number) {
@@ -514,6 +523,7 @@
   plan.Synced = w.Synced;
   plan.HasRuns = !w.Runs.empty();
   plan.Silent = w.SilentSince.has_value();
+  plan.OnTrial = now < w.AvoidUntil;
   plan.Request.Token = State->Token;
   // A silent worker may have restarted. It numbers its ends from 1 again and
   // would discard those up to an old number unread.
@@ -701,6 +711,7 @@
                  {"worker", command.Worker.Id.str()},
                  {"cause", cause}});
   w.avoid(CommandFailureBackoff, now);
+  w.Trials.pauseUntil(now + CommandFailureBackoff);
   if (!result && result.error().Code == base::Errc::WorkerAnswerLost) {
     if (run->Phase == RunPhase::Starting) {
       run->Phase = RunPhase::Unconfirmed;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -4,6 +4,7 @@
 #define ENDIVEDOOR_DISPATCH_SRC_DETAIL_SHARDSTATE_H
 
 #include "detail/LeaseTimes.h"
+#include "detail/WorkerTrials.h"
 
 #include "endivedoor/dispatch/Shard.h"
 #include "endivedoor/policy/ColocationModel.h"
@@ -83,6 +84,8 @@
   bool Resumed = false;
   /// The worker has confirmed the run.
   bool Confirmed = false;
+  /// A long-running task that has run for TrialTime; it speaks for its worker.
+  bool Passed = false;
   /// Set if the worker crashed while the start was unconfirmed: the run was
   /// lost in the crash unless the new incarnation lists it.
   std::optional<CrashEvidence> PossibleCrash;
@@ -364,11 +367,6 @@
 
 /// How long a stop may take until its end is listed.
 constexpr std::chrono::milliseconds StopTime{2000};
-/// How long a worker whose runs failed takes no long-running task, and how long
-/// one on trial must run until others follow. Callers count a task as lost once
-/// a worker has had room for it for 3 s.
-constexpr std::chrono::milliseconds TrialTime{1000};
-
 /// Room that a worker has although a long-running task that fits has waited for
 /// LostAfter, in any shard.
 struct IdleRoom {
@@ -450,10 +448,9 @@
   TimePoint NoReservationUntil;
   /// No tasks are started here before then, but for trials.
   TimePoint AvoidUntil;
-  /// When runs last failed so that the worker is avoided.
-  TimePoint AvoidedSince;
-  /// When a long-running task was last started on trial.
-  TimePoint TrialAt;
+  /// Long-running tasks here while the worker is avoided; reset when it no
+  /// longer is.
+  WorkerTrials Trials;
   /// Score of recent failures of runs here; each success lowers it by
   /// FailureDecay.
   double FailureScore = 0;
@@ -493,17 +490,15 @@
 
   WorkerRef ref() const { return {Profile.Id, Profile.Endpoint}; }
   void avoid(base::Duration time, TimePoint now) {
+    if (now >= AvoidUntil)
+      Trials = {};
     AvoidUntil = std::max(AvoidUntil, now + time);
-    AvoidedSince = now;
   }
-  /// Returns whether no run must be started here now. One long-running task is
-  /// tried some time after the latest failure; more follow if it runs on.
+  /// Returns whether no run must be started here now, also none on trial if it
+  /// is of a long-running task.
   bool isAvoided(bool longRunning, TimePoint now) const {
     return now < AvoidUntil &&
-           (!longRunning || now - std::max(AvoidedSince, TrialAt) < TrialTime);
-  }
-  bool isTrialDue(TimePoint now) const {
-    return now < AvoidUntil && TrialAt <= AvoidedSince;
+           !(longRunning && Trials.mayStart(count(Profile.Capacity.Cpu), now));
   }
   /// Returns an amount of CPU as a fraction of the capacity; finite also if
   /// that is 0 or unknown.
