Reserved room gives way to long-running tasks that fit now

Callers saw room stay open for up to 0.9 s while tasks that fitted had waited for 20 s. Reservations of short tasks kept long-running ones out as well, and the short tasks were stopped again 25 to 50 ms after their start.

A long-running task that has waited for 2 s now takes what is free, whatever is held there; a reservation still tells which runs are stopped, and keeps short tasks out. The plan goes by the wait, so what several stops free at a time is for the longest wait. The end of a short run on a reserved worker is planned at once, as that of a long-running one.

--- a/packages/dispatch/src/Copies.cpp
+++ b/packages/dispatch/src/Copies.cpp
@@ -60,8 +60,9 @@
             continue;
           if (!isWithinLimit(*job, spec, 1, now))
             continue;
-          WorkerState *worker = chooseWorker(
-              *this, *job, spec, runsByWorker(o.Steps[s]), run.Worker, now);
+          WorkerState *worker =
+              chooseWorker(*this, *job, spec, runsByWorker(o.Steps[s]), now,
+                           {.Excluded = run.Worker});
           if (!worker)
             continue;
           TaskKey key{job->Job.Id, number, step, i};
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -146,8 +146,12 @@
   release(worker, {key, run});
   task->Runs.erase(it);
   task->addEnding(run, evidence);
-  RoomOpened |= stepOf(job, key).LongRunning && !worker.Profile.Draining &&
-                areRoomsWanted();
+  // Also what a short run leaves may complete the room of a reservation.
+  bool isRoom =
+      stepOf(job, key).LongRunning ||
+      std::any_of(worker.Held.begin(), worker.Held.end(),
+                  [](const WorkerReservation &it) { return it.LongRunning; });
+  RoomOpened |= isRoom && !worker.Profile.Draining && areRoomsWanted();
   if (stepOf(job, key).LongRunning)
     Events.emit(EventCode::RoomOpened,
                 {{"worker", worker.Profile.Id.str()},
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -19,11 +19,22 @@
 /// Fraction of the runs that end within the expected time of a run.
 constexpr double EndQuantile = 0.9;
 
+/// Returns whether held capacity gives way to a long-running task that fits
+/// now. Stops take up to a second, one after the other; what they free first
+/// must not be idle until the last one is done. A room that another shard has
+/// been granted gives way only to a task that callers count as lost.
+static bool givesWay(const WorkerReservation &held, const WorkerState &w,
+                     base::Duration waited) {
+  if (held.Awaited && hasRoomFor(w, held.Capacity.Size))
+    return waited >= LostAfter;
+  return waited >= LongRunningWait;
+}
+
 /// Returns whether capacity that is held for another step keeps a task from
 /// the worker.
 static bool isHeldForOthers(const ShardState &shard, const JobEntry &job,
                             const model::StepSpec &step, const WorkerState &w,
-                            TimePoint now) {
+                            base::Duration waited, TimePoint now) {
   auto index = static_cast<std::size_t>(&step - job.Job.Graph.Steps.data());
   bool own = std::any_of(w.Held.begin(), w.Held.end(),
                          [&](const WorkerReservation &it) {
@@ -40,7 +51,8 @@
                       : now + shard.expectedTime(job, index, EndQuantile);
   return std::any_of(
       w.Held.begin(), w.Held.end(), [&](const WorkerReservation &it) {
-        return !policy::mayBackfill(it.Capacity, w.Profile.Capacity, size, end);
+        return !(step.LongRunning && givesWay(it, w, waited)) &&
+               !policy::mayBackfill(it.Capacity, w.Profile.Capacity, size, end);
       });
 }
 
@@ -84,9 +96,9 @@
 
 static bool canPlace(const ShardState &shard, const JobEntry &job,
                      const model::StepSpec &step, const WorkerState &w,
-                     TimePoint now) {
+                     base::Duration waited, TimePoint now) {
   return fits(w, step) && mayHost(shard, job, step, w, now) &&
-         !isHeldForOthers(shard, job, step, w, now);
+         !isHeldForOthers(shard, job, step, w, waited, now);
 }
 
 /// Weight of the demand of other waiting programs for a worker, relative to its
@@ -177,22 +189,22 @@
 
 WorkerState *chooseWorker(ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
-                          const WorkerState *excluded, TimePoint now,
-                          bool starved, bool isolated) {
+                          TimePoint now, const PlacementOptions &options) {
   WorkerState *best = nullptr;
   double bestScore = 0;
   for (const auto &[id, w] : shard.Workers) {
-    if (w.get() == excluded || !canPlace(shard, job, step, *w, now) ||
-        (isolated && !canIsolate(*w)))
+    if (w.get() == options.Excluded ||
+        !canPlace(shard, job, step, *w, options.Waited, now) ||
+        (options.Isolated && !canIsolate(*w)))
       continue;
     auto it = counts.find(w.get());
     std::int32_t same = it == counts.end() ? 0 : it->second;
     if (step.MaxPerWorker > 0 && same >= step.MaxPerWorker)
       continue;
     std::optional<double> score =
-        suitability(shard, step, *w, same, starved, now);
+        suitability(shard, step, *w, same, options.Starved, now);
     if (score)
-      *score -= crashPenalty(*w, isolated);
+      *score -= crashPenalty(*w, options.Isolated);
     if (score && (!best || *score > bestScore)) {
       best = w.get();
       bestScore = *score;
@@ -281,7 +293,7 @@
                                            TimePoint now, bool isolated) {
   std::vector<WorkerState *> places;
   for (const auto &[id, w] : shard.Workers) {
-    if (!canPlace(shard, job, step, *w, now) ||
+    if (!canPlace(shard, job, step, *w, base::Duration::zero(), now) ||
         (!rack.empty() && rackOf(*w) != rack) || (isolated && !canIsolate(*w)))
       continue;
     base::Resources free = w->Profile.Capacity;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -279,8 +279,12 @@
       logLimitWait(job, o, step, entry, now);
       return;
     }
-    WorkerState *worker = chooseWorker(*this, job, spec, counts, nullptr, now,
-                                       starved && job.RunCount == 0, isolated);
+    WorkerState *worker = chooseWorker(
+        *this, job, spec, counts, now,
+        {.Starved = starved && job.RunCount == 0,
+         .Isolated = isolated,
+         .Waited = spec.LongRunning ? now - task.WaitingSince.value_or(now)
+                                    : base::Duration::zero()});
     if (!allowed) {
       // A long-running task gets a worker only after a reservation, which it
       // must not take before its share.
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -20,7 +20,6 @@
 /// The same for long-running tasks that have waited for LongRunningWait.
 /// Callers count them as lost after 6 s, of which the awaited runs need a part.
 constexpr std::size_t MinWorkersPerReservation = 2;
-constexpr base::Duration LongRunningWait = 2000ms;
 /// After this wait, a long-running task ends any short run that can be
 /// repeated, also if its work is lost: a stop and a start fit into the rest of
 /// the callers' 6 s.
@@ -112,12 +111,6 @@
   return std::pair(a.Due, -free(onA)) < std::pair(b.Due, -free(onB));
 }
 
-static bool fitsNow(const WorkerState &w, const base::Resources &size) {
-  base::Resources needed = w.Used;
-  needed += size;
-  return needed.fitsIn(w.Profile.Capacity);
-}
-
 static base::Duration waitOf(const StepEntry &entry, TimePoint now) {
   return now - entry.UnservedSince.value_or(now);
 }
@@ -476,7 +469,8 @@
   // without a reservation. Long-running tasks come after short ones in order.
   if (!best)
     return;
-  bool waitsForStops = stopped != GivesWay::None && !fitsNow(*best, spec.Size);
+  bool waitsForStops =
+      stopped != GivesWay::None && !hasRoomFor(*best, spec.Size);
   if ((!waitsForStops && soonest.Runs < (spec.LongRunning ? 1U : 2U)) ||
       !isWorthwhile(job, o, step, soonest.Due, now))
     return;
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -21,6 +21,12 @@
   return room;
 }
 
+bool hasRoomFor(const WorkerState &w, const base::Resources &size) {
+  base::Resources needed = w.Used;
+  needed += size;
+  return needed.fitsIn(w.Profile.Capacity);
+}
+
 namespace {
 
 /// Waits that differ by less count as equal, as the load records are older.
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -11,19 +11,26 @@
 /// core.
 double fillerCapacity(const WorkerState &w);
 
+/// What the choice of a worker depends on besides the step.
+struct PlacementOptions {
+  /// Worker that must not be chosen; null for none.
+  const WorkerState *Excluded = nullptr;
+  /// Whether a filler may run where tasks are predicted to miss their targets.
+  bool Starved = false;
+  /// Whether the task may crash its worker: it goes where no other such task
+  /// runs and a crash would end little.
+  bool Isolated = false;
+  /// How long a long-running task has waited; 0 for others.
+  base::Duration Waited{0};
+};
+
 /// Returns the best worker for one more task of a step, or null if none can run
 /// it now.
 ///
 /// \param counts number of tasks of the step on each worker.
-/// \param excluded worker that must not be chosen; null for none.
-/// \param starved whether a filler may run where tasks are predicted to miss
-/// their targets.
-/// \param isolated whether the task may crash its worker: it goes where no
-/// other such task runs and a crash would end little.
 WorkerState *chooseWorker(ShardState &shard, const JobEntry &job,
                           const model::StepSpec &step, const StepCounts &counts,
-                          const WorkerState *excluded, TimePoint now,
-                          bool starved = false, bool isolated = false);
+                          TimePoint now, const PlacementOptions &options);
 
 /// Reasons for which the workers of a shard reject a task; each worker is
 /// counted under one reason.
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -18,6 +18,10 @@
 /// watches and their delays on a busy node.
 constexpr std::chrono::milliseconds GrantTime{1500};
 
+/// After this wait, long-running tasks go before short ones and use room that
+/// is held for others. Callers count them as lost after LostAfter.
+constexpr std::chrono::milliseconds LongRunningWait{2000};
+
 /// An owner whose tasks wait changes its load record more often than that;
 /// older requests have no owner that could use a grant.
 constexpr std::chrono::milliseconds RequestLifetime{3000};
@@ -50,6 +54,9 @@
 /// runs leave within bounded time.
 base::Resources roomBesideLongRunning(const WorkerState &w, TimePoint now);
 
+/// Returns whether \p size is free on the worker now.
+bool hasRoomFor(const WorkerState &w, const base::Resources &size);
+
 /// Takes room for a task of another shard from \p rooms, if there is any.
 using RequestPlacer =
     std::function<void(const RoomRequest &request, std::int32_t from,
