Grants keep no room idle that tasks on hand or of other shards could use

- A granted room that has been idle for 250 ms is free again; a task that comes later waits like the others.
The 1.5 s of a grant still bound the wait for a stop.
- Once a shard has returned a room, up to three are asked at a time; the task that comes first gets it.
- What is free on a worker with reservations of larger own tasks is granted to tasks of other shards that have waited for 6 s: a stop takes longer than a handover.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -860,6 +860,7 @@
     s.refreshReservations(now);
     s.grantRooms(now);
     s.startReadySteps(now);
+    s.grantIdleRooms(now);
     s.makeRoomForReservations(now);
     s.copyStragglers(now);
     s.noteIdleRooms(now);
@@ -882,6 +883,7 @@
     s.refreshReservations(now);
     s.grantRooms(now);
     s.startLongRunningSteps(now);
+    s.grantIdleRooms(now);
     s.makeRoomForReservations(now);
     s.noteIdleRooms(now);
   }
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -32,6 +32,13 @@
 constexpr auto MinGain = 500ms;
 /// Fraction of the runs that end within the expected time of a run.
 constexpr double EndQuantile = 0.9;
+/// How long a granted room may be idle. A handover takes about half of it; a
+/// task that comes later waits like the others of this shard.
+constexpr auto MaxOpenGrantTime = 250ms;
+/// How many shards may be granted an idle room at a time that one has returned:
+/// the requests are up to two intervals of the load records old, and to ask one
+/// shard after the other takes too long.
+constexpr std::size_t MaxShardsPerRoom = 3;
 
 /// Returns when a run ends; nothing for a long-running task that goes on.
 static std::optional<policy::ExpectedEnd>
@@ -149,17 +156,24 @@
 
 /// Returns why a reservation for a task that is still to be delegated here must
 /// end, or null.
-static const char *causeOfEndOfAwaited(ShardState &shard, const Reservation &r,
+static const char *causeOfEndOfAwaited(ShardState &shard, Reservation &r,
                                        TimePoint now) {
   auto w = shard.Workers.find(r.Worker);
   if (w == shard.Workers.end() || !isInUse(shard, *w->second))
     return "worker";
+  std::optional<TimePoint> &open = r.Granted->OpenSince;
+  if (!hasRoomFor(*w->second, r.Size))
+    open.reset();
+  else if (!open)
+    open = now;
+  else if (now - *open >= MaxOpenGrantTime)
+    return "not delegated in time";
   return r.Size.fitsIn(roomBesideLongRunning(*w->second, now)) ? nullptr
                                                                : "capacity";
 }
 
 /// Returns why a reservation must end, or null.
-static const char *causeOfEnd(ShardState &shard, const Reservation &r,
+static const char *causeOfEnd(ShardState &shard, Reservation &r,
                               TimePoint now) {
   if (r.isAwaited(now))
     return causeOfEndOfAwaited(shard, r, now);
@@ -196,7 +210,7 @@
 void ShardState::refreshReservations(TimePoint now) {
   for (auto &[id, w] : Workers)
     w->Held.clear();
-  std::erase_if(Reservations, [&](const Reservation &it) {
+  std::erase_if(Reservations, [&](Reservation &it) {
     const char *cause = causeOfEnd(*this, it, now);
     if (!cause)
       return false;
@@ -500,8 +514,48 @@
   return counts;
 }
 
+const Reservation *ShardState::findIdleGrant(const RoomRequest &request,
+                                             std::int32_t from,
+                                             TimePoint now) const {
+  for (const Reservation &it : Reservations) {
+    if (!it.isAwaited(now) || !request.Size.fitsIn(it.Size) ||
+        request.Requirement != it.Granted->Requirement ||
+        it.Granted->Shards.size() >= MaxShardsPerRoom ||
+        it.Granted->Shards.contains(from))
+      continue;
+    auto w = Workers.find(it.Worker);
+    if (w == Workers.end() || w->second->Profile.Service != request.Service ||
+        !hasRoomFor(*w->second, it.Size) ||
+        now - w->second->RoomReturnedAt >= RegrantDelay)
+      continue;
+    StepCounts counts = placesOf(request);
+    auto same = counts.find(w->second.get());
+    if (request.MaxPerWorker == 0 || same == counts.end() ||
+        same->second < request.MaxPerWorker)
+      return &it;
+  }
+  return nullptr;
+}
+
+void ShardState::shareGrant(const RoomRequest &request, std::int32_t index,
+                            std::int32_t from, TimePoint now) {
+  const Reservation *idle = findIdleGrant(request, from, now);
+  if (!idle)
+    return;
+  Reservation &shared =
+      Reservations[static_cast<std::size_t>(idle - Reservations.data())];
+  shared.Granted->Shards.insert(from);
+  TaskKey key{request.Job, 0, request.Step, index};
+  UnusedOffers[key] = now + RegrantDelay;
+  RoomOffers.push_back({key,
+                        from,
+                        {Number, shared.Size,
+                         Workers.find(shared.Worker)->second->Profile.Service,
+                         shared.Granted->Requirement}});
+}
+
 bool ShardState::reserveForRequest(const RoomRequest &request,
-                                   std::int32_t index,
+                                   std::int32_t index, std::int32_t from,
                                    std::vector<WorkerRoom> &rooms,
                                    TimePoint now) {
   bool onlyReserved = !mayReserveMore(*this, true, request.Waited);
@@ -528,15 +582,18 @@
       soonest = *opening;
     }
   }
-  if (!best)
+  if (!best) {
+    shareGrant(request, index, from, now);
     return false;
+  }
   best->Free -= request.Size;
   TimePoint until = now + GrantTime;
-  addReservation({request.Job, 0, request.Step, best->Worker->Profile.Id,
-                  request.Size, soonest.Due,
-                  std::max(policy::endOfReservation(soonest), until + StopTime),
-                  true, Reservation::Grant{index, until, request.Requirement}},
-                 soonest.Runs, now);
+  addReservation(
+      {request.Job, 0, request.Step, best->Worker->Profile.Id, request.Size,
+       soonest.Due,
+       std::max(policy::endOfReservation(soonest), until + StopTime), true,
+       Reservation::Grant{index, until, request.Requirement, {from}}},
+      soonest.Runs, now);
   return true;
 }
 
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -3,7 +3,9 @@
 // Until such a task has come, the room is idle, so a task of its own shard goes
 // first unless others have waited for much longer. What waits in other shards
 // is known late, so their owners choose the task that comes to a granted room.
+#include "detail/Placement.h"
 #include "detail/Rooms.h"
+#include "detail/Routing.h"
 
 #include <algorithm>
 #include <iterator>
@@ -15,9 +17,6 @@
 
 using namespace std::chrono_literals;
 
-/// How long after a grant that was not used there is none for the same task.
-/// The requests are up to two intervals of the load records old.
-constexpr auto RegrantDelay = 1600ms;
 /// Minimum interval between two comparisons of the same rooms and requests.
 constexpr auto GrantInterval = 100ms;
 /// A task that has room here, but no start for so long, is asked for as well.
@@ -139,11 +138,80 @@
       *this, now,
       [&](const RoomRequest &request, std::int32_t from, std::int32_t index,
           std::vector<WorkerRoom> &rooms) {
-        if (reserveForRequest(request, index, rooms, now))
+        if (reserveForRequest(request, index, from, rooms, now))
           RoomOffers.push_back({{request.Job, 0, request.Step, index}, from});
       });
 }
 
+void ShardState::grantIdleRooms(TimePoint now) {
+  if (Closing || RequestsOfPeers.empty())
+    return;
+  std::vector<WorkerRoom> rooms;
+  for (const auto &[id, w] : Workers) {
+    bool granted =
+        std::any_of(w->Held.begin(), w->Held.end(),
+                    [](const WorkerReservation &it) { return it.Awaited; });
+    if (granted || w->Held.empty() || !isInUse(*this, *w) ||
+        w->isAvoided(true, now))
+      continue;
+    base::Resources free = w->Profile.Capacity;
+    free -= w->Used;
+    rooms.push_back({w.get(), free});
+  }
+  if (rooms.empty())
+    return;
+  struct Candidate {
+    TimePoint Since;
+    std::int32_t From = 0;
+    const RoomRequest *Request = nullptr;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto &[from, requests] : RequestsOfPeers)
+    for (const PeerRequest &it : requests.List)
+      if (now - requests.ChangedAt <= RequestLifetime &&
+          now - it.Since >= LostAfter)
+        candidates.push_back({it.Since, from, &it.Request});
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate &a, const Candidate &b) { return a.Since < b.Since; });
+  for (const Candidate &it : candidates)
+    for (std::int32_t index : it.Request->Tasks)
+      if (needsRoom(*it.Request, index))
+        grantIdleRoom(*it.Request, index, it.From, rooms, now);
+}
+
+void ShardState::grantIdleRoom(const RoomRequest &request, std::int32_t index,
+                               std::int32_t from,
+                               std::vector<WorkerRoom> &rooms, TimePoint now) {
+  StepCounts counts;
+  auto best = rooms.end();
+  for (auto it = rooms.begin(); it != rooms.end(); ++it) {
+    const model::WorkerProfile &profile = it->Worker->Profile;
+    if (!request.Size.fitsIn(it->Free) || profile.Service != request.Service ||
+        (!request.Requirement.empty() &&
+         !hasLabel(profile, request.Requirement)))
+      continue;
+    if (counts.empty())
+      counts = placesOf(request);
+    auto same = counts.find(it->Worker);
+    bool spread = request.MaxPerWorker == 0 || same == counts.end() ||
+                  same->second < request.MaxPerWorker;
+    if (spread &&
+        (best == rooms.end() || count(it->Free.Cpu) < count(best->Free.Cpu)))
+      best = it;
+  }
+  if (best == rooms.end())
+    return;
+  TimePoint until = now + GrantTime;
+  addReservation(
+      {request.Job, 0, request.Step, best->Worker->Profile.Id, request.Size,
+       now, until + StopTime, true,
+       Reservation::Grant{index, until, request.Requirement, {from}}},
+      0, now);
+  RoomOffers.push_back({{request.Job, 0, request.Step, index}, from});
+  rooms.erase(best);
+}
+
 void ShardState::noteUnusedOffer(const Reservation &reservation,
                                  TimePoint now) {
   TaskKey key{reservation.Job, reservation.Occurrence, reservation.Step,
@@ -165,6 +233,8 @@
     if (!isGrantedTo(it, task))
       return false;
     noteUnusedOffer(it, now);
+    if (auto w = Workers.find(it.Worker); w != Workers.end())
+      w->second->RoomReturnedAt = now;
     notePlaced(from, it, now);
     endReservation(it, "returned");
     return true;
@@ -337,6 +407,11 @@
   while (!State->RoomOffers.empty() && offers.size() < limit) {
     RoomOffer offer = State->RoomOffers.front();
     State->RoomOffers.pop_front();
+    // The room is held for another task.
+    if (offer.Grant.Size != base::Resources{}) {
+      offers.push_back(std::move(offer));
+      continue;
+    }
     auto held =
         std::find_if(State->Reservations.begin(), State->Reservations.end(),
                      [&](const detail::Reservation &it) {
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -186,7 +186,8 @@
       continue;
     for (const PeerRequest &it : requests.List) {
       const RoomRequest &request = it.Request;
-      if (!request.Size.fitsIn(largest))
+      if (!request.Size.fitsIn(largest) &&
+          !shard.findIdleGrant(request, from, now))
         continue;
       for (std::int32_t index : request.Tasks) {
         TaskKey key{request.Job, 0, request.Step, index};
@@ -223,8 +224,9 @@
   std::map<const StepEntry *, StepCounts> sameStep;
   for (const WaitingTask &it : waiting) {
     if (it.Request) {
-      if (!it.Request->Size.fitsIn(largest) ||
-          !shard.needsRoom(*it.Request, it.Key.Index))
+      bool fits = it.Request->Size.fitsIn(largest) ||
+                  (place && shard.findIdleGrant(*it.Request, it.From, now));
+      if (!fits || !shard.needsRoom(*it.Request, it.Key.Index))
         continue;
       if (place)
         place(*it.Request, it.From, it.Key.Index, plan.Rooms);
--- a/packages/dispatch/src/detail/Rooms.h
+++ b/packages/dispatch/src/detail/Rooms.h
@@ -32,6 +32,10 @@
 /// handed over.
 constexpr std::chrono::milliseconds LostAfter{6000};
 
+/// How long after a grant that was not used there is none for the same task.
+/// The requests are up to two intervals of the load records old.
+constexpr std::chrono::milliseconds RegrantDelay{1600};
+
 /// Tasks that have waited less find a room by the published ones.
 constexpr std::chrono::milliseconds RequestDelay{1000};
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -337,6 +337,10 @@
     TimePoint Until;
     /// Label that the task requires; empty for none.
     std::string Requirement = {};
+    /// Shards that may send a task; the one that comes first gets the room.
+    std::set<std::int32_t> Shards = {};
+    /// Since when the room has been idle.
+    std::optional<TimePoint> OpenSince = {};
   };
   std::optional<Grant> Granted = {};
 
@@ -458,6 +462,8 @@
   JobNumber LastFailedJob{0};
   /// The latest plans have avoided the worker.
   bool KnownAvoided = false;
+  /// When another shard last returned a room here.
+  TimePoint RoomReturnedAt;
   /// Room that the latest plan has left idle.
   std::optional<IdleRoom> Idle;
   /// All fillers here are paused because a target has been missed for long.
@@ -661,6 +667,13 @@
   /// Gives the rooms of the workers to the tasks of all shards, longest wait
   /// first, and reserves those of the other shards' tasks.
   void grantRooms(TimePoint now);
+  /// Grants what is free now on workers with reservations for larger tasks of
+  /// this shard, where no task of this shard fits: stops take longer than a
+  /// handover. Called after the starts of a plan.
+  void grantIdleRooms(TimePoint now);
+  void grantIdleRoom(const RoomRequest &request, std::int32_t index,
+                     std::int32_t from, std::vector<WorkerRoom> &rooms,
+                     TimePoint now);
   /// Remembers a task of another shard that did not come.
   void noteUnusedOffer(const Reservation &reservation, TimePoint now);
   /// Ends what is held for a task of the shard \p from that does not come.
@@ -887,7 +900,16 @@
   ///
   /// \returns whether a worker has room.
   bool reserveForRequest(const RoomRequest &request, std::int32_t index,
-                         std::vector<WorkerRoom> &rooms, TimePoint now);
+                         std::int32_t from, std::vector<WorkerRoom> &rooms,
+                         TimePoint now);
+  /// Returns an idle room that is held for a task of another shard and may be
+  /// offered to \p from as well, or null.
+  const Reservation *findIdleGrant(const RoomRequest &request,
+                                   std::int32_t from, TimePoint now) const;
+  /// Offers such a room, if there is one. Nothing more is held: the task that
+  /// comes first gets it.
+  void shareGrant(const RoomRequest &request, std::int32_t index,
+                  std::int32_t from, TimePoint now);
   bool hasReservation(const JobEntry &job, const Occurrence &o,
                       std::int32_t step) const;
   bool mayReserve(const model::StepSpec &spec) const;
