Log what was known of a worker's ends when it stopped answering

The log did not tell which end was processed and acknowledged last when the last poll failed, nor how long that poll had waited.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -563,7 +563,13 @@
   if (wasSilent)
     return;
   State->Events.emit(base::EventCode::WorkerSilent,
-                     {{"worker", worker.str()}, {"cause", cause}});
+                     {{"worker", worker.str()},
+                      {"cause", cause},
+                      {"pollMs", std::to_string((now - w.PollSent) / 1ms)},
+                      {"lastEnd", std::to_string(w.LastProcessedEnd)},
+                      {"acknowledgedEnd", std::to_string(w.AcknowledgedEnd)},
+                      {"draining", w.Profile.Draining ? "yes" : "no"},
+                      {"runs", std::to_string(w.Runs.size())}});
 }
 
 void Shard::onPoll(const base::WorkerId &worker, const PollReport &report,
