Bounds on trials, shared rooms and passed reservations, found by a review

- Tasks that are tried together and fail together make one pause, not one that doubles with each; at most four are on trial.
A restart of the worker, and a run that ends otherwise, end a trial.
- Reserved parts of a gang do not give way, and are not granted: it needs all of them at once.
A room granted to another shard gives way only to a task that has waited for 6 s, also before it is free.
An offer is dropped if the room is not held any more.
- Idle rooms are not offered while own tasks lack starts; sizes are compared before all else.
A short run's end is urgent only if it completes a room.

--- a/packages/dispatch/src/IdleRooms.cpp
+++ b/packages/dispatch/src/IdleRooms.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-/// Returns the smallest tasks that are overdue, of this shard and of the others
-/// that fit nothing larger than \p largest.
+/// Returns the smallest tasks that are overdue, of this shard and of the
+/// others.
 static std::vector<OverdueNeed> overdueNeeds(const ShardState &shard,
                                              TimePoint now) {
   std::vector<OverdueNeed> needs;
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -2,7 +2,6 @@
 #include "detail/Placement.h"
 #include "detail/Rooms.h"
 #include "detail/Routing.h"
-#include "detail/ShardState.h"
 
 #include <algorithm>
 
@@ -145,12 +144,15 @@
   WorkerState &worker = *it->Worker;
   release(worker, {key, run});
   task->Runs.erase(it);
+  worker.Trials.onEnded({key, run});
   task->addEnding(run, evidence);
-  // Also what a short run leaves may complete the room of a reservation.
-  bool isRoom =
-      stepOf(job, key).LongRunning ||
-      std::any_of(worker.Held.begin(), worker.Held.end(),
-                  [](const WorkerReservation &it) { return it.LongRunning; });
+  // What a short run leaves may complete the room of a reservation.
+  bool isRoom = stepOf(job, key).LongRunning ||
+                std::any_of(worker.Held.begin(), worker.Held.end(),
+                            [&](const WorkerReservation &held) {
+                              return held.LongRunning &&
+                                     hasRoomFor(worker, held.Capacity.Size);
+                            });
   RoomOpened |= isRoom && !worker.Profile.Draining && areRoomsWanted();
   if (stepOf(job, key).LongRunning)
     Events.emit(EventCode::RoomOpened,
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -21,13 +21,10 @@
 
 /// Returns whether held capacity gives way to a long-running task that fits
 /// now. Stops take up to a second, one after the other; what they free first
-/// must not be idle until the last one is done. A room that another shard has
-/// been granted gives way only to a task that callers count as lost.
-static bool givesWay(const WorkerReservation &held, const WorkerState &w,
-                     base::Duration waited) {
-  if (held.Awaited && hasRoomFor(w, held.Capacity.Size))
-    return waited >= LostAfter;
-  return waited >= LongRunningWait;
+/// must not be idle until the last one is done. A gang needs all of its parts
+/// at once, and a task of another shard does not return once it is on its way.
+static bool mayPass(const WorkerReservation &held, base::Duration waited) {
+  return !held.Gang && waited >= (held.Awaited ? LostAfter : LongRunningWait);
 }
 
 /// Returns whether capacity that is held for another step keeps a task from
@@ -51,7 +48,7 @@
                       : now + shard.expectedTime(job, index, EndQuantile);
   return std::any_of(
       w.Held.begin(), w.Held.end(), [&](const WorkerReservation &it) {
-        return !(step.LongRunning && givesWay(it, w, waited)) &&
+        return !(step.LongRunning && mayPass(it, waited)) &&
                !policy::mayBackfill(it.Capacity, w.Profile.Capacity, size, end);
       });
 }
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -95,7 +95,8 @@
                 {{"worker", worker.Profile.Id.str()}, {"task", taskText(key)}});
   }
   addStarted(job, step, now);
-  endIdleRoom(worker, now);
+  if (step.LongRunning)
+    endIdleRoom(worker, now);
   useReservation(key, worker);
   // The run may not have ended when held capacity on its worker is due.
   for (WorkerReservation &it : worker.Held)
--- a/packages/dispatch/src/Reservations.cpp
+++ b/packages/dispatch/src/Reservations.cpp
@@ -247,12 +247,20 @@
   });
 }
 
+bool ShardState::isForGang(const Reservation &reservation) const {
+  const JobEntry *job = findJob(reservation.Job);
+  if (!job || reservation.Granted)
+    return false;
+  return job->Job.Graph.Steps[static_cast<std::size_t>(reservation.Step)].Gang;
+}
+
 void ShardState::holdOnWorker(const Reservation &reservation) {
   WorkerState &w = *Workers.find(reservation.Worker)->second;
   WorkerReservation added{
       held(*this, w, reservation),     reservation.Job,
       reservation.Occurrence,          reservation.Step,
-      reservation.Granted.has_value(), reservation.LongRunning};
+      reservation.Granted.has_value(), reservation.LongRunning,
+      isForGang(reservation)};
   for (WorkerReservation &it : w.Held) {
     added.Capacity.UsedWhenDue += it.Capacity.Size;
     it.Capacity.UsedWhenDue += reservation.Size;
@@ -514,9 +522,12 @@
   return counts;
 }
 
-const Reservation *ShardState::findIdleGrant(const RoomRequest &request,
-                                             std::int32_t from,
-                                             TimePoint now) const {
+const Reservation *ShardState::findReturnedRoom(const RoomRequest &request,
+                                                std::int32_t from,
+                                                TimePoint now) const {
+  // A task that has waited for less does not pass the first one.
+  if (request.Waited < LostAfter)
+    return nullptr;
   for (const Reservation &it : Reservations) {
     if (!it.isAwaited(now) || !request.Size.fitsIn(it.Size) ||
         request.Requirement != it.Granted->Requirement ||
@@ -526,7 +537,8 @@
     auto w = Workers.find(it.Worker);
     if (w == Workers.end() || w->second->Profile.Service != request.Service ||
         !hasRoomFor(*w->second, it.Size) ||
-        now - w->second->RoomReturnedAt >= RegrantDelay)
+        now - w->second->RoomReturnedAt >= RegrantDelay ||
+        it.Granted->Until - GrantTime < w->second->RoomReturnedAt)
       continue;
     StepCounts counts = placesOf(request);
     auto same = counts.find(w->second.get());
@@ -539,11 +551,11 @@
 
 void ShardState::shareGrant(const RoomRequest &request, std::int32_t index,
                             std::int32_t from, TimePoint now) {
-  const Reservation *idle = findIdleGrant(request, from, now);
-  if (!idle)
+  const Reservation *returned = findReturnedRoom(request, from, now);
+  if (!returned)
     return;
   Reservation &shared =
-      Reservations[static_cast<std::size_t>(idle - Reservations.data())];
+      Reservations[static_cast<std::size_t>(returned - Reservations.data())];
   shared.Granted->Shards.insert(from);
   TaskKey key{request.Job, 0, request.Step, index};
   UnusedOffers[key] = now + RegrantDelay;
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -143,15 +143,23 @@
       });
 }
 
+static bool fitsAnyRoom(const base::Resources &size,
+                        const std::vector<WorkerRoom> &rooms) {
+  return std::any_of(rooms.begin(), rooms.end(), [&](const WorkerRoom &it) {
+    return size.fitsIn(it.Free);
+  });
+}
+
 void ShardState::grantIdleRooms(TimePoint now) {
-  if (Closing || RequestsOfPeers.empty())
+  // Without starts left, own tasks may fit as well.
+  if (Closing || RequestsOfPeers.empty() || StartBudget == 0)
     return;
   std::vector<WorkerRoom> rooms;
   for (const auto &[id, w] : Workers) {
-    bool granted =
-        std::any_of(w->Held.begin(), w->Held.end(),
-                    [](const WorkerReservation &it) { return it.Awaited; });
-    if (granted || w->Held.empty() || !isInUse(*this, *w) ||
+    bool kept = std::any_of(
+        w->Held.begin(), w->Held.end(),
+        [](const WorkerReservation &it) { return it.Awaited || it.Gang; });
+    if (kept || w->Held.empty() || !isInUse(*this, *w) ||
         w->isAvoided(true, now))
       continue;
     base::Resources free = w->Profile.Capacity;
@@ -169,14 +177,14 @@
   for (const auto &[from, requests] : RequestsOfPeers)
     for (const PeerRequest &it : requests.List)
       if (now - requests.ChangedAt <= RequestLifetime &&
-          now - it.Since >= LostAfter)
+          now - it.Since >= LostAfter && fitsAnyRoom(it.Request.Size, rooms))
         candidates.push_back({it.Since, from, &it.Request});
   std::stable_sort(
       candidates.begin(), candidates.end(),
       [](const Candidate &a, const Candidate &b) { return a.Since < b.Since; });
   for (const Candidate &it : candidates)
     for (std::int32_t index : it.Request->Tasks)
-      if (needsRoom(*it.Request, index))
+      if (fitsAnyRoom(it.Request->Size, rooms) && needsRoom(*it.Request, index))
         grantIdleRoom(*it.Request, index, it.From, rooms, now);
 }
 
@@ -229,16 +237,26 @@
 
 void ShardState::releaseRoom(const TaskKey &task, std::int32_t from,
                              TimePoint now) {
-  std::erase_if(Reservations, [&](const Reservation &it) {
-    if (!isGrantedTo(it, task))
-      return false;
-    noteUnusedOffer(it, now);
-    if (auto w = Workers.find(it.Worker); w != Workers.end())
-      w->second->RoomReturnedAt = now;
-    notePlaced(from, it, now);
-    endReservation(it, "returned");
-    return true;
-  });
+  auto it =
+      std::find_if(Reservations.begin(), Reservations.end(),
+                   [&](const Reservation &r) { return isGrantedTo(r, task); });
+  if (it == Reservations.end())
+    it = std::find_if(Reservations.begin(), Reservations.end(),
+                      [&](const Reservation &r) {
+                        return r.Granted && r.Granted->Shards.contains(from);
+                      });
+  if (it == Reservations.end())
+    return;
+  UnusedOffers[task] = now + RegrantDelay;
+  RoomsChanged = true;
+  if (auto w = Workers.find(it->Worker); w != Workers.end())
+    w->second->RoomReturnedAt = now;
+  notePlaced(from, *it, now);
+  it->Granted->Shards.erase(from);
+  if (!it->Granted->Shards.empty())
+    return;
+  endReservation(*it, "returned");
+  Reservations.erase(it);
 }
 
 void ShardState::notePlaced(std::int32_t from, const Reservation &returned,
@@ -407,9 +425,16 @@
   while (!State->RoomOffers.empty() && offers.size() < limit) {
     RoomOffer offer = State->RoomOffers.front();
     State->RoomOffers.pop_front();
-    // The room is held for another task.
+    // Offered beside the task that the room is held for.
     if (offer.Grant.Size != base::Resources{}) {
-      offers.push_back(std::move(offer));
+      bool isHeld =
+          std::any_of(State->Reservations.begin(), State->Reservations.end(),
+                      [&](const detail::Reservation &it) {
+                        return it.Granted && it.Size == offer.Grant.Size &&
+                               it.Granted->Shards.contains(offer.To);
+                      });
+      if (isHeld)
+        offers.push_back(std::move(offer));
       continue;
     }
     auto held =
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -187,7 +187,7 @@
     for (const PeerRequest &it : requests.List) {
       const RoomRequest &request = it.Request;
       if (!request.Size.fitsIn(largest) &&
-          !shard.findIdleGrant(request, from, now))
+          !shard.findReturnedRoom(request, from, now))
         continue;
       for (std::int32_t index : request.Tasks) {
         TaskKey key{request.Job, 0, request.Step, index};
@@ -225,7 +225,7 @@
   for (const WaitingTask &it : waiting) {
     if (it.Request) {
       bool fits = it.Request->Size.fitsIn(largest) ||
-                  (place && shard.findIdleGrant(*it.Request, it.From, now));
+                  (place && shard.findReturnedRoom(*it.Request, it.From, now));
       if (!fits || !shard.needsRoom(*it.Request, it.Key.Index))
         continue;
       if (place)
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -101,6 +101,7 @@
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
   worker.UnacknowledgedEnds.clear();
   worker.UnreadableEnds.clear();
+  worker.Trials = {};
   if (lost.empty() && worker.Runs.empty())
     return;
   Events.emit(EventCode::RunsLost,
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -179,12 +179,12 @@
     LearnedTimes.record({job->Job.Queue, end.Id.Task.Step, step.Image},
                         now - started);
   }
+  if (end.Outcome == RunOutcome::Failed)
+    worker.Trials.onFailed(end.Id, now);
   if (std::none_of(task->Runs.begin(), task->Runs.end(), isEnded))
     task->addEnding(end.Id.Number, reportedOutcome(end.Outcome));
   removeRun(*job, end.Id.Task, end.Id.Number, worker.Profile.Id,
             reportedOutcome(end.Outcome));
-  if (end.Outcome != RunOutcome::Failed)
-    worker.Trials.onEnded(end.Id);
   task->LastRun = std::max(task->LastRun, end.Id.Number);
   if (end.Id.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
@@ -223,7 +223,6 @@
     if (worker.LastFailedJob != end.Id.Task.Job)
       worker.FailureScore += 1;
     worker.LastFailedJob = end.Id.Task.Job;
-    worker.Trials.onFailed(end.Id, now);
     if (worker.FailureScore >= FailureThreshold)
       worker.avoid(std::chrono::duration_cast<base::Duration>(
                        AvoidTimePerFailure *
@@ -523,7 +522,7 @@
   plan.Synced = w.Synced;
   plan.HasRuns = !w.Runs.empty();
   plan.Silent = w.SilentSince.has_value();
-  plan.OnTrial = now < w.AvoidUntil;
+  plan.OnTrial = now < w.AvoidUntil && State->areRoomsWanted();
   plan.Request.Token = State->Token;
   // A silent worker may have restarted. It numbers its ends from 1 again and
   // would discard those up to an old number unread.
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -364,6 +364,8 @@
   /// step.
   bool Awaited = false;
   bool LongRunning = false;
+  /// A part of what a gang needs.
+  bool Gang = false;
 };
 
 /// Number of tasks of one step on each worker.
@@ -371,6 +373,7 @@
 
 /// How long a stop may take until its end is listed.
 constexpr std::chrono::milliseconds StopTime{2000};
+
 /// Room that a worker has although a long-running task that fits has waited for
 /// LostAfter, in any shard.
 struct IdleRoom {
@@ -902,10 +905,10 @@
   bool reserveForRequest(const RoomRequest &request, std::int32_t index,
                          std::int32_t from, std::vector<WorkerRoom> &rooms,
                          TimePoint now);
-  /// Returns an idle room that is held for a task of another shard and may be
-  /// offered to \p from as well, or null.
-  const Reservation *findIdleGrant(const RoomRequest &request,
-                                   std::int32_t from, TimePoint now) const;
+  /// Returns an idle room that another shard has just returned, which is held
+  /// for the next one and may be offered to \p from as well, or null.
+  const Reservation *findReturnedRoom(const RoomRequest &request,
+                                      std::int32_t from, TimePoint now) const;
   /// Offers such a room, if there is one. Nothing more is held: the task that
   /// comes first gets it.
   void shareGrant(const RoomRequest &request, std::int32_t index,
@@ -917,6 +920,7 @@
   /// if it does not count as in time now.
   bool isWorthwhile(const JobEntry &job, const Occurrence &o, std::int32_t step,
                     TimePoint due, TimePoint now) const;
+  bool isForGang(const Reservation &reservation) const;
   /// Adds a reservation to those of its worker.
   void holdOnWorker(const Reservation &reservation);
   void addReservation(Reservation reservation, std::size_t runs, TimePoint now);
--- a/packages/dispatch/src/detail/WorkerTrials.h
+++ b/packages/dispatch/src/detail/WorkerTrials.h
@@ -18,12 +18,15 @@
 /// trial; doubles with each further one, up to MaxTrialPause.
 constexpr std::chrono::milliseconds MinTrialPause{1000};
 constexpr std::chrono::milliseconds MaxTrialPause{4000};
+/// Maximum number of tasks on trial.
+constexpr std::size_t MaxTrials = 4;
 
 /// Load pattern: a few tasks that fail by their own fault make a sound worker
 /// look like one that fails everything, while it has room for several tasks
 /// that have waited for long. One is tried at once, and two more for each that
-/// the worker lists as running, until half of the worker is on trial. Once one
-/// has failed, they are tried one at a time, with a pause after each failure.
+/// the worker lists as running, until MaxTrials or half of the worker are on
+/// trial. Once one has failed, they are tried one at a time, with a pause after
+/// each failure.
 class WorkerTrials {
 public:
   /// Returns whether one more task may be started on trial.
@@ -31,13 +34,15 @@
   /// \param capacity of the worker, in thousandths of a core.
   bool mayStart(std::int64_t capacity, base::TimePoint now) const {
     std::int64_t cpu = 0;
-    std::size_t unlisted = 0;
+    std::size_t young = 0, unlisted = 0;
     for (const auto &[id, it] : Runs)
       if (now - it.Started < TrialTime) {
         cpu += it.Cpu;
+        ++young;
         unlisted += !it.Listed || HasFailed;
       }
-    return now >= NotBefore && unlisted < Limit && 2 * cpu < capacity;
+    return now >= NotBefore && unlisted < Limit && young < MaxTrials &&
+           2 * cpu < capacity;
   }
   /// Starts none before \p time.
   void pauseUntil(base::TimePoint time) {
@@ -58,6 +63,9 @@
       return;
     HasFailed = true;
     Limit = 1;
+    // Tasks that were tried together fail together; they count once.
+    if (now < NotBefore)
+      return;
     pauseUntil(now + Pause);
     Pause = std::min<base::Duration>(2 * Pause, MaxTrialPause);
   }
--- a/tests/unit/unit-dispatch-idlerooms.cpp
+++ b/tests/unit/unit-dispatch-idlerooms.cpp
@@ -66,6 +66,24 @@
   EXPECT_EQ(orders[0].Run.Task, task(Asking));
 }
 
+// Found by a review: a gang needs all of its parts at once, and would never
+// start among single tasks that wait.
+TEST_F(ShardWithARoom, RoomIsReservedForAGang_SingleTaskDoesNotTakeAPart) {
+  start(job(2, {slow(1, 8000)}));
+  model::StepSpec gang = longRunning(2, 6000);
+  gang.Gang = true;
+  TestShard.addJob(job(5, {gang}), ++Revision, false, now());
+  Time.advance(3s);
+  report();
+  plan();
+  TestShard.addJob(job(6, {longRunning(1, 4000)}), ++Revision, false, now());
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(plan().empty());
+    Time.advance(90ms);
+    report();
+  }
+}
+
 // The fence of such a grant: a worker that is alive and cut off may run the
 // stopped tasks on.
 TEST_F(ShardWithAReservation, WorkerCutOff_OpenPartIsNotOffered) {
