--- a/tests/unit/unit-dispatch-roomshare.cpp
+++ b/tests/unit/unit-dispatch-roomshare.cpp
@@ -39,8 +39,8 @@
   void SetUp() override {
     // The workers get their capacity in parts, each filled with tasks of one
     // size, so that each runs tasks of the same sizes in every run.
-    constexpr std::int64_t LargeJobCpu = 16000;
-    ASSERT_NO_FATAL_FAILURE(startNode(Shards, LargeJobCpu));
+    constexpr std::int64_t largeJobCpu = 16000;
+    ASSERT_NO_FATAL_FAILURE(startNode(Shards, largeJobCpu));
     ASSERT_NO_FATAL_FAILURE(submitTasks(LargeJob, LargeJobTasks, 4000));
     ASSERT_NO_FATAL_FAILURE(awaitStarts());
     updateWorkers(0, Shards, WorkerCpu);
