--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -34,6 +34,7 @@
         self.last_end = 0
         self.sequence = 0
         self.state = "ready"
+        self.grey = False
         self.news = asyncio.Event()
         self.file = open(config["log"], "a", buffering=1)
 
@@ -88,6 +89,10 @@
                                 min(body["deadline_ms"], self.clock() + HOLD_MAX_MS))
 
     async def handle(self, request):
+        if request.path == "/standin/grey":  # the case's, not the system's
+            self.grey = request.json()["on"]
+            self.log("unhealthy" if self.grey else "sound")
+            return 200, {}
         expected = request.headers.get("expect-instance")
         if expected and expected != self.c["id"]:
             return 421, {}
@@ -98,6 +103,9 @@
         if request.path == "/endivedoor/hold":
             return await self.hold(body)
         key = (body.get("task"), body.get("run"))
+        if request.path == "/endivedoor/run-start" and self.grey:
+            self.log("refused", task=key[0], run=key[1], reason="unhealthy")
+            return 503, {}
         if request.path == "/endivedoor/run-start":
             return self.start(key, body)
         if request.path == "/endivedoor/run-stop":
