--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,40 +1,27 @@
-"""A worker answers starts with 503 for some seconds while jobs wait for room."""
+"""Workers crash one at a time and come back; a task that lasts was on them."""
 import asyncio
 import pathlib
 import signal
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 import harness  # noqa: E402
-from http11 import call  # noqa: E402
 
-GREY_S = 6.5
-WAITING = 20
-BOOKING = {**harness.ROUTE, "name": "r-booking", "prefix": "/booking/",
-           "target_latency_ms": 250, "stretch": 1.5}
-# Eight tasks that last fill the eight workers; jobs of one task each wait.
-FILL = {"spec": '{"lasts":true}', "steps": [
-    {"count": 1, "cpu": 31000, "mem_mb": 64000, "estimated_ms": 400, "long_running": True}]}
-SMALL = {"spec": '{"work_ms":30000}', "steps": [
-    {"count": 1, "cpu": 2100, "mem_mb": 4200, "estimated_ms": 30000}]}
-
-
-async def accepted(case, daemon, job, body, route):
-    for _ in range(10):
-        status, _ = await case.ask(daemon, "POST", job, body, route=route, quiet=True)
-        if status == 200:
-            return
-        await asyncio.sleep(1)
-    raise harness.CannotRun("a job is not accepted")
+JOB = "5c0e7a21d94b36f8"
+BODY = {"spec": '{"lasts":true}', "steps": [
+    {"count": 1, "cpu": 6400, "mem_mb": 13000, "estimated_ms": 400,
+     "requirements": "k2", "long_running": True}]}
+DOWN_S = 4.5
+MOST_CRASHES = 4
 
 
 async def main(case):
     await case.start_store()
-    await case.configure(routes=[harness.ROUTE, BOOKING])
+    await case.configure()
     for i in range(8):
-        case.start_worker("w%d" % i, case.zones[i % 3], ["a", "r1-%d" % (i % 3)])
+        case.start_worker("w%d" % i, case.zones[i % 3],
+                          ["k2" if i < 2 else "a", "r1-%d" % (i % 3)])
     daemons = []
     for zone in case.zones:
         case.start_daemon("edge-" + zone, zone)
@@ -42,57 +29,61 @@
     for it in daemons:
         await case.ready(it)
     await asyncio.sleep(1)
-    for i in range(8):
-        await accepted(case, daemons[0], "f%015d" % i, FILL, harness.ROUTE)
+    for _ in range(10):
+        status, _ = await case.ask(daemons[0], "POST", JOB, BODY)
+        if status == 200:
+            break
+        await asyncio.sleep(1)
+
+    def count(what):
+        return len([r for r in case.worker_events() if r["what"] == what])
 
-    def began(what="started"):
-        return {r["task"][:16]: r["worker"] for r in case.worker_events() if r["what"] == what}
+    def place():
+        """The worker that runs the task, by its own account."""
+        at = None
+        for row in case.worker_events():
+            if row["what"] == "started":
+                at = row["worker"].split("-")[1]
+        return at
 
     for _ in range(100):
-        if len(began()) == 8:
+        if place():
             break
         await asyncio.sleep(0.1)
     else:
-        raise harness.CannotRun("the workers are not full: %s" % began())
-    jobs = ["b%015d" % i for i in range(WAITING)]
-    for i, job in enumerate(jobs):
-        await accepted(case, daemons[i % 3], job, SMALL, BOOKING)
-    accepted_at = time.time()
-    case.note("%d jobs are accepted" % WAITING)
+        raise harness.CannotRun("the task does not start")
     await asyncio.sleep(6)
-    broken = []
-
-    async def look(when):
-        """Compares what each node says with what has begun before and after it."""
-        worst = 0
-        for it in daemons:
-            before = [j for j in jobs if j not in began()]
-            status, answer = await call(
-                harness.IP, case.daemons[it]["callers"], "GET", BOOKING["prefix"], None,
-                {"Host": BOOKING["host"]})
-            after = [j for j in before if j not in began()]
-            case.note("%s: %s says %s %s; of %d jobs accepted %.1f s before, %d have not begun"
-                      % (when, it, status, answer, WAITING, time.time() - accepted_at, len(after)))
-            if status == 200 and 2 * answer["pending"] < len(after):
-                broken.append("MIXED: %s: %s gives %d as pending, %d have not begun"
-                              % (when, it, answer["pending"], len(after)))
-
-    await look("workers full")
-    victim = began()["f%015d" % 3].split("-")[1]
-    config = case.workers[victim]
     if case.trouble:
-        case.note("%s answers starts with 503 from now on" % victim)
-        await call(harness.IP, config["port"], "POST", "/standin/grey", {"on": True})
-    await case.ask(daemons[1], "DELETE", "f%015d" % 3)
-    until = time.time() + GREY_S
-    await asyncio.sleep(4)
-    await look("4 s later")
-    await asyncio.sleep(max(0, until - time.time()))
-    if case.trouble:
-        await call(harness.IP, config["port"], "POST", "/standin/grey", {"on": False})
-        case.note("%s is sound again" % victim)
-    await asyncio.sleep(3)
-    await look("after that")
+        for crash in range(1, MOST_CRASHES + 1):
+            victim = place()
+            starts = count("started")
+            case.note("crash %d: of %s, which runs the task" % (crash, victim))
+            case.signal(victim, signal.SIGKILL)
+            await asyncio.sleep(DOWN_S)
+            case.start_worker(victim)
+            case.note("%s is back" % victim)
+            # The task starts again, and then works for some seconds.
+            for _ in range(80):
+                if count("started") > starts:
+                    break
+                await asyncio.sleep(0.1)
+            status, answer = await case.ask(daemons[crash % 3], "GET", JOB)
+            if answer.get("state") == "failed":
+                break
+            await asyncio.sleep(4)
+    else:
+        await asyncio.sleep(20)
+    await asyncio.sleep(8)
+    broken = []
+    failed = [r for r in case.worker_events()
+              if r["what"] == "ended" and r["how"] == "failed"]
+    for it in daemons:
+        status, answer = await case.ask(it, "GET", JOB)
+        if status == 200 and answer.get("state") == "failed" and not failed:
+            broken.append("LOST: %s shows the job as failed; nobody cancelled it, and no "
+                          "run of its task has ended as failed" % it)
+        if status == 410:
+            broken.append("LOST: %s does not know the job" % it)
     return broken
 
 
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -1,19 +1,28 @@
 """Stand-in of the platform's store (PROTOCOL.md, "The platform's metadata store").
 
-The path /platform/put and /platform/delete are the operator's and the workers'
-way to write; the system does not use them. Usage: store.py IP PORT"""
+The paths /platform/... are the operator's and the workers' way to write, and the
+case's way to bring trouble about; the system does not use them. While the store is
+down it answers 503 and leases run out. Usage: store.py IP PORT"""
 import asyncio
+import base64
+import json
+import random
 import sys
 import time
 
 from http11 import serve
 
 HEARTBEAT_S = 1.5
+ANSWER_S = 0.004
+JITTER = 0.3
 
 
 class Store:
     def __init__(self):
         self.revision = 100
+        self.down = False
+        self.answer_s = ANSWER_S
+        self.claims = []    # [time, node, lease] of each entry of a shard's owner
         self.items = {}     # key -> dict as on the wire
         self.history = []   # (revision, event)
         self.leases = {}    # id -> [ttl_s, ends at]
@@ -56,7 +65,17 @@
 
     async def handle(self, request):
         path, query = request.path, request.query
-        await asyncio.sleep(0.004)
+        if path == "/platform/mode":
+            mode = request.json()
+            self.down = mode.get("down", False)
+            self.answer_s = ANSWER_S * mode.get("slower", 1)
+            return 200, {}
+        if path == "/platform/claims":
+            return 200, {"claims": self.claims}
+        if not path.startswith("/platform/"):
+            await asyncio.sleep(self.answer_s * random.uniform(1 - JITTER, 1 + JITTER))
+            if self.down:
+                return 503, {}
         if path == "/endivedoor/kv-key":
             item = self.items.get(query["key"])
             return (200, {**item, "as_of": self.revision}) if item else (404, {})
@@ -121,6 +140,10 @@
                                    if e["key"] in self.items]}
         if any(p.get("lease", 0) and p["lease"] not in self.leases for p in puts):
             return 404, {}
+        for p in puts:
+            if p["key"].startswith("endivedoor/d/shard/"):
+                node = json.loads(base64.b64decode(p["value"])).get("node")
+                self.claims.append([time.time(), node, p.get("lease", 0)])
         self.write([(p["key"], p["value"], p.get("lease", 0)) for p in puts], deletes)
         return 200, {"revision": self.revision}
 
