--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -18,7 +18,9 @@
 sys.path.insert(0, str(HERE))
 from http11 import call  # noqa: E402
 
-IP = "127.0.0.1"
+# A loopback address of its own, so that cases which run at the same time do not
+# take each other's ports.
+IP = "127.77.%d.%d" % (os.getpid() >> 8 & 255, os.getpid() & 255 or 1)
 SERVICE = "order-desk"
 ROUTE = {"name": "r-standing", "host": "orders.example", "prefix": "/standing/",
          "type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 2500,
