--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,89 +1,94 @@
-"""Workers crash one at a time and come back; a task that lasts was on them."""
+"""The store is away while many short tasks end on a worker; then the owner is
+killed. Its heir gets a first list of 500 ends."""
 import asyncio
 import pathlib
 import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 import harness  # noqa: E402
+from http11 import call  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
-BODY = {"spec": '{"lasts":true}', "steps": [
-    {"count": 1, "cpu": 6400, "mem_mb": 13000, "estimated_ms": 400,
-     "requirements": "k2", "long_running": True}]}
 DOWN_S = 4.5
-MOST_CRASHES = 4
+KILL_AFTER_S = 4.2
+LONG, SHORT = "1" * 16, "2" * 16
+# One task that works for a minute, and many short ones that only one worker can run.
+LONG_BODY = {"spec": '{"work_ms":60000}', "steps": [
+    {"count": 1, "cpu": 2000, "mem_mb": 1000, "estimated_ms": 60000, "requirements": "k2"}]}
+SHORT_BODY = {"spec": '{"work_ms":30}', "steps": [
+    {"count": 3000, "cpu": 400, "mem_mb": 100, "estimated_ms": 30, "requirements": "only-w0"}]}
 
 
 async def main(case):
     await case.start_store()
     await case.configure()
-    for i in range(8):
-        case.start_worker("w%d" % i, case.zones[i % 3],
-                          ["k2" if i < 2 else "a", "r1-%d" % (i % 3)])
+    for i in [0] + list(range(2, 8)):
+        labels = ["k2", "only-w0"] if i == 0 else ["a"]
+        case.start_worker("w%d" % i, case.zones[i % 3], labels)
     daemons = []
     for zone in case.zones:
-        case.start_daemon("edge-" + zone, zone)
         daemons.append("edge-" + zone)
+        case.start_daemon(daemons[-1], zone)
     for it in daemons:
         await case.ready(it)
     await asyncio.sleep(1)
-    for _ in range(10):
-        status, _ = await case.ask(daemons[0], "POST", JOB, BODY)
-        if status == 200:
-            break
-        await asyncio.sleep(1)
 
-    def count(what):
-        return len([r for r in case.worker_events() if r["what"] == what])
+    def events(what, job):
+        return [r for r in case.worker_events() if r["what"] == what and r["task"][:16] == job]
 
-    def place():
-        """The worker that runs the task, by its own account."""
-        at = None
-        for row in case.worker_events():
-            if row["what"] == "started":
-                at = row["worker"].split("-")[1]
-        return at
+    async def accept(job, body):
+        for i in range(12):
+            status, _ = await case.ask(daemons[i % 3], "POST", job, body)
+            if status == 200:
+                return
+            await asyncio.sleep(0.5)
+        raise harness.CannotRun("a job is not accepted")
 
+    await accept(LONG, LONG_BODY)
     for _ in range(100):
-        if place():
+        if events("started", LONG):
             break
         await asyncio.sleep(0.1)
     else:
-        raise harness.CannotRun("the task does not start")
-    await asyncio.sleep(6)
+        raise harness.CannotRun("the long task does not start")
+    # Another worker of its kind, with room.
+    case.start_worker("w1", case.zones[1], ["k2"])
+    await asyncio.sleep(3)
+    _, answer = await call(harness.IP, case.store, "GET", "/platform/claims")
+    owner = answer["claims"][-1][1]
+    case.note("%s owns the shard" % owner)
+    await accept(SHORT, SHORT_BODY)
+    await asyncio.sleep(0.2)
     if case.trouble:
-        for crash in range(1, MOST_CRASHES + 1):
-            victim = place()
-            starts = count("started")
-            case.note("crash %d: of %s, which runs the task" % (crash, victim))
-            case.signal(victim, signal.SIGKILL)
-            await asyncio.sleep(DOWN_S)
-            case.start_worker(victim)
-            case.note("%s is back" % victim)
-            # The task starts again, and then works for some seconds.
-            for _ in range(80):
-                if count("started") > starts:
-                    break
-                await asyncio.sleep(0.1)
-            status, answer = await case.ask(daemons[crash % 3], "GET", JOB)
-            if answer.get("state") == "failed":
-                break
-            await asyncio.sleep(4)
-    else:
-        await asyncio.sleep(20)
-    await asyncio.sleep(8)
+        case.note("store: down")
+        await call(harness.IP, case.store, "POST", "/platform/mode", {"down": True})
+        down = time.time()
+        await asyncio.sleep(KILL_AFTER_S)
+        case.signal(owner, signal.SIGKILL)
+        case.note("%d short tasks have ended" % len(events("ended", SHORT)))
+        await asyncio.sleep(max(0, down + DOWN_S - time.time()))
+        await call(harness.IP, case.store, "POST", "/platform/mode", {})
+        case.note("store: as usual")
+        case.start_daemon(owner, owner.split("-", 1)[1])
+    await asyncio.sleep(20)
     broken = []
-    failed = [r for r in case.worker_events()
-              if r["what"] == "ended" and r["how"] == "failed"]
-    for it in daemons:
-        status, answer = await case.ask(it, "GET", JOB)
-        if status == 200 and answer.get("state") == "failed" and not failed:
-            broken.append("LOST: %s shows the job as failed; nobody cancelled it, and no "
-                          "run of its task has ended as failed" % it)
-        if status == 410:
-            broken.append("LOST: %s does not know the job" % it)
+    runs = {}
+    for row in case.worker_events():
+        if row.get("task", "")[:16] != LONG or row["what"] not in ("started", "ended"):
+            continue
+        case.note("long task: run %d %s on %s at %.3f%s" % (
+            row["run"], row["what"], row["worker"], row["at"] - case.begun,
+            " as " + row["how"] if "how" in row else ""))
+        if row["what"] == "ended":
+            runs.pop((row["worker"], row["run"]), None)
+            continue
+        for worker, run in runs:
+            broken.append("TWICE: run %d starts on %s while run %d is at work on %s"
+                          % (row["run"], row["worker"], run, worker))
+        runs[(row["worker"], row["run"])] = True
+    case.note("%d short tasks have ended" % len(events("ended", SHORT)))
     return broken
 
 
