--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,11 +10,12 @@
 import harness  # noqa: E402
 from http11 import call  # noqa: E402
 
+WORKERS = 12
 GREY_S = 6.5
 WAITING = 20
 BOOKING = {**harness.ROUTE, "name": "r-booking", "prefix": "/booking/",
            "target_latency_ms": 250, "stretch": 1.5}
-# Eight tasks that last fill the eight workers; jobs of one task each wait.
+# One task that lasts fills each worker; jobs of one task each wait.
 FILL = {"spec": '{"lasts":true}', "steps": [
     {"count": 1, "cpu": 31000, "mem_mb": 64000, "estimated_ms": 400, "long_running": True}]}
 SMALL = {"spec": '{"work_ms":30000}', "steps": [
@@ -33,7 +34,7 @@
 async def main(case):
     await case.start_store()
     await case.configure(routes=[harness.ROUTE, BOOKING])
-    for i in range(8):
+    for i in range(WORKERS):
         case.start_worker("w%d" % i, case.zones[i % 3], ["a", "r1-%d" % (i % 3)])
     daemons = []
     for zone in case.zones:
@@ -42,14 +43,14 @@
     for it in daemons:
         await case.ready(it)
     await asyncio.sleep(1)
-    for i in range(8):
+    for i in range(WORKERS):
         await accepted(case, daemons[0], "f%015d" % i, FILL, harness.ROUTE)
 
     def began(what="started"):
         return {r["task"][:16]: r["worker"] for r in case.worker_events() if r["what"] == what}
 
     for _ in range(100):
-        if len(began()) == 8:
+        if len(began()) == WORKERS:
             break
         await asyncio.sleep(0.1)
     else:
