--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,19 +16,19 @@
 KILL_S = 0.3    # before the small tasks end
 DARK_S = 3.5
 LONG, SHORT = "1" * 16, "2" * 16
-# One task that works for a minute, and many small ones, which only one worker can run
-# and which work until the same moment.
+# One task that works for a minute, and many small ones for the rack of one worker,
+# which work until the same moment.
 LONG_BODY = {"spec": '{"work_ms":60000}', "steps": [
     {"count": 1, "cpu": 2000, "mem_mb": 1000, "estimated_ms": 60000, "requirements": "k2"}]}
 SHORT_STEP = {"count": SMALL, "cpu": 45, "mem_mb": 100, "estimated_ms": int(WORK_S * 1000),
-              "requirements": "only-w0"}
+              "requirements": "r1-1"}
 
 
 async def main(case):
     await case.start_store()
     await case.configure()
     for i in [0] + list(range(2, 8)):
-        labels = ["k2", "only-w0"] if i == 0 else ["a"]
+        labels = ["k2", "r1-1"] if i == 0 else ["a", "r1-3"]
         case.start_worker("w%d" % i, case.zones[i % 3], labels)
     daemons = []
     for zone in case.zones:
@@ -57,7 +57,7 @@
     else:
         raise harness.CannotRun("the long task does not start")
     # Another worker of its kind, with room.
-    case.start_worker("w1", case.zones[1], ["k2"])
+    case.start_worker("w1", case.zones[1], ["k2", "r1-2"])
     await asyncio.sleep(3)
     _, answer = await call(harness.IP, case.store, "GET", "/platform/claims")
     owner = answer["claims"][-1][1]
