Log restarts of workers and runs whose start was not answered

Nothing told whether a worker had restarted before a run was repeated, to which incarnation a start was sent, how late an unanswered start began, or which end an incarnation lists first. WorkerRestarted and UnconfirmedRunListed do, and RunStarted and WorkerSynced name the start time of the incarnation.

--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -118,6 +118,7 @@
       {"task", taskText(key)},
       {"run", std::to_string(number)},
       {"worker", worker.Profile.Id.str()},
+      {"born", std::to_string(worker.Profile.StartTime.count())},
       {"freeCpu", std::to_string(count(worker.Profile.Capacity.Cpu) -
                                  count(worker.Used.Cpu))},
       {"waitedMs", std::to_string((now - job.Accepted) / 1ms)},
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -84,6 +84,13 @@
   for (const RunId &it : lost)
     if (JobEntry *job = findJob(it.Task.Job))
       removeRun(*job, it.Task, it.Number, worker.Profile.Id, cause);
+  Events.emit(EventCode::WorkerRestarted,
+              {{"worker", worker.Profile.Id.str()},
+               {"born", std::to_string(worker.Profile.StartTime.count())},
+               {"cause", cause},
+               {"silent", worker.SilentSince ? "yes" : "no"},
+               {"lost", std::to_string(lost.size())},
+               {"doubtful", std::to_string(worker.Runs.size())}});
   worker.OrphanRuns.clear();
   worker.Synced = false;
   worker.Clock.reset();
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -271,6 +271,13 @@
         adoptRun(worker, row, now);
       continue;
     }
+    if (run->Phase == RunPhase::Unconfirmed)
+      Events.emit(EventCode::UnconfirmedRunListed,
+                  {{"task", taskText(row.Id.Task)},
+                   {"run", std::to_string(row.Id.Number)},
+                   {"worker", worker.Profile.Id.str()},
+                   {"born", std::to_string(worker.Profile.StartTime.count())},
+                   {"ms", std::to_string((now - run->Started) / 1ms)}});
     if (run->Phase == RunPhase::Starting ||
         run->Phase == RunPhase::Unconfirmed) {
       run->Phase = RunPhase::Running;
@@ -649,7 +656,12 @@
         std::max(w.LatestDeadline, report.Clock + s.Options.LeaseDuration);
   s.Events.emit(base::EventCode::WorkerSynced,
                 {{"worker", worker.str()},
+                 {"born", std::to_string(w.Profile.StartTime.count())},
                  {"running", std::to_string(report.Running.size())},
+                 {"firstEnd", report.Ended.empty()
+                                  ? "none"
+                                  : std::to_string(
+                                        report.Ended.front().SequenceNumber)},
                  {"token", std::to_string(base::toNumber(s.Token))}});
 }
 
