Bind calls to the incarnation of the worker that they are meant for

What callers saw: after workers had started again under their ids, tasks ran twice.

Cause: a worker does nothing for a fencing token that is lower than the highest one it has seen, and a new incarnation has seen none. All calls of a term had one token, so a poll, start, stop or acknowledgement for the earlier incarnation acted on the next one if it was late. Its deadline, on the clock of the earlier incarnation, lay far ahead there: the worker granted the longest lease, and no start was refused as late. The owner allowed for this for one second; the next owner did not know of restarts at all.

Change: a term has a range of fencing tokens. A worker gets a higher one each time that it may have restarted: when it falls silent, when its entry or an answer shows a later start time, and when it returns after it was forgotten. Until an incarnation has answered the new token, no start, lease request or acknowledgement is sent. From that answer on no earlier call has any effect, so unanswered starts that are not listed need not be waited for. Just before it, a late call may have been given the longest lease. The roster names the incarnation that has answered, and whether it may hold the longest lease. The next owner waits for late calls, 12 s and the longest lease, only for silent workers whose entry shows another incarnation or of which the roster says that they have restarted.

MaxCallDelay is 12 s instead of 1 s: the platform says that a call without an answer may be carried out seconds later, and its tests do so for up to 12 s.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -293,6 +293,11 @@
   /// How long the worker may hold leases of that term, from when the row was
   /// written; nothing if that depends on when the term ended.
   std::optional<std::chrono::milliseconds> LeaseLeft = {};
+  /// Start time of the incarnation at which no call for an earlier one can act
+  /// any more; 0 if the worker has restarted since, nothing if it is not known.
+  std::optional<std::chrono::milliseconds> Incarnation = {};
+  /// That incarnation may hold the longest lease that a worker grants.
+  bool LongestLease = false;
   friend auto operator<=>(const RosterEntry &, const RosterEntry &) = default;
 };
 
--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -34,6 +34,9 @@
   std::string Payload;
   std::string Checkpoint;
   WorkerTime Deadline{0};
+  /// The deadline and the run are meant for the incarnation that has answered
+  /// this token, and for no later one.
+  base::FencingToken Token{0};
   /// For Kind::Throttle.
   std::int32_t SpeedPercent = 100;
 };
@@ -147,7 +150,9 @@
 public:
   /// \param number shard number.
   /// \param term ownership term, from 1.
-  /// \param token fencing token of this term at the workers.
+  /// \param token number of this term at the workers, higher than that of any
+  /// earlier term. Its fencing tokens there are TokensPerTerm numbers from
+  /// token * TokensPerTerm.
   Shard(ShardOptions options, std::int32_t number, std::int64_t term,
         base::FencingToken token, base::EventLog &events, Metrics &metrics);
   ~Shard();
@@ -263,8 +268,8 @@
   void onPoll(const base::WorkerId &worker, const PollReport &report,
               base::TimePoint sent, base::TimePoint received);
   /// Returns whether the run of a start command is still to be started: its job
-  /// is live, no stop has been decided, and its worker still takes starts and
-  /// has capacity for it.
+  /// is live, no stop has been decided, and its worker still takes starts, has
+  /// capacity for it and cannot have restarted since.
   bool isStartWanted(const WorkerCommand &command) const;
   /// The start command is not sent.
   void withdrawStart(const WorkerCommand &command);
@@ -403,10 +408,9 @@
   policy::ColocationModel &colocationModel();
   std::size_t liveJobCount() const;
   bool isLive(model::JobNumber job) const;
-  /// Returns whether another owner has used a higher token, which ends this
-  /// term.
+  /// Returns whether another owner has used a higher token, or this term has
+  /// used all of its own; both end the term.
   bool isFenced() const;
-  base::FencingToken token() const;
 
 private:
   std::unique_ptr<detail::ShardState> State;
--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -6,6 +6,7 @@
 #include "endivedoor/policy/WaitingOrder.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace endivedoor::dispatch {
 
@@ -33,8 +34,14 @@
   policy::WaitingRule WaitingOrder = policy::WaitingRule::Priority;
 };
 
-/// Longest time for which a call can be in transit, from the call timeout.
-constexpr milliseconds MaxCallDelay{1000};
+/// Longest time for which a call that was not answered may still be carried
+/// out. The platform names no bound ("seconds later"); its tests go up to 12 s.
+constexpr milliseconds MaxCallDelay{12000};
+
+/// Number of fencing tokens that one term has at the workers. At one silent
+/// worker a second, a term uses them up in 18 hours; then it ends, and the
+/// shard is claimed anew.
+constexpr std::uint64_t TokensPerTerm = 1 << 16;
 
 /// Largest rate error of a worker's clock; the platform guarantees at most 2%
 /// slow.
--- a/packages/dispatch/src/Interference.cpp
+++ b/packages/dispatch/src/Interference.cpp
@@ -241,6 +241,7 @@
   WorkerCommand command;
   command.Type = WorkerCommand::Kind::Throttle;
   command.Worker = w.ref();
+  command.Token = tokenOf(w);
   command.Run = id;
   command.SpeedPercent = percent;
   Outbox.push_back(std::move(command));
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -66,6 +66,7 @@
   Run run;
   run.Worker = &worker;
   run.Number = number;
+  run.Token = tokenOf(worker);
   run.PhaseSince = run.Started = run.LastBusy = now;
   StepEntry &entry =
       job.Occurrences[key.Occurrence].Steps[static_cast<std::size_t>(key.Step)];
@@ -113,6 +114,7 @@
   command.Checkpoint = task.Checkpoint;
   task.Runs.back().Resumed = !task.Checkpoint.empty();
   command.Deadline = startDeadline(worker, now);
+  command.Token = run.Token;
   worker.LatestDeadline = std::max(worker.LatestDeadline, command.Deadline);
   std::vector<base::EventField> fields{
       {"task", taskText(key)},
@@ -685,6 +687,7 @@
   WorkerCommand command;
   command.Type = WorkerCommand::Kind::Stop;
   command.Worker = worker.ref();
+  command.Token = tokenOf(worker);
   command.Run = run;
   Events.emit(EventCode::StopSent, {{"task", taskText(run.Task)},
                                     {"run", std::to_string(run.Number)},
@@ -840,7 +843,6 @@
 void Shard::setRecordsAsOf(base::TimePoint asOf) { State->RecordsAsOf = asOf; }
 
 bool Shard::isFenced() const { return State->Fenced; }
-base::FencingToken Shard::token() const { return State->Token; }
 
 std::vector<WorkerCommand> Shard::plan(base::TimePoint now, base::WallTime wall,
                                        bool mayStart, std::size_t maxStarts,
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -675,6 +675,10 @@
       row["tasks"] = tasksToJson(*it.Tasks);
     if (it.LeaseLeft)
       row["leaseMs"] = it.LeaseLeft->count();
+    if (it.Incarnation)
+      row["born"] = it.Incarnation->count();
+    if (it.LongestLease)
+      row["longestLease"] = true;
     list.push_back(std::move(row));
   }
   return json::serialize(json::object{{"workers", std::move(list)}});
@@ -699,6 +703,10 @@
       if (it.has("leaseMs"))
         entry.LeaseLeft = std::chrono::milliseconds(
             it.number("leaseMs", 0, platform::MaxInt64));
+      if (it.has("born"))
+        entry.Incarnation =
+            std::chrono::milliseconds(it.number("born", 0, platform::MaxInt64));
+      entry.LongestLease = it.has("longestLease") && it.flag("longestLease");
       roster.push_back(std::move(entry));
     }
     return roster;
--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -66,7 +66,8 @@
   for (const auto &[id, w] : State->Workers)
     if (hasRow(*w, State->Term))
       roster.push_back({id, w->Profile.Endpoint, w->UsedInTerm,
-                        w->PossibleTasks, leaseLeft(*w)});
+                        w->PossibleTasks, leaseLeft(*w), w->Incarnation,
+                        w->LongestLease});
   return roster;
 }
 
@@ -77,7 +78,9 @@
       continue;
     if (row == roster.end() || row->Id != id ||
         row->Endpoint != w->Profile.Endpoint || row->Term != w->UsedInTerm ||
-        row->Tasks != w->PossibleTasks || row->LeaseLeft != leaseLeft(*w))
+        row->Tasks != w->PossibleTasks || row->LeaseLeft != leaseLeft(*w) ||
+        row->Incarnation != w->Incarnation ||
+        row->LongestLease != w->LongestLease)
       return false;
     ++row;
   }
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -521,7 +521,6 @@
   auto self = shared_from_this();
   if (Stopped)
     co_return;
-  base::FencingToken token = State.token();
   switch (order.Type) {
   case WorkerCommand::Kind::Start: {
     if (!maySendCommands() || !recordsAreCurrent() ||
@@ -535,7 +534,7 @@
     request.Payload = order.Payload;
     request.Checkpoint = order.Checkpoint;
     request.Deadline = order.Deadline;
-    request.Token = token;
+    request.Token = order.Token;
     TimePoint sent = Context.Time.now();
     bool wasFull = Context.StartCalls.available() == 0;
     Context.StartCalls.onSent();
@@ -560,7 +559,7 @@
   }
   case WorkerCommand::Kind::Stop: {
     auto answer = co_await Context.WorkerCalls.stop(order.Worker, order.Run,
-                                                    token, CallTimeout);
+                                                    order.Token, CallTimeout);
     if (Stopped)
       break;
     State.onStop(order, std::move(answer), Context.Time.now());
@@ -569,7 +568,7 @@
   }
   case WorkerCommand::Kind::Throttle: {
     auto answer = co_await Context.WorkerCalls.throttle(
-        order.Worker, order.Run, order.SpeedPercent, token, CallTimeout);
+        order.Worker, order.Run, order.SpeedPercent, order.Token, CallTimeout);
     if (!Stopped && !answer)
       State.onThrottleFailed(order);
     break;
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -94,15 +94,11 @@
   worker.OrphanRuns.clear();
   worker.Synced = false;
   worker.Clock.reset();
-  // A command that reaches the new incarnation carries a deadline on the clock
-  // of the earlier one, so only the longest lease that a worker grants bounds
-  // it.
-  worker.RestartLeaseUntil =
-      now + MaxCallDelay +
-      std::chrono::duration_cast<base::Duration>(
-          std::chrono::duration<double, std::milli>(Options.MaxLease) *
-          MaxClockDriftFactor) +
-      LeaseExpiryMargin;
+  worker.RestartLeaseUntil = now + lateCallLifetime(Options);
+  if (worker.TokenAnswered)
+    renewToken(worker);
+  if (worker.Incarnation)
+    worker.Incarnation = 0ms;
   worker.LatestDeadline = WorkerTime{0};
   worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
@@ -172,6 +168,8 @@
                            TimePoint now) {
   detail::ShardState &s = *State;
   base::Duration leases = detail::maxLeaseLifetime(s.Options);
+  base::Duration longestLeases = detail::longestLeaseLifetime(s.Options);
+  base::Duration lateCalls = detail::lateCallLifetime(s.Options);
   base::Duration permission = detail::maxPermissionLifetime(s.Options);
   for (const RosterEntry &it : roster) {
     std::int64_t term = it.Term > 0 ? it.Term : s.Term - 1;
@@ -181,28 +179,41 @@
     for (const FormerTerm &f : former)
       if (f.Number >= term)
         replaced = std::min(replaced, f.ReplacedAt);
-    TimePoint until = replaced + leases;
+    auto known = s.Workers.find(it.Id);
+    // The worker's entry shows a restart that the earlier owner may not know
+    // of.
+    bool announced = known != s.Workers.end() &&
+                     detail::isOtherIncarnation(
+                         it.Incarnation, known->second->Profile.StartTime);
+    bool restarted = announced || it.Incarnation == 0ms;
+    base::Duration lifetime = restarted         ? lateCalls
+                              : it.LongestLease ? longestLeases
+                                                : leases;
+    TimePoint until = replaced + lifetime;
+    TimePoint lastCall = replaced;
     TimePoint tasksKnownAt{};
     for (const FormerTerm &f : former) {
       if (!f.MayAct || f.Number > term || f.ReplacedAt + permission <= now)
         continue;
-      until = std::max(until, f.ReplacedAt + permission);
+      lastCall = std::max(lastCall, f.ReplacedAt + permission);
+      until = std::max(until, restarted ? lastCall + lateCalls : lastCall);
       if (f.Number < term)
         tasksKnownAt = std::max(tasksKnownAt, f.ReplacedAt + permission);
     }
-    if (it.LeaseLeft)
+    if (it.LeaseLeft && !announced)
       until = std::min<TimePoint>(until, now + *it.LeaseLeft);
     if (until <= now)
       continue;
-    auto &entry = s.Workers[it.Id];
-    if (!entry)
-      entry = std::make_unique<detail::WorkerState>();
-    entry->Profile.Id = it.Id;
-    entry->Profile.Endpoint = it.Endpoint;
-    entry->UsedInTerm = it.Term;
-    entry->PossibleTasks = it.Tasks;
-    entry->TasksKnownAt = tasksKnownAt;
-    entry->UnverifiedUntil = until;
+    detail::WorkerState &w = s.workerEntry(it.Id);
+    w.Profile.Id = it.Id;
+    w.Profile.Endpoint = it.Endpoint;
+    w.UsedInTerm = it.Term;
+    w.PossibleTasks = it.Tasks;
+    w.TasksKnownAt = tasksKnownAt;
+    w.UnverifiedUntil = until;
+    w.UnverifiedUntilIfRestarted = std::max(until, lastCall + lateCalls);
+    w.Incarnation = announced ? 0ms : it.Incarnation;
+    w.LongestLease = it.LongestLease;
   }
 }
 
@@ -219,7 +230,8 @@
         (n > 1 ? " " : "") + id.str() + ":" + std::to_string(w->UsedInTerm) +
         ":" + std::to_string((*w->UnverifiedUntil - now) / 1ms) + "ms:" +
         (w->PossibleTasks ? std::to_string(w->PossibleTasks->size()) : "any") +
-        (now < w->TasksKnownAt ? "?" : "");
+        (now < w->TasksKnownAt ? "?" : "") +
+        (w->Incarnation == 0ms ? ":restarted" : "");
   }
   return text;
 }
@@ -237,9 +249,16 @@
 void Shard::onEarlierOwnersEnded(TimePoint now) {
   detail::ShardState &s = *State;
   TimePoint until = now + detail::maxLeaseLifetime(s.Options);
+  TimePoint longest = now + detail::longestLeaseLifetime(s.Options);
+  TimePoint lateCalls = now + detail::lateCallLifetime(s.Options);
   for (auto &[id, w] : s.Workers) {
+    w->UnverifiedUntilIfRestarted =
+        std::min(w->UnverifiedUntilIfRestarted, lateCalls);
     if (w->UnverifiedUntil)
-      w->UnverifiedUntil = std::min(*w->UnverifiedUntil, until);
+      w->UnverifiedUntil =
+          std::min(*w->UnverifiedUntil, w->Incarnation == 0ms ? lateCalls
+                                        : w->LongestLease     ? longest
+                                                              : until);
     w->TasksKnownAt = std::min(w->TasksKnownAt, until);
   }
 }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -324,7 +324,7 @@
         continue;
       bool confirmed = it.Phase == RunPhase::Running && it.PhaseSince < sent;
       bool stopped = it.StopConfirmed && *it.StopConfirmed < sent;
-      if (confirmed || stopped)
+      if (confirmed || stopped || isStartRefused(worker, it))
         missing.push_back(id);
     }
   }
@@ -333,16 +333,18 @@
     TaskEntry *task = findTask(it.Task, &job);
     if (!task)
       continue;
-    bool stopped = false;
+    const char *evidence = "not listed";
     for (const Run &run : task->Runs) {
       if (run.Number != it.Number || run.Worker != &worker)
         continue;
-      stopped = run.StopConfirmed.has_value();
+      if (run.StopConfirmed)
+        evidence = "stop confirmed, not listed";
+      else if (isStartRefused(worker, run))
+        evidence = "start refused from now on, not listed";
       if (run.PossibleCrash)
         countCrash(*job, it.Task, *task, run, *run.PossibleCrash, now);
     }
-    removeRun(*job, it.Task, it.Number, worker.Profile.Id,
-              stopped ? "stop confirmed, not listed" : "not listed");
+    removeRun(*job, it.Task, it.Number, worker.Profile.Id, evidence);
   }
   std::erase_if(worker.OrphanRuns,
                 [&](const auto &it) { return !listed.contains(it.first); });
@@ -384,6 +386,10 @@
     markInheritedLost();
   }
   for (auto &[id, w] : Workers) {
+    if (w->LongestLeaseUntil && now >= *w->LongestLeaseUntil) {
+      w->LongestLeaseUntil.reset();
+      w->LongestLease = false;
+    }
     // The worker answers, but a skipped row may be a run of an inherited task.
     if (w->Synced && w->UnverifiedUntil && now >= *w->UnverifiedUntil)
       w->UnverifiedUntil.reset();
@@ -417,7 +423,12 @@
   for (auto it = Workers.begin(); it != Workers.end();) {
     WorkerState &w = *it->second;
     bool gone = !w.Listed && w.Runs.empty() && !w.UnverifiedUntil && !w.Synced;
-    it = gone ? Workers.erase(it) : std::next(it);
+    if (!gone) {
+      ++it;
+      continue;
+    }
+    RemovedIncarnations[it->first] = w.Incarnation;
+    it = Workers.erase(it);
   }
 }
 
@@ -445,10 +456,7 @@
 
 void Shard::updateWorker(const model::WorkerProfile &profile, TimePoint now) {
   detail::ShardState &s = *State;
-  auto &entry = s.Workers[profile.Id];
-  if (!entry)
-    entry = std::make_unique<WorkerState>();
-  WorkerState &w = *entry;
+  WorkerState &w = s.workerEntry(profile.Id);
   bool restarted = w.Profile.StartTime.count() != 0 &&
                    profile.StartTime > w.Profile.StartTime;
   // The directory entry may be older than the worker's own latest answer.
@@ -466,6 +474,7 @@
   w.Profile.StartTime = startTime;
   w.EntryStartTime = profile.StartTime;
   w.Listed = true;
+  s.checkInheritedIncarnation(w, profile.StartTime);
   if (restarted)
     s.handleRestart(w, "worker restarted", now);
   s.updatePossibleTasks(w);
@@ -502,8 +511,10 @@
   if (it == State->Workers.end())
     return std::nullopt;
   WorkerState &w = *it->second;
+  // The poll may reach a later incarnation than the one that is known.
+  bool isKnown = w.TokenAnswered && !w.SilentSince;
   std::string acknowledged;
-  while (!w.SilentSince && !w.UnacknowledgedEnds.empty()) {
+  while (isKnown && !w.UnacknowledgedEnds.empty()) {
     const detail::UnacknowledgedEnd &end = w.UnacknowledgedEnds.front();
     if (!w.UnreadableEnds.empty() &&
         w.UnreadableEnds.begin()->first < end.SequenceNumber)
@@ -523,17 +534,17 @@
         {{"worker", worker.str()},
          {"born", std::to_string(w.Profile.StartTime.count())},
          {"ends", acknowledged},
-         {"token", std::to_string(base::toNumber(State->Token))}});
+         {"token", std::to_string(base::toNumber(State->tokenOf(w)))}});
   PlannedPoll plan;
   plan.Worker = w.ref();
   plan.Synced = w.Synced;
   plan.HasRuns = !w.Runs.empty();
   plan.Silent = w.SilentSince.has_value();
   plan.OnTrial = now < w.AvoidUntil && State->areRoomsWanted();
-  plan.Request.Token = State->Token;
-  // A silent worker may have restarted. It numbers its ends from 1 again and
-  // would discard those up to an old number unread.
-  plan.Request.AcknowledgedEnd = w.SilentSince ? 0 : w.AcknowledgedEnd;
+  plan.Request.Token = w.PollToken = State->tokenOf(w);
+  // A worker that has restarted numbers its ends from 1 again and would discard
+  // those up to an old number unread.
+  plan.Request.AcknowledgedEnd = isKnown ? w.AcknowledgedEnd : 0;
   plan.Request.IncarnationSeenAt = w.IncarnationSeenAt;
   std::optional<WorkerTime> clock = State->workerClock(w, now);
   // A worker without runs gets a lease too: it may wait with its answer for
@@ -544,7 +555,7 @@
   // A roster that cannot be read allows any lease: the next owner waits for the
   // longest.
   bool allowed = w.MayHoldLease || State->RosterUnknownUntil;
-  if (mayExtendLeases && allowed && clock && !w.SilentSince && lease > 0ms) {
+  if (mayExtendLeases && allowed && clock && isKnown && lease > 0ms) {
     plan.Request.Deadline = *clock + std::chrono::floor<WorkerTime>(lease);
     w.LatestDeadline = std::max(w.LatestDeadline, plan.Request.Deadline);
   }
@@ -560,8 +571,10 @@
     return;
   WorkerState &w = *it->second;
   bool wasSilent = w.SilentSince.has_value();
-  if (!wasSilent)
+  if (!wasSilent) {
     w.SilentSince = now;
+    State->renewToken(w);
+  }
   if (refused && !w.Refused) {
     w.Refused = true;
     State->announceLoss(w);
@@ -586,7 +599,7 @@
     return;
   WorkerState &w = *it->second;
   if (report.Fenced) {
-    s.Fenced = true;
+    s.Fenced |= w.PollToken == s.tokenOf(w);
     return;
   }
   if (report.WrongIncarnation) {
@@ -624,20 +637,22 @@
                   {{"worker", worker.str()}, {"row", report.InvalidRow}});
   w.InvalidRow = report.InvalidRow;
   w.Clock = detail::ClockSample{report.Clock, received};
-  // A deadline on the clock of the earlier incarnation lies far ahead on this
-  // one, which grants the longest lease for it.
+  // An answer to an earlier token tells what runs, but calls for an earlier
+  // incarnation may still act.
+  bool current = w.PollToken == s.tokenOf(w);
+  if (current && !w.TokenAnswered)
+    s.onTokenAnswered(w, report.StartTime, report.Clock, received);
   if (w.RestartLeaseUntil)
     w.LatestDeadline =
         std::max(w.LatestDeadline,
                  report.Clock +
                      std::chrono::ceil<WorkerTime>(std::max(
                          base::Duration{0}, *w.RestartLeaseUntil - received)));
-  w.RestartLeaseUntil.reset();
   s.processEnds(w, report, received);
   bool firstReport = !w.Synced;
   s.processRunning(w, report, sent, received);
   s.observeInterference(w, received);
-  if (report.MoreEnded)
+  if (report.MoreEnded || !current)
     return;
   if (!report.RunningIncomplete && w.UnreadableEnds.empty())
     w.UnverifiedUntil.reset();
@@ -654,15 +669,15 @@
   if (!w.Runs.empty() || !w.OrphanRuns.empty())
     w.LatestDeadline =
         std::max(w.LatestDeadline, report.Clock + s.Options.LeaseDuration);
-  s.Events.emit(base::EventCode::WorkerSynced,
-                {{"worker", worker.str()},
-                 {"born", std::to_string(w.Profile.StartTime.count())},
-                 {"running", std::to_string(report.Running.size())},
-                 {"firstEnd", report.Ended.empty()
-                                  ? "none"
-                                  : std::to_string(
-                                        report.Ended.front().SequenceNumber)},
-                 {"token", std::to_string(base::toNumber(s.Token))}});
+  s.Events.emit(
+      base::EventCode::WorkerSynced,
+      {{"worker", worker.str()},
+       {"born", std::to_string(w.Profile.StartTime.count())},
+       {"running", std::to_string(report.Running.size())},
+       {"firstEnd", report.Ended.empty()
+                        ? "none"
+                        : std::to_string(report.Ended.front().SequenceNumber)},
+       {"token", std::to_string(base::toNumber(s.tokenOf(w)))}});
 }
 
 void Shard::setPermissionEnd(TimePoint end) { State->PermissionEnd = end; }
@@ -678,6 +693,7 @@
          std::any_of(task->Runs.begin(), task->Runs.end(), [&](const Run &it) {
            return it.Number == command.Run.Number &&
                   it.Phase == RunPhase::Starting && it.Worker->isUsable() &&
+                  command.Token == State->tokenOf(*it.Worker) &&
                   !State->ZonesOutOfService.contains(it.Worker->Profile.Zone) &&
                   it.Worker->Used.fitsIn(it.Worker->Profile.Capacity);
          });
@@ -737,7 +753,7 @@
     return;
   }
   if (result && result.value() == CommandResult::Fenced)
-    s.Fenced = true;
+    s.Fenced |= command.Token == s.tokenOf(w);
   s.removeRun(*job, command.Run.Task, command.Run.Number, command.Worker.Id,
               result ? "start refused" : "worker not reached");
 }
--- a/packages/dispatch/src/detail/LeaseTimes.h
+++ b/packages/dispatch/src/detail/LeaseTimes.h
@@ -20,6 +20,15 @@
 /// worker, whatever the error of its clock.
 base::Duration maxLeaseLifetime(const ShardOptions &options);
 
+/// Returns the time after which a lease that a worker grants now has expired,
+/// whatever deadline was requested.
+base::Duration longestLeaseLifetime(const ShardOptions &options);
+
+/// Returns the time after which no call that was sent before now has any effect
+/// on a later incarnation of its worker. A deadline on the clock of the earlier
+/// one lies far ahead there, so neither a start nor a lease is refused as late.
+base::Duration lateCallLifetime(const ShardOptions &options);
+
 /// Returns the time after which no lease and no start of an owner has any
 /// effect that may not know that it was replaced just now. Its permission was
 /// last renewed before that; a worker's clock was read up to MaxPollCycle
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -60,6 +60,8 @@
   WorkerState *Worker = nullptr;
   std::int64_t Number = 0;
   RunPhase Phase = RunPhase::Starting;
+  /// Token of the start command.
+  base::FencingToken Token{0};
   /// When the current phase was entered.
   TimePoint PhaseSince;
   TimePoint Started;
@@ -418,9 +420,27 @@
   /// Until then, the worker may have runs of an earlier owner that it has not
   /// listed yet.
   std::optional<TimePoint> UnverifiedUntil;
-  /// After a restart, until then the new incarnation may hold a lease from a
-  /// command that was sent to the earlier one.
+  /// The same if it has restarted since the earlier owner's last answer from
+  /// it.
+  TimePoint UnverifiedUntilIfRestarted{};
+  /// After a restart, until then a command that was sent to the earlier
+  /// incarnation may act on the new one, unless that answers before.
   std::optional<TimePoint> RestartLeaseUntil;
+  /// Number of the worker's fencing token among those of the term.
+  std::uint64_t Generation = 0;
+  /// An incarnation has answered a poll with that token, so calls with lower
+  /// ones are refused there. Until then, no call that could harm a later
+  /// incarnation is sent: no start, lease request or acknowledgement.
+  bool TokenAnswered = false;
+  /// Token of the latest poll.
+  base::FencingToken PollToken{0};
+  /// That incarnation, and whether it may hold the longest lease; as in the
+  /// roster.
+  std::optional<std::chrono::milliseconds> Incarnation;
+  bool LongestLease = false;
+  /// When the lease that LongestLease tells of has no more time left than any
+  /// other.
+  std::optional<TimePoint> LongestLeaseUntil;
   std::optional<ClockSample> Clock;
   /// Latest lease deadline that the worker may have received.
   WorkerTime LatestDeadline{0};
@@ -527,6 +547,11 @@
   }
 };
 
+/// Returns whether a start time shows that the worker has restarted since the
+/// given incarnation; false if either is unknown.
+bool isOtherIncarnation(std::optional<std::chrono::milliseconds> incarnation,
+                        std::chrono::milliseconds startTime);
+
 struct RunView;
 struct WorkerRoom;
 
@@ -543,6 +568,11 @@
         Events(events), MetricsRegistry(metrics) {}
 
   bool Fenced = false;
+  /// Generation of the latest new token of any worker.
+  std::uint64_t LatestGeneration = 0;
+  /// Incarnations of the workers that have been removed.
+  std::map<base::WorkerId, std::optional<std::chrono::milliseconds>>
+      RemovedIncarnations;
   /// No start is sent any more, so the tasks on all workers are known.
   bool Closing = false;
   /// Tasks that may still run for an earlier owner, as of the current plan.
@@ -759,6 +789,25 @@
   /// Handles a restart of the worker. Runs of its earlier incarnation are gone;
   /// commands that may have reached the new one become unconfirmed.
   void handleRestart(WorkerState &worker, const char *cause, TimePoint now);
+
+  // Incarnations.cpp
+  /// Returns the worker's entry; adds one if there is none.
+  WorkerState &workerEntry(const base::WorkerId &id);
+  base::FencingToken tokenOf(const WorkerState &worker) const;
+  /// The worker may have restarted: from the next answer on, it refuses all
+  /// calls that were sent before now.
+  void renewToken(WorkerState &worker);
+  /// Handles the first answer to a token. Calls for earlier incarnations have
+  /// no effect from now on.
+  void onTokenAnswered(WorkerState &worker, std::chrono::milliseconds startTime,
+                       WorkerTime clock, TimePoint now);
+  /// Returns whether the worker lists the run if it ever will: a start that has
+  /// not been confirmed and that is refused from now on.
+  bool isStartRefused(const WorkerState &worker, const Run &run) const;
+  /// Compares the start time in a worker's entry with the roster of an earlier
+  /// owner.
+  void checkInheritedIncarnation(WorkerState &worker,
+                                 std::chrono::milliseconds startTime);
   void reserve(WorkerState &worker, JobEntry &job, const TaskKey &task,
                const Run &run);
   void release(WorkerState &worker, const RunId &run);
