Claim no shard while the node has no lease

Cause: a claim reads the owner record and then writes the directory entry. If the lease was found to have expired in between, the entry was written without one. If that machine was then lost, the entry stayed, and no other node claimed the shard.

Change: a claim is not committed while the node has no lease.

Evidence: ClaimWhileTheLeaseIsReplaced_LeavesNoEntry fails without the change.

--- a/packages/dispatch/src/DispatchNode.cpp
+++ b/packages/dispatch/src/DispatchNode.cpp
@@ -443,7 +443,11 @@
   auto seen = View.Owners.find(shard);
   bool vacant =
       seen == View.Owners.end() || seen->second.Owner.Node == Options.Name;
-  if (record && vacant && !Leaving && !Owned.contains(shard)) {
+  // The lease may have ended since the claim began. An entry without one would
+  // outlive the node.
+  bool mayClaim =
+      vacant && !Leaving && !Owned.contains(shard) && Lease != LeaseId{0};
+  if (record && mayClaim) {
     Commit commit;
     commit.Conditions = {{keys::shardEntry(shard),
                           Directory.revisionOf(keys::shardEntry(shard))},
--- a/tests/support/StoreLink.h
+++ b/tests/support/StoreLink.h
@@ -19,13 +19,15 @@
   bool Cut = false;
   /// Renewals of leases are answered also while the link is cut.
   bool RenewalsPass = false;
-  /// Time that a commit takes before it reaches the store.
-  std::chrono::milliseconds CommitDelay{1};
+  /// Times that a commit and a read take before they reach the store.
+  std::chrono::milliseconds CommitDelay{1}, ReadDelay{1};
   int Renewals = 0;
   /// Commits that write this key fail and have no effect; empty for none.
   std::string FailingKey;
   /// Called with each commit before it reaches the store; may be empty.
   std::function<void(const dispatch::Commit &)> BeforeCommit;
+  /// Called with the key of each read that has been sent; may be empty.
+  std::function<void(const std::string &)> BeforeRead;
 
   explicit StoreLink(dispatch::MetadataStore &store) : Store(store) {}
 
@@ -41,7 +43,9 @@
     co_return co_await Store.commit(std::move(request));
   }
   Async<std::optional<dispatch::StoredItem>> read(std::string key) override {
-    co_await delay();
+    if (BeforeRead)
+      BeforeRead(key);
+    co_await delay(ReadDelay);
     if (Cut)
       co_return unavailable();
     co_return co_await Store.read(std::move(key));
--- a/tests/unit/unit-dispatch-node.cpp
+++ b/tests/unit/unit-dispatch-node.cpp
@@ -2,6 +2,7 @@
 // is unavailable, the handover of shards, and mirrors whose watch history is
 // lost.
 #include "support/NodeFixture.h"
+#include "support/StoreLink.h"
 
 #include "endivedoor/dispatch/DispatchNode.h"
 #include "endivedoor/dispatch/PrefixMirror.h"
@@ -576,6 +577,33 @@
       runUntil([&] { return stateOf(node, 1) == JobState::Succeeded; }));
 }
 
+// review/6: a node whose lease had expired claimed a shard while it joined
+// again. Its entry had no lease, and no other node claimed the shard once that
+// node was lost.
+TEST_F(DispatchNodeOwnership, ClaimWhileTheLeaseIsReplaced_LeavesNoEntry) {
+  // Longer than the interval of the lease's renewal.
+  constexpr auto readTime = 200ms, commitTime = 600ms;
+  StoreLink link(Store);
+  std::size_t claims = 0;
+  link.BeforeCommit = [&](const dispatch::Commit &commit) {
+    for (const dispatch::Write &it : commit.Writes)
+      if (it.Key == dispatch::keys::shardEntry(0)) {
+        EXPECT_NE(it.Lease, dispatch::LeaseId{0});
+        ++claims;
+      }
+  };
+  Store.put(dispatch::keys::layout(), R"({"shards":1})");
+  link.ReadDelay = readTime;
+  addNode("n1", link, Workers);
+  link.BeforeRead = [&](const std::string &key) {
+    if (key != dispatch::keys::owner(0) || link.CommitDelay == commitTime)
+      return;
+    link.CommitDelay = commitTime;
+    Store.expireLease(dispatch::LeaseId{1});
+  };
+  ASSERT_TRUE(runUntil([&] { return claims > 0; }));
+}
+
 // The first node to start after a power failure must not claim every shard: a
 // single node is too slow for all of them.
 TEST_F(DispatchNodeOwnership, FirstNode_LeavesShardsToTheNext) {
