Count a job as begun once a worker has begun a task of it

Cause: a job counted as begun, and its index entry was marked as running, as soon as a start was sent.

Change: it does so once the start is answered, or the run or its end is listed. The time to the first start is measured then, and no longer for jobs of an earlier owner, whose acceptance this one does not know.

--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -245,6 +245,19 @@
   return progress;
 }
 
+void ShardState::markStarted(JobEntry &job, TimePoint now) {
+  if (job.Started)
+    return;
+  job.Started = true;
+  // When an inherited job was accepted is unknown, and so is the revision of
+  // its index entry.
+  if (job.Inherited)
+    return;
+  MetricsRegistry.observeFirstStart(now - job.Accepted);
+  if (!job.IsPart)
+    StartedUnmarked.push_back(job.Job.Id);
+}
+
 } // namespace detail
 
 using detail::JobEntry;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -77,13 +77,6 @@
   task.Runs.push_back(run);
   ++job.RunCount;
   ++entry.RunCount;
-  if (!job.Started) {
-    MetricsRegistry.observeFirstStart(now - job.Accepted);
-    // The index revision of an inherited job is unknown.
-    if (!job.Inherited && !job.IsPart)
-      StartedUnmarked.push_back(job.Job.Id);
-  }
-  job.Started = true;
   RunId id{key, number};
   MetricsRegistry.countStart(
       CurrentUrgency,
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -148,7 +148,7 @@
     task->UnresolvedRun = 0;
   ++job->RunCount;
   ++entry.RunCount;
-  job->Started = true;
+  markStarted(*job, now);
   reserve(worker, *job, row.Id.Task, run);
   if (task->isSuspect())
     worker.SuspectRuns.insert(row.Id);
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -188,7 +188,7 @@
   task->LastRun = std::max(task->LastRun, end.Id.Number);
   if (end.Id.Number >= task->UnresolvedRun)
     task->UnresolvedRun = 0;
-  job->Started = true;
+  markStarted(*job, now);
   if (!end.Checkpoint.empty())
     task->Checkpoint = end.Checkpoint;
   bool progressed = false;
@@ -254,6 +254,16 @@
   queueAcknowledgement(worker, end.SequenceNumber, end.Id.Task, job->Version);
 }
 
+void ShardState::confirmRun(JobEntry &job, TaskEntry &task, Run &run,
+                            TimePoint now) {
+  run.Phase = RunPhase::Running;
+  run.PhaseSince = now;
+  run.Confirmed = true;
+  // A later wait is another one. A start that fails goes on with this one.
+  task.WaitingSince.reset();
+  markStarted(job, now);
+}
+
 void ShardState::processRunning(WorkerState &worker, const PollReport &report,
                                 TimePoint sent, TimePoint now) {
   std::set<RunId> listed;
@@ -280,11 +290,7 @@
                    {"ms", std::to_string((now - run->Started) / 1ms)}});
     if (run->Phase == RunPhase::Starting ||
         run->Phase == RunPhase::Unconfirmed) {
-      run->Phase = RunPhase::Running;
-      run->PhaseSince = now;
-      run->Confirmed = true;
-      // A later wait is another one. A start that fails goes on with this one.
-      task->WaitingSince.reset();
+      confirmRun(*job, *task, *run, now);
     }
     worker.Trials.onListed(row.Id);
     if (stepOf(*job, row.Id.Task).LongRunning && !run->Passed &&
@@ -728,11 +734,7 @@
   if (result && result.value() == CommandResult::Done) {
     if (run->Phase == RunPhase::Starting ||
         run->Phase == RunPhase::Unconfirmed) {
-      run->Phase = RunPhase::Running;
-      run->PhaseSince = now;
-      run->Confirmed = true;
-      // A later wait is another one. A start that fails goes on with this one.
-      task->WaitingSince.reset();
+      s.confirmRun(*job, *task, *run, now);
     }
     return;
   }
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -181,6 +181,7 @@
   TimePoint Accepted;
   /// An earlier owner may have started tasks.
   bool Inherited = false;
+  /// A worker has begun a task of it, or tasks have been delegated.
   bool Started = false;
   std::int64_t IndexRevision = 0;
   std::int64_t ProgressRevision = 0;
@@ -767,6 +768,11 @@
                             const TaskKey &task, std::uint64_t version);
   /// Returns whether only the worker's list shows the end so far.
   bool isUnstored(const UnacknowledgedEnd &end) const;
+  /// A worker has shown that the run has begun.
+  void confirmRun(JobEntry &job, TaskEntry &task, Run &run, TimePoint now);
+  /// A worker has begun a task of the job. A start that is only sent may be
+  /// refused.
+  void markStarted(JobEntry &job, TimePoint now);
   void processRunning(WorkerState &worker, const PollReport &report,
                       TimePoint sent, TimePoint now);
   void adoptRun(WorkerState &worker, const RunStatus &row, TimePoint now);
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -112,6 +112,26 @@
   EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
 }
 
+// review/8: a worker that refuses starts made all jobs that were tried there
+// count as begun.
+TEST_F(ShardStart, RefusedOrUnansweredStart_LeavesTheJobPending) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  TestShard.addJob(job(2, {step(1)}), 201, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  ASSERT_EQ(orders.size(), 2u);
+  EXPECT_EQ(TestShard.load().Pending["q"], 2);
+  TestShard.onStart(orders[0], CommandResult::Unhealthy, now());
+  TestShard.onStart(orders[1], base::fail(base::Errc::WorkerAnswerLost, ""),
+                    now());
+  EXPECT_EQ(TestShard.load().Pending["q"], 2);
+  PollReport report;
+  report.Running.push_back({orders[1].Run, "", 100, 0, false});
+  poll("w1", report);
+  EXPECT_EQ(TestShard.load().Pending["q"], 1);
+  EXPECT_EQ(TestShard.takeStartedMarks(9).size(), 1u);
+}
+
 TEST_F(ShardStart, RunOfAnEarlierIncarnation_StartsElsewhereImmediately) {
   addWorker("w1");
   TestShard.addJob(job(1, {step(1)}), 200, false, now());
