Keep starts in doubt after a restart, whatever their stops have shown

Cause: after a restart, a run counted as one of the earlier incarnation if any answer had arrived since its phase had changed. A start without an answer that was being stopped has changed its phase, and so has one whose answer came from the new incarnation; neither has been listed. A stop that the earlier incarnation had confirmed counted for the next one as well. The tasks were started elsewhere while the late start could still act.

Change: only a run that a list of the incarnation has shown is lost with it. The confirmation of a stop ends with the incarnation, and no run is missed in a list before the worker's token has been answered.

--- a/packages/dispatch/src/Crashes.cpp
+++ b/packages/dispatch/src/Crashes.cpp
@@ -97,7 +97,7 @@
                            suspects.size() < 2};
     // A start without an answer may have reached the new incarnation instead;
     // its next list shows that.
-    if (sameId && !wasReportedRunning(worker, *it.Entry))
+    if (sameId && !it.Entry->Listed)
       it.Entry->PossibleCrash = evidence;
     else
       countCrash(*it.Job, it.Key, *it.Task, *it.Entry, evidence, now);
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -52,12 +52,6 @@
   }
 }
 
-bool wasReportedRunning(const WorkerState &worker, const Run &run) {
-  return run.Phase != RunPhase::Starting &&
-         run.Phase != RunPhase::Unconfirmed && worker.Clock &&
-         run.PhaseSince < worker.Clock->ReceivedAt;
-}
-
 void ShardState::handleRestart(WorkerState &worker, const char *cause,
                                TimePoint now) {
   recordCrash(worker, true, now);
@@ -70,7 +64,7 @@
     for (Run &it : task->Runs) {
       if (it.Number != id.Number || it.Worker != &worker)
         continue;
-      if (wasReportedRunning(worker, it)) {
+      if (it.Listed) {
         lost.push_back(id);
         continue;
       }
@@ -79,6 +73,7 @@
       it.Phase = RunPhase::Unconfirmed;
       it.PhaseSince = now;
       it.Stops = {};
+      it.StopConfirmed.reset();
     }
   }
   for (const RunId &it : lost)
@@ -136,7 +131,7 @@
   run.Number = row.Id.Number;
   run.Phase = wanted ? RunPhase::Running : RunPhase::Stopping;
   run.PhaseSince = run.Started = run.LastBusy = now;
-  run.Adopted = run.Confirmed = true;
+  run.Adopted = run.Confirmed = run.Listed = true;
   run.SpeedPercent = run.OrderedPercent =
       step.LongRunning ? 100 : row.SpeedPercent;
   // Both may still run; which is the copy does not matter.
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -292,6 +292,7 @@
         run->Phase == RunPhase::Unconfirmed) {
       confirmRun(*job, *task, *run, now);
     }
+    run->Listed = true;
     worker.Trials.onListed(row.Id);
     if (stepOf(*job, row.Id.Task).LongRunning && !run->Passed &&
         now - run->Started >= TrialTime) {
@@ -312,9 +313,10 @@
     if (!row.Checkpoint.empty())
       task->Checkpoint = row.Checkpoint;
   }
-  // The missing run may be one whose end cannot be read.
+  // The missing run may be one whose end cannot be read, or one that a late
+  // call is yet to start.
   if (report.MoreEnded || report.RunningIncomplete ||
-      !worker.UnreadableEnds.empty())
+      !worker.UnreadableEnds.empty() || !worker.TokenAnswered)
     return;
   // Runs that the worker must know of but reports neither as running nor as
   // ended.
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -86,6 +86,9 @@
   bool Resumed = false;
   /// The worker has confirmed the run.
   bool Confirmed = false;
+  /// A list of the worker's current incarnation has shown the run. The answer
+  /// to its start may have come from a later one.
+  bool Listed = false;
   /// A long-running task that has run for TrialTime; it speaks for its worker.
   bool Passed = false;
   /// Set if the worker crashed while the start was unconfirmed: the run was
@@ -1025,10 +1028,6 @@
 /// \param unverified whether an inherited task may run unknown to this shard.
 bool mayBeSplit(const JobEntry &job, bool unverified);
 
-/// Returns whether the worker has reported the run since it was started, so
-/// that the run belongs to the incarnation that answered last.
-bool wasReportedRunning(const WorkerState &worker, const Run &run);
-
 /// Returns the step of a task.
 const model::StepSpec &stepOf(const JobEntry &job, const TaskKey &key);
 
--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -206,6 +206,65 @@
   EXPECT_GT(nextPoll().Token, Started[0].Token);
 }
 
+// A start in doubt that was being stopped counted as reported by the worker as
+// soon as any answer had arrived after the stop. After a restart its task was
+// started elsewhere while the late start could still act.
+TEST_F(RestartUnderTheId, UnansweredStop_LeavesTheStartInDoubt) {
+  TestShard.onStart(Started[0], base::fail(base::Errc::WorkerAnswerLost, ""),
+                    now());
+  Time.advance(400ms);
+  ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  answer(FirstLife);
+  losePoll();
+  announce(SecondLife);
+  EXPECT_FALSE(waitForRestart(20s));
+}
+
+TEST_F(RestartUnderTheId,
+       UnansweredStopAndRestartInAnAnswer_LeaveTheStartInDoubt) {
+  TestShard.onStart(Started[0], base::fail(base::Errc::WorkerAnswerLost, ""),
+                    now());
+  Time.advance(400ms);
+  ASSERT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  answer(FirstLife);
+  answer(SecondLife);
+  losePoll();
+  EXPECT_FALSE(waitForRestart(20s));
+}
+
+// The answer to the start may have come from the new incarnation; an answer of
+// the earlier one that was delayed says nothing of it.
+TEST_F(RestartUnderTheId, StartAnsweredBeforeADelayedList_IsInDoubt) {
+  nextPoll();
+  base::TimePoint sent = now();
+  Time.advance(100ms);
+  confirmStarts(Started);
+  Time.advance(100ms);
+  PollReport report;
+  report.StartTime = FirstLife;
+  report.Clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+      sent.time_since_epoch());
+  TestShard.onPoll(base::WorkerId("w1"), report, sent, now());
+  losePoll();
+  announce(SecondLife);
+  EXPECT_FALSE(waitForRestart(5s));
+}
+
+// A stop that an earlier incarnation has confirmed says nothing of the next.
+TEST_F(RestartUnderTheId,
+       StopConfirmedByTheEarlierIncarnation_LeavesTheStartInDoubt) {
+  TestShard.onStart(Started[0], base::fail(base::Errc::WorkerAnswerLost, ""),
+                    now());
+  Time.advance(400ms);
+  std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+  ASSERT_EQ(stops.size(), 1u);
+  TestShard.onStop(stops[0], CommandResult::Done, now());
+  Time.advance(1ms);
+  answer(SecondLife);
+  losePoll();
+  EXPECT_FALSE(waitForRestart(20s));
+}
+
 /// An owner that used "w1" in its first life is replaced; the worker does not
 /// answer the next owner.
 class NextOwner : public ShardFixture {
