Do not begin the longest lease anew with each silence

What callers saw: tasks of a worker that had restarted, and whose polls timed out now and then, waited 10.3 s instead of 6.2 s for its lease, however long ago the restart was.

Cause: each first answer to a new token counted the longest lease from then on while the flag for the roster was set.

Change: only the first one after a restart or a takeover does.

Evidence: PollsThatTimeOut_DoNotRenewTheLongestLease fails without the change.

--- a/packages/dispatch/src/Incarnations.cpp
+++ b/packages/dispatch/src/Incarnations.cpp
@@ -53,7 +53,8 @@
   // A call for an earlier incarnation may have acted on this one just before.
   // What it started is listed; its lease is not.
   if (worker.Incarnation &&
-      (*worker.Incarnation != startTime || worker.LongestLease)) {
+      (*worker.Incarnation != startTime ||
+       (worker.LongestLease && !worker.LongestLeaseUntil))) {
     worker.LatestDeadline =
         std::max(worker.LatestDeadline, clock + Options.MaxLease);
     worker.LongestLeaseUntil =
--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -265,6 +265,25 @@
   EXPECT_FALSE(waitForRestart(20s));
 }
 
+// A worker whose polls time out now and then held its tasks for the longest
+// lease for ever.
+TEST_F(RestartUnderTheId, PollsThatTimeOut_DoNotRenewTheLongestLease) {
+  confirmStarts(Started);
+  announce(SecondLife);
+  answer(SecondLife, true);
+  for (int i = 0; i < 5; ++i) {
+    answer(SecondLife, true);
+    Time.advance(1s);
+    losePoll();
+    answer(SecondLife, true);
+    plan();
+  }
+  base::TimePoint answered = now();
+  losePoll();
+  ASSERT_TRUE(waitForRestart(20s));
+  EXPECT_LT(now() - answered, 7500ms);
+}
+
 /// An owner that used "w1" in its first life is replaced; the worker does not
 /// answer the next owner.
 class NextOwner : public ShardFixture {
