Remember the incarnation of workers that are not waited for

Cause: a worker that was removed soon after its restart came back without the note of its longest lease; a row of the roster whose wait was over when it was read was passed over with its incarnation. A late call could then give the worker a longer lease than its owner counted.

Change: both are remembered until the worker answers.

Evidence: RemovedSoonAfterARestart_KeepsTheLongestLease and RowWhoseWaitIsOver_StillTellsOfTheIncarnation fail without the change.

--- a/packages/dispatch/src/Incarnations.cpp
+++ b/packages/dispatch/src/Incarnations.cpp
@@ -22,10 +22,10 @@
   if (entry)
     return *entry;
   entry = std::make_unique<WorkerState>();
-  if (auto removed = RemovedIncarnations.find(id);
-      removed != RemovedIncarnations.end()) {
-    entry->Incarnation = removed->second;
-    RemovedIncarnations.erase(removed);
+  if (auto former = FormerIncarnations.find(id);
+      former != FormerIncarnations.end()) {
+    entry->Incarnation = former->second;
+    FormerIncarnations.erase(former);
     renewToken(*entry);
   }
   return *entry;
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -197,8 +197,13 @@
     }
     if (it.LeaseLeft && !announced)
       until = std::min<TimePoint>(until, now + *it.LeaseLeft);
-    if (until <= now)
+    if (until <= now) {
+      auto &incarnation = known != s.Workers.end()
+                              ? known->second->Incarnation
+                              : s.FormerIncarnations[it.Id];
+      incarnation = restarted || it.LongestLease ? 0ms : it.Incarnation;
       continue;
+    }
     detail::WorkerState &w = s.workerEntry(it.Id);
     w.Profile.Id = it.Id;
     w.Profile.Endpoint = it.Endpoint;
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -435,7 +435,7 @@
       ++it;
       continue;
     }
-    RemovedIncarnations[it->first] = w.Incarnation;
+    FormerIncarnations[it->first] = w.LongestLease ? 0ms : w.Incarnation;
     it = Workers.erase(it);
   }
 }
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -574,9 +574,10 @@
   bool Fenced = false;
   /// Generation of the latest new token of any worker.
   std::uint64_t LatestGeneration = 0;
-  /// Incarnations of the workers that have been removed.
+  /// Incarnations of workers that have been removed, or whose row in the roster
+  /// of an earlier owner need not be waited for; as in WorkerState.
   std::map<base::WorkerId, std::optional<std::chrono::milliseconds>>
-      RemovedIncarnations;
+      FormerIncarnations;
   /// No start is sent any more, so the tasks on all workers are known.
   bool Closing = false;
   /// Tasks that may still run for an earlier owner, as of the current plan.
--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -284,6 +284,39 @@
   EXPECT_LT(now() - answered, 7500ms);
 }
 
+// The longest lease was forgotten with a worker that was removed soon after its
+// restart.
+TEST_F(RestartUnderTheId, RemovedSoonAfterARestart_KeepsTheLongestLease) {
+  TestShard.cancelJob(JobNumber{1}, now());
+  announce(SecondLife);
+  answer(SecondLife);
+  plan();
+  base::TimePoint fenced = now();
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  storeWrites();
+  plan();
+  ASSERT_FALSE(TestShard.hasWorker(base::WorkerId("w1")));
+  announce(SecondLife);
+  answer(SecondLife);
+  TestShard.addJob(job(5, {step(8, WorkerMilliCores / 8)}), 205, false, now());
+  Started = plan();
+  std::erase_if(Started, [](const WorkerCommand &it) {
+    return it.Worker.Id.str() != "w1";
+  });
+  ASSERT_GE(Started.size(), 1u);
+  confirmStarts(Started);
+  losePoll();
+  bool again = false;
+  while (!again && now() - fenced < 20s) {
+    poll("w2");
+    storeWrites();
+    for (const WorkerCommand &it : plan())
+      again |= it.Run.Task == Started[0].Run.Task;
+    Time.advance(50ms);
+  }
+  EXPECT_GT(now() - fenced, 10300ms);
+}
+
 /// An owner that used "w1" in its first life is replaced; the worker does not
 /// answer the next owner.
 class NextOwner : public ShardFixture {
@@ -432,6 +465,29 @@
   expectWait(22300ms);
 }
 
+// A row of the roster whose wait is over is passed over, and the next owner did
+// not notice the restart.
+TEST_F(NextOwner, RowWhoseWaitIsOver_StillTellsOfTheIncarnation) {
+  std::vector<dispatch::RosterEntry> roster = TestShard.roster();
+  Replaced = now();
+  Time.advance(6300ms);
+  Next.markUnverified(roster, {{Term, Replaced, false}}, now());
+  Next.addJob(job(Waiting, {step(1)}), 6, true, now());
+  Next.updateWorker(worker("w2"), now());
+  announce(Next, SecondLife);
+  Next.nextPoll(base::WorkerId("w1"), now(), true);
+  PollReport report;
+  report.Clock = 5000ms;
+  report.StartTime = SecondLife;
+  report.Running.push_back(
+      {{{JobNumber{Waiting}, 0, 0, 0}, 5}, "", 100, 0, false});
+  base::TimePoint sent = now();
+  Next.onPoll(base::WorkerId("w1"), report, sent, now());
+  Next.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  Replaced = now();
+  expectWait(10300ms);
+}
+
 TEST_F(NextOwner, AnswerOfTheRestartedWorker_EndsTheWait) {
   announce(Next, SecondLife);
   replaceOwner();
