--- a/packages/dispatch/src/Incarnations.cpp
+++ b/packages/dispatch/src/Incarnations.cpp
@@ -13,7 +13,8 @@
 
 bool isOtherIncarnation(std::optional<std::chrono::milliseconds> incarnation,
                         std::chrono::milliseconds startTime) {
-  return incarnation && incarnation->count() != 0 && startTime > *incarnation;
+  return incarnation && incarnation->count() != 0 && startTime.count() != 0 &&
+         *incarnation != startTime;
 }
 
 WorkerState &ShardState::workerEntry(const base::WorkerId &id) {
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -551,9 +551,8 @@
   }
 };
 
-/// Returns whether the start time in an entry shows that the worker has
-/// restarted since the given incarnation; false if either is unknown. An entry
-/// may be older than the incarnation.
+/// Returns whether a start time shows that the worker has restarted since the
+/// given incarnation; false if either is unknown.
 bool isOtherIncarnation(std::optional<std::chrono::milliseconds> incarnation,
                         std::chrono::milliseconds startTime);
 
