Send a speed limit again that its worker has refused as fenced

A filler ran at full speed beside a serving task although its pause had been decided.

Cause: the worker's token may be renewed while a speed limit is on the way. The worker refuses it then, and the owner took any answer as carried out.

Change: a speed limit that is refused as fenced counts as unknown.

Evidence: FencedPause_IsSentAgain fails without the change.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -277,8 +277,10 @@
                base::TimePoint now);
   void onStop(const WorkerCommand &command, base::Result<CommandResult> result,
               base::TimePoint now);
-  /// Marks the speed limit as unknown, so that the next plan sends it again.
-  void onThrottleFailed(const WorkerCommand &command);
+  /// Unless the command was carried out, marks the speed limit as unknown, so
+  /// that the next plan sends it again.
+  void onThrottle(const WorkerCommand &command,
+                  base::Result<CommandResult> result);
 
   /// Decides which runs to start, stop and throttle now.
   ///
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -569,8 +569,8 @@
   case WorkerCommand::Kind::Throttle: {
     auto answer = co_await Context.WorkerCalls.throttle(
         order.Worker, order.Run, order.SpeedPercent, order.Token, CallTimeout);
-    if (!Stopped && !answer)
-      State.onThrottleFailed(order);
+    if (!Stopped)
+      State.onThrottle(order, std::move(answer));
     break;
   }
   }
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -798,7 +798,11 @@
                      });
 }
 
-void Shard::onThrottleFailed(const WorkerCommand &command) {
+void Shard::onThrottle(const WorkerCommand &command,
+                       base::Result<CommandResult> result) {
+  // Refused as fenced, it had no effect: the worker has seen a newer token.
+  if (result && result.value() != CommandResult::Fenced)
+    return;
   TaskEntry *task = State->findTask(command.Run.Task);
   if (!task)
     return;
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -768,6 +768,25 @@
   EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
 }
 
+// A speed limit that the worker refuses as fenced has no effect: its token was
+// renewed while the command was on the way.
+TEST_F(ShardInterference, FencedPause_IsSentAgain) {
+  std::vector<WorkerCommand> throttles;
+  for (int i = 0; i < 8 && throttles.empty(); ++i) {
+    report(TargetMs * 3);
+    throttles = plan(WorkerCommand::Kind::Throttle);
+    Time.advance(300ms);
+  }
+  ASSERT_EQ(throttles.size(), 3u);
+  TestShard.onThrottle(throttles[0], CommandResult::Done);
+  TestShard.onThrottle(throttles[1], CommandResult::Fenced);
+  TestShard.onThrottle(throttles[2], CommandResult::Done);
+  report(TargetMs * 3);
+  std::vector<WorkerCommand> again = plan(WorkerCommand::Kind::Throttle);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].Run, throttles[1].Run);
+}
+
 // A filler that the model holds harmful beside every serving task of every
 // shard must not wait forever while the workers are nearly idle: large quiet-1
 // --small seed 3, where a job moved between shards five times and never ran.
