--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -54,6 +54,9 @@
 /// shows a delay in the node itself.
 constexpr auto SlowCall = 1000ms;
 
+constexpr const char *FencedCause =
+    "a worker has seen a higher fencing token, or none is left for the term";
+
 ShardRunner::ShardRunner(RunnerContext context, Term term)
     : Context(std::move(context)), CurrentTerm(std::move(term)),
       State(
@@ -412,7 +415,7 @@
     }
     State.onPoll(worker, report.value(), sent, Context.Time.now());
     if (State.isFenced())
-      co_return endTerm("a worker has seen a higher fencing token");
+      co_return endTerm(FencedCause);
     requestPlan(State.takeRoomOpened());
     if (State.hasWrites())
       CommitTimer.cancel();
@@ -457,7 +460,7 @@
     Pacing.onPlanned(begin, Context.Time.now());
     execute(std::move(orders));
     if (State.isFenced())
-      co_return endTerm("a worker has seen a higher fencing token");
+      co_return endTerm(FencedCause);
     Context.MetricsRegistry.setLiveJobs(State.liveJobCount());
     spawnAccountWrites();
     if (!PlanDue)
