Carry late calls of the stand-in worker out in the next incarnation

A task can run twice when a worker starts again under its id while calls for its earlier incarnation are on the way.

Cause: the stand-in executed only starts, stops and paces late, 1 to 5 s after they came, and dropped them when the worker restarted. Polls, which carry the lease and the acknowledgement, were never late.

Change: a share of all calls, polls included, is carried out 2 to 12 s late by the incarnation that runs then, with the fencing token, the longest lease and the acknowledgement as for any other call. A poll that waits during a short restart gets no answer from the next incarnation.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -304,7 +304,7 @@
     faults.FailStarts = true;
     break;
   default:
-    faults.LateCommandRate = 0.3;
+    faults.LateCallRate = 0.3;
   }
   std::vector<WorkerServer *> affected = {&randomWorker(), &randomWorker()};
   for (WorkerServer *it : affected)
--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -327,10 +327,12 @@
           {"born", Profile.StartTime.count()}};
 }
 
-Awaitable<HttpResponse> WorkerServer::poll(json::value body) {
+/// Extends the lease and discards acknowledged ends. Returns false without any
+/// effect if the fencing token is lower than an earlier one.
+bool WorkerServer::applyPoll(const json::value &body) {
   Fields f(&body);
   if (!acceptToken(f.number("fencing_token")))
-    co_return reject("fence");
+    return false;
   std::int64_t acknowledged = f.number("last_seen");
   while (!EndedRuns.empty() && EndedRuns.front().Number <= acknowledged) {
     if (!EndedRuns.front().LeaseExpired)
@@ -340,15 +342,25 @@
   LeaseDeadline =
       std::max(LeaseDeadline, std::min(milliseconds(f.number("deadline_ms")),
                                        uptime() + MaxLeaseTime));
-  base::TimePoint until = Time.now() + milliseconds(f.number("wait_ms"));
-  while (EndedRuns.empty() && !DownUntil && Time.now() < until) {
+  return true;
+}
+
+Awaitable<HttpResponse> WorkerServer::poll(json::value body) {
+  if (!applyPoll(body))
+    co_return reject("fence");
+  base::TimePoint incarnation = IncarnationStart;
+  base::TimePoint until =
+      Time.now() + milliseconds(Fields(&body).number("wait_ms"));
+  while (EndedRuns.empty() && !DownUntil && incarnation == IncarnationStart &&
+         Time.now() < until) {
     asio::steady_timer timer(Io);
     timer.expires_after(until - Time.now());
     WaitingPolls.insert(&timer);
     co_await timer.async_wait(AsTuple);
     WaitingPolls.erase(&timer);
   }
-  if (DownUntil)
+  // A restart breaks the connections of the earlier incarnation.
+  if (DownUntil || incarnation != IncarnationStart)
     co_return closeWithoutResponse();
   co_return makeResponse(200, statusBody());
 }
@@ -423,14 +435,16 @@
   return makeResponse(200);
 }
 
-Awaitable<void> WorkerServer::handleCommandLate(std::string path,
-                                                json::value body) {
-  base::TimePoint incarnation = IncarnationStart;
-  std::uniform_int_distribution<int> delay(1000, 5000);
-  asio::steady_timer timer(Io, milliseconds(delay(Random)));
+/// Carries a call out after \p delay, by the incarnation that runs then.
+Awaitable<void> WorkerServer::handleLate(std::string path, json::value body,
+                                         milliseconds delay) {
+  asio::steady_timer timer(Io, delay);
   co_await timer.async_wait(AsTuple);
-  // A crash discards the commands that have not been executed.
-  if (!DownUntil && incarnation == IncarnationStart)
+  if (DownUntil)
+    co_return;
+  if (path.ends_with("/hold"))
+    applyPoll(body);
+  else
     handleCommand(path, body, true);
 }
 
@@ -444,14 +458,18 @@
   base::Result<json::value> body = installation::parseBody(request.Body);
   if (!body)
     co_return makeResponse(400);
-  if (request.Path.ends_with("/hold"))
-    co_return co_await poll(std::move(body.value()));
-  std::bernoulli_distribution late(ActiveFaults.LateCommandRate);
+  std::bernoulli_distribution late(ActiveFaults.LateCallRate);
   if (late(Random)) {
-    asio::co_spawn(Io, handleCommandLate(request.Path, body.value()),
+    std::uniform_int_distribution<std::int64_t> delay(
+        ActiveFaults.MinCallDelay.count(), ActiveFaults.MaxCallDelay.count());
+    asio::co_spawn(Io,
+                   handleLate(request.Path, std::move(body.value()),
+                              milliseconds(delay(Random))),
                    asio::detached);
     co_return closeWithoutResponse();
   }
+  if (request.Path.ends_with("/hold"))
+    co_return co_await poll(std::move(body.value()));
   co_return handleCommand(request.Path, body.value(), false);
 }
 
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -26,8 +26,12 @@
     bool Stuck = false;
     /// Every new run fails shortly after its start.
     bool FailStarts = false;
-    /// Fraction of the commands that are executed late and get no response.
-    double LateCommandRate = 0;
+    /// Fraction of the calls, polls included, that get no response and are
+    /// carried out after a random delay, also by a later incarnation of the
+    /// worker. A call that is due while the worker is down is lost.
+    double LateCallRate = 0;
+    /// Bounds of the delay, by default those of the users' tests.
+    std::chrono::milliseconds MinCallDelay{2000}, MaxCallDelay{12000};
   };
 
   /// \param profile address and id that it publishes.
@@ -74,6 +78,7 @@
 
   Awaitable<HttpResponse> handle(HttpRequest request);
   Awaitable<HttpResponse> poll(json::value body);
+  bool applyPoll(const json::value &body);
   HttpResponse handleCommand(const std::string &path, const json::value &body,
                              bool late);
   HttpResponse start(const dispatch::RunId &id, const json::value &body,
@@ -82,7 +87,8 @@
   HttpResponse reject(const char *reason) const;
   json::object statusBody() const;
   Awaitable<void> runLoop();
-  Awaitable<void> handleCommandLate(std::string path, json::value body);
+  Awaitable<void> handleLate(std::string path, json::value body,
+                             std::chrono::milliseconds delay);
   void advance(std::chrono::milliseconds elapsed);
   void endRun(const dispatch::RunId &id, dispatch::RunOutcome outcome);
   void shutDown(std::chrono::milliseconds downtime);
