Close the connections of a stand-in worker that restarts

What was seen: an idle connection that was opened before a short restart led to the next incarnation. The daemon sends acknowledgements only on connections that are older than the incarnation's first answer, as a process that ends closes its connections. So the soak could show ends discarded that no real worker would discard.

Change: the stand-in ends its server when it goes down and starts it again with the next incarnation.

Evidence: WorkerServerTest.IdleConnection_DoesNotReachNextIncarnation fails without the change of the stand-in.

--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -61,11 +61,9 @@
                            model::WorkerProfile profile, model::Address listen,
                            std::uint64_t seed)
     : Io(io), Time(clock), Store(store), Checker(checker),
-      Profile(std::move(profile)), Random(seed), IncarnationStart(clock.now()) {
+      Profile(std::move(profile)), Listen(std::move(listen)), Random(seed),
+      IncarnationStart(clock.now()) {
   startIncarnation();
-  Server = startServerOrExit(Io, listen, [this](HttpRequest request) {
-    return handle(std::move(request));
-  });
   asio::co_spawn(Io, runLoop(), asio::detached);
 }
 
@@ -74,6 +72,9 @@
   IncarnationStart = Time.now();
   Profile.StartTime = std::chrono::duration_cast<milliseconds>(
       Time.wallNow().time_since_epoch());
+  Server = startServerOrExit(Io, Listen, [this](HttpRequest request) {
+    return handle(std::move(request));
+  });
 }
 
 milliseconds WorkerServer::uptime() const {
@@ -188,6 +189,8 @@
   HighestToken = 0;
   LeaseDeadline = 0ms;
   DownUntil = Time.now() + downtime;
+  // Closes all connections: none reaches the next incarnation.
+  Server.reset();
   for (asio::steady_timer *it : WaitingPolls)
     it->cancel();
 }
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -104,6 +104,7 @@
   KeyValueStore &Store;
   InvariantChecker &Checker;
   model::WorkerProfile Profile;
+  model::Address Listen;
   std::mt19937_64 Random;
   Faults ActiveFaults;
   base::TimePoint IncarnationStart;
--- a/tests/unit/unit-standin-worker.cpp
+++ b/tests/unit/unit-standin-worker.cpp
@@ -239,5 +239,17 @@
   EXPECT_FALSE(*response);
 }
 
+// Clients rely on it that an open connection leads to the same incarnation.
+TEST_F(WorkerServerTest, IdleConnection_DoesNotReachNextIncarnation) {
+  sendAndRead("hold", poll(5));
+  ASSERT_EQ(Client.idleConnections(Address), 1U);
+  base::TimePoint before = Time.now();
+  restart();
+  EXPECT_FALSE(run(Client.sendOnIdle(
+      Address, installation::postRequest("/endivedoor/hold", poll(5)), before,
+      1s)));
+  sendAndRead("hold", poll(5));
+}
+
 } // namespace
 } // namespace endivedoor::standin
