Restart workers with late calls in the soak

Change: a fault of its own restarts one to three workers, in half of the cases in series, cuts them off 0 to 3 s later for 4 to 9 s, and kills their owners in half of the cases, while 0.3 or 0.6 of the calls to them are 2 to 12 s late. It overlaps with the other faults, and its own generator keeps these as they were for a seed.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -50,8 +50,8 @@
 
 FaultInjector::FaultInjector(asio::io_context &io, const base::Clock &clock,
                              TestCluster &cluster, std::uint64_t seed)
-    : Io(io), Time(clock), Cluster(cluster), Random(seed),
-      LossRandom(seed + 1) {}
+    : Io(io), Time(clock), Cluster(cluster), Random(seed), LossRandom(seed + 1),
+      RestartRandom(seed + 2) {}
 
 int FaultInjector::randomInt(int min, int max) {
   return std::uniform_int_distribution<int>(min, max)(Random);
@@ -93,12 +93,19 @@
 Awaitable<void> FaultInjector::runFor(milliseconds duration) {
   milliseconds before = duration * randomInt(20, 80) / 100;
   asio::co_spawn(Io, loseWorker(before), asio::detached);
+  // A restart with late calls takes up to 15 s. In the first half of each
+  // stretch, it does not make the session longer than the other faults do.
+  asio::co_spawn(Io, restartWorkersUntil(Time.now() + before / 2),
+                 asio::detached);
   co_await startFaultsUntil(Time.now() + before);
   co_await waitForFaults();
   Calm = true;
   co_await sleepFor(CalmTime + randomTime(0, 2000));
   Calm = false;
-  co_await startFaultsUntil(Time.now() + (duration - before));
+  milliseconds after = duration - before;
+  asio::co_spawn(Io, restartWorkersUntil(Time.now() + after / 2),
+                 asio::detached);
+  co_await startFaultsUntil(Time.now() + after);
   co_await waitForFaults();
   // After the last fault no change of owner ends the wait for the worker.
   co_await loseWorker(milliseconds(0));
@@ -123,6 +130,80 @@
   --ActiveFaults;
 }
 
+/// Begins at least one fault.
+Awaitable<void> FaultInjector::restartWorkersUntil(base::TimePoint end) {
+  std::uniform_int_distribution<int> firstDelay(0, 1000), interval(1000, 4000);
+  ++ActiveFaults;
+  co_await sleepFor(milliseconds(firstDelay(RestartRandom)));
+  do {
+    asio::co_spawn(
+        Io,
+        inject({"worker-restart-late", &FaultInjector::restartWithLateCalls}),
+        asio::detached);
+    co_await sleepFor(milliseconds(interval(RestartRandom)));
+  } while (Time.now() < end);
+  --ActiveFaults;
+}
+
+/// Restarts some workers under their ids, once or in series, and cuts them off
+/// soon after, while a part of the calls to them is carried out late. The
+/// daemons that own them are killed in half of the cases, before the cut.
+Awaitable<void> FaultInjector::restartWithLateCalls() {
+  auto random = [&](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(RestartRandom);
+  };
+  int count = random(1, 3);
+  int first = random(0, static_cast<int>(Cluster.Workers.size()) - count);
+  int restarts = random(0, 1) == 0 ? 1 : random(2, 3);
+  bool killsOwners = random(0, 1) == 0;
+  WorkerServer::Faults faults;
+  faults.LateCallRate = random(0, 1) == 0 ? 0.3 : 0.6;
+  auto forEachWorker = [&](auto &&action) {
+    for (int i = first; i < first + count; ++i)
+      action(*Cluster.Workers[static_cast<std::size_t>(i)]);
+  };
+  forEachWorker([&](WorkerServer &it) { it.setFaults(faults); });
+  // Calls for the incarnation that is about to end.
+  co_await sleepFor(milliseconds(random(300, 1500)));
+  for (int i = 0; i < restarts; ++i) {
+    if (i > 0)
+      co_await sleepFor(milliseconds(random(100, 1000)));
+    milliseconds downtime(random(100, 1000));
+    forEachWorker([&](WorkerServer &it) { it.crash(downtime); });
+    co_await sleepFor(downtime);
+  }
+  milliseconds untilCut(random(0, 3000));
+  milliseconds untilKill = untilCut * random(0, 100) / 100;
+  milliseconds daemonDowntime(random(50, 2500));
+  milliseconds cut(random(4000, 9000));
+  co_await sleepFor(untilKill);
+  // These daemons are back before the cut ends.
+  if (killsOwners)
+    for (DaemonSlot *it : reserveOwners(static_cast<std::size_t>(first)))
+      asio::co_spawn(Io, killAndStart(*it, daemonDowntime), asio::detached);
+  co_await sleepFor(untilCut - untilKill);
+  for (int i = first; i < first + count; ++i)
+    co_await Cluster.configureLink("worker-" + std::to_string(i),
+                                   R"({"cut":"both"})");
+  co_await sleepFor(cut);
+  for (int i = first; i < first + count; ++i)
+    co_await Cluster.configureLink("worker-" + std::to_string(i), "{}");
+  forEachWorker([](WorkerServer &it) { it.setFaults({}); });
+}
+
+/// Reserves the daemons that own shards whose rosters list the worker, except
+/// those that another fault holds.
+std::vector<DaemonSlot *> FaultInjector::reserveOwners(std::size_t worker) {
+  std::set<std::string> owners = Cluster.ownersOf(worker);
+  std::vector<DaemonSlot *> reserved;
+  for (DaemonSlot &it : Cluster.Daemons)
+    if (owners.contains(it.Name) && !it.HeldByFault) {
+      it.HeldByFault = true;
+      reserved.push_back(&it);
+    }
+  return reserved;
+}
+
 Awaitable<void> FaultInjector::inject(FaultKind kind) {
   ++ActiveFaults;
   ++InjectedCounts[kind.Name];
@@ -136,10 +217,16 @@
   DaemonSlot *slot = reserveDaemon();
   if (!slot)
     co_return;
-  slot->Process->signal(SIGKILL);
-  co_await sleepFor(randomTime(50, 2500));
-  Cluster.startDaemon(*slot);
-  slot->HeldByFault = false;
+  co_await killAndStart(*slot, randomTime(50, 2500));
+}
+
+/// Kills a reserved daemon, starts it after \p downtime, then releases it.
+Awaitable<void> FaultInjector::killAndStart(DaemonSlot &slot,
+                                            milliseconds downtime) {
+  slot.Process->signal(SIGKILL);
+  co_await sleepFor(downtime);
+  Cluster.startDaemon(slot);
+  slot.HeldByFault = false;
 }
 
 Awaitable<void> FaultInjector::stopDaemon() {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -37,8 +37,12 @@
   Awaitable<void> inject(FaultKind kind);
   Awaitable<void> loseWorker(std::chrono::milliseconds maxDelay);
   Awaitable<void> startFaultsUntil(base::TimePoint end);
+  Awaitable<void> restartWorkersUntil(base::TimePoint end);
+  Awaitable<void> restartWithLateCalls();
   Awaitable<void> waitForFaults();
   Awaitable<void> killDaemon();
+  Awaitable<void> killAndStart(DaemonSlot &slot,
+                               std::chrono::milliseconds downtime);
   Awaitable<void> stopAndStart(DaemonSlot &slot);
   Awaitable<void> stopDaemon();
   Awaitable<void> restartInSeries();
@@ -62,6 +66,7 @@
 
   std::string randomLinkFault();
   DaemonSlot *reserveDaemon();
+  std::vector<DaemonSlot *> reserveOwners(std::size_t worker);
   standin::WorkerServer &randomWorker();
   int randomInt(int min, int max);
   std::chrono::milliseconds randomTime(int min, int max);
@@ -73,6 +78,8 @@
   /// Chooses the workers that are lost for good. A generator of its own keeps
   /// the other faults of a seed as they were.
   std::mt19937_64 LossRandom;
+  /// Chooses the restarts with late calls, for the same reason.
+  std::mt19937_64 RestartRandom;
   std::map<std::string, int> InjectedCounts;
   int ActiveFaults = 0;
   /// Daemons that restarts in series have yet to start again.
--- a/tests/soak/TestCluster.cpp
+++ b/tests/soak/TestCluster.cpp
@@ -1,5 +1,10 @@
 #include "TestCluster.h"
 
+#include "Wire.h"
+
+#include "endivedoor/dispatch/Records.h"
+
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -125,6 +130,28 @@
   co_await configureLink("worker-" + std::to_string(number), "{}");
 }
 
+std::set<std::string> TestCluster::ownersOf(std::size_t worker) const {
+  auto read = [&](const std::string &key) {
+    auto record = installation::parseBody(Store.find(key).value_or("{}"));
+    return record ? record.value() : json::value();
+  };
+  json::value layout = read(dispatch::keys::layout());
+  std::int64_t shards = installation::Fields(&layout).number("shards");
+  std::set<std::string> owners;
+  for (std::int32_t shard = 0; shard < shards; ++shard) {
+    auto roster = dispatch::decodeRoster(
+        Store.find(dispatch::keys::roster(shard)).value_or(""));
+    if (!roster || std::none_of(roster.value().begin(), roster.value().end(),
+                                [&](const dispatch::RosterEntry &it) {
+                                  return it.Id.str() == Workers[worker]->id();
+                                }))
+      continue;
+    json::value owner = read(dispatch::keys::owner(shard));
+    owners.insert(installation::Fields(&owner).text("node"));
+  }
+  return owners;
+}
+
 /// Stores the next version of the configuration, with different latency
 /// targets.
 void TestCluster::publishConfiguration() {
--- a/tests/soak/TestCluster.h
+++ b/tests/soak/TestCluster.h
@@ -12,6 +12,7 @@
 #include "endivedoor/platform/HttpClient.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   Awaitable<void> configureLink(std::string name, std::string settings);
   /// A worker crashes for good; its address never answers again.
   Awaitable<void> loseWorker(std::size_t number);
+  /// Names of the daemons that own shards whose rosters list the worker.
+  std::set<std::string> ownersOf(std::size_t worker) const;
   void publishConfiguration();
   /// Clears the faults of all stand-ins and returns all zones to service. The
   /// caller resets the proxy links.
--- a/tests/standins/installation/KeyValueStore.cpp
+++ b/tests/standins/installation/KeyValueStore.cpp
@@ -79,6 +79,13 @@
   wakeWatches();
 }
 
+std::optional<std::string> KeyValueStore::find(const std::string &key) const {
+  auto it = Items.find(key);
+  if (it == Items.end())
+    return std::nullopt;
+  return it->second.Value;
+}
+
 void KeyValueStore::dropHistory() {
   CompactedRevision = Revision;
   History.clear();
--- a/tests/standins/installation/KeyValueStore.h
+++ b/tests/standins/installation/KeyValueStore.h
@@ -41,6 +41,8 @@
 
   void put(const std::string &key, const std::string &value);
   void erase(const std::string &key);
+  /// Returns std::nullopt if there is no such key.
+  std::optional<std::string> find(const std::string &key) const;
   /// Compacts the history up to the current revision; watches from earlier
   /// revisions are answered with 410.
   void dropHistory();
