Test that an acknowledgement is logged with the poll that sends it

What callers saw: nothing; a counter-proof found that no test failed when nextPoll() took ends off its list for a worker that has not answered the current token. The poll then sends no acknowledgement, but the log dates it.

Change: a test of the event EndsAcknowledged for a silent worker.

Evidence: it fails without isKnown in the loop of nextPoll() (a trial on a scratch copy), and passes on the code as it is.

--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -113,6 +113,23 @@
   EXPECT_EQ(nextPoll().AcknowledgedEnd, 1);
 }
 
+// The event that dates an acknowledgement must not be that of a poll without
+// one: traces of discarded ends are read by it.
+TEST_F(RestartUnderTheId, SilentWorker_IsLoggedAsToldOnceItHasAnswered) {
+  auto told = [&] {
+    return Events.counts()[base::EventCode::EndsAcknowledged];
+  };
+  PollReport report;
+  report.Ended = {{1, {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done, ""}};
+  poll("w1", report);
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  EXPECT_EQ(nextPoll().AcknowledgedEnd, 0);
+  EXPECT_EQ(told(), 0u);
+  answer(FirstLife);
+  EXPECT_EQ(nextPoll().AcknowledgedEnd, 1);
+  EXPECT_EQ(told(), 1u);
+}
+
 // Users' day restart-late-takeover-heavy on srsl-main, seed 82: a start began
 // seconds after it had been sent, while its task ran elsewhere. Now it is
 // refused, so that the task need not wait for it either.
