Test two comparisons of tokens that no test needed

What callers saw: nothing; counter-proofs found that no test failed without the comparison of tokens in isStartWanted(), nor without that for a refused poll in onPoll(). The former keeps a start with an earlier token from being sent to a worker that refuses it. Without the latter, a term would end because of its own, newer token, if a stop with it overtakes a poll.

Change: a test for each.

--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -187,6 +187,32 @@
   EXPECT_FALSE(TestShard.isStartWanted(Started[0]));
 }
 
+// A worker that has answered the new token takes starts again, while a start
+// with the earlier one is still waiting to be sent: its list was incomplete, so
+// the run has not been removed. The worker would refuse it.
+TEST_F(RestartUnderTheId, StartNotSentUntilANewTokenIsAnswered_IsWithdrawn) {
+  losePoll();
+  PollReport report;
+  report.RunningIncomplete = true;
+  poll("w1", report);
+  EXPECT_TRUE(TestShard.nextPoll(base::WorkerId("w1"), now(), true)->HasRuns);
+  EXPECT_FALSE(TestShard.isStartWanted(Started[0]));
+}
+
+// A stop carries the new token as soon as the entry shows a restart, so it may
+// overtake a poll with the earlier one, which the worker then refuses.
+TEST_F(RestartUnderTheId, PollOvertakenByANewToken_DoesNotEndTheTerm) {
+  PollReport refused;
+  refused.Fenced = true;
+  dispatch::PollRequest sent = nextPoll();
+  announce(SecondLife);
+  TestShard.onPoll(base::WorkerId("w1"), refused, now(), now());
+  EXPECT_FALSE(TestShard.isFenced());
+  EXPECT_GT(nextPoll().Token, sent.Token);
+  TestShard.onPoll(base::WorkerId("w1"), refused, now(), now());
+  EXPECT_TRUE(TestShard.isFenced());
+}
+
 // Users' day restart-late-takeover-heavy on srsl-main, seed 84: just before the
 // first answer, a late poll had been given the longest lease.
 TEST_F(RestartUnderTheId, SilentSoonAfterARestart_KeepsTheLongestLease) {
