Test that a roster of another incarnation is stored again

What callers saw: nothing; counter-proofs found that no test failed when isRoster() left out the incarnation or the longest lease.

Change: a test of isRoster() for rows that differ in one of them only.

Evidence: it fails without either comparison (trials on a scratch copy, one at a time), and passes on the code as it is.

--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -213,6 +213,19 @@
   EXPECT_TRUE(TestShard.isFenced());
 }
 
+// A roster that differs in what the next owner's wait depends on must be stored
+// again, also if it names the same workers and tasks.
+TEST_F(RestartUnderTheId, RosterOfAnotherIncarnation_IsNotUpToDate) {
+  std::vector<dispatch::RosterEntry> current = TestShard.roster();
+  ASSERT_TRUE(TestShard.isRoster(current));
+  std::vector<dispatch::RosterEntry> earlier = current;
+  earlier[0].Incarnation = 0ms;
+  EXPECT_FALSE(TestShard.isRoster(earlier));
+  earlier = current;
+  earlier[0].LongestLease = !current[0].LongestLease;
+  EXPECT_FALSE(TestShard.isRoster(earlier));
+}
+
 // Users' day restart-late-takeover-heavy on srsl-main, seed 84: just before the
 // first answer, a late poll had been given the longest lease.
 TEST_F(RestartUnderTheId, SilentSoonAfterARestart_KeepsTheLongestLease) {
