Keep a task on the worker of a start without an answer

Cause: a start without an answer was given up once an incarnation had refused it by its token or had confirmed its stop, and its task was started elsewhere. The next incarnation has seen no token; before its first answer it carried the start out. The next owner did not know of such starts at all.

Change: for 12 s from the loss of the answer, the task starts only on the same worker, where the incarnation that begins the late run has lost the other one. A short task whose worker has restarted since does not start there either, as it could be done before the next restart. A long-running task is held for 4 s, because its callers count it as lost after 6 s. The roster names the tasks of such starts, so that the next owner holds them too.

--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -298,6 +298,9 @@
   std::optional<std::chrono::milliseconds> Incarnation = {};
   /// That incarnation may hold the longest lease that a worker grants.
   bool LongestLease = false;
+  /// Tasks of which a start without an answer may still be carried out if the
+  /// worker restarts. Ascending.
+  std::vector<model::TaskKey> LateStarts = {};
   friend auto operator<=>(const RosterEntry &, const RosterEntry &) = default;
 };
 
--- a/packages/dispatch/src/Delegation.cpp
+++ b/packages/dispatch/src/Delegation.cpp
@@ -76,8 +76,7 @@
   auto step = static_cast<std::size_t>(task.Step);
   const StepEntry &entry = job.Occurrences.at(0).Steps[step];
   const TaskEntry &it = entry.Tasks[static_cast<std::size_t>(task.Index)];
-  if (!it.isWaiting() || HeldTasks.contains(task) ||
-      room.Shard == job.HomeShard ||
+  if (!it.isWaiting() || isHeld(task) || room.Shard == job.HomeShard ||
       job.hadBefore(room.Shard, {task.Step, task.Index}))
     return false;
   if (task == named)
@@ -245,7 +244,7 @@
         detail::TaskKey key{job->Job.Id, 0, step, i};
         bool late =
             asked && now - task.WaitingSince.value_or(now) > OfferPeriod;
-        if (task.isWaiting() && !s.HeldTasks.contains(key) && !late &&
+        if (task.isWaiting() && !s.isHeld(key) && !late &&
             (allTasks || rooms->Unplaced.contains(key)))
           addTask(offer, {step, i, {}}, *job, task, s.Term, now);
       }
--- a/packages/dispatch/src/Jobs.cpp
+++ b/packages/dispatch/src/Jobs.cpp
@@ -220,8 +220,15 @@
 }
 
 bool ShardState::isAnyTaskHeld(const JobEntry &job) const {
-  auto it = HeldTasks.lower_bound({job.Job.Id, 0, 0, 0});
-  return it != HeldTasks.end() && it->Job == job.Job.Id;
+  TaskKey first{job.Job.Id, 0, 0, 0};
+  auto held = HeldTasks.lower_bound(first);
+  if (held != HeldTasks.end() && held->Job == job.Job.Id)
+    return true;
+  for (auto it = LateStarts.lower_bound(first);
+       it != LateStarts.end() && it->first.Job == job.Job.Id; ++it)
+    if (hasLateStart(it->first))
+      return true;
+  return false;
 }
 
 JobProgress progressOf(const JobEntry &job) {
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -191,6 +191,8 @@
   double bestScore = 0;
   for (const auto &[id, w] : shard.Workers) {
     if (w.get() == options.Excluded ||
+        (options.Task &&
+         !shard.mayStartOn(*w, *options.Task, step.LongRunning)) ||
         !canPlace(shard, job, step, *w, options.Waited, now) ||
         (options.Isolated && !canIsolate(*w)))
       continue;
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -67,6 +67,7 @@
   run.Worker = &worker;
   run.Number = number;
   run.Token = tokenOf(worker);
+  run.Incarnation = worker.Profile.StartTime;
   run.PhaseSince = run.Started = run.LastBusy = now;
   StepEntry &entry =
       job.Occurrences[key.Occurrence].Steps[static_cast<std::size_t>(key.Step)];
@@ -278,7 +279,8 @@
     }
     WorkerState *worker = chooseWorker(
         *this, job, spec, counts, now,
-        {.Starved = starved && job.RunCount == 0,
+        {.Task = key,
+         .Starved = starved && job.RunCount == 0,
          .Isolated = isolated,
          .Waited = spec.LongRunning ? now - task.WaitingSince.value_or(now)
                                     : base::Duration::zero()});
@@ -293,6 +295,9 @@
     }
     if (!worker)
       logWait(job, o, step, entry, now);
+    // Other tasks of the step may have room elsewhere.
+    if (!worker && hasLateStart(key))
+      continue;
     if (!worker && isolated) {
       withdrawAnnouncement(job, task);
       continue;
@@ -845,6 +850,7 @@
   s.expireLeases(now);
   s.updatePossibleTasks();
   s.updateHeldTasks();
+  s.updateLateStarts(now);
   s.openDueOccurrences(wall, now);
   s.stopUnneededRuns(now);
   s.moveOffDrainingWorkers(now);
@@ -874,6 +880,7 @@
   s.PlannedAt = now;
   s.updatePossibleTasks();
   s.updateHeldTasks();
+  s.updateLateStarts(now);
   s.StartBudget = maxStarts;
   s.MayStartLost = ownsShard;
   if (maxStarts > 0) {
--- a/packages/dispatch/src/Records.cpp
+++ b/packages/dispatch/src/Records.cpp
@@ -679,6 +679,8 @@
       row["born"] = it.Incarnation->count();
     if (it.LongestLease)
       row["longestLease"] = true;
+    if (!it.LateStarts.empty())
+      row["lateStarts"] = tasksToJson(it.LateStarts);
     list.push_back(std::move(row));
   }
   return json::serialize(json::object{{"workers", std::move(list)}});
@@ -700,6 +702,9 @@
       const json::object *row = rows->get_array()[roster.size()].if_object();
       if (const json::value *tasks = row ? row->if_contains("tasks") : nullptr)
         entry.Tasks = tasksFromJson(*tasks, it);
+      if (const json::value *late =
+              row ? row->if_contains("lateStarts") : nullptr)
+        entry.LateStarts = tasksFromJson(*late, it);
       if (it.has("leaseMs"))
         entry.LeaseLeft = std::chrono::milliseconds(
             it.number("leaseMs", 0, platform::MaxInt64));
--- a/packages/dispatch/src/RoomGrants.cpp
+++ b/packages/dispatch/src/RoomGrants.cpp
@@ -39,8 +39,7 @@
     const TaskEntry &task = entry.Tasks[static_cast<std::size_t>(i)];
     TaskKey key{job.Job.Id, 0, step, i};
     TimePoint since = task.WaitingSince.value_or(now);
-    if (task.isWaiting() && now - since >= RequestDelay &&
-        !HeldTasks.contains(key) &&
+    if (task.isWaiting() && now - since >= RequestDelay && !isHeld(key) &&
         (now - since >= PlacedRequestDelay || unplaced.contains(key)))
       waiting.emplace_back(since, i);
   }
--- a/packages/dispatch/src/Rooms.cpp
+++ b/packages/dispatch/src/Rooms.cpp
@@ -98,9 +98,12 @@
   std::int32_t MaxPerWorker = 0;
   /// Tasks of the same step on each worker; used with MaxPerWorker only.
   const StepCounts &SameStep;
+  /// Task of the shard whose late starts limit the choice; null for none.
+  const TaskKey *Task = nullptr;
 };
 
-WorkerRoom *smallestRoom(std::vector<WorkerRoom> &rooms,
+WorkerRoom *smallestRoom(const ShardState &shard,
+                         std::vector<WorkerRoom> &rooms,
                          const base::Resources &size,
                          const RoomConditions &conditions) {
   WorkerRoom *best = nullptr;
@@ -109,6 +112,8 @@
     if (!size.fitsIn(it.Free) ||
         (best && count(best->Free.Cpu) <= count(it.Free.Cpu)) ||
         worker.Service != conditions.Service ||
+        (conditions.Task &&
+         !shard.mayStartOn(*it.Worker, *conditions.Task, true)) ||
         (!conditions.Requirement.empty() &&
          !hasLabel(worker, conditions.Requirement)))
       continue;
@@ -205,7 +210,7 @@
                std::vector<WorkerRoom> &rooms) {
   StepCounts counts = shard.placesOf(request);
   if (WorkerRoom *room = smallestRoom(
-          rooms, request.Size,
+          shard, rooms, request.Size,
           {request.Service, request.Requirement, request.MaxPerWorker, counts}))
     room->Free -= request.Size;
 }
@@ -241,9 +246,10 @@
       counts = runsByWorker(*it.Entry);
     WorkerRoom *room =
         spec.Size.fitsIn(largest)
-            ? smallestRoom(plan.Rooms, spec.Size,
+            ? smallestRoom(shard, plan.Rooms, spec.Size,
                            {it.Job->Job.Policy.Service, spec.Requirement,
-                            spec.MaxPerWorker, counts})
+                            spec.MaxPerWorker, counts,
+                            shard.hasLateStart(it.Key) ? &it.Key : nullptr})
             : nullptr;
     if (!room) {
       plan.Unplaced.insert(it.Key);
--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -18,6 +18,11 @@
   for (const UnacknowledgedEnd &it : worker.UnacknowledgedEnds)
     if (isUnstored(it))
       tasks.insert(it.Task);
+  for (const auto &[task, starts] : LateStarts)
+    if (std::any_of(starts.begin(), starts.end(), [&](const LateStart &it) {
+          return it.Worker == worker.Profile.Id;
+        }))
+      tasks.insert(task);
   return tasks;
 }
 
@@ -67,7 +72,7 @@
     if (hasRow(*w, State->Term))
       roster.push_back({id, w->Profile.Endpoint, w->UsedInTerm,
                         w->PossibleTasks, leaseLeft(*w), w->Incarnation,
-                        w->LongestLease});
+                        w->LongestLease, w->ListedLateStarts});
   return roster;
 }
 
@@ -80,7 +85,8 @@
         row->Endpoint != w->Profile.Endpoint || row->Term != w->UsedInTerm ||
         row->Tasks != w->PossibleTasks || row->LeaseLeft != leaseLeft(*w) ||
         row->Incarnation != w->Incarnation ||
-        row->LongestLease != w->LongestLease)
+        row->LongestLease != w->LongestLease ||
+        row->LateStarts != w->ListedLateStarts)
       return false;
     ++row;
   }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -202,6 +202,7 @@
                               ? known->second->Incarnation
                               : s.FormerIncarnations[it.Id];
       incarnation = restarted || it.LongestLease ? 0ms : it.Incarnation;
+      s.inheritLateStarts(it, now);
       continue;
     }
     detail::WorkerState &w = s.workerEntry(it.Id);
@@ -214,6 +215,7 @@
     w.UnverifiedUntilIfRestarted = std::max(until, lastCall + lateCalls);
     w.Incarnation = announced ? 0ms : it.Incarnation;
     w.LongestLease = it.LongestLease;
+    s.inheritLateStarts(it, now);
   }
 }
 
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -145,6 +145,7 @@
   worker.LastProcessedEnd =
       std::max(worker.LastProcessedEnd, end.SequenceNumber);
   worker.OrphanRuns.erase(end.Id);
+  forgetLateStart(end.Id);
   JobEntry *job = nullptr;
   TaskEntry *task = findReportedTask(end.Id.Task, &job, now);
   if (!task) {
@@ -269,6 +270,7 @@
   std::set<RunId> listed;
   for (const RunStatus &row : report.Running) {
     listed.insert(row.Id);
+    forgetLateStart(row.Id);
     JobEntry *job = nullptr;
     TaskEntry *task = findTask(row.Id.Task, &job);
     Run *run = nullptr;
@@ -351,6 +353,7 @@
         evidence = "start refused from now on, not listed";
       if (run.PossibleCrash)
         countCrash(*job, it.Task, *task, run, *run.PossibleCrash, now);
+      noteLateStart(*job, it.Task, run, now);
     }
     removeRun(*job, it.Task, it.Number, worker.Profile.Id, evidence);
   }
@@ -614,6 +617,7 @@
     // Commands carry the id of the worker they are meant for, so the worker
     // that answered has carried out none of them.
     s.recordCrash(w, false, received);
+    s.forgetLateStarts(w);
     s.dropRuns(w, "different worker instance answered");
     s.handleRestart(w, "different worker instance answered", received);
     return;
@@ -721,6 +725,9 @@
 void Shard::onStart(const WorkerCommand &command,
                     base::Result<CommandResult> result, TimePoint now) {
   detail::ShardState &s = *State;
+  // The run may have been removed meanwhile.
+  if (result || result.error().Code != base::Errc::WorkerAnswerLost)
+    s.forgetLateStart(command.Run);
   JobEntry *job = nullptr;
   TaskEntry *task = s.findTask(command.Run.Task, &job);
   if (!task)
@@ -750,6 +757,8 @@
   w.avoid(CommandFailureBackoff, now);
   w.Trials.pauseUntil(now + CommandFailureBackoff);
   if (!result && result.error().Code == base::Errc::WorkerAnswerLost) {
+    run->AnswerLostAt = now;
+    s.listLateStart(w, command.Run.Task, now + MaxCallDelay);
     if (run->Phase == RunPhase::Starting) {
       run->Phase = RunPhase::Unconfirmed;
       run->PhaseSince = now;
--- a/packages/dispatch/src/detail/Placement.h
+++ b/packages/dispatch/src/detail/Placement.h
@@ -13,6 +13,8 @@
 
 /// What the choice of a worker depends on besides the step.
 struct PlacementOptions {
+  /// The task, if its late starts limit the choice.
+  std::optional<TaskKey> Task = {};
   /// Worker that must not be chosen; null for none.
   const WorkerState *Excluded = nullptr;
   /// Whether a filler may run where tasks are predicted to miss their targets.
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -89,6 +89,10 @@
   /// A list of the worker's current incarnation has shown the run. The answer
   /// to its start may have come from a later one.
   bool Listed = false;
+  /// Start time of the incarnation that the start was meant for.
+  std::chrono::milliseconds Incarnation{0};
+  /// When the start failed for want of an answer.
+  std::optional<TimePoint> AnswerLostAt;
   /// A long-running task that has run for TrialTime; it speaks for its worker.
   bool Passed = false;
   /// Set if the worker crashed while the start was unconfirmed: the run was
@@ -96,6 +100,19 @@
   std::optional<CrashEvidence> PossibleCrash;
 };
 
+/// A start without an answer whose run counts as ended. Its worker refuses it
+/// now, but would not after a restart.
+struct LateStart {
+  std::int64_t Run = 0;
+  base::WorkerId Worker;
+  /// Incarnation that the call was meant for.
+  std::chrono::milliseconds Incarnation{0};
+  /// The call is no longer carried out from then on.
+  TimePoint Until;
+  /// The task does not wait for it, as of the current plan.
+  bool Ignored = false;
+};
+
 /// How an earlier run of a task is known to have ended; for the log.
 struct RunEnding {
   std::int64_t Number = 0;
@@ -445,6 +462,10 @@
   /// When the lease that LongestLease tells of has no more time left than any
   /// other.
   std::optional<TimePoint> LongestLeaseUntil;
+  /// Tasks of which a start was not answered, with until when it may be carried
+  /// out, and those of them in the roster.
+  std::map<TaskKey, TimePoint> UnansweredStarts;
+  std::vector<TaskKey> ListedLateStarts;
   std::optional<ClockSample> Clock;
   /// Latest lease deadline that the worker may have received.
   WorkerTime LatestDeadline{0};
@@ -585,6 +606,8 @@
   bool Closing = false;
   /// Tasks that may still run for an earlier owner, as of the current plan.
   std::set<TaskKey> HeldTasks;
+  /// Late starts of tasks, which run only on the same worker meanwhile.
+  std::map<TaskKey, std::vector<LateStart>> LateStarts;
   /// Until then, workers that are not known may have runs of an earlier owner.
   std::optional<TimePoint> RosterUnknownUntil;
   /// When the records that starts depend on were complete.
@@ -762,6 +785,11 @@
   bool hasUnverifiedWorkers() const;
   /// Returns whether any inherited task may be among those runs.
   bool mayRunAnyTask() const;
+  /// Returns whether the task must not run in another shard, because it may
+  /// already run on a worker of this one.
+  bool isHeld(const TaskKey &task) const {
+    return HeldTasks.contains(task) || hasLateStart(task);
+  }
   bool isAnyTaskHeld(const JobEntry &job) const;
 
   // Takeover.cpp and Workers.cpp
@@ -790,9 +818,9 @@
   void markInheritedLost();
   /// Drops all runs of the worker, which ended without being reported.
   void dropRuns(WorkerState &worker, const char *cause);
-  /// Returns the tasks that the worker runs or that ended there without a
-  /// record: the next owner must not start them before it has read the list of
-  /// the worker.
+  /// Returns the tasks that the worker runs, that ended there without a record,
+  /// or of which a late start may begin there: the next owner must not start
+  /// them before it has read the list of the worker.
   std::set<TaskKey> tasksOn(const WorkerState &worker) const;
   /// Lists the tasks on a worker that gets no starts for the roster, and lets
   /// any other be used again once that is stored.
@@ -821,6 +849,29 @@
   /// owner.
   void checkInheritedIncarnation(WorkerState &worker,
                                  std::chrono::milliseconds startTime);
+
+  // LateStarts.cpp
+  /// Remembers the start of a run that counts as ended, unless it has been
+  /// carried out or is known not to be.
+  void noteLateStart(const JobEntry &job, const TaskKey &key, const Run &run,
+                     TimePoint now);
+  /// The start has been answered, or the worker has listed the run.
+  void forgetLateStart(const RunId &run);
+  /// No call reaches the worker any more: another one has its address.
+  void forgetLateStarts(WorkerState &worker);
+  /// Removes those that cannot act any more, and notes which to ignore.
+  void updateLateStarts(TimePoint now);
+  /// Returns whether a start of the task may still be carried out.
+  bool hasLateStart(const TaskKey &task) const;
+  /// A start got no answer: the next owner must know of it from the roster.
+  void listLateStart(WorkerState &worker, const TaskKey &task, TimePoint until);
+  /// Takes over the late starts in a row of an earlier owner's roster.
+  void inheritLateStarts(const RosterEntry &row, TimePoint now);
+  /// Returns whether the task may be started on the worker although earlier
+  /// starts of it may still be carried out.
+  bool mayStartOn(const WorkerState &worker, const TaskKey &task,
+                  bool longRunning) const;
+
   void reserve(WorkerState &worker, JobEntry &job, const TaskKey &task,
                const Run &run);
   void release(WorkerState &worker, const RunId &run);
--- /dev/null
+++ b/tests/unit/unit-dispatch-latestarts.cpp
@@ -0,0 +1,360 @@
+// Load pattern: a start gets no answer, and its worker restarts several times
+// within seconds. Fault: the start was given up once one incarnation refused
+// it, and its task was started elsewhere; the next incarnation, which had not
+// answered yet, carried it out, so that the task ran twice.
+#include "support/ShardFixture.h"
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+
+namespace {
+
+constexpr auto FirstLife = 1000ms, SecondLife = 2000ms, ThirdLife = 3000ms;
+/// Longest delay of a call without an answer, and the time until an answer that
+/// shows whether it was carried out.
+constexpr auto LongestCallDelay = 12000ms, MaxAnswerTime = 200ms;
+/// Callers count a long-running task as lost after 6 s; it may need 2 s to find
+/// room.
+constexpr auto LongRunningHold = 4000ms;
+
+/// The start of a task on "w1" fails without an answer; "w2" is idle.
+class StartWithoutAnswer : public ShardFixture {
+protected:
+  void loseStart(const model::StepSpec &spec) {
+    addWorker("w1");
+    TestShard.addJob(job(1, {spec}), 200, false, now());
+    std::vector<WorkerCommand> started = plan();
+    ASSERT_EQ(started.size(), 1u);
+    Lost = started[0];
+    addWorker("w2");
+    loseAnswer();
+  }
+
+  void loseAnswer() {
+    TestShard.onStart(Lost, base::fail(base::Errc::WorkerAnswerLost, ""),
+                      now());
+    LostAt = now();
+  }
+
+  static model::StepSpec longRunning() {
+    model::StepSpec spec = step(1);
+    spec.LongRunning = true;
+    return spec;
+  }
+
+  void announce(std::chrono::milliseconds startTime) {
+    model::WorkerProfile entry = worker("w1");
+    entry.StartTime = startTime;
+    TestShard.updateWorker(entry, now());
+  }
+
+  /// Has w1 restart and answer the new token, without the run.
+  void restart(std::chrono::milliseconds startTime) {
+    announce(startTime);
+    answer(startTime);
+  }
+
+  void answer(std::chrono::milliseconds startTime,
+              std::vector<RunId> running = {}) {
+    PollReport report;
+    report.StartTime = startTime;
+    for (const RunId &it : running)
+      report.Running.push_back({it, "", 100, 0, false});
+    poll("w1", report);
+  }
+
+  /// Stops the run in the incarnation that it was meant for.
+  void confirmStop() {
+    Time.advance(400ms);
+    std::vector<WorkerCommand> stops = plan(WorkerCommand::Kind::Stop);
+    ASSERT_EQ(stops.size(), 1u);
+    TestShard.onStop(stops[0], CommandResult::Done, now());
+    Time.advance(1ms);
+    answer(FirstLife);
+  }
+
+  /// Plans until a task that was running in a crash has been announced.
+  std::vector<WorkerCommand> planStored() {
+    std::vector<WorkerCommand> started = plan();
+    storeWrites();
+    if (started.empty())
+      started = plan();
+    return started;
+  }
+
+  /// Returns the next start of the task, if it is before \p end. The workers
+  /// answer meanwhile.
+  std::optional<WorkerCommand> nextStart(base::TimePoint end,
+                                         std::chrono::milliseconds startTime) {
+    while (now() < end) {
+      answer(startTime);
+      poll("w2");
+      if (auto started = planStored(); !started.empty())
+        return started[0];
+      Time.advance(40ms);
+    }
+    return std::nullopt;
+  }
+
+  WorkerCommand Lost;
+  base::TimePoint LostAt;
+};
+
+// A short task may be done before the next restart, and a late start would
+// repeat it.
+TEST_F(StartWithoutAnswer, ForAnEarlierLife_HoldsAShortTaskUntilItCannotAct) {
+  loseStart(step(1));
+  restart(SecondLife);
+  EXPECT_FALSE(nextStart(LostAt + LongestCallDelay, SecondLife));
+  EXPECT_TRUE(nextStart(LostAt + LongestCallDelay + MaxAnswerTime, SecondLife));
+}
+
+// Callers count a long-running task as lost before that time is over.
+TEST_F(StartWithoutAnswer, ForAnEarlierLife_HoldsALongRunningTaskForLess) {
+  loseStart(longRunning());
+  restart(SecondLife);
+  EXPECT_FALSE(nextStart(LostAt + LongRunningHold, SecondLife));
+  EXPECT_TRUE(nextStart(LostAt + LongRunningHold + MaxAnswerTime, SecondLife));
+}
+
+// A later incarnation that begins the late run has lost the other one.
+TEST_F(StartWithoutAnswer, LateRunInTheNextLife_ReplacesTheOther) {
+  loseStart(longRunning());
+  confirmStop();
+  std::optional<WorkerCommand> again = nextStart(LostAt + 2s, FirstLife);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->Worker.Id.str(), "w1");
+  confirmStarts({*again});
+  answer(FirstLife, {again->Run});
+  announce(SecondLife);
+  answer(SecondLife, {Lost.Run});
+  EXPECT_TRUE(planStored().empty());
+  EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
+}
+
+TEST_F(StartWithoutAnswer, StopConfirmed_RepeatsTheTaskThereOnly) {
+  loseStart(step(1));
+  confirmStop();
+  std::optional<WorkerCommand> again = nextStart(LostAt + 2s, FirstLife);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->Worker.Id.str(), "w1");
+  EXPECT_GT(again->Run.Number, Lost.Run.Number);
+}
+
+// The worker restarts before the task is started there again.
+TEST_F(StartWithoutAnswer, RestartAfterTheStop_HoldsAShortTask) {
+  loseStart(step(1));
+  confirmStop();
+  restart(SecondLife);
+  EXPECT_FALSE(nextStart(LostAt + LongestCallDelay, SecondLife));
+  EXPECT_TRUE(nextStart(LostAt + LongestCallDelay + MaxAnswerTime, SecondLife));
+}
+
+// The run may have begun just before that time, on an incarnation that has not
+// answered.
+TEST_F(StartWithoutAnswer, RestartedWorkerThatIsSilent_HoldsTheTaskForALease) {
+  loseStart(step(1));
+  confirmStop();
+  announce(SecondLife);
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  base::TimePoint end = LostAt + LongestCallDelay + 10300ms;
+  auto nextElsewhere = [&](base::TimePoint until) {
+    while (now() < until) {
+      poll("w2");
+      if (!planStored().empty())
+        return true;
+      Time.advance(40ms);
+    }
+    return false;
+  };
+  EXPECT_FALSE(nextElsewhere(end));
+  EXPECT_TRUE(nextElsewhere(end + MaxAnswerTime));
+}
+
+TEST_F(StartWithoutAnswer, LateRunThatIsListed_EndsTheHold) {
+  loseStart(step(1));
+  restart(SecondLife);
+  announce(ThirdLife);
+  answer(ThirdLife, {Lost.Run});
+  EXPECT_TRUE(planStored().empty());
+  PollReport report;
+  report.StartTime = ThirdLife;
+  report.Ended = {{1, Lost.Run, RunOutcome::Failed, ""}};
+  poll("w1", report);
+  storeWrites();
+  EXPECT_EQ(planStored().size(), 1u);
+}
+
+// The call fails only after the run has been removed.
+TEST_F(StartWithoutAnswer, AnswerAfterTheRestart_EndsTheHold) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<WorkerCommand> started = plan();
+  ASSERT_EQ(started.size(), 1u);
+  addWorker("w2");
+  restart(SecondLife);
+  EXPECT_TRUE(planStored().empty());
+  TestShard.onStart(started[0], CommandResult::Fenced, now());
+  EXPECT_EQ(planStored().size(), 1u);
+}
+
+// Another worker has the address, so that the call can no longer act.
+TEST_F(StartWithoutAnswer, OtherWorkerAtTheAddress_EndsTheHold) {
+  loseStart(step(1));
+  restart(SecondLife);
+  EXPECT_TRUE(planStored().empty());
+  PollReport other;
+  other.WrongIncarnation = true;
+  poll("w1", other);
+  EXPECT_EQ(planStored().size(), 1u);
+}
+
+// In another shard the task would run beside a late start here.
+TEST_F(StartWithoutAnswer, JobWithAHeldTask_DoesNotLeaveTheShard) {
+  loseStart(step(1));
+  restart(SecondLife);
+  storeWrites();
+  base::TimePoint end = LostAt + LongestCallDelay - 1s;
+  nextStart(end, SecondLife);
+  EXPECT_TRUE(TestShard.takeMoves(8, now()).empty());
+}
+
+// The task waits for a worker that has fallen silent as its runs do, and for
+// longer only if that has restarted.
+TEST_F(StartWithoutAnswer, SilentWorker_HoldsTheTaskForALease) {
+  loseStart(step(1));
+  confirmStop();
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  base::TimePoint silent = now();
+  auto nextElsewhere = [&](base::TimePoint until) {
+    while (now() < until) {
+      poll("w2");
+      if (!planStored().empty())
+        return true;
+      Time.advance(40ms);
+    }
+    return false;
+  };
+  EXPECT_FALSE(nextElsewhere(silent + 6s));
+  EXPECT_TRUE(nextElsewhere(silent + 6200ms + MaxAnswerTime));
+}
+
+TEST_F(StartWithoutAnswer, RestartShownAfterTheLease_HoldsTheTaskAgain) {
+  loseStart(step(1));
+  confirmStop();
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  Time.advance(6500ms);
+  announce(SecondLife);
+  poll("w2");
+  EXPECT_TRUE(planStored().empty());
+}
+
+/// The owner is replaced before "w1" has answered the next poll.
+class StartWithoutAnswerToAnEarlierOwner : public StartWithoutAnswer {
+protected:
+  void replaceOwner(const model::StepSpec &spec) {
+    storeRoster();
+    Next.markUnverified(
+        dispatch::decodeRoster(dispatch::encodeRoster(TestShard.roster()))
+            .value(),
+        {{Term, now(), false}}, now());
+    Next.addJob(job(1, {spec}), 6, true, now());
+    for (const char *it : {"w1", "w2"})
+      Next.updateWorker(worker(it), now());
+    Replaced = now();
+  }
+
+  /// Returns the worker on which the next owner starts the task, or nothing if
+  /// it does not within \p limit. The workers answer meanwhile.
+  std::string nextWorker(std::chrono::milliseconds startTime,
+                         base::Duration limit) {
+    for (base::TimePoint end = now() + limit; now() < end; Time.advance(40ms)) {
+      for (const char *it : {"w2", "w1"}) {
+        Next.nextPoll(base::WorkerId(it), now(), true);
+        PollReport report;
+        report.StartTime = it == std::string("w1") ? startTime : FirstLife;
+        report.Clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now().time_since_epoch());
+        base::TimePoint sent = now();
+        Time.advance(1ms);
+        Next.onPoll(base::WorkerId(it), report, sent, now());
+      }
+      Next.onRosterSent(Next.roster());
+      Next.onRosterStored(Next.roster());
+      for (const WorkerCommand &it : Next.plan(now(), Time.wallNow(), true))
+        if (it.Type == WorkerCommand::Kind::Start)
+          return it.Worker.Id.str();
+    }
+    return "";
+  }
+
+  Shard Next{{}, 0, Term + 1, base::FencingToken{8}, Events, MetricsRegistry};
+  base::TimePoint Replaced;
+};
+
+// The next owner started the task elsewhere as soon as the worker had answered
+// without the run; a later incarnation carried out the start of the earlier
+// owner.
+TEST_F(StartWithoutAnswerToAnEarlierOwner, LongRunningTask_IsRepeatedThere) {
+  loseStart(longRunning());
+  replaceOwner(longRunning());
+  EXPECT_EQ(nextWorker(FirstLife, 2s), "w1");
+}
+
+TEST_F(StartWithoutAnswerToAnEarlierOwner, RestartedWorker_HoldsAShortTask) {
+  loseStart(step(1));
+  replaceOwner(step(1));
+  EXPECT_EQ(nextWorker(SecondLife, LongestCallDelay - 200ms), "");
+  EXPECT_NE(nextWorker(SecondLife, 200ms + MaxAnswerTime), "");
+}
+
+// A third owner must know of it too.
+TEST_F(StartWithoutAnswerToAnEarlierOwner, RosterOfTheNextOwner_NamesTheTask) {
+  loseStart(step(1));
+  replaceOwner(step(1));
+  auto rows = Next.roster();
+  auto row = std::find_if(rows.begin(), rows.end(), [](const auto &it) {
+    return it.Id == base::WorkerId("w1");
+  });
+  ASSERT_NE(row, rows.end());
+  EXPECT_EQ(row->LateStarts, std::vector<TaskKey>{Lost.Run.Task});
+}
+
+TEST_F(StartWithoutAnswer, Roster_NamesTheTaskUntilTheStartCannotAct) {
+  loseStart(step(1));
+  auto named = [&] { return TestShard.roster()[0].LateStarts; };
+  EXPECT_EQ(named(), std::vector<TaskKey>{Lost.Run.Task});
+  Time.advance(LongestCallDelay);
+  plan();
+  EXPECT_TRUE(named().empty());
+}
+
+// The next owner must not start the task because the list lacks it.
+TEST_F(StartWithoutAnswer, RosterOfAWorkerWithoutStarts_ListsTheTask) {
+  loseStart(step(1));
+  confirmStop();
+  TestShard.onPollFailed(base::WorkerId("w1"), "timeout", now());
+  plan();
+  dispatch::RosterEntry row = TestShard.roster()[0];
+  ASSERT_TRUE(row.Tasks);
+  EXPECT_EQ(*row.Tasks, std::vector<TaskKey>{Lost.Run.Task});
+}
+
+// Other tasks of the step do not wait for the one that is held.
+TEST_F(StartWithoutAnswer, OtherTaskOfTheStep_IsStartedElsewhere) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(2)}), 200, false, now());
+  std::vector<WorkerCommand> started = plan();
+  ASSERT_EQ(started.size(), 2u);
+  addWorker("w2");
+  Lost = started[0];
+  loseAnswer();
+  answer(FirstLife, {started[1].Run});
+  restart(SecondLife);
+  std::vector<WorkerCommand> again = planStored();
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].Run.Task, started[1].Run.Task);
+  EXPECT_EQ(again[0].Worker.Id.str(), "w2");
+}
+
+} // namespace
