Name starts in the roster that are given up before their call fails

The next owner did not know of a start whose run a restarted worker had fenced while the call was still waiting for its answer: only calls that had failed were named. An owner that is killed a second after its workers restart leaves such starts. Giving one up names it as well. Fails without the change: RunRemovedBeforeTheAnswerIsLost_IsInTheRoster.

--- a/packages/dispatch/src/LateStarts.cpp
+++ b/packages/dispatch/src/LateStarts.cpp
@@ -19,6 +19,7 @@
     return;
   LateStarts[key].push_back(
       {run.Number, run.Worker->Profile.Id, run.Incarnation, until});
+  listLateStart(*run.Worker, key, until);
   Events.emit(
       EventCode::LateStartPossible,
       {{"task", taskText(key)},
--- a/tests/unit/unit-dispatch-latestarts.cpp
+++ b/tests/unit/unit-dispatch-latestarts.cpp
@@ -329,6 +329,17 @@
   EXPECT_TRUE(named().empty());
 }
 
+// The call fails only after the run has been removed.
+TEST_F(StartWithoutAnswer, RunRemovedBeforeTheAnswerIsLost_IsInTheRoster) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1)}), 200, false, now());
+  std::vector<WorkerCommand> started = plan();
+  ASSERT_EQ(started.size(), 1u);
+  restart(SecondLife);
+  EXPECT_EQ(TestShard.roster()[0].LateStarts,
+            std::vector<TaskKey>{started[0].Run.Task});
+}
+
 // The next owner must not start the task because the list lacks it.
 TEST_F(StartWithoutAnswer, RosterOfAWorkerWithoutStarts_ListsTheTask) {
   loseStart(step(1));
