Log runs that a worker begins late

Two runs of a task at once could not be told from the logs to come from a start that was carried out late: a run that an owner does not know of was adopted without a line. Workers that an owner hears for the first time after a takeover are left out: what they list is inherited.

--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -117,6 +117,13 @@
     worker.OrphanRuns.emplace(row.Id, StopAttempts{});
     return;
   }
+  if (worker.UsedInTerm == Term)
+    Events.emit(EventCode::LateRunListed,
+                {{"task", taskText(row.Id.Task)},
+                 {"run", std::to_string(row.Id.Number)},
+                 {"worker", worker.Profile.Id.str()},
+                 {"born", std::to_string(worker.Profile.StartTime.count())},
+                 {"running", std::to_string(task->Runs.size())}});
   const model::StepSpec &step = stepOf(*job, row.Id.Task);
   // An unwanted run still occupies capacity until it has been stopped.
   bool wanted =
