Check the permission of an owner when a start is written

Cause: an owner checked its permission before it opened a connection to the worker. A process that stood still while it connected (stopped, or scheduled late) wrote the start when it went on, however late that was. A worker that had restarted meanwhile, and had not yet answered the next owner's token, carried it out.

Change: HttpClient compares the deadline of the call, and a time that the caller may pass, with the clock immediately before it writes. A start passes the end of the owner's permission. Nothing is sent afterwards; the call counts as not sent.

Evidence: HttpTest.ProcessThatStoodStillWhileConnecting_SendsNothing, with a clock that jumps while the connection is opened.

Why it works: what remains between check and write is a system call on a connection that exists already. A connection ends with the incarnation that has accepted it, so a process that stops even there cannot reach a later one.

--- a/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
+++ b/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
@@ -108,6 +108,8 @@
   base::FencingToken Token{0};
   std::string Checkpoint;
   std::string Ticket;
+  /// Nothing is sent from then on: the permission of the owner ends.
+  base::TimePoint SendBefore = base::TimePoint::max();
 };
 
 enum class CommandResult {
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -538,6 +538,7 @@
     request.Checkpoint = order.Checkpoint;
     request.Deadline = order.Deadline;
     request.Token = order.Token;
+    request.SendBefore = permissionEnd();
     TimePoint sent = Context.Time.now();
     bool wasFull = Context.StartCalls.available() == 0;
     Context.StartCalls.onSent();
--- a/packages/platform/include/endivedoor/platform/HttpClient.h
+++ b/packages/platform/include/endivedoor/platform/HttpClient.h
@@ -60,6 +60,7 @@
   /// \param validate checks the response; if it returns false, the response is
   /// reported as lost and the connection is closed. Null accepts every
   /// response.
+  /// \param sendBefore nothing is sent from then on, by the client's clock.
   /// \returns a response whose end is known from its headers, not from the end
   /// of the connection.
   /// Errors: HttpNotSent (no byte of the request was sent), HttpNoConnection
@@ -69,7 +70,8 @@
   /// duration of the exchange.
   Async<HttpResponse> send(model::Address to, HttpRequest request,
                            std::chrono::milliseconds timeout,
-                           ResponseValidator validate = nullptr);
+                           ResponseValidator validate = nullptr,
+                           base::TimePoint sendBefore = base::TimePoint::max());
 
   /// Sends \p request on an idle connection and never opens one. The server of
   /// a connection cannot have been replaced since the connection was opened.
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -111,6 +111,7 @@
   connect(model::Address to, std::chrono::milliseconds timeout);
   Async<HttpResponse> exchange(std::unique_ptr<PooledConnection> connection,
                                HttpRequest request, base::TimePoint deadline,
+                               base::TimePoint sendBefore,
                                ResponseValidator validate);
 };
 
@@ -182,7 +183,8 @@
 
 Async<HttpResponse> HttpClient::send(model::Address to, HttpRequest request,
                                      std::chrono::milliseconds timeout,
-                                     ResponseValidator validate) {
+                                     ResponseValidator validate,
+                                     base::TimePoint sendBefore) {
   Impl &self = *Self;
   base::TimePoint deadline = self.Clock.now() + timeout;
   std::unique_ptr<PooledConnection> connection = self.takeIdle(to);
@@ -194,7 +196,7 @@
     connection = std::move(opened.value());
   }
   co_return co_await self.exchange(std::move(connection), std::move(request),
-                                   deadline, std::move(validate));
+                                   deadline, sendBefore, std::move(validate));
 }
 
 Async<HttpResponse> HttpClient::sendOnIdle(model::Address to,
@@ -205,19 +207,24 @@
       Self->takeIdle(to, openedBefore);
   if (!connection)
     co_return fail(Errc::HttpNoConnection, to.str());
+  base::TimePoint deadline = Self->Clock.now() + timeout;
   co_return co_await Self->exchange(std::move(connection), std::move(request),
-                                    Self->Clock.now() + timeout, nullptr);
+                                    deadline, deadline, nullptr);
 }
 
 Async<HttpResponse>
 HttpClient::Impl::exchange(std::unique_ptr<PooledConnection> connection,
                            HttpRequest request, base::TimePoint deadline,
+                           base::TimePoint sendBefore,
                            ResponseValidator validate) {
   const model::Address to = connection->To;
   beast::tcp_stream &stream = connection->Stream;
-  stream.expires_after(deadline - Clock.now());
-
   http::request<http::string_body> message = toBeast(to, std::move(request));
+  // The process may have stood still while the connection was opened.
+  base::TimePoint now = Clock.now();
+  if (now >= std::min(deadline, sendBefore))
+    co_return fail(Errc::HttpNotSent, to.str() + ": too late to send");
+  stream.expires_after(deadline - now);
   auto [writeError, written] =
       co_await http::async_write(stream, message, AsTuple);
   if (writeError)
--- a/tests/unit/unit-http.cpp
+++ b/tests/unit/unit-http.cpp
@@ -92,6 +92,40 @@
   EXPECT_EQ(silent.Requests, 1);
 }
 
+/// A clock on which time passes while a connection is opened.
+class JumpingClock final : public base::Clock {
+public:
+  explicit JumpingClock(std::chrono::milliseconds jump) : Jump(jump) {}
+  base::TimePoint now() const override {
+    return Reads++ == 0 ? base::TimePoint{} : base::TimePoint{} + Jump;
+  }
+  base::WallTime wallNow() const override { return {}; }
+
+private:
+  std::chrono::milliseconds Jump;
+  mutable int Reads = 0;
+};
+
+// A process that stood still while it connected sent a start after another
+// node had taken its shard over.
+TEST_F(HttpTest, ProcessThatStoodStillWhileConnecting_SendsNothing) {
+  RawServer server(Io, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  auto sendAfter = [&](std::chrono::milliseconds jump,
+                       base::TimePoint sendBefore) {
+    JumpingClock clock(jump);
+    HttpClient client(Io.get_executor(), clock, HttpLimits{});
+    auto response =
+        run(client.send(server.address(), {}, 900ms, nullptr, sendBefore));
+    runFor(Io, 20ms);
+    return codeOf(response);
+  };
+  EXPECT_EQ(sendAfter(20s, base::TimePoint::max()), Errc::HttpNotSent);
+  EXPECT_EQ(sendAfter(500ms, base::TimePoint{} + 400ms), Errc::HttpNotSent);
+  EXPECT_EQ(server.Requests, 0);
+  EXPECT_EQ(sendAfter(500ms, base::TimePoint{} + 600ms), Errc{0});
+  EXPECT_EQ(server.Requests, 1);
+}
+
 // Forwarding a truncated response as complete would violate P5.
 TEST_F(HttpTest, TruncatedOrMalformedResponsesAreLost) {
   EXPECT_EQ(errorForResponse("HTTP/1.1 200 OK\r\nContent-Le"),
