Never have a start and an acknowledgement in doubt together

Cause: every poll repeated the highest acknowledgement, so that one was always in flight. A call that gets no answer may be carried out by a later incarnation, and neither call said that it was meant for another one.

Change: an acknowledgement is sent only until a poll with it is answered, and not while a start of a short task on the worker is in flight or without an answer. A start that is sent while an acknowledgement is in flight gets a higher fencing token. Generations of tokens are counted for each worker, and a term has 2^20 of them.

Why it works: a later incarnation knows no token. If it carries out the start first, it refuses the acknowledgement, whose token is lower; in the other order there is no end yet to discard.

EndOfAnUnfencedIncarnation_... and SilentWorker_IsLoggedAsTold... confirm their start first, since a start in flight now holds acknowledgements.

--- a/packages/dispatch/include/endivedoor/dispatch/Shard.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Shard.h
@@ -54,6 +54,9 @@
   bool Silent = false;
   /// The worker is avoided, and its list shows whether tasks on trial run.
   bool OnTrial = false;
+  /// Ends are not acknowledged because a start got no answer. The worker lists
+  /// them in each answer and does not wait.
+  bool EndsHeld = false;
 };
 
 /// Load figures that a shard publishes to other nodes.
--- a/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
+++ b/packages/dispatch/include/endivedoor/dispatch/ShardOptions.h
@@ -38,10 +38,10 @@
 /// out. The platform names no bound ("seconds later"); its tests go up to 12 s.
 constexpr milliseconds MaxCallDelay{12000};
 
-/// Number of fencing tokens that one term has at the workers. At one silent
-/// worker a second, a term uses them up in 18 hours; then it ends, and the
-/// shard is claimed anew.
-constexpr std::uint64_t TokensPerTerm = 1 << 16;
+/// Number of fencing tokens that one term has at each worker. A busy worker
+/// gets some three a second, so that a term uses them up in four days; then it
+/// ends, and the shard is claimed anew.
+constexpr std::uint64_t TokensPerTerm = 1 << 20;
 
 /// Largest rate error of a worker's clock; the platform guarantees at most 2%
 /// slow.
--- a/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
+++ b/packages/dispatch/include/endivedoor/dispatch/TaskWorker.h
@@ -84,6 +84,8 @@
   /// Sequence numbers of skipped rows that may be ends of this project's runs,
   /// ascending.
   std::vector<std::int64_t> UnreadableEnds;
+  /// Acknowledgement that the poll has carried; 0 for none.
+  std::int64_t AcknowledgedEnd = 0;
 };
 
 struct PollRequest {
@@ -91,6 +93,9 @@
   /// The worker may discard ended runs up to this sequence number. Sent only
   /// where it cannot reach a later incarnation, which numbers its runs anew.
   std::int64_t AcknowledgedEnd = 0;
+  /// Highest end that this owner has acknowledged to the incarnation; the next
+  /// row of its list follows on that.
+  std::int64_t ForgottenEnd = 0;
   /// When the latest poll was sent that the incarnation of AcknowledgedEnd has
   /// answered.
   base::TimePoint IncarnationSeenAt{};
--- a/packages/dispatch/src/Incarnations.cpp
+++ b/packages/dispatch/src/Incarnations.cpp
@@ -22,6 +22,7 @@
   if (entry)
     return *entry;
   entry = std::make_unique<WorkerState>();
+  entry->Generation = entry->FenceGeneration = ForgottenGeneration;
   if (auto former = FormerIncarnations.find(id);
       former != FormerIncarnations.end()) {
     entry->Incarnation = former->second;
@@ -36,15 +37,29 @@
                             worker.Generation};
 }
 
+base::FencingToken ShardState::fenceOf(const WorkerState &worker) const {
+  return base::FencingToken{base::toNumber(Token) * TokensPerTerm +
+                            worker.FenceGeneration};
+}
+
 void ShardState::renewToken(WorkerState &worker) {
-  if (LatestGeneration + 1 == TokensPerTerm) {
+  if (worker.Generation + 1 == TokensPerTerm) {
     Fenced = true;
     return;
   }
-  worker.Generation = ++LatestGeneration;
+  worker.FenceGeneration = ++worker.Generation;
   worker.TokenAnswered = false;
 }
 
+void ShardState::fenceAcknowledgement(WorkerState &worker) {
+  if (!worker.AcknowledgementInFlight || worker.PollToken < tokenOf(worker))
+    return;
+  if (worker.Generation + 1 == TokensPerTerm)
+    Fenced = true;
+  else
+    ++worker.Generation;
+}
+
 void ShardState::onTokenAnswered(WorkerState &worker,
                                  std::chrono::milliseconds startTime,
                                  WorkerTime clock, TimePoint now) {
@@ -69,7 +84,7 @@
                                 const Run &run) const {
   bool confirmed = run.Phase == RunPhase::Running ||
                    (run.Phase == RunPhase::Stopping && run.Confirmed);
-  return !confirmed && worker.TokenAnswered && run.Token < tokenOf(worker);
+  return !confirmed && worker.TokenAnswered && run.Token < worker.AnsweredToken;
 }
 
 void ShardState::checkInheritedIncarnation(
--- a/packages/dispatch/src/LateStarts.cpp
+++ b/packages/dispatch/src/LateStarts.cpp
@@ -101,8 +101,10 @@
     LateStarts[it].push_back(
         {0, row.Id, row.Incarnation.value_or(std::chrono::milliseconds(0)),
          until});
-    if (worker != Workers.end())
-      listLateStart(*worker->second, it, until);
+    if (worker == Workers.end())
+      continue;
+    listLateStart(*worker->second, it, until);
+    worker->second->StartsInDoubt[{it, 0}] = until;
   }
 }
 
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -66,6 +66,8 @@
   Run run;
   run.Worker = &worker;
   run.Number = number;
+  if (!step.LongRunning)
+    fenceAcknowledgement(worker);
   run.Token = tokenOf(worker);
   run.Incarnation = worker.Profile.StartTime;
   run.PhaseSince = run.Started = run.LastBusy = now;
@@ -79,6 +81,8 @@
   ++job.RunCount;
   ++entry.RunCount;
   RunId id{key, number};
+  if (!step.LongRunning)
+    worker.StartsInDoubt[id] = TimePoint::max();
   MetricsRegistry.countStart(
       CurrentUrgency,
       LearnedTimes.quantile({job.Job.Queue, key.Step, step.Image}, 0.5)
--- a/packages/dispatch/src/ShardRunner.cpp
+++ b/packages/dispatch/src/ShardRunner.cpp
@@ -31,6 +31,9 @@
 /// together.
 constexpr auto PollBatchDelay = 25ms;
 constexpr auto PollRetryDelay = 300ms;
+/// The same while ends are not acknowledged because a start is in doubt: the
+/// worker answers each poll at once.
+constexpr auto HeldEndsDelay = 100ms;
 /// A call of which nothing was sent and that fails sooner than this was refused
 /// by the worker's host; the path to a host that is cut off times out.
 constexpr auto MaxRefusalTime = 300ms;
@@ -421,6 +424,8 @@
       CommitTimer.cancel();
     if (report.value().WrongIncarnation)
       co_await sleepFor(PollRetryDelay);
+    else if (plan->EndsHeld)
+      co_await sleepFor(HeldEndsDelay);
     else if (!plan->Silent && !State.isRoomAwaited(worker, Context.Time.now()))
       co_await sleepFor(PollBatchDelay);
   }
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -103,7 +103,7 @@
     worker.Incarnation = 0ms;
   worker.LatestDeadline = WorkerTime{0};
   worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
-  worker.LastProcessedEnd = worker.AcknowledgedEnd = 0;
+  worker.LastProcessedEnd = worker.AcknowledgedEnd = worker.ForgottenEnd = 0;
   worker.UnacknowledgedEnds.clear();
   worker.UnreadableEnds.clear();
   worker.Trials = {};
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -145,6 +145,7 @@
   worker.LastProcessedEnd =
       std::max(worker.LastProcessedEnd, end.SequenceNumber);
   worker.OrphanRuns.erase(end.Id);
+  worker.StartsInDoubt.erase(end.Id);
   forgetLateStart(end.Id);
   JobEntry *job = nullptr;
   TaskEntry *task = findReportedTask(end.Id.Task, &job, now);
@@ -270,6 +271,7 @@
   std::set<RunId> listed;
   for (const RunStatus &row : report.Running) {
     listed.insert(row.Id);
+    worker.StartsInDoubt.erase(row.Id);
     forgetLateStart(row.Id);
     JobEntry *job = nullptr;
     TaskEntry *task = findTask(row.Id.Task, &job);
@@ -440,6 +442,7 @@
       continue;
     }
     FormerIncarnations[it->first] = w.LongestLease ? 0ms : w.Incarnation;
+    ForgottenGeneration = std::max(ForgottenGeneration, w.Generation);
     it = Workers.erase(it);
   }
 }
@@ -525,8 +528,11 @@
   WorkerState &w = *it->second;
   // The poll may reach a later incarnation than the one that is known.
   bool isKnown = w.TokenAnswered && !w.SilentSince;
+  std::erase_if(w.StartsInDoubt,
+                [&](const auto &it) { return now >= it.second; });
+  bool mayAcknowledge = isKnown && w.StartsInDoubt.empty();
   std::string acknowledged;
-  while (isKnown && !w.UnacknowledgedEnds.empty()) {
+  while (mayAcknowledge && !w.UnacknowledgedEnds.empty()) {
     const detail::UnacknowledgedEnd &end = w.UnacknowledgedEnds.front();
     if (!w.UnreadableEnds.empty() &&
         w.UnreadableEnds.begin()->first < end.SequenceNumber)
@@ -556,7 +562,14 @@
   plan.Request.Token = w.PollToken = State->tokenOf(w);
   // A worker that has restarted numbers its ends from 1 again and would discard
   // those up to an old number unread.
-  plan.Request.AcknowledgedEnd = isKnown ? w.AcknowledgedEnd : 0;
+  plan.Request.ForgottenEnd = isKnown ? w.AcknowledgedEnd : 0;
+  if (mayAcknowledge && w.AcknowledgedEnd > w.ForgottenEnd)
+    plan.Request.AcknowledgedEnd = w.AcknowledgedEnd;
+  w.AcknowledgementInFlight = plan.Request.AcknowledgedEnd > 0;
+  plan.EndsHeld =
+      !w.UnacknowledgedEnds.empty() &&
+      std::any_of(w.StartsInDoubt.begin(), w.StartsInDoubt.end(),
+                  [](const auto &it) { return it.second != TimePoint::max(); });
   plan.Request.IncarnationSeenAt = w.IncarnationSeenAt;
   std::optional<WorkerTime> clock = State->workerClock(w, now);
   // A worker without runs gets a lease too: it may wait with its answer for
@@ -587,6 +600,7 @@
     w.SilentSince = now;
     State->renewToken(w);
   }
+  w.AcknowledgementInFlight = false;
   if (refused && !w.Refused) {
     w.Refused = true;
     State->announceLoss(w);
@@ -610,6 +624,7 @@
   if (it == s.Workers.end())
     return;
   WorkerState &w = *it->second;
+  w.AcknowledgementInFlight = false;
   if (report.Fenced) {
     s.Fenced |= w.PollToken == s.tokenOf(w);
     return;
@@ -652,7 +667,11 @@
   w.Clock = detail::ClockSample{report.Clock, received};
   // An answer to an earlier token tells what runs, but calls for an earlier
   // incarnation may still act.
-  bool current = w.PollToken == s.tokenOf(w);
+  bool current = w.PollToken >= s.fenceOf(w);
+  if (current) {
+    w.AnsweredToken = w.PollToken;
+    w.ForgottenEnd = std::max(w.ForgottenEnd, report.AcknowledgedEnd);
+  }
   if (current && !w.TokenAnswered)
     s.onTokenAnswered(w, report.StartTime, report.Clock, received);
   if (w.RestartLeaseUntil)
@@ -706,7 +725,7 @@
          std::any_of(task->Runs.begin(), task->Runs.end(), [&](const Run &it) {
            return it.Number == command.Run.Number &&
                   it.Phase == RunPhase::Starting && it.Worker->isUsable() &&
-                  command.Token == State->tokenOf(*it.Worker) &&
+                  command.Token >= State->fenceOf(*it.Worker) &&
                   !State->ZonesOutOfService.contains(it.Worker->Profile.Zone) &&
                   it.Worker->Used.fitsIn(it.Worker->Profile.Capacity);
          });
@@ -718,6 +737,9 @@
                       {"run", std::to_string(command.Run.Number)},
                       {"worker", command.Worker.Id.str()},
                       {"cause", "not sent"}});
+  if (auto worker = State->Workers.find(command.Worker.Id);
+      worker != State->Workers.end())
+    worker->second->StartsInDoubt.erase(command.Run);
   if (JobEntry *job = State->findJob(command.Run.Task.Job))
     State->removeRun(*job, command.Run.Task, command.Run.Number,
                      command.Worker.Id, "start not sent");
@@ -727,8 +749,19 @@
                     base::Result<CommandResult> result, TimePoint now) {
   detail::ShardState &s = *State;
   // The run may have been removed meanwhile.
-  if (result || result.error().Code != base::Errc::WorkerAnswerLost)
+  bool answerLost =
+      !result && result.error().Code == base::Errc::WorkerAnswerLost;
+  if (!answerLost)
     s.forgetLateStart(command.Run);
+  if (auto worker = s.Workers.find(command.Worker.Id);
+      worker != s.Workers.end()) {
+    auto &inDoubt = worker->second->StartsInDoubt;
+    if (auto start = inDoubt.find(command.Run);
+        start != inDoubt.end() && answerLost)
+      start->second = now + MaxCallDelay;
+    else if (start != inDoubt.end())
+      inDoubt.erase(start);
+  }
   JobEntry *job = nullptr;
   TaskEntry *task = s.findTask(command.Run.Task, &job);
   if (!task)
@@ -757,7 +790,7 @@
                  {"cause", cause}});
   w.avoid(CommandFailureBackoff, now);
   w.Trials.pauseUntil(now + CommandFailureBackoff);
-  if (!result && result.error().Code == base::Errc::WorkerAnswerLost) {
+  if (answerLost) {
     run->AnswerLostAt = now;
     s.listLateStart(w, command.Run.Task, now + MaxCallDelay);
     if (run->Phase == RunPhase::Starting) {
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -447,12 +447,22 @@
   std::optional<TimePoint> RestartLeaseUntil;
   /// Number of the worker's fencing token among those of the term.
   std::uint64_t Generation = 0;
-  /// An incarnation has answered a poll with that token, so calls with lower
-  /// ones are refused there. Until then, no call that could harm a later
-  /// incarnation is sent: no start, lease request or acknowledgement.
+  /// The same of the token that fences all calls that were sent before the
+  /// worker may have restarted.
+  std::uint64_t FenceGeneration = 0;
+  /// An incarnation has answered a poll with that token or a later one, so
+  /// calls with lower ones are refused there. Until then, no call that could
+  /// harm a later incarnation is sent: no start, lease request or
+  /// acknowledgement.
   bool TokenAnswered = false;
-  /// Token of the latest poll.
+  /// Token of the latest poll, and of the latest one that was answered.
   base::FencingToken PollToken{0};
+  base::FencingToken AnsweredToken{0};
+  /// The latest poll carries an acknowledgement and has not been answered.
+  bool AcknowledgementInFlight = false;
+  /// Starts of short tasks that may not have been carried out yet, with until
+  /// when they may be. A call in flight has no end.
+  std::map<RunId, TimePoint> StartsInDoubt;
   /// That incarnation, and whether it may hold the longest lease; as in the
   /// roster.
   std::optional<std::chrono::milliseconds> Incarnation;
@@ -479,6 +489,9 @@
   TimePoint IncarnationKnownAt;
   std::int64_t LastProcessedEnd = 0;
   std::int64_t AcknowledgedEnd = 0;
+  /// Highest acknowledgement that a poll of the current incarnation has carried
+  /// and that was answered.
+  std::int64_t ForgottenEnd = 0;
   /// Ascending.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
   /// Ends whose rows could not be read, with when that was first seen. They and
@@ -595,7 +608,7 @@
 
   bool Fenced = false;
   /// Generation of the latest new token of any worker.
-  std::uint64_t LatestGeneration = 0;
+  std::uint64_t ForgottenGeneration = 0;
   /// Incarnations of workers that have been removed, or whose row in the roster
   /// of an earlier owner need not be waited for; as in WorkerState.
   std::map<base::WorkerId, std::optional<std::chrono::milliseconds>>
@@ -832,7 +845,14 @@
   // Incarnations.cpp
   /// Returns the worker's entry; adds one if there is none.
   WorkerState &workerEntry(const base::WorkerId &id);
+  /// Returns the token of calls that are sent now.
   base::FencingToken tokenOf(const WorkerState &worker) const;
+  /// Returns the lowest token that fences the earlier incarnations.
+  base::FencingToken fenceOf(const WorkerState &worker) const;
+  /// Gives a start a higher token than the acknowledgement that is in flight.
+  /// Otherwise a later incarnation could carry out both, and the second would
+  /// discard the end of what the first has run.
+  void fenceAcknowledgement(WorkerState &worker);
   /// The worker may have restarted: from the next answer on, it refuses all
   /// calls that were sent before now.
   void renewToken(WorkerState &worker);
--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -104,6 +104,7 @@
 // A poll that acknowledges ends of one incarnation discarded those of the next,
 // if that restarted before it was known to.
 TEST_F(RestartUnderTheId, EndOfAnUnfencedIncarnation_IsNotAcknowledged) {
+  confirmStarts(Started);
   PollReport report;
   report.StartTime = SecondLife;
   report.Ended = {{1, {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done, ""}};
@@ -116,6 +117,7 @@
 // The event that dates an acknowledgement must not be that of a poll without
 // one: traces of discarded ends are read by it.
 TEST_F(RestartUnderTheId, SilentWorker_IsLoggedAsToldOnceItHasAnswered) {
+  confirmStarts(Started);
   auto told = [&] {
     return Events.counts()[base::EventCode::EndsAcknowledged];
   };
--- a/tests/unit/unit-dispatch-latecalls.cpp
+++ b/tests/unit/unit-dispatch-latecalls.cpp
@@ -26,9 +26,9 @@
 /// Two late starts of a task do not run in one life of a worker ("Not
 /// covered").
 constexpr bool AvoidSecondLateStarts = true;
-/// A late acknowledgement does not discard the end of a late start that has run
-/// in this life ("Not covered").
-constexpr bool AvoidLateEndsAndAcknowledgements = true;
+/// A late acknowledgement of a later owner does not discard the end of such a
+/// start ("Not covered").
+constexpr bool AvoidEndsOfEarlierOwners = true;
 /// The next owner counts a silent worker whose restart no entry and no answer
 /// has shown as the same incarnation: starts of earlier owners that no stored
 /// roster has named do not run in that life once their tasks were started
@@ -185,13 +185,14 @@
         std::max(w.Deadline, std::min(requested, clock(w) + Options.MaxLease));
   }
 
-  void forgetEnds(ModelWorker &w, std::int64_t upTo, std::int64_t meantLife) {
+  /// \param term of the owner that acknowledges the ends.
+  void forgetEnds(ModelWorker &w, std::int64_t upTo, std::int64_t term) {
     auto end = w.Ends.upper_bound(upTo);
-    auto isLate = [&](const auto &it) {
-      return Starts.at(it.second.Run).MeantLife < w.Life;
+    auto isUnknown = [&](const auto &it) {
+      const ModelStart &start = Starts.at(it.second.Run);
+      return start.MeantLife < w.Life && start.Term < term && !start.Stored;
     };
-    if (AvoidLateEndsAndAcknowledgements && meantLife < w.Life &&
-        std::any_of(w.Ends.begin(), end, isLate))
+    if (AvoidEndsOfEarlierOwners && std::any_of(w.Ends.begin(), end, isUnknown))
       return;
     for (auto it = w.Ends.begin(); it != end; it = w.Ends.erase(it))
       if (it->second.Outcome == RunOutcome::Done)
@@ -204,13 +205,14 @@
   }
 
   PollReport carryOutPoll(ModelWorker &w, const dispatch::PollRequest &request,
-                          std::int64_t meantLife) {
+                          std::int64_t term) {
     PollReport report;
     if (!accept(w, request.Token)) {
       report.Fenced = true;
       return report;
     }
-    forgetEnds(w, request.AcknowledgedEnd, meantLife);
+    forgetEnds(w, request.AcknowledgedEnd, term);
+    report.AcknowledgedEnd = request.AcknowledgedEnd;
     extendLease(w, request.Deadline);
     report.Clock = clock(w);
     report.StartTime = w.born(w.Life);
@@ -369,8 +371,8 @@
     bool refused = isDown(w) && now() >= w.CutUntil;
     call<PollReport>(
         w, LostPolls, LatePolls,
-        [this, &w, request = plan->Request, life = w.AnsweredLife] {
-          return carryOutPoll(w, request, life);
+        [this, &w, request = plan->Request, term = OwnerTerm] {
+          return carryOutPoll(w, request, term);
         },
         [this, &w, token = plan->Request.Token, sent,
          refused](std::optional<PollReport> report) {
