Do not repeat a short task while its unanswered start may act

Cause: a short task whose start got no answer was repeated at once on the same worker. If that run was done and the worker restarted within 12 s, the first start was carried out as well. The same with two starts without an answer.

Change: a short task waits for the 12 s in which the start may act, also on the same worker. Long-running tasks still start there at once, since their callers count them as lost after 6 s.

Tests: StopConfirmed_HoldsAShortTask; 63 of the 600 sequences of unit-dispatch-latecalls failed with AvoidRepeatsOfDoneTasks off, none does now, and the switch is gone. With AvoidSecondLateStarts off, 16 failed before and 1 does now; the switch stays. LostAnswer_IsStopped..., UnansweredStart_IsRefused... and StopConfirmed_Repeats... expected the repetition at once; the first two ask for it after 12 s now, the last one of a long-running task.

--- a/packages/dispatch/src/LateStarts.cpp
+++ b/packages/dispatch/src/LateStarts.cpp
@@ -1,7 +1,8 @@
 // Starts that get no answer. The call may be carried out seconds later, also by
 // a later incarnation of its worker that has not answered the current token
-// yet. Until that is impossible, the task runs only on this worker: the
-// incarnation that begins the late run has lost the other one.
+// yet. Until that is impossible, a short task does not run, and a long-running
+// one only on this worker: the incarnation that begins the late run has lost
+// the other one.
 #include "detail/ShardState.h"
 
 #include <algorithm>
@@ -16,8 +17,7 @@
   // Tasks with copies may run twice.
   if (run.Confirmed || until <= now || stepOf(job, key).Speculative)
     return;
-  LateStarts[key].push_back(
-      {run.Number, run.Worker->Profile.Id, run.Incarnation, until});
+  LateStarts[key].push_back({run.Number, run.Worker->Profile.Id, until});
   listLateStart(*run.Worker, key, until);
   Events.emit(
       EventCode::LateStartPossible,
@@ -98,9 +98,7 @@
   // The clock of the earlier owner is not known, nor are the numbers of runs.
   TimePoint until = now + MaxCallDelay;
   for (const TaskKey &it : row.LateStarts) {
-    LateStarts[it].push_back(
-        {0, row.Id, row.Incarnation.value_or(std::chrono::milliseconds(0)),
-         until});
+    LateStarts[it].push_back({0, row.Id, until});
     if (worker == Workers.end())
       continue;
     listLateStart(*worker->second, it, until);
@@ -113,13 +111,13 @@
   auto starts = LateStarts.find(task);
   if (starts == LateStarts.end())
     return true;
-  // A worker that has restarted may do so again, after a short task is done: a
-  // late start would repeat it.
-  return std::all_of(
-      starts->second.begin(), starts->second.end(), [&](const LateStart &it) {
-        return it.Worker == worker.Profile.Id &&
-               (longRunning || it.Incarnation == worker.Profile.StartTime);
-      });
+  // The worker may restart after a short task is done there: the late start
+  // would repeat it.
+  return longRunning &&
+         std::all_of(starts->second.begin(), starts->second.end(),
+                     [&](const LateStart &it) {
+                       return it.Worker == worker.Profile.Id;
+                     });
 }
 
 } // namespace endivedoor::dispatch::detail
--- a/packages/dispatch/src/Plan.cpp
+++ b/packages/dispatch/src/Plan.cpp
@@ -69,7 +69,6 @@
   if (!step.LongRunning)
     fenceAcknowledgement(worker);
   run.Token = tokenOf(worker);
-  run.Incarnation = worker.Profile.StartTime;
   run.PhaseSince = run.Started = run.LastBusy = now;
   StepEntry &entry =
       job.Occurrences[key.Occurrence].Steps[static_cast<std::size_t>(key.Step)];
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -89,8 +89,6 @@
   /// A list of the worker's current incarnation has shown the run. The answer
   /// to its start may have come from a later one.
   bool Listed = false;
-  /// Start time of the incarnation that the start was meant for.
-  std::chrono::milliseconds Incarnation{0};
   /// When the start failed for want of an answer.
   std::optional<TimePoint> AnswerLostAt;
   /// A long-running task that has run for TrialTime; it speaks for its worker.
@@ -105,8 +103,6 @@
 struct LateStart {
   std::int64_t Run = 0;
   base::WorkerId Worker;
-  /// Incarnation that the call was meant for.
-  std::chrono::milliseconds Incarnation{0};
   /// The call is no longer carried out from then on.
   TimePoint Until;
 };
@@ -463,6 +459,8 @@
   /// Starts of short tasks that may not have been carried out yet, with until
   /// when they may be. A call in flight has no end.
   std::map<RunId, TimePoint> StartsInDoubt;
+  /// Since when ends have not been acknowledged because of them.
+  std::optional<TimePoint> EndsHeldSince;
   /// That incarnation, and whether it may hold the longest lease; as in the
   /// roster.
   std::optional<std::chrono::milliseconds> Incarnation;
--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -152,6 +152,9 @@
   losePoll();
   EXPECT_TRUE(plan().empty());
   answer(FirstLife);
+  EXPECT_TRUE(plan().empty());
+  Time.advance(dispatch::MaxCallDelay);
+  answer(FirstLife);
   EXPECT_EQ(plan().size(), 1u);
 }
 
--- a/tests/unit/unit-dispatch-latecalls.cpp
+++ b/tests/unit/unit-dispatch-latecalls.cpp
@@ -20,9 +20,6 @@
 /// later life if the worker had answered the next owner without listing the run
 /// ("Not covered").
 constexpr bool AvoidStartsOfEarlierOwners = true;
-/// A start does not run in a later life if its task was repeated in the life
-/// that it was meant for, and is done ("Not covered").
-constexpr bool AvoidRepeatsOfDoneTasks = true;
 /// Two late starts of a task do not run in one life of a worker ("Not
 /// covered").
 constexpr bool AvoidSecondLateStarts = true;
@@ -223,16 +220,6 @@
     return report;
   }
 
-  /// Returns whether a task was done by a run that repeated the start in the
-  /// life that it was meant for.
-  bool isRepeated(const TaskKey &task, const ModelStart &start) const {
-    auto done = AcknowledgedDone.find(task);
-    if (done == AcknowledgedDone.end())
-      return false;
-    const ModelStart &it = Starts.at({task, done->second});
-    return it.Worker == start.Worker && it.MeantLife == start.MeantLife;
-  }
-
   /// Returns whether the design leaves a late start in this life uncovered.
   bool isUncovered(const ModelWorker &w, const TaskKey &task,
                    const ModelStart &start) const {
@@ -241,8 +228,6 @@
     if (AvoidStartsOfEarlierOwners && !start.Stored &&
         start.RefusedInLife != 0 && start.RefusedInLife < w.Life)
       return true;
-    if (AvoidRepeatsOfDoneTasks && isRepeated(task, start))
-      return true;
     auto isSecond = [&](const auto &it) {
       return it.first.Task == task && Starts.at(it.first).MeantLife < w.Life;
     };
--- a/tests/unit/unit-dispatch-latestarts.cpp
+++ b/tests/unit/unit-dispatch-latestarts.cpp
@@ -146,8 +146,8 @@
   EXPECT_TRUE(plan(WorkerCommand::Kind::Stop).empty());
 }
 
-TEST_F(StartWithoutAnswer, StopConfirmed_RepeatsTheTaskThereOnly) {
-  loseStart(step(1));
+TEST_F(StartWithoutAnswer, StopConfirmed_RepeatsALongRunningTaskThereOnly) {
+  loseStart(longRunning());
   confirmStop();
   std::optional<WorkerCommand> again = nextStart(LostAt + 2s, FirstLife);
   ASSERT_TRUE(again);
@@ -155,6 +155,15 @@
   EXPECT_GT(again->Run.Number, Lost.Run.Number);
 }
 
+// The worker restarted once the task was done again, and the late start
+// repeated it.
+TEST_F(StartWithoutAnswer, StopConfirmed_HoldsAShortTask) {
+  loseStart(step(1));
+  confirmStop();
+  EXPECT_FALSE(nextStart(LostAt + LongestCallDelay, FirstLife));
+  EXPECT_TRUE(nextStart(LostAt + LongestCallDelay + MaxAnswerTime, FirstLife));
+}
+
 // The worker restarts before the task is started there again.
 TEST_F(StartWithoutAnswer, RestartAfterTheStop_HoldsAShortTask) {
   loseStart(step(1));
--- a/tests/unit/unit-dispatch-shard.cpp
+++ b/tests/unit/unit-dispatch-shard.cpp
@@ -394,6 +394,9 @@
   TestShard.onStop(stops[0], CommandResult::Done, now());
   Time.advance(1ms);
   poll("w1");
+  EXPECT_TRUE(plan().empty());
+  Time.advance(dispatch::MaxCallDelay);
+  poll("w1");
   orders = plan();
   ASSERT_EQ(orders.size(), 1u);
   EXPECT_EQ(orders[0].Run.Number, 2);
