Bound the time for which acknowledgements are held

Cause: acknowledgements wait while a start on their worker is in doubt. On a network that keeps losing answers one always is; the worker's list, which is truncated at 500 rows, would fill up and hide later ends.

Change: after 12 s ends are acknowledged whatever is in doubt.

Found by unit-dispatch-endreplay, which lists four ends at most. Its model left polls unanswered that a worker refuses because of a higher token; it answers them as refused now, as workers do, and settles for the time of the hold longer.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -530,7 +530,15 @@
   bool isKnown = w.TokenAnswered && !w.SilentSince;
   std::erase_if(w.StartsInDoubt,
                 [&](const auto &it) { return now >= it.second; });
-  bool mayAcknowledge = isKnown && w.StartsInDoubt.empty();
+  if (w.StartsInDoubt.empty())
+    w.EndsHeldSince.reset();
+  else if (!w.EndsHeldSince && !w.UnacknowledgedEnds.empty())
+    w.EndsHeldSince = now;
+  // Where many starts get no answer, one is always in doubt; the list of the
+  // worker must not fill up meanwhile.
+  bool mayAcknowledge =
+      isKnown && (w.StartsInDoubt.empty() ||
+                  (w.EndsHeldSince && now - *w.EndsHeldSince >= MaxCallDelay));
   std::string acknowledged;
   while (mayAcknowledge && !w.UnacknowledgedEnds.empty()) {
     const detail::UnacknowledgedEnd &end = w.UnacknowledgedEnds.front();
@@ -566,8 +574,10 @@
   if (mayAcknowledge && w.AcknowledgedEnd > w.ForgottenEnd)
     plan.Request.AcknowledgedEnd = w.AcknowledgedEnd;
   w.AcknowledgementInFlight = plan.Request.AcknowledgedEnd > 0;
+  if (w.AcknowledgementInFlight)
+    w.EndsHeldSince.reset();
   plan.EndsHeld =
-      !w.UnacknowledgedEnds.empty() &&
+      !mayAcknowledge && !w.UnacknowledgedEnds.empty() &&
       std::any_of(w.StartsInDoubt.begin(), w.StartsInDoubt.end(),
                   [](const auto &it) { return it.second != TimePoint::max(); });
   plan.Request.IncarnationSeenAt = w.IncarnationSeenAt;
--- a/tests/unit/unit-dispatch-endreplay.cpp
+++ b/tests/unit/unit-dispatch-endreplay.cpp
@@ -148,8 +148,11 @@
   }
 
   void carryOut(ModelWorker &w, ModelPoll &poll) {
-    if (poll.Request.Token < w.Token)
+    if (poll.Request.Token < w.Token) {
+      poll.Life = w.Life;
+      poll.Report.emplace().Fenced = true;
       return;
+    }
     w.Token = poll.Request.Token;
     endLapsed(w);
     std::int64_t seen =
@@ -435,7 +438,9 @@
   /// Answers all calls and stores all records until no end is left.
   void settle() {
     DamagedPercent = LostPercent = 0;
-    for (int i = 0; i < 400; ++i) {
+    // Ends are held back for as long as a start may be in doubt.
+    base::TimePoint doubtEnd = now() + dispatch::MaxCallDelay;
+    for (int i = 0; i < 400; i += now() < doubtEnd ? 0 : 1) {
       Time.advance(40ms);
       for (ModelWorker &it : Workers)
         stepPoll(it);
