--- a/tests/clients/ClientsFixture.h
+++ b/tests/clients/ClientsFixture.h
@@ -35,6 +35,8 @@
 constexpr auto WaitLimit = 60s;
 /// A crowd gives up when no connection accepts or closes for this long.
 constexpr auto StallLimit = 5s;
+/// Longest wait for figures that stay the same.
+constexpr auto SettleLimit = 10s;
 /// Bounds with the settings below: a small entry host has 260 MB and 4,100
 /// descriptors, and the settings lower both.
 constexpr std::size_t MaxMemoryKiB = 160 * 1024;
@@ -156,6 +158,20 @@
     send(text, "", text.size(), reads);
   }
 
+  /// Waits until each connection is closed or answered; returns false if one
+  /// is neither.
+  bool waitUntilEnded() {
+    SteadyTime end = std::chrono::steady_clock::now() + WaitLimit;
+    for (auto &it : Members)
+      while (!it->Closed && it->Answer.empty()) {
+        if (std::chrono::steady_clock::now() > end)
+          return false;
+        std::this_thread::sleep_for(1ms);
+        it->read();
+      }
+    return true;
+  }
+
   std::vector<std::unique_ptr<Connection>> Members;
 };
 
@@ -319,7 +335,7 @@
   /// and its descriptors stay the same for a while.
   void settle() const {
     auto sample = [this] { return std::pair(memoryKiB(), descriptors()); };
-    SteadyTime end = std::chrono::steady_clock::now() + WaitLimit;
+    SteadyTime end = std::chrono::steady_clock::now() + SettleLimit;
     auto last = sample();
     for (int same = 0; same < 3 && std::chrono::steady_clock::now() < end;) {
       std::this_thread::sleep_for(100ms);
--- a/tests/clients/clients-connections.cpp
+++ b/tests/clients/clients-connections.cpp
@@ -39,4 +39,23 @@
   EXPECT_EQ(Daemon->wait(WaitLimit), 0);
 }
 
+TEST_F(ClientsConnectionsTest, SlowSenders_OrdinaryCallerIsServed) {
+  ASSERT_NO_FATAL_FAILURE(start(24630));
+  constexpr int each = ManyClients / 2, bytes = 100, asksEvery = 25;
+  Crowd headers(Callers, each), bodies(Callers, each);
+  headers.send("GET /short/ HTTP/1.1\r\nHost: 127.0.0.1\r\na: ");
+  bodies.send(postHead() + "Content-Length: 1000\r\n\r\n");
+  for (int i = 1; i <= bytes; ++i) {
+    for (Crowd *crowd : {&headers, &bodies})
+      for (auto &it : crowd->Members)
+        it->write("b");
+    if (i % asksEvery == 0) {
+      EXPECT_EQ(askAgain(Callers, post()), 200);
+      EXPECT_EQ(askReadiness(), 200);
+    }
+    std::this_thread::sleep_for(100ms);
+  }
+  expectServing("connections open");
+}
+
 } // namespace endivedoor::clients
