--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -5,6 +5,7 @@
 
 #include "endivedoor/model/Worker.h"
 #include "endivedoor/platform/Async.h"
+#include "endivedoor/platform/ByteBudget.h"
 #include "endivedoor/platform/Http.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,11 +18,40 @@
 
 namespace endivedoor::platform {
 
+/// A limit on what a client makes the server hold.
+enum class HttpLimit {
+  /// Maximum number of connections.
+  Connections,
+  /// Byte budget.
+  Memory,
+  /// Size or number of header fields.
+  Header,
+  HeaderTime,
+  /// Chunk lines, extensions and trailers of a body.
+  Framing,
+  Body,
+  BodyTime,
+  ResponseTime
+};
+
 struct HttpServerOptions {
   model::Address Listen;
   HttpLimits Limits;
-  /// Further connections are closed immediately.
+  /// If there are more, those that have not sent a complete request are closed
+  /// first, then idle ones, both in the order in which they began to wait.
   std::size_t MaxConnections = 4096;
+  /// Limits the memory that connections, requests and responses use; may be
+  /// shared by servers. No limit if null.
+  std::shared_ptr<ByteBudget> Budget;
+  /// Maximum time from the first byte of a request to the end of its header.
+  std::chrono::milliseconds HeaderTimeout = std::chrono::seconds(10);
+  /// A body has to bring 16 KiB, or its end, within this time.
+  std::chrono::milliseconds BodyTimeout = std::chrono::seconds(10);
+  /// Maximum time for sending a response, plus one second for each 16 KiB.
+  std::chrono::milliseconds ResponseTimeout = std::chrono::seconds(10);
+  /// Called when a request is refused or a connection closed because of a
+  /// limit. May be null.
+  std::function<void(HttpLimit)> OnLimit;
   /// A connection that is idle for this long is closed. Longer than the idle
   /// timeout of HttpClient, so that a client never reuses a connection that
   /// the server is about to close.
