Limit the framing and the header lines of a request

Callers saw a daemon end because it ran out of memory. A client had sent trailers without end behind a chunked body; 2,900 requests with 15 kB of short header lines each also took 0.4 MB apiece.

The read buffer of a connection had no maximum, and the parser asks for more bytes until it finds the end of a chunk line or of the trailers. The parser copies each field, and a copy of a short field takes many times its size.

HttpServer now reads and parses a request itself, into a buffer that holds at most the maximum header and one read. It counts the lines of a header before the parser copies them (at most 128), the size of the header over all reads, and the bytes of a message that are neither header nor body, which must stay below the maximum header plus 8 for each body byte. Exceeding the first two is answered with 431, the last with 400, and the connection is closed.

--- a/packages/platform/include/endivedoor/platform/Http.h
+++ b/packages/platform/include/endivedoor/platform/Http.h
@@ -38,10 +38,11 @@
   std::string Body;
 };
 
-/// Maximum sizes of a message, in bytes.
+/// Maximum sizes of a message, in bytes, and number of its header fields.
 struct HttpLimits {
   std::size_t HeaderBytes = 16 * 1024;
   std::size_t BodyBytes = 1024 * 1024;
+  std::size_t HeaderFields = 128;
 };
 
 } // namespace endivedoor::platform
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "endivedoor/platform/HttpServer.h"
 
 #include "detail/BeastMessages.h"
+#include "detail/MessageReader.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <optional>
 #include <sys/socket.h>
 #include <unordered_set>
 
@@ -26,16 +28,18 @@
 /// Delay after a failed accept, which usually means that the process has run
 /// out of file descriptors.
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(50);
-constexpr std::size_t ReadBytes = 4096;
 /// Limits on reading and discarding the rest of a rejected request. Closing a
 /// socket with unread bytes resets the connection, and the client may lose the
 /// error response.
 constexpr auto DiscardTime = std::chrono::seconds(1);
 constexpr std::size_t DiscardBytes = 4 * 1024 * 1024;
 
+using RequestReader = detail::MessageReader<true>;
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   struct Connection {
-    explicit Connection(asio::ip::tcp::socket s) : Stream(std::move(s)) {}
+    Connection(asio::ip::tcp::socket s, const HttpLimits &limits)
+        : Stream(std::move(s)), Buffer(detail::maxBufferBytes(limits)) {}
     beast::tcp_stream Stream;
     beast::flat_buffer Buffer;
     /// No byte of a request has been read since the last response.
@@ -63,11 +67,14 @@
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serve(asio::ip::tcp::socket socket);
   asio::awaitable<void> closeIdleAfterGrace();
-  asio::awaitable<boost::system::error_code>
-  readRequest(Connection &connection,
-              http::request_parser<http::string_body> &parser);
+  asio::awaitable<boost::system::error_code> readRequest(Connection &connection,
+                                                         RequestReader &reader);
   asio::awaitable<void> rejectRequest(Connection &connection, unsigned status,
                                       std::string reason);
+  void reportLimit(HttpLimit limit) const {
+    if (Options.OnLimit)
+      Options.OnLimit(limit);
+  }
   void acceptPending();
   void closeIdle();
   asio::awaitable<bool> serveOne(Connection &connection);
@@ -95,7 +102,7 @@
 
 asio::awaitable<void> HttpServer::Impl::serve(asio::ip::tcp::socket socket) {
   auto self = shared_from_this();
-  Connection connection(std::move(socket));
+  Connection connection(std::move(socket), Options.Limits);
   boost::system::error_code ec;
   connection.Stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
   Connections.insert(&connection);
@@ -105,6 +112,18 @@
   connection.Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
+/// Returns the limit that a request has exceeded, if any.
+static std::optional<HttpLimit>
+exceededLimit(const boost::system::error_code &ec) {
+  if (ec == http::error::body_limit)
+    return HttpLimit::Body;
+  if (ec == http::error::header_limit)
+    return HttpLimit::Header;
+  if (ec == http::error::buffer_overflow)
+    return HttpLimit::Framing;
+  return std::nullopt;
+}
+
 /// Returns the response status for a request that could not be read, or 0 if no
 /// response can be sent.
 static unsigned errorStatus(const boost::system::error_code &ec) {
@@ -121,22 +140,20 @@
 /// Waits for the first bytes of a request, with the connection marked as idle,
 /// then reads the rest.
 asio::awaitable<boost::system::error_code>
-HttpServer::Impl::readRequest(Connection &connection,
-                              http::request_parser<http::string_body> &parser) {
+HttpServer::Impl::readRequest(Connection &connection, RequestReader &reader) {
   connection.Stream.expires_after(Options.IdleTimeout);
-  if (connection.Buffer.size() == 0) {
-    connection.Idle = true;
-    auto [ec, n] = co_await connection.Stream.async_read_some(
-        connection.Buffer.prepare(ReadBytes), AsTuple);
-    connection.Idle = false;
-    connection.Buffer.commit(n);
-    if (ec)
+  connection.Idle = connection.Buffer.size() == 0;
+  while (true) {
+    boost::system::error_code ec = reader.parse();
+    if (ec != http::error::need_more)
       co_return ec;
+    auto [readError, n] =
+        co_await connection.Stream.async_read_some(reader.prepare(), AsTuple);
+    if (readError)
+      co_return readError;
+    reader.commit(n);
+    connection.Idle = false;
   }
-  connection.Stream.expires_after(Options.IdleTimeout);
-  auto [ec, n] = co_await http::async_read(connection.Stream, connection.Buffer,
-                                           parser, AsTuple);
-  co_return ec;
 }
 
 asio::awaitable<void> HttpServer::Impl::rejectRequest(Connection &connection,
@@ -155,7 +172,7 @@
   for (std::size_t read = 0; read < DiscardBytes;) {
     connection.Buffer.clear();
     auto [readError, n] = co_await connection.Stream.async_read_some(
-        connection.Buffer.prepare(ReadBytes), AsTuple);
+        connection.Buffer.prepare(detail::ReadBytes), AsTuple);
     if (readError)
       co_return;
     read += n;
@@ -163,11 +180,11 @@
 }
 
 asio::awaitable<bool> HttpServer::Impl::serveOne(Connection &connection) {
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(Options.Limits.HeaderBytes));
-  parser.body_limit(Options.Limits.BodyBytes);
-  boost::system::error_code ec = co_await readRequest(connection, parser);
+  RequestReader reader(connection.Buffer, Options.Limits);
+  boost::system::error_code ec = co_await readRequest(connection, reader);
   if (ec) {
+    if (std::optional<HttpLimit> limit = exceededLimit(ec))
+      reportLimit(*limit);
     if (unsigned status = errorStatus(ec))
       co_await rejectRequest(connection, status, ec.message());
     co_return false;
@@ -175,7 +192,7 @@
   if (Stopped)
     co_return false;
   ++ActiveRequests;
-  http::request<http::string_body> message = parser.release();
+  http::request<http::string_body> message = reader.Parser.release();
   bool keepAlive = message.keep_alive();
   bool isHead = message.method() == http::verb::head;
   HttpRequest request;
--- /dev/null
+++ b/tests/unit/unit-httplimits.cpp
@@ -0,0 +1,181 @@
+// Tests that clients cannot make the HTTP server hold more memory, connections
+// or time than its limits allow, and that ordinary requests are served beside
+// clients that try.
+#include "support/HttpFixture.h"
+
+using namespace endivedoor;
+using namespace endivedoor::tests;
+using namespace endivedoor::platform;
+
+namespace {
+
+/// A client that is not controlled: sends any bytes and notes the answer.
+class RawClient {
+public:
+  RawClient(asio::io_context &io, const model::Address &to)
+      : Io(io), Socket(io) {
+    Socket.connect({asio::ip::make_address(to.Ip), to.Port});
+    Socket.non_blocking(true);
+  }
+
+  /// Sends \p text as far as the connection takes it, and lets the server run
+  /// in between.
+  void send(std::string_view text) {
+    while (!text.empty()) {
+      boost::system::error_code ec;
+      std::size_t n = Socket.write_some(asio::buffer(text), ec);
+      text.remove_prefix(n);
+      Io.restart();
+      Io.poll();
+      if (ec && ec != asio::error::would_block)
+        return;
+      receive();
+      if (Closed)
+        return;
+    }
+  }
+
+  /// Reads what has arrived.
+  void receive() {
+    std::string part(65536, 0);
+    boost::system::error_code ec;
+    while (!ec) {
+      std::size_t n = Socket.read_some(asio::buffer(part), ec);
+      Received += part.substr(0, n);
+    }
+    Closed = Closed || ec != asio::error::would_block;
+  }
+
+  /// Lets the server run for up to \p time, until the connection is closed.
+  /// \returns the status line, "closed" if there is none, or "open".
+  std::string outcome(std::chrono::milliseconds time = 300ms) {
+    auto end = std::chrono::steady_clock::now() + time;
+    do {
+      runFor(Io, 2ms);
+      receive();
+    } while (!Closed && Received.empty() &&
+             std::chrono::steady_clock::now() < end);
+    if (!Received.empty())
+      return Received.substr(9, 3);
+    return Closed ? "closed" : "open";
+  }
+
+  std::string Received;
+  bool Closed = false;
+
+private:
+  asio::io_context &Io;
+  asio::ip::tcp::socket Socket;
+};
+
+class HttpLimitsTest : public HttpFixture {
+protected:
+  HttpServerOptions Options;
+  std::vector<HttpLimit> Reached;
+
+  HttpLimitsTest() {
+    Options.OnLimit = [this](HttpLimit it) { Reached.push_back(it); };
+    RequestHandler = [](HttpRequest it) -> asio::awaitable<HttpResponse> {
+      co_return HttpResponse{200, {}, it.Body};
+    };
+  }
+
+  /// Returns the outcome for a client that sends \p text.
+  std::string outcomeOf(std::string_view text) {
+    RawClient client(Io, To);
+    client.send(text);
+    return client.outcome();
+  }
+  static std::string post(std::string_view headers, std::string_view body) {
+    return "POST /x HTTP/1.1\r\nHost: h\r\n" + std::string(headers) + "\r\n" +
+           std::string(body);
+  }
+  static std::string postChunks(std::string_view chunks) {
+    return post("Transfer-Encoding: chunked\r\n", chunks);
+  }
+  static std::string repeat(std::string_view text, std::size_t n) {
+    std::string all;
+    for (std::size_t i = 0; i < n; ++i)
+      all += text;
+    return all;
+  }
+
+  model::Address To;
+};
+
+constexpr std::size_t Endless = 4 * 1024 * 1024;
+
+// The read buffer had no maximum: a chunked body with trailers, extensions or
+// a size line without end used up the memory of the process.
+TEST_F(HttpLimitsTest, EndlessFraming_IsRefused) {
+  To = listen(Options);
+  std::string endless(Endless, 'x');
+  EXPECT_EQ(outcomeOf(postChunks("0\r\nA: " + endless)), "400");
+  EXPECT_EQ(outcomeOf(postChunks("0\r\n" + repeat("A: b\r\n", Endless / 6))),
+            "400");
+  EXPECT_EQ(outcomeOf(postChunks("1;a=" + endless)), "400");
+  EXPECT_EQ(outcomeOf(postChunks(std::string(Endless, '0'))), "400");
+  EXPECT_EQ(Reached, std::vector(4, HttpLimit::Framing));
+}
+
+// Each chunk line stays below the size of the buffer, but they are discarded
+// without a bound.
+TEST_F(HttpLimitsTest, ExtensionsOnEachChunk_AreRefused) {
+  To = listen(Options);
+  std::string chunk = "1;a=" + std::string(1000, 'x') + "\r\ny\r\n";
+  EXPECT_EQ(outcomeOf(postChunks(repeat(chunk, 1000))), "400");
+}
+
+// RFC 9112 allows chunks of any size; senders flush single bytes.
+TEST_F(HttpLimitsTest, ChunksOfOneByteAndShortTrailers_AreServed) {
+  To = listen(Options);
+  std::string chunks = repeat("1\r\ny\r\n", 50000);
+  RawClient client(Io, To);
+  client.send(postChunks(chunks + "0\r\nA: b\r\n\r\n"));
+  EXPECT_EQ(client.outcome(), "200");
+  runFor(Io, 20ms);
+  client.receive();
+  EXPECT_NE(client.Received.find("\r\n\r\n" + std::string(50000, 'y')),
+            std::string::npos);
+}
+
+// The parser copies each field; 15 kB of short lines took 0.4 MB.
+TEST_F(HttpLimitsTest, HeaderWithManyLines_IsRefused) {
+  To = listen(Options);
+  EXPECT_EQ(outcomeOf(post(repeat("a:\r\n", 3000), "")), "431");
+  EXPECT_EQ(outcomeOf(post(repeat("a:\r\n", 128), "")), "431");
+  EXPECT_EQ(outcomeOf("\r\n\r\n" + post(repeat("a:\r\n", 128), "")), "431");
+  EXPECT_EQ(outcomeOf(post(repeat("a:\r\n", 127), "")), "200");
+  EXPECT_EQ(Reached, std::vector(3, HttpLimit::Header));
+}
+
+// Lines of a body or of a pipelined request are not lines of the header.
+TEST_F(HttpLimitsTest, BodyWithManyLines_IsServed) {
+  To = listen(Options);
+  std::string body = repeat("a:\r\n", 900);
+  EXPECT_EQ(outcomeOf(post("Content-Length: 3600\r\n", body)), "200");
+}
+
+// The parser's own limit counts the bytes that it has not consumed yet.
+TEST_F(HttpLimitsTest, OversizedHeader_IsRefusedHoweverItArrives) {
+  To = listen(Options);
+  std::string line = "A: " + std::string(1000, 'x') + "\r\n";
+  EXPECT_EQ(outcomeOf(post(repeat(line, 17), "")), "431");
+  RawClient slow(Io, To);
+  slow.send("POST /x HTTP/1.1\r\n");
+  for (int i = 0; i < 17; ++i)
+    slow.send(line);
+  EXPECT_EQ(slow.outcome(), "431");
+  EXPECT_EQ(outcomeOf(post(repeat(line, 16), "")), "200");
+}
+
+TEST_F(HttpLimitsTest, OversizedBody_IsRefused) {
+  Options.Limits.BodyBytes = 2000;
+  To = listen(Options);
+  std::string body(2001, 'x');
+  EXPECT_EQ(outcomeOf(post("Content-Length: 2001\r\n", "")), "413");
+  EXPECT_EQ(outcomeOf(postChunks("7d1\r\n" + body + "\r\n0\r\n\r\n")), "413");
+  EXPECT_EQ(Reached, std::vector(2, HttpLimit::Body));
+}
+
+} // namespace
