Limit the time of a header, a body and a response

Connections that sent a header or a body byte by byte, and those that read no answer, were held for 60 s after each byte. They kept a daemon from stopping.

Each read and write began the idle timeout anew; nothing limited the time of a whole header or the rate of a body.

A header must now end within HeaderTimeout after its first byte, a body must bring 16 KiB within each BodyTimeout; both are answered with 408. A response may take ResponseTimeout and a second for each 16 KiB, and a client that takes nothing of it for ResponseTimeout is given up at once. After DrainGrace, a request that is not complete within HeaderTimeout is given up too.

--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -48,6 +48,7 @@
   /// A body has to bring 16 KiB, or its end, within this time.
   std::chrono::milliseconds BodyTimeout = std::chrono::seconds(10);
   /// Maximum time for sending a response, plus one second for each 16 KiB.
+  /// Also the maximum time in which the client takes nothing of it.
   std::chrono::milliseconds ResponseTimeout = std::chrono::seconds(10);
   /// Called when a request is refused or a connection closed because of a
   /// limit. May be null.
@@ -93,8 +94,9 @@
   void disableKeepAlive();
 
   /// Stops accepting connections. Each open connection is closed after its next
-  /// response, or after DrainGrace if it is idle. The drain is complete when
-  /// openConnections returns 0.
+  /// response, or after DrainGrace if it is idle. A request that is not
+  /// complete after DrainGrace and HeaderTimeout together is given up. The
+  /// drain is complete when openConnections returns 0.
   void beginDrain();
 
   /// Returns the number of requests in progress.
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -1,28 +1,27 @@
 #include "endivedoor/platform/HttpServer.h"
 
 #include "detail/BeastMessages.h"
-#include "detail/MessageReader.h"
+#include "detail/ServerConnection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <sys/socket.h>
+#include <tuple>
 #include <unordered_set>
 
 namespace endivedoor::platform {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using base::Errc;
 using base::fail;
+using Connection = detail::ServerConnection;
+using RequestReader = detail::MessageReader<true>;
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 /// Delay after a failed accept, which usually means that the process has run
@@ -33,19 +32,16 @@
 /// error response.
 constexpr auto DiscardTime = std::chrono::seconds(1);
 constexpr std::size_t DiscardBytes = 4 * 1024 * 1024;
+/// A body that is slower than this within each BodyTimeout is given up.
+constexpr std::size_t MinBodyBytes = 16 * 1024;
+/// A response that a client takes more slowly than this is given up.
+constexpr std::size_t MinResponseBytesPerSecond = 16 * 1024;
 
-using RequestReader = detail::MessageReader<true>;
+static Connection::TimePoint after(std::chrono::steady_clock::duration time) {
+  return std::chrono::steady_clock::now() + time;
+}
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-  struct Connection {
-    Connection(asio::ip::tcp::socket s, const HttpLimits &limits)
-        : Stream(std::move(s)), Buffer(detail::maxBufferBytes(limits)) {}
-    beast::tcp_stream Stream;
-    beast::flat_buffer Buffer;
-    /// No byte of a request has been read since the last response.
-    bool Idle = true;
-  };
-
   asio::any_io_executor Executor;
   HttpServerOptions Options;
   Handler OnRequest;
@@ -57,6 +53,8 @@
   bool KeepAliveEnabled = true;
   /// The server has been destroyed; the handler must not be called any more.
   bool Stopped = false;
+  /// When connections that are reading a request are closed.
+  Connection::TimePoint ReadEnd = Connection::TimePoint::max();
 
   Impl(asio::any_io_executor executor, HttpServerOptions options,
        Handler handler)
@@ -71,6 +69,10 @@
                                                          RequestReader &reader);
   asio::awaitable<void> rejectRequest(Connection &connection, unsigned status,
                                       std::string reason);
+  /// Sets the time limit of a connection that is reading a request.
+  void readUntil(Connection &connection, Connection::TimePoint time) const {
+    connection.setDeadline(std::min(time, ReadEnd));
+  }
   void reportLimit(HttpLimit limit) const {
     if (Options.OnLimit)
       Options.OnLimit(limit);
@@ -102,14 +104,15 @@
 
 asio::awaitable<void> HttpServer::Impl::serve(asio::ip::tcp::socket socket) {
   auto self = shared_from_this();
-  Connection connection(std::move(socket), Options.Limits);
+  auto connection =
+      std::make_shared<Connection>(std::move(socket), Options.Limits);
   boost::system::error_code ec;
-  connection.Stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-  Connections.insert(&connection);
-  while (!Stopped && co_await serveOne(connection)) {
+  connection->Socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  Connections.insert(connection.get());
+  while (!Stopped && co_await serveOne(*connection)) {
   }
-  Connections.erase(&connection);
-  connection.Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  Connections.erase(connection.get());
+  connection->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
 /// Returns the limit that a request has exceeded, if any.
@@ -131,6 +134,8 @@
     return 413;
   if (ec == http::error::header_limit)
     return 431;
+  if (ec == asio::error::timed_out)
+    return 408;
   if (ec.category() == make_error_code(http::error::bad_method).category() &&
       ec != http::error::end_of_stream && ec != http::error::partial_message)
     return 400;
@@ -138,20 +143,35 @@
 }
 
 /// Waits for the first bytes of a request, with the connection marked as idle,
-/// then reads the rest.
+/// then reads the rest. Returns timed_out if the request takes too long.
 asio::awaitable<boost::system::error_code>
 HttpServer::Impl::readRequest(Connection &connection, RequestReader &reader) {
-  connection.Stream.expires_after(Options.IdleTimeout);
+  const std::string &body = reader.Parser.get().body();
+  bool inHeader = true;
+  std::size_t bodyMark = 0;
+  connection.Reading = true;
   connection.Idle = connection.Buffer.size() == 0;
+  readUntil(connection, after(connection.Idle ? Options.IdleTimeout
+                                              : Options.HeaderTimeout));
   while (true) {
     boost::system::error_code ec = reader.parse();
     if (ec != http::error::need_more)
       co_return ec;
+    if (reader.Parser.is_header_done() &&
+        (inHeader || body.size() - bodyMark >= MinBodyBytes)) {
+      inHeader = false;
+      bodyMark = body.size();
+      readUntil(connection, after(Options.BodyTimeout));
+    }
     auto [readError, n] =
-        co_await connection.Stream.async_read_some(reader.prepare(), AsTuple);
+        co_await connection.Socket.async_read_some(reader.prepare(), AsTuple);
+    if (connection.TimedOut && !connection.Idle)
+      co_return asio::error::timed_out;
     if (readError)
       co_return readError;
     reader.commit(n);
+    if (connection.Idle)
+      readUntil(connection, after(Options.HeaderTimeout));
     connection.Idle = false;
   }
 }
@@ -167,11 +187,11 @@
     response = Options.MakeErrorResponse(status, reason);
   co_await writeResponse(connection, std::move(response), false, false);
   boost::system::error_code ec;
-  connection.Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-  connection.Stream.expires_after(DiscardTime);
+  connection.Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  connection.setDeadline(after(DiscardTime));
   for (std::size_t read = 0; read < DiscardBytes;) {
     connection.Buffer.clear();
-    auto [readError, n] = co_await connection.Stream.async_read_some(
+    auto [readError, n] = co_await connection.Socket.async_read_some(
         connection.Buffer.prepare(detail::ReadBytes), AsTuple);
     if (readError)
       co_return;
@@ -182,7 +202,12 @@
 asio::awaitable<bool> HttpServer::Impl::serveOne(Connection &connection) {
   RequestReader reader(connection.Buffer, Options.Limits);
   boost::system::error_code ec = co_await readRequest(connection, reader);
+  connection.Reading = false;
+  connection.clearDeadline();
   if (ec) {
+    if (ec == asio::error::timed_out)
+      reportLimit(reader.Parser.is_header_done() ? HttpLimit::BodyTime
+                                                 : HttpLimit::HeaderTime);
     if (std::optional<HttpLimit> limit = exceededLimit(ec))
       reportLimit(*limit);
     if (unsigned status = errorStatus(ec))
@@ -222,9 +247,18 @@
   message.prepare_payload();
   if (isHead)
     message.body().clear();
-  connection.Stream.expires_after(Options.IdleTimeout);
-  auto [ec, n] =
-      co_await http::async_write(connection.Stream, message, AsTuple);
+  Connection::TimePoint end = after(
+      Options.ResponseTimeout +
+      std::chrono::seconds(message.body().size() / MinResponseBytesPerSecond));
+  http::response_serializer<http::string_body> serializer(message);
+  boost::system::error_code ec;
+  while (!ec && !serializer.is_done()) {
+    connection.setDeadline(std::min(end, after(Options.ResponseTimeout)));
+    std::tie(ec, std::ignore) =
+        co_await http::async_write_some(connection.Socket, serializer, AsTuple);
+  }
+  if (connection.TimedOut)
+    reportLimit(HttpLimit::ResponseTime);
   co_return !ec && message.keep_alive();
 }
 
@@ -281,7 +315,7 @@
 void HttpServer::Impl::closeIdle() {
   for (Connection *it : Connections)
     if (it->Idle)
-      it->Stream.cancel();
+      it->close();
 }
 
 asio::awaitable<void> HttpServer::Impl::closeIdleAfterGrace() {
@@ -291,6 +325,10 @@
   GraceTimer.expires_after(Options.DrainGrace);
   co_await GraceTimer.async_wait(AsTuple);
   closeIdle();
+  ReadEnd = after(Options.HeaderTimeout);
+  for (Connection *it : Connections)
+    if (it->Reading)
+      readUntil(*it, it->deadline());
 }
 
 void HttpServer::disableKeepAlive() { Self->KeepAliveEnabled = false; }
--- a/tests/unit/unit-httplimits.cpp
+++ b/tests/unit/unit-httplimits.cpp
@@ -178,4 +178,91 @@
   EXPECT_EQ(Reached, std::vector(2, HttpLimit::Body));
 }
 
+// Connections that sent a header byte by byte were held without a bound, as the
+// time limit began anew with each read.
+TEST_F(HttpLimitsTest, HeaderThatTakesTooLong_IsAnsweredWith408) {
+  Options.HeaderTimeout = 60ms;
+  To = listen(Options);
+  RawClient client(Io, To);
+  for (int i = 0; i < 20 && client.outcome(10ms) == "open"; ++i)
+    client.send(i == 0 ? "GET /x HTTP/1.1\r\nA: " : "x");
+  EXPECT_EQ(client.outcome(0ms), "408");
+  EXPECT_EQ(Reached, std::vector{HttpLimit::HeaderTime});
+}
+
+TEST_F(HttpLimitsTest, ConnectionWithoutAByte_IsClosedAfterTheIdleTimeout) {
+  Options.IdleTimeout = 40ms;
+  To = listen(Options);
+  EXPECT_EQ(outcomeOf(""), "closed");
+  EXPECT_TRUE(Reached.empty());
+}
+
+TEST_F(HttpLimitsTest, SlowBody_IsAnsweredWith408) {
+  Options.BodyTimeout = 60ms;
+  To = listen(Options);
+  RawClient client(Io, To);
+  client.send(post("Content-Length: 100000\r\n", ""));
+  for (int i = 0; i < 20 && client.outcome(10ms) == "open"; ++i)
+    client.send("x");
+  EXPECT_EQ(client.outcome(0ms), "408");
+  EXPECT_EQ(Reached, std::vector{HttpLimit::BodyTime});
+}
+
+// The limit is on the rate; a large body may take several times as long.
+TEST_F(HttpLimitsTest, SteadyBody_IsServedAfterTheBodyTimeout) {
+  Options.BodyTimeout = 60ms;
+  To = listen(Options);
+  RawClient client(Io, To);
+  client.send(post("Content-Length: 160000\r\n", ""));
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(client.outcome(20ms), "open");
+    client.send(std::string(20000, 'x'));
+  }
+  EXPECT_EQ(client.outcome(), "200");
+}
+
+// A client that read no answer held the connection and the answer for the idle
+// timeout of 60 s. The time for the size of the answer is not for such clients.
+TEST_F(HttpLimitsTest, UnreadResponse_IsGivenUp) {
+  Options.ResponseTimeout = 50ms;
+  To = listen(Options);
+  respondWith(200, std::string(16 * 1024 * 1024, 'x'));
+  RawClient client(Io, To);
+  client.send(post("", ""));
+  runFor(Io, 150ms);
+  EXPECT_EQ(Server->openConnections(), 0u);
+  EXPECT_EQ(Reached, std::vector{HttpLimit::ResponseTime});
+}
+
+TEST_F(HttpLimitsTest, LargeResponse_IsSentToASlowReader) {
+  Options.ResponseTimeout = 50ms;
+  To = listen(Options);
+  constexpr std::size_t Size = 16 * 1024 * 1024;
+  respondWith(200, std::string(Size, 'x'));
+  RawClient client(Io, To);
+  client.send(post("", ""));
+  for (int i = 0; i < 30; ++i) {
+    runFor(Io, 5ms);
+    client.receive();
+  }
+  EXPECT_GE(client.Received.size(), Size);
+}
+
+// Clients that send a header byte by byte kept a daemon from stopping.
+TEST_F(HttpLimitsTest, Drain_EndsBesideIncompleteRequests) {
+  Options.DrainGrace = 10ms;
+  Options.HeaderTimeout = 80ms;
+  To = listen(Options);
+  RawClient body(Io, To);
+  body.send(post("Content-Length: 100\r\n", "x"));
+  RawClient header(Io, To);
+  header.send("GET /x HT");
+  runFor(Io, 5ms);
+  Server->beginDrain();
+  runFor(Io, 40ms);
+  EXPECT_EQ(Server->openConnections(), 2u);
+  EXPECT_EQ(header.outcome(), "408");
+  EXPECT_EQ(body.outcome(), "408");
+}
+
 } // namespace
