Close the least useful connection for a new one

With MaxConnections open, the server closed each new connection; those that had sent nothing kept their place until the idle timeout. Without a free file descriptor, accept failed until one of them ended.

In both cases the server now accepts the new connection and closes another one: first those that have not sent a complete request, the one that has waited longest first, then those kept for a further request. Requests that a handler has begun and responses in progress are never closed for it; if there are only such, the new connection is closed as before. The connections are in queues, so that the choice takes constant time. The coroutine of a connection now keeps the server, so that it can begin after the server is destroyed.

Three of the four new tests of unit-httplimits fail without the change; the one of a table of busy connections guards what must not be closed. unit-http passes unchanged.

--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -1,7 +1,7 @@
 #include "endivedoor/platform/HttpServer.h"
 
 #include "detail/BeastMessages.h"
-#include "detail/ServerConnection.h"
+#include "detail/ConnectionTable.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +12,6 @@
 #include <optional>
 #include <sys/socket.h>
 #include <tuple>
-#include <unordered_set>
 
 namespace endivedoor::platform {
 
@@ -47,7 +46,7 @@
   Handler OnRequest;
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer GraceTimer;
-  std::unordered_set<Connection *> Connections;
+  detail::ConnectionTable Connections;
   std::size_t ActiveRequests = 0;
   bool Draining = false;
   bool KeepAliveEnabled = true;
@@ -63,7 +62,8 @@
         GraceTimer(executor) {}
 
   asio::awaitable<void> acceptLoop();
-  asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+  static asio::awaitable<void> serve(std::shared_ptr<Impl> self,
+                                     std::shared_ptr<Connection> connection);
   asio::awaitable<void> closeIdleAfterGrace();
   asio::awaitable<boost::system::error_code> readRequest(Connection &connection,
                                                          RequestReader &reader);
@@ -77,6 +77,8 @@
     if (Options.OnLimit)
       Options.OnLimit(limit);
   }
+  bool closeLeastUseful(const Connection *except = nullptr);
+  void admit(asio::ip::tcp::socket socket);
   void acceptPending();
   void closeIdle();
   asio::awaitable<bool> serveOne(Connection &connection);
@@ -85,33 +87,65 @@
                                       bool isHead);
 };
 
+/// Returns whether an accept failed because the process or the host has run out
+/// of file descriptors.
+static bool isDescriptorShortage(const boost::system::error_code &ec) {
+  return ec == boost::system::errc::too_many_files_open ||
+         ec == boost::system::errc::too_many_files_open_in_system;
+}
+
 asio::awaitable<void> HttpServer::Impl::acceptLoop() {
   auto self = shared_from_this();
   while (!Draining) {
     auto [ec, socket] = co_await Acceptor.async_accept(AsTuple);
     if (ec == asio::error::operation_aborted || (ec && Draining))
       co_return;
-    if (ec) {
+    if (ec && !(isDescriptorShortage(ec) && closeLeastUseful())) {
       asio::steady_timer timer(Executor, AcceptRetryDelay);
       co_await timer.async_wait(AsTuple);
-      continue;
     }
-    if (Connections.size() >= Options.MaxConnections)
-      continue;
-    asio::co_spawn(Executor, serve(std::move(socket)), asio::detached);
+    if (!ec)
+      admit(std::move(socket));
   }
 }
 
-asio::awaitable<void> HttpServer::Impl::serve(asio::ip::tcp::socket socket) {
-  auto self = shared_from_this();
+/// Closes the connection that has brought least, for a new one. Returns whether
+/// there is one that may be closed.
+bool HttpServer::Impl::closeLeastUseful(const Connection *except) {
+  Connection *victim = Connections.leastUseful(except);
+  if (!victim)
+    return false;
+  reportLimit(HttpLimit::Connections);
+  Connections.close(*victim);
+  return true;
+}
+
+/// Serves a new connection if the table has or gets room for it; otherwise
+/// closes it.
+void HttpServer::Impl::admit(asio::ip::tcp::socket socket) {
+  if (Connections.openCount() >= Options.MaxConnections &&
+      !closeLeastUseful()) {
+    reportLimit(HttpLimit::Connections);
+    return;
+  }
   auto connection =
       std::make_shared<Connection>(std::move(socket), Options.Limits);
+  Connections.add(*connection);
+  asio::co_spawn(Executor, serve(shared_from_this(), std::move(connection)),
+                 asio::detached);
+}
+
+/// \param self keeps the server until the coroutine ends, also if it is
+/// destroyed before the coroutine begins.
+asio::awaitable<void>
+HttpServer::Impl::serve(std::shared_ptr<Impl> self,
+                        std::shared_ptr<Connection> connection) {
   boost::system::error_code ec;
   connection->Socket.set_option(asio::ip::tcp::no_delay(true), ec);
-  Connections.insert(connection.get());
-  while (!Stopped && co_await serveOne(*connection)) {
+  while (!self->Stopped && !connection->Closed &&
+         co_await self->serveOne(*connection)) {
   }
-  Connections.erase(connection.get());
+  self->Connections.remove(*connection);
   connection->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
@@ -150,6 +184,7 @@
   bool inHeader = true;
   std::size_t bodyMark = 0;
   connection.Reading = true;
+  Connections.beginWait(connection);
   connection.Idle = connection.Buffer.size() == 0;
   readUntil(connection, after(connection.Idle ? Options.IdleTimeout
                                               : Options.HeaderTimeout));
@@ -165,13 +200,15 @@
     }
     auto [readError, n] =
         co_await connection.Socket.async_read_some(reader.prepare(), AsTuple);
-    if (connection.TimedOut && !connection.Idle)
+    if (connection.TimedOut && !connection.Idle && !connection.Closed)
       co_return asio::error::timed_out;
-    if (readError)
-      co_return readError;
+    if (readError || connection.Closed)
+      co_return asio::error::operation_aborted;
     reader.commit(n);
-    if (connection.Idle)
+    if (connection.Idle) {
       readUntil(connection, after(Options.HeaderTimeout));
+      Connections.beginRequest(connection);
+    }
     connection.Idle = false;
   }
 }
@@ -189,11 +226,12 @@
   boost::system::error_code ec;
   connection.Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
   connection.setDeadline(after(DiscardTime));
+  Connections.beginDiscard(connection);
   for (std::size_t read = 0; read < DiscardBytes;) {
     connection.Buffer.clear();
     auto [readError, n] = co_await connection.Socket.async_read_some(
         connection.Buffer.prepare(detail::ReadBytes), AsTuple);
-    if (readError)
+    if (readError || connection.Closed)
       co_return;
     read += n;
   }
@@ -204,6 +242,9 @@
   boost::system::error_code ec = co_await readRequest(connection, reader);
   connection.Reading = false;
   connection.clearDeadline();
+  if (ec == asio::error::operation_aborted)
+    co_return false;
+  Connections.beginWork(connection);
   if (ec) {
     if (ec == asio::error::timed_out)
       reportLimit(reader.Parser.is_header_done() ? HttpLimit::BodyTime
@@ -216,6 +257,7 @@
   }
   if (Stopped)
     co_return false;
+  connection.Served = true;
   ++ActiveRequests;
   http::request<http::string_body> message = reader.Parser.release();
   bool keepAlive = message.keep_alive();
@@ -304,18 +346,19 @@
 void HttpServer::Impl::acceptPending() {
   boost::system::error_code ec;
   Acceptor.non_blocking(true, ec);
-  while (!ec && Connections.size() < Options.MaxConnections) {
+  for (std::size_t i = 0; !ec && i < Options.MaxConnections; ++i) {
     asio::ip::tcp::socket socket(Executor);
     Acceptor.accept(socket, ec);
     if (!ec)
-      asio::co_spawn(Executor, serve(std::move(socket)), asio::detached);
+      admit(std::move(socket));
   }
 }
 
 void HttpServer::Impl::closeIdle() {
-  for (Connection *it : Connections)
-    if (it->Idle)
-      it->close();
+  Connections.forEachWaiting([this](Connection &it) {
+    if (it.Idle)
+      Connections.close(it);
+  });
 }
 
 asio::awaitable<void> HttpServer::Impl::closeIdleAfterGrace() {
@@ -326,9 +369,10 @@
   co_await GraceTimer.async_wait(AsTuple);
   closeIdle();
   ReadEnd = after(Options.HeaderTimeout);
-  for (Connection *it : Connections)
-    if (it->Reading)
-      readUntil(*it, it->deadline());
+  Connections.forEachWaiting([this](Connection &it) {
+    if (it.Reading)
+      readUntil(it, it.deadline());
+  });
 }
 
 void HttpServer::disableKeepAlive() { Self->KeepAliveEnabled = false; }
--- a/packages/platform/src/detail/ServerConnection.h
+++ b/packages/platform/src/detail/ServerConnection.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <list>
 #include <memory>
 
 namespace endivedoor::platform::detail {
@@ -26,12 +27,21 @@
   beast::flat_buffer Buffer;
   /// No byte of a request has been read since the last response.
   bool Idle = true;
+  /// The server has closed the connection in favour of another one. An
+  /// operation that had completed before does not report it.
+  bool Closed = false;
+  /// Has sent a complete request.
+  bool Served = false;
   /// Reads a request. The time limit then interrupts the read, so that an
   /// error response can still be sent; otherwise it closes the socket.
   bool Reading = false;
   /// The time limit has been exceeded.
   bool TimedOut = false;
 
+  /// The list of the ConnectionTable that holds the connection, and its place.
+  std::list<ServerConnection *> *Queue = nullptr;
+  std::list<ServerConnection *>::iterator Place;
+
   TimePoint deadline() const { return Deadline; }
 
   /// Sets the end of the current phase. The timer is only set anew for an
--- a/tests/unit/unit-httplimits.cpp
+++ b/tests/unit/unit-httplimits.cpp
@@ -3,6 +3,9 @@
 // clients that try.
 #include "support/HttpFixture.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace endivedoor;
 using namespace endivedoor::tests;
 using namespace endivedoor::platform;
@@ -265,4 +268,94 @@
   EXPECT_EQ(body.outcome(), "408");
 }
 
+// Silent connections filled the table and shut out all other clients until
+// their idle timeout.
+TEST_F(HttpLimitsTest, FullTableOfSilentClients_ServesNewOnes) {
+  Options.MaxConnections = 4;
+  To = listen(Options);
+  std::vector<std::unique_ptr<RawClient>> silent;
+  for (int i = 0; i < 10; ++i) {
+    silent.push_back(std::make_unique<RawClient>(Io, To));
+    silent.back()->send(i % 2 == 0 ? "" : "GET /x HT");
+    runFor(Io, 1ms);
+  }
+  EXPECT_EQ(Server->openConnections(), 4u);
+  EXPECT_EQ(outcomeOf(post("", "")), "200");
+  EXPECT_EQ(silent[6]->outcome(0ms), "closed");
+  EXPECT_EQ(silent[9]->outcome(0ms), "open");
+}
+
+// A caller that reuses its connection keeps it beside clients that bring
+// nothing.
+TEST_F(HttpLimitsTest, FullTable_ClosesFreshThenIdleConnections) {
+  Options.MaxConnections = 3;
+  To = listen(Options);
+  RawClient older(Io, To);
+  older.send(post("", ""));
+  EXPECT_EQ(older.outcome(), "200");
+  RawClient newer(Io, To);
+  newer.send(post("", ""));
+  EXPECT_EQ(newer.outcome(), "200");
+  RawClient partial(Io, To);
+  partial.send("GET /x");
+  runFor(Io, 2ms);
+  RawClient third(Io, To);
+  third.send(post("", ""));
+  EXPECT_EQ(third.outcome(), "200");
+  EXPECT_EQ(partial.outcome(), "closed");
+  older.send("GET /x HT");
+  runFor(Io, 2ms);
+  EXPECT_EQ(outcomeOf(post("", "")), "200");
+  newer.receive();
+  older.receive();
+  EXPECT_TRUE(newer.Closed);
+  EXPECT_FALSE(older.Closed);
+}
+
+// A request that a handler has begun may have had an effect, so it is never
+// broken off.
+TEST_F(HttpLimitsTest, FullTableOfBusyConnections_ClosesTheNewOne) {
+  Options.MaxConnections = 2;
+  To = listen(Options);
+  asio::steady_timer release(Io, 1h);
+  RequestHandler = [&](HttpRequest) -> asio::awaitable<HttpResponse> {
+    co_await release.async_wait(Tuple);
+    co_return HttpResponse{200, {}, "done"};
+  };
+  RawClient first(Io, To);
+  first.send(post("", ""));
+  RawClient second(Io, To);
+  second.send(post("", ""));
+  runFor(Io, 5ms);
+  EXPECT_EQ(outcomeOf(post("", "")), "closed");
+  release.cancel();
+  EXPECT_EQ(first.outcome(), "200");
+  EXPECT_EQ(second.outcome(), "200");
+}
+
+// Without a free descriptor, accept fails before the table is full.
+TEST_F(HttpLimitsTest, ShortageOfDescriptors_ServesNewClients) {
+  To = listen(Options);
+  std::vector<std::unique_ptr<RawClient>> silent;
+  for (int i = 0; i < 5; ++i)
+    silent.push_back(std::make_unique<RawClient>(Io, To));
+  runFor(Io, 5ms);
+  ASSERT_EQ(Server->openConnections(), 5u);
+  RawClient caller(Io, To);
+  rlimit limit{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &limit), 0);
+  rlimit small = limit;
+  small.rlim_cur = 256;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &small), 0);
+  std::vector<int> taken;
+  for (int fd = ::dup(0); fd >= 0; fd = ::dup(0))
+    taken.push_back(fd);
+  caller.send(post("", ""));
+  std::string outcome = caller.outcome();
+  for (int fd : taken)
+    ::close(fd);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  EXPECT_EQ(outcome, "200");
+}
+
 } // namespace
