Count what connections and requests hold against a byte budget

1,000 unfinished bodies of 900 kB, each inside the limits, ended a daemon.

The limits were on single requests only, so that memory grew with the number of connections.

Each connection of an HttpServer with a budget takes a share for itself, and each request one for its header, body and response, before the body is read and before the response is sent. If the budget is used up, the largest request that is still being read is refused with 503 and Retry-After, if it holds more than the one that asks; otherwise that one is refused. A request up to 32 KiB may instead close connections that have brought less, and a new connection closes another one as for a full table; otherwise silent connections would use up the budget. Requests that a handler has begun are never broken off. If there is no memory for the response to a GET or HEAD, 503 is sent instead; other methods may have had an effect, so that their response is sent in any case.

The receive buffer of a connection is 16 KiB, because the kernel fills it while a request is in progress.

--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <sys/socket.h>
 #include <tuple>
+#include <utility>
 
 namespace endivedoor::platform {
 
@@ -31,6 +32,21 @@
 /// error response.
 constexpr auto DiscardTime = std::chrono::seconds(1);
 constexpr std::size_t DiscardBytes = 4 * 1024 * 1024;
+/// Receive buffer of a connection. The kernel fills it beside a request in
+/// progress, so it is kept small.
+constexpr int ReceiveBufferBytes = 16 * 1024;
+/// Share of a connection: its receive buffer, and the socket, coroutine and
+/// read buffer.
+constexpr std::size_t ConnectionBytes = ReceiveBufferBytes + 8 * 1024;
+/// Share of a request beside its header and body: its coroutines and the
+/// header of the response.
+constexpr std::size_t RequestBytes = 8 * 1024;
+/// A request up to this size may close connections that have brought less, to
+/// get memory. A larger one would close many.
+constexpr std::size_t SmallRequestBytes = 32 * 1024;
+/// Delay, in seconds, after which a client may repeat a request that was
+/// refused for lack of memory.
+constexpr const char *RetryAfterSeconds = "1";
 /// A body that is slower than this within each BodyTimeout is given up.
 constexpr std::size_t MinBodyBytes = 16 * 1024;
 /// A response that a client takes more slowly than this is given up.
@@ -77,7 +93,9 @@
     if (Options.OnLimit)
       Options.OnLimit(limit);
   }
-  bool closeLeastUseful(const Connection *except = nullptr);
+  bool closeLeastUseful(HttpLimit limit, const Connection *except = nullptr);
+  bool reserve(Connection &connection, std::size_t size);
+  HttpResponse errorResponse(unsigned status, const std::string &reason) const;
   void admit(asio::ip::tcp::socket socket);
   void acceptPending();
   void closeIdle();
@@ -100,7 +118,8 @@
     auto [ec, socket] = co_await Acceptor.async_accept(AsTuple);
     if (ec == asio::error::operation_aborted || (ec && Draining))
       co_return;
-    if (ec && !(isDescriptorShortage(ec) && closeLeastUseful())) {
+    if (ec && !(isDescriptorShortage(ec) &&
+                closeLeastUseful(HttpLimit::Connections))) {
       asio::steady_timer timer(Executor, AcceptRetryDelay);
       co_await timer.async_wait(AsTuple);
     }
@@ -111,25 +130,54 @@
 
 /// Closes the connection that has brought least, for a new one. Returns whether
 /// there is one that may be closed.
-bool HttpServer::Impl::closeLeastUseful(const Connection *except) {
+bool HttpServer::Impl::closeLeastUseful(HttpLimit limit,
+                                        const Connection *except) {
   Connection *victim = Connections.leastUseful(except);
   if (!victim)
     return false;
-  reportLimit(HttpLimit::Connections);
+  reportLimit(limit);
   Connections.close(*victim);
   return true;
 }
 
+/// Changes the share of a connection. If the budget is used up, the largest
+/// requests that are being read, of those larger than \p size, are refused
+/// for it; for a small request, also the least useful connections are closed.
+/// Returns whether the share has the size.
+bool HttpServer::Impl::reserve(Connection &connection, std::size_t size) {
+  while (!connection.Held.resize(size)) {
+    Connection *largest = nullptr;
+    Connections.forEachWaiting([&](Connection &it) {
+      if (&it != &connection && it.Reading && it.Held.size() > size &&
+          (!largest || it.Held.size() > largest->Held.size()))
+        largest = &it;
+    });
+    if (largest) {
+      largest->displace();
+      largest->Held.resize(ConnectionBytes);
+    } else if (size > ConnectionBytes + SmallRequestBytes ||
+               !closeLeastUseful(HttpLimit::Memory, &connection)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 /// Serves a new connection if the table has or gets room for it; otherwise
 /// closes it.
 void HttpServer::Impl::admit(asio::ip::tcp::socket socket) {
   if (Connections.openCount() >= Options.MaxConnections &&
-      !closeLeastUseful()) {
+      !closeLeastUseful(HttpLimit::Connections)) {
     reportLimit(HttpLimit::Connections);
     return;
   }
-  auto connection =
-      std::make_shared<Connection>(std::move(socket), Options.Limits);
+  auto connection = std::make_shared<Connection>(
+      std::move(socket), Options.Limits, Options.Budget);
+  while (!connection->Held.resize(ConnectionBytes))
+    if (!closeLeastUseful(HttpLimit::Memory)) {
+      reportLimit(HttpLimit::Memory);
+      return;
+    }
   Connections.add(*connection);
   asio::co_spawn(Executor, serve(shared_from_this(), std::move(connection)),
                  asio::detached);
@@ -158,6 +206,8 @@
     return HttpLimit::Header;
   if (ec == http::error::buffer_overflow)
     return HttpLimit::Framing;
+  if (ec == asio::error::no_buffer_space)
+    return HttpLimit::Memory;
   return std::nullopt;
 }
 
@@ -170,6 +220,8 @@
     return 431;
   if (ec == asio::error::timed_out)
     return 408;
+  if (ec == asio::error::no_buffer_space)
+    return 503;
   if (ec.category() == make_error_code(http::error::bad_method).category() &&
       ec != http::error::end_of_stream && ec != http::error::partial_message)
     return 400;
@@ -177,20 +229,30 @@
 }
 
 /// Waits for the first bytes of a request, with the connection marked as idle,
-/// then reads the rest. Returns timed_out if the request takes too long.
+/// then reads the rest. Returns timed_out if the request takes too long, and
+/// no_buffer_space if there is no memory for it.
 asio::awaitable<boost::system::error_code>
 HttpServer::Impl::readRequest(Connection &connection, RequestReader &reader) {
   const std::string &body = reader.Parser.get().body();
   bool inHeader = true;
   std::size_t bodyMark = 0;
   connection.Reading = true;
+  connection.Displaced = false;
   Connections.beginWait(connection);
   connection.Idle = connection.Buffer.size() == 0;
+  if (connection.Idle && connection.Buffer.capacity() > 2 * detail::ReadBytes)
+    connection.releaseBuffer();
   readUntil(connection, after(connection.Idle ? Options.IdleTimeout
                                               : Options.HeaderTimeout));
   while (true) {
     boost::system::error_code ec = reader.parse();
-    if (ec != http::error::need_more)
+    if (ec && ec != http::error::need_more)
+      co_return ec;
+    if (!connection.Idle &&
+        !reserve(connection,
+                 ConnectionBytes + RequestBytes + reader.memoryBytes()))
+      co_return asio::error::no_buffer_space;
+    if (!ec)
       co_return ec;
     if (reader.Parser.is_header_done() &&
         (inHeader || body.size() - bodyMark >= MinBodyBytes)) {
@@ -200,9 +262,13 @@
     }
     auto [readError, n] =
         co_await connection.Socket.async_read_some(reader.prepare(), AsTuple);
-    if (connection.TimedOut && !connection.Idle && !connection.Closed)
+    if (connection.Closed)
+      co_return asio::error::operation_aborted;
+    if (connection.Displaced)
+      co_return asio::error::no_buffer_space;
+    if (connection.TimedOut && !connection.Idle)
       co_return asio::error::timed_out;
-    if (readError || connection.Closed)
+    if (readError)
       co_return asio::error::operation_aborted;
     reader.commit(n);
     if (connection.Idle) {
@@ -213,16 +279,26 @@
   }
 }
 
-asio::awaitable<void> HttpServer::Impl::rejectRequest(Connection &connection,
-                                                      unsigned status,
-                                                      std::string reason) {
+HttpResponse HttpServer::Impl::errorResponse(unsigned status,
+                                             const std::string &reason) const {
   HttpResponse response;
   response.Status = status;
   response.Headers = {{"Content-Type", "application/json"}};
   response.Body = "{\"error\":\"" + reason + "\"}";
   if (Options.MakeErrorResponse)
     response = Options.MakeErrorResponse(status, reason);
-  co_await writeResponse(connection, std::move(response), false, false);
+  if (status == 503 && findHeader(response.Headers, "Retry-After").empty())
+    response.Headers.emplace_back("Retry-After", RetryAfterSeconds);
+  return response;
+}
+
+asio::awaitable<void> HttpServer::Impl::rejectRequest(Connection &connection,
+                                                      unsigned status,
+                                                      std::string reason) {
+  connection.releaseBuffer();
+  connection.Held.resize(ConnectionBytes);
+  co_await writeResponse(connection, errorResponse(status, reason), false,
+                         false);
   boost::system::error_code ec;
   connection.Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
   connection.setDeadline(after(DiscardTime));
@@ -238,8 +314,9 @@
 }
 
 asio::awaitable<bool> HttpServer::Impl::serveOne(Connection &connection) {
-  RequestReader reader(connection.Buffer, Options.Limits);
-  boost::system::error_code ec = co_await readRequest(connection, reader);
+  std::optional<RequestReader> reader(std::in_place, connection.Buffer,
+                                      Options.Limits);
+  boost::system::error_code ec = co_await readRequest(connection, *reader);
   connection.Reading = false;
   connection.clearDeadline();
   if (ec == asio::error::operation_aborted)
@@ -247,10 +324,11 @@
   Connections.beginWork(connection);
   if (ec) {
     if (ec == asio::error::timed_out)
-      reportLimit(reader.Parser.is_header_done() ? HttpLimit::BodyTime
-                                                 : HttpLimit::HeaderTime);
+      reportLimit(reader->Parser.is_header_done() ? HttpLimit::BodyTime
+                                                  : HttpLimit::HeaderTime);
     if (std::optional<HttpLimit> limit = exceededLimit(ec))
       reportLimit(*limit);
+    reader.reset();
     if (unsigned status = errorStatus(ec))
       co_await rejectRequest(connection, status, ec.message());
     co_return false;
@@ -259,9 +337,10 @@
     co_return false;
   connection.Served = true;
   ++ActiveRequests;
-  http::request<http::string_body> message = reader.Parser.release();
+  http::request<http::string_body> message = reader->Parser.release();
   bool keepAlive = message.keep_alive();
   bool isHead = message.method() == http::verb::head;
+  bool isSafe = isHead || message.method() == http::verb::get;
   HttpRequest request;
   request.Method = std::string(message.method_string());
   request.Path = std::string(message.target());
@@ -269,9 +348,18 @@
   request.Body = std::move(message.body());
   HttpResponse response = co_await OnRequest(std::move(request));
   bool keepOpen = false;
+  if (response.Status != 0 &&
+      !reserve(connection,
+               ConnectionBytes + RequestBytes + response.Body.size())) {
+    reportLimit(HttpLimit::Memory);
+    // Other methods may have had an effect, which the client has to learn.
+    if (isSafe)
+      response = errorResponse(503, "not enough memory");
+  }
   if (response.Status != 0)
     keepOpen = co_await writeResponse(connection, std::move(response),
                                       keepAlive, isHead);
+  connection.Held.resize(ConnectionBytes);
   --ActiveRequests;
   co_return keepOpen;
 }
@@ -326,6 +414,10 @@
     acceptor.open(endpoint.protocol(), ec);
   if (!ec)
     acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  // Connections inherit it from the listening socket.
+  if (!ec)
+    acceptor.set_option(
+        asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ec);
   if (!ec && Self->Options.ReusePort) {
     int on = 1;
     ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on,
--- a/packages/platform/src/detail/ConnectionTable.h
+++ b/packages/platform/src/detail/ConnectionTable.h
@@ -56,6 +56,7 @@
   void close(ServerConnection &c) {
     move(c, Closing);
     c.Closed = true;
+    c.Held.resize(0);
     c.close();
   }
 
--- a/packages/platform/src/detail/MessageReader.h
+++ b/packages/platform/src/detail/MessageReader.h
@@ -21,6 +21,10 @@
 inline constexpr std::size_t ReadBytes = 4096;
 /// Framing that is allowed for each body byte. A chunk of one byte needs five.
 inline constexpr std::size_t FramingPerBodyByte = 8;
+/// The read buffer, the fields of the parser and those of the request.
+inline constexpr std::size_t HeaderCopies = 4;
+/// A string that grows has up to twice the capacity that it needs.
+inline constexpr std::size_t GrowingBodyFactor = 2;
 
 /// Returns the maximum size of a read buffer. Without one, a chunk line or
 /// trailers without end would use up the memory.
@@ -98,9 +102,17 @@
     return ec;
   }
 
-  /// Returns the size of the header that has been parsed or is in the buffer.
-  std::size_t headerBytes() const {
-    return Parser.is_header_done() ? HeaderSize : HeaderSize + Buffer.size();
+  /// Returns the memory, in bytes, that the message takes after the next read.
+  /// A body whose length is known counts in full.
+  std::size_t memoryBytes() const {
+    if (!Parser.is_header_done())
+      return HeaderCopies * (HeaderSize + Buffer.size());
+    std::size_t body = 0;
+    if (auto length = Parser.content_length())
+      body = *length;
+    else if (Parser.chunked())
+      body = GrowingBodyFactor * (Parser.get().body().size() + ReadBytes);
+    return HeaderCopies * HeaderSize + body;
   }
 
   /// Parses what the buffer holds of the message.
--- a/packages/platform/src/detail/ServerConnection.h
+++ b/packages/platform/src/detail/ServerConnection.h
@@ -5,6 +5,8 @@
 
 #include "MessageReader.h"
 
+#include "endivedoor/platform/ByteBudget.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -19,17 +21,22 @@
 struct ServerConnection : std::enable_shared_from_this<ServerConnection> {
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  ServerConnection(asio::ip::tcp::socket socket, const HttpLimits &limits)
+  ServerConnection(asio::ip::tcp::socket socket, const HttpLimits &limits,
+                   std::shared_ptr<ByteBudget> budget)
       : Socket(std::move(socket)), Buffer(maxBufferBytes(limits)),
-        Timer(Socket.get_executor()) {}
+        Held(std::move(budget)), Timer(Socket.get_executor()) {}
 
   asio::ip::tcp::socket Socket;
   beast::flat_buffer Buffer;
+  /// What the connection and its request or response use.
+  ByteBudget::Share Held;
   /// No byte of a request has been read since the last response.
   bool Idle = true;
   /// The server has closed the connection in favour of another one. An
   /// operation that had completed before does not report it.
   bool Closed = false;
+  /// The memory for the request that is being read is needed otherwise.
+  bool Displaced = false;
   /// Has sent a complete request.
   bool Served = false;
   /// Reads a request. The time limit then interrupts the read, so that an
@@ -57,6 +64,19 @@
   /// For phases without a time limit.
   void clearDeadline() { setDeadline(TimePoint::max()); }
 
+  /// Releases the memory of the read buffer.
+  void releaseBuffer() {
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+  }
+
+  /// Interrupts the reading of the request, which is then refused.
+  void displace() {
+    Displaced = true;
+    boost::system::error_code ec;
+    Socket.cancel(ec);
+  }
+
   /// Closes the socket at once, which ends the operation in progress.
   void close() {
     boost::system::error_code ec;
--- a/tests/unit/unit-httplimits.cpp
+++ b/tests/unit/unit-httplimits.cpp
@@ -358,4 +358,119 @@
   EXPECT_EQ(outcome, "200");
 }
 
+class HttpBudgetTest : public HttpLimitsTest {
+protected:
+  /// Listens with a budget of \p bytes.
+  void listenWith(std::size_t bytes) {
+    Options.Budget = std::make_shared<ByteBudget>(bytes);
+    To = listen(Options);
+  }
+  std::size_t used() const { return Options.Budget->used(); }
+};
+
+// 1,000 unfinished bodies of 900 kB ended the process. The largest one makes
+// room for others, so that small requests are served beside them.
+TEST_F(HttpBudgetTest, UnfinishedBodies_LeaveRoomForSmallRequests) {
+  listenWith(2 * 1024 * 1024);
+  std::vector<std::unique_ptr<RawClient>> clients;
+  int refused = 0;
+  for (int i = 0; i < 6; ++i) {
+    clients.push_back(std::make_unique<RawClient>(Io, To));
+    clients.back()->send(post("Content-Length: 900000\r\n", "x"));
+    EXPECT_LE(used(), Options.Budget->limit());
+    EXPECT_EQ(outcomeOf(post("", "")), "200");
+  }
+  for (auto &it : clients) {
+    refused += it->outcome(0ms) == "503";
+    if (!it->Received.empty()) {
+      EXPECT_NE(it->Received.find("Retry-After: 1"), std::string::npos);
+    }
+  }
+  EXPECT_EQ(refused, 4);
+  clients.clear();
+  runFor(Io, 20ms);
+  EXPECT_EQ(used(), 0u);
+}
+
+// A chunked body announces no length; it counts as it grows, and a request that
+// holds less stays.
+TEST_F(HttpBudgetTest, LargestRequest_IsRefusedForASmallerOne) {
+  listenWith(600000);
+  RawClient large(Io, To);
+  large.send(postChunks("186a0\r\n" + std::string(99999, 'x')));
+  RawClient small(Io, To);
+  small.send(post("Content-Length: 50000\r\n", "x"));
+  RawClient other(Io, To);
+  other.send(post("Content-Length: 190000\r\n", "x"));
+  EXPECT_EQ(large.outcome(20ms), "open");
+  EXPECT_EQ(
+      outcomeOf(post("Content-Length: 150000\r\n", std::string(150000, 'x'))),
+      "200");
+  EXPECT_EQ(large.outcome(), "503");
+  EXPECT_EQ(small.outcome(2ms), "open");
+  EXPECT_EQ(other.outcome(2ms), "open");
+  EXPECT_EQ(Reached, std::vector{HttpLimit::Memory});
+}
+
+TEST_F(HttpBudgetTest, RequestLargerThanAllOthers_IsRefused) {
+  listenWith(400000);
+  RawClient small(Io, To);
+  small.send(post("Content-Length: 200000\r\n", "x"));
+  EXPECT_EQ(outcomeOf(post("Content-Length: 300000\r\n", "x")), "503");
+  EXPECT_EQ(small.outcome(2ms), "open");
+}
+
+// A single request inside the limits is served, and gives everything back.
+TEST_F(HttpBudgetTest, LargeRequests_AreServedOneAfterTheOther) {
+  listenWith(4 * 1024 * 1024);
+  std::string body(1024 * 1024, 'x');
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(outcomeOf(post("Content-Length: 1048576\r\n", body)), "200");
+    EXPECT_EQ(outcomeOf(postChunks("100000\r\n" + body + "\r\n0\r\n\r\n")),
+              "200");
+  }
+  runFor(Io, 20ms);
+  EXPECT_TRUE(Reached.empty());
+  EXPECT_EQ(used(), 0u);
+}
+
+// Silent connections use up the budget before the table is full.
+TEST_F(HttpBudgetTest, SilentConnections_LeaveRoomForSmallRequests) {
+  listenWith(200000);
+  std::vector<std::unique_ptr<RawClient>> silent;
+  for (int i = 0; i < 20; ++i) {
+    silent.push_back(std::make_unique<RawClient>(Io, To));
+    runFor(Io, 1ms);
+    EXPECT_LE(used(), Options.Budget->limit());
+  }
+  EXPECT_EQ(outcomeOf(post("", "")), "200");
+}
+
+// The answers of requests that have had an effect are sent even then.
+TEST_F(HttpBudgetTest,
+       AnswerBeyondTheBudget_IsOnlySentIfTheRequestMayHaveActed) {
+  listenWith(100000);
+  respondWith(200, std::string(200000, 'x'));
+  EXPECT_EQ(outcomeOf("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"), "503");
+  EXPECT_EQ(outcomeOf(post("", "")), "200");
+  EXPECT_EQ(Reached, std::vector(2, HttpLimit::Memory));
+}
+
+// A request that a handler has begun is never broken off for another one.
+TEST_F(HttpBudgetTest, RequestInProgress_KeepsItsShare) {
+  listenWith(600000);
+  asio::steady_timer release(Io, 1h);
+  RequestHandler = [&](HttpRequest it) -> asio::awaitable<HttpResponse> {
+    if (!it.Body.empty())
+      co_await release.async_wait(Tuple);
+    co_return HttpResponse{200, {}, "done"};
+  };
+  RawClient busy(Io, To);
+  busy.send(post("Content-Length: 400000\r\n", std::string(400000, 'x')));
+  EXPECT_EQ(outcomeOf(post("Content-Length: 300000\r\n", "x")), "503");
+  EXPECT_EQ(outcomeOf(post("", "")), "200");
+  release.cancel();
+  EXPECT_EQ(busy.outcome(), "200");
+}
+
 } // namespace
