Limit the framing and the fields of a response in the client

The client had the same fault as the server: chunk lines, extensions and trailers without end behind a response used up the memory of the process until the timeout of the call, and the number of header fields was not limited.

HttpClient now reads with the same MessageReader as the server, with the same limits; a response beyond them is reported as HttpAnswerLost. A response whose end would only be marked by the end of the connection, which was lost before too, is now given up after its header.

--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -1,11 +1,11 @@
 #include "endivedoor/platform/HttpClient.h"
 
 #include "detail/BeastMessages.h"
+#include "detail/MessageReader.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <algorithm>
@@ -181,6 +181,23 @@
   return message;
 }
 
+/// Reads until the message is complete or its header shows that the end of the
+/// connection would mark its end.
+static asio::awaitable<boost::system::error_code>
+readResponse(beast::tcp_stream &stream, detail::MessageReader<false> &reader) {
+  while (true) {
+    boost::system::error_code ec = reader.parse();
+    if (ec != http::error::need_more ||
+        (reader.Parser.is_header_done() && reader.Parser.need_eof()))
+      co_return ec;
+    auto [readError, n] =
+        co_await stream.async_read_some(reader.prepare(), AsTuple);
+    if (readError)
+      co_return readError;
+    reader.commit(n);
+  }
+}
+
 Async<HttpResponse> HttpClient::send(model::Address to, HttpRequest request,
                                      std::chrono::milliseconds timeout,
                                      ResponseValidator validate,
@@ -231,16 +248,12 @@
     co_return fail(written == 0 ? Errc::HttpNotSent : Errc::HttpAnswerLost,
                    to.str() + ": " + writeError.message());
 
-  beast::flat_buffer buf;
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(Options.Limits.HeaderBytes));
-  parser.body_limit(Options.Limits.BodyBytes);
+  beast::flat_buffer buf(detail::maxBufferBytes(Options.Limits));
+  detail::MessageReader<false> reader(buf, Options.Limits);
+  http::response_parser<http::string_body> &parser = reader.Parser;
   if (message.method() == http::verb::head)
     parser.skip(true);
-  auto [readError, received] =
-      co_await http::async_read(stream, buf, parser, AsTuple);
-  if (readError)
-    co_return fail(Errc::HttpAnswerLost, to.str() + ": " + readError.message());
+  boost::system::error_code readError = co_await readResponse(stream, reader);
   // If the end of the connection marks the end of the body, a truncated body
   // cannot be detected.
   if (parser.need_eof() && message.method() != http::verb::head)
@@ -248,6 +261,8 @@
         Errc::HttpAnswerLost,
         to.str() +
             ": response has neither Content-Length nor chunked encoding");
+  if (readError)
+    co_return fail(Errc::HttpAnswerLost, to.str() + ": " + readError.message());
 
   // The final response would follow on the same connection. No request of this
   // client asks for an interim (1xx) response.
--- a/tests/unit/unit-httplimits.cpp
+++ b/tests/unit/unit-httplimits.cpp
@@ -358,6 +358,30 @@
   EXPECT_EQ(outcome, "200");
 }
 
+// The client read chunk lines and trailers of a response without a bound, and
+// copied any number of fields.
+TEST_F(HttpLimitsTest, ResponseWithTooMuchFramingOrTooManyFields_IsLost) {
+  std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  auto errorFor = [&](const std::string &response) {
+    RawServer server(Io, response);
+    server.CloseAfterResponse = false;
+    auto before = std::chrono::steady_clock::now();
+    Errc code = codeOf(run(Client.send(server.address(), {}, 2000ms)));
+    EXPECT_LT(std::chrono::steady_clock::now() - before, 1000ms);
+    return code;
+  };
+  std::string lines = repeat("a:\r\n", 3000);
+  std::string chunk = "1;a=" + std::string(1000, 'x') + "\r\ny\r\n";
+  std::string ok = "1\r\ny\r\n0\r\nA: b\r\n\r\n";
+  EXPECT_EQ(errorFor(head + "\r\n0\r\n" + lines), Errc::HttpAnswerLost);
+  EXPECT_EQ(errorFor(head + "\r\n1;a=" + std::string(Endless, 'x')),
+            Errc::HttpAnswerLost);
+  EXPECT_EQ(errorFor(head + "\r\n" + repeat(chunk, 50)), Errc::HttpAnswerLost);
+  EXPECT_EQ(errorFor(head + repeat("a:\r\n", 300) + "\r\n" + ok),
+            Errc::HttpAnswerLost);
+  EXPECT_EQ(errorFor(head + repeat("a:\r\n", 100) + "\r\n" + ok), Errc{0});
+}
+
 class HttpBudgetTest : public HttpLimitsTest {
 protected:
   /// Listens with a budget of \p bytes.
