--- a/tests/unit/unit-httplimits.cpp
+++ b/tests/unit/unit-httplimits.cpp
@@ -240,15 +240,15 @@
 TEST_F(HttpLimitsTest, LargeResponse_IsSentToASlowReader) {
   Options.ResponseTimeout = 50ms;
   To = listen(Options);
-  constexpr std::size_t Size = 16 * 1024 * 1024;
-  respondWith(200, std::string(Size, 'x'));
+  constexpr std::size_t size = 16 * 1024 * 1024;
+  respondWith(200, std::string(size, 'x'));
   RawClient client(Io, To);
   client.send(post("", ""));
   for (int i = 0; i < 30; ++i) {
     runFor(Io, 5ms);
     client.receive();
   }
-  EXPECT_GE(client.Received.size(), Size);
+  EXPECT_GE(client.Received.size(), size);
 }
 
 // Clients that send a header byte by byte kept a daemon from stopping.
