Add settings for what callers make a daemon hold

What callers saw: a daemon ended because clients that nobody controls made it use up its memory (trailers without end behind a chunked body), and all requests on it were lost. The limits of HttpServer need values that an operator can set.

Change: the section "limits" of the settings of a daemon on an installation's platform has callerMemoryMiB, callerConnections, headerTimeout, bodyTimeout, responseTimeout and idleTimeout, checked like the other sections. The servers for callers, health and metrics share one byte budget. Those for health and metrics get connection tables of 64 and 32, so that callers cannot keep out the probes of the load balancer.

The other daemon gets limits.callerMemory (256 MiB), divided among the traffic threads as its connections are; the operators' server may use as much again. A value too small for two messages of the largest size per thread is rejected.

HttpServer does not act on these options yet.

--- a/packages/model/include/endivedoor/model/DispatchSettings.h
+++ b/packages/model/include/endivedoor/model/DispatchSettings.h
@@ -7,6 +7,23 @@
 
 namespace endivedoor::model {
 
+/// Limits on what the clients of the HTTP servers make the daemon hold.
+struct CallerLimitSettings {
+  /// Memory for connections, requests and responses, in MiB; shared by the
+  /// servers for callers, health and metrics.
+  std::size_t MemoryMiB = 96;
+  /// Maximum number of connections of callers.
+  std::size_t Connections = 3000;
+  /// Maximum time from the first byte of a request to the end of its header.
+  std::chrono::milliseconds HeaderTimeout{10000};
+  /// Time within which a body has to bring 16 KiB, or its end.
+  std::chrono::milliseconds BodyTimeout{10000};
+  /// Maximum time for sending a response, plus one second for each 16 KiB.
+  std::chrono::milliseconds ResponseTimeout{10000};
+  /// A connection that is idle for this long is closed.
+  std::chrono::milliseconds IdleTimeout{60000};
+};
+
 struct DispatchSettings {
   std::string Name;
   base::ZoneId Zone;
@@ -40,6 +57,7 @@
   std::size_t LogLinesPerSecond = 200;
   /// Number of events retained in memory for the timeline.
   std::size_t RetainedEvents = 256;
+  CallerLimitSettings Limits;
 };
 
 struct DispatchSettingsOutcome {
--- a/packages/model/include/endivedoor/model/Settings.h
+++ b/packages/model/include/endivedoor/model/Settings.h
@@ -30,6 +30,10 @@
   std::size_t RulesBytes = 256 * 1024;
   std::size_t PeerMessageBytes = 1024 * 1024;
   std::size_t CallerConnections = 4096;
+  /// Memory for connections, requests and responses of callers, in bytes;
+  /// divided among the traffic threads. The operators' server may use as much
+  /// again.
+  std::size_t CallerMemory = 256 * 1024 * 1024;
   /// Maximum number of requests of one service that wait for a free connection
   /// to a target.
   std::size_t QueuedRequests = 256;
--- a/packages/model/src/DispatchSettings.cpp
+++ b/packages/model/src/DispatchSettings.cpp
@@ -25,14 +25,55 @@
     {"revokeTime", &DispatchSettings::RevokeTime, {100ms, 1h}},
 };
 
+struct LimitCountField {
+  const char *Key;
+  std::size_t CallerLimitSettings::*Member;
+  detail::Bounds<std::uint64_t> Range;
+};
+
+constexpr LimitCountField LimitCountFields[] = {
+    // A request has up to 1 MiB of body; several have to fit.
+    {"callerMemoryMiB", &CallerLimitSettings::MemoryMiB, {8, 65536}},
+    {"callerConnections", &CallerLimitSettings::Connections, {1, 65536}},
+};
+
+struct LimitTimeField {
+  const char *Key;
+  std::chrono::milliseconds CallerLimitSettings::*Member;
+  detail::Bounds<std::chrono::milliseconds> Range;
+};
+
+constexpr LimitTimeField LimitTimeFields[] = {
+    {"headerTimeout", &CallerLimitSettings::HeaderTimeout, {100ms, 10min}},
+    {"bodyTimeout", &CallerLimitSettings::BodyTimeout, {100ms, 10min}},
+    {"responseTimeout", &CallerLimitSettings::ResponseTimeout, {100ms, 10min}},
+    // HttpClient reuses a connection that has been idle for up to 5 s.
+    {"idleTimeout", &CallerLimitSettings::IdleTimeout, {6s, 1h}},
+};
+
 constexpr const char *RevokeFailClosedKey = "revokeFailClosed";
 
+static void readLimits(YamlDiagnostics &diagnostics, const YAML::Node &node,
+                       CallerLimitSettings &to) {
+  std::vector<std::string> keys;
+  for (const LimitCountField &it : LimitCountFields)
+    keys.emplace_back(it.Key);
+  for (const LimitTimeField &it : LimitTimeFields)
+    keys.emplace_back(it.Key);
+  YamlSection section(diagnostics, node, "limits", keys);
+  for (const LimitCountField &it : LimitCountFields)
+    if (auto n = section.readNumber(it.Key, it.Range))
+      to.*it.Member = *n;
+  for (const LimitTimeField &it : LimitTimeFields)
+    section.readDuration(it.Key, to.*it.Member, it.Range);
+}
+
 static void readRoot(YamlDiagnostics &diagnostics, const YAML::Node &node,
                      DispatchSettings &to) {
   YamlSection root(diagnostics, node, "",
                    {"name", "zone", "listen", "installation", "bounds",
                     "workersPerShard", "processorShare", "linkMbps",
-                    "keptEvents", "logLinesPerSecond"});
+                    "keptEvents", "logLinesPerSecond", "limits"});
   root.readName("name", to.Name);
   std::string zone;
   root.readName("zone", zone);
@@ -61,6 +102,8 @@
                       "\"bounds.revokeFailClosed\" is not a Boolean",
                       "use true or false");
   }
+  if (std::optional<YAML::Node> it = root.find("limits"))
+    readLimits(diagnostics, *it, to.Limits);
   if (auto n = root.readNumber("workersPerShard", {1, 10000}))
     to.WorkersPerShard = static_cast<std::int32_t>(*n);
   if (auto n = root.readNumber("logLinesPerSecond", {0, 1 << 20}))
--- a/packages/model/src/Settings.cpp
+++ b/packages/model/src/Settings.cpp
@@ -38,6 +38,7 @@
     // The store limits a value to 1 MB, including the rest of the document.
     {"rulesBytes", &LimitSettings::RulesBytes, {1 << 10, 480 << 10}},
     {"peerMessageBytes", &LimitSettings::PeerMessageBytes, {4 << 10, 16 << 20}},
+    {"callerMemory", &LimitSettings::CallerMemory, {8 << 20, 64ULL << 30}},
 };
 constexpr SizeField CountFields[] = {
     {"callerConnections", &LimitSettings::CallerConnections, {1, 65536}},
@@ -291,7 +292,15 @@
          "a planned stop must not interrupt a request");
 }
 
-void checkLimits(YamlDiagnostics &diagnostics, const LimitSettings &l) {
+void checkLimits(YamlDiagnostics &diagnostics, const Settings &s) {
+  const LimitSettings &l = s.Limits;
+  auto threads = static_cast<std::size_t>(s.TrafficThreads);
+  // A request and its response are held at the same time.
+  if (l.CallerMemory / threads < 2 * (l.HeaderBytes + l.BodyBytes))
+    diagnostics.addAt("limits.callerMemory", Errc::SettingsContradiction,
+                      "callerMemory is too small for headerBytes and bodyBytes",
+                      "use at least 2 * (headerBytes + bodyBytes) for each of "
+                      "trafficThreads");
   // JSON escaping at most doubles the size of a rules text, because it contains
   // no control characters except line ends and tabs.
   std::size_t documentBytes = 2 * l.RulesBytes + (16 << 10);
@@ -366,7 +375,7 @@
     checkUnique(diagnostics, out.Value);
     checkZones(diagnostics, out.Value);
     checkTiming(diagnostics, out.Value.Timing);
-    checkLimits(diagnostics, out.Value.Limits);
+    checkLimits(diagnostics, out.Value);
   } catch (const YAML::Exception &e) {
     diagnostics.add(e.mark, Errc::SettingsSyntax, "not valid YAML: " + e.msg,
                     "correct the text at this place");
--- a/packages/server/src/CallerServer.cpp
+++ b/packages/server/src/CallerServer.cpp
@@ -60,6 +60,8 @@
   options.MaxConnections =
       std::max<std::size_t>(1, config.Limits.CallerConnections / threads);
   options.MakeErrorResponse = detail::protocolErrorResponse;
+  options.Budget = std::make_shared<platform::ByteBudget>(
+      config.Limits.CallerMemory / threads);
   options.ReusePort = true;
   return options;
 }
--- a/packages/server/src/OperatorServer.cpp
+++ b/packages/server/src/OperatorServer.cpp
@@ -44,6 +44,8 @@
   options.Listen = config.Operators;
   options.Limits = {config.Limits.HeaderBytes, config.Limits.BodyBytes};
   options.MaxConnections = 256;
+  options.Budget =
+      std::make_shared<platform::ByteBudget>(config.Limits.CallerMemory);
   options.MakeErrorResponse = detail::protocolErrorResponse;
   return options;
 }
--- a/tests/unit/unit-frontend.cpp
+++ b/tests/unit/unit-frontend.cpp
@@ -1,4 +1,5 @@
 // Tests over HTTP which requests the front end serves to which client account.
+#include "../../platform/ServerOptions.h"
 #include "standins/installation/KeyValueStore.h"
 #include "support/InMemoryStore.h"
 
@@ -398,6 +399,34 @@
   EXPECT_EQ(logText().find("secret"), std::string::npos);
 }
 
+// Callers that use up the connections or the descriptors of their server must
+// not keep out the probes of the load balancer.
+TEST(ServerOptions, Settings_ApplyToAllServers) {
+  model::DispatchSettings settings;
+  settings.Callers = {"127.0.0.1", 1};
+  settings.Health = {"127.0.0.1", 2};
+  settings.Metrics = {"127.0.0.1", 3};
+  settings.Limits = {9, 70, 1s, 2s, 3s, 7s};
+  installation::ServerOptions options =
+      installation::makeServerOptions(settings, nullptr);
+  EXPECT_EQ(options.Callers.MaxConnections, 70u);
+  EXPECT_EQ(options.Health.MaxConnections, 64u);
+  EXPECT_EQ(options.Metrics.MaxConnections, 32u);
+  EXPECT_EQ(options.Callers.Listen, settings.Callers);
+  EXPECT_EQ(options.Health.Listen, settings.Health);
+  EXPECT_EQ(options.Metrics.Listen, settings.Metrics);
+  ASSERT_TRUE(options.Callers.Budget);
+  EXPECT_EQ(options.Callers.Budget->limit(), 9u << 20);
+  for (const platform::HttpServerOptions *it :
+       {&options.Callers, &options.Health, &options.Metrics}) {
+    EXPECT_EQ(it->Budget, options.Callers.Budget);
+    EXPECT_EQ(it->HeaderTimeout, 1s);
+    EXPECT_EQ(it->BodyTimeout, 2s);
+    EXPECT_EQ(it->ResponseTimeout, 3s);
+    EXPECT_EQ(it->IdleTimeout, 7s);
+  }
+}
+
 TEST_F(CallerRequests, OutdatedKeysFailOpen_StillCount) {
   start();
   Frontend->configure(configurationWithAccounts());
--- a/tests/unit/unit-settings.cpp
+++ b/tests/unit/unit-settings.cpp
@@ -1,5 +1,6 @@
 // Tests settings validation: invalid settings must be rejected as a whole, with
 // every error and its position, and no input may crash the parser.
+#include "endivedoor/model/DispatchSettings.h"
 #include "endivedoor/model/Settings.h"
 
 #include <gtest/gtest.h>
@@ -71,7 +72,7 @@
 seed: 42
 limits: {headerBytes: 8KiB, bodyBytes: 2MiB, rulesBytes: 100KiB,
   peerMessageBytes: 512KiB, callerConnections: 11, queuedRequests: 12,
-  queuedCommands: 13, keptEvents: 17}
+  queuedCommands: 13, keptEvents: 17, callerMemory: 32MiB}
 timing: {storeTimeout: 400ms, ownerLease: 4s, configPoll: 900ms,
   commitInterval: 50ms, startPermit: 800ms, placementLease: 1600ms,
   placementRenew: 400ms, taskLease: 1m, statusPoll: 300ms, heartbeat: 200ms,
@@ -87,11 +88,12 @@
             std::make_tuple(7, 3, 1));
   EXPECT_EQ(s.Seed, 42u);
   const LimitSettings &l = s.Limits;
-  EXPECT_EQ((std::vector{l.HeaderBytes, l.BodyBytes, l.RulesBytes,
-                         l.PeerMessageBytes, l.CallerConnections,
-                         l.QueuedRequests, l.QueuedCommands, l.RetainedEvents}),
-            (std::vector<std::size_t>{8192, 2097152, 102400, 524288, 11, 12, 13,
-                                      17}));
+  EXPECT_EQ(
+      (std::vector{l.HeaderBytes, l.BodyBytes, l.RulesBytes, l.PeerMessageBytes,
+                   l.CallerConnections, l.QueuedRequests, l.QueuedCommands,
+                   l.RetainedEvents, l.CallerMemory}),
+      (std::vector<std::size_t>{8192, 2097152, 102400, 524288, 11, 12, 13, 17,
+                                33554432}));
   const TimingSettings &t = s.Timing;
   EXPECT_EQ((std::vector{t.StoreTimeout, t.OwnerLease, t.ConfigPoll,
                          t.CommitInterval, t.StartPermit, t.PlacementLease,
@@ -148,6 +150,10 @@
        "rulesBytes"},
       {"limits: {bodyBytes: 64KiB}", Errc::SettingsContradiction, "rulesBytes"},
       {"limits: {bodyBytes: 99GiB}", Errc::SettingsOutOfRange, "bodyBytes"},
+      {"limits: {callerMemory: 8MiB, bodyBytes: 4MiB}",
+       Errc::SettingsContradiction, "callerMemory"},
+      {"limits: {callerMemory: 7MiB}", Errc::SettingsOutOfRange,
+       "callerMemory"},
       {"shardsPerZone: 2", Errc::SettingsOutOfRange, "shardsPerZone"},
       {"limits: {bodyBytes: 1MB}", Errc::SettingsWrongValue, "size"},
       {peer + "entryHosts: 1", Errc::SettingsContradiction, "at least 2"},
@@ -179,6 +185,75 @@
   }
 }
 
+/// Parses the minimal settings of a daemon on an installation's platform with
+/// \p extraYaml appended.
+DispatchSettingsOutcome parseDispatch(const std::string &extraYaml) {
+  return parseDispatchSettings(
+      "d.yaml", "name: n-1\nzone: a\nlisten: {callers: 127.0.0.1:1, health: "
+                "127.0.0.1:2, metrics: 127.0.0.1:3}\n"
+                "installation: {store: 127.0.0.1:4}\n" +
+                    extraYaml);
+}
+
+// Without limits a client that sends without end uses up the memory of the
+// daemon; they must hold for settings files that do not name them.
+TEST(CallerLimits, Absent_HaveDefaults) {
+  DispatchSettingsOutcome out = parseDispatch("");
+  EXPECT_EQ(list(out.Diagnostics), "");
+  const CallerLimitSettings &l = out.Value.Limits;
+  EXPECT_EQ(l.MemoryMiB, 96u);
+  EXPECT_EQ(l.Connections, 3000u);
+  EXPECT_EQ(l.HeaderTimeout, 10s);
+  EXPECT_EQ(l.BodyTimeout, 10s);
+  EXPECT_EQ(l.ResponseTimeout, 10s);
+  EXPECT_EQ(l.IdleTimeout, 60s);
+  EXPECT_EQ(parseWithMinimal("").Value.Limits.CallerMemory, 256u << 20);
+}
+
+TEST(CallerLimits, EveryKey_SetsItsField) {
+  DispatchSettingsOutcome out = parseDispatch(
+      "limits: {callerMemoryMiB: 8, callerConnections: 65536, "
+      "headerTimeout: 100ms, bodyTimeout: 2s, responseTimeout: 10m, "
+      "idleTimeout: 6s}\n");
+  EXPECT_EQ(list(out.Diagnostics), "");
+  const CallerLimitSettings &l = out.Value.Limits;
+  EXPECT_EQ(l.MemoryMiB, 8u);
+  EXPECT_EQ(l.Connections, 65536u);
+  EXPECT_EQ(l.HeaderTimeout, 100ms);
+  EXPECT_EQ(l.BodyTimeout, 2s);
+  EXPECT_EQ(l.ResponseTimeout, 10min);
+  EXPECT_EQ(l.IdleTimeout, 6s);
+}
+
+// A limit that is misspelt or out of range must not silently become the
+// default, or none.
+TEST(CallerLimits, InvalidValuesAndUnknownKeys_AreRejected) {
+  const std::pair<const char *, Errc> cases[] = {
+      {"callerMemoryMiB: 7", Errc::SettingsOutOfRange},
+      {"callerMemoryMiB: 65537", Errc::SettingsOutOfRange},
+      {"callerMemoryMiB: 96MiB", Errc::SettingsWrongValue},
+      {"callerMemoryMiB: -1", Errc::SettingsWrongValue},
+      {"callerConnections: 0", Errc::SettingsOutOfRange},
+      {"callerConnections: 65537", Errc::SettingsOutOfRange},
+      {"headerTimeout: 99ms", Errc::SettingsOutOfRange},
+      {"headerTimeout: 10", Errc::SettingsWrongValue},
+      {"bodyTimeout: 11m", Errc::SettingsOutOfRange},
+      {"responseTimeout: 0ms", Errc::SettingsOutOfRange},
+      {"idleTimeout: 5s", Errc::SettingsOutOfRange},
+      {"idleTimeout: 2h", Errc::SettingsOutOfRange},
+      {"callerMemory: 96", Errc::SettingsUnknownKey},
+  };
+  for (const auto &[line, code] : cases) {
+    DispatchSettingsOutcome out =
+        parseDispatch("limits:\n  " + std::string(line) + "\n");
+    ASSERT_EQ(out.Diagnostics.size(), 1u) << line << list(out.Diagnostics);
+    EXPECT_EQ(out.Diagnostics[0].Code, code) << list(out.Diagnostics);
+    EXPECT_NE(out.Diagnostics[0].message().find("limits."), std::string::npos)
+        << list(out.Diagnostics);
+  }
+  EXPECT_EQ(parseDispatch("limits: [1]\n").Diagnostics.size(), 1u);
+}
+
 // A daemon must not start without an address or in a zone that is not listed.
 TEST(Settings, MissingKeysAndUnknownOwnZoneAreRejected) {
   SettingsOutcome out = parseSettings(
