Count and log the limits that callers reach

What callers saw: when clients used up the memory of a daemon, neither metrics nor log showed it before the process ended. Besides, each refused request wrote a line with its whole method, path and cause, of up to 16 KiB, which callers choose.

Change: HttpFrontend passes OnLimit to its three servers. Each call counts in endivedoor_limited_total{limit}; LimitReached (7563) is logged at once and then at most once per second and limit, with the number of reports. endivedoor_http_bytes and endivedoor_http_connections{server} show what is in use. CallRefused cuts method, path and cause to 200 bytes.

The counters stay without values until HttpServer calls OnLimit; the tests call it, and LimitReporter, themselves.

Evidence: unit-frontend, unit-catalogue, unit-settings, unit-config and unit-logstory pass; LongMethodAndPath_AreCutInTheLog fails if the cause is not cut.

--- a/packages/dispatch/include/endivedoor/dispatch/Metrics.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Metrics.h
@@ -57,6 +57,18 @@
   /// \param cause "missing", "malformed", "unknown" or "outdated".
   void countRefusedKey(const std::string &cause);
 
+  /// Counts a request that was refused, or a connection that was closed,
+  /// because of a limit on what callers make the node hold.
+  ///
+  /// \param limit name of the limit, as in the event LimitReached.
+  void countLimited(const std::string &limit);
+  /// Sets the memory that connections, requests and responses use, in bytes.
+  void setHttpBytes(std::size_t used);
+  /// Sets the number of open connections of a server.
+  ///
+  /// \param server "callers", "health" or "metrics".
+  void setHttpConnections(const std::string &server, std::size_t open);
+
   /// Returns all metrics, including a counter for each event type in \p events,
   /// in Prometheus text format 0.0.4. Cost: linear in the number of metrics.
   std::string render(const base::EventLog &events) const;
--- a/packages/dispatch/src/Metrics.cpp
+++ b/packages/dispatch/src/Metrics.cpp
@@ -71,6 +71,24 @@
           .Name("endivedoor_refused_keys_total")
           .Help("Requests refused because of their key, by cause")
           .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Limited =
+      prometheus::BuildCounter()
+          .Name("endivedoor_limited_total")
+          .Help("Requests refused and connections closed because of a limit on "
+                "what callers make the node hold, by limit")
+          .Register(Registry);
+  prometheus::Gauge &HttpBytes =
+      prometheus::BuildGauge()
+          .Name("endivedoor_http_bytes")
+          .Help("Memory in use for connections, requests and responses, out of "
+                "limits.callerMemoryMiB")
+          .Register(Registry)
+          .Add({});
+  prometheus::Family<prometheus::Gauge> &HttpConnections =
+      prometheus::BuildGauge()
+          .Name("endivedoor_http_connections")
+          .Help("Open connections by server")
+          .Register(Registry);
   prometheus::Family<prometheus::Counter> &Starts =
       prometheus::BuildCounter()
           .Name("endivedoor_starts_total")
@@ -142,6 +160,19 @@
   Self->RefusedKeys.Add({{"cause", cause}}).Increment();
 }
 
+void Metrics::countLimited(const std::string &limit) {
+  Self->Limited.Add({{"limit", limit}}).Increment();
+}
+
+void Metrics::setHttpBytes(std::size_t used) {
+  Self->HttpBytes.Set(static_cast<double>(used));
+}
+
+void Metrics::setHttpConnections(const std::string &server, std::size_t open) {
+  Self->HttpConnections.Add({{"server", server}})
+      .Set(static_cast<double>(open));
+}
+
 void Metrics::countStart(policy::Urgency urgency, bool learned) {
   Self->Starts
       .Add({{"urgency", nameOf(urgency)},
--- a/tests/unit/unit-frontend.cpp
+++ b/tests/unit/unit-frontend.cpp
@@ -1,4 +1,5 @@
 // Tests over HTTP which requests the front end serves to which client account.
+#include "../../platform/LimitReporter.h"
 #include "../../platform/ServerOptions.h"
 #include "standins/installation/KeyValueStore.h"
 #include "support/InMemoryStore.h"
@@ -14,6 +15,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
+#include <map>
+
 using namespace endivedoor;
 using namespace endivedoor::tests;
 using namespace std::chrono_literals;
@@ -74,7 +77,7 @@
   void start(model::DispatchSettings settings = {}) {
     settings.Callers = Callers = freeAddress();
     settings.Health = freeAddress();
-    settings.Metrics = freeAddress();
+    settings.Metrics = MetricsAddress = freeAddress();
     dispatch::DispatchOptions options;
     options.Name = "n1";
     options.Instance = "n1-1";
@@ -131,11 +134,15 @@
   }
 
   HttpResponse send(HttpRequest request) {
+    return sendTo(Callers, std::move(request));
+  }
+
+  HttpResponse sendTo(model::Address to, HttpRequest request) {
     std::optional<base::Result<HttpResponse>> result;
     asio::co_spawn(
         Io,
         [&]() -> asio::awaitable<void> {
-          result.emplace(co_await Http.send(Callers, std::move(request), 5s));
+          result.emplace(co_await Http.send(to, std::move(request), 5s));
         },
         asio::detached);
     for (int i = 0; i < 1000 && !result; ++i)
@@ -171,7 +178,7 @@
   InMemoryStore Store;
   NoWorkers Workers;
   platform::HttpClient Http{Io.get_executor(), System, platform::HttpLimits{}};
-  model::Address Callers;
+  model::Address Callers, MetricsAddress;
   std::unique_ptr<dispatch::DispatchNode> Node;
   std::unique_ptr<installation::HttpFrontend> Frontend;
 };
@@ -399,6 +406,89 @@
   EXPECT_EQ(logText().find("secret"), std::string::npos);
 }
 
+/// Returns the fields of all events with \p code.
+std::vector<std::map<std::string, std::string>>
+fieldsOf(const base::EventLog &events, base::EventCode code) {
+  std::vector<std::map<std::string, std::string>> out;
+  for (const base::EventRecord &it : events.snapshot())
+    if (it.Code == code)
+      out.emplace_back(it.Fields.begin(), it.Fields.end());
+  return out;
+}
+
+// A caller filled the log with one request line of 16 KiB per request.
+TEST_F(CallerRequests, LongMethodAndPath_AreCutInTheLog) {
+  start();
+  Frontend->configure(configuration());
+  const std::string longPath = "/" + std::string(5000, 'p');
+  EXPECT_EQ(send("GET", longPath).Status, 404u);
+  EXPECT_EQ(send(std::string(5000, 'M'), idPath("/p/", 1)).Status, 405u);
+  EXPECT_EQ(send("GET", "/p/" + std::string(5000, 'i')).Status, 410u);
+  auto refused = fieldsOf(Events, base::EventCode::CallRefused);
+  ASSERT_EQ(refused.size(), 3u);
+  EXPECT_EQ(refused[0]["path"], longPath.substr(0, 200));
+  EXPECT_EQ(refused[1]["method"], std::string(200, 'M'));
+  for (auto &it : refused)
+    EXPECT_LE(it["cause"].size(), 200u);
+}
+
+// An operator has to see that callers reach a limit, and how much of the memory
+// and of the connections they use.
+TEST_F(CallerRequests, LimitsAndUse_AreShownInMetrics) {
+  start();
+  installation::LimitReporter reporter(Io.get_executor(), Events,
+                                       MetricsRegistry);
+  for (int i = 0; i < 3; ++i)
+    reporter.report(platform::HttpLimit::Framing);
+  reporter.report(platform::HttpLimit::ResponseTime);
+  EXPECT_EQ(send("GET", "/p/").Status, 503u);
+  HttpResponse response = sendTo(MetricsAddress, {"GET", "/metrics", {}, ""});
+  EXPECT_EQ(response.Status, 200u);
+  for (const char *line :
+       {"endivedoor_limited_total{limit=\"framing\"} 3",
+        "endivedoor_limited_total{limit=\"response_time\"} 1",
+        "endivedoor_http_bytes ",
+        "endivedoor_http_connections{server=\"callers\"} 1",
+        "endivedoor_http_connections{server=\"health\"} 0",
+        "endivedoor_http_connections{server=\"metrics\"} 1"})
+    EXPECT_NE(response.Body.find(line), std::string::npos) << line << "\n"
+                                                           << response.Body;
+}
+
+// Callers decide how often they reach a limit; a line for each would fill the
+// log, and a line without a count would hide how many there were.
+TEST_F(CallerRequests, ReportsOfALimit_AreLoggedOncePerSecondWithTheirNumber) {
+  installation::LimitReporter reporter(Io.get_executor(), Events,
+                                       MetricsRegistry);
+  auto logged = [&] {
+    std::string text;
+    for (auto &it : fieldsOf(Events, base::EventCode::LimitReached))
+      text += it["limit"] + "=" + it["count"] + " ";
+    return text;
+  };
+  for (int i = 0; i < 1000; ++i)
+    reporter.report(platform::HttpLimit::Memory);
+  reporter.report(platform::HttpLimit::BodyTime);
+  EXPECT_EQ(logged(), "memory=1 body_time=1 ");
+  Io.run_for(1200ms);
+  EXPECT_EQ(logged(), "memory=1 body_time=1 memory=999 ");
+  Io.restart();
+  Io.run_for(1200ms);
+  reporter.report(platform::HttpLimit::Memory);
+  EXPECT_EQ(logged(), "memory=1 body_time=1 memory=999 memory=1 ");
+}
+
+// The servers are destroyed before the executor runs their last timers.
+TEST_F(CallerRequests, ReporterDestroyedWhileItWaits_LogsNothingMore) {
+  auto reporter = std::make_unique<installation::LimitReporter>(
+      Io.get_executor(), Events, MetricsRegistry);
+  reporter->report(platform::HttpLimit::Header);
+  reporter->report(platform::HttpLimit::Header);
+  reporter.reset();
+  Io.run_for(1200ms);
+  EXPECT_EQ(fieldsOf(Events, base::EventCode::LimitReached).size(), 1u);
+}
+
 // Callers that use up the connections or the descriptors of their server must
 // not keep out the probes of the load balancer.
 TEST(ServerOptions, Settings_ApplyToAllServers) {
@@ -407,8 +497,12 @@
   settings.Health = {"127.0.0.1", 2};
   settings.Metrics = {"127.0.0.1", 3};
   settings.Limits = {9, 70, 1s, 2s, 3s, 7s};
-  installation::ServerOptions options =
-      installation::makeServerOptions(settings, nullptr);
+  int reports = 0;
+  installation::ServerOptions options = installation::makeServerOptions(
+      settings, nullptr, [&](platform::HttpLimit limit) {
+        EXPECT_EQ(limit, platform::HttpLimit::Framing);
+        ++reports;
+      });
   EXPECT_EQ(options.Callers.MaxConnections, 70u);
   EXPECT_EQ(options.Health.MaxConnections, 64u);
   EXPECT_EQ(options.Metrics.MaxConnections, 32u);
@@ -424,7 +518,9 @@
     EXPECT_EQ(it->BodyTimeout, 2s);
     EXPECT_EQ(it->ResponseTimeout, 3s);
     EXPECT_EQ(it->IdleTimeout, 7s);
+    it->OnLimit(platform::HttpLimit::Framing);
   }
+  EXPECT_EQ(reports, 3);
 }
 
 TEST_F(CallerRequests, OutdatedKeysFailOpen_StillCount) {
