Test what a poll has acknowledged and where unread rows are numbered from

Since an acknowledgement is sent only until it is answered, so the numbers of unreadable rows follow on PollRequest::ForgottenEnd. The test Poll_NumbersUnreadableEndsFromTheAcknowledged still set AcknowledgedEnd and failed. Poll_AcknowledgesNothingToALaterIncarnation also checks that the report names the acknowledgement that was really sent.

--- a/tests/unit/unit-installation.cpp
+++ b/tests/unit/unit-installation.cpp
@@ -636,10 +636,13 @@
     dispatch::PollRequest request;
     request.AcknowledgedEnd = 58;
     request.IncarnationSeenAt = seenAt;
-    EXPECT_TRUE(await(WorkerClient->poll({base::WorkerId("i-1"), ServerAddress},
-                                         request, 500ms)));
+    auto report = await(WorkerClient->poll(
+        {base::WorkerId("i-1"), ServerAddress}, request, 500ms));
+    EXPECT_TRUE(report);
     json::value body = parseBody(Bodies.back()).value();
-    return Fields(&body).number("last_seen");
+    std::int64_t sent = Fields(&body).number("last_seen");
+    EXPECT_EQ(report.value().AcknowledgedEnd, sent);
+    return sent;
   };
   base::TimePoint before = Time.now();
   // A new connection may lead to a later incarnation, and so may one that was
@@ -695,7 +698,7 @@
         200, {}, R"({"clock_ms":4821,"born":77,"ended":[null,{}]})"};
   };
   dispatch::PollRequest request;
-  request.AcknowledgedEnd = 4;
+  request.ForgottenEnd = 4;
   auto report = await(WorkerClient->poll({base::WorkerId("i-1"), ServerAddress},
                                          request, 500ms));
   ASSERT_TRUE(report.has_value());
