Say that probes share the byte budget with callers

Cause: a budget that callers have used up is refused to the servers for health and metrics, too, since only connections and requests of the same server give way to each other. The comment of the table sizes promised more.

--- a/tests/unit/unit-frontend.cpp
+++ b/tests/unit/unit-frontend.cpp
@@ -489,8 +489,8 @@
   EXPECT_EQ(fieldsOf(Events, base::EventCode::LimitReached).size(), 1u);
 }
 
-// Callers that use up the connections or the descriptors of their server must
-// not keep out the probes of the load balancer.
+// Callers that use up the connections of their server must not use up those for
+// the probes of the load balancer.
 TEST(ServerOptions, Settings_ApplyToAllServers) {
   model::DispatchSettings settings;
   settings.Callers = {"127.0.0.1", 1};
