Limit the unsent bytes that the kernel takes for a connection

In a trial, 2,000 clients that asked for 20 answers of 100 kB each and read none made the kernel hold 2.4 GB (the host's TCP memory), after the server counted the answers as sent.

The kernel enlarges the send buffer of a connection up to several megabytes.

Connections now have TCP_NOTSENT_LOWAT of 16 KiB, which counts in their share of the budget. A send buffer of 16 KiB was tried too: 50 MB over loopback then took 29.6 s instead of 17 ms, because the sender waits for delayed acknowledgements; with the limit on unsent bytes they take 22 ms.

--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
 #include <tuple>
@@ -35,9 +36,15 @@
 /// Receive buffer of a connection. The kernel fills it beside a request in
 /// progress, so it is kept small.
 constexpr int ReceiveBufferBytes = 16 * 1024;
-/// Share of a connection: its receive buffer, and the socket, coroutine and
-/// read buffer.
-constexpr std::size_t ConnectionBytes = ReceiveBufferBytes + 8 * 1024;
+/// Bytes that the kernel accepts while they cannot be sent yet. Without a limit
+/// it takes several megabytes for a client that reads nothing. A small send
+/// buffer would also limit the bytes in transit, and wait for delayed
+/// acknowledgements.
+constexpr int UnsentBytes = 16 * 1024;
+/// Share of a connection: its buffers in the kernel, and the socket, coroutine
+/// and read buffer.
+constexpr std::size_t ConnectionBytes =
+    ReceiveBufferBytes + UnsentBytes + 8 * 1024;
 /// Share of a request beside its header and body: its coroutines and the
 /// header of the response.
 constexpr std::size_t RequestBytes = 8 * 1024;
@@ -414,10 +421,13 @@
     acceptor.open(endpoint.protocol(), ec);
   if (!ec)
     acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  // Connections inherit it from the listening socket.
+  // Connections inherit the sizes from the listening socket.
   if (!ec)
     acceptor.set_option(
         asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ec);
+  if (!ec)
+    ::setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                 &UnsentBytes, sizeof UnsentBytes);
   if (!ec && Self->Options.ReusePort) {
     int on = 1;
     ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on,
