Close stalled responses if there is no room for a new connection

A response whose client has taken nothing for 500 ms may now be broken off for a new connection or a small request, after connections that wait for or read a request. The one that has made no progress for longest comes first. Requests that a handler has begun are still never broken off.

The new test of unit-httplimits fails without the change; unit-http and unit-frontend pass.

--- a/packages/platform/include/endivedoor/platform/HttpServer.h
+++ b/packages/platform/include/endivedoor/platform/HttpServer.h
@@ -38,7 +38,8 @@
   model::Address Listen;
   HttpLimits Limits;
   /// If there are more, those that have not sent a complete request are closed
-  /// first, then idle ones, both in the order in which they began to wait.
+  /// first, then idle ones, both in the order in which they began to wait, then
+  /// those whose client takes nothing of a response.
   std::size_t MaxConnections = 4096;
   /// Limits the memory that connections, requests and responses use; may be
   /// shared by servers. No limit if null.
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -391,8 +391,11 @@
   boost::system::error_code ec;
   while (!ec && !serializer.is_done()) {
     connection.setDeadline(std::min(end, after(Options.ResponseTimeout)));
+    Connections.beginWrite(connection);
     std::tie(ec, std::ignore) =
         co_await http::async_write_some(connection.Socket, serializer, AsTuple);
+    if (connection.Closed)
+      co_return false;
   }
   if (connection.TimedOut)
     reportLimit(HttpLimit::ResponseTime);
--- a/packages/platform/src/detail/ConnectionTable.h
+++ b/packages/platform/src/detail/ConnectionTable.h
@@ -8,6 +8,10 @@
 
 namespace endivedoor::platform::detail {
 
+/// Time without progress after which a response may be broken off. Otherwise
+/// clients that read nothing use up the budget for the whole ResponseTimeout.
+inline constexpr auto StallTime = std::chrono::milliseconds(500);
+
 /// Cost: constant for each call, except for forEachWaiting.
 ///
 /// Not thread-safe.
@@ -28,6 +32,11 @@
   }
   /// The first bytes of a request have arrived.
   void beginRequest(ServerConnection &c) { beginWait(c); }
+  /// A part of a response is about to be written.
+  void beginWrite(ServerConnection &c) {
+    c.WriteProgress = std::chrono::steady_clock::now();
+    move(c, Writing);
+  }
   /// The request is complete or refused; a response follows.
   void beginWork(ServerConnection &c) { move(c, Busy); }
   /// A refused client gets time to read its response.
@@ -38,8 +47,9 @@
 
   /// Returns the connection to close for a new one, or null. Those without a
   /// complete request come first, then those that wait for another one, both
-  /// in the order in which they began to wait. Never one with a request or
-  /// response in progress.
+  /// in the order in which they began to wait, then those whose client has
+  /// taken nothing of a response for StallTime. Never one with a request in
+  /// progress.
   ServerConnection *leastUseful(const ServerConnection *except) const {
     for (const Queue *queue : {&Fresh, &Kept}) {
       auto it = queue->begin();
@@ -48,6 +58,10 @@
       if (it != queue->end())
         return *it;
     }
+    ServerConnection *stalled = Writing.empty() ? nullptr : Writing.front();
+    if (stalled && stalled != except &&
+        std::chrono::steady_clock::now() - stalled->WriteProgress >= StallTime)
+      return stalled;
     return nullptr;
   }
 
@@ -69,7 +83,7 @@
   }
 
   std::size_t openCount() const {
-    return Fresh.size() + Kept.size() + Busy.size();
+    return Fresh.size() + Kept.size() + Busy.size() + Writing.size();
   }
   std::size_t size() const { return openCount() + Closing.size(); }
 
@@ -85,8 +99,10 @@
   Queue Fresh;
   /// Wait for or read a further request.
   Queue Kept;
-  /// A handler runs or a response is sent.
+  /// A handler runs or a response follows.
   Queue Busy;
+  /// A response is being written; the one without progress for longest first.
+  Queue Writing;
   Queue Closing;
 };
 
--- a/packages/platform/src/detail/ServerConnection.h
+++ b/packages/platform/src/detail/ServerConnection.h
@@ -45,6 +45,8 @@
   /// The time limit has been exceeded.
   bool TimedOut = false;
 
+  /// When the client last took bytes of the response that is being written.
+  TimePoint WriteProgress{};
   /// The list of the ConnectionTable that holds the connection, and its place.
   std::list<ServerConnection *> *Queue = nullptr;
   std::list<ServerConnection *>::iterator Place;
--- a/tests/unit/unit-httplimits.cpp
+++ b/tests/unit/unit-httplimits.cpp
@@ -500,6 +500,27 @@
   EXPECT_EQ(Reached, std::vector(2, HttpLimit::Memory));
 }
 
+// Clients that read nothing shut out all others until ResponseTimeout, because
+// responses that were being written used up the budget.
+TEST_F(HttpBudgetTest, UnreadResponses_LeaveRoomForSmallRequests) {
+  listenWith(1500000);
+  RequestHandler = [](HttpRequest it) -> asio::awaitable<HttpResponse> {
+    std::size_t size = it.Path == "/large" ? 400000 : 2;
+    co_return HttpResponse{200, {}, std::string(size, 'x')};
+  };
+  std::string request = "POST /large HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::vector<std::unique_ptr<RawClient>> unread;
+  for (int i = 0; i < 60; ++i) {
+    unread.push_back(std::make_unique<RawClient>(Io, To, 4096));
+    boost::system::error_code ec;
+    unread.back()->Socket.write_some(asio::buffer(request), ec);
+    runFor(Io, 2ms);
+  }
+  runFor(Io, 600ms);
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(outcomeOf(post("", "")), "200");
+}
+
 // A request that a handler has begun is never broken off for another one.
 TEST_F(HttpBudgetTest, RequestInProgress_KeepsItsShare) {
   listenWith(600000);
