Hold a long-running task for a silent worker for a lease only

Cause: held it until a restart of the silent worker was ruled out, which takes 22.3 s. Callers count it as lost after 6 s.

Change: where no restart is known, a silent worker is waited for as for a lease, as before. Where one is known, the task waits, unless it starts on that worker.

--- a/packages/dispatch/src/LateStarts.cpp
+++ b/packages/dispatch/src/LateStarts.cpp
@@ -47,6 +47,17 @@
   std::erase_if(LateStarts, [](const auto &it) { return it.second.empty(); });
 }
 
+/// Returns whether a task starts in spite of a late start. A silent worker may
+/// have restarted, which nothing shows yet, but callers count a long-running
+/// task as lost long before that is ruled out.
+static bool isIgnored(const WorkerState *worker, bool longRunning,
+                      const ShardOptions &options, TimePoint now) {
+  return longRunning && worker && worker->SilentSince &&
+         !worker->UnverifiedUntil &&
+         worker->Incarnation != std::chrono::milliseconds(0) &&
+         now - *worker->SilentSince >= maxLeaseLifetime(options);
+}
+
 /// Returns whether a late start may be carried out, or may have been by an
 /// incarnation that has not answered since.
 static bool mayAct(const LateStart &start, const WorkerState *worker,
@@ -68,10 +79,13 @@
       w->ListedLateStarts.clear();
   }
   for (auto &[key, starts] : LateStarts) {
-    std::erase_if(starts, [&](const LateStart &it) {
+    const JobEntry *job = findJob(key.Job);
+    bool longRunning = job && stepOf(*job, key).LongRunning;
+    std::erase_if(starts, [&](LateStart &it) {
       auto found = Workers.find(it.Worker);
       const WorkerState *worker =
           found == Workers.end() ? nullptr : found->second.get();
+      it.Ignored = isIgnored(worker, longRunning, Options, now);
       return !mayAct(it, worker, Options, now);
     });
   }
@@ -79,7 +93,10 @@
 }
 
 bool ShardState::hasLateStart(const TaskKey &task) const {
-  return LateStarts.contains(task);
+  auto starts = LateStarts.find(task);
+  return starts != LateStarts.end() &&
+         std::any_of(starts->second.begin(), starts->second.end(),
+                     [](const LateStart &it) { return !it.Ignored; });
 }
 
 void ShardState::listLateStart(WorkerState &worker, const TaskKey &task,
@@ -116,7 +133,7 @@
   return longRunning &&
          std::all_of(starts->second.begin(), starts->second.end(),
                      [&](const LateStart &it) {
-                       return it.Worker == worker.Profile.Id;
+                       return it.Ignored || it.Worker == worker.Profile.Id;
                      });
 }
 
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -105,6 +105,8 @@
   base::WorkerId Worker;
   /// The call is no longer carried out from then on.
   TimePoint Until;
+  /// The task does not wait for it, as of the current plan.
+  bool Ignored = false;
 };
 
 /// How an earlier run of a task is known to have ended; for the log.
@@ -875,7 +877,7 @@
   void forgetLateStart(const RunId &run);
   /// No call reaches the worker any more: another one has its address.
   void forgetLateStarts(WorkerState &worker);
-  /// Removes those that cannot act any more.
+  /// Removes those that cannot act any more, and notes which to ignore.
   void updateLateStarts(TimePoint now);
   /// Returns whether a start of the task may still be carried out.
   bool hasLateStart(const TaskKey &task) const;
