Wait for late starts on workers that have left the directory

A silent worker whose entry was gone counted as unable to run anything once the 12 s of its starts were over, although one that was carried out at their end goes on for a lease.

A run that is dropped while the call is in flight leaves a late start too.

--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -20,8 +20,7 @@
     if (TaskEntry *task = findTask(it.Task, &job); task && job) {
       // The worker may have restarted unnoticed and refuses nothing then.
       for (const Run &run : task->Runs)
-        if (run.Number == it.Number && run.Worker == &worker &&
-            run.AnswerLostAt)
+        if (run.Number == it.Number && run.Worker == &worker)
           noteLateStart(*job, it.Task, run, now);
       removeRun(*job, it.Task, it.Number, worker.Profile.Id, cause);
     }
