Acknowledge ends only after an answer that is later than the start in doubt

And ends that were taken for acknowledged but not sent did not count as held.

Change: the doubt ends with the answer to a poll that was sent after the 12 s. Ends are held for 24 s at most, so that the bound does not come before that answer. Acknowledgements that are still to be sent count.

--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -25,6 +25,10 @@
 /// some idle polls, so that a row that was damaged on the way is read again;
 /// the list of the worker must not fill up behind it.
 constexpr auto UnreadableEndTimeout = 10s;
+/// Longest time for which ends are not acknowledged because starts are in
+/// doubt. Longer than one start is; well below the time in which the list of a
+/// worker, of 500 rows, fills up.
+constexpr auto MaxEndsHold = 2 * MaxCallDelay;
 /// Upper bound of the failure score that counts for the avoidance time.
 constexpr double MaxCountedFailures = 4;
 
@@ -528,17 +532,21 @@
   WorkerState &w = *it->second;
   // The poll may reach a later incarnation than the one that is known.
   bool isKnown = w.TokenAnswered && !w.SilentSince;
-  std::erase_if(w.StartsInDoubt,
-                [&](const auto &it) { return now >= it.second; });
+  // A start may have been carried out after the latest answer.
+  std::erase_if(w.StartsInDoubt, [&](const auto &it) {
+    return w.IncarnationSeenAt >= it.second;
+  });
+  bool hasEnds =
+      !w.UnacknowledgedEnds.empty() || w.AcknowledgedEnd > w.ForgottenEnd;
   if (w.StartsInDoubt.empty())
     w.EndsHeldSince.reset();
-  else if (!w.EndsHeldSince && !w.UnacknowledgedEnds.empty())
+  else if (!w.EndsHeldSince && hasEnds)
     w.EndsHeldSince = now;
   // Where many starts get no answer, one is always in doubt; the list of the
   // worker must not fill up meanwhile.
   bool mayAcknowledge =
       isKnown && (w.StartsInDoubt.empty() ||
-                  (w.EndsHeldSince && now - *w.EndsHeldSince >= MaxCallDelay));
+                  (w.EndsHeldSince && now - *w.EndsHeldSince >= MaxEndsHold));
   std::string acknowledged;
   while (mayAcknowledge && !w.UnacknowledgedEnds.empty()) {
     const detail::UnacknowledgedEnd &end = w.UnacknowledgedEnds.front();
@@ -577,7 +585,7 @@
   if (w.AcknowledgementInFlight)
     w.EndsHeldSince.reset();
   plan.EndsHeld =
-      !mayAcknowledge && !w.UnacknowledgedEnds.empty() &&
+      !mayAcknowledge && hasEnds &&
       std::any_of(w.StartsInDoubt.begin(), w.StartsInDoubt.end(),
                   [](const auto &it) { return it.second != TimePoint::max(); });
   plan.Request.IncarnationSeenAt = w.IncarnationSeenAt;
--- a/tests/unit/unit-dispatch-acknowledgements.cpp
+++ b/tests/unit/unit-dispatch-acknowledgements.cpp
@@ -71,6 +71,9 @@
   EXPECT_EQ(held.Request.AcknowledgedEnd, 0);
   EXPECT_TRUE(held.EndsHeld);
   Time.advance(12s);
+  // The start may have been carried out since the latest answer.
+  EXPECT_EQ(nextPoll().AcknowledgedEnd, 0);
+  listEnd();
   EXPECT_EQ(nextPoll().AcknowledgedEnd, 1);
 }
 
