Read the bodies of responses in large pieces

The read loop that the client shares with the server read 4 KiB at a time, so that a page of the store of 1 MB took 256 system calls. What stays in the buffer without being body is bounded as for requests.

--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -22,6 +22,8 @@
 using base::fail;
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// Pages of the store have up to 1 MB; each read costs a system call.
+constexpr std::size_t BodyReadBytes = 64 * 1024;
 
 /// Returns whether an idle connection can be reused: the server has neither
 /// closed it nor sent unexpected bytes.
@@ -248,8 +250,8 @@
     co_return fail(written == 0 ? Errc::HttpNotSent : Errc::HttpAnswerLost,
                    to.str() + ": " + writeError.message());
 
-  beast::flat_buffer buf(detail::maxBufferBytes(Options.Limits));
-  detail::MessageReader<false> reader(buf, Options.Limits);
+  beast::flat_buffer buf(detail::maxBufferBytes(Options.Limits, BodyReadBytes));
+  detail::MessageReader<false> reader(buf, Options.Limits, BodyReadBytes);
   http::response_parser<http::string_body> &parser = reader.Parser;
   if (message.method() == http::verb::head)
     parser.skip(true);
--- a/packages/platform/src/detail/MessageReader.h
+++ b/packages/platform/src/detail/MessageReader.h
@@ -28,8 +28,11 @@
 
 /// Returns the maximum size of a read buffer. Without one, a chunk line or
 /// trailers without end would use up the memory.
-inline std::size_t maxBufferBytes(const HttpLimits &limits) {
-  return limits.HeaderBytes + ReadBytes;
+///
+/// \param readBytes number of bytes of a body that are read at a time.
+inline std::size_t maxBufferBytes(const HttpLimits &limits,
+                                  std::size_t readBytes = ReadBytes) {
+  return limits.HeaderBytes + readBytes;
 }
 
 /// Parses a message from a buffer into which its caller reads.
@@ -41,8 +44,10 @@
 public:
   /// \param buf holds at most maxBufferBytes(); its content is the begin of
   /// the message.
-  MessageReader(beast::flat_buffer &buf, const HttpLimits &limits)
-      : Buffer(buf), Limits(limits) {
+  /// \param readBytes number of bytes of a body that are read at a time.
+  MessageReader(beast::flat_buffer &buf, const HttpLimits &limits,
+                std::size_t readBytes = ReadBytes)
+      : Buffer(buf), Limits(limits), BodyReadBytes(readBytes) {
     Parser.header_limit(static_cast<std::uint32_t>(limits.HeaderBytes));
     Parser.body_limit(limits.BodyBytes);
   }
@@ -51,8 +56,8 @@
 
   /// Returns space for the next read; empty if the buffer is full.
   auto prepare() {
-    return Buffer.prepare(
-        std::min(ReadBytes, Buffer.max_size() - Buffer.size()));
+    std::size_t n = Parser.is_header_done() ? BodyReadBytes : ReadBytes;
+    return Buffer.prepare(std::min(n, Buffer.max_size() - Buffer.size()));
   }
   /// Adds \p n bytes that have been read into the space from prepare().
   void commit(std::size_t n) { Buffer.commit(n); }
@@ -97,7 +102,8 @@
       if (n == 0 && !ec)
         ec = http::error::need_more;
     }
-    if (ec == http::error::need_more && Buffer.size() == Buffer.max_size())
+    // Body bytes are consumed at once; what stays is a chunk line or trailers.
+    if (ec == http::error::need_more && Buffer.size() >= maxBufferBytes(Limits))
       return http::error::buffer_overflow;
     return ec;
   }
@@ -149,6 +155,7 @@
 
   beast::flat_buffer &Buffer;
   const HttpLimits &Limits;
+  const std::size_t BodyReadBytes;
   /// Bytes at the begin of the buffer whose lines have been counted.
   std::size_t Scanned = 0;
   std::size_t Lines = 0;
