--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -607,7 +607,8 @@
         Events(events), MetricsRegistry(metrics) {}
 
   bool Fenced = false;
-  /// Generation of the latest new token of any worker.
+  /// Highest generation of the workers that have been removed; one that returns
+  /// goes on from it.
   std::uint64_t ForgottenGeneration = 0;
   /// Incarnations of workers that have been removed, or whose row in the roster
   /// of an earlier owner need not be waited for; as in WorkerState.
--- a/tests/unit/unit-dispatch-latestarts.cpp
+++ b/tests/unit/unit-dispatch-latestarts.cpp
@@ -123,12 +123,16 @@
   EXPECT_TRUE(nextStart(LostAt + LongestCallDelay + MaxAnswerTime, SecondLife));
 }
 
-// Callers count a long-running task as lost before that time is over.
+// Callers count a long-running task as lost before that time is over. It starts
+// on the restarted worker once that cannot hold the longest lease any more.
 TEST_F(StartWithoutAnswer, ForAnEarlierLife_HoldsALongRunningTaskForLess) {
   loseStart(longRunning());
   restart(SecondLife);
   EXPECT_FALSE(nextStart(LostAt + LongRunningHold, SecondLife));
-  EXPECT_TRUE(nextStart(LostAt + LongRunningHold + MaxAnswerTime, SecondLife));
+  std::optional<WorkerCommand> again =
+      nextStart(LostAt + LongRunningHold + MaxAnswerTime, SecondLife);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->Worker.Id.str(), "w1");
 }
 
 // A later incarnation that begins the late run has lost the other one.
