--- a/packages/dispatch/src/LateStarts.cpp
+++ b/packages/dispatch/src/LateStarts.cpp
@@ -72,6 +72,15 @@
 }
 
 void ShardState::updateLateStarts(TimePoint now) {
+  // The lists are not shortened with each answer, which would cost a commit.
+  // They end with the time in which the start may begin: each next owner waits
+  // anew.
+  for (auto &[id, w] : Workers) {
+    std::erase_if(w->UnansweredStarts,
+                  [&](const auto &it) { return now >= it.second; });
+    if (w->UnansweredStarts.empty())
+      w->ListedLateStarts.clear();
+  }
   for (auto &[key, starts] : LateStarts) {
     const JobEntry *job = findJob(key.Job);
     bool longRunning = job && stepOf(*job, key).LongRunning;
@@ -84,21 +93,6 @@
     });
   }
   std::erase_if(LateStarts, [](const auto &it) { return it.second.empty(); });
-  // The lists are not shortened with each answer, which would cost a commit.
-  for (auto &[id, w] : Workers) {
-    auto isNamed = [&, &worker = id](const TaskKey &task) {
-      auto starts = LateStarts.find(task);
-      return starts != LateStarts.end() &&
-             std::any_of(
-                 starts->second.begin(), starts->second.end(),
-                 [&](const LateStart &it) { return it.Worker == worker; });
-    };
-    std::erase_if(w->UnansweredStarts, [&](const auto &it) {
-      return now >= it.second && !isNamed(it.first);
-    });
-    if (w->UnansweredStarts.empty())
-      w->ListedLateStarts.clear();
-  }
 }
 
 bool ShardState::hasLateStart(const TaskKey &task) const {
