--- a/packages/dispatch/src/LateStarts.cpp
+++ b/packages/dispatch/src/LateStarts.cpp
@@ -3,6 +3,7 @@
 // yet. Until that is impossible, a short task does not run, and a long-running
 // one only on this worker: the incarnation that begins the late run has lost
 // the other one.
+#include "detail/Rooms.h"
 #include "detail/ShardState.h"
 
 #include <algorithm>
@@ -47,16 +48,9 @@
   std::erase_if(LateStarts, [](const auto &it) { return it.second.empty(); });
 }
 
-/// Returns whether a task starts in spite of a late start. A silent worker may
-/// have restarted, which nothing shows yet, but callers count a long-running
-/// task as lost long before that is ruled out.
-static bool isIgnored(const WorkerState *worker, bool longRunning,
-                      const ShardOptions &options, TimePoint now) {
-  return longRunning && worker && worker->SilentSince &&
-         !worker->UnverifiedUntil &&
-         worker->Incarnation != std::chrono::milliseconds(0) &&
-         now - *worker->SilentSince >= maxLeaseLifetime(options);
-}
+/// How long a long-running task waits for late starts. The rest of the time
+/// until its callers count it as lost is left for finding room.
+constexpr base::Duration LongRunningHold = LostAfter - LongRunningWait;
 
 /// Returns whether a late start may be carried out, or may have been by an
 /// incarnation that has not answered since.
@@ -88,7 +82,8 @@
       auto found = Workers.find(it.Worker);
       const WorkerState *worker =
           found == Workers.end() ? nullptr : found->second.get();
-      it.Ignored = isIgnored(worker, longRunning, Options, now);
+      it.Ignored =
+          longRunning && now >= it.Until - MaxCallDelay + LongRunningHold;
       return !mayAct(it, worker, Options, now);
     });
   }
