Log what a roster drops and what the next owner reads

WorkerForgotten and RosterRowsDropped name the workers that leave, with the number of unstored ends and the revision of the roster. RosterRead names each row that the next owner reads, with its term, its tasks and its wait. WorkerWithdrawn and WorkerRestarted carry the number of unstored ends. The logic is unchanged.

--- a/packages/cli/src/LogFilter.cpp
+++ b/packages/cli/src/LogFilter.cpp
@@ -14,10 +14,10 @@
 /// Events about a worker, a shard or the store that affect the execution of
 /// tasks.
 const std::set<std::string> LifecycleEvents = {
-    "ShardOwned",    "ShardLoaded", "ShardReleased", "ShardGivenUp",
-    "WorkerSilent",  "WorkerHeard", "WorkerSynced",  "WorkerWithdrawn",
-    "WorkerOffered", "RunsLost",    "NodeLeaseLost", "StoreUnreached",
-    "StoreReached"};
+    "ShardOwned",    "ShardLoaded",     "ShardReleased",     "ShardGivenUp",
+    "WorkerSilent",  "WorkerHeard",     "WorkerSynced",      "WorkerWithdrawn",
+    "WorkerOffered", "RunsLost",        "NodeLeaseLost",     "StoreUnreached",
+    "StoreReached",  "WorkerForgotten", "RosterRowsDropped", "RosterRead"};
 
 /// Returns the value of a field of a line, or an empty string.
 std::string readField(const std::string &line, const std::string &name) {
--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -26,6 +26,12 @@
   return tasks;
 }
 
+std::size_t ShardState::countUnstoredEnds(const WorkerState &worker) const {
+  return static_cast<std::size_t>(std::count_if(
+      worker.UnacknowledgedEnds.begin(), worker.UnacknowledgedEnds.end(),
+      [&](const UnacknowledgedEnd &it) { return isUnstored(it); }));
+}
+
 void ShardState::updatePossibleTasks(WorkerState &worker) {
   if (worker.UsedInTerm != Term || worker.UnverifiedUntil)
     return;
--- a/packages/dispatch/src/ShardCommits.cpp
+++ b/packages/dispatch/src/ShardCommits.cpp
@@ -76,6 +76,20 @@
       {keys::colocation(CurrentTerm.Shard), encodeColocation(facts)});
 }
 
+/// Returns the workers of a roster that have no row in the next one, separated
+/// by spaces.
+static std::string droppedRows(const std::vector<RosterEntry> &roster,
+                               const std::vector<RosterEntry> &next) {
+  std::set<base::WorkerId> kept;
+  for (const RosterEntry &it : next)
+    kept.insert(it.Id);
+  std::string text;
+  for (const RosterEntry &it : roster)
+    if (!kept.contains(it.Id))
+      text += (text.empty() ? "" : " ") + it.Id.str();
+  return text;
+}
+
 asio::awaitable<void> ShardRunner::storeRoster() {
   std::vector<RosterEntry> roster = State.roster();
   // An unreadable roster is replaced only once it names no worker that may
@@ -111,6 +125,12 @@
     co_return;
   }
   RosterRevision = done.value().Revision;
+  if (std::string dropped = droppedRows(StoredRoster, roster); !dropped.empty())
+    Context.Events.emit(EventCode::RosterRowsDropped,
+                        {{"shard", std::to_string(CurrentTerm.Shard)},
+                         {"term", std::to_string(CurrentTerm.Number)},
+                         {"revision", std::to_string(RosterRevision)},
+                         {"workers", dropped}});
   StoredRoster = roster;
   State.onRosterStored(roster);
   requestPlan();
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -6,6 +6,7 @@
 
 using base::EventCode;
 using base::TimePoint;
+using detail::ShardState;
 using namespace std::chrono_literals;
 
 namespace detail {
@@ -91,7 +92,8 @@
                {"cause", cause},
                {"silent", worker.SilentSince ? "yes" : "no"},
                {"lost", std::to_string(lost.size())},
-               {"doubtful", std::to_string(worker.Runs.size())}});
+               {"doubtful", std::to_string(worker.Runs.size())},
+               {"unstoredEnds", std::to_string(countUnstoredEnds(worker))}});
   worker.OrphanRuns.clear();
   worker.Synced = false;
   worker.Clock.reset();
@@ -171,6 +173,46 @@
 
 } // namespace detail
 
+namespace {
+
+/// Logs the rows of an inherited roster, some to a line.
+class RosterLog {
+public:
+  RosterLog(base::EventLog &events, const ShardState &shard)
+      : Events(events), Shard(shard) {}
+  ~RosterLog() { flush(); }
+  RosterLog(const RosterLog &) = delete;
+  RosterLog &operator=(const RosterLog &) = delete;
+
+  void add(const RosterEntry &row, base::Duration wait) {
+    constexpr std::size_t rowsPerLine = 16;
+    Text += (Text.empty() ? "" : " ") + row.Id.str() + ":" +
+            std::to_string(row.Term) + ":" +
+            (row.Tasks ? std::to_string(row.Tasks->size()) : "any") + ":" +
+            std::to_string(std::max<std::int64_t>(0, wait / 1ms)) + "ms";
+    if (++Rows == rowsPerLine)
+      flush();
+  }
+
+private:
+  void flush() {
+    if (Rows > 0)
+      Events.emit(EventCode::RosterRead,
+                  {{"shard", std::to_string(Shard.Number)},
+                   {"term", std::to_string(Shard.Term)},
+                   {"rows", Text}});
+    Rows = 0;
+    Text.clear();
+  }
+
+  base::EventLog &Events;
+  const ShardState &Shard;
+  std::string Text;
+  std::size_t Rows = 0;
+};
+
+} // namespace
+
 void Shard::markUnverified(const std::vector<RosterEntry> &roster,
                            const std::vector<FormerTerm> &former,
                            TimePoint now) {
@@ -179,6 +221,7 @@
   base::Duration longestLeases = detail::longestLeaseLifetime(s.Options);
   base::Duration lateCalls = detail::lateCallLifetime(s.Options);
   base::Duration permission = detail::maxPermissionLifetime(s.Options);
+  RosterLog log(s.Events, s);
   for (const RosterEntry &it : roster) {
     std::int64_t term = it.Term > 0 ? it.Term : s.Term - 1;
     // The owner of that term, and earlier ones that may still act: the worker
@@ -210,6 +253,7 @@
     }
     if (it.LeaseLeft && !announced)
       until = std::min<TimePoint>(until, now + *it.LeaseLeft);
+    log.add(it, until - now);
     if (until <= now) {
       auto &incarnation = known != s.Workers.end()
                               ? known->second->Incarnation
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -445,6 +445,9 @@
       ++it;
       continue;
     }
+    Events.emit(EventCode::WorkerForgotten,
+                {{"worker", it->first.str()},
+                 {"unstoredEnds", std::to_string(countUnstoredEnds(w))}});
     FormerIncarnations[it->first] = w.LongestLease ? 0ms : w.Incarnation;
     ForgottenGeneration = std::max(ForgottenGeneration, w.Generation);
     it = Workers.erase(it);
@@ -507,7 +510,9 @@
   it->second->Listed = false;
   State->Events.emit(base::EventCode::WorkerWithdrawn,
                      {{"worker", worker.str()},
-                      {"runs", std::to_string(it->second->Runs.size())}});
+                      {"runs", std::to_string(it->second->Runs.size())},
+                      {"unstoredEnds",
+                       std::to_string(State->countUnstoredEnds(*it->second))}});
   if (it->second->Runs.empty())
     it->second->Synced = false;
 }
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -834,6 +834,8 @@
   /// or of which a late start may begin there: the next owner must not start
   /// them before it has read the list of the worker.
   std::set<TaskKey> tasksOn(const WorkerState &worker) const;
+  /// Returns how many ends were read from the worker and are in no record yet.
+  std::size_t countUnstoredEnds(const WorkerState &worker) const;
   /// Lists the tasks on a worker that gets no starts for the roster, and lets
   /// any other be used again once that is stored.
   void updatePossibleTasks(WorkerState &worker);
--- a/tests/unit/unit-dispatch-ends.cpp
+++ b/tests/unit/unit-dispatch-ends.cpp
@@ -1,6 +1,7 @@
 // Load pattern: runs end while their records wait for the store, and workers
 // and owners are lost in between. Faults of what a worker may forget: the next
 // owner starts a task again whose end is neither stored nor listed.
+#include "detail/LeaseTimes.h"
 #include "support/ShardFixture.h"
 
 using namespace endivedoor;
@@ -234,6 +235,29 @@
             "1 reported failed; 2 start refused");
 }
 
+// The incident of unstored ends could not be traced without these fields.
+TEST_F(EndTrace, WithdrawnWorker_TellsItsUnstoredEnds) {
+  addWorker("w1");
+  TestShard.addJob(job(1, {step(1), stepAfter(0)}), 5, false, now());
+  std::vector<WorkerCommand> orders = plan();
+  confirmStarts(orders);
+  end("w1", orders[0].Run, RunOutcome::Done);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  EXPECT_EQ(field(base::EventCode::WorkerWithdrawn, "unstoredEnds"), "1");
+}
+
+TEST_F(EndTrace, InheritedRoster_TellsEachRow) {
+  TaskKey task{JobNumber{1}, 0, 0, 0};
+  std::string wait =
+      std::to_string(dispatch::detail::maxLeaseLifetime({}) / 1ms) + "ms";
+  TestShard.markUnverified(
+      {{base::WorkerId("w1"), {"10.0.0.1", 8080}, Term - 1, {{task}}},
+       {base::WorkerId("w2"), {"10.0.0.2", 8080}, Term - 1}},
+      {{Term - 1, now(), false}}, now());
+  EXPECT_EQ(field(base::EventCode::RosterRead, "rows"),
+            "w1:2:1:" + wait + " w2:2:any:" + wait);
+}
+
 // The fence of run numbers: an earlier owner, alive and cut off, has stopped
 // its own run of the same number on a worker that only it reaches. The end of
 // that run must not end the one that goes on.
