Keep a worker in the roster until its ends are stored

Cause: an owner removed a worker without an entry and without runs from its tables at once, also while ends that it had read from it were in no record. The worker's row in the roster was the only trace of them for the next owner, and the roster is stored before the progress. When the leases of all keys ended in an outage of the store, the entries of the workers expired; an owner that was replaced between the two commits left pending tasks that no row names, and the next owner started them before the worker had answered its first poll.

Change: a worker is forgotten only once the ends of its short tasks are stored. Until then its row lists them, so the next owner waits for the worker's list, or for its lease.

SilentWorker.IdleAndWithdrawn_IsForgottenWithTheLease expected a worker with an unstored end to be forgotten.

--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -9,15 +9,26 @@
 
 namespace detail {
 
-std::set<TaskKey> ShardState::tasksOn(const WorkerState &worker) const {
+std::size_t ShardState::countUnstoredEnds(const WorkerState &worker) const {
+  return static_cast<std::size_t>(std::count_if(
+      worker.UnacknowledgedEnds.begin(), worker.UnacknowledgedEnds.end(),
+      [&](const UnacknowledgedEnd &it) { return isUnstored(it); }));
+}
+
+std::set<TaskKey> ShardState::unstoredTasks(const WorkerState &worker) const {
   std::set<TaskKey> tasks;
+  for (const UnacknowledgedEnd &it : worker.UnacknowledgedEnds)
+    if (isUnstored(it) && !stepOf(*findJob(it.Task.Job), it.Task).LongRunning)
+      tasks.insert(it.Task);
+  return tasks;
+}
+
+std::set<TaskKey> ShardState::tasksOn(const WorkerState &worker) const {
+  std::set<TaskKey> tasks = unstoredTasks(worker);
   for (const auto &[run, held] : worker.Runs)
     tasks.insert(run.Task);
   for (const auto &[run, attempts] : worker.OrphanRuns)
     tasks.insert(run.Task);
-  for (const UnacknowledgedEnd &it : worker.UnacknowledgedEnds)
-    if (isUnstored(it))
-      tasks.insert(it.Task);
   for (const auto &[task, starts] : LateStarts)
     if (std::any_of(starts.begin(), starts.end(), [&](const LateStart &it) {
           return it.Worker == worker.Profile.Id;
@@ -26,10 +37,10 @@
   return tasks;
 }
 
-std::size_t ShardState::countUnstoredEnds(const WorkerState &worker) const {
-  return static_cast<std::size_t>(std::count_if(
-      worker.UnacknowledgedEnds.begin(), worker.UnacknowledgedEnds.end(),
-      [&](const UnacknowledgedEnd &it) { return isUnstored(it); }));
+bool ShardState::mayForget(const WorkerState &worker) const {
+  return !worker.Listed && worker.Runs.empty() && !worker.UnverifiedUntil &&
+         !worker.Synced && worker.UnansweredStarts.empty() &&
+         unstoredTasks(worker).empty();
 }
 
 void ShardState::updatePossibleTasks(WorkerState &worker) {
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -436,12 +436,11 @@
     markLostWithLease(*w);
     dropRuns(*w, "worker lease expired", now);
   }
-  // Removes unlisted workers that can have no more runs.
+  // What only this owner knows of a worker stays in the roster until it is
+  // stored.
   for (auto it = Workers.begin(); it != Workers.end();) {
     WorkerState &w = *it->second;
-    bool gone = !w.Listed && w.Runs.empty() && !w.UnverifiedUntil &&
-                !w.Synced && w.UnansweredStarts.empty();
-    if (!gone) {
+    if (!mayForget(w)) {
       ++it;
       continue;
     }
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -836,6 +836,12 @@
   std::set<TaskKey> tasksOn(const WorkerState &worker) const;
   /// Returns how many ends were read from the worker and are in no record yet.
   std::size_t countUnstoredEnds(const WorkerState &worker) const;
+  /// Returns the short tasks of these ends. Only this owner knows that they
+  /// ended; a long-running task starts again after any end.
+  std::set<TaskKey> unstoredTasks(const WorkerState &worker) const;
+  /// Returns whether the worker can have no runs any more, and the next owner
+  /// need not ask it for anything that this one knows.
+  bool mayForget(const WorkerState &worker) const;
   /// Lists the tasks on a worker that gets no starts for the roster, and lets
   /// any other be used again once that is stored.
   void updatePossibleTasks(WorkerState &worker);
--- a/tests/unit/unit-dispatch-silent.cpp
+++ b/tests/unit/unit-dispatch-silent.cpp
@@ -202,6 +202,7 @@
   TestShard.unlistWorker(base::WorkerId("lost"));
   report("lost", {{1, Started[0].Run, RunOutcome::Done, ""}});
   plan();
+  storeWrites();
   TestShard.onPollFailed(base::WorkerId("lost"), "timeout", now());
   Time.advance(6000ms);
   plan();
