Keep ends of a restarted worker in the roster until they are stored

Cause: when a worker restarts, its owner forgets the ends that it has not acknowledged. The row of the worker then no longer lists their tasks, before the progress is stored, and the worker's own list has lost them.

Change: such ends stay with the worker until they are stored, and their tasks in its row. If the restart was a wrong start time in a directory entry, the worker still lists them and the next owner reads them there.

Evidence: three tests failed before the change (restart, restart of a worker that leaves, another instance at its address).

--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -10,16 +10,24 @@
 namespace detail {
 
 std::size_t ShardState::countUnstoredEnds(const WorkerState &worker) const {
-  return static_cast<std::size_t>(std::count_if(
-      worker.UnacknowledgedEnds.begin(), worker.UnacknowledgedEnds.end(),
-      [&](const UnacknowledgedEnd &it) { return isUnstored(it); }));
+  auto unstored = [&](const UnacknowledgedEnd &it) { return isUnstored(it); };
+  return static_cast<std::size_t>(
+      std::count_if(worker.UnacknowledgedEnds.begin(),
+                    worker.UnacknowledgedEnds.end(), unstored) +
+      std::count_if(worker.EndsBeforeRestart.begin(),
+                    worker.EndsBeforeRestart.end(), unstored));
 }
 
 std::set<TaskKey> ShardState::unstoredTasks(const WorkerState &worker) const {
   std::set<TaskKey> tasks;
-  for (const UnacknowledgedEnd &it : worker.UnacknowledgedEnds)
+  auto add = [&](const UnacknowledgedEnd &it) {
     if (isUnstored(it) && !stepOf(*findJob(it.Task.Job), it.Task).LongRunning)
       tasks.insert(it.Task);
+  };
+  for (const UnacknowledgedEnd &it : worker.UnacknowledgedEnds)
+    add(it);
+  for (const UnacknowledgedEnd &it : worker.EndsBeforeRestart)
+    add(it);
   return tasks;
 }
 
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -105,6 +105,10 @@
   worker.LatestDeadline = WorkerTime{0};
   worker.PollDeadline = worker.ConfirmedDeadline = WorkerTime{0};
   worker.LastProcessedEnd = worker.AcknowledgedEnd = worker.ForgottenEnd = 0;
+  std::copy_if(worker.UnacknowledgedEnds.begin(),
+               worker.UnacknowledgedEnds.end(),
+               std::back_inserter(worker.EndsBeforeRestart),
+               [&](const UnacknowledgedEnd &it) { return isUnstored(it); });
   worker.UnacknowledgedEnds.clear();
   worker.UnreadableEnds.clear();
   worker.Trials = {};
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -440,6 +440,9 @@
   // stored.
   for (auto it = Workers.begin(); it != Workers.end();) {
     WorkerState &w = *it->second;
+    std::erase_if(w.EndsBeforeRestart, [&](const UnacknowledgedEnd &end) {
+      return !isUnstored(end);
+    });
     if (!mayForget(w)) {
       ++it;
       continue;
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -494,6 +494,8 @@
   std::int64_t ForgottenEnd = 0;
   /// Ascending.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
+  /// Ends of earlier incarnations that were read and are not stored yet.
+  std::vector<UnacknowledgedEnd> EndsBeforeRestart;
   /// Ends whose rows could not be read, with when that was first seen. They and
   /// later ends are not acknowledged.
   std::map<std::int64_t, TimePoint> UnreadableEnds;
--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -144,6 +144,38 @@
   EXPECT_EQ(startsByNext(3s), 0u);
 }
 
+// The list of the restarted worker no longer has the end: without the roster,
+// only the earlier owner knew of it.
+TEST_F(UnstoredEnds, WorkerRestarted_TaskStaysInTheRoster) {
+  model::WorkerProfile restarted = worker("w1");
+  restarted.StartTime = 2000ms;
+  TestShard.updateWorker(restarted, now());
+  planWithoutStore(TestShard);
+  handOver();
+  EXPECT_EQ(startsByNext(3s), 0u);
+}
+
+TEST_F(UnstoredEnds, WorkerRestartedAndEntryRemoved_TaskStaysInTheRoster) {
+  model::WorkerProfile restarted = worker("w1");
+  restarted.StartTime = 2000ms;
+  TestShard.updateWorker(restarted, now());
+  planWithoutStore(TestShard);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  handOver();
+  EXPECT_EQ(startsByNext(3s), 0u);
+}
+
+TEST_F(UnstoredEnds, OtherInstanceAnswers_TaskStaysInTheRoster) {
+  PollReport other;
+  other.WrongIncarnation = true;
+  poll("w1", other);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  handOver();
+  EXPECT_EQ(startsByNext(3s), 0u);
+}
+
 // The price of the row: once the record is stored, it goes, and the next owner
 // waits for nothing.
 TEST_F(UnstoredEnds, StoredAfterTheEntryWasRemoved_RowIsDropped) {
@@ -155,6 +187,18 @@
   EXPECT_FALSE(hasRow("w1"));
 }
 
+TEST_F(UnstoredEnds, StoredAfterARestart_RowListsNothing) {
+  model::WorkerProfile restarted = worker("w1");
+  restarted.StartTime = 2000ms;
+  TestShard.updateWorker(restarted, now());
+  planWithoutStore(TestShard);
+  storeWrites();
+  planWithoutStore(TestShard);
+  std::vector<dispatch::RosterEntry> rows = TestShard.roster();
+  ASSERT_EQ(rows.size(), 1u);
+  EXPECT_TRUE(rows[0].Tasks && rows[0].Tasks->empty());
+}
+
 TEST_F(UnstoredEnds, JobCancelled_RowIsDropped) {
   TestShard.cancelJob(JobNumber{Ended}, now());
   TestShard.unlistWorker(base::WorkerId("w1"));
