Keep the row of a worker of which only a part of the list was read

Cause: an owner that has read only a part of the list of an inherited worker has not taken the worker's row over. If the worker falls silent, the row goes with the lease of the earlier owner, and with it the tasks whose ends this owner has read and not stored.

Change: where such ends are left, the row becomes one of this term and lists their tasks.

--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -29,6 +29,14 @@
   }
   worker.OrphanRuns.clear();
   worker.UnverifiedUntil.reset();
+  // The row of the earlier owner's term ends here. If ends have been read from
+  // a part of the list, the next owner must ask the worker again.
+  if (worker.UsedInTerm != Term && !unstoredTasks(worker).empty()) {
+    worker.UsedInTerm = Term;
+    worker.PossibleTasks.reset();
+    worker.LeaseLeft.reset();
+    updatePossibleTasks(worker);
+  }
   if (!lost.empty())
     Events.emit(EventCode::RunsLost, {{"worker", worker.Profile.Id.str()},
                                       {"cause", cause},
--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -234,6 +234,40 @@
     EXPECT_TRUE(it.Tasks && it.Tasks->empty());
 }
 
+/// The job runs for an earlier owner on w0, whose list of ends is so long that
+/// its first answer has only a part of it.
+class PartlyReadWorker : public UnstoredEnds {
+protected:
+  void SetUp() override {
+    Run = {{JobNumber{Ended}, 0, 0, 0}, 1};
+    TestShard.markUnverified(
+        {{base::WorkerId("w1"), {"10.0.0.1", 8080}, Term - 1}},
+        {{Term - 1, now(), false}}, now());
+    TestShard.addJob(job(Ended, {step(1), stepAfter(0)}), 5, true, now());
+    TestShard.updateWorker(worker("w1"), now());
+    PollReport report = listOfEnd();
+    report.MoreEnded = true;
+    poll("w1", report);
+    fallSilent(TestShard, "w1");
+  }
+};
+
+// The row of the earlier owner went with its lease, and with it the task.
+TEST_F(PartlyReadWorker, LeaseOfTheEarlierOwnerExpired_TaskStaysInTheRoster) {
+  Time.advance(8s);
+  planWithoutStore(TestShard);
+  handOver({{Term - 1, now() - 8s, false}, {Term, now(), false}});
+  EXPECT_EQ(startsByNext(3s), 0u);
+}
+
+TEST_F(PartlyReadWorker, LeaseExpiredAndEntryRemoved_TaskStaysInTheRoster) {
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  Time.advance(8s);
+  planWithoutStore(TestShard);
+  handOver({{Term - 1, now() - 8s, false}, {Term, now(), false}});
+  EXPECT_EQ(startsByNext(3s), 0u);
+}
+
 /// Two nodes and one store. The first node has read the end of a task and
 /// stores its roster, but not the progress of the job.
 class OwnerWithoutProgressRecords : public NodeFixture {
