--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -46,9 +46,9 @@
 }
 
 bool ShardState::mayForget(const WorkerState &worker) const {
-  return !worker.Listed && worker.Runs.empty() && !worker.UnverifiedUntil &&
-         !worker.Synced && worker.UnansweredStarts.empty() &&
-         unstoredTasks(worker).empty();
+  return !worker.Listed && worker.Runs.empty() && worker.OrphanRuns.empty() &&
+         !worker.UnverifiedUntil && !worker.Synced &&
+         worker.UnansweredStarts.empty() && unstoredTasks(worker).empty();
 }
 
 void ShardState::updatePossibleTasks(WorkerState &worker) {
--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -268,6 +268,20 @@
   EXPECT_EQ(startsByNext(3s), 0u);
 }
 
+// A run that must be stopped is forgotten with its worker as well: nobody would
+// stop it any more.
+TEST_F(UnstoredEnds, RunOfAnUnknownJobAndEntryRemoved_IsStoppedAllTheSame) {
+  storeWrites();
+  PollReport report;
+  report.Running = {{{{JobNumber{9}, 0, 0, 0}, 1}, "", 100, 0, false}};
+  poll("w1", report);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+  EXPECT_TRUE(TestShard.hasWorker(base::WorkerId("w1")));
+  Time.advance(1s);
+  EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
+}
+
 /// Two nodes and one store. The first node has read the end of a task and
 /// stores its roster, but not the progress of the job.
 class OwnerWithoutProgressRecords : public NodeFixture {
