--- a/packages/dispatch/include/endivedoor/dispatch/Records.h
+++ b/packages/dispatch/include/endivedoor/dispatch/Records.h
@@ -287,8 +287,9 @@
   /// Latest term whose owner may have used the worker; 0 if any earlier one
   /// may have. An owner stores its own term here before it uses the worker.
   std::int64_t Term = 0;
-  /// Tasks that may have runs on the worker; nothing if any task may. An owner
-  /// starts nothing on a worker while this is stored. Ascending.
+  /// Tasks that may have runs on the worker, or that have ended there without a
+  /// record; nothing if any task may. An owner starts nothing on a worker while
+  /// this is stored. Ascending.
   std::optional<std::vector<model::TaskKey>> Tasks = {};
   /// How long the worker may hold leases of that term, from when the row was
   /// written; nothing if that depends on when the term ended.
