End the leases of keys in the soak while their processes live

endLeasesInAnOutage() takes the store away for up to 2.5 s, ends all leases, and lets the entries of the workers come back within 2 s, as the platform says. Afterwards transactions may get no answer or take effect late, and the owners of a worker may be killed. It has a random generator of its own, so that the other faults of a seed stay as they were.

Evidence: the stand-in's entry is covered by unit-standin-worker.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -52,7 +52,8 @@
                              TestCluster &cluster, std::uint64_t seed,
                              bool lateRestarts)
     : Io(io), Time(clock), Cluster(cluster), Random(seed), LossRandom(seed + 1),
-      RestartRandom(seed + 2), LateRestarts(lateRestarts) {}
+      RestartRandom(seed + 2), LateRestarts(lateRestarts),
+      LeaseRandom(seed + 3) {}
 
 int FaultInjector::randomInt(int min, int max) {
   return std::uniform_int_distribution<int>(min, max)(Random);
@@ -99,6 +100,7 @@
   if (LateRestarts)
     asio::co_spawn(Io, restartWorkersUntil(Time.now() + before / 2),
                    asio::detached);
+  asio::co_spawn(Io, endLeasesUntil(Time.now() + before), asio::detached);
   co_await startFaultsUntil(Time.now() + before);
   co_await waitForFaults();
   Calm = true;
@@ -108,6 +110,7 @@
   if (LateRestarts)
     asio::co_spawn(Io, restartWorkersUntil(Time.now() + after / 2),
                    asio::detached);
+  asio::co_spawn(Io, endLeasesUntil(Time.now() + after), asio::detached);
   co_await startFaultsUntil(Time.now() + after);
   co_await waitForFaults();
   // After the last fault no change of owner ends the wait for the worker.
@@ -194,6 +197,54 @@
   forEachWorker([](WorkerServer &it) { it.setFaults({}); });
 }
 
+Awaitable<void> FaultInjector::endLeasesUntil(base::TimePoint end) {
+  std::uniform_int_distribution<int> interval(500, 5000);
+  while (true) {
+    milliseconds pause(interval(LeaseRandom));
+    if (Time.now() + pause >= end)
+      co_return;
+    co_await sleepFor(pause);
+    asio::co_spawn(
+        Io, inject({"leases-ended", &FaultInjector::endLeasesInAnOutage}),
+        asio::detached);
+  }
+}
+
+/// The store is away, and with it go the leases of all keys, while the
+/// processes behind them live. Then a part of the transactions gets no answer,
+/// and the entries of the workers come back one by one. In half of the cases an
+/// owner is killed meanwhile.
+Awaitable<void> FaultInjector::endLeasesInAnOutage() {
+  auto random = [&](int min, int max) {
+    return std::uniform_int_distribution<int>(min, max)(LeaseRandom);
+  };
+  KeyValueStore::Faults faults;
+  faults.OutageMode = KeyValueStore::Outage::Reset;
+  Cluster.Store.setFaults(faults);
+  co_await sleepFor(milliseconds(random(300, 2500)));
+  Cluster.Store.endLeases();
+  for (auto &it : Cluster.Workers)
+    it->loseEntry(milliseconds(random(0, 2000)));
+  faults = {};
+  faults.LostAnswerRate = random(0, 1) == 0 ? 0 : 0.4;
+  faults.CommitDelay = milliseconds(random(0, 1) == 0 ? 0 : random(100, 2000));
+  faults.AnswerDelay = milliseconds(random(0, 1) == 0 ? 0 : random(50, 300));
+  Cluster.Store.setFaults(faults);
+  milliseconds untilKill(random(100, 800));
+  milliseconds downtime(random(50, 2500));
+  auto worker = static_cast<std::size_t>(
+      random(0, static_cast<int>(Cluster.Workers.size()) - 1));
+  bool killsOwners = random(0, 1) == 0;
+  co_await sleepFor(untilKill);
+  if (killsOwners)
+    for (DaemonSlot *it : reserveOwners(worker))
+      asio::co_spawn(Io, killAndStart(*it, downtime), asio::detached);
+  co_await sleepFor(2000ms - untilKill);
+  Cluster.Store.setFaults({});
+  // The last delayed transactions still have to take effect.
+  co_await sleepFor(faults.CommitDelay);
+}
+
 /// Reserves the daemons that own shards whose rosters list the worker, except
 /// those that another fault holds.
 std::vector<DaemonSlot *> FaultInjector::reserveOwners(std::size_t worker) {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -41,6 +41,8 @@
   Awaitable<void> startFaultsUntil(base::TimePoint end);
   Awaitable<void> restartWorkersUntil(base::TimePoint end);
   Awaitable<void> restartWithLateCalls();
+  Awaitable<void> endLeasesUntil(base::TimePoint end);
+  Awaitable<void> endLeasesInAnOutage();
   Awaitable<void> waitForFaults();
   Awaitable<void> killDaemon();
   Awaitable<void> killAndStart(DaemonSlot &slot,
@@ -83,6 +85,8 @@
   /// Chooses the restarts with late calls, for the same reason.
   std::mt19937_64 RestartRandom;
   bool LateRestarts;
+  /// Chooses the outages that end all leases, for the same reason.
+  std::mt19937_64 LeaseRandom;
   std::map<std::string, int> InjectedCounts;
   int ActiveFaults = 0;
   /// Daemons that restarts in series have yet to start again.
--- a/tests/standins/installation/KeyValueStore.cpp
+++ b/tests/standins/installation/KeyValueStore.cpp
@@ -110,17 +110,27 @@
         ++it;
         continue;
       }
-      std::vector<std::string> keys;
-      for (const auto &[key, item] : Items)
-        if (item.Lease == it->first)
-          keys.push_back(key);
-      for (const std::string &key : keys)
-        erase(key);
+      removeKeysOf(it->first);
       it = Leases.erase(it);
     }
   }
 }
 
+void KeyValueStore::removeKeysOf(std::int64_t lease) {
+  std::vector<std::string> keys;
+  for (const auto &[key, item] : Items)
+    if (item.Lease == lease)
+      keys.push_back(key);
+  for (const std::string &key : keys)
+    erase(key);
+}
+
+void KeyValueStore::endLeases() {
+  for (const auto &[id, it] : Leases)
+    removeKeysOf(id);
+  Leases.clear();
+}
+
 static json::object itemJson(const std::string &key, const std::string &value,
                              std::int64_t revision, std::int64_t created,
                              std::int64_t lease) {
--- a/tests/standins/installation/KeyValueStore.h
+++ b/tests/standins/installation/KeyValueStore.h
@@ -46,6 +46,8 @@
   /// Compacts the history up to the current revision; watches from earlier
   /// revisions are answered with 410.
   void dropHistory();
+  /// Ends all leases and removes their keys, as an outage may.
+  void endLeases();
   void setFaults(Faults faults);
   const Faults &faults() const { return ActiveFaults; }
   /// Number of calls by kind since the start.
@@ -80,6 +82,7 @@
   Awaitable<HttpResponse> serve(HttpRequest request);
   Awaitable<HttpResponse> applyWithoutAnswer(HttpRequest request);
   Awaitable<void> expireLeases();
+  void removeKeysOf(std::int64_t lease);
   void write(const std::string &key, Item item);
   void remove(const std::string &key);
   void wakeWatches();
--- a/tests/standins/installation/WorkerServer.cpp
+++ b/tests/standins/installation/WorkerServer.cpp
@@ -144,7 +144,8 @@
       {"labels", std::move(labels)},
       {"born", Profile.StartTime.count()},
       {"sequence", ++Sequence}};
-  if (DownUntil || Store.faults().OutageMode != KeyValueStore::Outage::None)
+  if (DownUntil || Time.now() < EntryLostUntil ||
+      Store.faults().OutageMode != KeyValueStore::Outage::None)
     return;
   Store.put("servers/" + id(), json::serialize(entry));
   for (auto &[former, until] : FormerCapacities)
@@ -157,6 +158,11 @@
   publishEntry();
 }
 
+void WorkerServer::loseEntry(milliseconds time) {
+  EntryLostUntil = Time.now() + time;
+  Store.erase("servers/" + id());
+}
+
 void WorkerServer::setCapacity(base::Resources capacity) {
   std::erase_if(FormerCapacities, [now = Time.now()](const auto &it) {
     return it.second && now >= *it.second;
--- a/tests/standins/installation/WorkerServer.h
+++ b/tests/standins/installation/WorkerServer.h
@@ -43,6 +43,9 @@
 
   void setFaults(Faults faults) { ActiveFaults = faults; }
   void setDraining(bool on);
+  /// The store removes the worker's entry, as one whose lease has ended. The
+  /// worker goes on and publishes it again after \p time.
+  void loseEntry(std::chrono::milliseconds time);
   /// Changes the capacity that the worker publishes. Starts are checked against
   /// a lower capacity ShrinkGrace after its publication, and against a higher
   /// one at once.
@@ -109,6 +112,8 @@
   Faults ActiveFaults;
   base::TimePoint IncarnationStart;
   std::optional<base::TimePoint> DownUntil;
+  /// The entry is not published before then.
+  base::TimePoint EntryLostUntil{};
   bool Vanished = false;
   /// Replaced capacities, each with the time at which it no longer counts; no
   /// time while its successor has not been published.
--- a/tests/unit/unit-standin-worker.cpp
+++ b/tests/unit/unit-standin-worker.cpp
@@ -251,5 +251,20 @@
   sendAndRead("hold", poll(5));
 }
 
+// Guards against a soak that ends the leases of workers only with the workers:
+// the owner would never withdraw a worker whose process lives.
+TEST_F(WorkerServerTest, LostEntry_IsBackAfterTheTimeWhileTheWorkerLives) {
+  std::string key = "servers/w-1";
+  pass(700ms);
+  ASSERT_TRUE(Entries.find(key));
+  Worker->loseEntry(1000ms);
+  EXPECT_FALSE(Entries.find(key));
+  pass(700ms);
+  EXPECT_FALSE(Entries.find(key));
+  sendAndRead("hold", poll(5));
+  pass(1000ms);
+  EXPECT_TRUE(Entries.find(key));
+}
+
 } // namespace
 } // namespace endivedoor::standin
