Forget a worker without an entry once it answers with nothing left

After 60 s without an entry the worker may belong to another shard, and the two owners would fence each other.

Change: a worker without an entry is forgotten if it answers, its whole list has been read and acknowledged, and nothing of it is left to be stored or stopped.

Evidence: AnswersWithoutAnEntryAndEndIsStored_IsForgotten failed before the change. unstoredShortTasks() now says which tasks it returns.

--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -18,9 +18,11 @@
                     worker.EndsBeforeRestart.end(), unstored));
 }
 
-std::set<TaskKey> ShardState::unstoredTasks(const WorkerState &worker) const {
+std::set<TaskKey>
+ShardState::unstoredShortTasks(const WorkerState &worker) const {
   std::set<TaskKey> tasks;
   auto add = [&](const UnacknowledgedEnd &it) {
+    // The job of an unstored end is known.
     if (isUnstored(it) && !stepOf(*findJob(it.Task.Job), it.Task).LongRunning)
       tasks.insert(it.Task);
   };
@@ -32,7 +34,7 @@
 }
 
 std::set<TaskKey> ShardState::tasksOn(const WorkerState &worker) const {
-  std::set<TaskKey> tasks = unstoredTasks(worker);
+  std::set<TaskKey> tasks = unstoredShortTasks(worker);
   for (const auto &[run, held] : worker.Runs)
     tasks.insert(run.Task);
   for (const auto &[run, attempts] : worker.OrphanRuns)
@@ -46,9 +48,15 @@
 }
 
 bool ShardState::mayForget(const WorkerState &worker) const {
-  return !worker.Listed && worker.Runs.empty() && worker.OrphanRuns.empty() &&
-         !worker.UnverifiedUntil && !worker.Synced &&
-         worker.UnansweredStarts.empty() && unstoredTasks(worker).empty();
+  // A silent worker is waited for until its lease has ended, and a row that
+  // cannot be read may be a run.
+  bool answersWithNothingLeft =
+      !worker.SilentSince && worker.UnacknowledgedEnds.empty() &&
+      worker.UnreadableEnds.empty() && worker.InvalidRow.empty();
+  return !worker.Listed && !worker.UnverifiedUntil &&
+         (!worker.Synced || answersWithNothingLeft) && worker.Runs.empty() &&
+         worker.OrphanRuns.empty() && worker.UnansweredStarts.empty() &&
+         unstoredShortTasks(worker).empty();
 }
 
 void ShardState::updatePossibleTasks(WorkerState &worker) {
--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -31,7 +31,7 @@
   worker.UnverifiedUntil.reset();
   // The row of the earlier owner's term ends here. If ends have been read from
   // a part of the list, the next owner must ask the worker again.
-  if (worker.UsedInTerm != Term && !unstoredTasks(worker).empty()) {
+  if (worker.UsedInTerm != Term && !unstoredShortTasks(worker).empty()) {
     worker.UsedInTerm = Term;
     worker.PossibleTasks.reset();
     worker.LeaseLeft.reset();
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -494,7 +494,9 @@
   std::int64_t ForgottenEnd = 0;
   /// Ascending.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
-  /// Ends of earlier incarnations that were read and are not stored yet.
+  /// Ends that were read before a restart was seen and are not stored yet,
+  /// until the worker answers again. The restart may be a wrong start time in
+  /// the directory entry; then the worker still lists them.
   std::vector<UnacknowledgedEnd> EndsBeforeRestart;
   /// Ends whose rows could not be read, with when that was first seen. They and
   /// later ends are not acknowledged.
@@ -840,7 +842,7 @@
   std::size_t countUnstoredEnds(const WorkerState &worker) const;
   /// Returns the short tasks of these ends. Only this owner knows that they
   /// ended; a long-running task starts again after any end.
-  std::set<TaskKey> unstoredTasks(const WorkerState &worker) const;
+  std::set<TaskKey> unstoredShortTasks(const WorkerState &worker) const;
   /// Returns whether the worker can have no runs any more, and the next owner
   /// need not ask it for anything that this one knows.
   bool mayForget(const WorkerState &worker) const;
--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -1,7 +1,6 @@
 // Ends of runs that an owner has read and not stored, while the worker leaves
-// its tables: the next owner must find the tasks in the roster. Faults of what
-// only one owner knows: a task starts again after its end, before the list of
-// its worker is read.
+// its tables: the next owner must find the tasks in the roster. Fault: a task
+// starts again after its end, because only the earlier owner knew of it.
 #include "support/NodeFixture.h"
 #include "support/ShardFixture.h"
 #include "support/StoreLink.h"
@@ -144,8 +143,8 @@
   EXPECT_EQ(startsByNext(3s), 0u);
 }
 
-// The list of the restarted worker no longer has the end: without the roster,
-// only the earlier owner knew of it.
+// The start time in the entry may be wrong; then the worker still lists the
+// end. An answer of the new incarnation ends the wait.
 TEST_F(UnstoredEnds, WorkerRestarted_TaskStaysInTheRoster) {
   model::WorkerProfile restarted = worker("w1");
   restarted.StartTime = 2000ms;
@@ -207,7 +206,7 @@
 }
 
 // The worker comes back under its id: what it still lists is known already.
-TEST_F(UnstoredEnds, WorkerReturns_StartsAreAllowedAndTheEndCountsOnce) {
+TEST_F(UnstoredEnds, WorkerReturns_OnlyTheNextStepStarts) {
   TestShard.unlistWorker(base::WorkerId("w1"));
   planWithoutStore(TestShard);
   addWorker("w1", listOfEnd());
@@ -230,11 +229,10 @@
 TEST_F(UnstoredEndOfALongRunningTask, EntryRemoved_HoldsNothing) {
   TestShard.unlistWorker(base::WorkerId("w1"));
   planWithoutStore(TestShard);
-  for (const dispatch::RosterEntry &it : TestShard.roster())
-    EXPECT_TRUE(it.Tasks && it.Tasks->empty());
+  EXPECT_FALSE(hasRow("w1"));
 }
 
-/// The job runs for an earlier owner on w0, whose list of ends is so long that
+/// The job runs for an earlier owner on w1, whose list of ends is so long that
 /// its first answer has only a part of it.
 class PartlyReadWorker : public UnstoredEnds {
 protected:
@@ -268,6 +266,20 @@
   EXPECT_EQ(startsByNext(3s), 0u);
 }
 
+// Guards against an owner that polls a worker without an entry for as long as
+// it answers, also once it belongs to another shard.
+TEST_F(UnstoredEnds, AnswersWithoutAnEntryAndEndIsStored_IsForgotten) {
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  poll("w1", listOfEnd());
+  planWithoutStore(TestShard);
+  EXPECT_TRUE(TestShard.hasWorker(base::WorkerId("w1")));
+  storeWrites();
+  poll("w1");
+  planWithoutStore(TestShard);
+  EXPECT_FALSE(TestShard.hasWorker(base::WorkerId("w1")));
+}
+
 // A run that must be stopped is forgotten with its worker as well: nobody would
 // stop it any more.
 TEST_F(UnstoredEnds, RunOfAnUnknownJobAndEntryRemoved_IsStoppedAllTheSame) {
