Keep a worker in the roster while a start on it may still run

A start got no answer, and its worker fell silent and left the directory. The owner holds the task for 12 s and a longest lease, but forgot the worker after 12 s. The next owner found no row and started the task at once, while a restarted worker might run it.

Change: a worker is forgotten only once no task may be on it, by the same list that its row shows. The list leaves out late starts that this owner ignores itself: a long-running task is held for 4 s only, and its next owner need not wait for longer either.

Evidence: LateStartOnAWorkerThatLeaves.EntryRemoved_... failed before the change.

--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -41,7 +41,7 @@
     tasks.insert(run.Task);
   for (const auto &[task, starts] : LateStarts)
     if (std::any_of(starts.begin(), starts.end(), [&](const LateStart &it) {
-          return it.Worker == worker.Profile.Id;
+          return it.Worker == worker.Profile.Id && !it.Ignored;
         }))
       tasks.insert(task);
   return tasks;
@@ -54,9 +54,8 @@
       !worker.SilentSince && worker.UnacknowledgedEnds.empty() &&
       worker.UnreadableEnds.empty() && worker.InvalidRow.empty();
   return !worker.Listed && !worker.UnverifiedUntil &&
-         (!worker.Synced || answersWithNothingLeft) && worker.Runs.empty() &&
-         worker.OrphanRuns.empty() && worker.UnansweredStarts.empty() &&
-         unstoredShortTasks(worker).empty();
+         (!worker.Synced || answersWithNothingLeft) &&
+         worker.UnansweredStarts.empty() && tasksOn(worker).empty();
 }
 
 void ShardState::updatePossibleTasks(WorkerState &worker) {
