End the wait for ends of an earlier incarnation with the next answer

Change: the first answer to the new token drops them.

Evidence: RestartedWorkerAnswers_RowListsNothing failed before the change.

--- a/packages/dispatch/src/Incarnations.cpp
+++ b/packages/dispatch/src/Incarnations.cpp
@@ -65,6 +65,8 @@
                                  WorkerTime clock, TimePoint now) {
   worker.TokenAnswered = true;
   worker.RestartLeaseUntil.reset();
+  // Its list has these ends again, or no next owner can learn of them here.
+  worker.EndsBeforeRestart.clear();
   // A call for an earlier incarnation may have acted on this one just before.
   // What it started is listed; its lease is not.
   if (worker.Incarnation &&
--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -154,6 +154,19 @@
   EXPECT_EQ(startsByNext(3s), 0u);
 }
 
+// The new incarnation has answered: no list has the end any more, and waiting
+// would not bring it back.
+TEST_F(UnstoredEnds, RestartedWorkerAnswers_RowListsNothing) {
+  PollReport restarted;
+  restarted.StartTime = 2000ms;
+  poll("w1", restarted);
+  poll("w1", restarted);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  for (const dispatch::RosterEntry &it : TestShard.roster())
+    EXPECT_TRUE(it.Tasks && it.Tasks->empty());
+}
+
 TEST_F(UnstoredEnds, WorkerRestartedAndEntryRemoved_TaskStaysInTheRoster) {
   model::WorkerProfile restarted = worker("w1");
   restarted.StartTime = 2000ms;
