List the tasks of a partly read worker also with unreadable ends

Change: the row lists the tasks that are known to be there. The earlier owner's lease has ended, so nothing else runs on the worker.

--- a/packages/dispatch/src/Takeover.cpp
+++ b/packages/dispatch/src/Takeover.cpp
@@ -32,10 +32,10 @@
   // The row of the earlier owner's term ends here. If ends have been read from
   // a part of the list, the next owner must ask the worker again.
   if (worker.UsedInTerm != Term && !unstoredShortTasks(worker).empty()) {
+    std::set<TaskKey> tasks = tasksOn(worker);
     worker.UsedInTerm = Term;
-    worker.PossibleTasks.reset();
+    worker.PossibleTasks.emplace(tasks.begin(), tasks.end());
     worker.LeaseLeft.reset();
-    updatePossibleTasks(worker);
   }
   if (!lost.empty())
     Events.emit(EventCode::RunsLost, {{"worker", worker.Profile.Id.str()},
