Test the row of a partly read worker with an unreadable end

UnreadableEndAndLeaseExpired_RowListsTheKnownTask guards against a row without a list of tasks, for which the next owner would hold all inherited tasks.

--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -271,6 +271,20 @@
   EXPECT_EQ(startsByNext(3s), 0u);
 }
 
+// A row without a list would hold all inherited tasks of the next owner.
+TEST_F(PartlyReadWorker, UnreadableEndAndLeaseExpired_RowListsTheKnownTask) {
+  PollReport report = listOfEnd();
+  report.MoreEnded = true;
+  report.UnreadableEnds = {2};
+  poll("w1", report);
+  fallSilent(TestShard, "w1");
+  Time.advance(8s);
+  planWithoutStore(TestShard);
+  std::vector<dispatch::RosterEntry> rows = TestShard.roster();
+  ASSERT_EQ(rows.size(), 1u);
+  EXPECT_EQ(rows[0].Tasks, std::vector<TaskKey>{Run.Task});
+}
+
 TEST_F(PartlyReadWorker, LeaseExpiredAndEntryRemoved_TaskStaysInTheRoster) {
   TestShard.unlistWorker(base::WorkerId("w1"));
   Time.advance(8s);
