Kill owners that drop workers from the roster in the soak

The fault that ends all leases killed an owner at a random time, which seldom fell between its commit of the roster and that of the progress. In half of the cases it now kills each owner whose stored roster has just lost a worker, and up to 80% of the transactions get no answer.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -211,9 +211,10 @@
 }
 
 /// The store is away, and with it go the leases of all keys, while the
-/// processes behind them live. Then a part of the transactions gets no answer,
-/// and the entries of the workers come back one by one. In half of the cases an
-/// owner is killed meanwhile.
+/// processes behind them live. Then it is slow, or a part of the transactions
+/// gets no answer, and the entries of the workers come back one by one. In most
+/// cases owners are killed meanwhile: those of a worker, or each that has just
+/// stored a roster with fewer workers.
 Awaitable<void> FaultInjector::endLeasesInAnOutage() {
   auto random = [&](int min, int max) {
     return std::uniform_int_distribution<int>(min, max)(LeaseRandom);
@@ -226,7 +227,7 @@
   for (auto &it : Cluster.Workers)
     it->loseEntry(milliseconds(random(0, 2000)));
   faults = {};
-  faults.LostAnswerRate = random(0, 1) == 0 ? 0 : 0.4;
+  faults.LostAnswerRate = 0.4 * random(0, 2);
   faults.CommitDelay = milliseconds(random(0, 1) == 0 ? 0 : random(100, 2000));
   faults.AnswerDelay = milliseconds(random(0, 1) == 0 ? 0 : random(50, 300));
   Cluster.Store.setFaults(faults);
@@ -234,21 +235,45 @@
   milliseconds downtime(random(50, 2500));
   auto worker = static_cast<std::size_t>(
       random(0, static_cast<int>(Cluster.Workers.size()) - 1));
-  bool killsOwners = random(0, 1) == 0;
-  co_await sleepFor(untilKill);
-  if (killsOwners)
+  int killed = random(0, 3);
+  base::TimePoint end = Time.now() + 2000ms;
+  if (killed == 1) {
+    co_await sleepFor(untilKill);
     for (DaemonSlot *it : reserveOwners(worker))
       asio::co_spawn(Io, killAndStart(*it, downtime), asio::detached);
-  co_await sleepFor(2000ms - untilKill);
+  }
+  if (killed > 1)
+    co_await killOwnersThatDropRows(end, downtime);
+  co_await sleepFor(std::max(
+      0ms, std::chrono::duration_cast<milliseconds>(end - Time.now())));
   Cluster.Store.setFaults({});
   // The last delayed transactions still have to take effect.
   co_await sleepFor(faults.CommitDelay);
 }
 
-/// Reserves the daemons that own shards whose rosters list the worker, except
-/// those that another fault holds.
+Awaitable<void> FaultInjector::killOwnersThatDropRows(base::TimePoint end,
+                                                      milliseconds downtime) {
+  std::map<std::size_t, std::set<std::string>> owners;
+  while (Time.now() < end) {
+    std::set<std::string> dropped;
+    for (std::size_t i = 0; i < Cluster.Workers.size(); ++i) {
+      std::set<std::string> listing = Cluster.ownersOf(i);
+      if (listing.empty())
+        dropped.insert(owners[i].begin(), owners[i].end());
+      owners[i] = std::move(listing);
+    }
+    for (DaemonSlot *it : reserve(dropped))
+      asio::co_spawn(Io, killAndStart(*it, downtime), asio::detached);
+    co_await sleepFor(5ms);
+  }
+}
+
 std::vector<DaemonSlot *> FaultInjector::reserveOwners(std::size_t worker) {
-  std::set<std::string> owners = Cluster.ownersOf(worker);
+  return reserve(Cluster.ownersOf(worker));
+}
+
+std::vector<DaemonSlot *>
+FaultInjector::reserve(const std::set<std::string> &owners) {
   std::vector<DaemonSlot *> reserved;
   for (DaemonSlot &it : Cluster.Daemons)
     if (owners.contains(it.Name) && !it.HeldByFault) {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -43,6 +43,9 @@
   Awaitable<void> restartWithLateCalls();
   Awaitable<void> endLeasesUntil(base::TimePoint end);
   Awaitable<void> endLeasesInAnOutage();
+  /// Kills each owner whose stored roster loses a worker, until \p end.
+  Awaitable<void> killOwnersThatDropRows(base::TimePoint end,
+                                         std::chrono::milliseconds downtime);
   Awaitable<void> waitForFaults();
   Awaitable<void> killDaemon();
   Awaitable<void> killAndStart(DaemonSlot &slot,
@@ -70,7 +73,12 @@
 
   std::string randomLinkFault();
   DaemonSlot *reserveDaemon();
+  /// Reserves the daemons that own shards whose rosters list the worker, except
+  /// those that another fault holds.
   std::vector<DaemonSlot *> reserveOwners(std::size_t worker);
+  /// Reserves the daemons with these names, except those that another fault
+  /// holds.
+  std::vector<DaemonSlot *> reserve(const std::set<std::string> &owners);
   standin::WorkerServer &randomWorker();
   int randomInt(int min, int max);
   std::chrono::milliseconds randomTime(int min, int max);
