Let entries of workers stay away for longer in the soak

A next owner that knows a worker from its entry reads its ends within milliseconds. Entries that are back within 2 s left too little time for a takeover without them; a worker that does not reach the store stays away for longer, so up to 4 s.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -219,13 +219,16 @@
   auto random = [&](int min, int max) {
     return std::uniform_int_distribution<int>(min, max)(LeaseRandom);
   };
+  // A worker that reaches the store publishes its entry within 2 s; others
+  // take longer.
+  constexpr milliseconds maxEntryLoss = 4000ms;
   KeyValueStore::Faults faults;
   faults.OutageMode = KeyValueStore::Outage::Reset;
   Cluster.Store.setFaults(faults);
   co_await sleepFor(milliseconds(random(300, 2500)));
   Cluster.Store.endLeases();
   for (auto &it : Cluster.Workers)
-    it->loseEntry(milliseconds(random(0, 2000)));
+    it->loseEntry(milliseconds(random(0, maxEntryLoss / 1ms)));
   faults = {};
   faults.LostAnswerRate = 0.4 * random(0, 2);
   faults.CommitDelay = milliseconds(random(0, 1) == 0 ? 0 : random(100, 2000));
@@ -236,7 +239,7 @@
   auto worker = static_cast<std::size_t>(
       random(0, static_cast<int>(Cluster.Workers.size()) - 1));
   int killed = random(0, 3);
-  base::TimePoint end = Time.now() + 2000ms;
+  base::TimePoint end = Time.now() + maxEntryLoss;
   if (killed == 1) {
     co_await sleepFor(untilKill);
     for (DaemonSlot *it : reserveOwners(worker))
