Keep inherited workers whose entry has not been read yet

Once the entry came, the worker was synchronized again, with a new token and another roster commit: CapacityTakeover.RosterWorkerWithoutEntry_GetsNoStarts failed. Only workers whose entry was removed in this term are forgotten while they answer.

--- a/packages/dispatch/src/Roster.cpp
+++ b/packages/dispatch/src/Roster.cpp
@@ -49,10 +49,12 @@
 
 bool ShardState::mayForget(const WorkerState &worker) const {
   // A silent worker is waited for until its lease has ended, and a row that
-  // cannot be read may be a run.
-  bool answersWithNothingLeft =
-      !worker.SilentSince && worker.UnacknowledgedEnds.empty() &&
-      worker.UnreadableEnds.empty() && worker.InvalidRow.empty();
+  // cannot be read may be a run. The entry of an inherited worker may be yet to
+  // come.
+  bool answersWithNothingLeft = worker.Withdrawn && !worker.SilentSince &&
+                                worker.UnacknowledgedEnds.empty() &&
+                                worker.UnreadableEnds.empty() &&
+                                worker.InvalidRow.empty();
   return !worker.Listed && !worker.UnverifiedUntil &&
          (!worker.Synced || answersWithNothingLeft) &&
          worker.UnansweredStarts.empty() && tasksOn(worker).empty();
--- a/packages/dispatch/src/Workers.cpp
+++ b/packages/dispatch/src/Workers.cpp
@@ -498,6 +498,7 @@
   w.Profile.StartTime = startTime;
   w.EntryStartTime = profile.StartTime;
   w.Listed = true;
+  w.Withdrawn = false;
   s.checkInheritedIncarnation(w, profile.StartTime);
   if (restarted)
     s.handleRestart(w, "worker restarted", now);
@@ -510,6 +511,7 @@
   if (it == State->Workers.end() || !it->second->Listed)
     return;
   it->second->Listed = false;
+  it->second->Withdrawn = true;
   State->Events.emit(base::EventCode::WorkerWithdrawn,
                      {{"worker", worker.str()},
                       {"runs", std::to_string(it->second->Runs.size())},
--- a/packages/dispatch/src/detail/ShardState.h
+++ b/packages/dispatch/src/detail/ShardState.h
@@ -408,8 +408,9 @@
   /// Start time in the latest entry; 0 if it has none. Profile holds the latest
   /// start time that is known.
   std::chrono::milliseconds EntryStartTime{0};
-  /// The worker has a directory entry.
+  /// The worker has a directory entry, or had one that was removed.
   bool Listed = false;
+  bool Withdrawn = false;
   /// Invalid row of the latest answer, which has been logged.
   std::string InvalidRow;
   /// Since when polls have not been answered.
