Test unstored ends where jobs leave, end or are read late

These places had no test with a next owner: moves and delegations of jobs, removeEndedJobs(), ends of jobs that the owner does not know, and a row of the roster whose wait is over.

Nine tests, all of which pass on the code as it is. None fails if markUnverified() keeps a row whose wait is over: the next plan drops it.

The fixture takes the steps of the job from a member, and can answer for any owner.

--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -24,11 +24,11 @@
     return s;
   }
 
-  void SetUp() override { readEnd(step(1)); }
+  void SetUp() override { readEnd(); }
 
-  void readEnd(const model::StepSpec &first) {
+  void readEnd() {
     addWorker("w1");
-    TestShard.addJob(job(Ended, {first, stepAfter(0)}), 5, false, now());
+    TestShard.addJob(job(Ended, Steps), 5, false, now());
     std::vector<WorkerCommand> orders = plan();
     ASSERT_EQ(orders.size(), 1u);
     confirmStarts(orders);
@@ -54,34 +54,48 @@
   /// Starts the next term from the roster at hand; w1 has not answered it yet.
   void handOver(const std::vector<dispatch::FormerTerm> &former = {}) {
     Next.markUnverified(TestShard.roster(), former, now());
-    Next.addJob(job(Ended, {step(1), stepAfter(0)}), 5, true, now());
-    Next.updateWorker(worker("w1"), now());
-    Next.updateWorker(worker("w2"), now());
-    answerNext("w2", {});
-    Next.onRosterSent(Next.roster());
-    Next.onRosterStored(Next.roster());
+    Next.addJob(job(Ended, Steps), 5, true, now());
+    useWorkers(Next);
   }
 
-  void answerNext(const std::string &id, PollReport report) {
-    Next.nextPoll(base::WorkerId(id), now(), true);
+  /// Announces both workers; only w2 answers.
+  void useWorkers(Shard &owner) {
+    owner.updateWorker(worker("w1"), now());
+    owner.updateWorker(worker("w2"), now());
+    answer(owner, "w2", {});
+    owner.onRosterSent(owner.roster());
+    owner.onRosterStored(owner.roster());
+  }
+
+  void answerNext(const std::string &id, const PollReport &report) {
+    answer(Next, id, report);
+  }
+
+  void answer(Shard &owner, const std::string &id, PollReport report) {
+    owner.nextPoll(base::WorkerId(id), now(), true);
     report.Clock = std::chrono::duration_cast<std::chrono::milliseconds>(
         now().time_since_epoch());
     if (report.StartTime == 0ms)
       report.StartTime = 1000ms;
     base::TimePoint sent = now();
     Time.advance(1ms);
-    Next.onPoll(base::WorkerId(id), report, sent, now());
+    owner.onPoll(base::WorkerId(id), report, sent, now());
   }
 
   /// Returns how often the next owner starts the task within a time, while w1
   /// does not answer.
   std::size_t startsByNext(std::chrono::milliseconds time) {
+    return startsBy(Next, Run.Task, time);
+  }
+
+  std::size_t startsBy(Shard &owner, const TaskKey &task,
+                       std::chrono::milliseconds time) {
     std::size_t n = 0;
     for (std::chrono::milliseconds i{0}; i < time; i += 100ms) {
       Time.advance(100ms);
-      answerNext("w2", {});
-      for (const WorkerCommand &it : Next.plan(now(), Time.wallNow(), true))
-        n += it.Type == WorkerCommand::Kind::Start && it.Run.Task == Run.Task;
+      answer(owner, "w2", {});
+      for (const WorkerCommand &it : owner.plan(now(), Time.wallNow(), true))
+        n += it.Type == WorkerCommand::Kind::Start && it.Run.Task == task;
     }
     return n;
   }
@@ -93,6 +107,7 @@
     });
   }
 
+  std::vector<model::StepSpec> Steps{step(1), stepAfter(0)};
   RunId Run;
   Shard Next{{}, 0, Term + 1, base::FencingToken{8}, Events, MetricsRegistry};
 };
@@ -222,7 +237,8 @@
   void SetUp() override {
     model::StepSpec serving = step(1);
     serving.LongRunning = true;
-    readEnd(serving);
+    Steps[0] = serving;
+    readEnd();
   }
 };
 
@@ -282,6 +298,218 @@
   EXPECT_EQ(plan(WorkerCommand::Kind::Stop).size(), 1u);
 }
 
+/// The task is the only one, so that the job is complete with its end.
+class UnstoredFinalState : public UnstoredEnds {
+protected:
+  void SetUp() override {
+    Steps = {step(1)};
+    readEnd();
+  }
+};
+
+// Guards against an owner that forgets a complete job before its final state is
+// stored: the store still has the job as one that goes on.
+TEST_F(UnstoredFinalState, EntryRemoved_TaskIsHeldByTheNextOwner) {
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  planWithoutStore(TestShard);
+  EXPECT_EQ(TestShard.liveJobCount(), 1u);
+  handOver();
+  EXPECT_EQ(startsByNext(3s), 0u);
+  answerNext("w1", listOfEnd());
+  EXPECT_EQ(startsByNext(8s), 0u);
+  std::vector<dispatch::JobWrite> writes = Next.takeWrites(9);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].Final, model::JobState::Succeeded);
+}
+
+// The final state is stored, and the worker still lists the end, as the
+// acknowledgement was lost: the next owner does not know the job.
+TEST_F(UnstoredFinalState, StoredAndStillListed_IsAcknowledgedByTheNextOwner) {
+  storeWrites();
+  planWithoutStore(TestShard);
+  EXPECT_EQ(TestShard.liveJobCount(), 0u);
+  constexpr std::uint64_t waiting = 2;
+  Next.markUnverified(TestShard.roster(), {}, now());
+  Next.addJob(job(waiting, {step(1)}), 6, true, now());
+  useWorkers(Next);
+  answerNext("w1", listOfEnd());
+  EXPECT_EQ(
+      Next.nextPoll(base::WorkerId("w1"), now(), true)->Request.AcknowledgedEnd,
+      1);
+  EXPECT_EQ(startsBy(Next, {JobNumber{waiting}, 0, 0, 0}, 100ms), 1u);
+  EXPECT_FALSE(Next.isLive(JobNumber{Ended}));
+}
+
+// Nothing is to be stored for such an end: with a row for it, the next owner
+// would wait for the worker in vain.
+TEST_F(UnstoredFinalState, EndOfAnUnknownJob_HoldsNothingForTheNextOwner) {
+  storeWrites();
+  planWithoutStore(TestShard);
+  PollReport report = listOfEnd();
+  report.Ended.push_back(
+      {2, {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done, ""});
+  poll("w1", report);
+  EXPECT_EQ(TestShard.nextPoll(base::WorkerId("w1"), now(), true)
+                ->Request.AcknowledgedEnd,
+            2);
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  EXPECT_FALSE(hasRow("w1"));
+}
+
+/// The second step of the job fits no worker of the shard.
+class UnstoredEndOfAMovableJob : public UnstoredEnds {
+protected:
+  void SetUp() override {
+    Steps[1].Size.Cpu = base::MilliCores{2 * WorkerMilliCores};
+    readEnd();
+  }
+
+  std::vector<dispatch::JobMove> takeMoves() {
+    for (int i = 0; i < 3; ++i) {
+      Time.advance(1s);
+      poll("w1", listOfEnd());
+      planWithoutStore(TestShard);
+    }
+    return TestShard.takeMoves(1, now());
+  }
+};
+
+// Guards against a job that moves with a record in which the end is missing:
+// the worker belongs to the earlier shard, so the other one never reads it.
+TEST_F(UnstoredEndOfAMovableJob, Moves_OnlyWithTheEndInItsRecord) {
+  EXPECT_TRUE(takeMoves().empty());
+  storeWrites();
+  std::vector<dispatch::JobMove> moves = takeMoves();
+  ASSERT_EQ(moves.size(), 1u);
+  TestShard.onMoveFinished(JobNumber{Ended}, true, 500, now());
+  Shard other{{}, 1, 1, base::FencingToken{9}, Events, MetricsRegistry};
+  model::AcceptedJob moved = moves[0].Job;
+  moved.Graph.Steps[1].Size = step(1).Size;
+  other.addJob(moved, 500, false, now());
+  other.restore(JobNumber{Ended}, moves[0].Handover);
+  useWorkers(other);
+  TaskKey second{JobNumber{Ended}, 0, 1, 0};
+  EXPECT_EQ(startsBy(other, second, 100ms), 1u);
+  EXPECT_EQ(startsBy(other, Run.Task, 3s), 0u);
+}
+
+// The end is in the record that has moved: the next owner of this shard need
+// not wait for the worker.
+TEST_F(UnstoredEndOfAMovableJob, Moved_RowOfItsWorkerIsDropped) {
+  storeWrites();
+  ASSERT_EQ(takeMoves().size(), 1u);
+  TestShard.onMoveFinished(JobNumber{Ended}, true, 500, now());
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(TestShard);
+  EXPECT_FALSE(hasRow("w1"));
+}
+
+/// A job of two long-running tasks, of which one runs on w1; the run of the
+/// other has ended there, and w1 has no room for it any more.
+class EndOfADelegatedTask : public UnstoredEnds {
+protected:
+  static constexpr std::int32_t Other = 5;
+
+  void SetUp() override {
+    Steps = {step(2, WorkerMilliCores / 2)};
+    Steps[0].LongRunning = true;
+    addWorker("w1");
+    TestShard.addJob(job(Ended, Steps), 5, false, now());
+    std::vector<WorkerCommand> orders = plan();
+    ASSERT_EQ(orders.size(), 2u);
+    confirmStarts(orders);
+    Running = orders[0].Run;
+    Run = orders[1].Run;
+    poll("w1", listOfBoth());
+    model::WorkerProfile full = worker("w1");
+    full.Capacity.Cpu = base::MilliCores{WorkerMilliCores / 2};
+    TestShard.updateWorker(full, now());
+    for (int i = 0; i < 3; ++i) {
+      Time.advance(1s);
+      poll("w1", listOfBoth());
+      planWithoutStore(TestShard);
+    }
+  }
+
+  PollReport listOfBoth() const {
+    PollReport report = listOfEnd();
+    report.Ended[0].Outcome = RunOutcome::Stopped;
+    report.Running = {{Running, "", 100, 0, false}};
+    return report;
+  }
+
+  RunId Running;
+};
+
+// Guards against a next owner that takes a task as its own because the list of
+// its worker still has an earlier run of it.
+TEST_F(EndOfADelegatedTask, ListedAgain_TaskIsNotStartedByTheNextOwner) {
+  std::vector<dispatch::Delegation> offers =
+      TestShard.takeDelegations(1, now());
+  ASSERT_EQ(offers.size(), 1u);
+  dispatch::JobWrite record = TestShard.delegate(offers[0], Other);
+  TestShard.onDelegationFinished(offers[0], Other, 500, now());
+  EXPECT_GE(offers[0].Part.LastRun, Run.Number);
+  handOver();
+  Next.restore(JobNumber{Ended}, record.Progress, 500);
+  EXPECT_EQ(startsByNext(3s), 0u);
+  answerNext("w1", listOfBoth());
+  EXPECT_EQ(startsByNext(8s), 0u);
+}
+
+// The run numbers of the other shard must follow on those of this one, or the
+// end would be taken for that of a later run.
+TEST_F(EndOfADelegatedTask, StartedByTheOtherShard_HasAHigherRunNumber) {
+  std::vector<dispatch::Delegation> offers =
+      TestShard.takeDelegations(1, now());
+  ASSERT_EQ(offers.size(), 1u);
+  Shard other{{}, Other, 1, base::FencingToken{9}, Events, MetricsRegistry};
+  other.addJob(offers[0].Job, 500, false, now(), &offers[0].Part);
+  useWorkers(other);
+  std::vector<WorkerCommand> orders = other.plan(now(), Time.wallNow(), true);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].Run.Task, Run.Task);
+  EXPECT_GT(orders[0].Run.Number, Run.Number);
+}
+
+/// The second owner reads the row of w1 when the wait for it is over.
+class RowWhoseWaitIsOver : public UnstoredEnds {
+protected:
+  void SetUp() override {
+    UnstoredEnds::SetUp();
+    Replaced = now();
+    Time.advance(7s);
+    handOver({{Term, Replaced, false}});
+  }
+
+  Shard Third{{}, 0, Term + 2, base::FencingToken{9}, Events, MetricsRegistry};
+  base::TimePoint Replaced;
+};
+
+// The lease has expired for certain: the task need not wait again.
+TEST_F(RowWhoseWaitIsOver, WorkerIsSilent_TaskStartsAtOnce) {
+  EXPECT_EQ(startsByNext(100ms), 1u);
+}
+
+// Guards against an end that is in no row: the second owner reads it after the
+// row of the first has ended, stores nothing and is replaced.
+TEST_F(RowWhoseWaitIsOver, EndReadLater_TaskIsHeldByTheThirdOwner) {
+  answerNext("w1", listOfEnd());
+  EXPECT_EQ(startsByNext(1s), 0u);
+  Next.unlistWorker(base::WorkerId("w1"));
+  planWithoutStore(Next);
+  Third.markUnverified(Next.roster(),
+                       {{Term, Replaced, false}, {Term + 1, now(), false}},
+                       now());
+  Third.addJob(job(Ended, Steps), 5, true, now());
+  useWorkers(Third);
+  EXPECT_EQ(startsBy(Third, Run.Task, 3s), 0u);
+  answer(Third, "w1", listOfEnd());
+  EXPECT_EQ(startsBy(Third, Run.Task, 8s), 0u);
+}
+
 /// Two nodes and one store. The first node has read the end of a task and
 /// stores its roster, but not the progress of the job.
 class OwnerWithoutProgressRecords : public NodeFixture {
