Failing test of an end whose job the owner cannot read

An end of one of its tasks counts as that of an unknown job and is acknowledged at once. When the record can be read again, the task starts again after its end.

Not mended here.

--- a/tests/unit/unit-dispatch-unstoredends.cpp
+++ b/tests/unit/unit-dispatch-unstoredends.cpp
@@ -561,4 +561,24 @@
   EXPECT_EQ(Workers.StartCounts.size(), 1u);
 }
 
+// Guards against an end that is acknowledged although its job is still in the
+// store: an owner that cannot read the record of the job does not know the job.
+// Its task starts again under an owner that can read the record.
+TEST_F(OwnerWithoutProgressRecords,
+       DISABLED_JobRecordUnreadableForOneOwner_ItsEndIsNotAcknowledged) {
+  std::string key = dispatch::keys::job(0, JobNumber{1});
+  std::string record = Store.valueOf(key);
+  ASSERT_FALSE(record.empty());
+  Store.put(key, "{");
+  replaceOwner();
+  runFor(500ms);
+  EXPECT_EQ(Workers.LastPolls[Used].AcknowledgedEnd, 0);
+  Store.put(key, record);
+  runFor(1000ms);
+  int starts = 0;
+  for (const auto &[run, n] : Workers.StartCounts)
+    starts += n;
+  EXPECT_EQ(starts, 1);
+}
+
 } // namespace
