--- a/tests/unit/unit-dispatch-acknowledgements.cpp
+++ b/tests/unit/unit-dispatch-acknowledgements.cpp
@@ -96,4 +96,18 @@
   EXPECT_EQ(nextPoll().Token, start.Token);
 }
 
+// A restarted worker numbers its ends from 1 again. Guards against one whose
+// ends are not acknowledged because the earlier incarnation had forgotten more.
+TEST_F(AcknowledgementBesideAStart, AfterARestart_BeginsAnew) {
+  listEnd();
+  ASSERT_EQ(nextPoll().AcknowledgedEnd, 1);
+  listEnd(1);
+  PollReport restarted;
+  restarted.StartTime = 2000ms;
+  poll("w1", restarted);
+  restarted.Ended = {{1, {{JobNumber{9}, 0, 0, 0}, 1}, RunOutcome::Done, ""}};
+  poll("w1", restarted);
+  EXPECT_EQ(nextPoll().AcknowledgedEnd, 1);
+}
+
 } // namespace
--- a/tests/unit/unit-dispatch-incarnations.cpp
+++ b/tests/unit/unit-dispatch-incarnations.cpp
@@ -270,6 +270,22 @@
 // A start in doubt that was being stopped counted as reported by the worker as
 // soon as any answer had arrived after the stop. After a restart its task was
 // started elsewhere while the late start could still act.
+// The same after a silence, which had given it a higher token already.
+TEST_F(RestartUnderTheId, SilentWorkerThatIsRemoved_ReturnsWithAHigherToken) {
+  confirmStarts(Started);
+  PollReport ended;
+  ended.Ended = {{1, Started[0].Run, RunOutcome::Done, ""}};
+  poll("w1", ended);
+  storeWrites();
+  losePoll();
+  dispatch::PollRequest last = losePoll();
+  TestShard.unlistWorker(base::WorkerId("w1"));
+  plan();
+  ASSERT_FALSE(TestShard.hasWorker(base::WorkerId("w1")));
+  announce(SecondLife);
+  EXPECT_GT(nextPoll().Token, last.Token);
+}
+
 TEST_F(RestartUnderTheId, UnansweredStop_LeavesTheStartInDoubt) {
   TestShard.onStart(Started[0], base::fail(base::Errc::WorkerAnswerLost, ""),
                     now());
--- a/tests/unit/unit-dispatch-latestarts.cpp
+++ b/tests/unit/unit-dispatch-latestarts.cpp
@@ -438,6 +438,35 @@
   EXPECT_EQ(again[0].Worker.Id.str(), "w2");
 }
 
+/// An earlier owner has left a row that names a late start of a task on w1. Its
+/// wait is over, but not the time in which the start may be carried out.
+class InheritedRowOfALateStart : public ShardFixture {
+protected:
+  void SetUp() override {
+    base::TimePoint replaced = now() - 9s;
+    TestShard.markUnverified({{base::WorkerId("w1"),
+                               {"10.0.0.1", 8080},
+                               Term - 1,
+                               std::vector<TaskKey>{},
+                               std::nullopt,
+                               1000ms,
+                               false,
+                               {Task}}},
+                             {{Term - 1, replaced, false}}, now());
+  }
+
+  TaskKey Task{JobNumber{1}, 0, 0, 0};
+};
+
+// Guards against an owner that drops the row with the wait: a third owner would
+// start the task at once.
+TEST_F(InheritedRowOfALateStart, WaitOver_RowIsPassedOn) {
+  std::vector<dispatch::RosterEntry> rows = TestShard.roster();
+  ASSERT_EQ(rows.size(), 1u);
+  EXPECT_EQ(rows[0].LateStarts, std::vector<TaskKey>{Task});
+  EXPECT_TRUE(rows[0].Tasks && rows[0].Tasks->empty());
+}
+
 /// The start of a task on w1 got no answer, and w1 is silent from then on.
 class LateStartOnAWorkerThatLeaves : public ShardFixture {
 protected:
